Add the module layout, shared types, messages and the build

Cause: an empty repository; every part needs the same types, formatter and linter. Change: the modules api, wire, core, daemon, cli and standins; the ids, outcomes, messages and configuration objects; the ports of the decision modules; the configuration in force with its merge rule; notes on the architecture and on the platform's protocol. Ruled out: one module with packages only, since nothing would keep input and output out of the decisions.

--- /dev/null
+++ b/api/src/main/java/org/knapweedmount/api/JobAnswer.java
@@ -0,0 +1,86 @@
+package org.knapweedmount.api;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * The answer to a submission.
+ *
+ * <p>An answer that is complete holds the result of each task in order; any other final answer holds none, so that no
+ * caller can take a part for the whole.
+ *
+ * @param submission the id, empty if the submission was refused before it had one
+ * @param outcome how the submission ended; empty while it is still queued or running
+ * @param reason why it has this outcome
+ * @param detail a sentence for the caller, empty if there is nothing to add
+ * @param retryAfterMillis how long the caller should wait before it tries again, in ms, 0 if it makes no difference
+ * @param results the results of all tasks if complete, else none
+ */
+public record JobAnswer(
+        Optional<SubmissionId> submission,
+        Optional<Outcome> outcome,
+        Reason reason,
+        String detail,
+        int retryAfterMillis,
+        List<TaskResult> results) {
+    /**
+     * Checks that results come with a complete outcome only.
+     *
+     * @throws IllegalArgumentException if an answer that is not complete has results
+     */
+    public JobAnswer {
+        Objects.requireNonNull(submission, "submission");
+        Objects.requireNonNull(reason, "reason");
+        Objects.requireNonNull(detail, "detail");
+        results = List.copyOf(results);
+        boolean complete = outcome.isPresent() && outcome.get() == Outcome.COMPLETE;
+        if (complete == results.isEmpty()) {
+            throw new IllegalArgumentException("results belong to complete answers: " + outcome + " " + reason);
+        }
+    }
+
+    /**
+     * Creates a complete answer.
+     *
+     * @param submission the id
+     * @param results the result of each task, in order
+     * @return the answer
+     */
+    public static JobAnswer complete(SubmissionId submission, List<TaskResult> results) {
+        return new JobAnswer(Optional.of(submission), Optional.of(Outcome.COMPLETE), Reason.NONE, "", 0, results);
+    }
+
+    /**
+     * Creates an answer that ends a submission without results.
+     *
+     * @param submission the id, empty if it has none
+     * @param outcome any outcome but complete
+     * @param reason why
+     * @param detail a sentence for the caller
+     * @return the answer
+     */
+    public static JobAnswer ended(Optional<SubmissionId> submission, Outcome outcome, Reason reason, String detail) {
+        return new JobAnswer(submission, Optional.of(outcome), reason, detail, 0, List.of());
+    }
+
+    /**
+     * Creates an answer for a submission that is still queued or running.
+     *
+     * @param submission the id
+     * @return the answer
+     */
+    public static JobAnswer pending(SubmissionId submission) {
+        return new JobAnswer(Optional.of(submission), Optional.empty(), Reason.NONE, "", 0, List.of());
+    }
+
+    /**
+     * Returns this answer with a time to wait before the next try.
+     *
+     * @param millis the time to wait, in ms
+     * @return the changed copy
+     */
+    public JobAnswer retryAfter(int millis) {
+        return new JobAnswer(submission, outcome, reason, detail, millis, results);
+    }
+}
--- /dev/null
+++ b/api/src/main/java/org/knapweedmount/api/JobSpec.java
@@ -0,0 +1,26 @@
+package org.knapweedmount.api;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * A job as the caller describes it; a single request to a service is a job of one task.
+ *
+ * @param team the name of the team that the job is charged to
+ * @param atMostOnce true if the caller forbids a second run even of repeatable kinds
+ * @param tasks the tasks, all of kinds of one service
+ */
+public record JobSpec(String team, boolean atMostOnce, List<TaskSpec> tasks) {
+    /**
+     * Copies the tasks.
+     *
+     * @throws IllegalArgumentException if there is no task
+     */
+    public JobSpec {
+        Objects.requireNonNull(team, "team");
+        tasks = List.copyOf(tasks);
+        if (tasks.isEmpty()) {
+            throw new IllegalArgumentException("a job has at least one task");
+        }
+    }
+}
--- /dev/null
+++ b/api/src/main/java/org/knapweedmount/api/TaskId.java
@@ -0,0 +1,28 @@
+package org.knapweedmount.api;
+
+import java.util.Objects;
+
+/**
+ * The identity of one task of a submission.
+ *
+ * @param submission the submission that the task belongs to
+ * @param index the position of the task in its job, from 0
+ */
+public record TaskId(SubmissionId submission, int index) {
+    /**
+     * Checks the index.
+     *
+     * @throws IllegalArgumentException if the index is negative
+     */
+    public TaskId {
+        Objects.requireNonNull(submission, "submission");
+        if (index < 0) {
+            throw new IllegalArgumentException("a task's index is not negative: " + index);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return submission + "#" + index;
+    }
+}
--- /dev/null
+++ b/api/src/main/java/org/knapweedmount/api/config/DrainConfig.java
@@ -0,0 +1,27 @@
+package org.knapweedmount.api.config;
+
+/**
+ * An agent or a data centre that takes no new work.
+ *
+ * @param name the name of an agent's process, or {@code data-centre:NAME}
+ */
+public record DrainConfig(String name) implements ConfigObject {
+    /** What precedes the name of a data centre. */
+    public static final String DATA_CENTRE_PREFIX = "data-centre:";
+
+    /**
+     * Tells whether this drain covers an agent.
+     *
+     * @param process the name of the agent's process
+     * @param dataCentre the name of the data centre that it runs in
+     * @return true if the agent takes no new work
+     */
+    public boolean covers(String process, String dataCentre) {
+        return name.equals(process) || name.equals(DATA_CENTRE_PREFIX + dataCentre);
+    }
+
+    @Override
+    public ConfigKey key() {
+        return new ConfigKey(ConfigType.DRAIN, name);
+    }
+}
--- /dev/null
+++ b/api/src/main/java/org/knapweedmount/api/config/ServiceConfig.java
@@ -0,0 +1,17 @@
+package org.knapweedmount.api.config;
+
+/**
+ * A service with its limits.
+ *
+ * @param name the service's name in the path of requests
+ * @param defaultKind the kind of a request that names none
+ * @param maxBodyBytes the largest body of a request, in bytes
+ * @param shortOnlyShare the share of each endpoint's slots, from 0 to 1, that only short kinds may take
+ */
+public record ServiceConfig(String name, String defaultKind, int maxBodyBytes, double shortOnlyShare)
+        implements ConfigObject {
+    @Override
+    public ConfigKey key() {
+        return new ConfigKey(ConfigType.SERVICE, name);
+    }
+}
--- /dev/null
+++ b/api/src/main/java/org/knapweedmount/api/message/Resumed.java
@@ -0,0 +1,15 @@
+package org.knapweedmount.api.message;
+
+import java.util.List;
+
+/**
+ * Tells what became of the tasks that a {@link Resume} asked for.
+ *
+ * @param tasks the state of each task asked for
+ */
+public record Resumed(List<TaskReport> tasks) implements Message {
+    /** Copies the list. */
+    public Resumed {
+        tasks = List.copyOf(tasks);
+    }
+}
--- /dev/null
+++ b/api/src/main/java/org/knapweedmount/api/message/package-info.java
@@ -0,0 +1,2 @@
+/** The messages that entries and agents exchange. */
+package org.knapweedmount.api.message;
--- /dev/null
+++ b/api/src/main/java/org/knapweedmount/api/package-info.java
@@ -0,0 +1,2 @@
+/** Identifiers, outcomes and job descriptions shared by every module. */
+package org.knapweedmount.api;
--- /dev/null
+++ b/cli/src/main/java/org/knapweedmount/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command-line tool for operators and callers. */
+package org.knapweedmount.cli;
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/agent/AgentOutput.java
@@ -0,0 +1,34 @@
+package org.knapweedmount.core.agent;
+
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.TaskId;
+import org.knapweedmount.api.TaskSpec;
+import org.knapweedmount.api.message.Message;
+
+/** Carries out what {@link AgentCore} decides; no method blocks or calls back into the core. */
+public interface AgentOutput {
+    /**
+     * Sends a message on the link to an entry; dropped if there is no such link.
+     *
+     * @param entry the receiver
+     * @param message the message
+     */
+    void send(Incarnation entry, Message message);
+
+    /**
+     * Sends a task to an endpoint; the core is told of the end by {@link AgentCore#taskEnded}.
+     *
+     * @param endpoint the id under which the endpoint announced itself
+     * @param task the task's id
+     * @param spec the task
+     */
+    void start(String endpoint, TaskId task, TaskSpec spec);
+
+    /**
+     * Asks an endpoint to stop a running task; the core is still told of the end.
+     *
+     * @param endpoint the id under which the endpoint announced itself
+     * @param task the task's id
+     */
+    void stop(String endpoint, TaskId task);
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/config/ConfigState.java
@@ -0,0 +1,169 @@
+package org.knapweedmount.core.config;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.knapweedmount.api.config.ConfigKey;
+import org.knapweedmount.api.config.ConfigObject;
+import org.knapweedmount.api.config.ConfigType;
+import org.knapweedmount.api.config.DrainConfig;
+import org.knapweedmount.api.config.KindConfig;
+import org.knapweedmount.api.config.ServiceConfig;
+import org.knapweedmount.api.config.TeamConfig;
+import org.knapweedmount.api.config.Ticket;
+
+/**
+ * The configuration in force at one process.
+ *
+ * <p>Each object is in the state of the highest ticket that touches it, in whatever order the tickets arrive, so that
+ * all processes that have seen the same tickets agree and no object goes back to an earlier state.
+ *
+ * <p>Used by one thread.
+ */
+public final class ConfigState {
+    private final Map<ConfigKey, Versioned> objects = new HashMap<>();
+    private long highestNumber;
+
+    private record Versioned(long number, String author, ConfigObject object) {}
+
+    /**
+     * Puts the objects of a ticket in force, except those that a higher ticket has replaced.
+     *
+     * @param ticket an accepted ticket
+     * @return the keys of the objects that changed, empty if the ticket changed nothing
+     */
+    public List<ConfigKey> apply(Ticket ticket) {
+        List<ConfigKey> changed = new ArrayList<>();
+        for (ConfigObject object : ticket.objects()) {
+            if (replace(ticket, object)) {
+                changed.add(object.key());
+            }
+        }
+        highestNumber = Math.max(highestNumber, ticket.number());
+        return changed;
+    }
+
+    private boolean replace(Ticket ticket, ConfigObject object) {
+        Versioned present = objects.get(object.key());
+        if (present != null && present.number >= ticket.number()) {
+            return false;
+        }
+        objects.put(object.key(), new Versioned(ticket.number(), ticket.author(), object));
+        return true;
+    }
+
+    /**
+     * Returns the highest number among the tickets seen.
+     *
+     * @return the number, 0 before the first ticket
+     */
+    public long highestNumber() {
+        return highestNumber;
+    }
+
+    /**
+     * Returns tickets that together bring another process to this state.
+     *
+     * @return for each ticket with an object still in force, the part of it that is in force, by rising number
+     */
+    public List<Ticket> tickets() {
+        Map<Long, List<Versioned>> byNumber = new TreeMap<>();
+        for (Versioned versioned : objects.values()) {
+            byNumber.computeIfAbsent(versioned.number, number -> new ArrayList<>())
+                    .add(versioned);
+        }
+        List<Ticket> tickets = new ArrayList<>();
+        byNumber.forEach((number, parts) -> tickets.add(ticket(number, parts)));
+        return tickets;
+    }
+
+    private static Ticket ticket(long number, List<Versioned> parts) {
+        List<ConfigObject> inForce =
+                parts.stream().map(versioned -> versioned.object).toList();
+        return new Ticket(number, parts.get(0).author, inForce);
+    }
+
+    /**
+     * Finds a service.
+     *
+     * @param name the service's name
+     * @return the service, empty if there is none
+     */
+    public Optional<ServiceConfig> service(String name) {
+        return find(ConfigType.SERVICE, name, ServiceConfig.class);
+    }
+
+    /**
+     * Finds a kind of task.
+     *
+     * @param name the kind's name
+     * @return the kind, empty if there is none
+     */
+    public Optional<KindConfig> kind(String name) {
+        return find(ConfigType.KIND, name, KindConfig.class);
+    }
+
+    /**
+     * Finds a team.
+     *
+     * @param name the team's name
+     * @return the team, empty if there is none
+     */
+    public Optional<TeamConfig> team(String name) {
+        return find(ConfigType.TEAM, name, TeamConfig.class);
+    }
+
+    /**
+     * Lists the kinds of a service.
+     *
+     * @param service the service's name
+     * @return the kinds by name
+     */
+    public Map<String, KindConfig> kindsOf(String service) {
+        Map<String, KindConfig> kinds = new LinkedHashMap<>();
+        all(KindConfig.class).stream()
+                .filter(kind -> kind.service().equals(service))
+                .forEach(kind -> kinds.put(kind.name(), kind));
+        return kinds;
+    }
+
+    /**
+     * Tells whether an agent is drained by a ticket.
+     *
+     * @param process the name of the agent's process
+     * @param dataCentre the name of the data centre that it runs in
+     * @return true if a drain in force covers it
+     */
+    public boolean drained(String process, String dataCentre) {
+        return all(DrainConfig.class).stream().anyMatch(drain -> drain.covers(process, dataCentre));
+    }
+
+    /**
+     * Lists the objects of one type that are in force.
+     *
+     * @param type the class of the objects
+     * @param <T> the class of the objects
+     * @return the objects in no particular order
+     */
+    public <T extends ConfigObject> Collection<T> all(Class<T> type) {
+        return objects.values().stream()
+                .map(versioned -> versioned.object)
+                .filter(type::isInstance)
+                .map(type::cast)
+                .toList();
+    }
+
+    private <T extends ConfigObject> Optional<T> find(ConfigType configType, String name, Class<T> type) {
+        Versioned versioned = objects.get(new ConfigKey(configType, name));
+        if (versioned == null || !type.isInstance(versioned.object)) {
+            return Optional.empty();
+        }
+        return Optional.of(type.cast(versioned.object));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/config/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration in force, built from change tickets. */
+package org.knapweedmount.core.config;
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/entry/ClaimResult.java
@@ -0,0 +1,12 @@
+package org.knapweedmount.core.entry;
+
+import java.util.Optional;
+
+import org.knapweedmount.api.SubmissionId;
+
+/**
+ * The result of claiming a caller's own key.
+ *
+ * @param holder the id that the key stands for, empty if the table service could not be asked
+ */
+public record ClaimResult(Optional<SubmissionId> holder) {}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/entry/EntryOutput.java
@@ -0,0 +1,33 @@
+package org.knapweedmount.core.entry;
+
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.JobAnswer;
+import org.knapweedmount.api.SubmissionId;
+import org.knapweedmount.api.message.Message;
+
+/** Carries out what {@link EntryCore} decides; no method blocks or calls back into the core. */
+public interface EntryOutput {
+    /**
+     * Sends a message on the link to an agent or entry; dropped if there is no such link.
+     *
+     * @param peer the receiver
+     * @param message the message
+     */
+    void send(Incarnation peer, Message message);
+
+    /**
+     * Answers a caller's request; called exactly once for each request.
+     *
+     * @param request the number that the request was given when it came in
+     * @param answer the answer
+     */
+    void answer(long request, JobAnswer answer);
+
+    /**
+     * Claims a caller's own key by one conditional write; the core is told the result by {@link EntryCore#claimed}.
+     *
+     * @param key the team and the caller's key, which together are claimed once
+     * @param proposed the id that the key is to stand for unless it stands for another already
+     */
+    void claim(String key, SubmissionId proposed);
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/entry/SubmissionRequest.java
@@ -0,0 +1,33 @@
+package org.knapweedmount.core.entry;
+
+import java.util.Objects;
+import java.util.Optional;
+
+import org.knapweedmount.api.JobSpec;
+import org.knapweedmount.api.SubmissionId;
+
+/**
+ * A caller's submission of a job or of a single request.
+ *
+ * @param id the id if the caller uses an issued one
+ * @param key the caller's own key if it uses one instead; with neither, the entry issues an id that cannot be resubmitted
+ * @param firstAttempt true if the caller states that it has not sent this key before
+ * @param service the service of all tasks
+ * @param job the job
+ * @param awaitEnd true if the answer is wanted when the submission has ended, false to be answered once it is accepted
+ */
+public record SubmissionRequest(
+        Optional<SubmissionId> id,
+        Optional<String> key,
+        boolean firstAttempt,
+        String service,
+        JobSpec job,
+        boolean awaitEnd) {
+    /** Checks that nothing is missing. */
+    public SubmissionRequest {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(key, "key");
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(job, "job");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/metric/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and invariants of the decision modules. */
+package org.knapweedmount.core.metric;
