Add computed baselines for placement policies

Cause: the placement policy is to be compared with a single queue over all slots and with pushing at random, two choices and late binding on the same arrivals. Ruled out: running each baseline as a mode of the product, which would carry code that no user needs; a simulator of the product itself.

--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/replay/LateBinding.java
@@ -0,0 +1,94 @@
+package org.knapweedmount.standins.replay;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+/**
+ * Batch sampling with late binding for jobs of one task.
+ *
+ * <p>A slot that reaches a reservation asks the entry for the task and stands idle for the round trip; if another
+ * executor has the task already, the slot goes on with the next reservation. The scheme is that of Ousterhout et al.,
+ * "Sparrow: Distributed, Low Latency Scheduling", SOSP 2013, with two probes a task.
+ */
+final class LateBinding {
+    private static final int PROBES = 2;
+    private static final long NOT_ENDED = -1;
+
+    private final Fleet fleet;
+    private final Random random;
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final List<Deque<Integer>> reservations = new ArrayList<>();
+    private final int[] freeSlots;
+    private long order;
+
+    /** What happens at an executor: a reservation arrives (task given) or a slot becomes free (task negative). */
+    private record Event(long atMicros, long order, int executor, int task) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(atMicros, other.atMicros);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    LateBinding(Fleet fleet, Random random) {
+        this.fleet = fleet;
+        this.random = random;
+        this.freeSlots = new int[fleet.executors()];
+        for (int index = 0; index < fleet.executors(); index++) {
+            reservations.add(new ArrayDeque<>());
+            freeSlots[index] = fleet.slots();
+        }
+    }
+
+    long[] responses(List<Arrival> arrivals) {
+        for (int task = 0; task < arrivals.size(); task++) {
+            probe(task, arrivals.get(task).atMicros() + fleet.oneWayMicros());
+        }
+        long[] ends = new long[arrivals.size()];
+        Arrays.fill(ends, NOT_ENDED);
+        while (!events.isEmpty()) {
+            handle(events.remove(), arrivals, ends);
+        }
+        long[] responses = new long[ends.length];
+        for (int task = 0; task < ends.length; task++) {
+            responses[task] =
+                    ends[task] + fleet.oneWayMicros() - arrivals.get(task).atMicros();
+        }
+        return responses;
+    }
+
+    private void probe(int task, long atMicros) {
+        for (int probe = 0; probe < PROBES; probe++) {
+            events.add(new Event(atMicros, order++, random.nextInt(fleet.executors()), task));
+        }
+    }
+
+    private void handle(Event event, List<Arrival> arrivals, long[] ends) {
+        if (event.task >= 0) {
+            reservations.get(event.executor).add(event.task);
+        } else {
+            freeSlots[event.executor]++;
+        }
+        while (freeSlots[event.executor] > 0
+                && !reservations.get(event.executor).isEmpty()) {
+            serveNext(event.executor, event.atMicros, arrivals, ends);
+        }
+    }
+
+    private void serveNext(int executor, long atMicros, List<Arrival> arrivals, long[] ends) {
+        int task = reservations.get(executor).remove();
+        long bound = atMicros + 2 * fleet.oneWayMicros();
+        long freeAt = bound;
+        if (ends[task] == NOT_ENDED) {
+            freeAt = bound + arrivals.get(task).runMicros();
+            ends[task] = freeAt;
+        }
+        freeSlots[executor]--;
+        events.add(new Event(freeAt, order++, executor, -1));
+    }
+}
