Add the decisions of the agent: leases, starts, records and seals

Cause: the agent had an interface only. Change: AgentCore with its parts: the endpoints, the leases and whom they go to, the start gate, the records and seals. The lives of endpoints and leases are state charts in resource files, checked when they are loaded. Ruled out: leases bound to one endpoint, since the least loaded endpoint is known only at the start; a charge at the end of a task only, since several slots that become free at once would then all go to one flow.

--- a/core/src/main/java/org/knapweedmount/core/agent/AgentCore.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/AgentCore.java
@@ -1,11 +1,30 @@
 package org.knapweedmount.core.agent;
 
+import java.util.List;
+import java.util.Optional;
+
 import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.Outcome;
 import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.SubmissionId;
 import org.knapweedmount.api.TaskId;
 import org.knapweedmount.api.TaskResult;
+import org.knapweedmount.api.message.CancelTasks;
+import org.knapweedmount.api.message.Demand;
+import org.knapweedmount.api.message.Finished;
+import org.knapweedmount.api.message.Grant;
+import org.knapweedmount.api.message.Leaving;
 import org.knapweedmount.api.message.Message;
+import org.knapweedmount.api.message.NotStarted;
+import org.knapweedmount.api.message.Release;
+import org.knapweedmount.api.message.Resume;
+import org.knapweedmount.api.message.Resumed;
+import org.knapweedmount.api.message.Seal;
+import org.knapweedmount.api.message.Sealed;
+import org.knapweedmount.api.message.Start;
+import org.knapweedmount.api.message.TaskReport;
+import org.knapweedmount.api.message.TaskState;
 import org.knapweedmount.core.config.ConfigState;
 import org.knapweedmount.core.metric.Counters;
 import org.knapweedmount.core.metric.Invariants;
@@ -16,6 +35,21 @@
  * <p>Used by one thread. Times are of a monotonic clock, in nanoseconds.
  */
 public final class AgentCore {
+    private static final String DRAIN_REASON = "draining";
+
+    private final AgentPorts ports;
+    private final PeerAddress self;
+    private final ConfigState config;
+    private final EntryTable entries = new EntryTable();
+    private final EndpointTable endpoints;
+    private final ServicePools pools;
+    private final StartGate gate;
+    private final Seals seals;
+    private final StartRecords records;
+    private final TaskStarter starter;
+    private boolean stopping;
+    private boolean draining;
+
     /**
      * Creates the decisions of an agent without endpoints or links.
      *
@@ -33,7 +67,21 @@
             AgentOutput output,
             Counters<AgentCounter> counters,
             Invariants invariants) {
-        throw new UnsupportedOperationException("not yet written");
+        this.ports = new AgentPorts(limits, output, counters, invariants);
+        this.self = self;
+        this.config = config;
+        this.endpoints = new EndpointTable(invariants);
+        this.pools = new ServicePools(ports, endpoints, entries, config);
+        this.gate = new StartGate(entries::linked);
+        this.seals = new Seals(limits.maxSeals());
+        this.records = new StartRecords(limits, counters, invariants);
+        this.starter = new TaskStarter(ports, gate, seals, records);
+        this.draining = drainedByConfig();
+        pools.closed(draining);
+    }
+
+    private boolean drainedByConfig() {
+        return config.drained(self.incarnation().process(), self.dataCentre());
     }
 
     /**
@@ -42,7 +90,11 @@
      * @param endpoint the announcement
      * @param nowNanos the present time
      */
-    public void endpointAnnounced(EndpointAnnouncement endpoint, long nowNanos) {}
+    public void endpointAnnounced(EndpointAnnouncement endpoint, long nowNanos) {
+        Optional<Endpoint> replaced = endpoints.announced(endpoint, nowNanos);
+        replaced.ifPresent(left -> pools.measure(left.service(), nowNanos));
+        pools.measure(endpoint.service(), nowNanos);
+    }
 
     /**
      * Stops giving work to an endpoint that is leaving; running tasks go on.
@@ -50,7 +102,9 @@
      * @param id the endpoint's id
      * @param nowNanos the present time
      */
-    public void endpointLeft(String id, long nowNanos) {}
+    public void endpointLeft(String id, long nowNanos) {
+        endpoints.left(id).ifPresent(endpoint -> pools.measure(endpoint.service(), nowNanos));
+    }
 
     /**
      * Takes a worker's report of what the running tasks of one kind really use.
@@ -60,7 +114,15 @@
      * @param usedPerTask what one task used at its peak
      * @param nowNanos the present time
      */
-    public void usageReported(String id, String kind, Resources usedPerTask, long nowNanos) {}
+    public void usageReported(String id, String kind, Resources usedPerTask, long nowNanos) {
+        Optional<Endpoint> endpoint = endpoints.find(id);
+        if (endpoint.isEmpty()) {
+            return;
+        }
+        endpoint.get().reported(kind, usedPerTask);
+        starter.recharge(endpoint.get());
+        pools.serve(endpoint.get().service(), nowNanos);
+    }
 
     /**
      * Takes a new link to an entry, after both sides have said hello.
@@ -68,7 +130,17 @@
      * @param entry the entry
      * @param nowNanos the present time
      */
-    public void linked(PeerAddress entry, long nowNanos) {}
+    public void linked(PeerAddress entry, long nowNanos) {
+        Incarnation incarnation = entry.incarnation();
+        unlinked(incarnation, nowNanos);
+        entries.add(new EntryLink(incarnation, nowNanos));
+        if (draining) {
+            ports.output().send(incarnation, new Leaving(DRAIN_REASON));
+            return;
+        }
+        pools.tell(incarnation);
+        pools.linked(nowNanos);
+    }
 
     /**
      * Takes the loss of a link.
@@ -76,7 +148,11 @@
      * @param entry the entry that was linked
      * @param nowNanos the present time
      */
-    public void unlinked(Incarnation entry, long nowNanos) {}
+    public void unlinked(Incarnation entry, long nowNanos) {
+        if (entries.remove(entry).isPresent()) {
+            pools.unlinked(entry, nowNanos);
+        }
+    }
 
     /**
      * Takes a message from a linked entry.
@@ -85,7 +161,49 @@
      * @param message the message
      * @param nowNanos the present time
      */
-    public void receive(Incarnation from, Message message, long nowNanos) {}
+    public void receive(Incarnation from, Message message, long nowNanos) {
+        Optional<EntryLink> link = entries.find(from);
+        if (link.isEmpty()) {
+            return;
+        }
+        if (link.get().heard(nowNanos)) {
+            pools.returned(from, nowNanos);
+        }
+        if (message instanceof Start start) {
+            starter.start(from, start, pools.find(start.service()), draining, nowNanos);
+            pools.serve(start.service(), nowNanos);
+        } else if (message instanceof Demand demand) {
+            pools.demand(from, demand, nowNanos);
+        } else if (message instanceof Release release) {
+            pools.released(from, release, nowNanos);
+        } else if (message instanceof CancelTasks cancel) {
+            starter.cancel(cancel.submission());
+        } else if (message instanceof Resume resume) {
+            resume(from, resume);
+        } else if (message instanceof Seal seal) {
+            seal(from, seal);
+        } else if (message instanceof Leaving) {
+            link.get().leaves();
+        }
+    }
+
+    private void resume(Incarnation entry, Resume resume) {
+        gate.raise(entry, resume.lastSequence());
+        List<TaskReport> reports = resume.tasks().stream().map(records::report).toList();
+        for (TaskReport report : reports) {
+            if (report.state() == TaskState.NOT_STARTED) {
+                records.forgetNotRun(report.task());
+            }
+        }
+        ports.output().send(entry, new Resumed(reports));
+    }
+
+    private void seal(Incarnation entry, Seal seal) {
+        SubmissionId submission = seal.submission();
+        boolean certain = seals.seal(submission) && records.certain(submission);
+        ports.counters().increment(certain ? AgentCounter.SEALS : AgentCounter.UNCERTAIN_SEALS);
+        ports.output().send(entry, new Sealed(seal.request(), submission, certain, records.started(submission)));
+    }
 
     /**
      * Takes the end of a task that was sent to an endpoint.
@@ -97,28 +215,77 @@
      * @param result how it ended
      * @param nowNanos the present time
      */
-    public void taskEnded(TaskId task, TaskResult result, long nowNanos) {}
+    public void taskEnded(TaskId task, TaskResult result, long nowNanos) {
+        Optional<RunningTask> ended = starter.ended(task);
+        if (ended.isEmpty()) {
+            ports.invariants().check(false, "a task that ends was started and has not ended before");
+            return;
+        }
+        RunningTask running = ended.get();
+        running.pool().ended(running, result, nowNanos);
+        boolean linked = entries.linked(running.entry());
+        if (result.outcome() == Outcome.NOT_RUN) {
+            records.notRun(task, linked);
+            ports.output().send(running.entry(), new NotStarted(task, result.reason()));
+            pools.measure(running.pool().service(), nowNanos);
+            return;
+        }
+        records.finished(task, result);
+        boolean complete = result.outcome() == Outcome.COMPLETE;
+        ports.counters().increment(complete ? AgentCounter.COMPLETED : AgentCounter.FAILED);
+        Optional<Grant> next = pools.passOn(running, nowNanos);
+        ports.output().send(running.entry(), new Finished(task, running.heldMicros(nowNanos), result, next));
+        pools.measure(running.pool().service(), nowNanos);
+    }
 
     /**
      * Takes note that the owner has changed the configuration.
      *
      * @param nowNanos the present time
      */
-    public void configChanged(long nowNanos) {}
+    public void configChanged(long nowNanos) {
+        setDraining(stopping || drainedByConfig(), nowNanos);
+        pools.serveAll(nowNanos);
+    }
 
     /**
      * Does what is due by now: expires announcements, leases of silent entries and pauses.
      *
      * @param nowNanos the present time
      */
-    public void tick(long nowNanos) {}
+    public void tick(long nowNanos) {
+        for (EntryLink link : entries.all()) {
+            if (link.fellSilent(ports.limits().linkTimeoutMillis(), nowNanos)) {
+                pools.silent(link.entry());
+            }
+        }
+        endpoints.tick(nowNanos);
+        pools.tick(nowNanos);
+    }
 
     /**
      * Stops taking new tasks for good; running tasks go on.
      *
      * @param nowNanos the present time
      */
-    public void drain(long nowNanos) {}
+    public void drain(long nowNanos) {
+        stopping = true;
+        setDraining(true, nowNanos);
+    }
+
+    private void setDraining(boolean drains, long nowNanos) {
+        if (drains == draining) {
+            return;
+        }
+        draining = drains;
+        pools.closed(drains);
+        if (drains) {
+            entries.all().forEach(link -> ports.output().send(link.entry(), new Leaving(DRAIN_REASON)));
+            return;
+        }
+        entries.all().forEach(link -> pools.tell(link.entry()));
+        pools.linked(nowNanos);
+    }
 
     /**
      * Tells whether nothing runs any more.
@@ -126,6 +293,6 @@
      * @return true if no task is running
      */
     public boolean idle() {
-        return true;
+        return starter.idle();
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/agent/FlowTable.java
@@ -0,0 +1,209 @@
+package org.knapweedmount.core.agent;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.knapweedmount.api.Flow;
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.message.FlowDemand;
+
+/** The flows of one service: their demand, and the slots that they, their kinds and their teams hold. */
+final class FlowTable {
+    private static final int MAX_FLOWS = 2_000;
+
+    private final SlotPolicy policy;
+    private final Map<Flow, FlowState> flows = new HashMap<>();
+    private final Map<String, KindState> kinds = new HashMap<>();
+    private final Map<String, Integer> heldByTeam = new HashMap<>();
+    private final Map<Incarnation, Set<FlowState>> queuedBy = new HashMap<>();
+    private final Set<FlowState> wanting = new LinkedHashSet<>();
+    private double presentVirtualNanos;
+    private int runningLong;
+
+    FlowTable(SlotPolicy policy) {
+        this.policy = policy;
+    }
+
+    /** Finds or creates a flow. */
+    FlowState flow(Flow flow, long nowNanos) {
+        FlowState present = flows.get(flow);
+        if (present != null) {
+            return present;
+        }
+        if (flows.size() >= MAX_FLOWS) {
+            removeIdle(Double.MAX_VALUE);
+        }
+        KindState kind = kinds.computeIfAbsent(flow.kind(), name -> newKind(name, nowNanos));
+        FlowState created = new FlowState(flow, kind);
+        flows.put(flow, created);
+        return created;
+    }
+
+    private KindState newKind(String name, long nowNanos) {
+        return new KindState(
+                name, TimeUnit.MILLISECONDS.toNanos(policy.kind(name).expectedMillis()), nowNanos);
+    }
+
+    /** Replaces the demand of an entry. */
+    void demand(Incarnation entry, Collection<FlowDemand> demands, long nowNanos) {
+        Set<FlowState> changed = queuedBy.getOrDefault(entry, new LinkedHashSet<>());
+        changed.forEach(flow -> flow.demandOf(entry).queued(0, nowNanos));
+        for (FlowDemand demand : demands) {
+            if (full(demand.flow())) {
+                continue;
+            }
+            FlowState flow = flow(demand.flow(), nowNanos);
+            long since = nowNanos - TimeUnit.MICROSECONDS.toNanos(demand.oldestWaitMicros());
+            flow.demandOf(entry).queued(Math.max(0, demand.queued()), since);
+            flow.kind().seen(nowNanos);
+            changed.add(flow);
+        }
+        List.copyOf(changed).forEach(flow -> updated(flow, entry));
+    }
+
+    /** Takes the length of a queue that came with a start. */
+    void queuedAtStart(Flow name, Incarnation entry, int queued, long nowNanos) {
+        if (full(name)) {
+            return;
+        }
+        FlowState flow = flow(name, nowNanos);
+        flow.demandOf(entry).queuedAtStart(Math.max(0, queued), nowNanos);
+        updated(flow, entry);
+    }
+
+    private boolean full(Flow flow) {
+        return flows.size() >= MAX_FLOWS && !flows.containsKey(flow);
+    }
+
+    /** Takes note that an entry has no queue of a flow. */
+    void queueEmpty(FlowState flow, Incarnation entry) {
+        flow.findDemand(entry).ifPresent(demand -> demand.queued(0, 0));
+        updated(flow, entry);
+    }
+
+    void leased(FlowState flow, Incarnation entry, long nowNanos) {
+        flow.demandOf(entry).leased(nowNanos);
+        flow.addLeased(1);
+        flow.kind().seen(nowNanos);
+        addToTeam(flow, 1);
+        updated(flow, entry);
+    }
+
+    void unleased(FlowState flow, Incarnation entry) {
+        flow.demandOf(entry).unleased();
+        flow.addLeased(-1);
+        addToTeam(flow, -1);
+        updated(flow, entry);
+    }
+
+    void started(FlowState flow, boolean longTask, long nowNanos) {
+        flow.addRunning(1);
+        flow.kind().seen(nowNanos);
+        addToTeam(flow, 1);
+        runningLong += longTask ? 1 : 0;
+    }
+
+    void ended(FlowState flow, boolean longTask, long nowNanos) {
+        flow.kind().seen(nowNanos);
+        flow.addRunning(-1);
+        addToTeam(flow, -1);
+        runningLong -= longTask ? 1 : 0;
+    }
+
+    private void addToTeam(FlowState flow, int change) {
+        String team = flow.flow().team();
+        int held = heldByTeam.merge(team, change, Integer::sum);
+        if (held == 0) {
+            heldByTeam.remove(team);
+        }
+    }
+
+    private void updated(FlowState flow, Incarnation entry) {
+        updateWanting(flow);
+        noteQueue(flow, entry);
+        flow.dropIfEmpty(entry);
+    }
+
+    private void noteQueue(FlowState flow, Incarnation entry) {
+        if (flow.findDemand(entry).map(EntryDemand::tasks).orElse(0) > 0) {
+            queuedBy.computeIfAbsent(entry, name -> new LinkedHashSet<>()).add(flow);
+            return;
+        }
+        Set<FlowState> others = queuedBy.getOrDefault(entry, Set.of());
+        if (others.contains(flow) && others.remove(flow) && others.isEmpty()) {
+            queuedBy.remove(entry);
+        }
+    }
+
+    /** A flow that becomes backlogged starts at the present virtual time, so that idleness earns no credit. */
+    private void updateWanting(FlowState flow) {
+        if (flow.need() == 0) {
+            wanting.remove(flow);
+            return;
+        }
+        if (wanting.add(flow)) {
+            catchUp(flow);
+        }
+    }
+
+    /** Lifts the virtual time of a flow to the present one. */
+    void catchUp(FlowState flow) {
+        flow.virtualNanos(Math.max(flow.virtualNanos(), presentVirtualNanos));
+    }
+
+    /** Moves the present virtual time on to the start of the task that is served. */
+    void advance(double virtualNanos) {
+        presentVirtualNanos = Math.max(presentVirtualNanos, virtualNanos);
+    }
+
+    /** Lists the flows with queued tasks that have no lease. */
+    Set<FlowState> wanting() {
+        return Collections.unmodifiableSet(wanting);
+    }
+
+    boolean wants(FlowState flow) {
+        return wanting.contains(flow);
+    }
+
+    Collection<KindState> kinds() {
+        return Collections.unmodifiableCollection(kinds.values());
+    }
+
+    int heldByTeam(String team) {
+        return heldByTeam.getOrDefault(team, 0);
+    }
+
+    int runningLong() {
+        return runningLong;
+    }
+
+    /** Forgets an entry's queues. */
+    void forget(Incarnation entry, long nowNanos) {
+        demand(entry, Set.of(), nowNanos);
+    }
+
+    /** Removes flows and kinds whose removal changes no decision. */
+    void prune(long nowNanos) {
+        removeIdle(presentVirtualNanos);
+        Set<KindState> used = new LinkedHashSet<>();
+        flows.values().forEach(flow -> used.add(flow.kind()));
+        kinds.values().removeIf(kind -> !used.contains(kind) && !kind.active(nowNanos));
+    }
+
+    private void removeIdle(double upToVirtualNanos) {
+        Iterator<FlowState> iterator = flows.values().iterator();
+        while (iterator.hasNext()) {
+            FlowState flow = iterator.next();
+            if (flow.idle() && flow.virtualNanos() <= upToVirtualNanos) {
+                iterator.remove();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/agent/Recaller.java
@@ -0,0 +1,114 @@
+package org.knapweedmount.core.agent;
+
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.message.LeaseScope;
+import org.knapweedmount.api.message.Recall;
+
+/** Asks entries for idle leases back that are of more use elsewhere. */
+final class Recaller {
+    /** How long a lease that is bound to a flow may lie idle before it is asked back. */
+    static final long STALE_LEASE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final EntryTable entries;
+    private final AgentPorts ports;
+
+    Recaller(EntryTable entries, AgentPorts ports) {
+        this.entries = entries;
+        this.ports = ports;
+    }
+
+    /** Asks for as many idle leases as flows with demand and room lack. */
+    void recall(ServicePool pool, long nowNanos) {
+        if (pool.flows().wanting().isEmpty() || pool.book().idle() == 0) {
+            return;
+        }
+        SlotLimits limits = SlotLimits.of(pool.policy(), pool.flows(), pool.slots(), nowNanos);
+        int longHeld = pool.flows().runningLong();
+        int lacking = -pool.book().pending();
+        boolean longOnly = true;
+        for (FlowState flow : pool.flows().wanting()) {
+            int room = limits.room(flow, pool.flows(), longHeld);
+            int wanted = Math.min(room, flow.need(entries::reachable));
+            lacking += wanted;
+            longOnly &= wanted == 0 || !pool.policy().kind(flow.flow().kind()).shortTask();
+        }
+        boolean anyScope = !longOnly;
+        ask(pool, lacking, lease -> spare(lease, nowNanos) && (anyScope || lease.scope() == LeaseScope.ANY), nowNanos);
+    }
+
+    private static boolean spare(Lease lease, long nowNanos) {
+        return lease.flow().isEmpty() || stale(lease, nowNanos);
+    }
+
+    private static boolean stale(Lease lease, long nowNanos) {
+        return lease.flow().isPresent() && nowNanos - lease.grantedNanos() >= STALE_LEASE_NANOS;
+    }
+
+    private void ask(ServicePool pool, int lacking, Predicate<Lease> matching, long nowNanos) {
+        int left = lacking;
+        while (left > 0) {
+            Incarnation most = null;
+            int mostIdle = 0;
+            for (Map.Entry<Incarnation, EntryPool> entry : pool.book().pools().entrySet()) {
+                int idle =
+                        entry.getValue().recallable(nowNanos) ? entry.getValue().count(matching) : 0;
+                if (idle > mostIdle) {
+                    most = entry.getKey();
+                    mostIdle = idle;
+                }
+            }
+            if (most == null) {
+                return;
+            }
+            int wanted = Math.min(left, mostIdle);
+            ask(pool, most, wanted, matching, nowNanos);
+            left -= wanted;
+        }
+    }
+
+    private void ask(ServicePool pool, Incarnation entry, int wanted, Predicate<Lease> matching, long nowNanos) {
+        EntryPool leases = pool.book().pool(entry);
+        int count = leases.oldestHolding(wanted, matching);
+        leases.recalled(count, nowNanos);
+        ports.counters().increment(AgentCounter.RECALLS);
+        ports.output().send(entry, new Recall(pool.service(), count));
+    }
+
+    /** Moves idle leases from the entry with the most to one that was linked later and has none. */
+    void balance(ServicePool pool, long nowNanos) {
+        Incarnation most = null;
+        int mostIdle = 0;
+        int leastIdle = Integer.MAX_VALUE;
+        for (EntryLink link : entries.all()) {
+            if (!link.takesIdleLeases()) {
+                continue;
+            }
+            EntryPool leases = pool.book().pool(link.entry());
+            leastIdle = Math.min(leastIdle, leases.idle());
+            if (leases.recallable(nowNanos) && leases.idle() > mostIdle) {
+                most = link.entry();
+                mostIdle = leases.idle();
+            }
+        }
+        int excess = most == null ? 0 : (mostIdle - leastIdle) / 2;
+        if (excess > 0 && pool.free() <= 0) {
+            ask(pool, most, excess, lease -> spare(lease, nowNanos), nowNanos);
+        }
+    }
+
+    /** Asks for leases back that lie idle because the demand that they were granted for has gone. */
+    void tick(ServicePool pool, long nowNanos) {
+        for (Map.Entry<Incarnation, EntryPool> entry : pool.book().pools().entrySet()) {
+            EntryPool leases = entry.getValue();
+            leases.expireRecall(nowNanos);
+            int stale = leases.count(lease -> stale(lease, nowNanos));
+            if (stale > 0 && leases.recallable(nowNanos)) {
+                ask(pool, entry.getKey(), stale, lease -> stale(lease, nowNanos), nowNanos);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/agent/ServicePool.java
@@ -0,0 +1,262 @@
+package org.knapweedmount.core.agent;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.Outcome;
+import org.knapweedmount.api.Reason;
+import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.TaskResult;
+import org.knapweedmount.api.config.KindConfig;
+import org.knapweedmount.api.message.Capacity;
+import org.knapweedmount.api.message.Demand;
+import org.knapweedmount.api.message.LeaseScope;
+import org.knapweedmount.api.message.Release;
+import org.knapweedmount.api.message.Start;
+import org.knapweedmount.core.config.ConfigState;
+
+/** The slots of one service at this agent: the leases, the flows that share them, and the tasks that hold them. */
+final class ServicePool {
+    private final String service;
+    private final AgentPorts ports;
+    private final EndpointTable endpoints;
+    private final LeaseNumbers numbers;
+    private final SlotPolicy policy;
+    private final FlowTable flows;
+    private final Arbiter arbiter;
+    private final LeaseBook book = new LeaseBook();
+    private Resources reserved = Resources.NONE;
+    private Capacity capacity;
+    private boolean closed;
+    private int running;
+
+    ServicePool(String service, AgentPorts ports, EndpointTable endpoints, LeaseNumbers numbers, ConfigState config) {
+        this.service = service;
+        this.ports = ports;
+        this.endpoints = endpoints;
+        this.numbers = numbers;
+        this.policy = new SlotPolicy(config, service);
+        this.flows = new FlowTable(policy);
+        this.arbiter = new Arbiter(policy, flows);
+        this.capacity = new Capacity(service, 0, Resources.NONE);
+    }
+
+    String service() {
+        return service;
+    }
+
+    SlotPolicy policy() {
+        return policy;
+    }
+
+    FlowTable flows() {
+        return flows;
+    }
+
+    Arbiter arbiter() {
+        return arbiter;
+    }
+
+    LeaseBook book() {
+        return book;
+    }
+
+    Capacity capacity() {
+        return capacity;
+    }
+
+    int slots() {
+        return capacity.slots();
+    }
+
+    /** Counts the slots that are neither running a task nor leased. */
+    int free() {
+        return openSlots() - book.idle();
+    }
+
+    int openSlots() {
+        return closed ? 0 : endpoints.openSlots(service);
+    }
+
+    /** Counts the slots that tasks of long kinds hold or may take under idle leases. */
+    int longHeld() {
+        return flows.runningLong() + book.idleAny();
+    }
+
+    void tick(long nowNanos) {
+        flows.prune(nowNanos);
+    }
+
+    /** Tells whether the pool has nothing to remember. */
+    boolean unused() {
+        return capacity.slots() == 0 && running == 0 && book.idle() == 0;
+    }
+
+    /** Closes the pool to new tasks while the agent drains, or opens it again. */
+    void closed(boolean drains) {
+        closed = drains;
+    }
+
+    /**
+     * Takes stock of the endpoints.
+     *
+     * @return true if entries are to be told of a changed capacity
+     */
+    boolean measure() {
+        Capacity measured = new Capacity(service, endpoints.advertisedSlots(service), endpoints.largest(service));
+        boolean changed = !measured.equals(capacity);
+        capacity = measured;
+        return changed;
+    }
+
+    void demand(Incarnation entry, Demand demand, long nowNanos) {
+        flows.demand(entry, demand.flows(), nowNanos);
+    }
+
+    /** Grants one slot, numbering its lease by the plan. */
+    void grant(GrantPlan plan, Incarnation entry, LeaseScope scope, Optional<FlowState> flow, int free, long nowNanos) {
+        Optional<FlowCharge> charge = flow.map(arbiter::charge);
+        Resources need = flow.map(this::need).orElse(Resources.NONE);
+        long number = plan.add(entry, scope, flow.map(FlowState::flow), numbers, free);
+        book.add(new Lease(this, number, entry, scope, charge, need, nowNanos));
+        reserved = reserved.plus(need);
+        flow.ifPresent(bound -> flows.leased(bound, entry, nowNanos));
+        ports.counters().increment(AgentCounter.GRANTS);
+    }
+
+    private Resources need(FlowState flow) {
+        return policy.kind(flow.flow().kind()).resources();
+    }
+
+    /** Tells whether a task of a flow fits into what the workers have left beside the leases. */
+    boolean fits(FlowState flow) {
+        return endpoints.fits(service, flow.flow().kind(), need(flow), reserved);
+    }
+
+    /** Takes back the leases that an entry no longer needs. */
+    void released(Incarnation entry, Release release) {
+        int released = 0;
+        for (long number : release.leases()) {
+            Optional<Lease> lease = book.take(entry, number);
+            lease.ifPresent(taken -> {
+                close(taken, LeaseEvent.RELEASED);
+                taken.flow().ifPresent(flow -> flows.queueEmpty(flow, entry));
+            });
+            released++;
+        }
+        book.pool(entry).answered(released);
+    }
+
+    /** Takes all idle leases of an entry back and returns how many there were. */
+    int lapse(Incarnation entry) {
+        List<Lease> leases = book.leasesOf(entry);
+        leases.forEach(this::lapse);
+        return leases.size();
+    }
+
+    /** Takes all idle leases of a silent entry back. */
+    void silent(Incarnation entry) {
+        book.pool(entry).lapsedWhileSilent(lapse(entry));
+    }
+
+    void lapse(Lease lease) {
+        book.take(lease.entry(), lease.number());
+        close(lease, LeaseEvent.LAPSED);
+    }
+
+    void unlinked(Incarnation entry, long nowNanos) {
+        lapse(entry);
+        flows.forget(entry, nowNanos);
+        book.remove(entry);
+    }
+
+    /** Ends the life of a lease that no task was started under. */
+    private void close(Lease lease, LeaseEvent event) {
+        lease.step(event, ports.invariants());
+        lease.charge().ifPresent(arbiter::refund);
+        unbind(lease);
+    }
+
+    private void unbind(Lease lease) {
+        reserved = reserved.minus(lease.reserved());
+        lease.flow().ifPresent(flow -> flows.unleased(flow, lease.entry()));
+    }
+
+    /**
+     * Uses a lease up for a start, whether or not the start is accepted.
+     *
+     * @return the lease, empty if the entry has no such lease
+     */
+    Optional<Lease> take(Incarnation entry, Start start) {
+        return book.take(entry, start.lease());
+    }
+
+    /** Ends a lease whose start was refused. */
+    void refused(Lease lease) {
+        close(lease, LeaseEvent.REFUSED);
+    }
+
+    /** Tells why a start under a lease is refused, empty if it is accepted. */
+    Optional<Reason> refusal(Lease lease, Start start) {
+        KindConfig kind = policy.kind(start.spec().kind());
+        boolean wrongFlow =
+                lease.flow().isPresent() && !lease.flow().get().flow().equals(start.flow());
+        if (wrongFlow || !lease.scope().admits(kind)) {
+            return Optional.of(Reason.LEASE_LAPSED);
+        }
+        if (lease.flow().isEmpty() && flows.heldByTeam(start.team()) >= policy.quota(start.team(), slots())) {
+            return Optional.of(Reason.OVER_QUOTA);
+        }
+        Resources need = declared(start, kind);
+        if (endpoints.choose(service, kind.name(), need).isPresent()) {
+            return Optional.empty();
+        }
+        boolean never = !endpoints.couldFit(service, kind.name(), need);
+        return Optional.of(never ? Reason.FITS_NO_WORKER : Reason.LEASE_LAPSED);
+    }
+
+    private static Resources declared(Start start, KindConfig kind) {
+        return start.spec().resources().max(kind.resources());
+    }
+
+    /** Takes the length of a queue that came with a start. */
+    void queued(Incarnation entry, Start start, long nowNanos) {
+        flows.queuedAtStart(start.flow(), entry, start.queued(), nowNanos);
+    }
+
+    /** Starts a task for which there is no refusal. */
+    RunningTask start(Lease lease, Start start, long nowNanos) {
+        KindConfig kind = policy.kind(start.spec().kind());
+        Resources need = declared(start, kind);
+        FlowState flow = flows.flow(start.flow(), nowNanos);
+        FlowCharge charge = lease.charge().orElseGet(() -> arbiter.charge(flow));
+        Endpoint endpoint = endpoints.choose(service, kind.name(), need).orElseThrow();
+        boolean longTask = !kind.shortTask();
+        RunningTask task = new RunningTask(start.task(), endpoint, lease, charge, longTask, need, nowNanos);
+        lease.step(LeaseEvent.STARTED, ports.invariants());
+        unbind(lease);
+        endpoint.started(task.endpointCharge());
+        flows.started(flow, longTask, nowNanos);
+        running++;
+        return task;
+    }
+
+    /** Takes the end of a task. */
+    void ended(RunningTask task, TaskResult result, long nowNanos) {
+        running--;
+        task.lease().step(LeaseEvent.TASK_ENDED, ports.invariants());
+        flows.ended(task.flow(), task.longTask(), nowNanos);
+        if (result.outcome() == Outcome.NOT_RUN) {
+            arbiter.refund(task.flowCharge());
+        } else {
+            arbiter.settle(task.flowCharge(), task.heldNanos(nowNanos));
+        }
+        Endpoint endpoint = task.endpoint();
+        endpoint.ended(task.endpointCharge());
+        if (!task.stopped() && endpoint.judged(result.outcome(), ports.limits(), nowNanos)) {
+            ports.counters().increment(AgentCounter.ENDPOINTS_SET_ASIDE);
+        }
+        endpoints.removeIfGone(endpoint);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/agent/SlotDistributor.java
@@ -0,0 +1,114 @@
+package org.knapweedmount.core.agent;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.message.LeaseScope;
+
+/** Hands the free slots of a service out: first to those who ask, then ahead of need. */
+final class SlotDistributor {
+    private final EntryTable entries;
+    private final AgentPorts ports;
+
+    SlotDistributor(EntryTable entries, AgentPorts ports) {
+        this.entries = entries;
+        this.ports = ports;
+    }
+
+    /**
+     * Grants every free slot for which there is somebody.
+     *
+     * @param ended the task whose end freed a slot, which goes to the same entry if that is as fair
+     * @return the messages to be sent
+     */
+    List<GrantPlan.Addressed> distribute(ServicePool pool, Optional<RunningTask> ended, long nowNanos) {
+        int free = pool.free();
+        if (free <= 0) {
+            ports.invariants().check(free == 0, "idle leases exceed the open slots");
+            return List.of();
+        }
+        GrantPlan plan = new GrantPlan(pool.service());
+        int left = serveDemand(pool, plan, free, nowNanos);
+        spread(pool, plan, left, ended, nowNanos);
+        int open = pool.openSlots();
+        return plan.grants(entry -> open - pool.book().idle(entry));
+    }
+
+    private int serveDemand(ServicePool pool, GrantPlan plan, int free, long nowNanos) {
+        int left = free;
+        if (pool.flows().wanting().isEmpty()) {
+            return left;
+        }
+        SlotLimits limits = SlotLimits.of(pool.policy(), pool.flows(), pool.slots(), nowNanos);
+        while (left > 0) {
+            Optional<Arbiter.Claim> claim =
+                    pool.arbiter().next(limits, pool.longHeld(), entries::reachable, pool::fits);
+            if (claim.isEmpty()) {
+                break;
+            }
+            FlowState flow = claim.get().flow();
+            pool.grant(plan, claim.get().entry(), scope(pool, flow), Optional.of(flow), left, nowNanos);
+            left--;
+        }
+        return left;
+    }
+
+    private static LeaseScope scope(ServicePool pool, FlowState flow) {
+        return pool.policy().kind(flow.flow().kind()).shortTask() ? LeaseScope.SHORT_ONLY : LeaseScope.ANY;
+    }
+
+    private void spread(ServicePool pool, GrantPlan plan, int free, Optional<RunningTask> ended, long nowNanos) {
+        if (free == 0) {
+            return;
+        }
+        int longLimit = pool.policy().longLimit(pool.slots());
+        Set<Incarnation> wantAny = wanting(pool, LeaseScope.ANY);
+        Set<Incarnation> wantShort = wanting(pool, LeaseScope.SHORT_ONLY);
+        Optional<Incarnation> preferred = ended.map(RunningTask::entry);
+        for (int left = free; left > 0; left--) {
+            LeaseScope scope = pool.longHeld() < longLimit ? LeaseScope.ANY : LeaseScope.SHORT_ONLY;
+            Set<Incarnation> excluded = scope == LeaseScope.ANY ? wantAny : wantShort;
+            Optional<Incarnation> entry = leastIdle(pool, scope, excluded, preferred);
+            if (entry.isEmpty()) {
+                return;
+            }
+            pool.grant(plan, entry.get(), scope, Optional.empty(), left, nowNanos);
+        }
+    }
+
+    /** Lists the entries that would use a lease without a flow at once for a flow that has no room. */
+    private static Set<Incarnation> wanting(ServicePool pool, LeaseScope scope) {
+        Set<Incarnation> wanting = new HashSet<>();
+        for (FlowState flow : pool.flows().wanting()) {
+            if (scope.admits(pool.policy().kind(flow.flow().kind()))) {
+                flow.addWanting(wanting);
+            }
+        }
+        return wanting;
+    }
+
+    private Optional<Incarnation> leastIdle(
+            ServicePool pool, LeaseScope scope, Set<Incarnation> excluded, Optional<Incarnation> preferred) {
+        Incarnation least = null;
+        int leastIdle = Integer.MAX_VALUE;
+        int preferredIdle = Integer.MAX_VALUE;
+        for (EntryLink link : entries.all()) {
+            if (!link.takesIdleLeases() || excluded.contains(link.entry())) {
+                continue;
+            }
+            int idle = pool.book().pool(link.entry()).idle(scope);
+            if (preferred.isPresent() && link.entry().equals(preferred.get())) {
+                preferredIdle = idle;
+            }
+            if (idle < leastIdle) {
+                least = link.entry();
+                leastIdle = idle;
+            }
+        }
+        boolean fair = preferredIdle != Integer.MAX_VALUE && preferredIdle <= leastIdle + 1;
+        return fair ? preferred : Optional.ofNullable(least);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/agent/StartRecords.java
@@ -0,0 +1,159 @@
+package org.knapweedmount.core.agent;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.knapweedmount.api.SubmissionId;
+import org.knapweedmount.api.TaskId;
+import org.knapweedmount.api.TaskResult;
+import org.knapweedmount.api.message.TaskReport;
+import org.knapweedmount.api.message.TaskState;
+import org.knapweedmount.core.metric.Counters;
+import org.knapweedmount.core.metric.Invariants;
+
+/**
+ * Remembers which tasks of each submission were started and how they ended, within bounds.
+ *
+ * <p>The submission that ended first is discarded first; one with a running task is kept.
+ */
+final class StartRecords {
+    /** One result takes at most this part of the room for all, so that it does not push out all others. */
+    private static final int LARGEST_RESULT_PART = 4;
+
+    private final AgentLimits limits;
+    private final Counters<AgentCounter> counters;
+    private final Invariants invariants;
+    private final Map<SubmissionId, SubmissionRecord> running = new HashMap<>();
+    private final Map<SubmissionId, SubmissionRecord> ended = new LinkedHashMap<>();
+    private final IssuerHorizons horizons = new IssuerHorizons();
+    private long resultBytes;
+
+    StartRecords(AgentLimits limits, Counters<AgentCounter> counters, Invariants invariants) {
+        this.limits = limits;
+        this.counters = counters;
+        this.invariants = invariants;
+    }
+
+    Optional<TaskRecord> find(TaskId task) {
+        return find(task.submission()).flatMap(record -> record.find(task.index()));
+    }
+
+    private Optional<SubmissionRecord> find(SubmissionId submission) {
+        SubmissionRecord record = running.get(submission);
+        return Optional.ofNullable(record != null ? record : ended.get(submission));
+    }
+
+    /** Notes that a task is being sent to an endpoint. */
+    void started(TaskId id) {
+        SubmissionId submission = id.submission();
+        SubmissionRecord record =
+                find(submission).orElseGet(() -> new SubmissionRecord(submission, horizons.covers(submission)));
+        ended.remove(submission);
+        running.put(submission, record);
+        TaskRecord task = record.findOrAdd(id.index());
+        invariants.check(!task.settled(), "a task is not started again while it runs or after it was completed");
+        resultBytes -= task.resultBytes();
+        task.started();
+        while (!ended.isEmpty() && running.size() + ended.size() > limits.maxRecords()) {
+            discardOldest();
+        }
+    }
+
+    /** Notes the result of a task. */
+    void finished(TaskId id, TaskResult result) {
+        Optional<TaskResult> kept = makeRoom(result);
+        end(id, task -> {
+            task.finished(result.outcome(), kept);
+            resultBytes += task.resultBytes();
+        });
+    }
+
+    private Optional<TaskResult> makeRoom(TaskResult result) {
+        int size = TaskRecord.size(result);
+        if (size > limits.maxResultBytes() / LARGEST_RESULT_PART) {
+            return Optional.empty();
+        }
+        while (!ended.isEmpty() && resultBytes + size > limits.maxResultBytes()) {
+            discardOldest();
+        }
+        return resultBytes + size > limits.maxResultBytes() ? Optional.empty() : Optional.of(result);
+    }
+
+    /**
+     * Notes that a task was not run after all.
+     *
+     * @param told true if the entry is told at once, so that nothing need be remembered
+     */
+    void notRun(TaskId id, boolean told) {
+        end(id, TaskRecord::notStarted);
+        if (told) {
+            forgetNotRun(id);
+        }
+    }
+
+    /** Forgets a task that was not run. */
+    void forgetNotRun(TaskId id) {
+        SubmissionId submission = id.submission();
+        find(submission).ifPresent(record -> {
+            record.tasks().removeIf(task -> task.index() == id.index() && task.state() == TaskState.NOT_STARTED);
+            if (record.tasks().isEmpty()) {
+                ended.remove(submission);
+            }
+        });
+    }
+
+    private void end(TaskId id, Consumer<TaskRecord> change) {
+        SubmissionRecord record = running.get(id.submission());
+        Optional<TaskRecord> task = record == null ? Optional.empty() : record.find(id.index());
+        if (task.isEmpty() || !task.get().running()) {
+            invariants.check(false, "a task that ends is on record as running");
+            return;
+        }
+        change.accept(task.get());
+        if (!record.running()) {
+            running.remove(record.id());
+            ended.put(record.id(), record);
+        }
+    }
+
+    private void discardOldest() {
+        SubmissionRecord oldest = ended.values().iterator().next();
+        ended.remove(oldest.id());
+        resultBytes -= oldest.resultBytes();
+        horizons.discarded(oldest.id());
+        counters.increment(AgentCounter.EVICTED_RECORDS);
+    }
+
+    /** Tells whether the tasks reported of a submission are the whole of what was started. */
+    boolean certain(SubmissionId submission) {
+        return find(submission).map(SubmissionRecord::whole).orElseGet(() -> horizons.covers(submission));
+    }
+
+    /** Reports the tasks of a submission that were started. */
+    List<TaskReport> started(SubmissionId submission) {
+        List<TaskReport> reports = new ArrayList<>();
+        find(submission).ifPresent(record -> {
+            for (TaskRecord task : record.tasks()) {
+                if (task.state() != TaskState.NOT_STARTED) {
+                    reports.add(new TaskReport(submission.task(task.index()), task.state(), task.result()));
+                }
+            }
+        });
+        return reports;
+    }
+
+    /** Reports what became of one task. */
+    TaskReport report(TaskId id) {
+        Optional<TaskRecord> task = find(id);
+        if (task.isPresent()) {
+            return new TaskReport(id, task.get().state(), task.get().result());
+        }
+        TaskState state = certain(id.submission()) ? TaskState.NOT_STARTED : TaskState.FORGOTTEN;
+        return new TaskReport(id, state, Optional.empty());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/agent/SubmissionRecord.java
@@ -0,0 +1,70 @@
+package org.knapweedmount.core.agent;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.knapweedmount.api.SubmissionId;
+
+/** What the agent started of one submission. */
+final class SubmissionRecord {
+    private static final int USUAL_TASKS = 1;
+
+    private final SubmissionId id;
+    private final boolean whole;
+    private final List<TaskRecord> tasks = new ArrayList<>(USUAL_TASKS);
+
+    SubmissionRecord(SubmissionId id, boolean whole) {
+        this.id = id;
+        this.whole = whole;
+    }
+
+    SubmissionId id() {
+        return id;
+    }
+
+    /** Tells whether nothing that was started of the submission has been forgotten. */
+    boolean whole() {
+        return whole;
+    }
+
+    List<TaskRecord> tasks() {
+        return tasks;
+    }
+
+    Optional<TaskRecord> find(int index) {
+        for (TaskRecord task : tasks) {
+            if (task.index() == index) {
+                return Optional.of(task);
+            }
+        }
+        return Optional.empty();
+    }
+
+    TaskRecord findOrAdd(int index) {
+        return find(index).orElseGet(() -> add(index));
+    }
+
+    private TaskRecord add(int index) {
+        TaskRecord task = new TaskRecord(index);
+        tasks.add(task);
+        return task;
+    }
+
+    boolean running() {
+        for (TaskRecord task : tasks) {
+            if (task.running()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    int resultBytes() {
+        int bytes = 0;
+        for (TaskRecord task : tasks) {
+            bytes += task.resultBytes();
+        }
+        return bytes;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/agent/TaskStarter.java
@@ -0,0 +1,144 @@
+package org.knapweedmount.core.agent;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.Outcome;
+import org.knapweedmount.api.Reason;
+import org.knapweedmount.api.SubmissionId;
+import org.knapweedmount.api.TaskId;
+import org.knapweedmount.api.TaskResult;
+import org.knapweedmount.api.message.Finished;
+import org.knapweedmount.api.message.NotStarted;
+import org.knapweedmount.api.message.Start;
+import org.knapweedmount.api.message.TaskReport;
+import org.knapweedmount.api.message.TaskState;
+
+/** Decides whether a start is carried out, and keeps the tasks that run. */
+final class TaskStarter {
+    private final AgentPorts ports;
+    private final StartGate gate;
+    private final Seals seals;
+    private final StartRecords records;
+    private final Map<TaskId, RunningTask> running = new HashMap<>();
+
+    TaskStarter(AgentPorts ports, StartGate gate, Seals seals, StartRecords records) {
+        this.ports = ports;
+        this.gate = gate;
+        this.seals = seals;
+        this.records = records;
+    }
+
+    /**
+     * Starts a task, or tells its entry why not; the lease is used up in both cases.
+     *
+     * @param pool the slots of the task's service, empty if the agent has none
+     * @param draining true if the agent takes no new tasks
+     */
+    void start(Incarnation entry, Start start, Optional<ServicePool> pool, boolean draining, long nowNanos) {
+        if (!gate.admits(entry, start.sequence())) {
+            ports.counters().increment(AgentCounter.DUPLICATE_STARTS);
+            return;
+        }
+        Optional<Lease> lease = pool.flatMap(slots -> slots.take(entry, start));
+        pool.ifPresent(slots -> slots.queued(entry, start, nowNanos));
+        if (answeredFromRecord(entry, start)) {
+            lease.ifPresent(taken -> taken.pool().refused(taken));
+            return;
+        }
+        Optional<Reason> refusal = refusal(entry, start, lease, draining);
+        if (refusal.isPresent()) {
+            lease.ifPresent(taken -> taken.pool().refused(taken));
+            refuse(entry, start, refusal.get());
+            return;
+        }
+        carryOut(start, lease.orElseThrow(), nowNanos);
+    }
+
+    /** A task that runs or succeeded here is not started again, whatever its entry has forgotten. */
+    private boolean answeredFromRecord(Incarnation entry, Start start) {
+        Optional<TaskRecord> record = records.find(start.task());
+        if (record.isEmpty() || !record.get().settled()) {
+            return false;
+        }
+        ports.counters().increment(AgentCounter.DUPLICATE_STARTS);
+        if (!record.get().running()) {
+            TaskResult result = record.get().result().orElseGet(() -> TaskResult.of(Outcome.UNKNOWN, Reason.FORGOTTEN));
+            ports.output().send(entry, new Finished(start.task(), 0, result, Optional.empty()));
+        }
+        return true;
+    }
+
+    private Optional<Reason> refusal(Incarnation entry, Start start, Optional<Lease> lease, boolean draining) {
+        if (!start.task().submission().issuer().equals(entry)) {
+            return Optional.of(Reason.MALFORMED);
+        }
+        if (seals.contains(start.task().submission())) {
+            return Optional.of(Reason.SEALED);
+        }
+        if (draining) {
+            return Optional.of(Reason.DRAINING);
+        }
+        if (lease.isEmpty()) {
+            return Optional.of(Reason.LEASE_LAPSED);
+        }
+        return lease.get().pool().refusal(lease.get(), start);
+    }
+
+    private void refuse(Incarnation entry, Start start, Reason reason) {
+        if (reason == Reason.SEALED) {
+            ports.counters().increment(AgentCounter.SEALED_STARTS);
+        }
+        if (reason == Reason.LEASE_LAPSED) {
+            ports.counters().increment(AgentCounter.LAPSED_LEASES);
+        }
+        if (reason == Reason.OVER_QUOTA) {
+            ports.counters().increment(AgentCounter.OVER_QUOTA_STARTS);
+        }
+        ports.output().send(entry, new NotStarted(start.task(), reason));
+    }
+
+    private void carryOut(Start start, Lease lease, long nowNanos) {
+        RunningTask task = lease.pool().start(lease, start, nowNanos);
+        RunningTask before = running.put(start.task(), task);
+        ports.invariants().check(before == null, "a task runs at most once at a time");
+        records.started(start.task());
+        ports.counters().increment(AgentCounter.STARTED);
+        ports.output().start(task.endpoint().id(), task.id(), start.spec());
+    }
+
+    /**
+     * Takes the end of a task out of the running ones.
+     *
+     * @return the task, empty if no such task was running
+     */
+    Optional<RunningTask> ended(TaskId id) {
+        return Optional.ofNullable(running.remove(id));
+    }
+
+    /** Asks the endpoints to stop the running tasks of a submission. */
+    void cancel(SubmissionId submission) {
+        for (TaskReport report : records.started(submission)) {
+            if (report.state() == TaskState.RUNNING) {
+                RunningTask task = running.get(report.task());
+                task.stop();
+                ports.output().stop(task.endpoint().id(), task.id());
+            }
+        }
+    }
+
+    /** Charges an endpoint anew after a report of what its tasks really use. */
+    void recharge(Endpoint endpoint) {
+        for (RunningTask task : running.values()) {
+            if (task.endpoint().equals(endpoint)) {
+                task.recharge();
+            }
+        }
+    }
+
+    boolean idle() {
+        return running.isEmpty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/chart/package-info.java
@@ -0,0 +1,2 @@
+/** State charts kept in resource files, checked when they are loaded and interpreted at run time. */
+package org.knapweedmount.core.chart;
