Add the entry's queues, leases and starts

Cause: EntryCore was a stub. Change: ids and roster versions, the table of submissions with idempotent resubmission and kept answers, admission by predicted wait, start-time fair queueing over flows, the pool of leases, demands, the following of started tasks through lost links, and retries of repeatable single requests. Ruled out: a roster version per linked agent. A version is numbered when the next id is issued, so that the agents that link in the first second share one.

--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/entry/AgentService.java
@@ -0,0 +1,75 @@
+package org.knapweedmount.core.entry;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.knapweedmount.api.Flow;
+import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.message.Capacity;
+
+/** What one agent has for one service, and which demand it knows of. */
+final class AgentService {
+    private final AgentState agent;
+    private final Map<Flow, Integer> told = new HashMap<>();
+    private final Map<Flow, Integer> asked = new HashMap<>();
+    private int slots;
+    private Resources resources = Resources.NONE;
+    private int freeElsewhere;
+    private long sentNanos;
+    private boolean sentBefore;
+
+    AgentService(AgentState agent) {
+        this.agent = agent;
+    }
+
+    AgentState agent() {
+        return agent;
+    }
+
+    int slots() {
+        return slots;
+    }
+
+    Resources resources() {
+        return resources;
+    }
+
+    void update(Capacity capacity) {
+        slots = capacity.slots();
+        resources = capacity.resources();
+    }
+
+    /** Tells whether the agent has a worker of the size that a task needs. */
+    boolean fits(Resources need) {
+        return resources.equals(Resources.NONE) || need.fits(resources);
+    }
+
+    /** The number of slots free elsewhere that the agent reported last, less those asked for since. */
+    int freeElsewhere() {
+        return freeElsewhere;
+    }
+
+    void freeElsewhere(int count) {
+        freeElsewhere = count;
+    }
+
+    /** The queued tasks of each flow that the agent was told of last. */
+    Map<Flow, Integer> told() {
+        return told;
+    }
+
+    /** The queued tasks of each flow for which this agent alone is asked. */
+    Map<Flow, Integer> asked() {
+        return asked;
+    }
+
+    /** Tells whether the last demand was sent longer ago than an interval. */
+    boolean maySend(long nowNanos, long intervalNanos) {
+        return !sentBefore || nowNanos - sentNanos >= intervalNanos;
+    }
+
+    void sent(long nowNanos) {
+        sentBefore = true;
+        sentNanos = nowNanos;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/entry/AgentState.java
@@ -0,0 +1,160 @@
+package org.knapweedmount.core.entry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.knapweedmount.api.Flow;
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.PeerAddress;
+import org.knapweedmount.api.TaskId;
+
+/** What an entry knows of one incarnation of an agent, through all its links. */
+final class AgentState {
+    private final PeerAddress address;
+    private final int joinedVersion;
+    private final boolean local;
+    private final long linkTimeoutNanos;
+    private final Map<TaskId, TaskRun> inFlight = new LinkedHashMap<>();
+    private final Map<String, AgentService> services = new LinkedHashMap<>();
+    private final Map<Flow, Long> overQuotaUntilNanos = new HashMap<>();
+    private boolean linked;
+    private boolean leaving;
+    private boolean drained;
+    private long lostNanos;
+    private long heardNanos;
+    private long lastSequence;
+
+    /**
+     * Creates the state of an agent before its first link.
+     *
+     * @param address the agent
+     * @param joinedVersion the first version of the entry's roster that lists the agent
+     * @param local true if the agent runs in the entry's data centre
+     * @param lastSequence the sequence number after which those of starts sent to this agent begin
+     * @param linkTimeoutNanos how long the agent may be silent before it gets no new work
+     */
+    AgentState(PeerAddress address, int joinedVersion, boolean local, long lastSequence, long linkTimeoutNanos) {
+        this.address = address;
+        this.joinedVersion = joinedVersion;
+        this.local = local;
+        this.lastSequence = lastSequence;
+        this.linkTimeoutNanos = linkTimeoutNanos;
+    }
+
+    PeerAddress address() {
+        return address;
+    }
+
+    Incarnation incarnation() {
+        return address.incarnation();
+    }
+
+    int joinedVersion() {
+        return joinedVersion;
+    }
+
+    boolean local() {
+        return local;
+    }
+
+    boolean linked() {
+        return linked;
+    }
+
+    /** When the link was lost last. */
+    long lostNanos() {
+        return lostNanos;
+    }
+
+    long lastSequence() {
+        return lastSequence;
+    }
+
+    long nextSequence() {
+        return ++lastSequence;
+    }
+
+    void linked(long nowNanos) {
+        linked = true;
+        leaving = false;
+        heardNanos = nowNanos;
+    }
+
+    void unlinked(long nowNanos) {
+        linked = false;
+        lostNanos = nowNanos;
+        services.clear();
+        overQuotaUntilNanos.clear();
+    }
+
+    void heard(long nowNanos) {
+        heardNanos = nowNanos;
+    }
+
+    void leaving() {
+        leaving = true;
+    }
+
+    void drained(boolean inForce) {
+        drained = inForce;
+    }
+
+    /** Tells whether the agent takes new work as far as it and the tickets say. */
+    boolean open() {
+        return linked && !leaving && !drained;
+    }
+
+    /** Tells whether the agent has been silent for the link timeout. */
+    boolean silent(long nowNanos) {
+        return nowNanos - heardNanos > linkTimeoutNanos;
+    }
+
+    /** Tells whether tasks may be sent to the agent now. */
+    boolean usable(long nowNanos) {
+        return open() && !silent(nowNanos);
+    }
+
+    /** Notes that the agent has refused a flow over its team's quota. */
+    void overQuota(Flow flow, long untilNanos) {
+        overQuotaUntilNanos.put(flow, untilNanos);
+    }
+
+    /** Tells whether leases without a flow are not to be used for a flow, because its team was over its quota. */
+    boolean blocked(Flow flow, long nowNanos) {
+        if (overQuotaUntilNanos.isEmpty()) {
+            return false;
+        }
+        Long untilNanos = overQuotaUntilNanos.get(flow);
+        return untilNanos != null && untilNanos - nowNanos > 0;
+    }
+
+    Map<String, AgentService> services() {
+        return services;
+    }
+
+    void sent(TaskRun task) {
+        inFlight.put(task.id(), task);
+    }
+
+    /** Returns a task that this agent has not answered for, empty if it has or was never sent it. */
+    Optional<TaskRun> inFlight(TaskId task) {
+        return Optional.ofNullable(inFlight.get(task));
+    }
+
+    void answered(TaskRun task) {
+        inFlight.remove(task.id());
+    }
+
+    /** Returns the tasks that this agent has not answered for, in the order sent. */
+    List<TaskRun> inFlight() {
+        return new ArrayList<>(inFlight.values());
+    }
+
+    boolean hasInFlight() {
+        return !inFlight.isEmpty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/entry/Agents.java
@@ -0,0 +1,89 @@
+package org.knapweedmount.core.entry;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.PeerAddress;
+
+/** The agents that are linked or were linked not long ago. */
+final class Agents {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long FORGET_NANOS = 60_000 * NANOS_PER_MILLI;
+
+    private final EntryContext context;
+    private final OwnRoster roster;
+    private final Map<Incarnation, AgentState> byIncarnation = new LinkedHashMap<>();
+    private long highestForgottenSequence;
+
+    Agents(EntryContext context, OwnRoster roster) {
+        this.context = context;
+        this.roster = roster;
+    }
+
+    Optional<AgentState> find(Incarnation incarnation) {
+        return Optional.ofNullable(byIncarnation.get(incarnation));
+    }
+
+    Collection<AgentState> all() {
+        return byIncarnation.values();
+    }
+
+    /** Returns an agent's state; an agent seen for the first time is added to the roster. */
+    AgentState obtain(PeerAddress address) {
+        return byIncarnation.computeIfAbsent(address.incarnation(), unused -> create(address));
+    }
+
+    /** Returns the earlier incarnations of an agent's process that are not linked. */
+    List<AgentState> replacedBy(AgentState agent) {
+        return byIncarnation.values().stream()
+                .filter(other -> other != agent && !other.linked())
+                .filter(other -> sameProcess(other, agent))
+                .toList();
+    }
+
+    /** Tells whether another incarnation of an agent's process is linked. */
+    boolean isReplaced(AgentState agent) {
+        return byIncarnation.values().stream()
+                .anyMatch(other -> other != agent && other.linked() && sameProcess(other, agent));
+    }
+
+    /** Forgets agents that have been gone for long, so that later ids do not name them. */
+    void forget(long nowNanos) {
+        List<AgentState> gone = byIncarnation.values().stream()
+                .filter(agent -> !agent.linked() && !agent.hasInFlight())
+                .filter(agent -> nowNanos - agent.lostNanos() >= FORGET_NANOS)
+                .toList();
+        for (AgentState agent : gone) {
+            byIncarnation.remove(agent.incarnation());
+            roster.drop(agent.address());
+            highestForgottenSequence = Math.max(highestForgottenSequence, agent.lastSequence());
+        }
+    }
+
+    /** Takes note of drains that tickets have put in force or lifted. */
+    void configChanged() {
+        byIncarnation.values().forEach(this::updateDrained);
+    }
+
+    private AgentState create(PeerAddress address) {
+        int version = roster.join(address);
+        boolean local = address.dataCentre().equals(context.address().dataCentre());
+        long linkTimeoutNanos = context.limits().linkTimeoutMillis() * NANOS_PER_MILLI;
+        AgentState agent = new AgentState(address, version, local, highestForgottenSequence, linkTimeoutNanos);
+        updateDrained(agent);
+        return agent;
+    }
+
+    private void updateDrained(AgentState agent) {
+        agent.drained(context.config()
+                .drained(agent.incarnation().process(), agent.address().dataCentre()));
+    }
+
+    private static boolean sameProcess(AgentState one, AgentState other) {
+        return one.incarnation().process().equals(other.incarnation().process());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/entry/Answers.java
@@ -0,0 +1,44 @@
+package org.knapweedmount.core.entry;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.knapweedmount.api.JobAnswer;
+import org.knapweedmount.api.message.RelayAnswer;
+
+/** Answers each request once. */
+final class Answers {
+    private final EntryContext context;
+    private final Set<Requester> open = new HashSet<>();
+
+    Answers(EntryContext context) {
+        this.context = context;
+    }
+
+    /** Notes a request that is to be answered. */
+    void await(Requester requester) {
+        context.invariants().check(open.add(requester), "each request has its own number");
+    }
+
+    void deliver(Requester requester, JobAnswer answer) {
+        boolean awaited = open.remove(requester);
+        context.invariants().check(awaited, "each request is answered once");
+        if (!awaited) {
+            return;
+        }
+        if (requester.peer().isPresent()) {
+            context.output().send(requester.peer().get(), new RelayAnswer(requester.request(), answer));
+        } else {
+            context.output().answer(requester.request(), answer);
+        }
+    }
+
+    void deliver(List<Requester> requesters, JobAnswer answer) {
+        requesters.forEach(requester -> deliver(requester, answer));
+    }
+
+    boolean isEmpty() {
+        return open.isEmpty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/entry/EndedJob.java
@@ -0,0 +1,31 @@
+package org.knapweedmount.core.entry;
+
+import java.util.Optional;
+
+import org.knapweedmount.api.JobAnswer;
+import org.knapweedmount.api.JobSpec;
+import org.knapweedmount.api.TaskResult;
+
+/**
+ * What is kept of a submission that has ended.
+ *
+ * @param answer the answer
+ * @param digest the digest of the job, empty if the job is not known
+ */
+record EndedJob(JobAnswer answer, Optional<JobDigest> digest) {
+    private static final int OVERHEAD_BYTES = 500;
+
+    /** Tells whether a resubmission brings another job than the one that has ended. */
+    boolean conflicts(JobSpec job) {
+        return digest.isPresent() && !digest.get().equals(JobDigest.of(job));
+    }
+
+    /** Returns about how many bytes of memory this takes. */
+    int bytes() {
+        int bytes = OVERHEAD_BYTES;
+        for (TaskResult result : answer.results()) {
+            bytes += result.body().size() + OVERHEAD_BYTES;
+        }
+        return bytes;
+    }
+}
--- a/core/src/main/java/org/knapweedmount/core/entry/EntryCore.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/EntryCore.java
@@ -1,10 +1,13 @@
 package org.knapweedmount.core.entry;
 
 import java.util.List;
+import java.util.Random;
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.PeerAddress;
+import org.knapweedmount.api.Role;
 import org.knapweedmount.api.SubmissionId;
+import org.knapweedmount.api.message.Leaving;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.core.config.ConfigState;
 import org.knapweedmount.core.metric.Counters;
@@ -16,6 +19,16 @@
  * <p>Used by one thread. Times are of a monotonic clock, in nanoseconds.
  */
 public final class EntryCore {
+    private final EntryContext context;
+    private final OwnRoster roster;
+    private final IdIssuer issuer;
+    private final Answers answers;
+    private final Agents agents;
+    private final TaskScheduler scheduler;
+    private final Submissions submissions;
+    private final StartedTasks startedTasks;
+    private final AgentLinks agentLinks;
+
     /**
      * Creates the decisions of an entry without links.
      *
@@ -35,7 +48,20 @@
             Counters<EntryCounter> counters,
             Invariants invariants,
             long seed) {
-        throw new UnsupportedOperationException("not yet written");
+        this.context = new EntryContext(limits, self, config, output, counters, invariants);
+        this.roster = new OwnRoster(context);
+        this.issuer = new IdIssuer(context, roster, new UsedIds(UsedIds.DEFAULT_WINDOW));
+        this.answers = new Answers(context);
+        this.agents = new Agents(context, roster);
+        RunTimes runTimes = new RunTimes();
+        Services services = new Services(context, runTimes);
+        this.scheduler = new TaskScheduler(context, services);
+        Admission admission =
+                new Admission(context, services, scheduler, runTimes, roster.linkedEntries(), new Random(seed));
+        RetryPolicy retries = new RetryPolicy(context, services);
+        this.submissions = new Submissions(context, issuer, answers, admission, scheduler, retries);
+        this.startedTasks = new StartedTasks(context, scheduler, submissions, retries, runTimes);
+        this.agentLinks = new AgentLinks(agents, scheduler, startedTasks);
     }
 
     /**
@@ -45,7 +71,7 @@
      * @return the ids
      */
     public List<SubmissionId> issue(int count) {
-        return List.of();
+        return issuer.issue(count);
     }
 
     /**
@@ -55,7 +81,16 @@
      * @param submission the submission
      * @param nowNanos the present time
      */
-    public void submit(long request, SubmissionRequest submission, long nowNanos) {}
+    public void submit(long request, SubmissionRequest submission, long nowNanos) {
+        Requester requester = Requester.caller(request);
+        answers.await(requester);
+        JobRequest job = new JobRequest(requester, submission.service(), submission.job(), submission.awaitEnd());
+        if (submission.id().isPresent()) {
+            submissions.submit(submission.id().get(), job, nowNanos);
+        } else {
+            submissions.submitNew(job, nowNanos);
+        }
+    }
 
     /**
      * Takes a caller's question for the state of a submission.
@@ -65,7 +100,11 @@
      * @param awaitEnd true if the answer is wanted when the submission has ended
      * @param nowNanos the present time
      */
-    public void status(long request, SubmissionId id, boolean awaitEnd, long nowNanos) {}
+    public void status(long request, SubmissionId id, boolean awaitEnd, long nowNanos) {
+        Requester requester = Requester.caller(request);
+        answers.await(requester);
+        submissions.status(id, requester, awaitEnd);
+    }
 
     /**
      * Takes a caller's cancellation.
@@ -74,7 +113,11 @@
      * @param id the submission
      * @param nowNanos the present time
      */
-    public void cancel(long request, SubmissionId id, long nowNanos) {}
+    public void cancel(long request, SubmissionId id, long nowNanos) {
+        Requester requester = Requester.caller(request);
+        answers.await(requester);
+        submissions.cancel(id, requester, nowNanos);
+    }
 
     /**
      * Takes the result of a claim asked for by {@link EntryOutput#claim}.
@@ -92,7 +135,13 @@
      * @param peer the agent or entry
      * @param nowNanos the present time
      */
-    public void linked(PeerAddress peer, long nowNanos) {}
+    public void linked(PeerAddress peer, long nowNanos) {
+        if (peer.role() == Role.AGENT) {
+            agentLinks.linked(peer, nowNanos);
+        } else {
+            roster.linked(peer.incarnation());
+        }
+    }
 
     /**
      * Takes the loss of a link.
@@ -100,7 +149,10 @@
      * @param peer the agent or entry that was linked
      * @param nowNanos the present time
      */
-    public void unlinked(Incarnation peer, long nowNanos) {}
+    public void unlinked(Incarnation peer, long nowNanos) {
+        agentLinks.unlinked(peer, nowNanos);
+        roster.unlinked(peer);
+    }
 
     /**
      * Takes a message from a linked agent or entry.
@@ -109,28 +161,45 @@
      * @param message the message
      * @param nowNanos the present time
      */
-    public void receive(Incarnation from, Message message, long nowNanos) {}
+    public void receive(Incarnation from, Message message, long nowNanos) {
+        agentLinks.receive(from, message, nowNanos);
+    }
 
     /**
      * Takes note that the owner has changed the configuration.
      *
      * @param nowNanos the present time
      */
-    public void configChanged(long nowNanos) {}
+    public void configChanged(long nowNanos) {
+        scheduler.configChanged();
+        agentLinks.configChanged(nowNanos);
+    }
 
     /**
      * Does what is due by now: time limits of requests, lost agents and settlements.
      *
      * @param nowNanos the present time
      */
-    public void tick(long nowNanos) {}
+    public void tick(long nowNanos) {
+        startedTasks.tick(nowNanos);
+        scheduler.tick(nowNanos);
+        agents.forget(nowNanos);
+    }
 
     /**
      * Refuses new submissions from now on; accepted ones and relayed questions go on.
      *
      * @param nowNanos the present time
      */
-    public void drain(long nowNanos) {}
+    public void drain(long nowNanos) {
+        submissions.drain();
+        scheduler.drain();
+        Leaving leaving = new Leaving("draining");
+        agents.all().stream()
+                .filter(AgentState::linked)
+                .forEach(agent -> context.output().send(agent.incarnation(), leaving));
+        roster.linkedEntries().forEach(entry -> context.output().send(entry, leaving));
+    }
 
     /**
      * Tells whether every accepted submission has ended and every caller is answered.
@@ -138,6 +207,6 @@
      * @return true if nothing is left to do
      */
     public boolean idle() {
-        return true;
+        return submissions.isEmpty() && answers.isEmpty();
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/entry/FlowQueue.java
@@ -0,0 +1,182 @@
+package org.knapweedmount.core.entry;
+
+import java.util.Collection;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.knapweedmount.api.Flow;
+import org.knapweedmount.api.config.KindConfig;
+
+/**
+ * The queued tasks of one flow, in order of arrival.
+ *
+ * <p>Tasks are kept apart by the roster version of their ids, so that an agent that joined late finds the first task
+ * that it may be sent without passing over the others.
+ */
+final class FlowQueue {
+    /** How many tasks are examined for one that fits an agent's workers. */
+    private static final int LOOKAHEAD = 32;
+
+    private final Flow flow;
+    private final int number;
+    private final DepartureRate departures;
+    private final TreeMap<Integer, TaskList> byVersion = new TreeMap<>();
+    private KindConfig kind;
+    private double weight;
+    private int size;
+    private long bytes;
+    private double startTag;
+    private double finishTag;
+
+    /**
+     * Creates an empty queue.
+     *
+     * @param flow the flow
+     * @param number a number that orders queues with the same start tag
+     * @param nowNanos the present time
+     */
+    FlowQueue(Flow flow, int number, long nowNanos) {
+        this.flow = flow;
+        this.number = number;
+        this.departures = new DepartureRate(nowNanos);
+    }
+
+    Flow flow() {
+        return flow;
+    }
+
+    int number() {
+        return number;
+    }
+
+    KindConfig kind() {
+        return kind;
+    }
+
+    double weight() {
+        return weight;
+    }
+
+    int size() {
+        return size;
+    }
+
+    boolean isEmpty() {
+        return size == 0;
+    }
+
+    /** The total size of the bodies of the queued tasks. */
+    long bytes() {
+        return bytes;
+    }
+
+    DepartureRate departures() {
+        return departures;
+    }
+
+    /** The virtual time at which the first task is due. */
+    double startTag() {
+        return startTag;
+    }
+
+    void configure(KindConfig newKind, double newWeight) {
+        kind = newKind;
+        weight = newWeight;
+    }
+
+    /** Lets the first task be due at a virtual time, unless the tasks before it make it due later. */
+    void due(double virtualTime) {
+        startTag = Math.max(virtualTime, finishTag);
+    }
+
+    /** Charges a started task, so that the next one is due later. */
+    void charge(double cost) {
+        finishTag = startTag + cost;
+        startTag = finishTag;
+    }
+
+    /** Takes back the charge of a task that was not started after all. */
+    void refund(double cost) {
+        finishTag -= cost;
+        startTag -= cost;
+    }
+
+    /** Tells whether tasks of a roster version wait. */
+    boolean hasVersion(int version) {
+        return byVersion.containsKey(version);
+    }
+
+    void addLast(TaskRun task) {
+        list(task).addLast(task);
+        added(task);
+    }
+
+    void addFirst(TaskRun task) {
+        list(task).addFirst(task);
+        added(task);
+    }
+
+    void remove(TaskRun task) {
+        TaskList list = list(task);
+        list.remove(task);
+        if (list.isEmpty()) {
+            byVersion.remove(version(task));
+        }
+        size--;
+        bytes -= task.spec().body().size();
+    }
+
+    /** Returns the task that has waited longest. */
+    Optional<TaskRun> oldest() {
+        TaskRun oldest = null;
+        for (TaskList list : byVersion.values()) {
+            oldest = earlier(oldest, list.first());
+        }
+        return Optional.ofNullable(oldest);
+    }
+
+    /** Returns the first task of each roster version. */
+    Collection<TaskRun> heads() {
+        return byVersion.values().stream().map(TaskList::first).toList();
+    }
+
+    /** Returns the task that an agent should be sent first, empty if it may be sent none of those examined. */
+    Optional<TaskRun> firstFor(AgentService target) {
+        TaskRun found = null;
+        for (TaskList list : byVersion.tailMap(target.agent().joinedVersion()).values()) {
+            found = earlier(found, firstFor(list, target));
+        }
+        return Optional.ofNullable(found);
+    }
+
+    private static TaskRun firstFor(TaskList list, AgentService target) {
+        TaskRun task = list.first();
+        for (int examined = 0; task != null && examined < LOOKAHEAD; examined++) {
+            if (target.fits(task.need()) && task.mayStartAt(target.agent())) {
+                return task;
+            }
+            task = task.next;
+        }
+        return null;
+    }
+
+    private static TaskRun earlier(TaskRun one, TaskRun other) {
+        if (one == null || other == null) {
+            return one == null ? other : one;
+        }
+        return one.queuedNanos() - other.queuedNanos() <= 0 ? one : other;
+    }
+
+    private void added(TaskRun task) {
+        size++;
+        bytes += task.spec().body().size();
+    }
+
+    private TaskList list(TaskRun task) {
+        return byVersion.computeIfAbsent(version(task), unused -> new TaskList());
+    }
+
+    private static int version(TaskRun task) {
+        return task.id().submission().rosterVersion();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/entry/RetryPolicy.java
@@ -0,0 +1,69 @@
+package org.knapweedmount.core.entry;
+
+import java.util.Optional;
+
+import org.knapweedmount.api.Reason;
+import org.knapweedmount.api.TaskResult;
+import org.knapweedmount.api.config.KindConfig;
+
+/**
+ * Decides which requests run a second time.
+ *
+ * <p>Only single requests of repeatable kinds do, once, at another agent, and within a budget, so that retries do not
+ * add much to an overload. The other agent must be on the roster version of the id and not have started the request.
+ */
+final class RetryPolicy {
+    private static final int FIRST_SERVER_ERROR_STATUS = 500;
+
+    private final EntryContext context;
+    private final Services services;
+    private final RetryBudget budget;
+
+    RetryPolicy(EntryContext context, Services services) {
+        this.context = context;
+        this.services = services;
+        this.budget = new RetryBudget(context.limits().retryShare());
+    }
+
+    /** Notes an accepted submission, which adds to the budget. */
+    void accepted() {
+        budget.request();
+    }
+
+    /** Decides whether a task that has ended runs again; if so, the budget is charged. */
+    boolean grants(TaskRun task, TaskResult result, long nowNanos) {
+        return mayRepeat(task) && worthwhile(result) && hasOtherAgent(task, nowNanos) && budget.tryRetry();
+    }
+
+    /** Tells whether some agent that takes new work may be sent the task. */
+    boolean hasOtherAgent(TaskRun task, long nowNanos) {
+        Optional<ServiceState> service = services.find(task.submission().service());
+        return service.isPresent() && service.get().agents().stream().anyMatch(agent -> accepts(agent, task, nowNanos));
+    }
+
+    private static boolean accepts(AgentService target, TaskRun task, long nowNanos) {
+        AgentState agent = target.agent();
+        return target.slots() > 0
+                && agent.usable(nowNanos)
+                && agent.joinedVersion() <= task.id().submission().rosterVersion()
+                && target.fits(task.need())
+                && task.mayStartAt(agent);
+    }
+
+    private boolean mayRepeat(TaskRun task) {
+        Submission submission = task.submission();
+        if (submission.tasks().size() > 1 || submission.job().atMostOnce() || submission.stopped()) {
+            return false;
+        }
+        Optional<KindConfig> kind = context.config().kind(task.flow().kind());
+        return kind.isPresent() && kind.get().repeatable() && task.firstResult().isEmpty();
+    }
+
+    private static boolean worthwhile(TaskResult result) {
+        return switch (result.outcome()) {
+            case COMPLETE, NOT_RUN -> false;
+            case UNKNOWN -> true;
+            case FAILED -> result.reason() == Reason.CONNECTION_LOST || result.status() >= FIRST_SERVER_ERROR_STATUS;
+        };
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/entry/ServiceState.java
@@ -0,0 +1,128 @@
+package org.knapweedmount.core.entry;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.knapweedmount.api.Resources;
+
+/** The queues, leases and agents of one service. */
+final class ServiceState {
+    private static final double MILLIS_PER_SECOND = 1000;
+
+    private final String name;
+    private final ServiceFlows flows;
+    private final LeasePool leases = new LeasePool();
+    private final DemandPlanner demand;
+    private final Map<AgentState, AgentService> agents = new LinkedHashMap<>();
+    private final Set<Resources> workerSizes = new HashSet<>();
+    private int openSlots;
+    private int earliestVersion;
+
+    ServiceState(EntryContext context, String name, RunTimes runTimes) {
+        this.name = name;
+        this.flows = new ServiceFlows(context.config(), runTimes);
+        this.demand = new DemandPlanner(context, name, flows, agents.values());
+    }
+
+    String name() {
+        return name;
+    }
+
+    ServiceFlows flows() {
+        return flows;
+    }
+
+    LeasePool leases() {
+        return leases;
+    }
+
+    DemandPlanner demand() {
+        return demand;
+    }
+
+    Collection<AgentService> agents() {
+        return agents.values();
+    }
+
+    /** Returns an agent's part in this service, created if need be. */
+    AgentService join(AgentState agent) {
+        AgentService part = agents.get(agent);
+        if (part == null) {
+            part = new AgentService(agent);
+            agents.put(agent, part);
+            agent.services().put(name, part);
+        }
+        return part;
+    }
+
+    /** Forgets the part of an agent whose link is lost. */
+    void leave(AgentService part) {
+        leases.clear(part);
+        agents.remove(part.agent());
+        demand.left(part);
+        refresh();
+    }
+
+    /** Sums up the agents after one of them has changed. */
+    void refresh() {
+        openSlots = 0;
+        earliestVersion = Integer.MAX_VALUE;
+        workerSizes.clear();
+        for (AgentService part : agents.values()) {
+            if (part.slots() == 0) {
+                continue;
+            }
+            workerSizes.add(part.resources());
+            if (part.agent().open()) {
+                openSlots += part.slots();
+                earliestVersion = Math.min(earliestVersion, part.agent().joinedVersion());
+            }
+        }
+    }
+
+    /** The slots of all agents that take new work. */
+    int openSlots() {
+        return openSlots;
+    }
+
+    /** Tells whether some agent that takes new work may be sent tasks of a roster version. */
+    boolean serves(int rosterVersion) {
+        return openSlots > 0 && earliestVersion <= rosterVersion;
+    }
+
+    /** Tells whether a task fits the largest worker of some agent. */
+    boolean fits(Resources need) {
+        if (workerSizes.isEmpty() || workerSizes.contains(Resources.NONE)) {
+            return true;
+        }
+        return workerSizes.stream().anyMatch(need::fits);
+    }
+
+    /**
+     * Predicts how long the next task of a flow waits.
+     *
+     * @param queue the queue of the flow
+     * @param runMillis the average run time of its tasks, in ms
+     * @param entries the number of entries that share the slots
+     * @param nowNanos the present time
+     * @return the wait in ms
+     */
+    double predictedWaitMillis(FlowQueue queue, double runMillis, int entries, long nowNanos) {
+        if (queue.isEmpty()) {
+            return 0;
+        }
+        queue.departures().advance(nowNanos, true);
+        double slots = flows.share(queue.flow()) * openSlots / entries;
+        double perSecond = queue.departures().perSecond(slots * MILLIS_PER_SECOND / runMillis);
+        return queue.size() / perSecond * MILLIS_PER_SECOND;
+    }
+
+    /** Returns the agent's part in this service, empty if it has none. */
+    Optional<AgentService> find(AgentState agent) {
+        return Optional.ofNullable(agents.get(agent));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/entry/Services.java
@@ -0,0 +1,30 @@
+package org.knapweedmount.core.entry;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** The services that tasks or agents are known of. */
+final class Services {
+    private final EntryContext context;
+    private final RunTimes runTimes;
+    private final Map<String, ServiceState> byName = new LinkedHashMap<>();
+
+    Services(EntryContext context, RunTimes runTimes) {
+        this.context = context;
+        this.runTimes = runTimes;
+    }
+
+    ServiceState obtain(String name) {
+        return byName.computeIfAbsent(name, unused -> new ServiceState(context, name, runTimes));
+    }
+
+    Optional<ServiceState> find(String name) {
+        return Optional.ofNullable(byName.get(name));
+    }
+
+    Collection<ServiceState> all() {
+        return byName.values();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/entry/StartedTasks.java
@@ -0,0 +1,176 @@
+package org.knapweedmount.core.entry;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.knapweedmount.api.Outcome;
+import org.knapweedmount.api.Reason;
+import org.knapweedmount.api.TaskId;
+import org.knapweedmount.api.TaskResult;
+import org.knapweedmount.api.message.CancelTasks;
+import org.knapweedmount.api.message.Finished;
+import org.knapweedmount.api.message.NotStarted;
+import org.knapweedmount.api.message.Resume;
+import org.knapweedmount.api.message.Resumed;
+import org.knapweedmount.api.message.TaskReport;
+
+/**
+ * Follows tasks that were sent to agents until it is known what became of them.
+ *
+ * <p>A task is queued again only after its agent has said that it did not start it and never will. How long an agent is
+ * silent decides only when the caller is told that the outcome is unknown.
+ */
+final class StartedTasks {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long QUOTA_PAUSE_NANOS = 100 * NANOS_PER_MILLI;
+    private static final int MAX_DENIALS = 20;
+
+    private final EntryContext context;
+    private final TaskScheduler scheduler;
+    private final Submissions submissions;
+    private final RetryPolicy retries;
+    private final RunTimes runTimes;
+    private final Set<AgentState> unresolved = new LinkedHashSet<>();
+
+    StartedTasks(
+            EntryContext context,
+            TaskScheduler scheduler,
+            Submissions submissions,
+            RetryPolicy retries,
+            RunTimes runTimes) {
+        this.context = context;
+        this.scheduler = scheduler;
+        this.submissions = submissions;
+        this.retries = retries;
+        this.runTimes = runTimes;
+    }
+
+    /** Takes a result; one of a task that is no longer awaited is ignored, but its lease is not. */
+    void finished(AgentState agent, Finished finished, long nowNanos) {
+        Optional<TaskRun> task = agent.inFlight(finished.task());
+        if (task.isPresent()) {
+            if (finished.result().outcome() == Outcome.COMPLETE) {
+                runTimes.observed(task.get().flow().kind(), finished.runMicros());
+            }
+            ended(agent, task.get(), finished.result(), nowNanos);
+        }
+        finished.next().ifPresent(grant -> scheduler.granted(agent, grant, nowNanos));
+    }
+
+    void notStarted(AgentState agent, NotStarted notStarted, long nowNanos) {
+        agent.inFlight(notStarted.task()).ifPresent(task -> denied(agent, task, notStarted.reason(), nowNanos));
+    }
+
+    /** Asks an agent that is linked again what became of the tasks sent before. */
+    void linked(AgentState agent) {
+        if (agent.lastSequence() == 0) {
+            return;
+        }
+        List<TaskRun> tasks = agent.inFlight();
+        List<TaskId> ids = tasks.stream().map(TaskRun::id).toList();
+        context.output().send(agent.incarnation(), new Resume(agent.lastSequence(), ids));
+        tasks.stream()
+                .map(TaskRun::submission)
+                .distinct()
+                .filter(submission -> submission.stopReason() == Reason.CANCELLED)
+                .forEach(submission -> context.output().send(agent.incarnation(), new CancelTasks(submission.id())));
+    }
+
+    void unlinked(AgentState agent) {
+        if (agent.hasInFlight()) {
+            agent.inFlight().forEach(TaskRun::linkLost);
+            unresolved.add(agent);
+        }
+    }
+
+    void resumed(AgentState agent, Resumed resumed, long nowNanos) {
+        for (TaskReport report : resumed.tasks()) {
+            agent.inFlight(report.task())
+                    .filter(task -> task.phase() == TaskPhase.AWAITING_AGENT)
+                    .ifPresent(task -> resumed(agent, task, report, nowNanos));
+        }
+    }
+
+    /** Gives up the tasks of agents that did not tell in time what became of them. */
+    void tick(long nowNanos) {
+        if (unresolved.isEmpty()) {
+            return;
+        }
+        long limitNanos = context.limits().lostTaskMillis() * NANOS_PER_MILLI;
+        for (AgentState agent : List.copyOf(unresolved)) {
+            if (agent.inFlight().stream().noneMatch(StartedTasks::awaited)) {
+                unresolved.remove(agent);
+            } else if (nowNanos - agent.lostNanos() >= limitNanos) {
+                lost(agent, nowNanos);
+            }
+        }
+    }
+
+    /** Gives up the tasks of an agent that will not be linked again. */
+    void lost(AgentState agent, long nowNanos) {
+        unresolved.remove(agent);
+        for (TaskRun task : agent.inFlight()) {
+            if (awaited(task)) {
+                agent.answered(task);
+                submissions.taskEnded(task, TaskResult.of(Outcome.UNKNOWN, Reason.CONNECTION_LOST), nowNanos);
+            }
+        }
+    }
+
+    private static boolean awaited(TaskRun task) {
+        return task.phase() == TaskPhase.AWAITING_AGENT;
+    }
+
+    private void resumed(AgentState agent, TaskRun task, TaskReport report, long nowNanos) {
+        switch (report.state()) {
+            case NOT_STARTED -> denied(agent, task, Reason.LEASE_LAPSED, nowNanos);
+            case RUNNING -> task.running();
+            case FINISHED -> ended(agent, task, report.result().orElse(forgotten()), nowNanos);
+            default -> ended(agent, task, forgotten(), nowNanos);
+        }
+    }
+
+    private static TaskResult forgotten() {
+        return TaskResult.of(Outcome.UNKNOWN, Reason.FORGOTTEN);
+    }
+
+    private void ended(AgentState agent, TaskRun task, TaskResult result, long nowNanos) {
+        if (result.outcome() == Outcome.NOT_RUN) {
+            task.avoid(agent);
+            denied(agent, task, result.reason(), nowNanos);
+            return;
+        }
+        agent.answered(task);
+        submissions.taskEnded(task, result, nowNanos);
+    }
+
+    private void denied(AgentState agent, TaskRun task, Reason reason, long nowNanos) {
+        context.counters().increment(EntryCounter.STARTS_REFUSED);
+        agent.answered(task);
+        task.denied(agent);
+        if (reason == Reason.OVER_QUOTA) {
+            agent.overQuota(task.flow(), nowNanos + QUOTA_PAUSE_NANOS);
+        } else if (reason != Reason.LEASE_LAPSED) {
+            task.avoid(agent);
+        }
+        if (mayBeQueuedAgain(task, reason, nowNanos)) {
+            task.requeued();
+            scheduler.requeue(task, nowNanos);
+            return;
+        }
+        submissions.end(task, TaskResult.of(Outcome.NOT_RUN, reason), nowNanos);
+    }
+
+    private boolean mayBeQueuedAgain(TaskRun task, Reason reason, long nowNanos) {
+        if (task.submission().stopped() || task.denials() >= MAX_DENIALS) {
+            return false;
+        }
+        return switch (reason) {
+            case SEALED -> false;
+            case LEASE_LAPSED, OVER_QUOTA -> true;
+            default -> retries.hasOtherAgent(task, nowNanos);
+        };
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/entry/Submission.java
@@ -0,0 +1,159 @@
+package org.knapweedmount.core.entry;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+
+import org.knapweedmount.api.JobAnswer;
+import org.knapweedmount.api.JobSpec;
+import org.knapweedmount.api.Outcome;
+import org.knapweedmount.api.Reason;
+import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.SubmissionId;
+import org.knapweedmount.api.TaskResult;
+
+/** An accepted submission that has not ended. */
+final class Submission {
+    private final SubmissionId id;
+    private final String service;
+    private final JobSpec job;
+    private final boolean repeated;
+    private final List<TaskRun> tasks;
+    private final TaskResult[] results;
+    private final List<Requester> waiting = new ArrayList<>(1);
+    private Optional<Reason> stopReason = Optional.empty();
+    private int open;
+    private int retryAfterMillis;
+
+    /**
+     * Creates a submission whose tasks are not queued yet.
+     *
+     * @param id its id
+     * @param service the service of all tasks
+     * @param job the job
+     * @param needs what each task needs of a worker
+     * @param repeated true if the id may be submitted again, so that the answer is to be kept
+     */
+    Submission(SubmissionId id, String service, JobSpec job, List<Resources> needs, boolean repeated) {
+        this.id = id;
+        this.service = service;
+        this.job = job;
+        this.repeated = repeated;
+        this.tasks = new ArrayList<>(needs.size());
+        for (int i = 0; i < needs.size(); i++) {
+            tasks.add(new TaskRun(this, i, needs.get(i)));
+        }
+        this.results = new TaskResult[needs.size()];
+        this.open = needs.size();
+    }
+
+    SubmissionId id() {
+        return id;
+    }
+
+    String service() {
+        return service;
+    }
+
+    JobSpec job() {
+        return job;
+    }
+
+    boolean repeated() {
+        return repeated;
+    }
+
+    List<TaskRun> tasks() {
+        return tasks;
+    }
+
+    /** Those who are answered when the submission has ended. */
+    List<Requester> waiting() {
+        return waiting;
+    }
+
+    /** Tells whether no further task is to be started. */
+    boolean stopped() {
+        return stopReason.isPresent();
+    }
+
+    Reason stopReason() {
+        return stopReason.orElse(Reason.NONE);
+    }
+
+    /** Lets no further task start; the first reason stands. */
+    void stop(Reason reason) {
+        if (stopReason.isEmpty()) {
+            stopReason = Optional.of(reason);
+        }
+    }
+
+    /** Sets the time that the caller should wait before its next try if nothing was started. */
+    void retryAfter(int millis) {
+        retryAfterMillis = millis;
+    }
+
+    /** Tells whether some task may have been started. */
+    boolean mayHaveStarted() {
+        return tasks.stream().anyMatch(TaskRun::mayHaveStarted);
+    }
+
+    /** Takes the result of a task, and stops the submission if it cannot be complete any more. */
+    void ended(TaskRun task, TaskResult result) {
+        results[task.id().index()] = result;
+        open--;
+        if (result.outcome() != Outcome.COMPLETE) {
+            stop(result.reason());
+        }
+    }
+
+    boolean allEnded() {
+        return open == 0;
+    }
+
+    /** Returns the answer after all tasks have ended. */
+    JobAnswer answer() {
+        if (count(Outcome.COMPLETE) == results.length) {
+            return JobAnswer.complete(id, Arrays.asList(results));
+        }
+        Reason reason = stopReason();
+        if (count(Outcome.NOT_RUN) == results.length) {
+            return answer(Outcome.NOT_RUN, reason, "nothing was started").retryAfter(retryAfterMillis);
+        }
+        Optional<Integer> unknown = first(Outcome.UNKNOWN);
+        if (unknown.isPresent()) {
+            Reason cause = results[unknown.get()].reason();
+            return answer(Outcome.UNKNOWN, cause, "what became of task " + unknown.get() + " is not known");
+        }
+        return answer(Outcome.FAILED, reason, failure());
+    }
+
+    private JobAnswer answer(Outcome outcome, Reason reason, String detail) {
+        return JobAnswer.ended(Optional.of(id), outcome, reason, detail);
+    }
+
+    private String failure() {
+        Optional<Integer> failed = first(Outcome.FAILED);
+        if (failed.isEmpty()) {
+            return count(Outcome.COMPLETE) + " of " + results.length + " tasks ran";
+        }
+        int status = results[failed.get()].status();
+        return "task " + failed.get() + " failed" + (status > 0 ? " with status " + status : "");
+    }
+
+    private Optional<Integer> first(Outcome outcome) {
+        for (int i = 0; i < results.length; i++) {
+            if (results[i].outcome() == outcome) {
+                return Optional.of(i);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private long count(Outcome outcome) {
+        return Arrays.stream(results)
+                .filter(result -> result.outcome() == outcome)
+                .count();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/entry/TaskRun.java
@@ -0,0 +1,137 @@
+package org.knapweedmount.core.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.knapweedmount.api.Flow;
+import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.TaskId;
+import org.knapweedmount.api.TaskResult;
+import org.knapweedmount.api.TaskSpec;
+
+/** One task of an accepted submission, from its first wait in a queue to its result. */
+final class TaskRun {
+    private final Submission submission;
+    private final TaskId id;
+    private final TaskSpec spec;
+    private final Flow flow;
+    private final Resources need;
+    private final List<AgentState> startedAt = new ArrayList<>(1);
+    private final List<AgentState> avoided = new ArrayList<>(0);
+    private TaskPhase phase = TaskPhase.QUEUED;
+    private long queuedNanos;
+    private int denials;
+    private Optional<TaskResult> firstResult = Optional.empty();
+
+    /** The neighbours in the queue, kept by {@link TaskList}. */
+    TaskRun previous;
+
+    TaskRun next;
+
+    TaskRun(Submission submission, int index, Resources need) {
+        this.submission = submission;
+        this.id = submission.id().task(index);
+        this.spec = submission.job().tasks().get(index);
+        this.flow = new Flow(spec.kind(), submission.job().team());
+        this.need = need;
+    }
+
+    Submission submission() {
+        return submission;
+    }
+
+    TaskId id() {
+        return id;
+    }
+
+    TaskSpec spec() {
+        return spec;
+    }
+
+    Flow flow() {
+        return flow;
+    }
+
+    /** What the task needs of a worker: the larger of what its kind and its caller declare. */
+    Resources need() {
+        return need;
+    }
+
+    TaskPhase phase() {
+        return phase;
+    }
+
+    /** Since when the task has waited, most recently. */
+    long queuedNanos() {
+        return queuedNanos;
+    }
+
+    /** How often agents have refused to start the task. */
+    int denials() {
+        return denials;
+    }
+
+    /** The result of the first run if the task is being run again. */
+    Optional<TaskResult> firstResult() {
+        return firstResult;
+    }
+
+    /** Tells whether some agent may have started the task. */
+    boolean mayHaveStarted() {
+        return !startedAt.isEmpty();
+    }
+
+    /** Tells whether the task may be sent to an agent as far as its own history goes. */
+    boolean mayStartAt(AgentState agent) {
+        return !startedAt.contains(agent) && !avoided.contains(agent);
+    }
+
+    /** Returns the agent that the task was sent to last. */
+    AgentState lastAgent() {
+        return startedAt.get(startedAt.size() - 1);
+    }
+
+    void queued(long nowNanos) {
+        phase = TaskPhase.QUEUED;
+        queuedNanos = nowNanos;
+    }
+
+    /** Notes that the task waits again, with the time that it has waited so far. */
+    void requeued() {
+        phase = TaskPhase.QUEUED;
+    }
+
+    void sent(AgentState agent) {
+        phase = TaskPhase.SENT;
+        startedAt.add(agent);
+    }
+
+    /** Notes that the agent has denied the start. */
+    void denied(AgentState agent) {
+        startedAt.remove(agent);
+        denials++;
+    }
+
+    /** Keeps the task from being sent to an agent again. */
+    void avoid(AgentState agent) {
+        avoided.add(agent);
+    }
+
+    void linkLost() {
+        phase = TaskPhase.AWAITING_AGENT;
+    }
+
+    void running() {
+        phase = TaskPhase.SENT;
+    }
+
+    /** Notes the result of a run that is followed by another one. */
+    void runAgainAfter(TaskResult result) {
+        firstResult = Optional.of(result);
+    }
+
+    void ended() {
+        phase = TaskPhase.ENDED;
+    }
+}
