Read the settings of a process

Cause: a process learns its addresses, data centre and limits from a file of JSON with comments, and a mistake in it must not go unnoticed.

Hosts are IP numbers.

Ruled out: Jackson's tree and data binding, because neither keeps the line of a value; one record for both roles, because an agent would carry empty fields.

--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/settings/HostPort.java
@@ -0,0 +1,65 @@
+package org.knapweedmount.daemon.settings;
+
+import java.util.Objects;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import io.netty.util.NetUtil;
+
+/**
+ * An address that a process connects to.
+ *
+ * <p>The text form is {@code 127.0.0.1:7101} or {@code [::1]:7101}: good. {@code localhost:7101} is not accepted, because
+ * processes address each other by IP numbers and never wait for a name service.
+ *
+ * @param host an IP number
+ * @param port a TCP port from 1 to 65535
+ */
+public record HostPort(String host, int port) {
+    static final int MAX_PORT = 65_535;
+    private static final Pattern TEXT = Pattern.compile("(?:\\[([0-9a-fA-F:.]+)]|([0-9.]+)):([0-9]{1,5})");
+    private static final int BRACKETED_HOST = 1;
+    private static final int PLAIN_HOST = 2;
+    private static final int PORT = 3;
+
+    /** Checks that nothing is missing. */
+    public HostPort {
+        Objects.requireNonNull(host, "host");
+    }
+
+    /**
+     * Reads the text form.
+     *
+     * @param text for instance {@code 127.0.0.1:7101}
+     * @return the address, empty if the text has another form
+     */
+    public static Optional<HostPort> parse(String text) {
+        Matcher matcher = TEXT.matcher(text);
+        if (!matcher.matches()) {
+            return Optional.empty();
+        }
+        boolean bracketed = matcher.group(BRACKETED_HOST) != null;
+        String host = bracketed ? matcher.group(BRACKETED_HOST) : matcher.group(PLAIN_HOST);
+        int port = Integer.parseInt(matcher.group(PORT));
+        if (!isIpNumber(host) || port < 1 || port > MAX_PORT) {
+            return Optional.empty();
+        }
+        return Optional.of(new HostPort(host, port));
+    }
+
+    /**
+     * Tells whether a text is an IP number.
+     *
+     * @param text the text to examine
+     * @return true if it is an IPv4 or IPv6 address in its usual notation
+     */
+    public static boolean isIpNumber(String text) {
+        return NetUtil.isValidIpV4Address(text) || NetUtil.isValidIpV6Address(text);
+    }
+
+    @Override
+    public String toString() {
+        return host.indexOf(':') >= 0 ? "[" + host + "]:" + port : host + ":" + port;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/settings/Settings.java
@@ -0,0 +1,75 @@
+package org.knapweedmount.daemon.settings;
+
+import java.util.List;
+
+import org.knapweedmount.api.Role;
+
+/**
+ * What a process learns from its settings file, whatever its role.
+ *
+ * <p>The settings hold for the life of the process; what changes while it runs comes by change tickets.
+ */
+public sealed interface Settings permits EntrySettings, AgentSettings {
+    /**
+     * Returns what the process does.
+     *
+     * @return the role
+     */
+    Role role();
+
+    /**
+     * Returns the name of the process, which stays the same when it is restarted.
+     *
+     * @return 1 to 64 letters, digits and hyphens
+     */
+    String name();
+
+    /**
+     * Returns the data centre that the process runs in.
+     *
+     * @return the data centre's name
+     */
+    String dataCentre();
+
+    /**
+     * Returns the least severity of log lines.
+     *
+     * @return the level
+     */
+    LogLevel logLevel();
+
+    /**
+     * Returns where the process listens for HTTP requests.
+     *
+     * @return the settings of the HTTP server
+     */
+    HttpSettings http();
+
+    /**
+     * Returns where the platform's services are.
+     *
+     * @return the address
+     */
+    HostPort platform();
+
+    /**
+     * Returns link addresses of entries that are used besides those in the table service.
+     *
+     * @return the addresses, empty if there are none
+     */
+    List<HostPort> peers();
+
+    /**
+     * Returns how long a planned stop waits for work in flight.
+     *
+     * @return the time limit, in ms
+     */
+    int drainMillis();
+
+    /**
+     * Returns after how long without another message a heartbeat is sent on a link.
+     *
+     * @return the interval, in ms
+     */
+    int heartbeatMillis();
+}
