Encode the messages between processes as frames of MessagePack

Cause: the processes exchange typed messages over TCP, and nothing that a peer sends may end in an unchecked exception or in memory reserved on its word.

An incarnation that is an end of the link travels as one byte, because nearly every task id names one.

Ruled out: positions of enum constants as declared, which a reordering would change without notice; the unpacker's own text limit, which covers no lists.

--- /dev/null
+++ b/wire/src/main/java/org/knapweedmount/wire/ConfigMessages.java
@@ -0,0 +1,132 @@
+package org.knapweedmount.wire;
+
+import java.io.IOException;
+
+import org.knapweedmount.api.config.ConfigKey;
+import org.knapweedmount.api.config.ConfigObject;
+import org.knapweedmount.api.config.ConfigType;
+import org.knapweedmount.api.config.DrainConfig;
+import org.knapweedmount.api.config.KindConfig;
+import org.knapweedmount.api.config.RemovedConfig;
+import org.knapweedmount.api.config.ServiceConfig;
+import org.knapweedmount.api.config.TeamConfig;
+import org.knapweedmount.api.config.Ticket;
+import org.knapweedmount.api.message.ConfigApplied;
+import org.knapweedmount.api.message.ConfigUpdate;
+
+/** The formats of the messages about change tickets: an object is an array of its type, its name and its fields. */
+final class ConfigMessages {
+    private static final int KEY_FIELDS = 2;
+
+    private ConfigMessages() {}
+
+    static void writeUpdate(FieldWriter out, ConfigUpdate update) throws IOException, FrameException {
+        out.list(update.tickets(), ConfigMessages::writeTicket);
+    }
+
+    static ConfigUpdate readUpdate(FieldReader in) throws IOException, FrameException {
+        return new ConfigUpdate(in.list(ConfigMessages::readTicket));
+    }
+
+    static void writeApplied(FieldWriter out, ConfigApplied applied) throws IOException {
+        out.number(applied.number());
+    }
+
+    static ConfigApplied readApplied(FieldReader in) throws IOException, FrameException {
+        return new ConfigApplied(in.natural());
+    }
+
+    private static void writeTicket(FieldWriter out, Ticket ticket) throws IOException, FrameException {
+        out.array(3).number(ticket.number()).text(ticket.author()).list(ticket.objects(), ConfigMessages::writeObject);
+    }
+
+    private static Ticket readTicket(FieldReader in) throws IOException, FrameException {
+        in.array(3);
+        return new Ticket(in.natural(), in.text(), in.list(ConfigMessages::readObject));
+    }
+
+    private static void writeObject(FieldWriter out, ConfigObject object) throws IOException, FrameException {
+        if (object instanceof ServiceConfig service) {
+            writeKey(out, service.key(), 3);
+            out.name(service.defaultKind()).number(service.maxBodyBytes()).fraction(service.shortOnlyShare());
+        } else if (object instanceof KindConfig kind) {
+            writeKey(out, kind.key(), 7);
+            writeKindFields(out, kind);
+        } else if (object instanceof TeamConfig team) {
+            writeKey(out, team.key(), 2);
+            out.fraction(team.weight()).fraction(team.quotaShare());
+        } else if (object instanceof DrainConfig drain) {
+            writeKey(out, drain.key(), 1);
+            out.flag(true);
+        } else {
+            writeKey(out, object.key(), 0);
+        }
+    }
+
+    private static void writeKey(FieldWriter out, ConfigKey key, int fields) throws IOException, FrameException {
+        out.array(KEY_FIELDS + fields)
+                .constant(EnumFormat.CONFIG_TYPE, key.type())
+                .text(key.name());
+    }
+
+    private static void writeKindFields(FieldWriter out, KindConfig kind) throws IOException, FrameException {
+        out.name(kind.service())
+                .flag(kind.repeatable())
+                .flag(kind.shortTask())
+                .fraction(kind.weight())
+                .number(kind.expectedMillis())
+                .number(kind.maxWaitMillis())
+                .value(kind.resources(), ValueFormats::writeResources);
+    }
+
+    private static ConfigObject readObject(FieldReader in) throws IOException, FrameException {
+        int fields = in.arrayHeader() - KEY_FIELDS;
+        ConfigType type = in.constant(EnumFormat.CONFIG_TYPE);
+        String name = in.text();
+        if (fields == 0) {
+            return new RemovedConfig(new ConfigKey(type, name));
+        }
+        return switch (type) {
+            case SERVICE -> readService(in, name, fields);
+            case KIND -> readKind(in, name, fields);
+            case TEAM -> readTeam(in, name, fields);
+            case DRAIN -> readDrain(in, name, fields);
+        };
+    }
+
+    private static ServiceConfig readService(FieldReader in, String name, int fields)
+            throws IOException, FrameException {
+        expect(3, fields);
+        return new ServiceConfig(name, in.name(), in.count(), in.fraction());
+    }
+
+    private static KindConfig readKind(FieldReader in, String name, int fields) throws IOException, FrameException {
+        expect(7, fields);
+        return new KindConfig(
+                name,
+                in.name(),
+                in.flag(),
+                in.flag(),
+                in.fraction(),
+                in.count(),
+                in.count(),
+                ValueFormats.readResources(in));
+    }
+
+    private static TeamConfig readTeam(FieldReader in, String name, int fields) throws IOException, FrameException {
+        expect(2, fields);
+        return new TeamConfig(name, in.fraction(), in.fraction());
+    }
+
+    private static DrainConfig readDrain(FieldReader in, String name, int fields) throws IOException, FrameException {
+        expect(1, fields);
+        in.flag();
+        return new DrainConfig(name);
+    }
+
+    private static void expect(int expected, int fields) throws FrameException {
+        if (fields != expected) {
+            throw new FrameException("an object with " + fields + " fields, expected " + expected);
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/knapweedmount/wire/FieldReader.java
@@ -0,0 +1,149 @@
+package org.knapweedmount.wire;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.Payload;
+import org.msgpack.core.MessageUnpacker;
+import org.msgpack.value.ValueType;
+
+/**
+ * Reads the fields of one message and refuses what is over the limits.
+ *
+ * <p>No length is believed before it has been compared with the bytes that are there, so that a short frame never makes
+ * the process reserve much memory.
+ */
+final class FieldReader {
+    private final MessageUnpacker unpacker;
+    private final LinkEnds ends;
+    private final int frameBytes;
+
+    /** Reads one value. */
+    @FunctionalInterface
+    interface Format<T> {
+        T read(FieldReader in) throws IOException, FrameException;
+    }
+
+    FieldReader(MessageUnpacker unpacker, LinkEnds ends, int frameBytes) {
+        this.unpacker = unpacker;
+        this.ends = ends;
+        this.frameBytes = frameBytes;
+    }
+
+    long remaining() {
+        return frameBytes - unpacker.getTotalReadBytes();
+    }
+
+    void array(int fields) throws IOException, FrameException {
+        int found = unpacker.unpackArrayHeader();
+        if (found != fields) {
+            throw new FrameException("an array of " + found + " fields, expected " + fields);
+        }
+    }
+
+    int arrayHeader() throws IOException {
+        return unpacker.unpackArrayHeader();
+    }
+
+    long anyLong() throws IOException {
+        return unpacker.unpackLong();
+    }
+
+    long natural() throws IOException, FrameException {
+        long number = unpacker.unpackLong();
+        if (number < 0) {
+            throw new FrameException("the number " + number + " is negative");
+        }
+        return number;
+    }
+
+    int count() throws IOException, FrameException {
+        int number = unpacker.unpackInt();
+        if (number < 0) {
+            throw new FrameException("the count " + number + " is negative");
+        }
+        return number;
+    }
+
+    double fraction() throws IOException, FrameException {
+        double number = unpacker.unpackDouble();
+        if (!Double.isFinite(number)) {
+            throw new FrameException("the number " + number + " is not finite");
+        }
+        return number;
+    }
+
+    boolean flag() throws IOException {
+        return unpacker.unpackBoolean();
+    }
+
+    <E extends Enum<E>> E constant(EnumFormat<E> format) throws IOException, FrameException {
+        return format.constant(unpacker.unpackInt());
+    }
+
+    String name() throws IOException, FrameException {
+        return text(WireLimits.MAX_NAME_BYTES);
+    }
+
+    String text() throws IOException, FrameException {
+        return text(WireLimits.MAX_TEXT_BYTES);
+    }
+
+    private String text(int maxBytes) throws IOException, FrameException {
+        int length = checked(unpacker.unpackRawStringHeader(), maxBytes);
+        return new String(unpacker.readPayload(length), StandardCharsets.UTF_8);
+    }
+
+    Payload payload() throws IOException, FrameException {
+        int length = checked(unpacker.unpackBinaryHeader(), WireLimits.MAX_PAYLOAD_BYTES);
+        return Payload.of(unpacker.readPayload(length));
+    }
+
+    Incarnation incarnation() throws IOException, FrameException {
+        if (unpacker.getNextFormat().getValueType() == ValueType.INTEGER) {
+            return end(unpacker.unpackInt());
+        }
+        array(2);
+        return new Incarnation(name(), anyLong());
+    }
+
+    private Incarnation end(int number) throws FrameException {
+        Optional<Incarnation> end = switch (number) {
+            case FieldWriter.SENDER -> ends.sender();
+            case FieldWriter.RECEIVER -> ends.receiver();
+            default -> Optional.empty();
+        };
+        if (end.isEmpty()) {
+            throw new FrameException("the link has no end " + number);
+        }
+        return end.get();
+    }
+
+    <T> List<T> list(Format<T> format) throws IOException, FrameException {
+        int count = checked(unpacker.unpackArrayHeader(), WireLimits.MAX_LIST_ITEMS);
+        List<T> items = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            items.add(format.read(this));
+        }
+        return items;
+    }
+
+    <T> Optional<T> optional(Format<T> format) throws IOException, FrameException {
+        if (unpacker.tryUnpackNil()) {
+            return Optional.empty();
+        }
+        return Optional.of(format.read(this));
+    }
+
+    private int checked(int length, int max) throws FrameException {
+        if (length < 0 || length > max || length > remaining()) {
+            throw new FrameException(
+                    "a length of " + length + ", allowed are " + max + " and " + remaining() + " bytes are left");
+        }
+        return length;
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/knapweedmount/wire/TaskMessages.java
@@ -0,0 +1,118 @@
+package org.knapweedmount.wire;
+
+import java.io.IOException;
+
+import org.knapweedmount.api.message.CancelTasks;
+import org.knapweedmount.api.message.Finished;
+import org.knapweedmount.api.message.NotStarted;
+import org.knapweedmount.api.message.Resume;
+import org.knapweedmount.api.message.Resumed;
+import org.knapweedmount.api.message.Seal;
+import org.knapweedmount.api.message.Sealed;
+import org.knapweedmount.api.message.Start;
+import org.knapweedmount.api.message.TaskReport;
+
+/** The formats of the messages about tasks and what became of them. */
+final class TaskMessages {
+    private TaskMessages() {}
+
+    static void writeStart(FieldWriter out, Start start) throws IOException, FrameException {
+        out.number(start.sequence())
+                .number(start.lease())
+                .value(start.task(), ValueFormats::writeTask)
+                .name(start.service())
+                .name(start.team())
+                .value(start.spec(), ValueFormats::writeSpec)
+                .number(start.queued());
+    }
+
+    static Start readStart(FieldReader in) throws IOException, FrameException {
+        return new Start(
+                in.natural(),
+                in.natural(),
+                ValueFormats.readTask(in),
+                in.name(),
+                in.name(),
+                ValueFormats.readSpec(in),
+                in.count());
+    }
+
+    static void writeFinished(FieldWriter out, Finished finished) throws IOException, FrameException {
+        out.value(finished.task(), ValueFormats::writeTask)
+                .number(finished.runMicros())
+                .value(finished.result(), ValueFormats::writeResult)
+                .optional(finished.next(), LeaseMessages::writeNestedGrant);
+    }
+
+    static Finished readFinished(FieldReader in) throws IOException, FrameException {
+        return new Finished(
+                ValueFormats.readTask(in),
+                in.natural(),
+                ValueFormats.readResult(in),
+                in.optional(LeaseMessages::readNestedGrant));
+    }
+
+    static void writeNotStarted(FieldWriter out, NotStarted notStarted) throws IOException, FrameException {
+        out.value(notStarted.task(), ValueFormats::writeTask).constant(EnumFormat.REASON, notStarted.reason());
+    }
+
+    static NotStarted readNotStarted(FieldReader in) throws IOException, FrameException {
+        return new NotStarted(ValueFormats.readTask(in), in.constant(EnumFormat.REASON));
+    }
+
+    static void writeResume(FieldWriter out, Resume resume) throws IOException, FrameException {
+        out.number(resume.lastSequence()).list(resume.tasks(), ValueFormats::writeTask);
+    }
+
+    static Resume readResume(FieldReader in) throws IOException, FrameException {
+        return new Resume(in.natural(), in.list(ValueFormats::readTask));
+    }
+
+    static void writeResumed(FieldWriter out, Resumed resumed) throws IOException, FrameException {
+        out.list(resumed.tasks(), TaskMessages::writeReport);
+    }
+
+    static Resumed readResumed(FieldReader in) throws IOException, FrameException {
+        return new Resumed(in.list(TaskMessages::readReport));
+    }
+
+    private static void writeReport(FieldWriter out, TaskReport report) throws IOException, FrameException {
+        out.array(3)
+                .value(report.task(), ValueFormats::writeTask)
+                .constant(EnumFormat.TASK_STATE, report.state())
+                .optional(report.result(), ValueFormats::writeResult);
+    }
+
+    private static TaskReport readReport(FieldReader in) throws IOException, FrameException {
+        in.array(3);
+        return new TaskReport(
+                ValueFormats.readTask(in), in.constant(EnumFormat.TASK_STATE), in.optional(ValueFormats::readResult));
+    }
+
+    static void writeCancelTasks(FieldWriter out, CancelTasks cancel) throws IOException, FrameException {
+        out.value(cancel.submission(), ValueFormats::writeSubmission);
+    }
+
+    static CancelTasks readCancelTasks(FieldReader in) throws IOException, FrameException {
+        return new CancelTasks(ValueFormats.readSubmission(in));
+    }
+
+    static void writeSeal(FieldWriter out, Seal seal) throws IOException, FrameException {
+        out.number(seal.request()).value(seal.submission(), ValueFormats::writeSubmission);
+    }
+
+    static Seal readSeal(FieldReader in) throws IOException, FrameException {
+        return new Seal(in.anyLong(), ValueFormats.readSubmission(in));
+    }
+
+    static void writeSealed(FieldWriter out, Sealed sealed) throws IOException, FrameException {
+        out.number(sealed.request())
+                .value(sealed.submission(), ValueFormats::writeSubmission)
+                .flag(sealed.certain())
+                .list(sealed.tasks(), TaskMessages::writeReport);
+    }
+
+    static Sealed readSealed(FieldReader in) throws IOException, FrameException {
+        return new Sealed(in.anyLong(), ValueFormats.readSubmission(in), in.flag(), in.list(TaskMessages::readReport));
+    }
+}
