Add the HTTP interface for callers

Cause: callers need to submit requests and jobs over HTTP.

Change: CallerApi serves HTTP/1.1 and h2c on a plain Vert.x server. Parsing and writing are pure classes (RequestTarget, CallerHeaders, JobReader, AnswerWriter, ProblemWriter). PendingRequests maps request numbers to waiting callers; each number is used once, so that no answer reaches another caller. Body size and time, header size, open connections, waiting requests and the bytes under receipt are bounded.

A refusal made without a look at the records says not-run only if the request has no key or states that it is the first attempt: otherwise an earlier attempt may have run, and the outcome is unknown. Among server errors, status 503 is kept for not-run and for questions that start nothing.

Ruled out: vertx-web, which brings no more than routing here; passing a failed endpoint's status on for single requests, since JobAnswer holds results of complete answers only.

--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/AnswerWriter.java
@@ -0,0 +1,110 @@
+package org.knapweedmount.daemon.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import org.knapweedmount.api.JobAnswer;
+import org.knapweedmount.api.Outcome;
+import org.knapweedmount.api.Payload;
+import org.knapweedmount.api.SubmissionId;
+import org.knapweedmount.api.TaskResult;
+
+/** Turns the answer to a submission into an HTTP answer. */
+public enum AnswerWriter {
+    /** A request to a service: the endpoint's answer is passed on as it is. */
+    SINGLE {
+        @Override
+        HttpAnswer complete(JobAnswer answer) {
+            TaskResult result = answer.results().get(0);
+            return new HttpAnswer(result.status(), result.contentType(), headers(answer), result.body());
+        }
+    },
+    /** A job: the results of all tasks in one document. */
+    JOB {
+        @Override
+        HttpAnswer complete(JobAnswer answer) {
+            return new HttpAnswer(OK, HttpAnswer.JSON, headers(answer), JsonOutput.object(json -> {
+                writeSubmission(json, answer.submission());
+                json.writeStringField("outcome", Outcome.COMPLETE.text());
+                json.writeArrayFieldStart("results");
+                for (TaskResult result : answer.results()) {
+                    writeResult(json, result);
+                }
+                json.writeEndArray();
+            }));
+        }
+    };
+
+    private static final int OK = 200;
+    private static final int ACCEPTED = 202;
+
+    /**
+     * Writes an answer.
+     *
+     * @param answer the answer
+     * @return the HTTP answer
+     */
+    public HttpAnswer write(JobAnswer answer) {
+        if (answer.outcome().isEmpty()) {
+            return pending(answer);
+        }
+        Outcome outcome = answer.outcome().get();
+        if (outcome == Outcome.COMPLETE) {
+            return complete(answer);
+        }
+        Problem problem = Problem.of(outcome, answer.reason(), answer.detail())
+                .withSubmission(answer.submission())
+                .retryAfter(answer.retryAfterMillis());
+        return ProblemWriter.write(problem);
+    }
+
+    abstract HttpAnswer complete(JobAnswer answer);
+
+    private static HttpAnswer pending(JobAnswer answer) {
+        return new HttpAnswer(ACCEPTED, HttpAnswer.JSON, headers(answer), JsonOutput.object(json -> {
+            writeSubmission(json, answer.submission());
+            json.writeStringField("state", "pending");
+        }));
+    }
+
+    private static List<Header> headers(JobAnswer answer) {
+        List<Header> headers = new ArrayList<>();
+        answer.outcome().ifPresent(outcome -> headers.add(new Header(CallerHeaders.OUTCOME, outcome.text())));
+        answer.submission().ifPresent(id -> headers.add(new Header(CallerHeaders.SUBMISSION, id.toString())));
+        return headers;
+    }
+
+    private static void writeSubmission(JsonGenerator json, Optional<SubmissionId> submission) throws IOException {
+        if (submission.isPresent()) {
+            json.writeStringField("submission", submission.get().toString());
+        }
+    }
+
+    private static void writeResult(JsonGenerator json, TaskResult result) throws IOException {
+        json.writeStartObject();
+        json.writeNumberField("status", result.status());
+        json.writeStringField("contentType", result.contentType());
+        Optional<String> text = decode(result.body());
+        if (text.isPresent()) {
+            json.writeStringField("body", text.get());
+        } else {
+            json.writeBinaryField("bodyBase64", result.body().bytes());
+        }
+        json.writeEndObject();
+    }
+
+    private static Optional<String> decode(Payload body) {
+        try {
+            ByteBuffer bytes = ByteBuffer.wrap(body.bytes());
+            return Optional.of(StandardCharsets.UTF_8.newDecoder().decode(bytes).toString());
+        } catch (CharacterCodingException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/BodyReader.java
@@ -0,0 +1,106 @@
+package org.knapweedmount.daemon.http;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import org.knapweedmount.api.Reason;
+
+/** Receives the bodies of requests within bounds of size, time and total memory. */
+public final class BodyReader {
+    private final Vertx vertx;
+    private final HttpLimits limits;
+    private final AtomicLong readingBytes = new AtomicLong();
+
+    /**
+     * Creates a reader.
+     *
+     * @param vertx starts the timers
+     * @param limits the bounds
+     */
+    public BodyReader(Vertx vertx, HttpLimits limits) {
+        this.vertx = vertx;
+        this.limits = limits;
+    }
+
+    /**
+     * Receives a body; called on the event loop of the request, before it has returned from its handler.
+     *
+     * @param request the request
+     * @return the body; fails with {@link ProblemException} if it is too large, too slow, or the memory is used up
+     */
+    public Future<Buffer> read(HttpServerRequest request) {
+        if (declaredLength(request) > limits.maxBodyBytes()) {
+            return Future.failedFuture(tooLarge());
+        }
+        return new Reading(request).start();
+    }
+
+    private static long declaredLength(HttpServerRequest request) {
+        String length = request.getHeader("Content-Length");
+        boolean digits = length != null && length.matches("[0-9]{1,18}");
+        return digits ? Long.parseLong(length) : 0;
+    }
+
+    private ProblemException tooLarge() {
+        String detail = "the body has more than " + limits.maxBodyBytes() + " bytes";
+        return new ProblemException(Problem.of(Reason.TOO_LARGE, detail));
+    }
+
+    /** The receipt of one body. */
+    private final class Reading {
+        private final HttpServerRequest request;
+        private final Promise<Buffer> promise = Promise.promise();
+        private final Buffer body = Buffer.buffer();
+        private long timer;
+        private boolean ended;
+
+        Reading(HttpServerRequest request) {
+            this.request = request;
+        }
+
+        Future<Buffer> start() {
+            timer = vertx.setTimer(limits.bodyTimeoutMillis(), fired -> timedOut());
+            request.handler(this::received);
+            request.endHandler(ignored -> end(() -> promise.tryComplete(body)));
+            request.exceptionHandler(cause -> end(() -> promise.tryFail(cause)));
+            return promise.future();
+        }
+
+        private void received(Buffer chunk) {
+            if (ended) {
+                return;
+            }
+            if (body.length() + chunk.length() > limits.maxBodyBytes()) {
+                fail(tooLarge());
+                return;
+            }
+            body.appendBuffer(chunk);
+            if (readingBytes.addAndGet(chunk.length()) > limits.maxReadingBytes()) {
+                fail(new ProblemException(Problem.of(Reason.OVERLOADED, "too many requests are being received")));
+            }
+        }
+
+        private void timedOut() {
+            String detail = "the body took longer than " + limits.bodyTimeoutMillis() + " ms";
+            fail(new ProblemException(Problem.of(HttpFault.REQUEST_TIMEOUT, detail)));
+        }
+
+        private void fail(ProblemException problem) {
+            end(() -> promise.tryFail(problem));
+        }
+
+        private void end(Runnable result) {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            vertx.cancelTimer(timer);
+            readingBytes.addAndGet(-body.length());
+            result.run();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/CallerApi.java
@@ -0,0 +1,350 @@
+package org.knapweedmount.daemon.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Function;
+import java.util.function.LongFunction;
+import java.util.function.UnaryOperator;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import org.knapweedmount.api.JobSpec;
+import org.knapweedmount.api.Outcome;
+import org.knapweedmount.api.ParseException;
+import org.knapweedmount.api.Payload;
+import org.knapweedmount.api.Reason;
+import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.SubmissionId;
+import org.knapweedmount.api.TaskSpec;
+import org.knapweedmount.core.entry.SubmissionRequest;
+import org.knapweedmount.core.metric.Counters;
+import org.knapweedmount.daemon.runtime.Decision;
+import org.knapweedmount.daemon.runtime.DecisionQueue;
+
+/** Serves callers: parses their requests, passes them to the decision thread and sends its answers. */
+public final class CallerApi {
+    private static final int OK = 200;
+    /** Makes Vert.x choose a free port that all event loops share; with 0 each would get its own. */
+    private static final int SHARED_FREE_PORT = -1;
+
+    private static final String METRICS_TEXT = "text/plain; version=0.0.4; charset=utf-8";
+    private static final int BUSY_RETRY_MILLIS = 1_000;
+
+    private final Vertx vertx;
+    private final HttpLimits limits;
+    private final DecisionQueue<CallerDecisions> decisions;
+    private final PendingRequests pending;
+    private final KeyLookup keys;
+    private final ProcessPages pages;
+    private final Counters<HttpCounter> counters;
+    private final JobReader jobReader;
+    private final BodyReader bodyReader;
+    private final ConnectionLimit connections;
+    private final List<HttpServer> servers = new ArrayList<>();
+
+    /**
+     * Creates the interface without listening.
+     *
+     * @param vertx runs the event loops
+     * @param limits what bounds its memory
+     * @param decisions the decision thread
+     * @param pending the callers who wait, shared with whoever receives the answers
+     * @param keys finds submissions by callers' own keys
+     * @param pages what the pages about the process show
+     * @param counters what is counted
+     */
+    public CallerApi(
+            Vertx vertx,
+            HttpLimits limits,
+            DecisionQueue<CallerDecisions> decisions,
+            PendingRequests pending,
+            KeyLookup keys,
+            ProcessPages pages,
+            Counters<HttpCounter> counters) {
+        this.vertx = vertx;
+        this.limits = limits;
+        this.decisions = decisions;
+        this.pending = pending;
+        this.keys = keys;
+        this.pages = pages;
+        this.counters = counters;
+        this.jobReader = new JobReader(limits.maxJobTasks());
+        this.bodyReader = new BodyReader(vertx, limits);
+        this.connections = new ConnectionLimit(limits.maxConnections(), counters);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param host the IP number
+     * @param port the TCP port, 0 for any free one
+     * @param instances the number of event loops that serve the port
+     * @return the port, once it accepts connections
+     */
+    public Future<Integer> listen(String host, int port, int instances) {
+        int shared = port == 0 ? SHARED_FREE_PORT : port;
+        Future<Integer> bound = listenOnce(host, shared);
+        for (int i = 1; i < instances; i++) {
+            bound = bound.compose(ignored -> listenOnce(host, shared));
+        }
+        return bound;
+    }
+
+    private Future<Integer> listenOnce(String host, int port) {
+        HttpServer server = vertx.createHttpServer(ServerOptions.of(limits));
+        server.connectionHandler(connections);
+        server.requestHandler(this::handle);
+        servers.add(server);
+        return server.listen(port, host).map(HttpServer::actualPort);
+    }
+
+    /**
+     * Stops listening and closes the connections.
+     *
+     * @return completes when all are closed
+     */
+    public Future<Void> close() {
+        return Future.join(servers.stream().map(HttpServer::close).toList()).mapEmpty();
+    }
+
+    private void handle(HttpServerRequest request) {
+        counters.increment(HttpCounter.REQUESTS);
+        CallerResponse response = new CallerResponse(vertx.getOrCreateContext(), request, pages.draining());
+        try {
+            RequestTarget target = RequestTarget.parse(request.method().name(), request.uri());
+            route(target, request, response);
+        } catch (ProblemException e) {
+            refuse(request, response, e.problem());
+        }
+    }
+
+    private void route(RequestTarget target, HttpServerRequest request, CallerResponse response)
+            throws ProblemException {
+        if (target instanceof RequestTarget.ServiceCall call) {
+            CallerHeaders headers = headers(request);
+            readBody(
+                    request,
+                    response,
+                    body -> call(call, headers, request.method().name(), body, response));
+        } else if (target instanceof RequestTarget.SubmitJob submit) {
+            CallerHeaders headers = headers(request);
+            readBody(request, response, body -> submitJob(submit, headers, body, response));
+        } else if (target instanceof RequestTarget.JobStatus status) {
+            withId(
+                    status.key(),
+                    headers(request),
+                    response,
+                    id -> number -> (core, now) -> core.status(number, id, status.awaitEnd(), now));
+        } else if (target instanceof RequestTarget.CancelJob cancel) {
+            withId(
+                    cancel.key(),
+                    headers(request),
+                    response,
+                    id -> number -> (core, now) -> core.cancel(number, id, now));
+        } else if (target instanceof RequestTarget.IssueIds issue) {
+            issue(issue.count(), response);
+        } else {
+            response.sendNow(page((RequestTarget.ProcessPage) target));
+        }
+    }
+
+    private static CallerHeaders headers(HttpServerRequest request) throws ProblemException {
+        try {
+            return CallerHeaders.read(request::getHeader);
+        } catch (ParseException e) {
+            throw new ProblemException(Problem.of(Reason.MALFORMED, e.getMessage()));
+        }
+    }
+
+    /** Handles a body that has arrived. */
+    @FunctionalInterface
+    private interface BodyHandler {
+        void handle(byte[] body) throws ProblemException;
+    }
+
+    private void readBody(HttpServerRequest request, CallerResponse response, BodyHandler handler) {
+        bodyReader.read(request).onComplete(read -> {
+            if (read.succeeded()) {
+                handleBody(request, response, handler, read.result());
+            } else if (read.cause() instanceof ProblemException problem) {
+                refuse(request, response, problem.problem());
+            }
+        });
+    }
+
+    private void handleBody(HttpServerRequest request, CallerResponse response, BodyHandler handler, Buffer body) {
+        try {
+            handler.handle(body.getBytes());
+        } catch (ProblemException e) {
+            refuse(request, response, e.problem());
+        }
+    }
+
+    private void call(
+            RequestTarget.ServiceCall call,
+            CallerHeaders headers,
+            String method,
+            byte[] body,
+            CallerResponse response) {
+        TaskSpec task = new TaskSpec(
+                headers.kind(),
+                method,
+                call.path(),
+                headers.contentType(),
+                Payload.of(body),
+                headers.declaredMillis(),
+                Resources.NONE);
+        SubmissionRequest submission = new SubmissionRequest(
+                headers.key().flatMap(SubmissionKey::id),
+                headers.key().flatMap(SubmissionKey::ownKey),
+                headers.firstAttempt(),
+                call.service(),
+                new JobSpec(headers.team(), headers.atMostOnce(), List.of(task)),
+                true);
+        boolean fresh = headers.key().isEmpty() || headers.firstAttempt();
+        submit(submission, fresh, AnswerWriter.SINGLE, response);
+    }
+
+    private void submitJob(RequestTarget.SubmitJob target, CallerHeaders headers, byte[] body, CallerResponse response)
+            throws ProblemException {
+        JobRequest job = readJob(body);
+        SubmissionRequest submission = new SubmissionRequest(
+                target.key().id(),
+                target.key().ownKey(),
+                headers.firstAttempt(),
+                job.service(),
+                job.job(),
+                !headers.respondAsync());
+        submit(submission, headers.firstAttempt(), AnswerWriter.JOB, response);
+    }
+
+    private JobRequest readJob(byte[] body) throws ProblemException {
+        try {
+            return jobReader.read(body);
+        } catch (ParseException e) {
+            throw new ProblemException(Problem.of(Reason.MALFORMED, e.getMessage()));
+        }
+    }
+
+    private void submit(SubmissionRequest submission, boolean fresh, AnswerWriter writer, CallerResponse response) {
+        Problem busy = busy().withOutcome(fresh ? Outcome.NOT_RUN : Outcome.UNKNOWN);
+        decide(writer, response, busy, number -> (core, now) -> core.submit(number, submission, now));
+    }
+
+    private void withId(
+            SubmissionKey key,
+            CallerHeaders headers,
+            CallerResponse response,
+            Function<SubmissionId, LongFunction<Decision<CallerDecisions>>> question) {
+        if (key.id().isPresent()) {
+            decide(AnswerWriter.JOB, response, busy(), question.apply(key.id().get()));
+            return;
+        }
+        keys.find(headers.team(), key.ownKey().orElseThrow())
+                .onSuccess(result -> response.onEventLoop(() -> {
+                    if (result.submission().isPresent()) {
+                        decide(
+                                AnswerWriter.JOB,
+                                response,
+                                busy(),
+                                question.apply(result.submission().get()));
+                    } else {
+                        response.sendNow(ProblemWriter.write(notFound(result)));
+                    }
+                }));
+    }
+
+    private static Problem notFound(KeyLookupResult result) {
+        return result.answered()
+                ? Problem.of(Reason.UNKNOWN_SUBMISSION, "this key was not used by the team")
+                : Problem.of(Reason.STORE_UNAVAILABLE, "the key cannot be looked up")
+                        .retryAfter(BUSY_RETRY_MILLIS);
+    }
+
+    private void decide(
+            AnswerWriter writer,
+            CallerResponse response,
+            Problem busy,
+            LongFunction<Decision<CallerDecisions>> decision) {
+        OptionalLong number = pending.add(answer -> response.send(writer.write(answer)));
+        if (number.isEmpty()) {
+            refuseBusy(response, busy);
+            return;
+        }
+        long request = number.getAsLong();
+        response.onGone(() -> pending.remove(request));
+        if (!decisions.offer(decision.apply(request))) {
+            pending.remove(request);
+            refuseBusy(response, busy);
+        }
+    }
+
+    private void issue(int count, CallerResponse response) {
+        if (pages.draining()) {
+            response.sendNow(ProblemWriter.write(Problem.of(Reason.DRAINING, "this entry is stopping")));
+            return;
+        }
+        boolean offered = decisions.offer((core, now) -> response.send(issued(core.issue(count))));
+        if (!offered) {
+            refuseBusy(response, busy());
+        }
+    }
+
+    private static HttpAnswer issued(List<SubmissionId> ids) {
+        if (ids.isEmpty()) {
+            return ProblemWriter.write(Problem.of(Reason.NO_ENDPOINT, "no agent is linked yet"));
+        }
+        return HttpAnswer.of(OK, HttpAnswer.JSON, JsonOutput.object(json -> {
+            json.writeArrayFieldStart("ids");
+            for (SubmissionId id : ids) {
+                json.writeString(id.toString());
+            }
+            json.writeEndArray();
+        }));
+    }
+
+    private static Problem busy() {
+        return Problem.of(Reason.OVERLOADED, "too many requests wait at this entry")
+                .retryAfter(BUSY_RETRY_MILLIS);
+    }
+
+    private void refuseBusy(CallerResponse response, Problem problem) {
+        counters.increment(HttpCounter.REFUSED_BUSY);
+        response.send(ProblemWriter.write(problem));
+    }
+
+    private void refuse(HttpServerRequest request, CallerResponse response, Problem problem) {
+        counters.increment(HttpCounter.BAD_REQUESTS);
+        response.sendAndClose(ProblemWriter.write(withOutcome(request, problem)), request);
+    }
+
+    private static Problem withOutcome(HttpServerRequest request, Problem problem) {
+        UnaryOperator<String> header = request::getHeader;
+        boolean job = request.uri().startsWith("/v1/jobs/");
+        boolean submits =
+                job ? request.method().name().equals("PUT") : request.uri().startsWith("/v1/services/");
+        Optional<Outcome> outcome =
+                submits ? Optional.of(CallerHeaders.outcomeOfRefusal(header, job)) : Optional.empty();
+        return outcome.map(problem::withOutcome).orElse(problem);
+    }
+
+    private HttpAnswer page(RequestTarget.ProcessPage page) {
+        return switch (page) {
+            case HEALTH -> HttpAnswer.of(OK, HttpAnswer.TEXT, Payload.of("ok\n"));
+            case READINESS -> readiness(pages.notReadyReason());
+            case METRICS -> HttpAnswer.of(OK, METRICS_TEXT, Payload.of(pages.metrics()));
+        };
+    }
+
+    private static HttpAnswer readiness(String notReadyReason) {
+        if (notReadyReason.isEmpty()) {
+            return HttpAnswer.of(OK, HttpAnswer.TEXT, Payload.of("ready\n"));
+        }
+        return ProblemWriter.write(Problem.of(HttpFault.UNAVAILABLE, notReadyReason));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/CallerResponse.java
@@ -0,0 +1,95 @@
+package org.knapweedmount.daemon.http;
+
+import io.vertx.core.Context;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+
+/** The response to one request, sent from whatever thread on the event loop of its connection. */
+final class CallerResponse {
+    private final Context context;
+    private final HttpServerResponse response;
+    private final boolean closeAfter;
+
+    /**
+     * Creates the response to a request that is handled by the present event loop.
+     *
+     * @param context the event loop
+     * @param request the request
+     * @param closeAfter true if the connection is to be closed by the caller after the answer
+     */
+    CallerResponse(Context context, HttpServerRequest request, boolean closeAfter) {
+        this.context = context;
+        this.response = request.response();
+        this.closeAfter = closeAfter;
+    }
+
+    /**
+     * Sends the answer; dropped if the caller has gone.
+     *
+     * @param answer the answer
+     */
+    void send(HttpAnswer answer) {
+        onEventLoop(() -> sendNow(answer));
+    }
+
+    /**
+     * Runs an action on the event loop of the connection.
+     *
+     * @param action the action
+     */
+    void onEventLoop(Runnable action) {
+        context.runOnContext(ignored -> action.run());
+    }
+
+    /**
+     * Sends the answer on the event loop that it belongs to; dropped if the caller has gone.
+     *
+     * @param answer the answer
+     */
+    void sendNow(HttpAnswer answer) {
+        if (response.closed() || response.ended()) {
+            return;
+        }
+        response.setStatusCode(answer.status());
+        if (!answer.contentType().isEmpty()) {
+            response.putHeader("Content-Type", answer.contentType());
+        }
+        for (Header header : answer.headers()) {
+            response.putHeader(header.name(), header.value());
+        }
+        if (closeAfter && response.streamId() < 0) {
+            response.putHeader("Connection", "close");
+        }
+        response.end(Buffer.buffer(answer.body().bytes()));
+    }
+
+    /**
+     * Sends the answer and closes the connection, because the rest of the request is not wanted.
+     *
+     * @param answer the answer
+     * @param request the request
+     */
+    void sendAndClose(HttpAnswer answer, HttpServerRequest request) {
+        if (response.closed() || response.ended()) {
+            return;
+        }
+        if (request.isEnded() || response.streamId() >= 0) {
+            sendNow(answer);
+            return;
+        }
+        response.putHeader("Connection", "close");
+        sendNow(answer);
+        request.connection().close();
+    }
+
+    /**
+     * Sets what happens when the caller goes away before the answer.
+     *
+     * @param action the action, run on the event loop
+     */
+    void onGone(Runnable action) {
+        response.closeHandler(ignored -> action.run());
+        response.exceptionHandler(ignored -> action.run());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/ConnectionLimit.java
@@ -0,0 +1,28 @@
+package org.knapweedmount.daemon.http;
+
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.vertx.core.Handler;
+import io.vertx.core.http.HttpConnection;
+import org.knapweedmount.core.metric.Counters;
+
+/** Closes connections beyond a number; any thread may use it. */
+final class ConnectionLimit implements Handler<HttpConnection> {
+    private final int maxConnections;
+    private final Counters<HttpCounter> counters;
+    private final AtomicInteger open = new AtomicInteger();
+
+    ConnectionLimit(int maxConnections, Counters<HttpCounter> counters) {
+        this.maxConnections = maxConnections;
+        this.counters = counters;
+    }
+
+    @Override
+    public void handle(HttpConnection connection) {
+        connection.closeHandler(ignored -> open.decrementAndGet());
+        if (open.incrementAndGet() > maxConnections) {
+            counters.increment(HttpCounter.CONNECTIONS_REFUSED);
+            connection.close();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/HttpAnswer.java
@@ -0,0 +1,52 @@
+package org.knapweedmount.daemon.http;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.knapweedmount.api.Payload;
+
+/**
+ * An HTTP answer that is ready to be sent.
+ *
+ * @param status the HTTP status code
+ * @param contentType the media type of the body, empty if there is none
+ * @param headers further headers
+ * @param body the bytes of the body
+ */
+public record HttpAnswer(int status, String contentType, List<Header> headers, Payload body) {
+    /** The media type of JSON. */
+    public static final String JSON = "application/json";
+
+    /** The media type of plain text. */
+    public static final String TEXT = "text/plain; charset=utf-8";
+
+    /** Copies the headers. */
+    public HttpAnswer {
+        headers = List.copyOf(headers);
+    }
+
+    /**
+     * Creates an answer with a body and no further headers.
+     *
+     * @param status the HTTP status code
+     * @param contentType the media type of the body
+     * @param body the bytes of the body
+     * @return the answer
+     */
+    public static HttpAnswer of(int status, String contentType, Payload body) {
+        return new HttpAnswer(status, contentType, List.of(), body);
+    }
+
+    /**
+     * Returns this answer with one more header.
+     *
+     * @param name the header's name
+     * @param value the header's value
+     * @return the changed copy
+     */
+    public HttpAnswer with(String name, String value) {
+        List<Header> more = new ArrayList<>(headers);
+        more.add(new Header(name, value));
+        return new HttpAnswer(status, contentType, more, body);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/HttpLimits.java
@@ -0,0 +1,45 @@
+package org.knapweedmount.daemon.http;
+
+/**
+ * What bounds the memory of the HTTP interface for callers.
+ *
+ * @param maxBodyBytes the largest body of a request, in bytes
+ * @param maxHeaderBytes the largest total size of a request's headers, in bytes
+ * @param maxConnections the number of open connections
+ * @param maxPending the number of requests that wait for an answer
+ * @param maxReadingBytes the total size of the bodies that are being received, in bytes
+ * @param maxJobTasks the number of tasks of one job
+ * @param bodyTimeoutMillis how long a request's body may take to arrive, in ms
+ */
+public record HttpLimits(
+        int maxBodyBytes,
+        int maxHeaderBytes,
+        int maxConnections,
+        int maxPending,
+        int maxReadingBytes,
+        int maxJobTasks,
+        int bodyTimeoutMillis) {
+    private static final int DEFAULT_HEADER_BYTES = 16_384;
+    private static final int DEFAULT_PENDING = 50_000;
+    private static final int DEFAULT_READING_BYTES = 64_000_000;
+    private static final int DEFAULT_BODY_TIMEOUT_MILLIS = 10_000;
+
+    /**
+     * Creates limits with defaults for what the settings do not name.
+     *
+     * @param maxBodyBytes the largest body of a request, in bytes
+     * @param maxConnections the number of open connections
+     * @param maxJobTasks the number of tasks of one job
+     * @return the limits
+     */
+    public static HttpLimits of(int maxBodyBytes, int maxConnections, int maxJobTasks) {
+        return new HttpLimits(
+                maxBodyBytes,
+                DEFAULT_HEADER_BYTES,
+                maxConnections,
+                DEFAULT_PENDING,
+                Math.max(maxBodyBytes, DEFAULT_READING_BYTES),
+                maxJobTasks,
+                DEFAULT_BODY_TIMEOUT_MILLIS);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/JobRequest.java
@@ -0,0 +1,11 @@
+package org.knapweedmount.daemon.http;
+
+import org.knapweedmount.api.JobSpec;
+
+/**
+ * The body of a request that submits a job.
+ *
+ * @param service the service of all tasks
+ * @param job the job
+ */
+public record JobRequest(String service, JobSpec job) {}
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedmount/daemon/http/AnswerWriterTest.java
@@ -0,0 +1,95 @@
+package org.knapweedmount.daemon.http;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.JobAnswer;
+import org.knapweedmount.api.Outcome;
+import org.knapweedmount.api.Payload;
+import org.knapweedmount.api.Reason;
+import org.knapweedmount.api.SubmissionId;
+import org.knapweedmount.api.TaskResult;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+class AnswerWriterTest {
+    private static final SubmissionId ID = new SubmissionId(new Incarnation("entry-1", 255), 17, 3);
+    private static final Header COMPLETE = new Header("Knapweedmount-Outcome", "complete");
+    private static final Header SUBMISSION = new Header("Knapweedmount-Submission", "entry-1~00000000000000ff.17.3");
+
+    @Test
+    void singleRequestGetsTheEndpointsAnswer() {
+        TaskResult result = TaskResult.complete(201, "text/csv", Payload.of("a;b"));
+
+        HttpAnswer answer = AnswerWriter.SINGLE.write(JobAnswer.complete(ID, List.of(result)));
+
+        assertThat(answer, is(new HttpAnswer(201, "text/csv", List.of(COMPLETE, SUBMISSION), Payload.of("a;b"))));
+    }
+
+    @Test
+    void jobGetsTheResultsOfAllTasksInOrder() {
+        JobAnswer complete = JobAnswer.complete(
+                ID,
+                List.of(
+                        TaskResult.complete(200, "text/plain", Payload.of("é")),
+                        TaskResult.complete(200, "x/y", Payload.of(new byte[] {(byte) 0xff}))));
+
+        HttpAnswer answer = AnswerWriter.JOB.write(complete);
+
+        assertThat(answer.headers(), contains(COMPLETE, SUBMISSION));
+        assertThat(
+                answer.body().text(),
+                is("{\"submission\":\"" + ID + "\",\"outcome\":\"complete\",\"results\":["
+                        + "{\"status\":200,\"contentType\":\"text/plain\",\"body\":\"é\"},"
+                        + "{\"status\":200,\"contentType\":\"x/y\",\"bodyBase64\":\"/w==\"}]}"));
+    }
+
+    @Test
+    void jobThatRunsIsPending() {
+        HttpAnswer answer = AnswerWriter.JOB.write(JobAnswer.pending(ID));
+
+        assertThat(answer.status(), is(202));
+        assertThat(answer.body().text(), is("{\"submission\":\"" + ID + "\",\"state\":\"pending\"}"));
+    }
+
+    @Test
+    void refusalIsAProblemDocumentWithSecondsRoundedUp() {
+        JobAnswer refused = JobAnswer.ended(Optional.empty(), Outcome.NOT_RUN, Reason.OVER_QUOTA, "too many")
+                .retryAfter(1001);
+
+        HttpAnswer answer = AnswerWriter.SINGLE.write(refused);
+
+        assertThat(
+                answer.headers(),
+                contains(new Header("Knapweedmount-Outcome", "not-run"), new Header("Retry-After", "2")));
+        assertThat(answer.contentType(), is("application/problem+json"));
+        assertThat(
+                answer.body().text(),
+                is("{\"type\":\"urn:knapweedmount:problem:over-quota\",\"title\":\"Over quota\",\"status\":429,"
+                        + "\"detail\":\"too many\",\"outcome\":\"not-run\",\"reason\":\"over-quota\"}"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "NOT_RUN, OVERLOADED, 503",
+        "NOT_RUN, MALFORMED, 400",
+        "NOT_RUN, CANCELLED, 409",
+        "FAILED, TASK_FAILED, 502",
+        "FAILED, ENDPOINT_UNREACHABLE, 502",
+        "FAILED, CANCELLED, 409",
+        "UNKNOWN, STORE_UNAVAILABLE, 504",
+        "UNKNOWN, CONNECTION_LOST, 504",
+        "UNKNOWN, UNKNOWN_SUBMISSION, 404",
+    })
+    void status503MeansThatNothingRan(Outcome outcome, Reason reason, int status) {
+        HttpAnswer answer = AnswerWriter.JOB.write(JobAnswer.ended(Optional.of(ID), outcome, reason, ""));
+
+        assertThat(answer.status(), is(status));
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedmount/daemon/http/CallerApiTest.java
@@ -0,0 +1,264 @@
+package org.knapweedmount.daemon.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpVersion;
+import io.vertx.core.http.RequestOptions;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.JobAnswer;
+import org.knapweedmount.api.Payload;
+import org.knapweedmount.api.SubmissionId;
+import org.knapweedmount.api.TaskResult;
+import org.knapweedmount.core.entry.SubmissionRequest;
+import org.knapweedmount.core.metric.Counters;
+import org.knapweedmount.daemon.runtime.Decision;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+class CallerApiTest {
+    private static final SubmissionId ID = new SubmissionId(new Incarnation("entry-1", 255), 17, 3);
+    private static final int MAX_PENDING = 2;
+
+    private record Submitted(long number, SubmissionRequest request) {}
+
+    private record Answer(int status, String outcome, String body) {}
+
+    private final Vertx vertx = Vertx.vertx();
+    private final Counters<HttpCounter> counters = new Counters<>(HttpCounter.class);
+    private final PendingRequests pending = new PendingRequests(MAX_PENDING, counters);
+    private final BlockingQueue<Submitted> submitted = new LinkedBlockingQueue<>();
+    private final List<String> asked = new ArrayList<>();
+    private volatile boolean ringFull;
+    private volatile String notReady = "";
+    private int port;
+    private HttpClientAgent client;
+
+    @BeforeEach
+    void start() throws Exception {
+        HttpLimits limits = new HttpLimits(1_000, 16_384, 10, MAX_PENDING, 2_000, 5, 60_000);
+        KeyLookup keys = (team, key) ->
+                Future.succeededFuture(key.equals("used") ? KeyLookupResult.found(ID) : KeyLookupResult.UNUSED);
+        CallerApi api = new CallerApi(vertx, limits, this::offer, pending, keys, new Pages(), counters);
+        port = await(api.listen("127.0.0.1", 0, 2));
+        client = vertx.createHttpClient();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        await(vertx.close());
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = HttpVersion.class,
+            names = {"HTTP_1_1", "HTTP_2"})
+    void answersReachTheirCallersWhenTheyCross(HttpVersion version) throws Exception {
+        client = vertx.createHttpClient(new HttpClientOptions().setProtocolVersion(version));
+        Future<Answer> first = request(HttpMethod.POST, "/v1/services/stock/a", "1");
+        Submitted one = submitted.poll(10, TimeUnit.SECONDS);
+        Future<Answer> second = request(HttpMethod.POST, "/v1/services/stock/b", "2");
+        Submitted two = submitted.poll(10, TimeUnit.SECONDS);
+
+        pending.answer(two.number, complete("second"));
+        pending.answer(one.number, complete("first"));
+
+        assertThat(await(first), is(new Answer(200, "complete", "first")));
+        assertThat(await(second), is(new Answer(200, "complete", "second")));
+        assertThat(one.request.job().tasks().get(0).body(), is(Payload.of("1")));
+        assertThat(one.request.job().tasks().get(0).path(), is("/a"));
+    }
+
+    @Test
+    void fullRingIsARefusalThatSaysNotRun() throws Exception {
+        ringFull = true;
+
+        Answer answer = await(request(HttpMethod.POST, "/v1/services/stock/a", "1"));
+
+        assertThat(answer.status, is(503));
+        assertThat(answer.outcome, is("not-run"));
+        assertThat(pending.size(), is(0));
+    }
+
+    @Test
+    void fullRingSaysUnknownToAPossibleSecondAttempt() throws Exception {
+        ringFull = true;
+
+        Answer answer =
+                await(request(HttpMethod.PUT, "/v1/jobs/k", "{\"service\":\"s\",\"tasks\":[{\"path\":\"/\"}]}"));
+
+        assertThat(answer.status, is(504));
+        assertThat(answer.outcome, is("unknown"));
+    }
+
+    @Test
+    void tooManyPendingRequestsAreRefused() throws Exception {
+        pending.add(answer -> {});
+        pending.add(answer -> {});
+
+        Answer answer = await(request(HttpMethod.POST, "/v1/services/stock/a", "1"));
+
+        assertThat(answer.status, is(503));
+        assertThat(submitted.isEmpty(), is(true));
+    }
+
+    @Test
+    void bodyOverTheLimitIsRefusedWithAndWithoutALength() throws Exception {
+        String large = "x".repeat(1_001);
+
+        assertThat(await(request(HttpMethod.POST, "/v1/services/stock/a", large)).status, is(413));
+        assertThat(await(chunked(large)).status, is(413));
+        assertThat(submitted.isEmpty(), is(true));
+    }
+
+    @Test
+    void malformedJobIsRefusedWithTheField() throws Exception {
+        Answer answer = await(request(HttpMethod.PUT, "/v1/jobs/k", "{\"service\":\"s\",\"tasks\":[{}]}"));
+
+        assertThat(answer.status, is(400));
+        assertThat(answer.body, containsString("tasks[0].path: missing"));
+    }
+
+    @Test
+    void callerWhoLeavesFreesItsPlace() throws Exception {
+        HttpClientAgent leaving = vertx.createHttpClient();
+        client = leaving;
+        request(HttpMethod.POST, "/v1/services/stock/a", "1");
+        Submitted one = submitted.poll(10, TimeUnit.SECONDS);
+
+        await(leaving.close());
+        while (pending.size() > 0) {
+            Thread.onSpinWait();
+        }
+        pending.answer(one.number, complete("late"));
+
+        assertThat(counters.value(HttpCounter.ABANDONED), is(1L));
+    }
+
+    @Test
+    void jobIsFoundByItsOwnKey() throws Exception {
+        Answer found = await(request(HttpMethod.GET, "/v1/jobs/used?wait=true", ""));
+        Answer missing = await(request(HttpMethod.DELETE, "/v1/jobs/unused", ""));
+
+        assertThat(found.status, is(202));
+        assertThat(asked, is(List.of("status " + ID + " true")));
+        assertThat(missing.status, is(404));
+    }
+
+    @Test
+    void idsAreIssued() throws Exception {
+        Answer answer = await(request(HttpMethod.POST, "/v1/submission-ids?count=2", ""));
+
+        assertThat(answer.body, is("{\"ids\":[\"" + ID + "\",\"" + ID + "\"]}"));
+    }
+
+    @Test
+    void pagesShowTheState() throws Exception {
+        assertThat(await(request(HttpMethod.GET, "/healthz", "")).status, is(200));
+        assertThat(await(request(HttpMethod.GET, "/readyz", "")).status, is(200));
+        assertThat(await(request(HttpMethod.GET, "/metrics", "")).body, is("up 1\n"));
+        notReady = "no agent is linked";
+        assertThat(await(request(HttpMethod.GET, "/readyz", "")).status, is(503));
+    }
+
+    private boolean offer(Decision<CallerDecisions> decision) {
+        if (ringFull) {
+            return false;
+        }
+        decision.decide(new Core(), 0);
+        return true;
+    }
+
+    private Future<Answer> request(HttpMethod method, String uri, String body) {
+        return client.request(options(method, uri))
+                .compose(request -> request.send(Buffer.buffer(body)))
+                .compose(CallerApiTest::answer);
+    }
+
+    private Future<Answer> chunked(String body) {
+        return client.request(options(HttpMethod.POST, "/v1/services/stock/a")).compose(request -> {
+            request.setChunked(true);
+            request.write(body);
+            return request.response().compose(CallerApiTest::answer);
+        });
+    }
+
+    private RequestOptions options(HttpMethod method, String uri) {
+        return new RequestOptions()
+                .setMethod(method)
+                .setHost("127.0.0.1")
+                .setPort(port)
+                .setURI(uri);
+    }
+
+    private static Future<Answer> answer(HttpClientResponse response) {
+        String outcome = response.getHeader("Knapweedmount-Outcome");
+        return response.body().map(body -> new Answer(response.statusCode(), outcome, body.toString()));
+    }
+
+    private static JobAnswer complete(String body) {
+        return JobAnswer.complete(ID, List.of(TaskResult.complete(200, "text/plain", Payload.of(body))));
+    }
+
+    private static <T> T await(Future<T> future) throws Exception {
+        return future.toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
+    }
+
+    private final class Core implements CallerDecisions {
+        @Override
+        public List<SubmissionId> issue(int count) {
+            return java.util.Collections.nCopies(count, ID);
+        }
+
+        @Override
+        public void submit(long request, SubmissionRequest submission, long nowNanos) {
+            submitted.add(new Submitted(request, submission));
+        }
+
+        @Override
+        public void status(long request, SubmissionId id, boolean awaitEnd, long nowNanos) {
+            asked.add("status " + id + " " + awaitEnd);
+            pending.answer(request, JobAnswer.pending(id));
+        }
+
+        @Override
+        public void cancel(long request, SubmissionId id, long nowNanos) {
+            asked.add("cancel " + id);
+            pending.answer(request, JobAnswer.pending(id));
+        }
+    }
+
+    private final class Pages implements ProcessPages {
+        @Override
+        public String notReadyReason() {
+            return notReady;
+        }
+
+        @Override
+        public boolean draining() {
+            return false;
+        }
+
+        @Override
+        public String metrics() {
+            return "up 1\n";
+        }
+    }
+}
