Add the client of the table service, claims and the entries' rows

Cause: keys of callers, tickets and the rows of entries live in the platform's table service, which can be down, slow, or lose answers.

Change: TableClient gives each transaction a typed result: committed, conflict, unavailable (certainly not carried out) or unknown (answer lost). Requests have a time limit, connections and the queue before them are bounded, and a breaker fails requests at once while the service is down. ClaimStore batches claims, reads taken keys, and resolves lost answers by reading back. EntryAnnouncement keeps an entry's row, EntryDirectory lists the others and puts those whose row no longer changes last.

Ruled out: one transaction for each claim, which several hundred writes a second do not allow; treating a stale row as a dead entry, since a paused process may go on.

--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/store/ClaimStore.java
@@ -0,0 +1,217 @@
+package org.knapweedmount.daemon.store;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import org.knapweedmount.api.ParseException;
+import org.knapweedmount.api.SubmissionId;
+import org.knapweedmount.core.entry.ClaimResult;
+import org.tinylog.Logger;
+
+/**
+ * Claims callers' own keys by conditional writes.
+ *
+ * <p>Claims that come in while a transaction is under way share the next one. If one key is taken, the whole
+ * transaction fails; the rows of the taken keys are read and the other claims go into the next transaction. If the
+ * answer is lost, the rows are read back; a claim that is not there is sent again with the same id, which is safe since
+ * an earlier write that takes effect late makes the condition fail and the row then holds this id.
+ *
+ * <p>Used on the context of the store.
+ */
+public final class ClaimStore {
+    private static final String TABLE = "claims";
+    private static final String SUBMISSION = "submission";
+    private static final int MAX_ATTEMPTS = 3;
+
+    private final Context context;
+    private final Tables tables;
+    private final LongSupplier nanoClock;
+    private final ClaimLimits limits;
+    private final Map<String, Claim> claims = new HashMap<>();
+    private final Deque<Claim> queued = new ArrayDeque<>();
+    private int underWay;
+    private long nextSendNanos;
+    private boolean timerSet;
+
+    /** A key that is being claimed. */
+    private static final class Claim {
+        private final String key;
+        private final SubmissionId proposed;
+        private final Promise<ClaimResult> promise = Promise.promise();
+        private int attempts;
+
+        Claim(String key, SubmissionId proposed) {
+            this.key = key;
+            this.proposed = proposed;
+        }
+
+        RowKey row() {
+            return new RowKey(TABLE, key);
+        }
+    }
+
+    /**
+     * Creates a store without claims.
+     *
+     * @param context the context of the store
+     * @param tables the table service
+     * @param nanoClock gives the present time of a monotonic clock, in ns
+     * @param limits what bounds the store
+     */
+    public ClaimStore(Context context, Tables tables, LongSupplier nanoClock, ClaimLimits limits) {
+        this.context = context;
+        this.tables = tables;
+        this.nanoClock = nanoClock;
+        this.limits = limits;
+        this.nextSendNanos = nanoClock.getAsLong();
+    }
+
+    /**
+     * Claims a key.
+     *
+     * @param key the team and the caller's key, joined by a slash
+     * @param proposed the id that the key is to stand for unless it stands for another already
+     * @return the id that the key stands for, or none if the table service could not be asked; never fails
+     */
+    public Future<ClaimResult> claim(String key, SubmissionId proposed) {
+        Claim present = claims.get(key);
+        if (present != null) {
+            return present.promise.future();
+        }
+        if (claims.size() >= limits.maxClaims()) {
+            return Future.succeededFuture(new ClaimResult(Optional.empty()));
+        }
+        Claim claim = new Claim(key, proposed);
+        claims.put(key, claim);
+        queued.add(claim);
+        send();
+        return claim.promise.future();
+    }
+
+    private void send() {
+        if (queued.isEmpty() || underWay >= limits.maxUnderWay()) {
+            return;
+        }
+        long waitNanos = nextSendNanos - nanoClock.getAsLong();
+        if (waitNanos > 0) {
+            sendLater();
+            return;
+        }
+        nextSendNanos = nanoClock.getAsLong() + limits.sendIntervalNanos();
+        List<Claim> batch = new ArrayList<>();
+        while (!queued.isEmpty() && batch.size() < limits.batchSize()) {
+            batch.add(queued.remove());
+        }
+        underWay++;
+        tables.transact(transaction(batch)).onSuccess(result -> {
+            underWay--;
+            ended(batch, result);
+            send();
+        });
+    }
+
+    private void sendLater() {
+        if (timerSet) {
+            return;
+        }
+        timerSet = true;
+        context.owner().setTimer(limits.sendIntervalMillis(), fired -> {
+            timerSet = false;
+            send();
+        });
+    }
+
+    private static Transaction transaction(List<Claim> batch) {
+        List<Transaction.Condition> conditions = new ArrayList<>();
+        List<Transaction.Write> writes = new ArrayList<>();
+        for (Claim claim : batch) {
+            conditions.add(new Transaction.Condition(claim.row(), Transaction.ABSENT));
+            writes.add(new Transaction.Write(
+                    claim.row(),
+                    Optional.of(JsonNodeFactory.instance.objectNode().put(SUBMISSION, claim.proposed.toString()))));
+        }
+        return new Transaction(conditions, writes);
+    }
+
+    private void ended(List<Claim> batch, TransactResult result) {
+        if (result instanceof TransactResult.Committed) {
+            batch.forEach(claim -> finish(claim, Optional.of(claim.proposed)));
+        } else if (result instanceof TransactResult.Conflict conflict) {
+            conflicted(batch, conflict);
+        } else if (result instanceof TransactResult.Unknown) {
+            batch.forEach(this::readBack);
+        } else {
+            batch.forEach(claim -> finish(claim, Optional.empty()));
+        }
+    }
+
+    private void conflicted(List<Claim> batch, TransactResult.Conflict conflict) {
+        for (Claim claim : batch) {
+            if (conflict.failed().contains(claim.row())) {
+                readBack(claim);
+            } else {
+                queued.add(claim);
+            }
+        }
+    }
+
+    private void readBack(Claim claim) {
+        tables.read(claim.row()).onSuccess(result -> {
+            if (result.answered() && result.row().isEmpty()) {
+                retry(claim);
+                return;
+            }
+            finish(claim, result.row().flatMap(ClaimStore::holder));
+        });
+    }
+
+    private void retry(Claim claim) {
+        claim.attempts++;
+        if (claim.attempts >= MAX_ATTEMPTS) {
+            finish(claim, Optional.empty());
+            return;
+        }
+        queued.add(claim);
+        send();
+    }
+
+    private void finish(Claim claim, Optional<SubmissionId> holder) {
+        claims.remove(claim.key);
+        claim.promise.complete(new ClaimResult(holder));
+    }
+
+    /**
+     * Reads the id that a key stands for.
+     *
+     * @param row the key's row
+     * @return the id, empty if the row cannot be read
+     */
+    static Optional<SubmissionId> holder(Row row) {
+        try {
+            return Optional.of(SubmissionId.parse(row.value().path(SUBMISSION).asText()));
+        } catch (ParseException e) {
+            Logger.error(e, "unreadable claim of key {}", row.name().key());
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * Finds the id that a key stands for without claiming it.
+     *
+     * @param key the team and the caller's key, joined by a slash
+     * @return what was read of the key's row
+     */
+    public Future<ReadResult> find(String key) {
+        return tables.read(new RowKey(TABLE, key));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/store/EntryRows.java
@@ -0,0 +1,56 @@
+package org.knapweedmount.daemon.store;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.knapweedmount.api.PeerAddress;
+
+/**
+ * Observes the rows of entries and tells those that still change from those that no longer do.
+ *
+ * <p>Ages are taken from the observer's own clock, so that clocks of other processes do not matter.
+ */
+public final class EntryRows {
+    private final long staleNanos;
+    private Map<String, Observed> observed = new HashMap<>();
+
+    private record Observed(long version, long changedNanos) {}
+
+    /**
+     * Creates an observer that has seen nothing.
+     *
+     * @param staleNanos the time without a change after which a row is stale, in ns
+     */
+    public EntryRows(long staleNanos) {
+        this.staleNanos = staleNanos;
+    }
+
+    /**
+     * Takes the rows that exist now.
+     *
+     * @param rows all rows of entries
+     * @param nowNanos the present time
+     * @return the entries
+     */
+    public KnownEntries observe(List<Row> rows, long nowNanos) {
+        Map<String, Observed> next = new HashMap<>();
+        List<PeerAddress> recent = new ArrayList<>();
+        List<PeerAddress> stale = new ArrayList<>();
+        for (Row row : rows) {
+            Observed latest = latest(row, nowNanos);
+            next.put(row.name().key(), latest);
+            boolean isStale = nowNanos - latest.changedNanos >= staleNanos;
+            EntryRow.parse(row).ifPresent(entry -> (isStale ? stale : recent).add(entry.address()));
+        }
+        observed = next;
+        return new KnownEntries(recent, stale);
+    }
+
+    private Observed latest(Row row, long nowNanos) {
+        Observed before = observed.get(row.name().key());
+        boolean changed = before == null || before.version != row.version();
+        return changed ? new Observed(row.version(), nowNanos) : before;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/store/ReadResult.java
@@ -0,0 +1,27 @@
+package org.knapweedmount.daemon.store;
+
+import java.util.Optional;
+
+/**
+ * What was read of one row.
+ *
+ * @param answered false if the table service could not be asked
+ * @param row the row, empty if it does not exist or the service could not be asked
+ */
+public record ReadResult(boolean answered, Optional<Row> row) {
+    /** The table service could not be asked. */
+    public static final ReadResult UNAVAILABLE = new ReadResult(false, Optional.empty());
+
+    /** The row does not exist. */
+    public static final ReadResult MISSING = new ReadResult(true, Optional.empty());
+
+    /**
+     * Creates the result for a row that exists.
+     *
+     * @param row the row
+     * @return the result
+     */
+    public static ReadResult found(Row row) {
+        return new ReadResult(true, Optional.of(row));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/store/RowKey.java
@@ -0,0 +1,17 @@
+package org.knapweedmount.daemon.store;
+
+import java.util.Objects;
+
+/**
+ * The name of one row.
+ *
+ * @param table the table
+ * @param key the row's key within the table
+ */
+public record RowKey(String table, String key) {
+    /** Checks that nothing is missing. */
+    public RowKey {
+        Objects.requireNonNull(table, "table");
+        Objects.requireNonNull(key, "key");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/store/TableJson.java
@@ -0,0 +1,81 @@
+package org.knapweedmount.daemon.store;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.buffer.Buffer;
+import org.knapweedmount.api.ParseException;
+
+/** Writes and reads the documents of the table service. */
+final class TableJson {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
+
+    private TableJson() {}
+
+    static Buffer transaction(Transaction transaction) {
+        ObjectNode root = NODES.objectNode();
+        ArrayNode conditions = root.putArray("conditions");
+        for (Transaction.Condition condition : transaction.conditions()) {
+            name(conditions.addObject(), condition.row()).put("version", condition.version());
+        }
+        ArrayNode writes = root.putArray("writes");
+        for (Transaction.Write write : transaction.writes()) {
+            name(writes.addObject(), write.row()).set("value", write.value().orElse(NODES.nullNode()));
+        }
+        try {
+            return Buffer.buffer(MAPPER.writeValueAsBytes(root));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a tree of JSON nodes can be written", e);
+        }
+    }
+
+    private static ObjectNode name(ObjectNode object, RowKey row) {
+        return object.put("table", row.table()).put("key", row.key());
+    }
+
+    static Row row(String table, Buffer body) throws ParseException {
+        return row(table, parse(body));
+    }
+
+    static List<Row> rows(String table, Buffer body) throws ParseException {
+        List<Row> rows = new ArrayList<>();
+        for (JsonNode row : parse(body).path("rows")) {
+            rows.add(row(table, row));
+        }
+        return rows;
+    }
+
+    static Set<RowKey> failed(Buffer body) throws ParseException {
+        Set<RowKey> failed = new HashSet<>();
+        for (JsonNode row : parse(body).path("failed")) {
+            failed.add(new RowKey(row.path("table").asText(), row.path("key").asText()));
+        }
+        return failed;
+    }
+
+    private static Row row(String table, JsonNode row) throws ParseException {
+        long version = row.path("version").asLong();
+        if (!row.path("key").isTextual() || version < 1 || !row.has("value")) {
+            throw new ParseException("the table service sent a row without key, version or value");
+        }
+        return new Row(new RowKey(table, row.path("key").textValue()), version, row.get("value"));
+    }
+
+    private static JsonNode parse(Buffer body) throws ParseException {
+        try {
+            return MAPPER.readTree(body.getBytes());
+        } catch (IOException e) {
+            throw new ParseException("the table service sent no JSON", e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/store/TablePages.java
@@ -0,0 +1,34 @@
+package org.knapweedmount.daemon.store;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.vertx.core.Future;
+
+/** Reads all rows of a table, one page after another. */
+final class TablePages {
+    private final Tables tables;
+    private final String table;
+    private final List<Row> rows = new ArrayList<>();
+
+    TablePages(Tables tables, String table) {
+        this.tables = tables;
+        this.table = table;
+    }
+
+    Future<ListResult> read(String after) {
+        return tables.list(table, after).compose(this::received);
+    }
+
+    private Future<ListResult> received(ListResult page) {
+        if (!page.answered()) {
+            return Future.succeededFuture(ListResult.UNAVAILABLE);
+        }
+        rows.addAll(page.rows());
+        if (page.rows().size() < Tables.MAX_ROWS) {
+            return Future.succeededFuture(new ListResult(true, rows));
+        }
+        String last = page.rows().get(page.rows().size() - 1).name().key();
+        return read(last);
+    }
+}
--- a/daemon/src/test/java/org/knapweedmount/daemon/http/CallerApiTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/http/CallerApiTest.java
@@ -1,6 +1,7 @@
 package org.knapweedmount.daemon.http;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -224,7 +225,7 @@
     private final class Core implements CallerDecisions {
         @Override
         public List<SubmissionId> issue(int count) {
-            return java.util.Collections.nCopies(count, ID);
+            return Collections.nCopies(count, ID);
         }
 
         @Override
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedmount/daemon/store/EntryAnnouncementTest.java
@@ -0,0 +1,88 @@
+package org.knapweedmount.daemon.store;
+
+import java.util.Optional;
+
+import io.vertx.core.Vertx;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.PeerAddress;
+import org.knapweedmount.api.Role;
+import org.knapweedmount.daemon.store.FakeTables.Mode;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class EntryAnnouncementTest {
+    private final Vertx vertx = Vertx.vertx();
+    private final FakeTables tables = new FakeTables();
+
+    @AfterEach
+    void stop() {
+        vertx.close();
+    }
+
+    @Test
+    void plannedStopDeletesTheRow() {
+        EntryAnnouncement entry = announcement(1);
+        entry.start();
+        assertThat(holder(), is(Optional.of(address(1))));
+
+        entry.stop();
+
+        assertThat(holder(), is(Optional.empty()));
+    }
+
+    @Test
+    void laterProcessTakesTheRowOverAndKeepsIt() {
+        EntryAnnouncement earlier = announcement(1);
+        earlier.start();
+        announcement(2).start();
+
+        earlier.start();
+        assertThat(holder(), is(Optional.of(address(2))));
+        earlier.stop();
+        assertThat(holder(), is(Optional.of(address(2))));
+    }
+
+    @Test
+    void lostAnswerDoesNotStopTheBeats() {
+        EntryAnnouncement entry = announcement(1);
+        tables.mode(Mode.UP, Mode.LOSE_ANSWERS);
+        entry.start();
+        tables.mode(Mode.UP, Mode.UP);
+
+        entry.start();
+
+        assertThat(row().flatMap(EntryRow::parse).map(EntryRow::beat), is(Optional.of(2L)));
+    }
+
+    @Test
+    void beatUnderWayDoesNotBringTheRowBack() {
+        EntryAnnouncement entry = announcement(1);
+        entry.start();
+        RowKey name = EntryRow.name(address(1).incarnation());
+        tables.beforeNextTransaction(() ->
+                tables.carryOut(Transaction.EMPTY.require(name, 1).put(name, new EntryRow(address(1), 2).value())));
+
+        entry.stop();
+
+        assertThat(holder(), is(Optional.empty()));
+    }
+
+    private EntryAnnouncement announcement(long nonce) {
+        return new EntryAnnouncement(vertx, tables, address(nonce));
+    }
+
+    private Optional<PeerAddress> holder() {
+        return row().flatMap(EntryRow::parse).map(EntryRow::address);
+    }
+
+    private Optional<Row> row() {
+        return tables.read(EntryRow.name(address(1).incarnation())).result().row();
+    }
+
+    private static PeerAddress address(long nonce) {
+        return new PeerAddress(new Incarnation("entry-1", nonce), Role.ENTRY, "rennes", "127.0.0.1", 7101);
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedmount/daemon/store/EntryRowsTest.java
@@ -0,0 +1,45 @@
+package org.knapweedmount.daemon.store;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.PeerAddress;
+import org.knapweedmount.api.Role;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class EntryRowsTest {
+    private static final PeerAddress FIRST = address("entry-1");
+    private static final PeerAddress SECOND = address("entry-2");
+
+    private final EntryRows rows = new EntryRows(100);
+
+    @Test
+    void rowThatNoLongerChangesIsStaleUntilItChanges() {
+        rows.observe(List.of(row(FIRST, 1), row(SECOND, 1)), 0);
+        rows.observe(List.of(row(FIRST, 2), row(SECOND, 1)), 50);
+
+        KnownEntries later = rows.observe(List.of(row(FIRST, 2), row(SECOND, 1)), 100);
+        assertThat(later, is(new KnownEntries(List.of(FIRST), List.of(SECOND))));
+
+        KnownEntries back = rows.observe(List.of(row(FIRST, 2), row(SECOND, 2)), 120);
+        assertThat(back, is(new KnownEntries(List.of(FIRST, SECOND), List.of())));
+    }
+
+    @Test
+    void oldRowIsRecentWhenItIsSeenForTheFirstTime() {
+        KnownEntries known = rows.observe(List.of(row(FIRST, 900)), 1_000);
+
+        assertThat(known, is(new KnownEntries(List.of(FIRST), List.of())));
+    }
+
+    private static Row row(PeerAddress address, long version) {
+        return new Row(EntryRow.name(address.incarnation()), version, new EntryRow(address, version).value());
+    }
+
+    private static PeerAddress address(String name) {
+        return new PeerAddress(new Incarnation(name, 1), Role.ENTRY, "rennes", "127.0.0.1", 7101);
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedmount/daemon/store/FakeTables.java
@@ -0,0 +1,148 @@
+package org.knapweedmount.daemon.store;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vertx.core.Future;
+
+/** A table service in memory whose answers can be lost; answers come at once, on the thread that asks. */
+public final class FakeTables implements Tables {
+    /** What becomes of requests. */
+    public enum Mode {
+        /** All are answered. */
+        UP,
+        /** None is taken. */
+        DOWN,
+        /** Transactions take effect and their answers are lost. */
+        LOSE_ANSWERS,
+        /** Transactions have no effect and their answers are lost. */
+        LOSE_REQUESTS
+    }
+
+    private record Stored(long version, Optional<JsonNode> value) {}
+
+    private final Map<String, NavigableMap<String, Stored>> tables = new TreeMap<>();
+    private Mode transactMode = Mode.UP;
+    private Mode readMode = Mode.UP;
+    private Consumer<Transaction> beforeTransact = transaction -> {};
+    private int transactions;
+
+    /**
+     * Sets what becomes of requests from now on.
+     *
+     * @param reads the mode of reads
+     * @param transacts the mode of transactions
+     */
+    public void mode(Mode reads, Mode transacts) {
+        readMode = reads;
+        transactMode = transacts;
+    }
+
+    /**
+     * Sets what happens right before the next transaction, once.
+     *
+     * @param action the action
+     */
+    public void beforeNextTransaction(Runnable action) {
+        beforeTransact = transaction -> {
+            beforeTransact = next -> {};
+            action.run();
+        };
+    }
+
+    /**
+     * Counts the transactions that were asked for.
+     *
+     * @return the number
+     */
+    public int transactions() {
+        return transactions;
+    }
+
+    @Override
+    public Future<ReadResult> read(RowKey row) {
+        if (readMode != Mode.UP) {
+            return Future.succeededFuture(ReadResult.UNAVAILABLE);
+        }
+        Stored stored = stored(row);
+        return Future.succeededFuture(stored.value.isPresent() ? found(row, stored) : ReadResult.MISSING);
+    }
+
+    @Override
+    public Future<ListResult> list(String table, String after) {
+        if (readMode != Mode.UP) {
+            return Future.succeededFuture(ListResult.UNAVAILABLE);
+        }
+        List<Row> rows = new ArrayList<>();
+        table(table).tailMap(after, false).forEach((key, stored) -> {
+            if (stored.value.isPresent() && rows.size() < MAX_ROWS) {
+                rows.add(new Row(new RowKey(table, key), stored.version, stored.value.get()));
+            }
+        });
+        return Future.succeededFuture(new ListResult(true, rows));
+    }
+
+    @Override
+    public Future<TransactResult> transact(Transaction transaction) {
+        transactions++;
+        beforeTransact.accept(transaction);
+        TransactResult result = switch (transactMode) {
+            case UP -> carryOut(transaction);
+            case DOWN -> new TransactResult.Unavailable();
+            case LOSE_REQUESTS -> new TransactResult.Unknown();
+            case LOSE_ANSWERS -> {
+                carryOut(transaction);
+                yield new TransactResult.Unknown();
+            }
+        };
+        return Future.succeededFuture(result);
+    }
+
+    /**
+     * Carries a transaction out whatever the mode is.
+     *
+     * @param transaction the transaction
+     * @return the result
+     */
+    public TransactResult carryOut(Transaction transaction) {
+        Set<RowKey> failed = new HashSet<>();
+        for (Transaction.Condition condition : transaction.conditions()) {
+            if (version(condition.row()) != condition.version()) {
+                failed.add(condition.row());
+            }
+        }
+        if (!failed.isEmpty()) {
+            return new TransactResult.Conflict(failed);
+        }
+        for (Transaction.Write write : transaction.writes()) {
+            Stored next = new Stored(stored(write.row()).version + 1, write.value());
+            table(write.row().table()).put(write.row().key(), next);
+        }
+        return new TransactResult.Committed();
+    }
+
+    private long version(RowKey row) {
+        Stored stored = stored(row);
+        return stored.value.isPresent() ? stored.version : Transaction.ABSENT;
+    }
+
+    private Stored stored(RowKey row) {
+        return table(row.table()).getOrDefault(row.key(), new Stored(0, Optional.empty()));
+    }
+
+    private NavigableMap<String, Stored> table(String name) {
+        return tables.computeIfAbsent(name, table -> new TreeMap<>());
+    }
+
+    private static ReadResult found(RowKey row, Stored stored) {
+        return ReadResult.found(new Row(row, stored.version, stored.value.orElseThrow()));
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedmount/daemon/store/TableClientTest.java
@@ -0,0 +1,200 @@
+package org.knapweedmount.daemon.store;
+
+import java.util.Collections;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.knapweedmount.core.metric.Counters;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+class TableClientTest {
+    private static final RowKey ROW = new RowKey("claims", "team/a b?");
+    private static final Transaction TRANSACTION = Transaction.EMPTY
+            .require(ROW, 0)
+            .put(ROW, JsonNodeFactory.instance.objectNode().put("x", 1))
+            .delete(new RowKey("head", "ticket"));
+    private static final TableLimits LIMITS = new TableLimits(500, 500, 1, 1, 100, 60_000);
+
+    private final Vertx vertx = Vertx.vertx();
+    private final Counters<TableCounter> counters = new Counters<>(TableCounter.class);
+    private volatile Handler<HttpServerRequest> handler = request -> {};
+    private volatile long nowNanos;
+    private HttpServer server;
+    private TableClient client;
+
+    @BeforeEach
+    void start() throws Exception {
+        server = await(vertx.createHttpServer()
+                .requestHandler(request -> handler.handle(request))
+                .listen(0, "127.0.0.1"));
+        client = client(LIMITS);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        await(vertx.close());
+    }
+
+    @Test
+    void readsRows() throws Exception {
+        handler = request -> request.response()
+                .setStatusCode(request.uri().equals("/tables/claims/rows/team%2Fa%20b%3F") ? 200 : 500)
+                .end("{\"key\":\"team/a b?\",\"version\":3,\"value\":{\"x\":1}}");
+
+        Row row = await(client.read(ROW)).row().orElseThrow();
+
+        assertThat(row.version(), is(3L));
+        assertThat(row.value().path("x").asInt(), is(1));
+    }
+
+    @Test
+    void listsPageAfterPage() throws Exception {
+        handler = request -> request.response().end(page(request.getParam("after")));
+
+        ListResult list = await(client.listAll("tickets", ""));
+
+        assertThat(list.rows(), hasSize(Tables.MAX_ROWS + 1));
+    }
+
+    private static String page(String after) {
+        String row = "{\"key\":\"k\",\"version\":1,\"value\":null}";
+        int count = after.isEmpty() ? Tables.MAX_ROWS : 1;
+        return "{\"rows\":[" + String.join(",", Collections.nCopies(count, row)) + "]}";
+    }
+
+    @Test
+    void missingRowIsNotAFailure() throws Exception {
+        handler = request -> request.response().setStatusCode(404).end();
+
+        assertThat(await(client.read(ROW)), is(ReadResult.MISSING));
+    }
+
+    @Test
+    void transactionIsCommitted() throws Exception {
+        handler = request -> request.body()
+                .onSuccess(body -> request.response()
+                        .setStatusCode(body.toString().equals(EXPECTED_BODY) ? 200 : 400)
+                        .end("{\"committed\":true}"));
+
+        assertThat(await(client.transact(TRANSACTION)), is(new TransactResult.Committed()));
+    }
+
+    private static final String EXPECTED_BODY =
+            "{\"conditions\":[{\"table\":\"claims\",\"key\":\"team/a b?\",\"version\":0}],"
+                    + "\"writes\":[{\"table\":\"claims\",\"key\":\"team/a b?\",\"value\":{\"x\":1}},"
+                    + "{\"table\":\"head\",\"key\":\"ticket\",\"value\":null}]}";
+
+    @Test
+    void conflictNamesTheRows() throws Exception {
+        handler = request -> request.response()
+                .setStatusCode(409)
+                .end("{\"committed\":false,\"failed\":[{\"table\":\"claims\",\"key\":\"team/a b?\",\"version\":4}]}");
+
+        assertThat(await(client.transact(TRANSACTION)), is(new TransactResult.Conflict(Set.of(ROW))));
+    }
+
+    @Test
+    void refusedTransactionWasNotCarriedOut() throws Exception {
+        handler = request -> request.response().setStatusCode(503).end();
+
+        assertThat(await(client.transact(TRANSACTION)), is(new TransactResult.Unavailable()));
+    }
+
+    @Test
+    void transactionToAServerThatIsDownWasNotCarriedOut() throws Exception {
+        await(server.close());
+
+        assertThat(await(client.transact(TRANSACTION)), is(new TransactResult.Unavailable()));
+        assertThat(await(client.read(ROW)), is(ReadResult.UNAVAILABLE));
+    }
+
+    @Test
+    void closedConnectionLeavesATransactionUnknown() throws Exception {
+        handler = request -> request.endHandler(ignored -> request.connection().close());
+
+        assertThat(await(client.transact(TRANSACTION)), is(new TransactResult.Unknown()));
+        assertThat(await(client.read(ROW)), is(ReadResult.UNAVAILABLE));
+    }
+
+    @Test
+    void silenceLeavesATransactionUnknown() throws Exception {
+        assertThat(await(client.transact(TRANSACTION)), is(new TransactResult.Unknown()));
+        assertThat(counters.value(TableCounter.ANSWERS_LOST), is(1L));
+    }
+
+    @Test
+    void brokenBodyLeavesATransactionUnknown() throws Exception {
+        handler = request -> {
+            request.response().setChunked(true).write("{");
+        };
+
+        assertThat(await(client.transact(TRANSACTION)), is(new TransactResult.Unknown()));
+    }
+
+    @Test
+    void requestThatFindsNoRoomWasNotCarriedOut() throws Exception {
+        client = client(new TableLimits(20_000, 20_000, 1, 1, 100, 60_000));
+        Promise<HttpServerRequest> received = Promise.promise();
+        handler = received::tryComplete;
+        Future<TransactResult> first = client.transact(TRANSACTION);
+        HttpServerRequest firstRequest = await(received.future());
+        Future<TransactResult> waits = client.transact(TRANSACTION);
+        Future<TransactResult> tooMany = client.transact(TRANSACTION);
+        assertThat(await(tooMany), is(new TransactResult.Unavailable()));
+
+        handler = request -> request.response().end("{\"committed\":true}");
+        firstRequest.response().end("{\"committed\":true}");
+
+        assertThat(await(first), is(new TransactResult.Committed()));
+        assertThat(await(waits), is(new TransactResult.Committed()));
+    }
+
+    @Test
+    void requestThatStillWaitsAtItsLimitWasNotCarriedOut() throws Exception {
+        client = client(new TableLimits(20_000, 200, 1, 1, 100, 60_000));
+        Promise<HttpServerRequest> received = Promise.promise();
+        handler = received::tryComplete;
+        client.read(ROW);
+        await(received.future());
+
+        assertThat(await(client.transact(TRANSACTION)), is(new TransactResult.Unavailable()));
+    }
+
+    @Test
+    void failsAtOnceWhileTheServiceIsDownUntilAProbeSucceeds() throws Exception {
+        handler = request -> request.response().setStatusCode(503).end();
+        client = client(new TableLimits(500, 500, 1, 1, 2, 60_000));
+        for (int i = 0; i < 4; i++) {
+            assertThat(await(client.read(ROW)), is(ReadResult.UNAVAILABLE));
+        }
+        assertThat(counters.value(TableCounter.FAILED_FAST), is(2L));
+
+        nowNanos = TimeUnit.MINUTES.toNanos(1);
+        handler = request -> request.response().setStatusCode(404).end();
+        assertThat(await(client.read(ROW)), is(ReadResult.MISSING));
+        assertThat(await(client.read(ROW)), is(ReadResult.MISSING));
+        assertThat(counters.value(TableCounter.FAILED_FAST), is(2L));
+    }
+
+    private TableClient client(TableLimits limits) {
+        int port = server.actualPort();
+        return new TableClient(vertx.getOrCreateContext(), "127.0.0.1", port, limits, () -> nowNanos, counters);
+    }
+
+    private static <T> T await(Future<T> future) throws Exception {
+        return future.toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
+    }
+}
