Add the platform stand-in

Cause: tests need the platform's table service and object store, and their outages, without the platform. Change: TableStore and PlatformService hold rows and objects in memory without I/O; PlatformServer serves them by HTTP with the switches of docs/design/platform.md. The stand-ins share argument reading and JSON answers in the package support.

--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/platform/PlatformServer.java
@@ -0,0 +1,130 @@
+package org.knapweedmount.standins.platform;
+
+import java.net.URI;
+import java.net.URISyntaxException;
+
+import io.vertx.core.Future;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import org.knapweedmount.api.ParseException;
+import org.knapweedmount.standins.support.JsonHttp;
+import org.tinylog.Logger;
+
+/**
+ * Serves the platform stand-in by HTTP.
+ *
+ * <p>The switches are at {@code /control}, which always answers. Everything runs on the verticle's event loop.
+ */
+public final class PlatformServer extends VerticleBase {
+    private static final String CONTROL_PATH = "/control";
+
+    private final String host;
+    private final int port;
+    private final PlatformService service = new PlatformService();
+    private Control control = Control.INITIAL;
+    private long reads;
+    private long writes;
+    private HttpServer server;
+
+    /** What {@code GET /control} answers. */
+    private record Status(String mode, int delayMillis, long reads, long writes) {}
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param host the IP number to listen on
+     * @param port the TCP port to listen on, 0 for any free one
+     */
+    public PlatformServer(String host, int port) {
+        this.host = host;
+        this.port = port;
+    }
+
+    @Override
+    public Future<?> start() {
+        server = vertx.createHttpServer().requestHandler(this::receive);
+        return server.listen(port, host);
+    }
+
+    /**
+     * Returns the port that the server listens on.
+     *
+     * @return a TCP port, known once the verticle has been deployed
+     */
+    public int port() {
+        return server.actualPort();
+    }
+
+    private void receive(HttpServerRequest request) {
+        request.body().onSuccess(body -> {
+            try {
+                dispatch(request, body);
+            } catch (ParseException e) {
+                send(request, PlatformReply.problem(400, e.getMessage()));
+            }
+        });
+    }
+
+    private void dispatch(HttpServerRequest request, Buffer body) throws ParseException {
+        PlatformRequest parsed = new PlatformRequest(request.method(), decodedPath(request), query(request), body);
+        if (parsed.path().equals(CONTROL_PATH)) {
+            control(request, parsed);
+            return;
+        }
+        if (parsed.write()) {
+            writes++;
+        } else {
+            reads++;
+        }
+        if (control.delayMillis() > 0) {
+            vertx.setTimer(control.delayMillis(), timer -> serve(request, parsed));
+            return;
+        }
+        serve(request, parsed);
+    }
+
+    private void control(HttpServerRequest request, PlatformRequest parsed) throws ParseException {
+        if (parsed.method().equals(HttpMethod.PUT)) {
+            control = Control.parse(JsonHttp.parse(parsed.body()));
+            Logger.info("mode {}, delay {} ms", control.mode().text(), control.delayMillis());
+        }
+        JsonHttp.answer(request, 200, new Status(control.mode().text(), control.delayMillis(), reads, writes));
+    }
+
+    private void serve(HttpServerRequest request, PlatformRequest parsed) {
+        ServiceMode mode = control.mode();
+        PlatformReply reply = mode.carriesOut() ? service.handle(parsed) : PlatformReply.problem(503, "outage");
+        switch (mode.ending(parsed.write())) {
+            case ANSWER, REFUSE -> send(request, reply);
+            case CLOSE -> request.connection().close();
+            default -> {
+                return;
+            }
+        }
+    }
+
+    private static void send(HttpServerRequest request, PlatformReply reply) {
+        if (request.response().closed()) {
+            return;
+        }
+        request.response()
+                .setStatusCode(reply.status())
+                .putHeader("Content-Type", reply.contentType())
+                .end(reply.body());
+    }
+
+    private static RowQuery query(HttpServerRequest request) throws ParseException {
+        return RowQuery.parse(request.getParam("prefix"), request.getParam("after"), request.getParam("limit"));
+    }
+
+    private static String decodedPath(HttpServerRequest request) throws ParseException {
+        try {
+            return new URI(request.path()).getPath();
+        } catch (URISyntaxException e) {
+            throw new ParseException("the path is not encoded as a URI: " + request.path(), e);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/platform/PlatformService.java
@@ -0,0 +1,104 @@
+package org.knapweedmount.standins.platform;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import org.knapweedmount.api.ParseException;
+import org.knapweedmount.standins.support.JsonHttp;
+
+/**
+ * The table service and the object store in memory, without the network.
+ *
+ * <p>Used by one thread.
+ */
+public final class PlatformService {
+    private static final Pattern ROW = Pattern.compile("/tables/([^/]+)/rows/(.+)");
+    private static final Pattern ROWS = Pattern.compile("/tables/([^/]+)/rows");
+    private static final Pattern OBJECT = Pattern.compile("/objects/(.+)");
+    private static final String OBJECT_TYPE = "application/octet-stream";
+
+    private final TableStore tables = new TableStore();
+    private final Map<String, Buffer> objects = new HashMap<>();
+
+    private record Committed(boolean committed) {}
+
+    private record Conflict(boolean committed, List<Condition> failed) {}
+
+    private record Rows(List<Row> rows) {}
+
+    private record Stored(String name) {}
+
+    /**
+     * Carries out a request.
+     *
+     * @param request the request
+     * @return the answer
+     */
+    public PlatformReply handle(PlatformRequest request) {
+        Matcher row = ROW.matcher(request.path());
+        if (row.matches()) {
+            return request.write() ? methodNotAllowed() : row(row.group(1), row.group(2));
+        }
+        Matcher rows = ROWS.matcher(request.path());
+        if (rows.matches()) {
+            return request.write() ? methodNotAllowed() : rows(rows.group(1), request.query());
+        }
+        Matcher object = OBJECT.matcher(request.path());
+        if (object.matches()) {
+            return object(object.group(1), request);
+        }
+        if (request.path().equals("/transactions")) {
+            return request.method().equals(HttpMethod.POST) ? transaction(request.body()) : methodNotAllowed();
+        }
+        return PlatformReply.problem(404, "no such path: " + request.path());
+    }
+
+    private PlatformReply row(String table, String key) {
+        return tables.row(table, key)
+                .map(row -> PlatformReply.json(200, row))
+                .orElseGet(() -> PlatformReply.problem(404, "no row " + key + " in table " + table));
+    }
+
+    private PlatformReply rows(String table, RowQuery query) {
+        return PlatformReply.json(200, new Rows(tables.rows(table, query.prefix(), query.after(), query.limit())));
+    }
+
+    private PlatformReply transaction(Buffer body) {
+        try {
+            List<Condition> failed = tables.commit(Transaction.parse(JsonHttp.parse(body)));
+            return failed.isEmpty()
+                    ? PlatformReply.json(200, new Committed(true))
+                    : PlatformReply.json(409, new Conflict(false, failed));
+        } catch (ParseException e) {
+            return PlatformReply.problem(400, e.getMessage());
+        }
+    }
+
+    private PlatformReply object(String name, PlatformRequest request) {
+        return switch (request.method().name()) {
+            case "PUT" -> {
+                boolean created = objects.put(name, request.body()) == null;
+                yield PlatformReply.json(created ? 201 : 200, new Stored(name));
+            }
+            case "GET" -> objectReply(objects.get(name), name);
+            case "DELETE" -> objectReply(objects.remove(name), name);
+            default -> methodNotAllowed();
+        };
+    }
+
+    private static PlatformReply objectReply(Buffer stored, String name) {
+        if (stored == null) {
+            return PlatformReply.problem(404, "no object " + name);
+        }
+        return new PlatformReply(200, OBJECT_TYPE, stored);
+    }
+
+    private static PlatformReply methodNotAllowed() {
+        return PlatformReply.problem(405, "the path does not take this method");
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/support/package-info.java
@@ -0,0 +1,2 @@
+/** What the stand-ins share: arguments, addresses and JSON answers. */
+package org.knapweedmount.standins.support;
--- /dev/null
+++ b/standins/src/test/java/org/knapweedmount/standins/support/ArgumentsTest.java
@@ -0,0 +1,49 @@
+package org.knapweedmount.standins.support;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.beust.jcommander.Parameter;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+class ArgumentsTest {
+    private final ByteArrayOutputStream printed = new ByteArrayOutputStream();
+    private final Options options = new Options();
+
+    private static final class Options extends Arguments {
+        @Parameter(names = "--agents", converter = HostPort.Converter.class, description = "Agents")
+        private List<HostPort> agents = new ArrayList<>();
+    }
+
+    @Test
+    void readsAListOfAddresses() {
+        assertThat(read("--agents", "127.0.0.1:1,127.0.0.2:65535"), is(Arguments.Next.RUN));
+        assertThat(options.agents, is(List.of(new HostPort("127.0.0.1", 1), new HostPort("127.0.0.2", 65535))));
+    }
+
+    @Test
+    void refusesBadAddressesAndOptions() {
+        assertThat(read("--agents", "127.0.0.1"), is(Arguments.Next.REFUSE));
+        assertThat(read("--agents", "127.0.0.1:x"), is(Arguments.Next.REFUSE));
+        assertThat(read("--agents", "127.0.0.1:65536"), is(Arguments.Next.REFUSE));
+        assertThat(read("--agent", "127.0.0.1:1"), is(Arguments.Next.REFUSE));
+        assertThat(printed.toString(StandardCharsets.UTF_8), containsString("65536"));
+    }
+
+    @Test
+    void printsTheOptionsOnRequest() {
+        assertThat(read("--help"), is(Arguments.Next.STOP));
+        assertThat(printed.toString(StandardCharsets.UTF_8), containsString("--agents"));
+    }
+
+    private Arguments.Next read(String... args) {
+        return options.read("test", new PrintStream(printed, true, StandardCharsets.UTF_8), args);
+    }
+}
