Add the executor stand-in and its launcher

Cause: tests and trials need endpoints and workers that announce themselves, run tasks for a known time, fail in known ways and prove what they started. Change: ExecutorMain hosts one or more endpoints, each announced to its agent; TaskRunner holds tasks on an exact timer thread; StartRegister, StartLog and /stats tell of duplicate starts; workers report their use with a lag. Ruled out: refusing tasks above the slots, since workers start what they are given; the peak is counted instead.

--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/executor/ExecutorServer.java
@@ -0,0 +1,165 @@
+package org.knapweedmount.standins.executor;
+
+import com.fasterxml.jackson.annotation.JsonUnwrapped;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import org.knapweedmount.api.ParseException;
+import org.knapweedmount.standins.support.JsonHttp;
+import org.tinylog.Logger;
+
+/**
+ * One endpoint of a service, or one worker.
+ *
+ * <p>{@code GET /stats} tells what it did, {@code PUT /control} moves its switches, {@code DELETE /tasks/ID} stops a
+ * task, and every other request is a task. Everything runs on the verticle's event loop.
+ */
+public final class ExecutorServer extends VerticleBase {
+    /** The header by which the agent names the task. */
+    public static final String TASK_HEADER = "Knapweedmount-Task";
+
+    private static final String TASKS_PATH = "/tasks/";
+    private static final int IDLE_CHECK_MILLIS = 20;
+    private static final int IDLE_CHECKS = 10;
+
+    private final EndpointSpec spec;
+    private final ProcessState process;
+    private ExecutorControl control;
+    private TaskRunner tasks;
+    private Announcer announcer;
+    private UsageReporter usage;
+    private HttpServer server;
+    private int connections;
+    private int peakConnections;
+    private long unnamedTasks;
+
+    private record Stats(
+            String id,
+            int slots,
+            String mode,
+            boolean announced,
+            int connections,
+            int peakConnections,
+            @JsonUnwrapped EndpointCounts.Snapshot tasks) {}
+
+    /**
+     * Creates an endpoint that does not listen yet.
+     *
+     * @param spec how it is set up
+     * @param process what it shares with the other endpoints of the process
+     */
+    public ExecutorServer(EndpointSpec spec, ProcessState process) {
+        this.spec = spec;
+        this.process = process;
+        this.control = spec.control();
+    }
+
+    @Override
+    public Future<?> start() {
+        tasks = new TaskRunner(spec, process, context);
+        AgentClient agent = new AgentClient(vertx, spec.agent(), spec.id());
+        usage = new UsageReporter(vertx, agent, spec.usageLagMillis());
+        server = vertx.createHttpServer().connectionHandler(this::connected).requestHandler(this::receive);
+        return server.listen(spec.port(), spec.offer().host()).onSuccess(listening -> {
+            announcer = new Announcer(vertx, agent, spec.id(), spec.offer().withPort(listening.actualPort()));
+            announcer.start();
+            Logger.info("{} ready on port {}", spec.id(), listening.actualPort());
+        });
+    }
+
+    /**
+     * Returns the port that the endpoint listens on.
+     *
+     * @return a TCP port, known once the verticle has been deployed
+     */
+    public int port() {
+        return server.actualPort();
+    }
+
+    /**
+     * Leaves the agent and lets the running tasks end; callable from any thread.
+     *
+     * @return done once no task has run for a while
+     */
+    public Future<Void> leave() {
+        Promise<Void> idle = Promise.promise();
+        context.runOnContext(ignored -> announcer.leave().onComplete(left -> awaitIdle(idle, IDLE_CHECKS)));
+        return idle.future();
+    }
+
+    private void awaitIdle(Promise<Void> idle, int checksLeft) {
+        if (checksLeft == 0) {
+            idle.complete();
+            return;
+        }
+        boolean running = tasks.counts().running() > 0;
+        vertx.setTimer(IDLE_CHECK_MILLIS, timer -> awaitIdle(idle, running ? IDLE_CHECKS : checksLeft - 1));
+    }
+
+    private void connected(HttpConnection connection) {
+        connections++;
+        peakConnections = Math.max(peakConnections, connections);
+        connection.closeHandler(closed -> connections--);
+    }
+
+    private void receive(HttpServerRequest request) {
+        request.body().onSuccess(body -> {
+            try {
+                dispatch(request, body);
+            } catch (ParseException e) {
+                JsonHttp.answer(request, 400, e.getMessage());
+            }
+        });
+    }
+
+    private void dispatch(HttpServerRequest request, Buffer body) throws ParseException {
+        String path = JsonHttp.decodedPath(request);
+        if (path.equals("/stats")) {
+            JsonHttp.answer(request, 200, stats());
+            return;
+        }
+        if (path.equals("/control")) {
+            control = ExecutorControl.parse(JsonHttp.parse(body));
+            Logger.info("{} mode {}, run factor {}", spec.id(), control.mode().text(), control.runFactor());
+            JsonHttp.answer(request, 200, stats());
+            return;
+        }
+        if (request.method().equals(HttpMethod.DELETE) && path.startsWith(TASKS_PATH)) {
+            boolean stopped = tasks.stop(path.substring(TASKS_PATH.length()));
+            JsonHttp.answer(request, stopped ? 204 : 404);
+            return;
+        }
+        runTask(request, body);
+    }
+
+    private void runTask(HttpServerRequest request, Buffer body) throws ParseException {
+        TaskParameters parameters =
+                TaskParameters.parse(request.getParam("run"), request.getParam("kind"), request.getParam("use"));
+        if (!control.mode().starts()) {
+            return;
+        }
+        tasks.start(new RunningTask(taskId(request), parameters, request, body), control);
+        usage.started(parameters);
+    }
+
+    private String taskId(HttpServerRequest request) {
+        String taskId = request.getHeader(TASK_HEADER);
+        return taskId == null ? spec.id() + "-unnamed-" + ++unnamedTasks : taskId;
+    }
+
+    private Stats stats() {
+        return new Stats(
+                spec.id(),
+                spec.offer().slots(),
+                control.mode().text(),
+                announcer.announced(),
+                connections,
+                peakConnections,
+                tasks.counts());
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/executor/TaskRunner.java
@@ -0,0 +1,85 @@
+package org.knapweedmount.standins.executor;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.Context;
+import org.knapweedmount.standins.executor.EndpointCounts.Ending;
+
+/**
+ * Runs the tasks of one endpoint by holding each for its run time.
+ *
+ * <p>It starts what it is given, whether it fits or not. Used on the event loop of its endpoint.
+ */
+final class TaskRunner {
+    private static final int FIRST_ERROR_STATUS = 400;
+    private static final int STOPPED_STATUS = 409;
+
+    private final String endpointId;
+    private final int extraDelayMicros;
+    private final ProcessState process;
+    private final Context context;
+    private final EndpointCounts counts = new EndpointCounts();
+    private final Map<Long, Started> running = new HashMap<>();
+    private long lastNumber;
+
+    private record Started(RunningTask task, Optional<Future<?>> end) {}
+
+    TaskRunner(EndpointSpec spec, ProcessState process, Context context) {
+        this.endpointId = spec.id();
+        this.extraDelayMicros = spec.extraDelayMicros();
+        this.process = process;
+        this.context = context;
+    }
+
+    void start(RunningTask task, ExecutorControl control) {
+        boolean first = process.register().add(task.taskId());
+        process.startLog().append(System.currentTimeMillis(), endpointId, task.taskId(), first);
+        counts.started(task.parameters().use(), !first);
+        long number = ++lastNumber;
+        running.put(number, new Started(task, scheduleEnd(number, task, control)));
+    }
+
+    private Optional<Future<?>> scheduleEnd(long number, RunningTask task, ExecutorControl control) {
+        if (!control.mode().ends()) {
+            return Optional.empty();
+        }
+        long delayMicros = control.runMicros(task.parameters().runMicros()) + extraDelayMicros;
+        int status = control.mode().status();
+        Runnable end = () -> context.runOnContext(ignored -> end(number, status));
+        return Optional.of(process.timer().schedule(end, delayMicros, TimeUnit.MICROSECONDS));
+    }
+
+    private void end(long number, int status) {
+        Started started = running.remove(number);
+        if (started == null) {
+            return;
+        }
+        RunningTask task = started.task;
+        counts.ended(task.parameters().use(), status < FIRST_ERROR_STATUS ? Ending.COMPLETED : Ending.FAILED);
+        task.answer(status);
+    }
+
+    /** Stops a task; returns false if it does not run. */
+    boolean stop(String taskId) {
+        List<Long> numbers = running.entrySet().stream()
+                .filter(entry -> entry.getValue().task.taskId().equals(taskId))
+                .map(Map.Entry::getKey)
+                .toList();
+        for (long number : numbers) {
+            Started started = running.remove(number);
+            started.end.ifPresent(end -> end.cancel(false));
+            counts.ended(started.task.parameters().use(), Ending.STOPPED);
+            started.task.answer(STOPPED_STATUS);
+        }
+        return !numbers.isEmpty();
+    }
+
+    EndpointCounts.Snapshot counts() {
+        return counts.snapshot();
+    }
+}
--- a/standins/src/main/java/org/knapweedmount/standins/platform/PlatformServer.java
+++ b/standins/src/main/java/org/knapweedmount/standins/platform/PlatformServer.java
@@ -1,8 +1,5 @@
 package org.knapweedmount.standins.platform;
 
-import java.net.URI;
-import java.net.URISyntaxException;
-
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
 import io.vertx.core.buffer.Buffer;
@@ -69,7 +66,8 @@
     }
 
     private void dispatch(HttpServerRequest request, Buffer body) throws ParseException {
-        PlatformRequest parsed = new PlatformRequest(request.method(), decodedPath(request), query(request), body);
+        PlatformRequest parsed =
+                new PlatformRequest(request.method(), JsonHttp.decodedPath(request), query(request), body);
         if (parsed.path().equals(CONTROL_PATH)) {
             control(request, parsed);
             return;
@@ -119,12 +117,4 @@
     private static RowQuery query(HttpServerRequest request) throws ParseException {
         return RowQuery.parse(request.getParam("prefix"), request.getParam("after"), request.getParam("limit"));
     }
-
-    private static String decodedPath(HttpServerRequest request) throws ParseException {
-        try {
-            return new URI(request.path()).getPath();
-        } catch (URISyntaxException e) {
-            throw new ParseException("the path is not encoded as a URI: " + request.path(), e);
-        }
-    }
 }
--- a/standins/src/main/java/org/knapweedmount/standins/support/JsonHttp.java
+++ b/standins/src/main/java/org/knapweedmount/standins/support/JsonHttp.java
@@ -1,6 +1,8 @@
 package org.knapweedmount.standins.support;
 
 import java.io.IOException;
+import java.net.URI;
+import java.net.URISyntaxException;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -77,4 +79,19 @@
         }
         request.response().setStatusCode(status).end();
     }
+
+    /**
+     * Returns the path of a request.
+     *
+     * @param request the request
+     * @return the path without the query, decoded
+     * @throws ParseException if the path is not encoded as a URI
+     */
+    public static String decodedPath(HttpServerRequest request) throws ParseException {
+        try {
+            return new URI(request.path()).getPath();
+        } catch (URISyntaxException e) {
+            throw new ParseException("the path is not encoded as a URI: " + request.path(), e);
+        }
+    }
 }
