Add the load generator

Cause: response time against the ideal, and what other flows keep during a flood, are to be measured by a load that does not slow down with the answers. Change: LoadMain draws Poisson arrivals for each flow, sends single requests and jobs, resubmits a share of them through another entry, checks that every answer is whole and belongs to its request, and reports HdrHistograms of the response time and of its ratio to the ideal, measured from the intended time of sending. Two answers to one submission that can't both be true end the run with exit code 3. Ruled out: timers of the event loop for arrivals, exact to 1 ms only; a thread that sleeps until each arrival is used instead.

--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/load/AnswerReader.java
@@ -0,0 +1,93 @@
+package org.knapweedmount.standins.load;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.knapweedmount.api.Outcome;
+
+/** Reads the answers of entries and checks that each belongs to its request and is whole. */
+final class AnswerReader {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private AnswerReader() {}
+
+    /**
+     * Reads the answer to a single request.
+     *
+     * @param request the request
+     * @param outcome the header with the outcome, null if missing
+     * @param submission the header with the submission id, null if missing
+     * @param body the body
+     * @return the answer
+     */
+    static Answer single(PlannedRequest request, String outcome, String submission, byte[] body) {
+        Optional<Outcome> stated = outcome(outcome);
+        JsonNode json = json(body);
+        String id = submission == null ? "" : submission;
+        if (stated.isEmpty()) {
+            return new Answer(Ending.WRONG, "no outcome", id);
+        }
+        if (stated.get() != Outcome.COMPLETE) {
+            return new Answer(Ending.of(stated.get()), json.path("reason").asText(), id);
+        }
+        return echoes(json, request, 0)
+                ? new Answer(Ending.COMPLETE, "", id)
+                : new Answer(Ending.WRONG, "other body", id);
+    }
+
+    /**
+     * Reads the answer to a job.
+     *
+     * @param request the request
+     * @param body the body
+     * @return the answer
+     */
+    static Answer job(PlannedRequest request, byte[] body) {
+        JsonNode json = json(body);
+        Optional<Outcome> stated = outcome(json.path("outcome").textValue());
+        String id = json.path("submission").asText();
+        JsonNode results = json.path("results");
+        if (stated.isEmpty()) {
+            return new Answer(Ending.WRONG, "no outcome", id);
+        }
+        if (stated.get() != Outcome.COMPLETE) {
+            return results.isEmpty()
+                    ? new Answer(Ending.of(stated.get()), json.path("reason").asText(), id)
+                    : new Answer(Ending.WRONG, "results in part", id);
+        }
+        if (results.size() != request.tasks().size()) {
+            return new Answer(Ending.WRONG, "results in part", id);
+        }
+        for (int i = 0; i < results.size(); i++) {
+            JsonNode result = json(results.get(i).path("body").asText().getBytes(StandardCharsets.UTF_8));
+            if (!echoes(result, request, i)) {
+                return new Answer(Ending.WRONG, "other body", id);
+            }
+        }
+        return new Answer(Ending.COMPLETE, "", id);
+    }
+
+    private static boolean echoes(JsonNode answer, PlannedRequest request, int index) {
+        return answer.path("echo").asText().equals(request.body(index));
+    }
+
+    private static Optional<Outcome> outcome(String text) {
+        for (Outcome outcome : Outcome.values()) {
+            if (outcome.text().equals(text)) {
+                return Optional.of(outcome);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static JsonNode json(byte[] body) {
+        try {
+            return MAPPER.readTree(body);
+        } catch (IOException e) {
+            return MAPPER.missingNode();
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/load/ArrivalPlan.java
@@ -0,0 +1,106 @@
+package org.knapweedmount.standins.load;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+import java.util.Random;
+
+/**
+ * Draws the requests of a load in the order of their arrival.
+ *
+ * <p>The requests of each flow arrive as a Poisson process with a generator of its own, so that adding a flow leaves
+ * the others as they are.
+ */
+final class ArrivalPlan {
+    private static final double MICROS_PER_SECOND = 1_000_000;
+    private static final double MICROS_PER_MILLI = 1_000;
+
+    private final double endMicros;
+    private final double resubmitShare;
+    private final PriorityQueue<Source> sources = new PriorityQueue<>(Comparator.comparingDouble(s -> s.nextMicros));
+    private long lastNumber;
+
+    /** A flow and the time of its next request. */
+    private static final class Source {
+        private final LoadFlow flow;
+        private final Random random;
+        private final double meanGapMicros;
+        private double nextMicros;
+
+        private Source(LoadFlow flow, double ratePerSecond, long seed) {
+            this.flow = flow;
+            this.random = new Random(seed);
+            this.meanGapMicros = MICROS_PER_SECOND / (flow.share() * ratePerSecond);
+            this.nextMicros = flow.fromSecond() * MICROS_PER_SECOND;
+            advance();
+        }
+
+        private void advance() {
+            nextMicros -= meanGapMicros * Math.log(1 - random.nextDouble());
+        }
+
+        private boolean active(double endMicros) {
+            return nextMicros < Math.min(endMicros, flow.toSecond() * MICROS_PER_SECOND);
+        }
+    }
+
+    ArrivalPlan(List<LoadFlow> flows, double ratePerSecond, double seconds, double resubmitShare, long seed) {
+        this.endMicros = seconds * MICROS_PER_SECOND;
+        this.resubmitShare = resubmitShare;
+        for (LoadFlow flow : flows) {
+            Source source =
+                    new Source(flow, ratePerSecond, seed * 31 + flow.name().hashCode());
+            if (source.active(endMicros)) {
+                sources.add(source);
+            }
+        }
+    }
+
+    /** Returns the next request, empty at the end of the load. */
+    Optional<PlannedRequest> next() {
+        Source source = sources.poll();
+        if (source == null) {
+            return Optional.empty();
+        }
+        PlannedRequest request = request(source);
+        source.advance();
+        if (source.active(endMicros)) {
+            sources.add(source);
+        }
+        return Optional.of(request);
+    }
+
+    private PlannedRequest request(Source source) {
+        List<PlannedTask> tasks = new ArrayList<>();
+        for (int i = 0; i < source.flow.jobTasks(); i++) {
+            tasks.add(task(source));
+        }
+        long longest = tasks.stream().mapToLong(PlannedTask::runMicros).max().orElseThrow();
+        return new PlannedRequest(
+                source.flow,
+                ++lastNumber,
+                (long) source.nextMicros,
+                tasks,
+                resubmitAfterMicros(source.random, longest));
+    }
+
+    private static PlannedTask task(Source source) {
+        long runMicros = source.flow.runTime().sampleMicros(source.random);
+        if (source.flow.declaredSigma().isEmpty()) {
+            return new PlannedTask(runMicros, 0);
+        }
+        double factor = Math.exp(source.flow.declaredSigma().getAsDouble() * source.random.nextGaussian());
+        return new PlannedTask(runMicros, Math.max(1, (int) (runMicros * factor / MICROS_PER_MILLI)));
+    }
+
+    /** Draws a time of up to twice the longest run, so that some resubmissions come after the answer. */
+    private OptionalLong resubmitAfterMicros(Random random, long longestRunMicros) {
+        if (random.nextDouble() >= resubmitShare) {
+            return OptionalLong.empty();
+        }
+        return OptionalLong.of((long) (2 * longestRunMicros * random.nextDouble()));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/load/ArrivalThread.java
@@ -0,0 +1,44 @@
+package org.knapweedmount.standins.load;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
+
+import io.vertx.core.Context;
+
+/** Hands each request of a plan to the event loop at the time that it is to be sent. */
+final class ArrivalThread extends Thread {
+    private final ArrivalPlan plan;
+    private final LoadRunner runner;
+    private final Context context;
+    private final Consumer<LoadRunner> atEnd;
+
+    ArrivalThread(ArrivalPlan plan, LoadRunner runner, Context context, Consumer<LoadRunner> atEnd) {
+        super("arrivals");
+        this.plan = plan;
+        this.runner = runner;
+        this.context = context;
+        this.atEnd = atEnd;
+    }
+
+    @Override
+    public void run() {
+        long startNanos = System.nanoTime();
+        for (Optional<PlannedRequest> next = plan.next(); next.isPresent(); next = plan.next()) {
+            PlannedRequest request = next.get();
+            long atNanos = startNanos + TimeUnit.MICROSECONDS.toNanos(request.atMicros());
+            awaitTime(atNanos);
+            context.runOnContext(ignored -> runner.submit(request, atNanos));
+        }
+        context.runOnContext(ignored -> atEnd.accept(runner));
+    }
+
+    private static void awaitTime(long atNanos) {
+        long leftNanos = atNanos - System.nanoTime();
+        while (leftNanos > 0) {
+            LockSupport.parkNanos(leftNanos);
+            leftNanos = atNanos - System.nanoTime();
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/load/Ending.java
@@ -0,0 +1,43 @@
+package org.knapweedmount.standins.load;
+
+import java.util.Locale;
+
+import org.knapweedmount.api.Outcome;
+
+/** How a request of the load ended, as its sender sees it. */
+enum Ending {
+    /** The whole answer to this request came. */
+    COMPLETE,
+    /** The answer says that it failed. */
+    FAILED,
+    /** The answer says that nothing was started. */
+    NOT_RUN,
+    /** The answer says that it is not known what happened. */
+    UNKNOWN,
+    /** No answer came. */
+    LOST,
+    /** An answer came that is not whole, belongs to another request, or states no outcome. */
+    WRONG;
+
+    static Ending of(Outcome outcome) {
+        return valueOf(outcome.name());
+    }
+
+    /**
+     * Tells whether two answers to one submission can't both be true.
+     *
+     * @param other the other answer
+     * @return true if one says that nothing was started and the other that something was
+     */
+    boolean contradicts(Ending other) {
+        return (this == NOT_RUN && other.ran()) || (other == NOT_RUN && ran());
+    }
+
+    private boolean ran() {
+        return this == COMPLETE || this == FAILED;
+    }
+
+    String text() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/load/EntryClient.java
@@ -0,0 +1,100 @@
+package org.knapweedmount.standins.load;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import org.knapweedmount.api.ParseException;
+import org.knapweedmount.standins.support.HostPort;
+import org.knapweedmount.standins.support.JsonHttp;
+
+/** Sends requests to one entry. */
+final class EntryClient {
+    private final HttpClient client;
+    private final HostPort entry;
+    private final int timeoutMillis;
+
+    EntryClient(Vertx vertx, HostPort entry, int connections, int timeoutMillis) {
+        this.client = vertx.createHttpClient(
+                new HttpClientOptions().setTcpNoDelay(true), new PoolOptions().setHttp1MaxSize(connections));
+        this.entry = entry;
+        this.timeoutMillis = timeoutMillis;
+    }
+
+    /** Sends a single request, under an issued id unless it is empty. */
+    Future<Answer> single(PlannedRequest request, String submission) {
+        return request(HttpMethod.POST, RequestWriter.singlePath(request))
+                .compose(http -> {
+                    putHeaders(http, request, submission);
+                    return http.send(Buffer.buffer(request.body(0)));
+                })
+                .compose(response -> response.body()
+                        .map(body -> AnswerReader.single(
+                                request,
+                                response.getHeader("Knapweedmount-Outcome"),
+                                response.getHeader("Knapweedmount-Submission"),
+                                body.getBytes())))
+                .otherwise(Answer::lost);
+    }
+
+    private static void putHeaders(HttpClientRequest http, PlannedRequest request, String submission) {
+        http.putHeader("Content-Type", "text/plain");
+        http.putHeader("Knapweedmount-Team", request.flow().team());
+        http.putHeader("Knapweedmount-Kind", request.flow().kind());
+        int declaredMillis = request.tasks().get(0).declaredMillis();
+        if (declaredMillis > 0) {
+            http.putHeader("Knapweedmount-Declared-Millis", Integer.toString(declaredMillis));
+        }
+        if (!submission.isEmpty()) {
+            http.putHeader("Idempotency-Key", submission);
+        }
+    }
+
+    /** Sends a job under an issued id. */
+    Future<Answer> job(PlannedRequest request, String submission) {
+        return request(HttpMethod.PUT, "/v1/jobs/" + submission)
+                .compose(http ->
+                        http.putHeader("Content-Type", "application/json").send(RequestWriter.job(request)))
+                .compose(response -> response.body())
+                .map(body -> AnswerReader.job(request, body.getBytes()))
+                .otherwise(Answer::lost);
+    }
+
+    /** Has ids issued. */
+    Future<List<String>> issueIds(int count) {
+        return request(HttpMethod.POST, "/v1/submission-ids?count=" + count)
+                .compose(HttpClientRequest::send)
+                .compose(response -> response.body())
+                .compose(EntryClient::ids);
+    }
+
+    private static Future<List<String>> ids(Buffer body) {
+        try {
+            List<String> ids = new ArrayList<>();
+            for (JsonNode id : JsonHttp.parse(body).path("ids")) {
+                ids.add(id.asText());
+            }
+            return ids.isEmpty() ? Future.failedFuture("no ids in " + body) : Future.succeededFuture(ids);
+        } catch (ParseException e) {
+            return Future.failedFuture(e);
+        }
+    }
+
+    private Future<HttpClientRequest> request(HttpMethod method, String uri) {
+        return client.request(new RequestOptions()
+                .setMethod(method)
+                .setHost(entry.host())
+                .setPort(entry.port())
+                .setURI(uri)
+                .setTimeout(timeoutMillis));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/load/FlowStats.java
@@ -0,0 +1,73 @@
+package org.knapweedmount.standins.load;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.HdrHistogram.Histogram;
+
+/**
+ * What became of the requests of one flow.
+ *
+ * <p>Response times and their ratio to the ideal are kept of complete requests only. Used by one thread.
+ */
+final class FlowStats {
+    private static final int SIGNIFICANT_DIGITS = 3;
+    private static final long RATIO_UNIT = 1_000;
+    private static final double MICROS_PER_MILLI = 1_000;
+
+    private final int idealOverheadMicros;
+    private final Histogram responseMicros = new Histogram(SIGNIFICANT_DIGITS);
+    private final Histogram ratio = new Histogram(SIGNIFICANT_DIGITS);
+    private final Map<Ending, Long> endings = new EnumMap<>(Ending.class);
+    private final Map<String, Long> reasons = new TreeMap<>();
+    private long sent;
+    private long resubmitted;
+    private long contradictions;
+
+    FlowStats(int idealOverheadMicros) {
+        this.idealOverheadMicros = idealOverheadMicros;
+    }
+
+    void sent() {
+        sent++;
+    }
+
+    void ended(Answer answer, long responseTimeMicros, long longestRunMicros) {
+        endings.merge(answer.ending(), 1L, Long::sum);
+        if (!answer.reason().isEmpty()) {
+            reasons.merge(answer.ending().text() + " " + answer.reason(), 1L, Long::sum);
+        }
+        if (answer.ending() == Ending.COMPLETE) {
+            long idealMicros = Math.max(1, longestRunMicros + idealOverheadMicros);
+            responseMicros.recordValue(responseTimeMicros);
+            ratio.recordValue(responseTimeMicros * RATIO_UNIT / idealMicros);
+        }
+    }
+
+    void resubmitted(Ending first, Ending second) {
+        resubmitted++;
+        contradictions += first.contradicts(second) ? 1 : 0;
+    }
+
+    FlowSummary summary(String name) {
+        return new FlowSummary(
+                name,
+                sent,
+                count(Ending.COMPLETE),
+                count(Ending.FAILED),
+                count(Ending.NOT_RUN),
+                count(Ending.UNKNOWN),
+                count(Ending.LOST),
+                count(Ending.WRONG),
+                resubmitted,
+                contradictions,
+                Percentiles.of(responseMicros, MICROS_PER_MILLI),
+                Percentiles.of(ratio, RATIO_UNIT),
+                Map.copyOf(reasons));
+    }
+
+    private long count(Ending ending) {
+        return endings.getOrDefault(ending, 0L);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/load/LoadMain.java
@@ -0,0 +1,66 @@
+package org.knapweedmount.standins.load;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import org.knapweedmount.standins.support.JsonHttp;
+import org.tinylog.Logger;
+
+/** Runs a load and prints its report. */
+public final class LoadMain {
+    private static final int FILE_EXIT_CODE = 1;
+    private static final int VIOLATED_EXIT_CODE = 3;
+
+    private LoadMain() {}
+
+    /**
+     * Runs a load to its end. The exit code is 3 if an answer was wrong or two answers contradict each other.
+     *
+     * @param args the words of the command line
+     */
+    public static void main(String[] args) {
+        LoadOptions options = new LoadOptions();
+        options.readOrExit("standin load", args);
+        try {
+            LoadReport report = run(options);
+            System.out.print(report.table());
+            if (options.json().isPresent()) {
+                Files.write(options.json().get(), JsonHttp.encode(report).getBytes());
+            }
+            System.exit(report.violated() ? VIOLATED_EXIT_CODE : 0);
+        } catch (IOException e) {
+            Logger.error("cannot write: {}", e.getMessage());
+            System.exit(FILE_EXIT_CODE);
+        }
+    }
+
+    private static LoadReport run(LoadOptions options) throws IOException {
+        LoadSettings settings = options.settings();
+        try (TraceLog trace =
+                options.trace().isPresent() ? TraceLog.open(options.trace().get()) : TraceLog.none()) {
+            return LoadReport.of(settings, run(settings, trace));
+        }
+    }
+
+    private static List<FlowSummary> run(LoadSettings settings, TraceLog trace) {
+        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+        CompletableFuture<List<FlowSummary>> result = new CompletableFuture<>();
+        Context context = vertx.getOrCreateContext();
+        context.runOnContext(ignored -> {
+            LoadRunner runner = new LoadRunner(vertx, settings, trace);
+            runner.prepare()
+                    .onComplete(prepared -> new ArrivalThread(
+                                    settings.plan(),
+                                    runner,
+                                    context,
+                                    sent -> sent.awaitAnswers().onSuccess(done -> result.complete(sent.summaries())))
+                            .start());
+        });
+        return result.join();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/load/LoadReport.java
@@ -0,0 +1,87 @@
+package org.knapweedmount.standins.load;
+
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * The result of a load.
+ *
+ * @param ratePerSecond the rate of a flow with the share 1, in requests a second
+ * @param seconds how long requests were sent, in s
+ * @param seed what the arrivals and run times were drawn from
+ * @param idealOverheadMicros what was added to the run time for the ideal response time, in µs
+ * @param flows what became of each flow
+ */
+record LoadReport(double ratePerSecond, double seconds, long seed, int idealOverheadMicros, List<FlowSummary> flows) {
+    private static final String COUNTS = "%-20s %8s %8s %7s %8s %8s %6s %6s %8s %6s";
+    private static final String TIMES = "%-20s %9s %9s %9s %9s %9s %9s %9s %9s";
+
+    LoadReport {
+        flows = List.copyOf(flows);
+    }
+
+    static LoadReport of(LoadSettings settings, List<FlowSummary> flows) {
+        return new LoadReport(
+                settings.ratePerSecond(), settings.seconds(), settings.seed(), settings.idealOverheadMicros(), flows);
+    }
+
+    /** Tells whether an answer was wrong, or two answers can't both be true. */
+    boolean violated() {
+        return flows.stream().anyMatch(flow -> flow.wrong() > 0 || flow.contradictions() > 0);
+    }
+
+    /** Returns the report as aligned text. */
+    String table() {
+        StringBuilder text = new StringBuilder();
+        line(
+                text,
+                COUNTS,
+                "flow",
+                "sent",
+                "complete",
+                "failed",
+                "not-run",
+                "unknown",
+                "lost",
+                "wrong",
+                "resubmit",
+                "contra");
+        for (FlowSummary flow : flows) {
+            line(
+                    text,
+                    COUNTS,
+                    flow.flow(),
+                    flow.sent(),
+                    flow.complete(),
+                    flow.failed(),
+                    flow.notRun(),
+                    flow.unknown(),
+                    flow.lost(),
+                    flow.wrong(),
+                    flow.resubmitted(),
+                    flow.contradictions());
+        }
+        line(text, TIMES, "response ms, ratio", "mean", "p50", "p90", "p99", "p99.9", "max", "ratio p50", "ratio p99");
+        for (FlowSummary flow : flows) {
+            Percentiles response = flow.responseMillis();
+            Percentiles ratio = flow.ratioToIdeal();
+            line(
+                    text,
+                    TIMES,
+                    flow.flow(),
+                    response.mean(),
+                    response.p50(),
+                    response.p90(),
+                    response.p99(),
+                    response.p999(),
+                    response.max(),
+                    ratio.p50(),
+                    ratio.p99());
+        }
+        return text.toString();
+    }
+
+    private static void line(StringBuilder text, String format, Object... columns) {
+        text.append(String.format(Locale.ROOT, format, columns)).append('\n');
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/load/Percentiles.java
@@ -0,0 +1,38 @@
+package org.knapweedmount.standins.load;
+
+import org.HdrHistogram.Histogram;
+
+/**
+ * The summary of a histogram.
+ *
+ * @param mean the mean
+ * @param p50 the median
+ * @param p90 the 90th percentile
+ * @param p99 the 99th percentile
+ * @param p999 the 99.9th percentile
+ * @param max the largest value
+ */
+record Percentiles(double mean, double p50, double p90, double p99, double p999, double max) {
+    private static final double ROUNDING = 1_000;
+
+    /**
+     * Summarises a histogram.
+     *
+     * @param histogram the values
+     * @param unit by how much they are divided
+     * @return the summary, all 0 if there are no values
+     */
+    static Percentiles of(Histogram histogram, double unit) {
+        return new Percentiles(
+                rounded(histogram.getMean() / unit),
+                rounded(histogram.getValueAtPercentile(50) / unit),
+                rounded(histogram.getValueAtPercentile(90) / unit),
+                rounded(histogram.getValueAtPercentile(99) / unit),
+                rounded(histogram.getValueAtPercentile(99.9) / unit),
+                rounded(histogram.getMaxValue() / unit));
+    }
+
+    private static double rounded(double value) {
+        return Math.round(value * ROUNDING) / ROUNDING;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/load/RunTime.java
@@ -0,0 +1,70 @@
+package org.knapweedmount.standins.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import org.knapweedmount.api.ParseException;
+
+/**
+ * A distribution of run times.
+ *
+ * <p>The text form is {@code fixed(50)}, {@code exponential(200)} or {@code lognormal(150,0.8,0.02,4000)}: a median of
+ * 150 ms, a sigma of 0.8, and 2% of tasks of 4 s.
+ *
+ * @param shape the shape
+ * @param parameters its parameters
+ */
+record RunTime(RunTimeShape shape, List<Double> parameters) {
+    private static final Pattern TEXT = Pattern.compile("([a-z]+)\\(([^()]*)\\)");
+    private static final int MICROS_PER_MILLI = 1_000;
+
+    RunTime {
+        parameters = List.copyOf(parameters);
+    }
+
+    static RunTime parse(String text) throws ParseException {
+        Matcher matcher = TEXT.matcher(text);
+        if (!matcher.matches()) {
+            throw new ParseException("'" + text + "' is no distribution; expected for instance exponential(200)");
+        }
+        RunTimeShape shape = shape(matcher.group(1));
+        List<Double> parameters = new ArrayList<>();
+        for (String number : matcher.group(2).split(",", -1)) {
+            parameters.add(parameter(number, text));
+        }
+        if (parameters.size() != shape.parameterCount()) {
+            throw new ParseException("'" + text + "' is not of the form " + shape.form());
+        }
+        return new RunTime(shape, parameters);
+    }
+
+    private static RunTimeShape shape(String name) throws ParseException {
+        for (RunTimeShape shape : RunTimeShape.values()) {
+            if (shape.name().toLowerCase(Locale.ROOT).equals(name)) {
+                return shape;
+            }
+        }
+        throw new ParseException("'" + name + "' is no distribution; expected fixed, exponential or lognormal");
+    }
+
+    private static double parameter(String number, String text) throws ParseException {
+        try {
+            double parameter = Double.parseDouble(number);
+            if (parameter >= 0 && Double.isFinite(parameter)) {
+                return parameter;
+            }
+        } catch (NumberFormatException e) {
+            throw new ParseException("'" + text + "' has a parameter that is no number", e);
+        }
+        throw new ParseException("'" + text + "' has a negative or infinite parameter");
+    }
+
+    /** Draws a run time, in µs. */
+    long sampleMicros(Random random) {
+        return Math.round(shape.sampleMillis(random, parameters) * MICROS_PER_MILLI);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/load/TraceLog.java
@@ -0,0 +1,59 @@
+package org.knapweedmount.standins.load;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.io.Writer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Locale;
+
+/**
+ * Writes a line of CSV for each request: flow, arrival in µs, tasks, longest run time in µs, response time in µs,
+ * ending, submission.
+ */
+final class TraceLog implements Closeable {
+    private static final String HEADER = "flow,arrivalMicros,tasks,runMicros,responseMicros,ending,submission\n";
+
+    private final Writer writer;
+
+    private TraceLog(Writer writer) {
+        this.writer = writer;
+    }
+
+    static TraceLog open(Path file) throws IOException {
+        return to(Files.newBufferedWriter(file));
+    }
+
+    static TraceLog none() {
+        return new TraceLog(Writer.nullWriter());
+    }
+
+    static TraceLog to(Writer writer) throws IOException {
+        writer.write(HEADER);
+        return new TraceLog(writer);
+    }
+
+    void append(PlannedRequest request, long responseMicros, Answer answer) {
+        String line = String.format(
+                Locale.ROOT,
+                "%s,%d,%d,%d,%d,%s,%s%n",
+                request.flow().name(),
+                request.atMicros(),
+                request.tasks().size(),
+                request.longestRunMicros(),
+                responseMicros,
+                answer.ending().text(),
+                answer.submission());
+        try {
+            writer.write(line);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        writer.close();
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/knapweedmount/standins/load/LoadReportTest.java
@@ -0,0 +1,67 @@
+package org.knapweedmount.standins.load;
+
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+class LoadReportTest {
+    private static final int OVERHEAD_MICROS = 1_000;
+    private static final int RUN_MICROS = 9_000;
+
+    private final FlowStats stats = new FlowStats(OVERHEAD_MICROS);
+
+    @Test
+    void timesAreThoseOfCompleteRequestsOnly() {
+        end(Ending.COMPLETE, "", 10_000);
+        end(Ending.COMPLETE, "", 30_000);
+        end(Ending.NOT_RUN, "overloaded", 500_000);
+        FlowSummary summary = stats.summary("a");
+        assertThat(summary.responseMillis().max(), closeTo(30, 0.1));
+        assertThat(summary.responseMillis().p50(), closeTo(10, 0.1));
+        assertThat(summary.ratioToIdeal().max(), closeTo(3, 0.01));
+        assertThat(summary.ratioToIdeal().mean(), closeTo(2, 0.01));
+    }
+
+    @Test
+    void everyRequestIsCountedOnce() {
+        for (Ending ending : Ending.values()) {
+            end(ending, "", 1);
+        }
+        end(Ending.UNKNOWN, "timeout", 1);
+        FlowSummary summary = stats.summary("a");
+        assertThat(summary.sent(), is(7L));
+        assertThat(summary.complete() + summary.failed() + summary.notRun(), is(3L));
+        assertThat(summary.unknown(), is(2L));
+        assertThat(summary.lost() + summary.wrong(), is(2L));
+        assertThat(summary.reasons(), is(Map.of("unknown timeout", 1L)));
+    }
+
+    @Test
+    void contradictionsAndWrongAnswersViolate() {
+        stats.resubmitted(Ending.COMPLETE, Ending.COMPLETE);
+        assertThat(report().violated(), is(false));
+        stats.resubmitted(Ending.COMPLETE, Ending.NOT_RUN);
+        assertThat(report().violated(), is(true));
+    }
+
+    @Test
+    void theTableHasALineForEachFlow() {
+        end(Ending.COMPLETE, "", 10_000);
+        assertThat(report().table(), containsString("a                           1        1       0"));
+    }
+
+    private LoadReport report() {
+        return new LoadReport(1, 1, 1, OVERHEAD_MICROS, List.of(stats.summary("a")));
+    }
+
+    private void end(Ending ending, String reason, long responseMicros) {
+        stats.sent();
+        stats.ended(new Answer(ending, reason, "id"), responseMicros, RUN_MICROS);
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/knapweedmount/standins/load/LoadRunnerTest.java
@@ -0,0 +1,107 @@
+package org.knapweedmount.standins.load;
+
+import java.io.StringWriter;
+import java.util.List;
+import java.util.OptionalDouble;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.knapweedmount.standins.support.HostPort;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+class LoadRunnerTest {
+    private final Vertx vertx = Vertx.vertx();
+    private final StringWriter trace = new StringWriter();
+    private int idsIssued;
+
+    @AfterEach
+    void close() throws Exception {
+        vertx.close().await(30, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void measuresSinglesJobsAndResubmissions() throws Exception {
+        List<FlowSummary> summaries = run(
+                LoadFlow.parse("one:s:k:t:1:fixed(1)", 1, OptionalDouble.of(1)),
+                LoadFlow.parse("job:s:k:t:1:fixed(1)", 3, OptionalDouble.empty()));
+        for (FlowSummary summary : summaries) {
+            assertThat(summary.sent() > 0, is(true));
+            assertThat(summary.complete(), is(summary.sent()));
+            assertThat(summary.resubmitted(), is(summary.sent()));
+            assertThat(summary.contradictions(), is(0L));
+        }
+        assertThat(trace.toString(), containsString(",3,1000,"));
+    }
+
+    @Test
+    void countsRefusals() throws Exception {
+        FlowSummary summary = run(LoadFlow.parse("one:none:k:t:1:fixed(1)", 1, OptionalDouble.empty()))
+                .get(0);
+        assertThat(summary.notRun(), is(summary.sent()));
+    }
+
+    private List<FlowSummary> run(LoadFlow... flows) throws Exception {
+        int port = vertx.createHttpServer()
+                .requestHandler(request -> request.body().onSuccess(body -> answer(request, body)))
+                .listen(0, "127.0.0.1")
+                .await(30, TimeUnit.SECONDS)
+                .actualPort();
+        List<HostPort> entries = List.of(new HostPort("127.0.0.1", port), new HostPort("127.0.0.1", port));
+        LoadSettings settings = new LoadSettings(entries, List.of(flows), 200, 0.2, 0, 1, 1, 0, 30_000, 100);
+        TraceLog log = TraceLog.to(trace);
+        CompletableFuture<List<FlowSummary>> result = new CompletableFuture<>();
+        Context context = vertx.getOrCreateContext();
+        context.runOnContext(ignored -> {
+            LoadRunner runner = new LoadRunner(vertx, settings, log);
+            new ArrivalThread(
+                            settings.plan(),
+                            runner,
+                            context,
+                            sent -> sent.awaitAnswers().onSuccess(done -> result.complete(sent.summaries())))
+                    .start();
+        });
+        return result.get(30, TimeUnit.SECONDS);
+    }
+
+    private void answer(HttpServerRequest request, Buffer body) {
+        if (request.path().startsWith("/v1/services/none")) {
+            request.response()
+                    .setStatusCode(503)
+                    .putHeader("Knapweedmount-Outcome", "not-run")
+                    .end("{}");
+        } else if (request.path().startsWith("/v1/services/")) {
+            request.response().putHeader("Knapweedmount-Outcome", "complete").end(echo(body.toString()));
+        } else if (request.path().equals("/v1/submission-ids")) {
+            JsonArray ids = new JsonArray();
+            for (int i = Integer.parseInt(request.getParam("count")); i > 0; i--) {
+                ids.add("id-" + ++idsIssued);
+            }
+            request.response().end(new JsonObject().put("ids", ids).encode());
+        } else {
+            JsonArray results = new JsonArray();
+            for (Object task : body.toJsonObject().getJsonArray("tasks")) {
+                results.add(new JsonObject().put("body", echo(((JsonObject) task).getString("body"))));
+            }
+            request.response()
+                    .end(new JsonObject()
+                            .put("outcome", "complete")
+                            .put("results", results)
+                            .encode());
+        }
+    }
+
+    private static String echo(String body) {
+        return new JsonObject().put("echo", body).encode();
+    }
+}
