--- a/core/src/main/java/org/knapweedmount/core/agent/AgentCore.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/AgentCore.java
@@ -40,7 +40,7 @@
     private final AgentPorts ports;
     private final PeerAddress self;
     private final ConfigState config;
-    private final EntryTable entries = new EntryTable();
+    private final EntryTable entries;
     private final EndpointTable endpoints;
     private final ServicePools pools;
     private final StartGate gate;
@@ -70,6 +70,7 @@
         this.ports = new AgentPorts(limits, output, counters, invariants);
         this.self = self;
         this.config = config;
+        this.entries = new EntryTable(self.incarnation());
         this.endpoints = new EndpointTable(invariants);
         this.pools = new ServicePools(ports, endpoints, entries, config);
         this.gate = new StartGate(entries::linked);
@@ -133,7 +134,7 @@
     public void linked(PeerAddress entry, long nowNanos) {
         Incarnation incarnation = entry.incarnation();
         unlinked(incarnation, nowNanos);
-        entries.add(new EntryLink(incarnation, nowNanos));
+        entries.add(incarnation, nowNanos);
         if (draining) {
             ports.output().send(incarnation, new Leaving(DRAIN_REASON));
             return;
--- a/core/src/main/java/org/knapweedmount/core/agent/Endpoint.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/Endpoint.java
@@ -87,7 +87,11 @@
         return (double) running / slots();
     }
 
-    /** Returns what a task is charged here: the larger of what it declares and what its kind was seen to use. */
+    /**
+     * Returns what a task is charged here: the larger of what it declares and what its kind was seen to use.
+     *
+     * <p>The use that was seen counts at most as the whole of the worker, so that the task can still run alone.
+     */
     Resources charge(String kind, Resources declared) {
         return declared.max(reportedUse.getOrDefault(kind, Resources.NONE));
     }
@@ -99,7 +103,7 @@
 
     /** Tells whether a need would fit if nothing else ran here. */
     boolean couldFit(Resources need) {
-        return limitedBySlotsAlone() || need.fits(resources());
+        return advertisedSlots() > 0 && (limitedBySlotsAlone() || need.fits(resources()));
     }
 
     private boolean limitedBySlotsAlone() {
@@ -110,7 +114,8 @@
         if (reportedUse.size() >= MAX_REPORTED_KINDS && !reportedUse.containsKey(kind)) {
             return;
         }
-        reportedUse.put(kind, used);
+        Resources excess = used.minus(resources());
+        reportedUse.put(kind, used.minus(excess));
     }
 
     void recharged(Resources before, Resources after) {
--- a/core/src/main/java/org/knapweedmount/core/agent/EndpointTable.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/EndpointTable.java
@@ -128,20 +128,20 @@
     }
 
     /** Tells whether a task would fit on some endpoint if nothing else ran there. */
-    boolean couldFit(String service, String kind, Resources declared) {
+    boolean couldFit(String service, Resources declared) {
         for (Endpoint endpoint : endpoints(service)) {
-            if (endpoint.couldFit(endpoint.charge(kind, declared))) {
+            if (endpoint.couldFit(declared)) {
                 return true;
             }
         }
         return false;
     }
 
-    /** Finds the least loaded endpoint with an open slot on which a task fits. */
-    Optional<Endpoint> choose(String service, String kind, Resources declared) {
+    /** Finds the least loaded endpoint with an open slot on which a task fits beside what is reserved. */
+    Optional<Endpoint> choose(String service, String kind, Resources declared, Resources reserved) {
         Endpoint chosen = null;
         for (Endpoint endpoint : endpoints(service)) {
-            if (endpoint.openSlots() == 0 || !endpoint.fits(endpoint.charge(kind, declared), Resources.NONE)) {
+            if (endpoint.openSlots() == 0 || !endpoint.fits(endpoint.charge(kind, declared), reserved)) {
                 continue;
             }
             if (chosen == null || endpoint.load() < chosen.load()) {
--- a/core/src/main/java/org/knapweedmount/core/agent/EntryLink.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/EntryLink.java
@@ -7,12 +7,14 @@
 /** The link to one entry. */
 final class EntryLink {
     private final Incarnation entry;
+    private final long rank;
     private long heardNanos;
     private boolean silent;
     private boolean leaving;
 
-    EntryLink(Incarnation entry, long nowNanos) {
+    EntryLink(Incarnation entry, long rank, long nowNanos) {
         this.entry = entry;
+        this.rank = rank;
         this.heardNanos = nowNanos;
     }
 
@@ -20,6 +22,11 @@
         return entry;
     }
 
+    /** Returns its place among entries that are otherwise equal, which differs from agent to agent. */
+    long rank() {
+        return rank;
+    }
+
     /**
      * Takes a sign of life.
      *
--- a/core/src/main/java/org/knapweedmount/core/agent/EntryTable.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/EntryTable.java
@@ -8,12 +8,25 @@
 
 import org.knapweedmount.api.Incarnation;
 
-/** The links to entries. */
+/**
+ * The links to entries.
+ *
+ * <p>Entries that are otherwise equal are ranked differently by each agent, so that a few slots at each of many agents
+ * are spread over all entries.
+ */
 final class EntryTable {
+    private static final long MIX = 0x9E3779B97F4A7C15L;
+
+    private final Incarnation self;
     private final Map<Incarnation, EntryLink> links = new LinkedHashMap<>();
 
-    void add(EntryLink link) {
-        links.put(link.entry(), link);
+    EntryTable(Incarnation self) {
+        this.self = self;
+    }
+
+    void add(Incarnation entry, long nowNanos) {
+        long rank = ((self.hashCode() * MIX) ^ entry.hashCode()) * MIX;
+        links.put(entry, new EntryLink(entry, rank, nowNanos));
     }
 
     Optional<EntryLink> remove(Incarnation entry) {
--- a/core/src/main/java/org/knapweedmount/core/agent/FlowState.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/FlowState.java
@@ -8,6 +8,7 @@
 
 import org.knapweedmount.api.Flow;
 import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.Resources;
 
 /** What is known of one flow of a service: its virtual time, its demand at each entry and the slots that it holds. */
 final class FlowState {
@@ -15,6 +16,7 @@
     private final KindState kind;
     private final Map<Incarnation, EntryDemand> demands = new LinkedHashMap<>();
     private double virtualNanos;
+    private Resources refusedNeed = Resources.NONE;
     private int running;
     private int leased;
 
@@ -39,6 +41,15 @@
         virtualNanos = nanos;
     }
 
+    /** Returns what the last task needed that was refused for lack of room, nothing after a start. */
+    Resources refusedNeed() {
+        return refusedNeed;
+    }
+
+    void refusedNeed(Resources need) {
+        refusedNeed = need;
+    }
+
     EntryDemand demandOf(Incarnation entry) {
         return demands.computeIfAbsent(entry, name -> new EntryDemand());
     }
@@ -63,6 +74,12 @@
         return need;
     }
 
+    /** Counts the tasks that an entry has queued, as last told. */
+    int queuedAt(Incarnation entry) {
+        EntryDemand demand = demands.get(entry);
+        return demand == null ? 0 : demand.tasks();
+    }
+
     /** Adds the entries with queued tasks that have no lease. */
     void addWanting(Set<Incarnation> entries) {
         demands.forEach((entry, demand) -> {
--- a/core/src/main/java/org/knapweedmount/core/agent/FlowTable.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/FlowTable.java
@@ -68,14 +68,19 @@
         List.copyOf(changed).forEach(flow -> updated(flow, entry));
     }
 
-    /** Takes the length of a queue that came with a start. */
-    void queuedAtStart(Flow name, Incarnation entry, int queued, long nowNanos) {
+    /**
+     * Takes the length of a queue that came with a start.
+     *
+     * @return false if there is no room for another flow
+     */
+    boolean queuedAtStart(Flow name, Incarnation entry, int queued, long nowNanos) {
         if (full(name)) {
-            return;
+            return false;
         }
         FlowState flow = flow(name, nowNanos);
         flow.demandOf(entry).queuedAtStart(Math.max(0, queued), nowNanos);
         updated(flow, entry);
+        return true;
     }
 
     private boolean full(Flow flow) {
@@ -132,7 +137,7 @@
     }
 
     private void noteQueue(FlowState flow, Incarnation entry) {
-        if (flow.findDemand(entry).map(EntryDemand::tasks).orElse(0) > 0) {
+        if (flow.queuedAt(entry) > 0) {
             queuedBy.computeIfAbsent(entry, name -> new LinkedHashSet<>()).add(flow);
             return;
         }
--- a/core/src/main/java/org/knapweedmount/core/agent/Lease.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/Lease.java
@@ -56,6 +56,11 @@
         return charge.map(FlowCharge::flow);
     }
 
+    /** Tells whether its entry has a task queued for it, as far as the agent was told. */
+    boolean awaited() {
+        return flow().isPresent() && flow().get().queuedAt(entry) > 0;
+    }
+
     /** Returns what its flow was charged for it, empty if it is bound to none. */
     Optional<FlowCharge> charge() {
         return charge;
--- a/core/src/main/java/org/knapweedmount/core/agent/Recaller.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/Recaller.java
@@ -1,6 +1,8 @@
 package org.knapweedmount.core.agent;
 
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
@@ -29,19 +31,29 @@
         SlotLimits limits = SlotLimits.of(pool.policy(), pool.flows(), pool.slots(), nowNanos);
         int longHeld = pool.flows().runningLong();
         int lacking = -pool.book().pending();
+        Set<Incarnation> waiting = new HashSet<>();
         boolean longOnly = true;
         for (FlowState flow : pool.flows().wanting()) {
-            int room = limits.room(flow, pool.flows(), longHeld);
+            flow.addWanting(waiting);
+            int room = pool.fits(flow) ? limits.room(flow, pool.flows(), longHeld) : 0;
             int wanted = Math.min(room, flow.need(entries::reachable));
             lacking += wanted;
             longOnly &= wanted == 0 || !pool.policy().kind(flow.flow().kind()).shortTask();
         }
-        boolean anyScope = !longOnly;
-        ask(pool, lacking, lease -> spare(lease, nowNanos) && (anyScope || lease.scope() == LeaseScope.ANY), nowNanos);
+        boolean shortWanted = !longOnly;
+        ask(
+                pool,
+                lacking,
+                lease -> spare(lease, waiting, nowNanos) && (shortWanted || lease.scope() == LeaseScope.ANY),
+                nowNanos);
     }
 
-    private static boolean spare(Lease lease, long nowNanos) {
-        return lease.flow().isEmpty() || stale(lease, nowNanos);
+    /** An entry that waits for slots is about to use the leases without a flow that it has. */
+    private static boolean spare(Lease lease, Set<Incarnation> waiting, long nowNanos) {
+        if (lease.flow().isEmpty()) {
+            return !waiting.contains(lease.entry());
+        }
+        return !lease.awaited() || stale(lease, nowNanos);
     }
 
     private static boolean stale(Lease lease, long nowNanos) {
@@ -96,7 +108,7 @@
         }
         int excess = most == null ? 0 : (mostIdle - leastIdle) / 2;
         if (excess > 0 && pool.free() <= 0) {
-            ask(pool, most, excess, lease -> spare(lease, nowNanos), nowNanos);
+            ask(pool, most, excess, lease -> spare(lease, Set.of(), nowNanos), nowNanos);
         }
     }
 
--- a/core/src/main/java/org/knapweedmount/core/agent/ServicePool.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/ServicePool.java
@@ -126,7 +126,7 @@
     }
 
     private Resources need(FlowState flow) {
-        return policy.kind(flow.flow().kind()).resources();
+        return policy.kind(flow.flow().kind()).resources().max(flow.refusedNeed());
     }
 
     /** Tells whether a task of a flow fits into what the workers have left beside the leases. */
@@ -192,6 +192,11 @@
         return book.take(entry, start.lease());
     }
 
+    /** Tells whether a task may run again after a failure. */
+    boolean repeatable(Start start) {
+        return policy.kind(start.spec().kind()).repeatable();
+    }
+
     /** Ends a lease whose start was refused. */
     void refused(Lease lease) {
         close(lease, LeaseEvent.REFUSED);
@@ -208,14 +213,29 @@
         if (lease.flow().isEmpty() && flows.heldByTeam(start.team()) >= policy.quota(start.team(), slots())) {
             return Optional.of(Reason.OVER_QUOTA);
         }
-        Resources need = declared(start, kind);
-        if (endpoints.choose(service, kind.name(), need).isPresent()) {
+        if (choose(lease, start, kind).isPresent()) {
             return Optional.empty();
         }
-        boolean never = !endpoints.couldFit(service, kind.name(), need);
+        boolean never = !endpoints.couldFit(service, declared(start, kind));
         return Optional.of(never ? Reason.FITS_NO_WORKER : Reason.LEASE_LAPSED);
     }
 
+    /**
+     * Takes a task that was refused for lack of room for a queued one, so that its entry gets a lease of its flow when
+     * there is room, and none without a flow that it would use for the same task in vain.
+     */
+    void awaitsRoom(Lease lease, Start start, long nowNanos) {
+        if (!flows.queuedAtStart(start.flow(), lease.entry(), start.queued() + 1, nowNanos)) {
+            return;
+        }
+        flows.flow(start.flow(), nowNanos).refusedNeed(start.spec().resources());
+    }
+
+    private Optional<Endpoint> choose(Lease lease, Start start, KindConfig kind) {
+        Resources keepFree = lease.flow().isPresent() ? Resources.NONE : reserved;
+        return endpoints.choose(service, kind.name(), declared(start, kind), keepFree);
+    }
+
     private static Resources declared(Start start, KindConfig kind) {
         return start.spec().resources().max(kind.resources());
     }
@@ -231,13 +251,14 @@
         Resources need = declared(start, kind);
         FlowState flow = flows.flow(start.flow(), nowNanos);
         FlowCharge charge = lease.charge().orElseGet(() -> arbiter.charge(flow));
-        Endpoint endpoint = endpoints.choose(service, kind.name(), need).orElseThrow();
+        Endpoint endpoint = choose(lease, start, kind).orElseThrow();
         boolean longTask = !kind.shortTask();
         RunningTask task = new RunningTask(start.task(), endpoint, lease, charge, longTask, need, nowNanos);
         lease.step(LeaseEvent.STARTED, ports.invariants());
         unbind(lease);
         endpoint.started(task.endpointCharge());
         flows.started(flow, longTask, nowNanos);
+        flow.refusedNeed(Resources.NONE);
         running++;
         return task;
     }
--- a/core/src/main/java/org/knapweedmount/core/agent/ServicePools.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/ServicePools.java
@@ -106,7 +106,8 @@
     }
 
     private void measure(ServicePool pool, long nowNanos) {
-        if (pool.measure() && !closed) {
+        boolean changed = pool.measure();
+        if (changed && (!closed || pool.slots() == 0)) {
             entries.all().forEach(link -> ports.output().send(link.entry(), pool.capacity()));
         }
         trim(pool);
--- a/core/src/main/java/org/knapweedmount/core/agent/SlotDistributor.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/SlotDistributor.java
@@ -31,18 +31,19 @@
             return List.of();
         }
         GrantPlan plan = new GrantPlan(pool.service());
-        int left = serveDemand(pool, plan, free, nowNanos);
+        int left = free;
+        if (!pool.flows().wanting().isEmpty()) {
+            SlotLimits limits = SlotLimits.of(pool.policy(), pool.flows(), pool.slots(), nowNanos);
+            left = serveDemand(pool, plan, limits, left, nowNanos);
+            left = keep(pool, plan, limits, left, ended, nowNanos);
+        }
         spread(pool, plan, left, ended, nowNanos);
         int open = pool.openSlots();
         return plan.grants(entry -> open - pool.book().idle(entry));
     }
 
-    private int serveDemand(ServicePool pool, GrantPlan plan, int free, long nowNanos) {
+    private int serveDemand(ServicePool pool, GrantPlan plan, SlotLimits limits, int free, long nowNanos) {
         int left = free;
-        if (pool.flows().wanting().isEmpty()) {
-            return left;
-        }
-        SlotLimits limits = SlotLimits.of(pool.policy(), pool.flows(), pool.slots(), nowNanos);
         while (left > 0) {
             Optional<Arbiter.Claim> claim =
                     pool.arbiter().next(limits, pool.longHeld(), entries::reachable, pool::fits);
@@ -56,6 +57,27 @@
         return left;
     }
 
+    /**
+     * Leaves the slot of a task that has ended to its flow, if its entry has a queue of another flow without room: a
+     * lease without a flow would be used for that queue at once.
+     */
+    private int keep(
+            ServicePool pool, GrantPlan plan, SlotLimits limits, int free, Optional<RunningTask> ended, long nowNanos) {
+        if (free == 0 || ended.isEmpty()) {
+            return free;
+        }
+        Incarnation entry = ended.get().entry();
+        FlowState flow = ended.get().flow();
+        boolean wanted =
+                pool.flows().wants(flow) || !wanting(pool, LeaseScope.ANY).contains(entry);
+        boolean taken = entries.find(entry).map(EntryLink::takesIdleLeases).orElse(false);
+        if (wanted || !taken || limits.room(flow, pool.flows(), pool.longHeld()) == 0 || !pool.fits(flow)) {
+            return free;
+        }
+        pool.grant(plan, entry, scope(pool, flow), Optional.of(flow), free, nowNanos);
+        return free - 1;
+    }
+
     private static LeaseScope scope(ServicePool pool, FlowState flow) {
         return pool.policy().kind(flow.flow().kind()).shortTask() ? LeaseScope.SHORT_ONLY : LeaseScope.ANY;
     }
@@ -92,7 +114,7 @@
 
     private Optional<Incarnation> leastIdle(
             ServicePool pool, LeaseScope scope, Set<Incarnation> excluded, Optional<Incarnation> preferred) {
-        Incarnation least = null;
+        EntryLink least = null;
         int leastIdle = Integer.MAX_VALUE;
         int preferredIdle = Integer.MAX_VALUE;
         for (EntryLink link : entries.all()) {
@@ -103,12 +125,12 @@
             if (preferred.isPresent() && link.entry().equals(preferred.get())) {
                 preferredIdle = idle;
             }
-            if (idle < leastIdle) {
-                least = link.entry();
+            if (least == null || idle < leastIdle || (idle == leastIdle && link.rank() < least.rank())) {
+                least = link;
                 leastIdle = idle;
             }
         }
         boolean fair = preferredIdle != Integer.MAX_VALUE && preferredIdle <= leastIdle + 1;
-        return fair ? preferred : Optional.ofNullable(least);
+        return fair ? preferred : Optional.ofNullable(least).map(EntryLink::entry);
     }
 }
--- a/core/src/main/java/org/knapweedmount/core/agent/StartRecords.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/StartRecords.java
@@ -56,7 +56,7 @@
         ended.remove(submission);
         running.put(submission, record);
         TaskRecord task = record.findOrAdd(id.index());
-        invariants.check(!task.settled(), "a task is not started again while it runs or after it was completed");
+        invariants.check(!task.settled(true), "a task is not started again while it runs or after it was completed");
         resultBytes -= task.resultBytes();
         task.started();
         while (!ended.isEmpty() && running.size() + ended.size() > limits.maxRecords()) {
--- a/core/src/main/java/org/knapweedmount/core/agent/TaskRecord.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/TaskRecord.java
@@ -57,8 +57,12 @@
         result = kept;
     }
 
-    /** Tells whether another start of it would be a second run of something that succeeded or still runs. */
-    boolean settled() {
-        return running() || (state == TaskState.FINISHED && complete);
+    /**
+     * Tells whether another start of it would be a run too many.
+     *
+     * @param repeatable true if it may run again after a failure
+     */
+    boolean settled(boolean repeatable) {
+        return running() || (state == TaskState.FINISHED && (complete || !repeatable));
     }
 }
--- a/core/src/main/java/org/knapweedmount/core/agent/TaskStarter.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/TaskStarter.java
@@ -44,23 +44,31 @@
         }
         Optional<Lease> lease = pool.flatMap(slots -> slots.take(entry, start));
         pool.ifPresent(slots -> slots.queued(entry, start, nowNanos));
-        if (answeredFromRecord(entry, start)) {
+        boolean repeatable = pool.map(slots -> slots.repeatable(start)).orElse(false);
+        if (answeredFromRecord(entry, start, repeatable)) {
             lease.ifPresent(taken -> taken.pool().refused(taken));
             return;
         }
         Optional<Reason> refusal = refusal(entry, start, lease, draining);
         if (refusal.isPresent()) {
-            lease.ifPresent(taken -> taken.pool().refused(taken));
+            lease.ifPresent(taken -> giveUp(taken, start, refusal.get(), nowNanos));
             refuse(entry, start, refusal.get());
             return;
         }
         carryOut(start, lease.orElseThrow(), nowNanos);
     }
 
-    /** A task that runs or succeeded here is not started again, whatever its entry has forgotten. */
-    private boolean answeredFromRecord(Incarnation entry, Start start) {
+    private static void giveUp(Lease lease, Start start, Reason reason, long nowNanos) {
+        lease.pool().refused(lease);
+        if (reason == Reason.OVER_QUOTA || reason == Reason.LEASE_LAPSED) {
+            lease.pool().awaitsRoom(lease, start, nowNanos);
+        }
+    }
+
+    /** A task that runs, succeeded or may not run again is not started again, whatever its entry has forgotten. */
+    private boolean answeredFromRecord(Incarnation entry, Start start, boolean repeatable) {
         Optional<TaskRecord> record = records.find(start.task());
-        if (record.isEmpty() || !record.get().settled()) {
+        if (record.isEmpty() || !record.get().settled(repeatable)) {
             return false;
         }
         ports.counters().increment(AgentCounter.DUPLICATE_STARTS);
