Add keys, relays, settlements and the operators' status to the entry

Cause: the entry answered only for ids of its own. Change: callers' own keys are claimed before anything starts; requests for ids of another entry are relayed, or settled by seals when that entry stays away; queued tasks that waited far too long, or whose agents have gone, end; the entry reports its state for operators. Ruled out: settling at the moment a link breaks.

--- a/core/src/main/java/org/knapweedmount/core/entry/AgentLinks.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/AgentLinks.java
@@ -44,7 +44,7 @@
         scheduler.unlinked(agent);
         agent.unlinked(nowNanos);
         startedTasks.unlinked(agent);
-        if (agents.isReplaced(agent)) {
+        if (agents.isGone(incarnation)) {
             startedTasks.lost(agent, nowNanos);
         }
     }
--- a/core/src/main/java/org/knapweedmount/core/entry/Agents.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/Agents.java
@@ -1,6 +1,7 @@
 package org.knapweedmount.core.entry;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,6 +18,7 @@
     private final EntryContext context;
     private final OwnRoster roster;
     private final Map<Incarnation, AgentState> byIncarnation = new LinkedHashMap<>();
+    private final Map<String, Incarnation> latestByProcess = new HashMap<>();
     private long highestForgottenSequence;
 
     Agents(EntryContext context, OwnRoster roster) {
@@ -34,9 +36,20 @@
 
     /** Returns an agent's state; an agent seen for the first time is added to the roster. */
     AgentState obtain(PeerAddress address) {
+        latestByProcess.put(address.incarnation().process(), address.incarnation());
         return byIncarnation.computeIfAbsent(address.incarnation(), unused -> create(address));
     }
 
+    boolean isLinked(Incarnation incarnation) {
+        return find(incarnation).filter(AgentState::linked).isPresent();
+    }
+
+    /** Tells whether an agent is not linked and another incarnation of its process is. */
+    boolean isGone(Incarnation incarnation) {
+        Incarnation latest = latestByProcess.get(incarnation.process());
+        return latest != null && !latest.equals(incarnation) && isLinked(latest) && !isLinked(incarnation);
+    }
+
     /** Returns the earlier incarnations of an agent's process that are not linked. */
     List<AgentState> replacedBy(AgentState agent) {
         return byIncarnation.values().stream()
@@ -45,12 +58,6 @@
                 .toList();
     }
 
-    /** Tells whether another incarnation of an agent's process is linked. */
-    boolean isReplaced(AgentState agent) {
-        return byIncarnation.values().stream()
-                .anyMatch(other -> other != agent && other.linked() && sameProcess(other, agent));
-    }
-
     /** Forgets agents that have been gone for long, so that later ids do not name them. */
     void forget(long nowNanos) {
         List<AgentState> gone = byIncarnation.values().stream()
@@ -59,6 +66,7 @@
                 .toList();
         for (AgentState agent : gone) {
             byIncarnation.remove(agent.incarnation());
+            latestByProcess.remove(agent.incarnation().process(), agent.incarnation());
             roster.drop(agent.address());
             highestForgottenSequence = Math.max(highestForgottenSequence, agent.lastSequence());
         }
--- a/core/src/main/java/org/knapweedmount/core/entry/Answers.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/Answers.java
@@ -21,6 +21,11 @@
         context.invariants().check(open.add(requester), "each request has its own number");
     }
 
+    /** Tells whether a request is still to be answered. */
+    boolean awaits(Requester requester) {
+        return open.contains(requester);
+    }
+
     void deliver(Requester requester, JobAnswer answer) {
         boolean awaited = open.remove(requester);
         context.invariants().check(awaited, "each request is answered once");
--- a/core/src/main/java/org/knapweedmount/core/entry/EntryCore.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/EntryCore.java
@@ -1,6 +1,7 @@
 package org.knapweedmount.core.entry;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 
 import org.knapweedmount.api.Incarnation;
@@ -9,6 +10,7 @@
 import org.knapweedmount.api.SubmissionId;
 import org.knapweedmount.api.message.Leaving;
 import org.knapweedmount.api.message.Message;
+import org.knapweedmount.api.message.Sealed;
 import org.knapweedmount.core.config.ConfigState;
 import org.knapweedmount.core.metric.Counters;
 import org.knapweedmount.core.metric.Invariants;
@@ -24,10 +26,18 @@
     private final IdIssuer issuer;
     private final Answers answers;
     private final Agents agents;
+    private final Services services;
     private final TaskScheduler scheduler;
     private final Submissions submissions;
     private final StartedTasks startedTasks;
+    private final QueueWatch queueWatch;
     private final AgentLinks agentLinks;
+    private final KeyClaims claims;
+    private final Settlements settlements;
+    private final Relays relays;
+    private final RequestRouter router;
+    private final EntryLinks entryLinks;
+    private boolean draining;
 
     /**
      * Creates the decisions of an entry without links.
@@ -54,14 +64,26 @@
         this.answers = new Answers(context);
         this.agents = new Agents(context, roster);
         RunTimes runTimes = new RunTimes();
-        Services services = new Services(context, runTimes);
+        this.services = new Services(context, runTimes);
         this.scheduler = new TaskScheduler(context, services);
         Admission admission =
                 new Admission(context, services, scheduler, runTimes, roster.linkedEntries(), new Random(seed));
         RetryPolicy retries = new RetryPolicy(context, services);
         this.submissions = new Submissions(context, issuer, answers, admission, scheduler, retries);
         this.startedTasks = new StartedTasks(context, scheduler, submissions, retries, runTimes);
+        this.queueWatch = new QueueWatch(context, services, submissions, admission);
         this.agentLinks = new AgentLinks(agents, scheduler, startedTasks);
+        this.claims = new KeyClaims(context, answers, issuer, submissions, admission);
+        PeerRosters peerRosters = new PeerRosters();
+        this.settlements = new Settlements(context, answers, agents, id -> roster(id, peerRosters));
+        this.relays = new Relays(context, answers, settlements);
+        this.router = new RequestRouter(context, answers, submissions, claims, relays, settlements);
+        this.entryLinks = new EntryLinks(roster, peerRosters, relays, router);
+    }
+
+    private Optional<List<PeerAddress>> roster(SubmissionId id, PeerRosters peerRosters) {
+        boolean own = id.issuer().equals(context.self());
+        return own ? roster.agents(id.rosterVersion()) : peerRosters.agents(id);
     }
 
     /**
@@ -84,12 +106,7 @@
     public void submit(long request, SubmissionRequest submission, long nowNanos) {
         Requester requester = Requester.caller(request);
         answers.await(requester);
-        JobRequest job = new JobRequest(requester, submission.service(), submission.job(), submission.awaitEnd());
-        if (submission.id().isPresent()) {
-            submissions.submit(submission.id().get(), job, nowNanos);
-        } else {
-            submissions.submitNew(job, nowNanos);
-        }
+        router.submit(requester, submission, nowNanos);
     }
 
     /**
@@ -103,7 +120,7 @@
     public void status(long request, SubmissionId id, boolean awaitEnd, long nowNanos) {
         Requester requester = Requester.caller(request);
         answers.await(requester);
-        submissions.status(id, requester, awaitEnd);
+        router.status(id, requester, awaitEnd, nowNanos);
     }
 
     /**
@@ -116,7 +133,7 @@
     public void cancel(long request, SubmissionId id, long nowNanos) {
         Requester requester = Requester.caller(request);
         answers.await(requester);
-        submissions.cancel(id, requester, nowNanos);
+        router.cancel(id, requester, nowNanos);
     }
 
     /**
@@ -127,7 +144,20 @@
      * @param result the result
      * @param nowNanos the present time
      */
-    public void claimed(String key, SubmissionId proposed, ClaimResult result, long nowNanos) {}
+    public void claimed(String key, SubmissionId proposed, ClaimResult result, long nowNanos) {
+        router.claimed(key, proposed, result, nowNanos);
+    }
+
+    /**
+     * Finds the id that a caller's own key stands for, as far as this entry knows.
+     *
+     * @param team the team that the key was used with
+     * @param key the caller's key
+     * @return the id, empty if the key was not used through this entry or not lately
+     */
+    public Optional<SubmissionId> holder(String team, String key) {
+        return claims.find(KeyClaims.name(team, key));
+    }
 
     /**
      * Takes a new link to an agent or entry, after both sides have said hello.
@@ -138,8 +168,9 @@
     public void linked(PeerAddress peer, long nowNanos) {
         if (peer.role() == Role.AGENT) {
             agentLinks.linked(peer, nowNanos);
+            settlements.linked(peer.incarnation());
         } else {
-            roster.linked(peer.incarnation());
+            entryLinks.linked(peer.incarnation(), nowNanos);
         }
     }
 
@@ -151,7 +182,7 @@
      */
     public void unlinked(Incarnation peer, long nowNanos) {
         agentLinks.unlinked(peer, nowNanos);
-        roster.unlinked(peer);
+        entryLinks.unlinked(peer, nowNanos);
     }
 
     /**
@@ -163,6 +194,11 @@
      */
     public void receive(Incarnation from, Message message, long nowNanos) {
         agentLinks.receive(from, message, nowNanos);
+        if (message instanceof Sealed sealed) {
+            settlements.sealed(from, sealed, nowNanos);
+        } else {
+            entryLinks.receive(from, message, nowNanos);
+        }
     }
 
     /**
@@ -183,6 +219,9 @@
     public void tick(long nowNanos) {
         startedTasks.tick(nowNanos);
         scheduler.tick(nowNanos);
+        queueWatch.tick(nowNanos);
+        relays.tick(nowNanos);
+        settlements.tick(nowNanos);
         agents.forget(nowNanos);
     }
 
@@ -192,6 +231,10 @@
      * @param nowNanos the present time
      */
     public void drain(long nowNanos) {
+        if (draining) {
+            return;
+        }
+        draining = true;
         submissions.drain();
         scheduler.drain();
         Leaving leaving = new Leaving("draining");
@@ -201,12 +244,22 @@
         roster.linkedEntries().forEach(entry -> context.output().send(entry, leaving));
     }
 
+    /**
+     * Returns the state of this entry, for operators.
+     *
+     * @param nowNanos the present time
+     * @return the state
+     */
+    public EntryStatus status(long nowNanos) {
+        return StatusReport.of(services, roster, draining, nowNanos);
+    }
+
     /**
      * Tells whether every accepted submission has ended and every caller is answered.
      *
      * @return true if nothing is left to do
      */
     public boolean idle() {
-        return submissions.isEmpty() && answers.isEmpty();
+        return submissions.isEmpty() && claims.isEmpty() && answers.isEmpty();
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/entry/ForeignRequest.java
@@ -0,0 +1,37 @@
+package org.knapweedmount.core.entry;
+
+import java.util.Optional;
+
+import org.knapweedmount.api.JobSpec;
+import org.knapweedmount.api.SubmissionId;
+import org.knapweedmount.api.message.RelayRequest;
+import org.knapweedmount.api.message.RelayRequest.Operation;
+
+/**
+ * A request about a submission whose id another entry has issued.
+ *
+ * @param requester who is to be answered
+ * @param operation what is wanted
+ * @param id the submission
+ * @param job the job, present if it is to be submitted
+ * @param awaitEnd true if the answer is wanted when the submission has ended, false for the present state
+ */
+record ForeignRequest(
+        Requester requester, Operation operation, SubmissionId id, Optional<JobSpec> job, boolean awaitEnd) {
+    static ForeignRequest submit(SubmissionId id, JobRequest request) {
+        return new ForeignRequest(
+                request.requester(), Operation.SUBMIT, id, Optional.of(request.job()), request.awaitEnd());
+    }
+
+    static ForeignRequest status(SubmissionId id, Requester requester, boolean awaitEnd) {
+        return new ForeignRequest(requester, Operation.STATUS, id, Optional.empty(), awaitEnd);
+    }
+
+    static ForeignRequest cancel(SubmissionId id, Requester requester) {
+        return new ForeignRequest(requester, Operation.CANCEL, id, Optional.empty(), true);
+    }
+
+    RelayRequest message(long number) {
+        return new RelayRequest(number, operation, id, job, awaitEnd);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/entry/RequestRouter.java
@@ -0,0 +1,134 @@
+package org.knapweedmount.core.entry;
+
+import java.util.Optional;
+
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.JobAnswer;
+import org.knapweedmount.api.JobSpec;
+import org.knapweedmount.api.Outcome;
+import org.knapweedmount.api.Reason;
+import org.knapweedmount.api.SubmissionId;
+import org.knapweedmount.api.config.KindConfig;
+import org.knapweedmount.api.message.RelayRequest;
+
+/** Passes each request to the part that can answer it. */
+final class RequestRouter {
+    private final EntryContext context;
+    private final Answers answers;
+    private final Submissions submissions;
+    private final KeyClaims claims;
+    private final Relays relays;
+    private final Settlements settlements;
+
+    RequestRouter(
+            EntryContext context,
+            Answers answers,
+            Submissions submissions,
+            KeyClaims claims,
+            Relays relays,
+            Settlements settlements) {
+        this.context = context;
+        this.answers = answers;
+        this.submissions = submissions;
+        this.claims = claims;
+        this.relays = relays;
+        this.settlements = settlements;
+    }
+
+    void submit(Requester requester, SubmissionRequest request, long nowNanos) {
+        JobRequest job = new JobRequest(requester, request.service(), request.job(), request.awaitEnd());
+        if (request.id().isPresent()) {
+            submit(request.id().get(), job, nowNanos);
+        } else if (request.key().isPresent()) {
+            claims.submit(request.key().get(), request.firstAttempt(), job, this::submitClaimed, nowNanos);
+        } else {
+            submissions.submitNew(job, nowNanos);
+        }
+    }
+
+    /** Takes the result of a claim. */
+    void claimed(String key, SubmissionId proposed, ClaimResult result, long nowNanos) {
+        claims.claimed(key, proposed, result, this::submitClaimed, nowNanos);
+    }
+
+    void status(SubmissionId id, Requester requester, boolean awaitEnd, long nowNanos) {
+        if (!isOwn(id)) {
+            relays.ask(ForeignRequest.status(id, requester, awaitEnd), nowNanos);
+        } else if (submissions.isUnresolved(id)) {
+            settlements.ask(ForeignRequest.status(id, requester, awaitEnd), nowNanos);
+        } else {
+            submissions.status(id, requester, awaitEnd);
+        }
+    }
+
+    void cancel(SubmissionId id, Requester requester, long nowNanos) {
+        if (isOwn(id)) {
+            submissions.cancel(id, requester, nowNanos);
+        } else {
+            relays.ask(ForeignRequest.cancel(id, requester), nowNanos);
+        }
+    }
+
+    /** Takes a request that another entry relays; only requests for ids of this entry are answered. */
+    void relayed(Incarnation from, RelayRequest request, long nowNanos) {
+        Requester requester = Requester.peer(from, request.request());
+        SubmissionId id = request.submission();
+        if (!answers.awaits(requester)) {
+            answers.await(requester);
+            relayed(requester, id, request, nowNanos);
+        }
+    }
+
+    private void relayed(Requester requester, SubmissionId id, RelayRequest request, long nowNanos) {
+        if (!isOwn(id)) {
+            answers.deliver(
+                    requester,
+                    JobAnswer.ended(
+                            Optional.of(id), Outcome.UNKNOWN, Reason.CONNECTION_LOST, "another entry issued the id"));
+        } else if (request.operation() == RelayRequest.Operation.CANCEL) {
+            cancel(id, requester, nowNanos);
+        } else if (request.job().isPresent()) {
+            JobSpec job = request.job().get();
+            submit(id, new JobRequest(requester, service(job), job, request.awaitEnd()), nowNanos);
+        } else {
+            status(id, requester, request.awaitEnd(), nowNanos);
+        }
+    }
+
+    private void submit(SubmissionId id, JobRequest request, long nowNanos) {
+        if (isOwn(id) && !submissions.isUnresolved(id)) {
+            submissions.submit(id, request, nowNanos);
+        } else {
+            submitElsewhere(id, request, nowNanos);
+        }
+    }
+
+    private void submitClaimed(SubmissionId id, JobRequest request, long nowNanos) {
+        if (isOwn(id) && !submissions.isUnresolved(id)) {
+            submissions.submitClaimed(id, request, nowNanos);
+        } else {
+            submitElsewhere(id, request, nowNanos);
+        }
+    }
+
+    private void submitElsewhere(SubmissionId id, JobRequest request, long nowNanos) {
+        if (!isOwn(id)) {
+            relays.ask(ForeignRequest.submit(id, request), nowNanos);
+        } else if (submissions.conflicts(id, request.job())) {
+            answers.deliver(request.requester(), Submissions.conflict());
+        } else {
+            settlements.ask(ForeignRequest.submit(id, request), nowNanos);
+        }
+    }
+
+    private String service(JobSpec job) {
+        return context.config()
+                .kind(job.tasks().get(0).kind())
+                .map(KindConfig::service)
+                .orElse("");
+    }
+
+    private boolean isOwn(SubmissionId id) {
+        return id.issuer().equals(context.self());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/entry/Settlements.java
@@ -0,0 +1,180 @@
+package org.knapweedmount.core.entry;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.JobAnswer;
+import org.knapweedmount.api.JobSpec;
+import org.knapweedmount.api.Outcome;
+import org.knapweedmount.api.PeerAddress;
+import org.knapweedmount.api.Reason;
+import org.knapweedmount.api.SubmissionId;
+import org.knapweedmount.api.message.CancelTasks;
+import org.knapweedmount.api.message.Seal;
+import org.knapweedmount.api.message.Sealed;
+
+/**
+ * Finds out from the agents what became of submissions whose entry cannot be asked.
+ *
+ * <p>Every agent that may have been sent tasks is told never to start another one and asks what it has started. An agent
+ * that does not answer counts as one that may have started something.
+ */
+final class Settlements {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long INTERVAL_NANOS = 100 * NANOS_PER_MILLI;
+    private static final int MAX_OPEN = 1_000;
+    private static final int RETRY_MILLIS = 1_000;
+
+    private final EntryContext context;
+    private final Answers answers;
+    private final Agents agents;
+    private final Rosters rosters;
+    private final EndedJobs settled;
+    private final Map<SubmissionId, Settlement> open = new LinkedHashMap<>();
+    private long lastNumber;
+
+    /** Finds the agents that may have been sent tasks of a submission. */
+    interface Rosters {
+        /** Returns the agents, empty if they are not known. */
+        Optional<List<PeerAddress>> agents(SubmissionId id);
+    }
+
+    Settlements(EntryContext context, Answers answers, Agents agents, Rosters rosters) {
+        this.context = context;
+        this.answers = answers;
+        this.agents = agents;
+        this.rosters = rosters;
+        this.settled =
+                new EndedJobs(context.limits().maxEndedJobs(), context.limits().maxEndedBytes());
+    }
+
+    /** Answers a request about a submission that has been settled, and returns whether it was. */
+    boolean answerSettled(ForeignRequest request) {
+        Optional<EndedJob> known = settled.find(request.id());
+        if (known.isEmpty()) {
+            return false;
+        }
+        Optional<JobSpec> job = request.job();
+        boolean conflict = job.isPresent() && known.get().conflicts(job.get());
+        answers.deliver(
+                request.requester(),
+                conflict ? Submissions.conflict() : known.get().answer());
+        return true;
+    }
+
+    /** Settles a submission for a request. */
+    void ask(ForeignRequest request, long nowNanos) {
+        if (answerSettled(request)) {
+            return;
+        }
+        Settlement settlement = open.get(request.id());
+        if (settlement != null) {
+            join(settlement, request, nowNanos);
+            return;
+        }
+        Optional<List<PeerAddress>> roster = rosters.agents(request.id());
+        if (roster.isEmpty()) {
+            refuse(request, Reason.CONNECTION_LOST, "the entry that issued the id cannot be reached");
+        } else if (open.size() >= MAX_OPEN) {
+            refuse(request, Reason.OVERLOADED, "too many submissions are being settled");
+        } else {
+            open(request, roster.get(), nowNanos);
+        }
+    }
+
+    void sealed(Incarnation from, Sealed sealed, long nowNanos) {
+        Settlement settlement = open.get(sealed.submission());
+        if (settlement == null || settlement.number() != sealed.request()) {
+            return;
+        }
+        settlement.reports().add(from, sealed);
+        if (settlement.cancelled() && settlement.reports().runningAgents().contains(from)) {
+            context.output().send(from, new CancelTasks(settlement.id()));
+        }
+        conclude(settlement, nowNanos);
+    }
+
+    /** Asks an agent that is linked now for the submissions that it has not told of. */
+    void linked(Incarnation agent) {
+        for (Settlement settlement : open.values()) {
+            if (settlement.reports().missing().contains(agent)) {
+                seal(settlement, agent);
+            }
+        }
+    }
+
+    /** Asks again for running tasks, and answers what is due. */
+    void tick(long nowNanos) {
+        for (Settlement settlement : List.copyOf(open.values())) {
+            if (settlement.askAgain(nowNanos, INTERVAL_NANOS)) {
+                settlement.reports().runningAgents().forEach(agent -> seal(settlement, agent));
+            }
+            conclude(settlement, nowNanos);
+        }
+    }
+
+    private void open(ForeignRequest request, List<PeerAddress> roster, long nowNanos) {
+        context.counters().increment(EntryCounter.SETTLEMENTS);
+        long deadlineNanos = nowNanos + context.limits().settleMillis() * NANOS_PER_MILLI;
+        Settlement settlement = new Settlement(++lastNumber, request.id(), roster, nowNanos, deadlineNanos);
+        open.put(request.id(), settlement);
+        settlement.join(request);
+        roster.forEach(agent -> seal(settlement, agent.incarnation()));
+        conclude(settlement, nowNanos);
+    }
+
+    private void join(Settlement settlement, ForeignRequest request, long nowNanos) {
+        if (settlement.conflicts(request)) {
+            answers.deliver(request.requester(), Submissions.conflict());
+            return;
+        }
+        settlement.join(request);
+        conclude(settlement, nowNanos);
+    }
+
+    private void seal(Settlement settlement, Incarnation agent) {
+        if (agents.isLinked(agent)) {
+            context.output().send(agent, new Seal(settlement.number(), settlement.id()));
+        }
+    }
+
+    private void conclude(Settlement settlement, long nowNanos) {
+        Optional<JobAnswer> complete = settlement.complete();
+        if (complete.isPresent()) {
+            end(settlement, complete.get());
+        } else if (settlement.due(nowNanos)) {
+            end(settlement, settlement.conclude());
+        } else if (allTold(settlement)) {
+            concludeTold(settlement);
+        }
+    }
+
+    private void concludeTold(Settlement settlement) {
+        if (settlement.reports().running()) {
+            settlement.answerPolling(answers, JobAnswer.pending(settlement.id()));
+        } else {
+            end(settlement, settlement.conclude());
+        }
+    }
+
+    /** Tells whether every agent has answered or never will. */
+    private boolean allTold(Settlement settlement) {
+        return settlement.reports().missing().stream().allMatch(agents::isGone);
+    }
+
+    private void end(Settlement settlement, JobAnswer answer) {
+        open.remove(settlement.id());
+        if (answer.outcome().orElseThrow() != Outcome.UNKNOWN) {
+            settled.add(settlement.id(), new EndedJob(answer, settlement.job().map(JobDigest::of)));
+        }
+        settlement.answerAll(answers, answer);
+    }
+
+    private void refuse(ForeignRequest request, Reason reason, String detail) {
+        JobAnswer answer = JobAnswer.ended(Optional.of(request.id()), Outcome.UNKNOWN, reason, detail);
+        answers.deliver(request.requester(), answer.retryAfter(RETRY_MILLIS));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/entry/StatusReport.java
@@ -0,0 +1,37 @@
+package org.knapweedmount.core.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Puts together what operators are told. */
+final class StatusReport {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private StatusReport() {}
+
+    static EntryStatus of(Services services, OwnRoster roster, boolean draining, long nowNanos) {
+        List<AgentStatus> agents = new ArrayList<>();
+        List<QueueStatus> queues = new ArrayList<>();
+        for (ServiceState service : services.all()) {
+            service.agents().forEach(agent -> agents.add(agent(service, agent, nowNanos)));
+            service.flows().backlog().forEach(queue -> queues.add(queue(service, queue, nowNanos)));
+        }
+        return new EntryStatus(draining, List.copyOf(roster.linkedEntries()), agents, queues);
+    }
+
+    private static AgentStatus agent(ServiceState service, AgentService agent, long nowNanos) {
+        return new AgentStatus(
+                agent.agent().incarnation(),
+                agent.agent().address().dataCentre(),
+                service.name(),
+                agent.slots(),
+                service.leases().count(agent),
+                agent.agent().usable(nowNanos));
+    }
+
+    private static QueueStatus queue(ServiceState service, FlowQueue queue, long nowNanos) {
+        long waitedNanos =
+                queue.oldest().map(task -> nowNanos - task.queuedNanos()).orElse(0L);
+        return new QueueStatus(service.name(), queue.flow(), queue.size(), waitedNanos / NANOS_PER_MILLI);
+    }
+}
--- a/core/src/main/java/org/knapweedmount/core/entry/Submissions.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/Submissions.java
@@ -92,6 +92,19 @@
         return form.isPresent() ? form : admission.checkLoad(request.service(), request.job(), rosterVersion, nowNanos);
     }
 
+    /** Tells whether a submission has ended without its outcome being known, so that the agents may know more. */
+    boolean isUnresolved(SubmissionId id) {
+        return ended.find(id)
+                .flatMap(known -> known.answer().outcome())
+                .filter(outcome -> outcome == Outcome.UNKNOWN)
+                .isPresent();
+    }
+
+    /** Tells whether a submission has ended that was made with another job. */
+    boolean conflicts(SubmissionId id, JobSpec job) {
+        return ended.find(id).filter(known -> known.conflicts(job)).isPresent();
+    }
+
     /** Answers a question for the state of a submission; one that was not submitted yet never will be started. */
     void status(SubmissionId id, Requester requester, boolean awaitEnd) {
         Submission submission = live.get(id);
@@ -269,7 +282,8 @@
         answers.deliver(requester, answer);
     }
 
-    private static JobAnswer conflict() {
+    /** Returns the answer to a request that uses an id again for another job. */
+    static JobAnswer conflict() {
         return JobAnswer.ended(
                 Optional.empty(), Outcome.NOT_RUN, Reason.CONFLICT, "the id was used before with another job");
     }
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/entry/TaskVerdict.java
@@ -0,0 +1,45 @@
+package org.knapweedmount.core.entry;
+
+import java.util.Optional;
+
+import org.knapweedmount.api.TaskResult;
+import org.knapweedmount.api.message.TaskReport;
+
+/** What the reports of the agents together say of one task, the strongest statement last. */
+enum TaskVerdict {
+    /** No agent has started it. */
+    NOT_STARTED,
+    /** It has run and failed. */
+    FAILED,
+    /** It may have run. */
+    UNKNOWN,
+    /** It is running. */
+    RUNNING,
+    /** It has run and its whole result is known. */
+    COMPLETE;
+
+    static TaskVerdict of(TaskReport report) {
+        return switch (report.state()) {
+            case NOT_STARTED -> NOT_STARTED;
+            case RUNNING -> RUNNING;
+            case FORGOTTEN -> UNKNOWN;
+            case FINISHED -> of(report.result());
+        };
+    }
+
+    private static TaskVerdict of(Optional<TaskResult> result) {
+        if (result.isEmpty()) {
+            return UNKNOWN;
+        }
+        return switch (result.get().outcome()) {
+            case COMPLETE -> COMPLETE;
+            case FAILED -> FAILED;
+            case NOT_RUN -> NOT_STARTED;
+            case UNKNOWN -> UNKNOWN;
+        };
+    }
+
+    TaskVerdict stronger(TaskVerdict other) {
+        return compareTo(other) >= 0 ? this : other;
+    }
+}
