--- a/core/src/main/java/org/knapweedmount/core/entry/Submission.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/Submission.java
@@ -126,13 +126,21 @@
             Reason cause = results[unknown.get()].reason();
             return answer(Outcome.UNKNOWN, cause, "what became of task " + unknown.get() + " is not known");
         }
-        return answer(Outcome.FAILED, reason, failure());
+        return answer(Outcome.FAILED, failureReason(), failure());
     }
 
     private JobAnswer answer(Outcome outcome, Reason reason, String detail) {
         return JobAnswer.ended(Optional.of(id), outcome, reason, detail);
     }
 
+    private Reason failureReason() {
+        Optional<Integer> failed = first(Outcome.FAILED);
+        if (failed.isEmpty() || stopReason() == Reason.CANCELLED) {
+            return stopReason();
+        }
+        return results[failed.get()].reason();
+    }
+
     private String failure() {
         Optional<Integer> failed = first(Outcome.FAILED);
         if (failed.isEmpty()) {
