--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/entry/IdIssuerTest.java
@@ -0,0 +1,70 @@
+package org.knapweedmount.core.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.knapweedmount.api.SubmissionId;
+import org.knapweedmount.core.config.ConfigState;
+import org.knapweedmount.core.entry.IdIssuer.Standing;
+import org.knapweedmount.core.metric.Counters;
+import org.knapweedmount.core.metric.Invariants;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class IdIssuerTest {
+    private static final int WINDOW = 128;
+
+    private final EntryContext context = new EntryContext(
+            EntryFixture.LIMITS,
+            EntryFixture.SELF,
+            new ConfigState(),
+            new RecordingOutput(),
+            new Counters<>(EntryCounter.class),
+            Invariants.fatal());
+    private final OwnRoster roster = new OwnRoster(context);
+    private final IdIssuer issuer = new IdIssuer(context, roster, new UsedIds(WINDOW));
+
+    @Test
+    void issuedIdIsFreshUntilItIsUsed() {
+        SubmissionId id = issuer.issue();
+
+        assertThat(issuer.standing(id), is(Standing.FRESH));
+        issuer.use(id);
+        assertThat(issuer.standing(id), is(Standing.USED));
+    }
+
+    @Test
+    void idThatLeavesTheWindowCountsAsUsed() {
+        SubmissionId first = issuer.issue();
+        SubmissionId second = issuer.issue();
+        issuer.issue(WINDOW - 1);
+
+        assertThat(issuer.standing(first), is(Standing.USED));
+        assertThat(issuer.standing(second), is(Standing.FRESH));
+    }
+
+    @Test
+    void windowForgetsWhatEarlierNumbersInItsPlaceWere() {
+        List<SubmissionId> ids = issuer.issue(WINDOW);
+        ids.forEach(issuer::use);
+
+        assertThat(issuer.standing(issuer.issue()), is(Standing.FRESH));
+    }
+
+    @Test
+    void unusedIdWithAVersionThatIsNoLongerKeptIsTooOld() {
+        List<SubmissionId> ids = new ArrayList<>();
+        IdIssuer large = new IdIssuer(context, roster, new UsedIds(1 << 10));
+        for (int i = 0; i <= RosterLog.MAX_VERSIONS; i++) {
+            roster.join(EntryFixture.agentAddress("agent-" + i));
+            ids.add(large.issue());
+        }
+        assertThat(large.standing(ids.get(0)), is(Standing.TOO_OLD));
+        assertThat(large.standing(ids.get(1)), is(Standing.FRESH));
+
+        large.use(ids.get(0));
+        assertThat(large.standing(ids.get(0)), is(Standing.USED));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/entry/KeyClaimsTest.java
@@ -0,0 +1,119 @@
+package org.knapweedmount.core.entry;
+
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.JobSpec;
+import org.knapweedmount.api.SubmissionId;
+import org.knapweedmount.api.message.RelayRequest;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.knapweedmount.core.entry.EntryFixture.RESERVE;
+import static org.knapweedmount.core.entry.EntryFixture.TEAM;
+import static org.knapweedmount.core.entry.EntryFixture.complete;
+import static org.knapweedmount.core.entry.EntryFixture.job;
+
+class KeyClaimsTest {
+    private static final JobSpec JOB = job(RESERVE, "lens");
+    private static final String CLAIMED = TEAM + "/fault-17";
+
+    private final EntryFixture entry = new EntryFixture();
+    private final Incarnation agent = entry.agent("agent-1", 8);
+
+    private long submit(boolean firstAttempt, JobSpec job) {
+        return entry.submit(Optional.empty(), Optional.of("fault-17"), firstAttempt, job);
+    }
+
+    private SubmissionId proposed() {
+        return Optional.ofNullable(entry.output.claims.get(CLAIMED)).orElseThrow();
+    }
+
+    private void claimed(Optional<SubmissionId> holder) {
+        entry.core.claimed(CLAIMED, proposed(), new ClaimResult(holder), entry.now);
+    }
+
+    @Test
+    void keyIsClaimedBeforeAnythingStarts() {
+        entry.grant(agent, 1);
+        long request = submit(true, JOB);
+        assertThat(entry.starts(), is(empty()));
+
+        claimed(Optional.of(proposed()));
+
+        assertThat(entry.lastStart().task().submission(), is(proposed()));
+        entry.finish(agent, entry.lastStart(), complete("reserved"));
+        assertThat(entry.ending(request), is("COMPLETE/NONE"));
+        assertThat(entry.core.holder(TEAM, "fault-17"), is(Optional.of(proposed())));
+    }
+
+    @Test
+    void secondRequestWithTheKeyJoinsBeforeAndAfterTheClaim() {
+        entry.grant(agent, 2);
+        long before = submit(true, JOB);
+        long joined = submit(false, JOB);
+        claimed(Optional.of(proposed()));
+        long after = submit(false, JOB);
+        entry.finish(agent, entry.lastStart(), complete("reserved"));
+        long ended = submit(false, JOB);
+
+        for (long request : new long[] {before, joined, after, ended}) {
+            assertThat(entry.answer(request).results(), contains(complete("reserved")));
+        }
+        assertThat(entry.starts(), hasSize(1));
+    }
+
+    @Test
+    void otherBodyUnderTheKeyIsAConflict() {
+        submit(true, JOB);
+        long whilePending = submit(false, job(RESERVE, "hood"));
+        claimed(Optional.of(proposed()));
+
+        assertThat(entry.ending(whilePending), is("NOT_RUN/CONFLICT"));
+        assertThat(entry.ending(submit(false, job(RESERVE, "hood"))), is("NOT_RUN/CONFLICT"));
+    }
+
+    @Test
+    void keyOfAnotherEntryIsRelayedToIt() {
+        Incarnation other = EntryFixture.entryAddress("entry-2").incarnation();
+        entry.core.linked(EntryFixture.entryAddress("entry-2"), entry.now);
+        submit(false, JOB);
+        SubmissionId holder = new SubmissionId(other, 9, 1);
+
+        claimed(Optional.of(holder));
+
+        assertThat(entry.output.to(other, RelayRequest.class).get(0).submission(), is(holder));
+        assertThat(entry.starts(), is(empty()));
+    }
+
+    @Test
+    void withoutTheStoreAFirstAttemptIsNotRunAndALaterOneUnknown() {
+        entry.grant(agent, 1);
+        long first = submit(true, JOB);
+        long later = submit(false, JOB);
+        SubmissionId lost = proposed();
+
+        claimed(Optional.empty());
+
+        assertThat(entry.ending(first), is("NOT_RUN/STORE_UNAVAILABLE"));
+        assertThat(entry.ending(later), is("UNKNOWN/STORE_UNAVAILABLE"));
+        // The claim may have taken effect: the key then stands for an id that never starts.
+        long again = submit(false, JOB);
+        claimed(Optional.of(lost));
+        assertThat(entry.ending(again), is("NOT_RUN/STORE_UNAVAILABLE"));
+        assertThat(entry.starts(), is(empty()));
+    }
+
+    @Test
+    void refusalBeforeTheClaimIsNotRunOnlyForAFirstAttempt() {
+        entry.core.unlinked(agent, entry.now);
+
+        assertThat(entry.ending(submit(true, JOB)), is("NOT_RUN/NO_ENDPOINT"));
+        assertThat(entry.ending(submit(false, JOB)), is("UNKNOWN/NO_ENDPOINT"));
+        assertThat(entry.output.claims.keySet(), is(empty()));
+    }
+}
