--- a/core/src/main/java/org/knapweedmount/core/config/ConfigState.java
+++ b/core/src/main/java/org/knapweedmount/core/config/ConfigState.java
@@ -14,6 +14,7 @@
 import org.knapweedmount.api.config.ConfigType;
 import org.knapweedmount.api.config.DrainConfig;
 import org.knapweedmount.api.config.KindConfig;
+import org.knapweedmount.api.config.RemovedConfig;
 import org.knapweedmount.api.config.ServiceConfig;
 import org.knapweedmount.api.config.TeamConfig;
 import org.knapweedmount.api.config.Ticket;
@@ -159,6 +160,30 @@
                 .toList();
     }
 
+    /**
+     * Finds an object of any type.
+     *
+     * @param key the object's key
+     * @return the object, empty if there is none or it was removed
+     */
+    public Optional<ConfigObject> object(ConfigKey key) {
+        return Optional.ofNullable(objects.get(key))
+                .map(versioned -> versioned.object)
+                .filter(object -> !(object instanceof RemovedConfig));
+    }
+
+    /**
+     * Copies this state.
+     *
+     * @return a state that changes independently
+     */
+    public ConfigState copy() {
+        ConfigState copy = new ConfigState();
+        copy.objects.putAll(objects);
+        copy.highestNumber = highestNumber;
+        return copy;
+    }
+
     private <T extends ConfigObject> Optional<T> find(ConfigType configType, String name, Class<T> type) {
         Versioned versioned = objects.get(new ConfigKey(configType, name));
         if (versioned == null || !type.isInstance(versioned.object)) {
--- a/core/src/main/java/org/knapweedmount/core/config/JsonFields.java
+++ b/core/src/main/java/org/knapweedmount/core/config/JsonFields.java
@@ -210,6 +210,18 @@
         return value.booleanValue();
     }
 
+    /**
+     * Reads a truth value that must be there.
+     *
+     * @param name the field
+     * @return the truth value
+     * @throws ParseException if the field is missing or no truth value
+     */
+    public boolean flag(String name) throws ParseException {
+        required(name, "true or false");
+        return flag(name, false);
+    }
+
     /**
      * Reads an object that may be missing.
      *
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/ticket/package-info.java
@@ -0,0 +1,2 @@
+/** The acceptance of change tickets and their audit trail. */
+package org.knapweedmount.core.ticket;
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/JobReader.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/JobReader.java
@@ -9,16 +9,15 @@
 import org.knapweedmount.api.JobSpec;
 import org.knapweedmount.api.ParseException;
 import org.knapweedmount.api.Payload;
-import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.TaskSpec;
 import org.knapweedmount.core.config.JsonFields;
+import org.knapweedmount.core.config.ResourcesFormat;
 
 /** Reads jobs from JSON. */
 public final class JobReader {
     private static final Set<String> JOB_FIELDS = Set.of("team", "service", "atMostOnce", "tasks");
     private static final Set<String> TASK_FIELDS =
             Set.of("kind", "method", "path", "contentType", "body", "bodyBase64", "declaredMillis", "resources");
-    private static final Set<String> RESOURCE_FIELDS = Set.of("milliCores", "memoryMegabytes", "accelerators");
     private static final Set<String> METHODS = Set.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS");
     private static final Pattern PATH = Pattern.compile("/[!-~&&[^#]]{0,8191}");
     private static final Pattern CONTENT_TYPE = Pattern.compile("[ -~]{0,200}");
@@ -70,7 +69,14 @@
             throw fields.refuse("contentType", "up to 200 printable characters");
         }
         int declaredMillis = fields.wholeNumber("declaredMillis", 0, CallerHeaders.MAX_DECLARED_MILLIS, 0);
-        return new TaskSpec(kind, method, path, contentType, body(fields), declaredMillis, resources(fields));
+        return new TaskSpec(
+                kind,
+                method,
+                path,
+                contentType,
+                body(fields),
+                declaredMillis,
+                ResourcesFormat.read(fields, "resources"));
     }
 
     private static String defaultContentType(JsonFields fields) {
@@ -93,16 +99,4 @@
             throw fields.refuse("bodyBase64", "Base64 as in RFC 4648, section 4");
         }
     }
-
-    private static Resources resources(JsonFields fields) throws ParseException {
-        if (!fields.has("resources")) {
-            return Resources.NONE;
-        }
-        JsonFields amounts = fields.object("resources").orElseThrow();
-        amounts.allowOnly(RESOURCE_FIELDS);
-        return new Resources(
-                amounts.wholeNumber("milliCores", 0, Integer.MAX_VALUE, 0),
-                amounts.wholeNumber("memoryMegabytes", 0, Integer.MAX_VALUE, 0),
-                amounts.wholeNumber("accelerators", 0, Integer.MAX_VALUE, 0));
-    }
 }
