Accept, distribute and show tickets

Cause: an accepted ticket has to be in force everywhere within seconds, through lost answers, races and outages of the table service.

TicketSync keeps the number up to which the tickets were read apart from the highest number seen, because a peer may send a ticket before an earlier one. OperatorApi serves operators on a port of their own behind bearer tokens; AuditLog keeps refusals and applications of this entry.

Ruled out: trusting the highest number seen as proof that all lower tickets are known; a list of the whole audit table for its newest rows.

--- a/daemon/src/main/java/org/knapweedmount/daemon/http/CallerApi.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/CallerApi.java
@@ -114,7 +114,7 @@
 
     private void handle(HttpServerRequest request) {
         counters.increment(HttpCounter.REQUESTS);
-        CallerResponse response = new CallerResponse(vertx.getOrCreateContext(), request, pages.draining());
+        ResponseSender response = new ResponseSender(vertx.getOrCreateContext(), request, pages.draining());
         try {
             RequestTarget target = RequestTarget.parse(request.method().name(), request.uri());
             route(target, request, response);
@@ -123,7 +123,7 @@
         }
     }
 
-    private void route(RequestTarget target, HttpServerRequest request, CallerResponse response)
+    private void route(RequestTarget target, HttpServerRequest request, ResponseSender response)
             throws ProblemException {
         if (target instanceof RequestTarget.ServiceCall call) {
             CallerHeaders headers = headers(request);
@@ -167,7 +167,7 @@
         void handle(byte[] body) throws ProblemException;
     }
 
-    private void readBody(HttpServerRequest request, CallerResponse response, BodyHandler handler) {
+    private void readBody(HttpServerRequest request, ResponseSender response, BodyHandler handler) {
         bodyReader.read(request).onComplete(read -> {
             if (read.succeeded()) {
                 handleBody(request, response, handler, read.result());
@@ -177,7 +177,7 @@
         });
     }
 
-    private void handleBody(HttpServerRequest request, CallerResponse response, BodyHandler handler, Buffer body) {
+    private void handleBody(HttpServerRequest request, ResponseSender response, BodyHandler handler, Buffer body) {
         try {
             handler.handle(body.getBytes());
         } catch (ProblemException e) {
@@ -190,7 +190,7 @@
             CallerHeaders headers,
             String method,
             byte[] body,
-            CallerResponse response) {
+            ResponseSender response) {
         TaskSpec task = new TaskSpec(
                 headers.kind(),
                 method,
@@ -210,7 +210,7 @@
         submit(submission, fresh, AnswerWriter.SINGLE, response);
     }
 
-    private void submitJob(RequestTarget.SubmitJob target, CallerHeaders headers, byte[] body, CallerResponse response)
+    private void submitJob(RequestTarget.SubmitJob target, CallerHeaders headers, byte[] body, ResponseSender response)
             throws ProblemException {
         JobRequest job = readJob(body);
         SubmissionRequest submission = new SubmissionRequest(
@@ -231,7 +231,7 @@
         }
     }
 
-    private void submit(SubmissionRequest submission, boolean fresh, AnswerWriter writer, CallerResponse response) {
+    private void submit(SubmissionRequest submission, boolean fresh, AnswerWriter writer, ResponseSender response) {
         Problem busy = busy().withOutcome(fresh ? Outcome.NOT_RUN : Outcome.UNKNOWN);
         decide(writer, response, busy, number -> (core, now) -> core.submit(number, submission, now));
     }
@@ -239,7 +239,7 @@
     private void withId(
             SubmissionKey key,
             CallerHeaders headers,
-            CallerResponse response,
+            ResponseSender response,
             Function<SubmissionId, LongFunction<Decision<CallerDecisions>>> question) {
         if (key.id().isPresent()) {
             decide(AnswerWriter.JOB, response, busy(), question.apply(key.id().get()));
@@ -268,7 +268,7 @@
 
     private void decide(
             AnswerWriter writer,
-            CallerResponse response,
+            ResponseSender response,
             Problem busy,
             LongFunction<Decision<CallerDecisions>> decision) {
         OptionalLong number = pending.add(answer -> response.send(writer.write(answer)));
@@ -284,7 +284,7 @@
         }
     }
 
-    private void issue(int count, CallerResponse response) {
+    private void issue(int count, ResponseSender response) {
         if (pages.draining()) {
             response.sendNow(ProblemWriter.write(Problem.of(Reason.DRAINING, "this entry is stopping")));
             return;
@@ -313,12 +313,12 @@
                 .retryAfter(BUSY_RETRY_MILLIS);
     }
 
-    private void refuseBusy(CallerResponse response, Problem problem) {
+    private void refuseBusy(ResponseSender response, Problem problem) {
         counters.increment(HttpCounter.REFUSED_BUSY);
         response.send(ProblemWriter.write(problem));
     }
 
-    private void refuse(HttpServerRequest request, CallerResponse response, Problem problem) {
+    private void refuse(HttpServerRequest request, ResponseSender response, Problem problem) {
         counters.increment(HttpCounter.BAD_REQUESTS);
         response.sendAndClose(ProblemWriter.write(withOutcome(request, problem)), request);
     }
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/ConnectionLimit.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/ConnectionLimit.java
@@ -7,12 +7,18 @@
 import org.knapweedmount.core.metric.Counters;
 
 /** Closes connections beyond a number; any thread may use it. */
-final class ConnectionLimit implements Handler<HttpConnection> {
+public final class ConnectionLimit implements Handler<HttpConnection> {
     private final int maxConnections;
     private final Counters<HttpCounter> counters;
     private final AtomicInteger open = new AtomicInteger();
 
-    ConnectionLimit(int maxConnections, Counters<HttpCounter> counters) {
+    /**
+     * Creates a limit without connections.
+     *
+     * @param maxConnections the number of open connections
+     * @param counters counts the connections that were closed
+     */
+    public ConnectionLimit(int maxConnections, Counters<HttpCounter> counters) {
         this.maxConnections = maxConnections;
         this.counters = counters;
     }
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/Problem.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/Problem.java
@@ -117,6 +117,17 @@
                 newStatus, reason, title, detail, Optional.of(newOutcome), submission, retryAfterMillis, highest);
     }
 
+    /**
+     * Returns this problem with an outcome, whatever its status says.
+     *
+     * @param newOutcome what became of the request
+     * @return the changed copy
+     */
+    public Problem withOutcomeKeepingStatus(Outcome newOutcome) {
+        return new Problem(
+                status, reason, title, detail, Optional.of(newOutcome), submission, retryAfterMillis, highest);
+    }
+
     /**
      * Returns this problem with the id of the submission that it concerns.
      *
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/CallerResponse.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/ResponseSender.java
@@ -6,7 +6,7 @@
 import io.vertx.core.http.HttpServerResponse;
 
 /** The response to one request, sent from whatever thread on the event loop of its connection. */
-final class CallerResponse {
+public final class ResponseSender {
     private final Context context;
     private final HttpServerResponse response;
     private final boolean closeAfter;
@@ -18,7 +18,7 @@
      * @param request the request
      * @param closeAfter true if the connection is to be closed by the caller after the answer
      */
-    CallerResponse(Context context, HttpServerRequest request, boolean closeAfter) {
+    public ResponseSender(Context context, HttpServerRequest request, boolean closeAfter) {
         this.context = context;
         this.response = request.response();
         this.closeAfter = closeAfter;
@@ -29,7 +29,7 @@
      *
      * @param answer the answer
      */
-    void send(HttpAnswer answer) {
+    public void send(HttpAnswer answer) {
         onEventLoop(() -> sendNow(answer));
     }
 
@@ -38,7 +38,7 @@
      *
      * @param action the action
      */
-    void onEventLoop(Runnable action) {
+    public void onEventLoop(Runnable action) {
         context.runOnContext(ignored -> action.run());
     }
 
@@ -47,7 +47,7 @@
      *
      * @param answer the answer
      */
-    void sendNow(HttpAnswer answer) {
+    public void sendNow(HttpAnswer answer) {
         if (response.closed() || response.ended()) {
             return;
         }
@@ -70,7 +70,7 @@
      * @param answer the answer
      * @param request the request
      */
-    void sendAndClose(HttpAnswer answer, HttpServerRequest request) {
+    public void sendAndClose(HttpAnswer answer, HttpServerRequest request) {
         if (response.closed() || response.ended()) {
             return;
         }
@@ -88,7 +88,7 @@
      *
      * @param action the action, run on the event loop
      */
-    void onGone(Runnable action) {
+    public void onGone(Runnable action) {
         response.closeHandler(ignored -> action.run());
         response.exceptionHandler(ignored -> action.run());
     }
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/ServerOptions.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/ServerOptions.java
@@ -4,7 +4,7 @@
 import io.vertx.core.http.HttpServerOptions;
 
 /** The options of the HTTP servers. */
-final class ServerOptions {
+public final class ServerOptions {
     private static final int MAX_URI_LENGTH = 8_192;
     private static final int MAX_STREAMS_PER_CONNECTION = 1_000;
     private static final int IDLE_TIMEOUT_SECONDS = 300;
@@ -17,7 +17,7 @@
      * @param limits what bounds the server's memory
      * @return the options
      */
-    static HttpServerOptions of(HttpLimits limits) {
+    public static HttpServerOptions of(HttpLimits limits) {
         HttpServerOptions options = new HttpServerOptions();
         options.setMaxInitialLineLength(MAX_URI_LENGTH);
         options.setMaxHeaderSize(limits.maxHeaderBytes());
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/ticket/NewestRows.java
@@ -0,0 +1,54 @@
+package org.knapweedmount.daemon.ticket;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+import io.vertx.core.Future;
+import org.knapweedmount.daemon.store.ListResult;
+import org.knapweedmount.daemon.store.Row;
+import org.knapweedmount.daemon.store.Tables;
+
+/**
+ * Reads the newest rows of a table whose keys are ticket numbers.
+ *
+ * <p>The table service lists by rising keys only and numbers may be far apart, so the range below the highest number is
+ * widened until it holds enough rows.
+ */
+final class NewestRows {
+    private static final int WIDEN_FACTOR = 16;
+
+    private final Tables tables;
+    private final String table;
+    private final long highest;
+    private final int limit;
+
+    NewestRows(Tables tables, String table, long highest, int limit) {
+        this.tables = tables;
+        this.table = table;
+        this.highest = highest;
+        this.limit = limit;
+    }
+
+    /** Reads at most the limit of rows, the newest first. */
+    Future<ListResult> read() {
+        return read(limit);
+    }
+
+    private Future<ListResult> read(long range) {
+        long after = Math.max(0, highest - range);
+        return tables.listAll(table, TicketRows.key(after)).compose(list -> {
+            boolean enough = list.rows().size() >= limit || after == 0;
+            if (list.answered() && !enough) {
+                return read(range > highest / WIDEN_FACTOR ? highest : range * WIDEN_FACTOR);
+            }
+            return Future.succeededFuture(newest(list));
+        });
+    }
+
+    private ListResult newest(ListResult list) {
+        List<Row> rows = new ArrayList<>(list.rows());
+        Collections.reverse(rows);
+        return new ListResult(list.answered(), rows.subList(0, Math.min(limit, rows.size())));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/ticket/OperatorApi.java
@@ -0,0 +1,173 @@
+package org.knapweedmount.daemon.ticket;
+
+import java.util.Optional;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import org.knapweedmount.api.ParseException;
+import org.knapweedmount.api.Payload;
+import org.knapweedmount.api.Reason;
+import org.knapweedmount.api.config.Ticket;
+import org.knapweedmount.core.config.TicketReader;
+import org.knapweedmount.core.metric.Counters;
+import org.knapweedmount.daemon.http.BodyReader;
+import org.knapweedmount.daemon.http.ConnectionLimit;
+import org.knapweedmount.daemon.http.HttpAnswer;
+import org.knapweedmount.daemon.http.HttpCounter;
+import org.knapweedmount.daemon.http.HttpFault;
+import org.knapweedmount.daemon.http.HttpLimits;
+import org.knapweedmount.daemon.http.JsonOutput;
+import org.knapweedmount.daemon.http.Problem;
+import org.knapweedmount.daemon.http.ProblemException;
+import org.knapweedmount.daemon.http.ProblemWriter;
+import org.knapweedmount.daemon.http.ResponseSender;
+import org.knapweedmount.daemon.http.ServerOptions;
+import org.knapweedmount.daemon.store.ListResult;
+import org.knapweedmount.daemon.store.ReadResult;
+
+/** Serves operators on a port of their own; each request shows a token. */
+public final class OperatorApi {
+    private static final int OK = 200;
+    private static final int ACCEPTED = 202;
+    private static final int MAX_BODY_BYTES = 1_048_576;
+    private static final int MAX_CONNECTIONS = 50;
+
+    private final Vertx vertx;
+    private final OperatorTokens tokens;
+    private final TicketService tickets;
+    private final AuditLog audit;
+    private final OperatorPages pages;
+    private final BodyReader bodyReader;
+    private final HttpServer server;
+
+    /**
+     * Creates the interface without listening.
+     *
+     * @param vertx runs the event loop
+     * @param tokens the tokens that are accepted
+     * @param tickets accepts and reads tickets
+     * @param audit the entry's own audit log
+     * @param pages what the owner provides
+     */
+    public OperatorApi(Vertx vertx, OperatorTokens tokens, TicketService tickets, AuditLog audit, OperatorPages pages) {
+        this.vertx = vertx;
+        this.tokens = tokens;
+        this.tickets = tickets;
+        this.audit = audit;
+        this.pages = pages;
+        HttpLimits limits = HttpLimits.of(MAX_BODY_BYTES, MAX_CONNECTIONS, 0);
+        this.bodyReader = new BodyReader(vertx, limits);
+        this.server = vertx.createHttpServer(ServerOptions.of(limits));
+        server.connectionHandler(new ConnectionLimit(MAX_CONNECTIONS, new Counters<>(HttpCounter.class)));
+        server.requestHandler(this::handle);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param host the IP number
+     * @param port the TCP port, 0 for any free one
+     * @return the port, once it accepts connections
+     */
+    public Future<Integer> listen(String host, int port) {
+        return server.listen(port, host).map(HttpServer::actualPort);
+    }
+
+    /**
+     * Stops listening and closes the connections.
+     *
+     * @return completes when all are closed
+     */
+    public Future<Void> close() {
+        return server.close();
+    }
+
+    private void handle(HttpServerRequest request) {
+        ResponseSender response = new ResponseSender(vertx.getOrCreateContext(), request, false);
+        Optional<String> token = tokens.find(request.getHeader("Authorization"));
+        if (token.isEmpty()) {
+            audit.add(AuditAction.UNAUTHORIZED, 0, "", request.remoteAddress().toString());
+            Problem problem = Problem.of(HttpFault.UNAUTHORIZED, "send the header Authorization: Bearer TOKEN");
+            response.sendAndClose(ProblemWriter.write(problem).with("WWW-Authenticate", "Bearer"), request);
+            return;
+        }
+        try {
+            OperatorTarget target = OperatorTarget.parse(request.method().name(), request.uri());
+            answer(target, token.get(), request).onSuccess(response::send);
+        } catch (ProblemException e) {
+            response.sendAndClose(ProblemWriter.write(e.problem()), request);
+        }
+    }
+
+    private Future<HttpAnswer> answer(OperatorTarget target, String token, HttpServerRequest request) {
+        if (target instanceof OperatorTarget.PutTicket put) {
+            return bodyReader
+                    .read(request)
+                    .compose(body -> accept(put.number(), token, body))
+                    .recover(OperatorApi::failure);
+        }
+        if (target instanceof OperatorTarget.ShowTicket show) {
+            return tickets.ticket(show.number()).map(result -> ticket(show.number(), result));
+        }
+        if (target instanceof OperatorTarget.ListTickets list) {
+            return tickets.tickets(list.limit()).map(OperatorApi::list);
+        }
+        if (target instanceof OperatorTarget.ShowAudit show) {
+            return tickets.auditTrail(show.limit()).map(trail -> AuditWriter.write(trail, audit.latest(show.limit())));
+        }
+        if (target instanceof OperatorTarget.Drain) {
+            return Future.succeededFuture(drain(token));
+        }
+        return pages.status();
+    }
+
+    private Future<HttpAnswer> accept(long number, String token, Buffer body) {
+        try {
+            Ticket ticket = TicketReader.readBody(number, body.getBytes());
+            return tickets.accept(ticket, token).map(answer -> TicketAnswerWriter.write(number, answer));
+        } catch (ParseException e) {
+            audit.add(AuditAction.REFUSED, number, "/" + token, e.getMessage());
+            return Future.failedFuture(new ProblemException(Problem.of(Reason.MALFORMED, e.getMessage())));
+        }
+    }
+
+    private static Future<HttpAnswer> failure(Throwable cause) {
+        boolean known = cause instanceof ProblemException;
+        Problem problem = known
+                ? ((ProblemException) cause).problem()
+                : Problem.of(HttpFault.BAD_REQUEST, "the request was not received as a whole");
+        return Future.succeededFuture(ProblemWriter.write(problem));
+    }
+
+    private static HttpAnswer ticket(long number, ReadResult result) {
+        if (!result.answered()) {
+            return unavailable();
+        }
+        return result.row()
+                .map(row -> HttpAnswer.of(
+                        OK, HttpAnswer.JSON, Payload.of(row.value().toString())))
+                .orElseGet(() -> ProblemWriter.write(
+                        Problem.of(HttpFault.NOT_FOUND, "no ticket was accepted under number " + number)));
+    }
+
+    private static HttpAnswer list(ListResult list) {
+        if (!list.answered()) {
+            return unavailable();
+        }
+        return HttpAnswer.of(OK, HttpAnswer.JSON, JsonOutput.object(json -> AuditWriter.rows(json, "tickets", list)));
+    }
+
+    private static HttpAnswer unavailable() {
+        return ProblemWriter.write(Problem.of(Reason.STORE_UNAVAILABLE, "the table service cannot be read"));
+    }
+
+    private HttpAnswer drain(String token) {
+        audit.add(AuditAction.DRAIN, 0, "/" + token, "");
+        pages.drain();
+        return HttpAnswer.of(
+                ACCEPTED, HttpAnswer.JSON, JsonOutput.object(json -> json.writeBooleanField("draining", true)));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/ticket/OperatorPages.java
@@ -0,0 +1,17 @@
+package org.knapweedmount.daemon.ticket;
+
+import io.vertx.core.Future;
+import org.knapweedmount.daemon.http.HttpAnswer;
+
+/** What the owner of the operators' interface provides. */
+public interface OperatorPages {
+    /**
+     * Gives the state of the entry.
+     *
+     * @return the answer to a request for it; never fails
+     */
+    Future<HttpAnswer> status();
+
+    /** Makes the entry take no new work from now on. */
+    void drain();
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/ticket/OperatorTarget.java
@@ -0,0 +1,103 @@
+package org.knapweedmount.daemon.ticket;
+
+import java.util.Arrays;
+
+import org.knapweedmount.daemon.http.HttpFault;
+import org.knapweedmount.daemon.http.Problem;
+import org.knapweedmount.daemon.http.ProblemException;
+
+/** What an operator's request asks for, by its method and path. */
+sealed interface OperatorTarget {
+    /** The greatest number of rows of one answer. */
+    int MAX_LIMIT = 500;
+
+    /** The number of rows of an answer to a request that names none. */
+    int DEFAULT_LIMIT = 50;
+
+    /** Accepts a ticket. */
+    record PutTicket(long number) implements OperatorTarget {}
+
+    /** Shows an accepted ticket. */
+    record ShowTicket(long number) implements OperatorTarget {}
+
+    /** Lists the newest tickets. */
+    record ListTickets(int limit) implements OperatorTarget {}
+
+    /** Shows the audit trail. */
+    record ShowAudit(int limit) implements OperatorTarget {}
+
+    /** Shows the state of this entry. */
+    record ShowStatus() implements OperatorTarget {}
+
+    /** Makes this entry take no new work. */
+    record Drain() implements OperatorTarget {}
+
+    /**
+     * Reads the method and path of a request.
+     *
+     * @param method the HTTP method
+     * @param uri the path with the query
+     * @return the target
+     * @throws ProblemException if there is no such target
+     */
+    static OperatorTarget parse(String method, String uri) throws ProblemException {
+        int queryStart = uri.indexOf('?');
+        String path = queryStart < 0 ? uri : uri.substring(0, queryStart);
+        String query = queryStart < 0 ? "" : uri.substring(queryStart + 1);
+        if (path.startsWith("/v1/tickets/")) {
+            return ticket(method, path.substring("/v1/tickets/".length()));
+        }
+        return switch (path) {
+            case "/v1/tickets" -> get(method, new ListTickets(limit(query)));
+            case "/v1/audit" -> get(method, new ShowAudit(limit(query)));
+            case "/v1/status" -> get(method, new ShowStatus());
+            case "/v1/drain" -> drain(method);
+            default -> throw new ProblemException(Problem.of(HttpFault.NOT_FOUND, "there is nothing under " + path));
+        };
+    }
+
+    private static OperatorTarget ticket(String method, String text) throws ProblemException {
+        if (!text.matches("[1-9][0-9]{0,17}")) {
+            String detail = "the number of a ticket has 1 to 18 digits and does not start with 0";
+            throw new ProblemException(Problem.of(HttpFault.BAD_REQUEST, detail));
+        }
+        long number = Long.parseLong(text);
+        return switch (method) {
+            case "PUT" -> new PutTicket(number);
+            case "GET" -> new ShowTicket(number);
+            default -> throw notAllowed("GET, PUT");
+        };
+    }
+
+    private static OperatorTarget get(String method, OperatorTarget target) throws ProblemException {
+        if (!method.equals("GET")) {
+            throw notAllowed("GET");
+        }
+        return target;
+    }
+
+    private static OperatorTarget drain(String method) throws ProblemException {
+        if (!method.equals("POST")) {
+            throw notAllowed("POST");
+        }
+        return new Drain();
+    }
+
+    private static int limit(String query) throws ProblemException {
+        String text = Arrays.stream(query.split("&", -1))
+                .filter(part -> part.startsWith("limit="))
+                .map(part -> part.substring("limit=".length()))
+                .findFirst()
+                .orElse(Integer.toString(DEFAULT_LIMIT));
+        boolean inRange = text.matches("[1-9][0-9]{0,2}") && Integer.parseInt(text) <= MAX_LIMIT;
+        if (!inRange) {
+            String detail = "argument limit: expected a whole number from 1 to " + MAX_LIMIT;
+            throw new ProblemException(Problem.of(HttpFault.BAD_REQUEST, detail));
+        }
+        return Integer.parseInt(text);
+    }
+
+    private static ProblemException notAllowed(String methods) {
+        return new ProblemException(Problem.of(HttpFault.METHOD_NOT_ALLOWED, "allowed are " + methods));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/ticket/OperatorTokens.java
@@ -0,0 +1,105 @@
+package org.knapweedmount.daemon.ticket;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.knapweedmount.api.ParseException;
+
+/** The tokens that open the operators' port, each with a name for the audit trail. */
+public final class OperatorTokens {
+    private static final String DEFAULT_NAME = "operator";
+    private static final int MIN_LENGTH = 16;
+    private static final int NAME_AND_TOKEN = 2;
+    private static final String SCHEME = "Bearer ";
+
+    private final List<Token> tokens;
+
+    /** A token in the form in which it is compared. */
+    private static final class Token {
+        private final String name;
+        private final byte[] text;
+
+        Token(String name, String text) {
+            this.name = name;
+            this.text = text.getBytes(StandardCharsets.UTF_8);
+        }
+    }
+
+    private OperatorTokens(List<Token> tokens) {
+        this.tokens = List.copyOf(tokens);
+    }
+
+    /**
+     * Reads the file of tokens.
+     *
+     * @param file the file
+     * @return the tokens
+     * @throws ParseException if the file cannot be read or has a line of another form
+     */
+    public static OperatorTokens read(Path file) throws ParseException {
+        try {
+            return parse(Files.readString(file));
+        } catch (IOException e) {
+            throw new ParseException("the token file " + file + " cannot be read", e);
+        }
+    }
+
+    /**
+     * Reads the text of a file of tokens.
+     *
+     * @param text on each line a token of at least 16 characters, which may follow a name and a blank; empty lines and
+     *     lines that start with {@code #} are left out
+     * @return the tokens
+     * @throws ParseException if there is no token or a line has another form
+     */
+    static OperatorTokens parse(String text) throws ParseException {
+        List<Token> tokens = new ArrayList<>();
+        int number = 0;
+        for (String line : text.lines().toList()) {
+            number++;
+            if (!line.isBlank() && !line.startsWith("#")) {
+                tokens.add(token(line.strip().split("\\s+", -1), number));
+            }
+        }
+        if (tokens.isEmpty()) {
+            throw new ParseException("the token file has no token");
+        }
+        return new OperatorTokens(tokens);
+    }
+
+    private static Token token(String[] words, int lineNumber) throws ParseException {
+        String text = words[words.length - 1];
+        if (words.length > NAME_AND_TOKEN || text.length() < MIN_LENGTH) {
+            throw new ParseException("token file, line " + lineNumber + ": expected a name and a token of at least "
+                    + MIN_LENGTH + " characters, or the token alone");
+        }
+        String name = words.length == NAME_AND_TOKEN ? words[0] : DEFAULT_NAME;
+        return new Token(name, text);
+    }
+
+    /**
+     * Finds the token that a request shows; the time that this takes tells nothing of the tokens but their lengths.
+     *
+     * @param authorization the header of the request, null if it is missing
+     * @return the token's name, empty if the request shows no valid token
+     */
+    public Optional<String> find(String authorization) {
+        if (authorization == null || !authorization.startsWith(SCHEME)) {
+            return Optional.empty();
+        }
+        byte[] shown = authorization.substring(SCHEME.length()).getBytes(StandardCharsets.UTF_8);
+        Optional<String> found = Optional.empty();
+        for (Token token : tokens) {
+            if (MessageDigest.isEqual(token.text, shown)) {
+                found = Optional.of(token.name);
+            }
+        }
+        return found;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/ticket/TicketRun.java
@@ -0,0 +1,111 @@
+package org.knapweedmount.daemon.ticket;
+
+import java.util.List;
+import java.util.Optional;
+
+import io.vertx.core.Future;
+import org.knapweedmount.api.config.Ticket;
+import org.knapweedmount.core.config.TicketRules;
+import org.knapweedmount.core.ticket.AuditEntry;
+import org.knapweedmount.core.ticket.TicketAcceptance;
+import org.knapweedmount.core.ticket.TicketAnswer;
+import org.knapweedmount.core.ticket.TicketStep;
+import org.knapweedmount.core.ticket.TicketView;
+import org.knapweedmount.core.ticket.WriteResult;
+import org.knapweedmount.daemon.store.ReadResult;
+import org.knapweedmount.daemon.store.Tables;
+import org.knapweedmount.daemon.store.TransactResult;
+
+/** Carries out the steps of the acceptance of one ticket. */
+final class TicketRun {
+    private final Tables tables;
+    private final TicketSync sync;
+    private final Ticket ticket;
+    private final TicketOrigin origin;
+    private final TicketAcceptance acceptance;
+    private long headNumber;
+
+    TicketRun(Tables tables, TicketSync sync, Ticket ticket, TicketOrigin origin) {
+        this.tables = tables;
+        this.sync = sync;
+        this.ticket = ticket;
+        this.origin = origin;
+        this.acceptance = new TicketAcceptance(ticket);
+    }
+
+    Future<TicketAnswer> run() {
+        return carryOut(new TicketStep.Read());
+    }
+
+    private Future<TicketAnswer> carryOut(TicketStep step) {
+        if (step instanceof TicketStep.Write write) {
+            return write(write.headVersion());
+        }
+        if (step instanceof TicketStep.Done done) {
+            return done(done.answer());
+        }
+        return view().compose(view -> {
+            headNumber = view.map(TicketView::headNumber).orElse(0L);
+            return carryOut(acceptance.afterRead(view));
+        });
+    }
+
+    private Future<TicketAnswer> done(TicketAnswer answer) {
+        if (answer instanceof TicketAnswer.Accepted) {
+            sync.accepted(ticket, headNumber);
+        }
+        return Future.succeededFuture(answer);
+    }
+
+    private Future<Optional<TicketView>> view() {
+        return tables.read(TicketRows.HEAD).compose(head -> {
+            if (!head.answered()) {
+                return Future.succeededFuture(Optional.empty());
+            }
+            return tables.read(TicketRows.ticket(ticket.number())).map(row -> view(head, row));
+        });
+    }
+
+    private static Optional<TicketView> view(ReadResult head, ReadResult ticketRow) {
+        boolean unreadable = ticketRow.row().isPresent()
+                && ticketRow.row().flatMap(TicketRows::ticket).isEmpty();
+        if (!ticketRow.answered() || unreadable) {
+            return Optional.empty();
+        }
+        long version = head.row().map(row -> row.version()).orElse(0L);
+        Optional<Ticket> present = ticketRow.row().flatMap(TicketRows::ticket);
+        return Optional.of(new TicketView(TicketRows.headNumber(head.row()), version, present));
+    }
+
+    private Future<TicketAnswer> write(long headVersion) {
+        if (sync.isCompleteUpTo(headNumber)) {
+            return checkAndWrite(headVersion);
+        }
+        return sync.sync().compose(ignored -> {
+            if (sync.isCompleteUpTo(headNumber)) {
+                return checkAndWrite(headVersion);
+            }
+            return carryOut(acceptance.afterWrite(WriteResult.UNAVAILABLE));
+        });
+    }
+
+    private Future<TicketAnswer> checkAndWrite(long headVersion) {
+        List<String> problems = TicketRules.check(ticket, sync.known());
+        if (!problems.isEmpty()) {
+            return Future.succeededFuture(new TicketAnswer.Invalid(problems));
+        }
+        AuditEntry audit = AuditEntry.of(ticket, sync.known(), origin.token(), origin.entry(), origin.when());
+        return tables.transact(TicketRows.acceptance(ticket, headVersion, audit))
+                .compose(result -> carryOut(acceptance.afterWrite(writeResult(result))));
+    }
+
+    private static WriteResult writeResult(TransactResult result) {
+        if (result instanceof TransactResult.Committed) {
+            return WriteResult.COMMITTED;
+        }
+        if (result instanceof TransactResult.Conflict) {
+            return WriteResult.CONFLICT;
+        }
+        return result instanceof TransactResult.Unknown ? WriteResult.UNKNOWN : WriteResult.UNAVAILABLE;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/ticket/TicketSync.java
@@ -0,0 +1,114 @@
+package org.knapweedmount.daemon.ticket;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+
+import io.vertx.core.Future;
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.config.Ticket;
+import org.knapweedmount.core.config.ConfigState;
+import org.knapweedmount.daemon.store.ReadResult;
+import org.knapweedmount.daemon.store.Row;
+import org.knapweedmount.daemon.store.Tables;
+
+/**
+ * Keeps a copy of the configuration in line with the table service and with what peers send.
+ *
+ * <p>A peer's message may bring a ticket before an earlier one. So the highest number that was seen does not tell that
+ * all lower tickets are known; the number up to which this was read from the table service is kept apart.
+ *
+ * <p>Used on the context of the store.
+ */
+final class TicketSync {
+    private final Tables tables;
+    private final ConfigSink sink;
+    private final ConfigState known = new ConfigState();
+    private long completeNumber;
+    private Optional<Future<Boolean>> running = Optional.empty();
+
+    TicketSync(Tables tables, ConfigSink sink) {
+        this.tables = tables;
+        this.sink = sink;
+    }
+
+    /** Returns the configuration, not to be changed. */
+    ConfigState known() {
+        return known;
+    }
+
+    /** Tells whether every ticket up to a number is known. */
+    boolean isCompleteUpTo(long number) {
+        return completeNumber >= number;
+    }
+
+    /**
+     * Reads what the table service has and this process does not; a call while one is under way joins it.
+     *
+     * @return true if the table service could be read
+     */
+    Future<Boolean> sync() {
+        if (running.isPresent()) {
+            return running.get();
+        }
+        Future<Boolean> started = tables.read(TicketRows.HEAD).compose(this::headRead);
+        if (started.isComplete()) {
+            return started;
+        }
+        running = Optional.of(started);
+        return started.onComplete(ended -> running = Optional.empty());
+    }
+
+    private Future<Boolean> headRead(ReadResult head) {
+        if (!head.answered()) {
+            return Future.succeededFuture(false);
+        }
+        long number = TicketRows.headNumber(head.row());
+        if (isCompleteUpTo(number)) {
+            return Future.succeededFuture(true);
+        }
+        return completeNumber == 0
+                ? load(TicketRows.OBJECTS, "", TicketRows::object, number)
+                : load(TicketRows.TICKETS, TicketRows.key(completeNumber), TicketRows::ticket, number);
+    }
+
+    private Future<Boolean> load(String table, String after, Function<Row, Optional<Ticket>> reader, long number) {
+        return tables.listAll(table, after).map(list -> {
+            if (!list.answered()) {
+                return false;
+            }
+            List<Ticket> tickets = list.rows().stream()
+                    .flatMap(row -> reader.apply(row).stream())
+                    .toList();
+            apply(tickets, Optional.empty());
+            completeNumber = Math.max(completeNumber, number);
+            return true;
+        });
+    }
+
+    /** Takes tickets from a peer. */
+    void received(Incarnation from, List<Ticket> tickets) {
+        apply(tickets, Optional.of(from));
+    }
+
+    /** Takes a ticket that this process has just accepted, when the given number was the highest. */
+    void accepted(Ticket ticket, long headNumber) {
+        apply(List.of(ticket), Optional.empty());
+        if (isCompleteUpTo(headNumber)) {
+            completeNumber = Math.max(completeNumber, ticket.number());
+        }
+    }
+
+    private void apply(List<Ticket> tickets, Optional<Incarnation> from) {
+        List<Ticket> changing = new ArrayList<>();
+        for (Ticket ticket : tickets) {
+            if (!known.apply(ticket).isEmpty()) {
+                changing.add(ticket);
+            }
+        }
+        if (!changing.isEmpty()) {
+            sink.changed(changing, from);
+        }
+    }
+}
