Add the command-line tool

Cause: operators apply tickets and look at entries, and callers submit jobs, by a tool of their own. Ruled out: nested JCommander commands, whose help texts can't be listed in one table; a wrong exit code 0 for a job that has not ended, which got the code 8. 'settings check' is not there yet, since its reader is in another module.

--- /dev/null
+++ b/cli/src/main/java/org/knapweedmount/cli/ApiAnswer.java
@@ -0,0 +1,64 @@
+package org.knapweedmount.cli;
+
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.knapweedmount.api.Outcome;
+
+/**
+ * An answer of an entry.
+ *
+ * @param status the HTTP status
+ * @param outcomeHeader the header with the outcome, empty if missing
+ * @param submission the header with the submission id, empty if missing
+ * @param contentType the media type of the body, empty if missing
+ * @param retryAfter the header with the time to wait, in s, empty if missing
+ * @param body the body
+ */
+record ApiAnswer(
+        int status, String outcomeHeader, String submission, String contentType, String retryAfter, String body) {
+    private static final int FIRST_ERROR = 400;
+
+    boolean successful() {
+        return status < FIRST_ERROR;
+    }
+
+    JsonNode json() {
+        return JsonText.parse(body);
+    }
+
+    /** Returns the outcome of the submission by the header, else by the body, empty if neither states one. */
+    Optional<Outcome> outcome() {
+        String text = outcomeHeader.isEmpty() ? json().path("outcome").asText() : outcomeHeader;
+        for (Outcome outcome : Outcome.values()) {
+            if (outcome.text().equals(text)) {
+                return Optional.of(outcome);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns what a command ends with after this refusal. */
+    ExitCode refusal() {
+        return outcome().map(ExitCode::of).orElse(ExitCode.REFUSED);
+    }
+
+    /** Describes a refusal in one line. */
+    String problem() {
+        JsonNode problem = json();
+        StringBuilder text = new StringBuilder();
+        append(text, "", outcome().map(Outcome::text).orElse("refused with status " + status));
+        append(text, ": ", problem.path("reason").asText());
+        append(text, ": ", problem.path("detail").asText(problem.path("title").asText()));
+        append(text, "; highest accepted number ", problem.path("highest").asText());
+        append(text, "; submission ", problem.path("submission").asText(submission));
+        append(text, "; retry after s: ", retryAfter);
+        return text.toString();
+    }
+
+    private static void append(StringBuilder text, String before, String value) {
+        if (!value.isEmpty()) {
+            text.append(before).append(value);
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/knapweedmount/cli/CallCommand.java
@@ -0,0 +1,114 @@
+package org.knapweedmount.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import com.beust.jcommander.Parameter;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.knapweedmount.api.Outcome;
+import org.knapweedmount.api.Payload;
+
+/** Sends one request to a service. */
+final class CallCommand implements Command {
+    @Parameter(description = "SERVICE PATH")
+    private List<String> operands = new ArrayList<>();
+
+    @Parameter(names = "--method", description = "HTTP method")
+    private String method = "POST";
+
+    @Parameter(names = "--body", description = "Body of the request, a text")
+    private String body = "";
+
+    @Parameter(names = "--body-file", description = "File with the body of the request")
+    private Path bodyFile;
+
+    @Parameter(names = "--content-type", description = "Media type of the body")
+    private String contentType = "text/plain";
+
+    @Parameter(names = "--kind", description = "Kind of the task; the service's default kind if missing")
+    private String kind = "";
+
+    @Parameter(names = "--team", description = "Team that the task is charged to")
+    private String team = "";
+
+    @Parameter(names = "--key", description = "Issued submission id or own idempotency key")
+    private String key = "";
+
+    @Parameter(names = "--at-most-once", description = "Forbid a second run even of a repeatable kind")
+    private boolean atMostOnce;
+
+    @Parameter(names = "--first-attempt", description = "State that the key was not sent before")
+    private boolean firstAttempt;
+
+    @Parameter(names = "--declared-millis", description = "Expected run time, in ms")
+    private Integer declaredMillis;
+
+    @Override
+    public String name() {
+        return "call";
+    }
+
+    @Override
+    public String summary() {
+        return "Send one request to a service and print the answer";
+    }
+
+    @Override
+    public ExitCode run(Session session) throws CliException {
+        List<String> checked = Operand.exactly(operands, "SERVICE", "PATH");
+        String path = checked.get(1).startsWith("/") ? checked.get(1) : "/" + checked.get(1);
+        ApiRequest request = ApiRequest.of(method, "/v1/services/" + Operand.pathSegment(checked.get(0)) + path)
+                .withBody(payload(), contentType)
+                .withHeader("Knapweedmount-Kind", kind)
+                .withHeader("Knapweedmount-Team", team)
+                .withHeader("Idempotency-Key", key)
+                .withHeader("Knapweedmount-At-Most-Once", atMostOnce ? "true" : "")
+                .withHeader("Knapweedmount-First-Attempt", firstAttempt ? "true" : "")
+                .withHeader("Knapweedmount-Declared-Millis", declaredMillis == null ? "" : declaredMillis.toString());
+        return show(session, session.callers().send(request));
+    }
+
+    private Payload payload() throws CliException {
+        if (bodyFile == null) {
+            return Payload.of(body);
+        }
+        try {
+            return Payload.of(Files.readAllBytes(bodyFile));
+        } catch (IOException e) {
+            throw new CliException(ExitCode.USAGE, bodyFile + " cannot be read", e);
+        }
+    }
+
+    private static ExitCode show(Session session, ApiAnswer answer) {
+        Optional<Outcome> outcome = answer.outcome();
+        boolean problem = answer.contentType().startsWith("application/problem+json");
+        if (session.json()) {
+            session.print(json(answer, outcome).toString());
+        } else if (!problem) {
+            session.print(answer.body());
+        }
+        if (outcome.isPresent() && outcome.get() == Outcome.COMPLETE) {
+            return ExitCode.OK;
+        }
+        session.note(
+                problem
+                        ? answer.problem()
+                        : outcome.map(Outcome::text).orElse("refused") + " with status " + answer.status());
+        return answer.refusal();
+    }
+
+    private static JsonNode json(ApiAnswer answer, Optional<Outcome> outcome) {
+        ObjectNode json = JsonText.object();
+        json.put("outcome", outcome.map(Outcome::text).orElse(""));
+        json.put("submission", answer.submission());
+        json.put("status", answer.status());
+        json.put("contentType", answer.contentType());
+        json.put("body", answer.body());
+        return json;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/knapweedmount/cli/CommandRegistry.java
@@ -0,0 +1,40 @@
+package org.knapweedmount.cli;
+
+import java.util.List;
+import java.util.Optional;
+
+/** The commands of the tool. */
+final class CommandRegistry {
+    private static final int MAX_WORDS = 2;
+
+    private CommandRegistry() {}
+
+    /** Creates all commands in the order of the help text. */
+    static List<Command> commands() {
+        return List.of(
+                new CallCommand(),
+                new JobSubmitCommand(),
+                new JobStatusCommand(),
+                new JobCancelCommand(),
+                new TicketApplyCommand(),
+                new TicketShowCommand(),
+                new TicketHistoryCommand(),
+                new StatusCommand(),
+                new AuditCommand(),
+                new DrainCommand());
+    }
+
+    /** Finds the command whose words a command line begins with. */
+    static Optional<Command> find(List<String> words) {
+        for (int length = Math.min(MAX_WORDS, words.size()); length > 0; length--) {
+            String name = String.join(" ", words.subList(0, length));
+            Optional<Command> command = commands().stream()
+                    .filter(candidate -> candidate.name().equals(name))
+                    .findFirst();
+            if (command.isPresent()) {
+                return command;
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/knapweedmount/cli/JobStatusCommand.java
@@ -0,0 +1,31 @@
+package org.knapweedmount.cli;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import com.beust.jcommander.Parameter;
+
+/** Asks for the answer to a job. */
+final class JobStatusCommand implements Command {
+    @Parameter(description = "ID")
+    private List<String> ids = new ArrayList<>();
+
+    @Parameter(names = "--wait", description = "Wait for the end of the job")
+    private boolean wait;
+
+    @Override
+    public String name() {
+        return "job status";
+    }
+
+    @Override
+    public String summary() {
+        return "Show how a job stands, with its results once it is complete";
+    }
+
+    @Override
+    public ExitCode run(Session session) throws CliException {
+        String path = "/v1/jobs/" + Operand.pathSegment(Operand.only(ids, "ID"));
+        return JobText.show(session, session.callers().send(ApiRequest.of("GET", wait ? path + "?wait=true" : path)));
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/knapweedmount/cli/JobSubmitCommand.java
@@ -0,0 +1,60 @@
+package org.knapweedmount.cli;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.beust.jcommander.Parameter;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.knapweedmount.api.Payload;
+
+/** Submits a job from a file. */
+final class JobSubmitCommand implements Command {
+    @Parameter(description = "FILE, JSON with comments: team, service and tasks")
+    private List<Path> files = new ArrayList<>();
+
+    @Parameter(names = "--id", description = "Submission id or own key, to submit the job again or under a known name")
+    private String id;
+
+    @Parameter(names = "--team", description = "Team that the job is charged to, in place of the one in the file")
+    private String team;
+
+    @Parameter(names = "--async", description = "Don't wait for the end of the job")
+    private boolean async;
+
+    @Override
+    public String name() {
+        return "job submit";
+    }
+
+    @Override
+    public String summary() {
+        return "Submit a job and print its results";
+    }
+
+    @Override
+    public ExitCode run(Session session) throws CliException {
+        ObjectNode job = JsonText.readFile(Operand.only(files, "FILE"));
+        if (team != null) {
+            job.put("team", team);
+        }
+        EntryApi entry = session.callers();
+        String submission = id == null ? issueId(entry) : id;
+        session.note("submission " + submission);
+        ApiRequest request = ApiRequest.of("PUT", "/v1/jobs/" + Operand.pathSegment(submission))
+                .withBody(Payload.of(job.toString()), "application/json")
+                .withHeader("Prefer", async ? "respond-async" : "");
+        ExitCode exitCode = JobText.show(session, entry.send(request));
+        return async && exitCode == ExitCode.PENDING ? ExitCode.OK : exitCode;
+    }
+
+    private static String issueId(EntryApi entry) throws CliException {
+        ApiAnswer answer = entry.send(ApiRequest.of("POST", "/v1/submission-ids?count=1"));
+        JsonNode issued = answer.json().path("ids").path(0);
+        if (!answer.successful() || issued.isMissingNode()) {
+            throw new CliException(answer.refusal(), "no submission id: " + answer.problem());
+        }
+        return issued.asText();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/knapweedmount/cli/Session.java
@@ -0,0 +1,86 @@
+package org.knapweedmount.cli;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.util.function.Function;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.knapweedmount.api.Payload;
+
+/** What a command works with: the entry's two addresses and the places to print to. */
+final class Session {
+    private static final String JSON_TYPE = "application/json";
+
+    private final CommonOptions options;
+    private final PrintStream out;
+    private final PrintStream err;
+
+    Session(CommonOptions options, PrintStream out, PrintStream err) {
+        this.options = options;
+        this.out = out;
+        this.err = err;
+    }
+
+    /** Returns the entry's address for callers. */
+    EntryApi callers() {
+        return new EntryApi(options.entry(), options.timeout());
+    }
+
+    /**
+     * Sends a request to the entry's address for operators.
+     *
+     * @throws CliException if there is no token or no answer
+     */
+    ApiAnswer askOperators(ApiRequest request) throws CliException {
+        EntryApi api = new EntryApi(options.operators(), options.timeout());
+        return api.send(request.withHeader("Authorization", "Bearer " + token()));
+    }
+
+    /**
+     * Sends a JSON value to the entry's address for operators.
+     *
+     * @throws CliException if there is no token or no answer
+     */
+    ApiAnswer askOperators(String method, String path, JsonNode body) throws CliException {
+        return askOperators(ApiRequest.of(method, path).withBody(Payload.of(body.toString()), JSON_TYPE));
+    }
+
+    private String token() throws CliException {
+        try {
+            return Files.readString(options.tokenFile()).strip();
+        } catch (IOException e) {
+            throw new CliException(ExitCode.USAGE, "no token in " + options.tokenFile() + "; see --token-file", e);
+        }
+    }
+
+    /** Tells whether answers are printed as JSON. */
+    boolean json() {
+        return options.json();
+    }
+
+    /** Prints a line of the result. */
+    void print(String line) {
+        out.println(line);
+    }
+
+    /** Prints a line beside the result. */
+    void note(String line) {
+        err.println(line);
+    }
+
+    /** Prints an answer as JSON or as text, or its refusal as an error, and returns how the command ends. */
+    ExitCode show(ApiAnswer answer, Function<JsonNode, String> text) {
+        if (json()) {
+            out.println(answer.body().strip());
+        }
+        if (!answer.successful()) {
+            err.println(answer.problem());
+            return answer.refusal();
+        }
+        if (!json()) {
+            out.print(text.apply(answer.json()));
+        }
+        return ExitCode.OK;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/knapweedmount/cli/StatusCommand.java
@@ -0,0 +1,82 @@
+package org.knapweedmount.cli;
+
+import java.time.Duration;
+
+import com.beust.jcommander.Parameter;
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** Shows an entry with the agents and queues that it knows. */
+final class StatusCommand implements Command {
+    private static final int POLL_MILLIS = 20;
+
+    @Parameter(
+            names = "--await-ticket",
+            description = "Wait until this ticket is in force at the entry and its agents, else end with code 8")
+    private long awaitedTicket;
+
+    @Parameter(names = "--await-millis", description = "Longest wait for the ticket, in ms")
+    private int awaitMillis = 3_000;
+
+    @Parameter(names = "--counters", description = "Show the counters too")
+    private boolean counters;
+
+    @Override
+    public String name() {
+        return "status";
+    }
+
+    @Override
+    public String summary() {
+        return "Show an entry, its agents and its queues";
+    }
+
+    @Override
+    public ExitCode run(Session session) throws CliException {
+        long startNanos = System.nanoTime();
+        ApiAnswer answer = ask(session);
+        while (waits(answer) && millisSince(startNanos) < awaitMillis) {
+            pause();
+            answer = ask(session);
+        }
+        ExitCode shown = session.show(answer, status -> StatusText.of(status, counters));
+        if (shown != ExitCode.OK || !waits(answer)) {
+            return shown;
+        }
+        session.note("ticket " + awaitedTicket + " is not in force everywhere");
+        return ExitCode.PENDING;
+    }
+
+    private static ApiAnswer ask(Session session) throws CliException {
+        return session.askOperators(ApiRequest.of("GET", "/v1/status"));
+    }
+
+    private boolean waits(ApiAnswer answer) {
+        return answer.successful() && !inForce(answer.json(), awaitedTicket);
+    }
+
+    /** Tells whether a ticket is in force at the entry and at all agents that it knows. */
+    static boolean inForce(JsonNode status, long ticket) {
+        if (status.path("configNumber").asLong() < ticket) {
+            return false;
+        }
+        for (JsonNode agent : status.path("agents")) {
+            if (agent.path("configNumber").asLong() < ticket) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static long millisSince(long startNanos) {
+        return Duration.ofNanos(System.nanoTime() - startNanos).toMillis();
+    }
+
+    private static void pause() throws CliException {
+        try {
+            Thread.sleep(POLL_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new CliException(ExitCode.PENDING, "interrupted", e);
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/knapweedmount/cli/StatusText.java
@@ -0,0 +1,76 @@
+package org.knapweedmount.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** Writes the status of an entry as aligned text. */
+final class StatusText {
+    private StatusText() {}
+
+    static String of(JsonNode status, boolean counters) {
+        StringBuilder text = new StringBuilder(head(status));
+        text.append('\n').append(entries(status));
+        text.append('\n').append(agents(status));
+        text.append('\n').append(queues(status));
+        if (counters) {
+            text.append('\n').append(counters(status));
+        }
+        return text.toString();
+    }
+
+    private static String head(JsonNode status) {
+        TextTable table = new TextTable("process", "role", "ready", "draining", "ticket");
+        table.row(
+                status.path("incarnation").asText(),
+                status.path("role").asText(),
+                status.path("ready").asText(),
+                status.path("draining").asText(),
+                status.path("configNumber").asText());
+        return table.toString();
+    }
+
+    private static String entries(JsonNode status) {
+        TextTable table = new TextTable("entry");
+        for (JsonNode entry : status.path("entries")) {
+            table.row(
+                    entry.isTextual()
+                            ? entry.asText()
+                            : entry.path("incarnation").asText());
+        }
+        return table.toString();
+    }
+
+    private static String agents(JsonNode status) {
+        TextTable table = new TextTable("agent", "data centre", "service", "slots", "leases", "ticket");
+        for (JsonNode agent : status.path("agents")) {
+            table.row(
+                    agent.path("incarnation").asText(),
+                    agent.path("dataCentre").asText(),
+                    agent.path("service").asText(),
+                    agent.path("slots").asText(),
+                    agent.path("leases").asText(),
+                    agent.path("configNumber").asText());
+        }
+        return table.toString();
+    }
+
+    private static String queues(JsonNode status) {
+        TextTable table = new TextTable("kind", "team", "queued", "oldest wait ms");
+        for (JsonNode queue : status.path("queues")) {
+            table.row(
+                    queue.path("kind").asText(),
+                    queue.path("team").asText(),
+                    queue.path("queued").asText(),
+                    queue.path("oldestWaitMillis").asText());
+        }
+        return table.toString();
+    }
+
+    private static String counters(JsonNode status) {
+        TextTable table = new TextTable("counter", "value");
+        status.path("counters")
+                .properties()
+                .forEach(counter ->
+                        table.row(counter.getKey(), counter.getValue().asText()));
+        return table.toString();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/knapweedmount/cli/TicketApplyCommand.java
@@ -0,0 +1,60 @@
+package org.knapweedmount.cli;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.beust.jcommander.Parameter;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** Applies a change ticket from a file. */
+final class TicketApplyCommand implements Command {
+    @Parameter(description = "FILE, JSON with comments: number, author and objects")
+    private List<Path> files = new ArrayList<>();
+
+    @Parameter(names = "--number", description = "Number of the ticket, in place of the one in the file")
+    private Long number;
+
+    @Parameter(names = "--author", description = "Who applies the ticket; your user name if missing in the file too")
+    private String author;
+
+    @Override
+    public String name() {
+        return "ticket apply";
+    }
+
+    @Override
+    public String summary() {
+        return "Apply a change ticket";
+    }
+
+    @Override
+    public ExitCode run(Session session) throws CliException {
+        ObjectNode ticket = JsonText.readFile(Operand.only(files, "FILE"));
+        long ticketNumber = takeNumber(ticket);
+        if (author != null) {
+            ticket.put("author", author);
+        } else if (!ticket.has("author")) {
+            ticket.put("author", System.getProperty("user.name"));
+        }
+        ApiAnswer answer = session.askOperators("PUT", "/v1/tickets/" + ticketNumber, ticket);
+        return session.show(answer, TicketApplyCommand::text);
+    }
+
+    private long takeNumber(ObjectNode ticket) throws CliException {
+        JsonNode inFile = ticket.remove("number");
+        if (number != null) {
+            return number;
+        }
+        if (inFile == null || !inFile.canConvertToLong() || inFile.longValue() < 1) {
+            throw new CliException(ExitCode.USAGE, "no ticket number from 1 up in the file; see --number");
+        }
+        return inFile.longValue();
+    }
+
+    private static String text(JsonNode answer) {
+        return "ticket " + answer.path("number").asText() + " "
+                + answer.path("state").asText() + "\n";
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/knapweedmount/cli/TicketHistoryCommand.java
@@ -0,0 +1,46 @@
+package org.knapweedmount.cli;
+
+import com.beust.jcommander.Parameter;
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** Lists accepted tickets. */
+final class TicketHistoryCommand implements Command {
+    @Parameter(names = "--limit", description = "Largest number of tickets")
+    private int limit = 20;
+
+    @Override
+    public String name() {
+        return "ticket history";
+    }
+
+    @Override
+    public String summary() {
+        return "List accepted tickets, newest first";
+    }
+
+    @Override
+    public ExitCode run(Session session) throws CliException {
+        ApiAnswer answer = session.askOperators(ApiRequest.of("GET", "/v1/tickets?limit=" + limit));
+        return session.show(answer, TicketHistoryCommand::text);
+    }
+
+    private static String text(JsonNode answer) {
+        TextTable table = new TextTable("number", "author", "objects");
+        for (JsonNode ticket : JsonLists.items(answer, "tickets")) {
+            table.row(ticket.path("number").asText(), ticket.path("author").asText(), objects(ticket));
+        }
+        return table.toString();
+    }
+
+    private static String objects(JsonNode ticket) {
+        StringBuilder text = new StringBuilder();
+        for (JsonNode object : ticket.path("objects")) {
+            text.append(text.length() == 0 ? "" : ", ");
+            text.append(object.path("removed").asBoolean() ? "-" : "");
+            text.append(object.path("type").asText())
+                    .append('/')
+                    .append(object.path("name").asText());
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/org/knapweedmount/cli/CommandLineTest.java
@@ -0,0 +1,216 @@
+package org.knapweedmount.cli;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+/** Runs command lines against an entry that gives prepared answers. */
+class CommandLineTest {
+    private static final String ID = "entry-1~00000000000000ff.17.3";
+    private static final String STALE =
+            "{\"title\":\"stale\",\"detail\":\"the number is too low\",\"status\":409,\"highest\":9}";
+    private static final String OVERLOADED = "{\"outcome\":\"not-run\",\"reason\":\"overloaded\",\"detail\":\"full\"}";
+
+    @TempDir
+    private Path directory;
+
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+    private final List<String> requests = new ArrayList<>();
+    private final Map<String, Prepared> answers = new HashMap<>();
+    private HttpServer entry;
+
+    private record Prepared(int status, String outcome, String contentType, String body) {}
+
+    @BeforeEach
+    void start() throws IOException {
+        Files.writeString(directory.resolve("token"), "secret\n");
+        entry = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        entry.createContext("/", this::answer);
+        entry.start();
+    }
+
+    @AfterEach
+    void stop() {
+        entry.stop(0);
+    }
+
+    @Test
+    void appliesATicketUnderTheNumberInTheFile() throws IOException {
+        prepare("PUT /v1/tickets/9", 200, "", "{\"number\":9,\"state\":\"accepted\"}");
+        Path file = file("// ours\n{\"number\":9,\"author\":\"ana\",\"objects\":[]}");
+        assertThat(run("ticket", "apply", file.toString()), is(ExitCode.OK));
+        assertThat(text(out), is("ticket 9 accepted\n"));
+        assertThat(requests, is(List.of("PUT /v1/tickets/9 Bearer secret {\"author\":\"ana\",\"objects\":[]}")));
+    }
+
+    @Test
+    void aStaleTicketIsRefused() throws IOException {
+        prepare("PUT /v1/tickets/5", 409, "", STALE);
+        Path file = file("{\"number\":9,\"author\":\"ana\",\"objects\":[]}");
+        assertThat(run("ticket", "apply", file.toString(), "--number", "5"), is(ExitCode.REFUSED));
+        assertThat(text(err), allOf(containsString("too low"), containsString("highest accepted number 9")));
+    }
+
+    @Test
+    void aTicketWhoseFateIsUnknownEndsWithItsOwnCode() throws IOException {
+        prepare("PUT /v1/tickets/9", 503, "", "{\"outcome\":\"unknown\",\"reason\":\"store-unavailable\"}");
+        assertThat(run("ticket", "apply", file("{\"number\":9}").toString()), is(ExitCode.UNKNOWN));
+    }
+
+    @Test
+    void badCommandLinesAndFilesAreUsageErrors() throws IOException {
+        String[][] bad = {
+            {},
+            {"ticket"},
+            {"tickets", "apply"},
+            {"ticket", "apply"},
+            {"ticket", "apply", "nosuch.json"},
+            {"ticket", "apply", file("{\"number\":").toString()},
+            {"ticket", "apply", file("[]").toString()},
+            {"ticket", "apply", file("{\"objects\":[]}").toString()},
+            {"ticket", "show", "nine"},
+            {"call", "desk"},
+            {"status", "--nosuch"}
+        };
+        for (String[] words : bad) {
+            assertThat(String.join(" ", words), run(words), is(ExitCode.USAGE));
+        }
+        assertThat(requests, is(List.of()));
+    }
+
+    @Test
+    void everyCommandHasHelpWithTheExitCodes() {
+        for (Command command : CommandRegistry.commands()) {
+            String[] words = (command.name() + " --help").split(" ", -1);
+            assertThat(command.name(), run(words), is(ExitCode.OK));
+        }
+        assertThat(text(out), allOf(containsString("--operators"), containsString("nothing was started")));
+    }
+
+    @Test
+    void aCallPrintsTheBodyOfTheAnswer() {
+        prepare("POST /v1/services/desk/find?n=1", 200, "complete", "there");
+        assertThat(run("call", "desk", "/find?n=1", "--body", "lens"), is(ExitCode.OK));
+        assertThat(text(out), is("there\n"));
+        assertThat(requests, is(List.of("POST /v1/services/desk/find?n=1 null lens")));
+    }
+
+    @Test
+    void aCallEndsWithItsOutcome() {
+        prepare("POST /v1/services/desk/a", 500, "failed", "broken");
+        assertThat(run("call", "desk", "a"), is(ExitCode.FAILED));
+        answers.put("POST /v1/services/desk/a", new Prepared(503, "", "application/problem+json", OVERLOADED));
+        assertThat(run("call", "desk", "a"), is(ExitCode.NOT_RUN));
+        assertThat(text(err), containsString("not-run: overloaded: full"));
+        prepare("POST /v1/services/desk/a", 504, "unknown", "");
+        assertThat(run("call", "desk", "a"), is(ExitCode.UNKNOWN));
+        prepare("POST /v1/services/desk/a", 404, "", "");
+        assertThat(run("call", "desk", "a"), is(ExitCode.REFUSED));
+    }
+
+    @Test
+    void aJobGetsAnIdBeforeItIsSubmitted() throws IOException {
+        prepare("POST /v1/submission-ids?count=1", 200, "", "{\"ids\":[\"" + ID + "\"]}");
+        String path = "/v1/jobs/entry-1%7E00000000000000ff.17.3";
+        prepare("PUT " + path, 200, "", "{\"outcome\":\"complete\",\"results\":[{\"status\":200,\"body\":\"x\"}]}");
+        assertThat(run("job", "submit", file("{\"tasks\":[]}").toString(), "--team", "t"), is(ExitCode.OK));
+        assertThat(requests.get(1), is("PUT " + path + " null {\"tasks\":[],\"team\":\"t\"}"));
+        assertThat(text(err), is("submission " + ID + "\n"));
+        assertThat(text(out), containsString("complete\ntask  status  content type  body\n0     200"));
+    }
+
+    @Test
+    void aJobThatHasNotEndedIsPending() throws IOException {
+        String pending = "{\"submission\":\"mine\",\"state\":\"pending\"}";
+        prepare("PUT /v1/jobs/mine", 202, "", pending);
+        prepare("GET /v1/jobs/mine", 200, "", pending);
+        assertThat(run("job", "submit", file("{}").toString(), "--id", "mine", "--async"), is(ExitCode.OK));
+        assertThat(run("job", "status", "mine"), is(ExitCode.PENDING));
+    }
+
+    @Test
+    void statusWaitsForATicketAtEveryAgent() {
+        String status = "{\"configNumber\":3,\"agents\":[{\"configNumber\":3},{\"configNumber\":2}]}";
+        prepare("GET /v1/status", 200, "", status);
+        assertThat(run("status", "--await-ticket", "2"), is(ExitCode.OK));
+        assertThat(run("status", "--await-ticket", "3", "--await-millis", "1"), is(ExitCode.PENDING));
+        assertThat(run("status", "--json"), is(ExitCode.OK));
+        assertThat(text(out), containsString(status));
+    }
+
+    @Test
+    void anEntryThatIsGoneCannotBeConnectedTo() throws IOException {
+        int port;
+        try (ServerSocket socket = new ServerSocket(0)) {
+            port = socket.getLocalPort();
+        }
+        assertThat(
+                new CommandLine(stream(out), stream(err)).run("job", "cancel", "x", "--entry", "127.0.0.1:" + port),
+                is(ExitCode.CANNOT_CONNECT));
+    }
+
+    private ExitCode run(String... words) {
+        String address = "127.0.0.1:" + entry.getAddress().getPort();
+        List<String> all = new ArrayList<>(Arrays.asList(words));
+        if (words.length > 1 || Arrays.equals(words, new String[] {"status"})) {
+            String token = directory.resolve("token").toString();
+            all.addAll(List.of("--entry", address, "--operators", address, "--token-file", token));
+        }
+        return new CommandLine(stream(out), stream(err)).run(all.toArray(String[]::new));
+    }
+
+    private void answer(HttpExchange exchange) throws IOException {
+        String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+        String call = exchange.getRequestMethod() + " " + exchange.getRequestURI();
+        requests.add(call + " " + exchange.getRequestHeaders().getFirst("Authorization") + " " + body);
+        Prepared prepared = answers.getOrDefault(call, new Prepared(404, "", "text/plain", ""));
+        exchange.getResponseHeaders().add("Content-Type", prepared.contentType);
+        if (!prepared.outcome.isEmpty()) {
+            exchange.getResponseHeaders().add("Knapweedmount-Outcome", prepared.outcome);
+        }
+        byte[] bytes = prepared.body.getBytes(StandardCharsets.UTF_8);
+        exchange.sendResponseHeaders(prepared.status, bytes.length == 0 ? -1 : bytes.length);
+        exchange.getResponseBody().write(bytes);
+        exchange.close();
+    }
+
+    private void prepare(String call, int status, String outcome, String body) {
+        answers.put(call, new Prepared(status, outcome, "text/plain", body));
+    }
+
+    private Path file(String content) throws IOException {
+        return Files.writeString(Files.createTempFile(directory, "file", ".json"), content);
+    }
+
+    private static PrintStream stream(ByteArrayOutputStream bytes) {
+        return new PrintStream(bytes, true, StandardCharsets.UTF_8);
+    }
+
+    private static String text(ByteArrayOutputStream bytes) {
+        return bytes.toString(StandardCharsets.UTF_8);
+    }
+}
