Let the load go to another entry if one takes no connection

Cause: the platform's balancer sends a caller to an entry that is up; without that, a planned stop of an entry showed as lost requests. Change: a request that found no connection goes to the next entry, also for its id; if none takes it, it counts as unreached, apart from lost. Ruled out: sending again after a connection broke, when the request may have run already.

--- a/standins/src/main/java/org/knapweedmount/standins/load/Answer.java
+++ b/standins/src/main/java/org/knapweedmount/standins/load/Answer.java
@@ -1,5 +1,7 @@
 package org.knapweedmount.standins.load;
 
+import java.net.ConnectException;
+
 /**
  * The answer to a request of the load.
  *
@@ -8,8 +10,9 @@
  * @param submission the id of the submission, empty if the entry gave none
  */
 record Answer(Ending ending, String reason, String submission) {
-    static Answer lost(Throwable error) {
-        String name = error.getClass().getSimpleName();
-        return new Answer(Ending.LOST, name, "");
+    /** Returns what an error of the connection means. */
+    static Answer withoutAnswer(Throwable error) {
+        Ending ending = error instanceof ConnectException ? Ending.UNREACHED : Ending.LOST;
+        return new Answer(ending, error.getClass().getSimpleName(), "");
     }
 }
--- a/standins/src/main/java/org/knapweedmount/standins/load/Ending.java
+++ b/standins/src/main/java/org/knapweedmount/standins/load/Ending.java
@@ -14,6 +14,8 @@
     NOT_RUN,
     /** The answer says that it is not known what happened. */
     UNKNOWN,
+    /** No connection to any entry could be made, so that nothing was sent. */
+    UNREACHED,
     /** No answer came. */
     LOST,
     /** An answer came that is not whole, belongs to another request, or states no outcome. */
--- a/standins/src/main/java/org/knapweedmount/standins/load/EntryClient.java
+++ b/standins/src/main/java/org/knapweedmount/standins/load/EntryClient.java
@@ -43,7 +43,7 @@
                                 response.getHeader("Knapweedmount-Outcome"),
                                 response.getHeader("Knapweedmount-Submission"),
                                 body.getBytes())))
-                .otherwise(Answer::lost);
+                .otherwise(Answer::withoutAnswer);
     }
 
     private static void putHeaders(HttpClientRequest http, PlannedRequest request, String submission) {
@@ -66,7 +66,7 @@
                         http.putHeader("Content-Type", "application/json").send(RequestWriter.job(request)))
                 .compose(response -> response.body())
                 .map(body -> AnswerReader.job(request, body.getBytes()))
-                .otherwise(Answer::lost);
+                .otherwise(Answer::withoutAnswer);
     }
 
     /** Has ids issued. */
--- a/standins/src/main/java/org/knapweedmount/standins/load/FlowStats.java
+++ b/standins/src/main/java/org/knapweedmount/standins/load/FlowStats.java
@@ -58,6 +58,7 @@
                 count(Ending.FAILED),
                 count(Ending.NOT_RUN),
                 count(Ending.UNKNOWN),
+                count(Ending.UNREACHED),
                 count(Ending.LOST),
                 count(Ending.WRONG),
                 resubmitted,
--- a/standins/src/main/java/org/knapweedmount/standins/load/FlowSummary.java
+++ b/standins/src/main/java/org/knapweedmount/standins/load/FlowSummary.java
@@ -11,6 +11,7 @@
  * @param failed requests answered failed
  * @param notRun requests answered not-run
  * @param unknown requests answered unknown
+ * @param unreached requests for which no connection could be made
  * @param lost requests without an answer
  * @param wrong requests with an answer that is not whole or not theirs
  * @param resubmitted requests sent a second time through another entry
@@ -26,6 +27,7 @@
         long failed,
         long notRun,
         long unknown,
+        long unreached,
         long lost,
         long wrong,
         long resubmitted,
--- a/standins/src/main/java/org/knapweedmount/standins/load/LoadRunner.java
+++ b/standins/src/main/java/org/knapweedmount/standins/load/LoadRunner.java
@@ -54,7 +54,7 @@
         inFlight++;
         submissionId(request, entry)
                 .compose(id -> send(request, entry, id, flow, recorded, intendedNanos))
-                .otherwise(Answer::lost)
+                .otherwise(Answer::withoutAnswer)
                 .onSuccess(answer -> finish(request, flow, answer, recorded, intendedNanos))
                 .onComplete(ignored -> ended());
     }
@@ -62,7 +62,12 @@
     private Future<String> submissionId(PlannedRequest request, int entry) {
         boolean needed =
                 request.tasks().size() > 1 || request.resubmitAfterMicros().isPresent();
-        return needed ? ids.get(entry).take() : Future.succeededFuture("");
+        return needed ? takeId(entry, entries.size()) : Future.succeededFuture("");
+    }
+
+    private Future<String> takeId(int entry, int triesLeft) {
+        Future<String> id = ids.get(entry % entries.size()).take();
+        return triesLeft <= 1 ? id : id.recover(error -> takeId(entry + 1, triesLeft - 1));
     }
 
     private Future<Answer> send(
@@ -72,7 +77,7 @@
             long afterMicros = request.resubmitAfterMicros().getAsLong();
             inFlight++;
             delay(intendedNanos, afterMicros)
-                    .compose(ignored -> sendTo((entry + 1) % entries.size(), request, id))
+                    .compose(ignored -> sendTo(entry + 1, request, id))
                     .compose(second -> first.map(answer -> pair(flow, recorded, answer, second)))
                     .onComplete(ignored -> ended());
         }
@@ -86,9 +91,20 @@
         return null;
     }
 
+    /** Sends to an entry, or to the next one that takes a connection, as the platform's balancer does. */
     private Future<Answer> sendTo(int entry, PlannedRequest request, String id) {
-        EntryClient client = entries.get(entry);
-        return request.tasks().size() > 1 ? client.job(request, id) : client.single(request, id);
+        return sendTo(entry, request, id, entries.size());
+    }
+
+    private Future<Answer> sendTo(int entry, PlannedRequest request, String id, int triesLeft) {
+        EntryClient client = entries.get(entry % entries.size());
+        Future<Answer> answer = request.tasks().size() > 1 ? client.job(request, id) : client.single(request, id);
+        if (triesLeft <= 1) {
+            return answer;
+        }
+        return answer.compose(result -> result.ending() == Ending.UNREACHED
+                ? sendTo(entry + 1, request, id, triesLeft - 1)
+                : Future.succeededFuture(result));
     }
 
     private Future<Void> delay(long intendedNanos, long afterMicros) {
