--- a/cli/src/main/java/org/knapweedmount/cli/AuditCommand.java
+++ b/cli/src/main/java/org/knapweedmount/cli/AuditCommand.java
@@ -3,7 +3,7 @@
 import com.beust.jcommander.Parameter;
 import com.fasterxml.jackson.databind.JsonNode;
 
-/** Lists the audit trail. */
+/** Lists the audit trail and the entry's own log of operators' requests. */
 final class AuditCommand implements Command {
     @Parameter(names = "--limit", description = "Largest number of records")
     private int limit = 20;
@@ -25,10 +25,36 @@
     }
 
     private static String text(JsonNode answer) {
-        StringBuilder text = new StringBuilder();
-        for (JsonNode entry : JsonLists.items(answer, "records")) {
-            text.append(entry).append('\n');
+        String trail = answer.path("trailRead").asBoolean()
+                ? trail(answer).toString()
+                : "the table service did not answer; this entry's own log:\n";
+        return trail + "\n" + events(answer);
+    }
+
+    private static TextTable trail(JsonNode answer) {
+        TextTable table = new TextTable("ticket", "when", "author", "token", "entry", "changed");
+        for (JsonNode entry : answer.path("trail")) {
+            table.row(
+                    entry.path("number").asText(),
+                    entry.path("when").asText(),
+                    entry.path("author").asText(),
+                    entry.path("token").asText(),
+                    entry.path("entry").asText(),
+                    String.join(", ", entry.path("changes").findValuesAsText("key")));
+        }
+        return table;
+    }
+
+    private static TextTable events(JsonNode answer) {
+        TextTable table = new TextTable("when", "event", "ticket", "who", "detail");
+        for (JsonNode event : answer.path("events")) {
+            table.row(
+                    event.path("when").asText(),
+                    event.path("action").asText(),
+                    event.path("number").asText(),
+                    event.path("who").asText(),
+                    event.path("detail").asText());
         }
-        return text.toString();
+        return table;
     }
 }
--- a/cli/src/main/java/org/knapweedmount/cli/Session.java
+++ b/cli/src/main/java/org/knapweedmount/cli/Session.java
@@ -1,8 +1,6 @@
 package org.knapweedmount.cli;
 
-import java.io.IOException;
 import java.io.PrintStream;
-import java.nio.file.Files;
 import java.util.function.Function;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -34,7 +32,7 @@
      */
     ApiAnswer askOperators(ApiRequest request) throws CliException {
         EntryApi api = new EntryApi(options.operators(), options.timeout());
-        return api.send(request.withHeader("Authorization", "Bearer " + token()));
+        return api.send(request.withHeader("Authorization", "Bearer " + OperatorToken.read(options.tokenFile())));
     }
 
     /**
@@ -46,14 +44,6 @@
         return askOperators(ApiRequest.of(method, path).withBody(Payload.of(body.toString()), JSON_TYPE));
     }
 
-    private String token() throws CliException {
-        try {
-            return Files.readString(options.tokenFile()).strip();
-        } catch (IOException e) {
-            throw new CliException(ExitCode.USAGE, "no token in " + options.tokenFile() + "; see --token-file", e);
-        }
-    }
-
     /** Tells whether answers are printed as JSON. */
     boolean json() {
         return options.json();
--- a/cli/src/test/java/org/knapweedmount/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/knapweedmount/cli/CommandLineTest.java
@@ -47,7 +47,7 @@
 
     @BeforeEach
     void start() throws IOException {
-        Files.writeString(directory.resolve("token"), "secret\n");
+        Files.writeString(directory.resolve("token"), "# ours\n\nana secret\nben other\n");
         entry = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
         entry.createContext("/", this::answer);
         entry.start();
@@ -162,6 +162,30 @@
         assertThat(text(out), containsString(status));
     }
 
+    @Test
+    void theAuditTrailNamesTicketAuthorAndObjects() {
+        prepare(
+                "GET /v1/audit?limit=5",
+                200,
+                "",
+                "{\"trailRead\":true,\"trail\":[{\"number\":2,\"when\":\"noon\",\"author\":\"ana\",\"token\":\"ops\","
+                        + "\"entry\":\"e-1\",\"changes\":[{\"key\":\"kind/a\"},{\"key\":\"team/b\"}]}],\"events\":[]}");
+        assertThat(run("audit", "--limit", "5"), is(ExitCode.OK));
+        assertThat(text(out), containsString("2       noon  ana     ops    e-1    kind/a, team/b\n"));
+    }
+
+    @Test
+    void theHistoryNamesTheObjectsOfEachTicket() {
+        prepare(
+                "GET /v1/tickets?limit=20",
+                200,
+                "",
+                "{\"tickets\":[{\"number\":2,\"author\":\"ana\",\"objects\":[{\"type\":\"kind\",\"name\":\"a\"},"
+                        + "{\"type\":\"team\",\"name\":\"b\",\"removed\":true}]}]}");
+        assertThat(run("ticket", "history", "--limit", "20"), is(ExitCode.OK));
+        assertThat(text(out), containsString("2       ana     kind/a, -team/b\n"));
+    }
+
     @Test
     void anEntryThatIsGoneCannotBeConnectedTo() throws IOException {
         int port;
