Number the confirmations of agents, and check the promises between nodes in random runs

Cause: in a seeded run (seed 13) with repeated messages, a task was started twice: an agent's confirmation that it had not started the task arrived once more after the entry had sent the task again, and was taken for a confirmation of the later start. Change: NotStarted and Resumed carry the sequence number of the start that they confirm; entries ignore those of earlier starts. A test fleet of entries and agents with failing links, processes and store checks the promises against the executors' log. Ruled out: relying on links to repeat nothing, because a confirmation without a number is wrong after any change of the links.

--- a/core/src/main/java/org/knapweedmount/core/agent/AgentCore.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/AgentCore.java
@@ -196,7 +196,7 @@
                 records.forgetNotRun(report.task());
             }
         }
-        ports.output().send(entry, new Resumed(reports));
+        ports.output().send(entry, new Resumed(resume.lastSequence(), reports));
     }
 
     private void seal(Incarnation entry, Seal seal) {
@@ -227,7 +227,7 @@
         boolean linked = entries.linked(running.entry());
         if (result.outcome() == Outcome.NOT_RUN) {
             records.notRun(task, linked);
-            ports.output().send(running.entry(), new NotStarted(task, result.reason()));
+            ports.output().send(running.entry(), new NotStarted(task, running.sequence(), result.reason()));
             pools.measure(running.pool().service(), nowNanos);
             return;
         }
--- a/core/src/main/java/org/knapweedmount/core/agent/RunningTask.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/RunningTask.java
@@ -5,10 +5,12 @@
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.TaskId;
+import org.knapweedmount.api.message.Start;
 
 /** A task that was sent to an endpoint and has not ended. */
 final class RunningTask {
     private final TaskId id;
+    private final long sequence;
     private final Incarnation entry;
     private final Endpoint endpoint;
     private final Lease lease;
@@ -20,14 +22,15 @@
     private boolean stopped;
 
     RunningTask(
-            TaskId id,
+            Start start,
             Endpoint endpoint,
             Lease lease,
             FlowCharge flowCharge,
             boolean longTask,
             Resources declared,
             long startedNanos) {
-        this.id = id;
+        this.id = start.task();
+        this.sequence = start.sequence();
         this.entry = lease.entry();
         this.endpoint = endpoint;
         this.lease = lease;
@@ -42,6 +45,11 @@
         return id;
     }
 
+    /** The sequence number of the start that it came with. */
+    long sequence() {
+        return sequence;
+    }
+
     Incarnation entry() {
         return entry;
     }
--- a/core/src/main/java/org/knapweedmount/core/agent/ServicePool.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/ServicePool.java
@@ -253,7 +253,7 @@
         FlowCharge charge = lease.charge().orElseGet(() -> arbiter.charge(flow));
         Endpoint endpoint = choose(lease, start, kind).orElseThrow();
         boolean longTask = !kind.shortTask();
-        RunningTask task = new RunningTask(start.task(), endpoint, lease, charge, longTask, need, nowNanos);
+        RunningTask task = new RunningTask(start, endpoint, lease, charge, longTask, need, nowNanos);
         lease.step(LeaseEvent.STARTED, ports.invariants());
         unbind(lease);
         endpoint.started(task.endpointCharge());
--- a/core/src/main/java/org/knapweedmount/core/agent/TaskStarter.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/TaskStarter.java
@@ -105,7 +105,7 @@
         if (reason == Reason.OVER_QUOTA) {
             ports.counters().increment(AgentCounter.OVER_QUOTA_STARTS);
         }
-        ports.output().send(entry, new NotStarted(start.task(), reason));
+        ports.output().send(entry, new NotStarted(start.task(), start.sequence(), reason));
     }
 
     private void carryOut(Start start, Lease lease, long nowNanos) {
--- a/core/src/main/java/org/knapweedmount/core/entry/StartedTasks.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/StartedTasks.java
@@ -60,7 +60,9 @@
     }
 
     void notStarted(AgentState agent, NotStarted notStarted, long nowNanos) {
-        agent.inFlight(notStarted.task()).ifPresent(task -> denied(agent, task, notStarted.reason(), nowNanos));
+        agent.inFlight(notStarted.task())
+                .filter(task -> task.sequence() == notStarted.sequence())
+                .ifPresent(task -> denied(agent, task, notStarted.reason(), nowNanos));
     }
 
     /** Asks an agent that is linked again what became of the tasks sent before. */
@@ -89,6 +91,7 @@
         for (TaskReport report : resumed.tasks()) {
             agent.inFlight(report.task())
                     .filter(task -> task.phase() == TaskPhase.AWAITING_AGENT)
+                    .filter(task -> task.sequence() <= resumed.lastSequence())
                     .ifPresent(task -> resumed(agent, task, report, nowNanos));
         }
     }
--- a/core/src/main/java/org/knapweedmount/core/entry/TaskRun.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/TaskRun.java
@@ -21,6 +21,7 @@
     private final List<AgentState> avoided = new ArrayList<>(0);
     private TaskPhase phase = TaskPhase.QUEUED;
     private long queuedNanos;
+    private long sequence;
     private int denials;
     private Optional<TaskResult> firstResult = Optional.empty();
 
@@ -67,6 +68,11 @@
         return queuedNanos;
     }
 
+    /** The sequence number of the start that was sent last. */
+    long sequence() {
+        return sequence;
+    }
+
     /** How often agents have refused to start the task. */
     int denials() {
         return denials;
@@ -102,8 +108,9 @@
         phase = TaskPhase.QUEUED;
     }
 
-    void sent(AgentState agent) {
+    void sent(AgentState agent, long startSequence) {
         phase = TaskPhase.SENT;
+        sequence = startSequence;
         startedAt.add(agent);
     }
 
--- a/core/src/main/java/org/knapweedmount/core/entry/TaskScheduler.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/TaskScheduler.java
@@ -230,7 +230,7 @@
         checkStart(task, agent);
         service.flows().start(queue, task, nowNanos);
         left(task);
-        task.sent(agent);
+        task.sent(agent, agent.nextSequence());
         agent.sent(task);
         Flow flow = task.flow();
         service.demand().started(part, flow, queue.size());
@@ -242,7 +242,7 @@
                 .send(
                         agent.incarnation(),
                         new Start(
-                                agent.nextSequence(),
+                                task.sequence(),
                                 match.lease(),
                                 task.id(),
                                 service.name(),
--- a/core/src/test/java/org/knapweedmount/core/agent/AgentCoreTest.java
+++ b/core/src/test/java/org/knapweedmount/core/agent/AgentCoreTest.java
@@ -92,7 +92,8 @@
 
         TaskId second = fixture.send(E1, lease, BALANCE, 0);
 
-        assertThat(fixture.output.take(E1), contains(new NotStarted(second, Reason.LEASE_LAPSED)));
+        assertThat(
+                fixture.output.take(E1), contains(new NotStarted(second, fixture.sequence(E1), Reason.LEASE_LAPSED)));
         assertThat(fixture.counters.value(AgentCounter.LAPSED_LEASES), is(1L));
     }
 
@@ -103,7 +104,9 @@
 
         TaskId task = fixture.send(E2, fixture.leases(E1).get(0), BALANCE, 0);
 
-        assertThat(fixture.output.take(E2, NotStarted.class), contains(new NotStarted(task, Reason.LEASE_LAPSED)));
+        assertThat(
+                fixture.output.take(E2, NotStarted.class),
+                contains(new NotStarted(task, fixture.sequence(E2), Reason.LEASE_LAPSED)));
         assertThat(fixture.output.takeStarted().keySet(), is(empty()));
     }
 
@@ -116,7 +119,8 @@
         fixture.end(task, UNREACHED);
 
         assertThat(
-                fixture.output.take(E1, NotStarted.class), contains(new NotStarted(task, Reason.ENDPOINT_UNREACHABLE)));
+                fixture.output.take(E1, NotStarted.class),
+                contains(new NotStarted(task, fixture.sequence(E1), Reason.ENDPOINT_UNREACHABLE)));
     }
 
     @Test
--- a/core/src/test/java/org/knapweedmount/core/agent/AgentLeaseTest.java
+++ b/core/src/test/java/org/knapweedmount/core/agent/AgentLeaseTest.java
@@ -50,7 +50,9 @@
 
         assertThat(fixture.leases(E2), hasSize(2));
         TaskId task = fixture.send(E1, lease, BALANCE, 0);
-        assertThat(fixture.output.take(E1, NotStarted.class), contains(new NotStarted(task, Reason.LEASE_LAPSED)));
+        assertThat(
+                fixture.output.take(E1, NotStarted.class),
+                contains(new NotStarted(task, fixture.sequence(E1), Reason.LEASE_LAPSED)));
     }
 
     @Test
@@ -68,7 +70,7 @@
 
         List<Message> messages = fixture.output.take(E1);
         assertThat(messages.get(0), is(new Recall(SERVICE, 2)));
-        assertThat(messages.get(1), is(new NotStarted(task, Reason.LEASE_LAPSED)));
+        assertThat(messages.get(1), is(new NotStarted(task, fixture.sequence(E1), Reason.LEASE_LAPSED)));
         assertThat(fixture.output.takeStarted().keySet(), is(empty()));
     }
 
@@ -130,7 +132,7 @@
 
         assertThat(fixture.output.take(E1), contains(new Capacity(SERVICE, 0, Resources.NONE)));
         TaskId task = fixture.send(E1, leases.get(1), BALANCE, 0);
-        assertThat(fixture.output.take(E1), contains(new NotStarted(task, Reason.LEASE_LAPSED)));
+        assertThat(fixture.output.take(E1), contains(new NotStarted(task, fixture.sequence(E1), Reason.LEASE_LAPSED)));
         fixture.end(running, DONE);
         assertThat(fixture.output.take(E1, Finished.class), hasSize(1));
     }
@@ -212,7 +214,7 @@
         assertThat(fixture.output.take(E1), contains(instanceOf(Leaving.class)));
         assertThat(fixture.output.take(E2), contains(instanceOf(Leaving.class)));
         TaskId refused = fixture.send(E1, leases.get(1), BALANCE, 0);
-        assertThat(fixture.output.take(E1), contains(new NotStarted(refused, Reason.DRAINING)));
+        assertThat(fixture.output.take(E1), contains(new NotStarted(refused, fixture.sequence(E1), Reason.DRAINING)));
         assertThat(fixture.agent.idle(), is(false));
         fixture.end(running, DONE);
         assertThat(fixture.output.take(E1, Finished.class).get(0).next().isPresent(), is(false));
--- a/core/src/test/java/org/knapweedmount/core/agent/AgentRecordTest.java
+++ b/core/src/test/java/org/knapweedmount/core/agent/AgentRecordTest.java
@@ -56,7 +56,9 @@
         assertThat(seal(task.submission()), is(sealed(task.submission(), true)));
         fixture.receive(E1, fixture.start(E1, lease(), task, BALANCE, 0));
 
-        assertThat(fixture.output.take(E1, NotStarted.class), contains(new NotStarted(task, Reason.SEALED)));
+        assertThat(
+                fixture.output.take(E1, NotStarted.class),
+                contains(new NotStarted(task, fixture.sequence(E1), Reason.SEALED)));
         assertThat(fixture.output.takeStarted().keySet(), is(empty()));
         assertThat(fixture.counters.value(AgentCounter.SEALED_STARTS), is(1L));
     }
@@ -168,11 +170,13 @@
 
         assertThat(
                 fixture.output.take(E1, Resumed.class),
-                contains(new Resumed(List.of(
-                        new TaskReport(running, TaskState.RUNNING, Optional.empty()),
-                        finished(ended, DONE),
-                        new TaskReport(refused, TaskState.NOT_STARTED, Optional.empty()),
-                        new TaskReport(lost.task(), TaskState.NOT_STARTED, Optional.empty())))));
+                contains(new Resumed(
+                        lost.sequence(),
+                        List.of(
+                                new TaskReport(running, TaskState.RUNNING, Optional.empty()),
+                                finished(ended, DONE),
+                                new TaskReport(refused, TaskState.NOT_STARTED, Optional.empty()),
+                                new TaskReport(lost.task(), TaskState.NOT_STARTED, Optional.empty())))));
         fixture.receive(E1, lost);
         assertThat(fixture.output.take(E1), is(empty()));
         fixture.end(running, DONE);
@@ -191,7 +195,7 @@
         fixture.receive(E1, new Resume(fixture.sequence(E1), List.of(first)));
 
         TaskReport report = new TaskReport(first, TaskState.FORGOTTEN, Optional.empty());
-        assertThat(fixture.output.take(E1), contains(new Resumed(List.of(report))));
+        assertThat(fixture.output.take(E1), contains(new Resumed(fixture.sequence(E1), List.of(report))));
     }
 
     @Test
@@ -236,7 +240,9 @@
 
         fixture.receive(E1, fixture.start(E1, lease(), task, BALANCE, 0));
 
-        assertThat(fixture.output.take(E1, NotStarted.class), contains(new NotStarted(task, Reason.MALFORMED)));
+        assertThat(
+                fixture.output.take(E1, NotStarted.class),
+                contains(new NotStarted(task, fixture.sequence(E1), Reason.MALFORMED)));
     }
 
     @Test
--- a/core/src/test/java/org/knapweedmount/core/agent/AgentSharingTest.java
+++ b/core/src/test/java/org/knapweedmount/core/agent/AgentSharingTest.java
@@ -93,7 +93,9 @@
         assertThat(grants.stream().map(Grant::scope).toList(), contains(LeaseScope.ANY, LeaseScope.SHORT_ONLY));
         assertThat(grants.stream().map(Grant::count).toList(), contains(3, 1));
         TaskId task = fixture.send(E1, grants.get(1).firstLease(), SETTLEMENT, 0);
-        assertThat(fixture.output.take(E1, NotStarted.class), contains(new NotStarted(task, Reason.LEASE_LAPSED)));
+        assertThat(
+                fixture.output.take(E1, NotStarted.class),
+                contains(new NotStarted(task, fixture.sequence(E1), Reason.LEASE_LAPSED)));
     }
 
     @Test
@@ -126,7 +128,7 @@
 
         TaskId third = fixture.send(E1, leases.get(2), SETTLEMENT, 0);
 
-        assertThat(fixture.output.take(E1), contains(new NotStarted(third, Reason.OVER_QUOTA)));
+        assertThat(fixture.output.take(E1), contains(new NotStarted(third, fixture.sequence(E1), Reason.OVER_QUOTA)));
         assertThat(fixture.counters.value(AgentCounter.OVER_QUOTA_STARTS), is(1L));
     }
 
@@ -159,7 +161,7 @@
 
         TaskId third = fixture.send(E1, leases.get(2), SETTLEMENT, 0);
 
-        assertThat(fixture.output.take(E1), contains(new NotStarted(third, Reason.LEASE_LAPSED)));
+        assertThat(fixture.output.take(E1), contains(new NotStarted(third, fixture.sequence(E1), Reason.LEASE_LAPSED)));
         fixture.end(first, DONE);
         Optional<Grant> next = fixture.output.take(E1, Finished.class).get(0).next();
         assertThat(next.flatMap(Grant::flow), is(Optional.of(SETTLEMENT)));
@@ -174,7 +176,9 @@
 
         TaskId task = fixture.send(E1, fixture.leases(E1).get(0), SETTLEMENT, 0);
 
-        assertThat(fixture.output.take(E1, NotStarted.class), contains(new NotStarted(task, Reason.FITS_NO_WORKER)));
+        assertThat(
+                fixture.output.take(E1, NotStarted.class),
+                contains(new NotStarted(task, fixture.sequence(E1), Reason.FITS_NO_WORKER)));
         assertThat(fixture.output.takeStarted().keySet(), is(empty()));
     }
 
--- a/core/src/test/java/org/knapweedmount/core/entry/EntryFixture.java
+++ b/core/src/test/java/org/knapweedmount/core/entry/EntryFixture.java
@@ -173,7 +173,7 @@
     }
 
     void deny(Incarnation agent, Start start, Reason reason) {
-        receive(agent, new NotStarted(start.task(), reason));
+        receive(agent, new NotStarted(start.task(), start.sequence(), reason));
     }
 
     boolean answered(long request) {
--- a/core/src/test/java/org/knapweedmount/core/entry/StartedTasksTest.java
+++ b/core/src/test/java/org/knapweedmount/core/entry/StartedTasksTest.java
@@ -53,7 +53,7 @@
 
     private void resumed(TaskState state, Optional<TaskResult> result) {
         Start start = entry.starts().get(0);
-        entry.receive(agent, new Resumed(List.of(new TaskReport(start.task(), state, result))));
+        entry.receive(agent, new Resumed(start.sequence(), List.of(new TaskReport(start.task(), state, result))));
     }
 
     @Test
--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FakeAgent.java
@@ -0,0 +1,121 @@
+package org.knapweedmount.core.fleet;
+
+import java.util.HashSet;
+import java.util.Random;
+import java.util.Set;
+
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.Outcome;
+import org.knapweedmount.api.Payload;
+import org.knapweedmount.api.PeerAddress;
+import org.knapweedmount.api.Reason;
+import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.TaskId;
+import org.knapweedmount.api.TaskResult;
+import org.knapweedmount.api.TaskSpec;
+import org.knapweedmount.api.message.Message;
+import org.knapweedmount.core.agent.AgentCore;
+import org.knapweedmount.core.agent.AgentCounter;
+import org.knapweedmount.core.agent.AgentLimits;
+import org.knapweedmount.core.agent.AgentOutput;
+import org.knapweedmount.core.agent.EndpointAnnouncement;
+import org.knapweedmount.core.config.ConfigState;
+import org.knapweedmount.core.metric.Counters;
+import org.knapweedmount.core.metric.Invariants;
+
+/** An agent with one executor that runs tasks for the time that they declare and logs each start. */
+final class FakeAgent extends FakeProcess implements AgentOutput {
+    private static final int SLOTS = 4;
+    private static final int CONNECTIONS = 64;
+    private static final int TTL_MILLIS = 3_600_000;
+    private static final double FAILURE_SHARE = 0.02;
+    private static final double BROKEN_SHARE = 0.01;
+    private static final double REFUSED_SHARE = 0.01;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final int HTTP_OK = 200;
+    private static final int HTTP_ERROR = 500;
+
+    private final Scheduler scheduler;
+    private final FakeNetwork network;
+    private final Random random;
+    private final StartLog log;
+    private final AgentCore core;
+    private final Set<TaskId> stopped = new HashSet<>();
+
+    FakeAgent(PeerAddress address, ConfigState config, FakeFleet fleet) {
+        super(address);
+        this.scheduler = fleet.scheduler();
+        this.network = fleet.network();
+        this.random = fleet.random();
+        this.log = fleet.log();
+        this.core = new AgentCore(
+                AgentLimits.DEFAULT, address, config, this, new Counters<>(AgentCounter.class), Invariants.fatal());
+        EndpointAnnouncement endpoint = new EndpointAnnouncement(
+                "executor", FakeFleet.SERVICE, "127.0.0.1", 1, SLOTS, CONNECTIONS, TTL_MILLIS, Resources.NONE);
+        core.endpointAnnounced(endpoint, scheduler.nowNanos());
+    }
+
+    @Override
+    public void send(Incarnation entry, Message message) {
+        network.send(this, entry, message);
+    }
+
+    @Override
+    public void start(String endpoint, TaskId task, TaskSpec spec) {
+        if (random.nextDouble() < REFUSED_SHARE) {
+            end(task, TaskResult.of(Outcome.NOT_RUN, Reason.ENDPOINT_UNREACHABLE), 0);
+            return;
+        }
+        log.started(spec.path());
+        long runNanos = spec.declaredMillis() * NANOS_PER_MILLI;
+        if (random.nextDouble() < BROKEN_SHARE) {
+            end(task, TaskResult.of(Outcome.UNKNOWN, Reason.CONNECTION_LOST), runNanos / 2);
+            return;
+        }
+        if (random.nextDouble() < FAILURE_SHARE) {
+            TaskResult failed = new TaskResult(Outcome.FAILED, Reason.TASK_FAILED, HTTP_ERROR, "", Payload.EMPTY);
+            end(task, failed, runNanos);
+            return;
+        }
+        end(task, TaskResult.complete(HTTP_OK, "text/plain", Payload.of(spec.path())), runNanos);
+    }
+
+    private void end(TaskId task, TaskResult result, long afterNanos) {
+        scheduler.after(afterNanos + 1, () -> deliver(() -> ended(task, result)));
+    }
+
+    private void ended(TaskId task, TaskResult result) {
+        boolean wasStopped = stopped.remove(task);
+        TaskResult told = wasStopped ? TaskResult.of(Outcome.FAILED, Reason.CANCELLED) : result;
+        core.taskEnded(task, told, scheduler.nowNanos());
+    }
+
+    @Override
+    public void stop(String endpoint, TaskId task) {
+        stopped.add(task);
+    }
+
+    @Override
+    void linked(PeerAddress peer) {
+        core.linked(peer, scheduler.nowNanos());
+    }
+
+    @Override
+    void unlinked(Incarnation peer) {
+        core.unlinked(peer, scheduler.nowNanos());
+    }
+
+    @Override
+    void receive(Incarnation from, Message message) {
+        core.receive(from, message, scheduler.nowNanos());
+    }
+
+    @Override
+    void tick() {
+        core.tick(scheduler.nowNanos());
+    }
+
+    void drain() {
+        core.drain(scheduler.nowNanos());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FakeEntry.java
@@ -0,0 +1,119 @@
+package org.knapweedmount.core.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.JobAnswer;
+import org.knapweedmount.api.JobSpec;
+import org.knapweedmount.api.PeerAddress;
+import org.knapweedmount.api.SubmissionId;
+import org.knapweedmount.api.message.Message;
+import org.knapweedmount.core.config.ConfigState;
+import org.knapweedmount.core.entry.EntryCore;
+import org.knapweedmount.core.entry.EntryCounter;
+import org.knapweedmount.core.entry.EntryLimits;
+import org.knapweedmount.core.entry.EntryOutput;
+import org.knapweedmount.core.entry.SubmissionRequest;
+import org.knapweedmount.core.metric.Counters;
+import org.knapweedmount.core.metric.Invariants;
+
+/** An entry whose callers are functions. */
+final class FakeEntry extends FakeProcess implements EntryOutput {
+    private final Scheduler scheduler;
+    private final FakeNetwork network;
+    private final FakeStore store;
+    private final EntryCore core;
+    private final Map<Long, Consumer<JobAnswer>> callers = new HashMap<>();
+    private long requests;
+
+    FakeEntry(PeerAddress address, ConfigState config, FakeFleet fleet) {
+        super(address);
+        this.scheduler = fleet.scheduler();
+        this.network = fleet.network();
+        this.store = fleet.store();
+        long seed = fleet.random().nextLong();
+        this.core = new EntryCore(
+                EntryLimits.DEFAULT,
+                address,
+                config,
+                this,
+                new Counters<>(EntryCounter.class),
+                Invariants.fatal(),
+                seed);
+    }
+
+    Optional<SubmissionId> issue() {
+        return running() ? Optional.of(core.issue(1).get(0)) : Optional.empty();
+    }
+
+    void submit(SubmissionId id, JobSpec job, Consumer<JobAnswer> caller) {
+        submit(new SubmissionRequest(Optional.of(id), Optional.empty(), false, FakeFleet.SERVICE, job, true), caller);
+    }
+
+    void submit(String key, boolean firstAttempt, JobSpec job, Consumer<JobAnswer> caller) {
+        Optional<String> ownKey = Optional.of(key);
+        submit(new SubmissionRequest(Optional.empty(), ownKey, firstAttempt, FakeFleet.SERVICE, job, true), caller);
+    }
+
+    private void submit(SubmissionRequest submission, Consumer<JobAnswer> caller) {
+        long request = ++requests;
+        callers.put(request, caller);
+        deliver(() -> core.submit(request, submission, scheduler.nowNanos()));
+    }
+
+    void cancel(SubmissionId id, Consumer<JobAnswer> caller) {
+        long request = ++requests;
+        callers.put(request, caller);
+        deliver(() -> core.cancel(request, id, scheduler.nowNanos()));
+    }
+
+    int unanswered() {
+        return callers.size();
+    }
+
+    @Override
+    public void send(Incarnation peer, Message message) {
+        network.send(this, peer, message);
+    }
+
+    @Override
+    public void answer(long request, JobAnswer answer) {
+        Consumer<JobAnswer> caller = callers.remove(request);
+        if (caller == null) {
+            throw new AssertionError("request " + request + " is answered twice");
+        }
+        caller.accept(answer);
+    }
+
+    @Override
+    public void claim(String key, SubmissionId proposed) {
+        store.claim(key, proposed, result -> deliver(() -> core.claimed(key, proposed, result, scheduler.nowNanos())));
+    }
+
+    @Override
+    void linked(PeerAddress peer) {
+        core.linked(peer, scheduler.nowNanos());
+    }
+
+    @Override
+    void unlinked(Incarnation peer) {
+        core.unlinked(peer, scheduler.nowNanos());
+    }
+
+    @Override
+    void receive(Incarnation from, Message message) {
+        core.receive(from, message, scheduler.nowNanos());
+    }
+
+    @Override
+    void tick() {
+        core.tick(scheduler.nowNanos());
+    }
+
+    void drain() {
+        deliver(() -> core.drain(scheduler.nowNanos()));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FakeFleet.java
@@ -0,0 +1,168 @@
+package org.knapweedmount.core.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.PeerAddress;
+import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.Role;
+import org.knapweedmount.api.config.KindConfig;
+import org.knapweedmount.api.config.ServiceConfig;
+import org.knapweedmount.api.config.TeamConfig;
+import org.knapweedmount.api.config.Ticket;
+import org.knapweedmount.core.config.ConfigState;
+
+/** A site of some entries and agents, whose processes are killed, replaced, frozen, drained and cut off. */
+final class FakeFleet {
+    static final String SERVICE = "dues";
+    static final String REPEATABLE = "balance-check";
+    static final String ONCE = "fee-settlement";
+    static final String TEAM = "north";
+    private static final long TICK_NANOS = 10_000_000;
+    private static final long RECONNECT_NANOS = 100_000_000;
+    private static final int DATA_CENTRES = 3;
+    private static final int MAX_WAIT_MILLIS = 3_000;
+    private static final int EXPECTED_MILLIS = 80;
+
+    private final Random random;
+    private final Scheduler scheduler = new Scheduler();
+    private final StartLog log = new StartLog();
+    private final FakeNetwork network;
+    private final FakeStore store = new FakeStore(scheduler);
+    private final List<FakeEntry> entries = new ArrayList<>();
+    private final List<FakeAgent> agents = new ArrayList<>();
+    private final List<FakeEntry> allEntries = new ArrayList<>();
+
+    FakeFleet(long seed, int entryCount, int agentCount, double repeatShare) {
+        this.random = new Random(seed);
+        this.network = new FakeNetwork(scheduler, random, repeatShare);
+        for (int index = 0; index < entryCount; index++) {
+            entries.add(newEntry("entry-" + index));
+        }
+        for (int index = 0; index < agentCount; index++) {
+            agents.add(newAgent("agent-" + index));
+        }
+        scheduler.after(TICK_NANOS, this::tick);
+        scheduler.after(RECONNECT_NANOS, this::reconnect);
+        connectAll();
+    }
+
+    Random random() {
+        return random;
+    }
+
+    Scheduler scheduler() {
+        return scheduler;
+    }
+
+    FakeNetwork network() {
+        return network;
+    }
+
+    FakeStore store() {
+        return store;
+    }
+
+    StartLog log() {
+        return log;
+    }
+
+    List<FakeEntry> entries() {
+        return entries;
+    }
+
+    List<FakeAgent> agents() {
+        return agents;
+    }
+
+    int unansweredByLivingEntries() {
+        return allEntries.stream()
+                .filter(FakeProcess::alive)
+                .mapToInt(FakeEntry::unanswered)
+                .sum();
+    }
+
+    void replaceEntry(int index) {
+        FakeEntry old = entries.get(index);
+        cutAll(old);
+        old.kill();
+        entries.set(index, newEntry(old.address().incarnation().process()));
+    }
+
+    void replaceAgent(int index) {
+        FakeAgent old = agents.get(index);
+        cutAll(old);
+        old.kill();
+        agents.set(index, newAgent(old.address().incarnation().process()));
+    }
+
+    FakeProcess randomProcess() {
+        int chosen = random.nextInt(entries.size() + agents.size());
+        return chosen < entries.size() ? entries.get(chosen) : agents.get(chosen - entries.size());
+    }
+
+    void thawAll() {
+        entries.forEach(FakeProcess::thaw);
+        agents.forEach(FakeProcess::thaw);
+    }
+
+    private void cutAll(FakeProcess process) {
+        entries.forEach(entry -> network.cut(process, entry));
+        agents.forEach(agent -> network.cut(process, agent));
+    }
+
+    private void connectAll() {
+        for (int one = 0; one < entries.size(); one++) {
+            for (int other = one + 1; other < entries.size(); other++) {
+                network.connect(entries.get(one), entries.get(other));
+            }
+            for (FakeAgent agent : agents) {
+                network.connect(entries.get(one), agent);
+            }
+        }
+    }
+
+    private void tick() {
+        entries.forEach(entry -> entry.deliver(entry::tick));
+        agents.forEach(agent -> agent.deliver(agent::tick));
+        scheduler.after(TICK_NANOS, this::tick);
+    }
+
+    private void reconnect() {
+        connectAll();
+        scheduler.after(RECONNECT_NANOS, this::reconnect);
+    }
+
+    private FakeEntry newEntry(String name) {
+        FakeEntry entry = new FakeEntry(address(name, Role.ENTRY), config(), this);
+        network.add(entry);
+        allEntries.add(entry);
+        return entry;
+    }
+
+    private FakeAgent newAgent(String name) {
+        FakeAgent agent = new FakeAgent(address(name, Role.AGENT), config(), this);
+        network.add(agent);
+        return agent;
+    }
+
+    private PeerAddress address(String name, Role role) {
+        String dataCentre = "dc-" + Math.floorMod(name.hashCode(), DATA_CENTRES);
+        return new PeerAddress(new Incarnation(name, random.nextLong()), role, dataCentre, "127.0.0.1", 0);
+    }
+
+    private static ConfigState config() {
+        ConfigState config = new ConfigState();
+        ServiceConfig service = new ServiceConfig(SERVICE, REPEATABLE, 100_000, 0.25);
+        config.apply(new Ticket(
+                1, "test", List.of(service, kind(REPEATABLE, true), kind(ONCE, false), new TeamConfig(TEAM, 1, 1))));
+        return config;
+    }
+
+    private static KindConfig kind(String name, boolean repeatable) {
+        return new KindConfig(
+                name, SERVICE, repeatable, repeatable, 1, EXPECTED_MILLIS, MAX_WAIT_MILLIS, Resources.NONE);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FakeNetwork.java
@@ -0,0 +1,121 @@
+package org.knapweedmount.core.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.UnaryOperator;
+
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.message.Message;
+
+/** Links between fake processes that delay messages, repeat some, and lose those under way when they are cut. */
+final class FakeNetwork {
+    private static final long MIN_DELAY_NANOS = 200_000;
+    private static final int DELAY_SPREAD_NANOS = 1_500_000;
+    private static final int NOTICE_SPREAD_NANOS = 40_000_000;
+
+    private final Scheduler scheduler;
+    private final Random random;
+    private final double repeatShare;
+    private final Map<Incarnation, FakeProcess> processes = new TreeMap<>();
+    private final Map<Set<Incarnation>, Link> links = new HashMap<>();
+    private UnaryOperator<Message> tamper = UnaryOperator.identity();
+    private long messages;
+
+    private static final class Link {
+        private final Map<Incarnation, Long> lastArrival = new HashMap<>();
+        private boolean open = true;
+        private long settledNanos;
+    }
+
+    FakeNetwork(Scheduler scheduler, Random random, double repeatShare) {
+        this.scheduler = scheduler;
+        this.random = random;
+        this.repeatShare = repeatShare;
+    }
+
+    /** Changes each message on its way, to show that a check notices a broken mechanism. */
+    void tamper(UnaryOperator<Message> change) {
+        tamper = change;
+    }
+
+    void add(FakeProcess process) {
+        processes.put(process.address().incarnation(), process);
+    }
+
+    long messages() {
+        return messages;
+    }
+
+    void connect(FakeProcess one, FakeProcess other) {
+        Set<Incarnation> pair = pair(one, other);
+        Link present = links.get(pair);
+        boolean busy = present != null && (present.open || present.settledNanos > scheduler.nowNanos());
+        if (busy || !one.alive() || !other.alive()) {
+            return;
+        }
+        links.put(pair, new Link());
+        one.deliver(() -> one.linked(other.address()));
+        other.deliver(() -> other.linked(one.address()));
+    }
+
+    void cut(FakeProcess one, FakeProcess other) {
+        if (one == other) {
+            return;
+        }
+        Link link = links.get(pair(one, other));
+        if (link == null || !link.open) {
+            return;
+        }
+        link.open = false;
+        link.settledNanos = scheduler.nowNanos() + NOTICE_SPREAD_NANOS;
+        notice(one, other);
+        notice(other, one);
+    }
+
+    private void notice(FakeProcess process, FakeProcess lost) {
+        Incarnation peer = lost.address().incarnation();
+        scheduler.after(random.nextInt(NOTICE_SPREAD_NANOS), () -> process.deliver(() -> process.unlinked(peer)));
+    }
+
+    void send(FakeProcess from, Incarnation to, Message message) {
+        FakeProcess receiver = processes.get(to);
+        if (receiver == null) {
+            return;
+        }
+        Link link = links.get(pair(from, receiver));
+        if (link == null || !link.open) {
+            return;
+        }
+        messages++;
+        Message sent = tamper.apply(message);
+        long earliest = link.lastArrival.getOrDefault(to, 0L) + 1;
+        long arrival = Math.max(earliest, scheduler.nowNanos() + delay());
+        link.lastArrival.put(to, arrival);
+        schedule(link, from, receiver, sent, arrival);
+        if (random.nextDouble() < repeatShare) {
+            schedule(link, from, receiver, sent, arrival + delay());
+        }
+    }
+
+    private void schedule(Link link, FakeProcess from, FakeProcess receiver, Message message, long arrivalNanos) {
+        Incarnation sender = from.address().incarnation();
+        scheduler.at(
+                arrivalNanos,
+                () -> receiver.deliver(() -> {
+                    if (link.open) {
+                        receiver.receive(sender, message);
+                    }
+                }));
+    }
+
+    private long delay() {
+        return MIN_DELAY_NANOS + random.nextInt(DELAY_SPREAD_NANOS);
+    }
+
+    private static Set<Incarnation> pair(FakeProcess one, FakeProcess other) {
+        return Set.of(one.address().incarnation(), other.address().incarnation());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FakeStore.java
@@ -0,0 +1,48 @@
+package org.knapweedmount.core.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import org.knapweedmount.api.SubmissionId;
+import org.knapweedmount.core.entry.ClaimResult;
+
+/** A table service that answers late, is down at times, and sometimes loses the answer of a write. */
+final class FakeStore {
+    private static final long ANSWER_NANOS = 5_000_000;
+    private static final long GIVE_UP_NANOS = 500_000_000;
+
+    private final Scheduler scheduler;
+    private final Map<String, SubmissionId> claims = new HashMap<>();
+    private boolean down;
+    private boolean losesAnswers;
+    private boolean unconditional;
+
+    FakeStore(Scheduler scheduler) {
+        this.scheduler = scheduler;
+    }
+
+    void down(boolean value) {
+        down = value;
+    }
+
+    void losesAnswers(boolean value) {
+        losesAnswers = value;
+    }
+
+    /** Lets every claim win, as if the write had no condition. */
+    void unconditional() {
+        unconditional = true;
+    }
+
+    void claim(String key, SubmissionId proposed, Consumer<ClaimResult> caller) {
+        if (down) {
+            scheduler.after(GIVE_UP_NANOS, () -> caller.accept(new ClaimResult(Optional.empty())));
+            return;
+        }
+        SubmissionId holder = unconditional ? proposed : claims.computeIfAbsent(key, unclaimed -> proposed);
+        Optional<SubmissionId> told = losesAnswers ? Optional.empty() : Optional.of(holder);
+        scheduler.after(ANSWER_NANOS, () -> caller.accept(new ClaimResult(told)));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/fleet/Fault.java
@@ -0,0 +1,71 @@
+package org.knapweedmount.core.fleet;
+
+import java.util.Random;
+
+/** A fault that strikes a random part of the fleet and, where it can, ends after a while. */
+enum Fault {
+    ENTRY_REPLACED {
+        @Override
+        void strike(FakeFleet fleet, Random random, int spreadMillis) {
+            fleet.replaceEntry(random.nextInt(fleet.entries().size()));
+        }
+    },
+    AGENT_REPLACED {
+        @Override
+        void strike(FakeFleet fleet, Random random, int spreadMillis) {
+            fleet.replaceAgent(random.nextInt(fleet.agents().size()));
+        }
+    },
+    PROCESS_FROZEN {
+        @Override
+        void strike(FakeFleet fleet, Random random, int spreadMillis) {
+            FakeProcess process = fleet.randomProcess();
+            process.freeze();
+            later(fleet, random, spreadMillis, process::thaw);
+        }
+    },
+    LINK_CUT {
+        @Override
+        void strike(FakeFleet fleet, Random random, int spreadMillis) {
+            fleet.network().cut(fleet.randomProcess(), fleet.randomProcess());
+        }
+    },
+    AGENT_DRAINED {
+        @Override
+        void strike(FakeFleet fleet, Random random, int spreadMillis) {
+            int index = random.nextInt(fleet.agents().size());
+            FakeAgent agent = fleet.agents().get(index);
+            agent.deliver(agent::drain);
+            later(fleet, random, spreadMillis, () -> replaceIfPresent(fleet, agent));
+        }
+    },
+    STORE_DOWN {
+        @Override
+        void strike(FakeFleet fleet, Random random, int spreadMillis) {
+            fleet.store().down(true);
+            later(fleet, random, spreadMillis, () -> fleet.store().down(false));
+        }
+    },
+    STORE_LOSES_ANSWERS {
+        @Override
+        void strike(FakeFleet fleet, Random random, int spreadMillis) {
+            fleet.store().losesAnswers(true);
+            later(fleet, random, spreadMillis, () -> fleet.store().losesAnswers(false));
+        }
+    };
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    abstract void strike(FakeFleet fleet, Random random, int spreadMillis);
+
+    private static void later(FakeFleet fleet, Random random, int spreadMillis, Runnable action) {
+        fleet.scheduler().after(random.nextInt(spreadMillis) * NANOS_PER_MILLI, action);
+    }
+
+    private static void replaceIfPresent(FakeFleet fleet, FakeAgent agent) {
+        int index = fleet.agents().indexOf(agent);
+        if (index >= 0) {
+            fleet.replaceAgent(index);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FleetRun.java
@@ -0,0 +1,140 @@
+package org.knapweedmount.core.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.UnaryOperator;
+
+import org.knapweedmount.api.Outcome;
+import org.knapweedmount.api.SubmissionId;
+import org.knapweedmount.api.message.Message;
+
+/** One seeded run: callers submit and resubmit while processes and links fail; then everything heals. */
+final class FleetRun {
+    private static final List<Fault> FAULTS = List.of(Fault.values());
+    private static final int ENTRIES = 3;
+    private static final int AGENTS = 5;
+    private static final int SHOWN_VIOLATIONS = 5;
+    private static final double REPEATED_MESSAGES = 0.02;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long FAULT_END_NANOS = 30_000 * NANOS_PER_MILLI;
+    private static final long END_NANOS = 60_000 * NANOS_PER_MILLI;
+    private static final int SUBMIT_SPREAD_MILLIS = 60;
+    private static final int FAULT_SPREAD_MILLIS = 800;
+    private static final int RESEND_SPREAD_MILLIS = 3_000;
+    private static final int OUTAGE_SPREAD_MILLIS = 3_000;
+    private static final double RESEND_SHARE = 0.4;
+    private static final double CANCEL_SHARE = 0.05;
+    private static final double OWN_KEY_SHARE = 0.2;
+
+    private final Random random;
+    private final FakeFleet fleet;
+    private final List<Submission> submissions = new ArrayList<>();
+    private boolean faults = true;
+
+    private FleetRun(long seed) {
+        this.random = new Random(seed);
+        this.fleet = new FakeFleet(seed, ENTRIES, AGENTS, REPEATED_MESSAGES);
+    }
+
+    static FleetRun of(long seed) {
+        return new FleetRun(seed);
+    }
+
+    FleetRun withoutFaults() {
+        faults = false;
+        return this;
+    }
+
+    FleetRun tampered(UnaryOperator<Message> change) {
+        fleet.network().tamper(change);
+        return this;
+    }
+
+    FleetRun withUnconditionalClaims() {
+        fleet.store().unconditional();
+        return this;
+    }
+
+    FleetRun run() {
+        fleet.scheduler().runUntil(100 * NANOS_PER_MILLI);
+        scheduleSubmission();
+        if (faults) {
+            scheduleFault();
+        }
+        fleet.scheduler().runUntil(FAULT_END_NANOS);
+        heal();
+        fleet.scheduler().runUntil(END_NANOS);
+        return this;
+    }
+
+    int submissions() {
+        return submissions.size();
+    }
+
+    int unanswered() {
+        return fleet.unansweredByLivingEntries();
+    }
+
+    int count(Outcome outcome) {
+        return (int) submissions.stream()
+                .filter(submission -> submission.ended(outcome))
+                .count();
+    }
+
+    List<String> violations() {
+        return submissions.stream()
+                .flatMap(submission -> submission.violations(fleet.log()).stream())
+                .limit(SHOWN_VIOLATIONS)
+                .toList();
+    }
+
+    private void scheduleSubmission() {
+        if (fleet.scheduler().nowNanos() >= FAULT_END_NANOS) {
+            return;
+        }
+        submitOne();
+        fleet.scheduler().after(random.nextInt(SUBMIT_SPREAD_MILLIS) * NANOS_PER_MILLI, this::scheduleSubmission);
+    }
+
+    private void submitOne() {
+        FakeEntry entry = randomEntry();
+        boolean ownKey = random.nextDouble() < OWN_KEY_SHARE;
+        Optional<SubmissionId> id = ownKey ? Optional.empty() : entry.issue();
+        if (!ownKey && id.isEmpty()) {
+            return;
+        }
+        Submission submission = new Submission(submissions.size(), id, random);
+        submissions.add(submission);
+        submission.send(entry, true, fleet.log());
+        while (random.nextDouble() < RESEND_SHARE) {
+            later(RESEND_SPREAD_MILLIS, () -> submission.send(randomEntry(), false, fleet.log()));
+        }
+        if (random.nextDouble() < CANCEL_SHARE) {
+            later(RESEND_SPREAD_MILLIS, () -> submission.cancel(randomEntry()));
+        }
+    }
+
+    private FakeEntry randomEntry() {
+        return fleet.entries().get(random.nextInt(ENTRIES));
+    }
+
+    private void later(int spreadMillis, Runnable action) {
+        fleet.scheduler().after(random.nextInt(spreadMillis) * NANOS_PER_MILLI, action);
+    }
+
+    private void scheduleFault() {
+        if (fleet.scheduler().nowNanos() >= FAULT_END_NANOS) {
+            return;
+        }
+        FAULTS.get(random.nextInt(FAULTS.size())).strike(fleet, random, OUTAGE_SPREAD_MILLIS);
+        later(FAULT_SPREAD_MILLIS, this::scheduleFault);
+    }
+
+    private void heal() {
+        fleet.thawAll();
+        fleet.store().down(false);
+        fleet.store().losesAnswers(false);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FleetTest.java
@@ -0,0 +1,49 @@
+package org.knapweedmount.core.fleet;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.knapweedmount.api.Outcome;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+/** What must hold between entries and agents, in randomised runs under failures. */
+class FleetTest {
+    /** The property that sets how many further seeds are run, for long runs by hand. */
+    private static final String RUNS_PROPERTY = "fleet.runs";
+
+    private static final long FIRST_LONG_SEED = 1_000;
+
+    @Test
+    void withoutFaultsEverySubmissionIsAnswered() {
+        FleetRun run = FleetRun.of(1).withoutFaults().run();
+
+        assertThat(run.violations(), is(empty()));
+        assertThat(run.unanswered(), is(0));
+        assertThat(run.count(Outcome.COMPLETE), is(greaterThan(run.submissions() * 9 / 10)));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12, 13, 14, 15, 16, 17, 18})
+    void promisesHoldUnderFaults(long seed) {
+        FleetRun run = FleetRun.of(seed).run();
+
+        assertThat(run.violations(), is(empty()));
+        assertThat(run.unanswered(), is(0));
+        assertThat(run.count(Outcome.COMPLETE), is(greaterThan(run.submissions() / 3)));
+    }
+
+    @Test
+    void promisesHoldInLongRuns() {
+        int runs = Integer.getInteger(RUNS_PROPERTY, 0);
+        for (long seed = FIRST_LONG_SEED; seed < FIRST_LONG_SEED + runs; seed++) {
+            FleetRun run = FleetRun.of(seed).run();
+
+            assertThat("seed " + seed, run.violations(), is(empty()));
+            assertThat("seed " + seed, run.unanswered(), is(0));
+        }
+    }
+}
--- a/wire/src/main/java/org/knapweedmount/wire/MessageType.java
+++ b/wire/src/main/java/org/knapweedmount/wire/MessageType.java
@@ -55,11 +55,11 @@
     /** The end of a task. */
     FINISHED(12, 4, Finished.class, TaskMessages::writeFinished, TaskMessages::readFinished),
     /** The refusal of a start. */
-    NOT_STARTED(13, 2, NotStarted.class, TaskMessages::writeNotStarted, TaskMessages::readNotStarted),
+    NOT_STARTED(13, 3, NotStarted.class, TaskMessages::writeNotStarted, TaskMessages::readNotStarted),
     /** The question for tasks of an earlier link. */
     RESUME(14, 2, Resume.class, TaskMessages::writeResume, TaskMessages::readResume),
     /** The answer about tasks of an earlier link. */
-    RESUMED(15, 1, Resumed.class, TaskMessages::writeResumed, TaskMessages::readResumed),
+    RESUMED(15, 2, Resumed.class, TaskMessages::writeResumed, TaskMessages::readResumed),
     /** A cancellation. */
     CANCEL_TASKS(16, 1, CancelTasks.class, TaskMessages::writeCancelTasks, TaskMessages::readCancelTasks),
     /** The settlement of a submission. */
--- a/wire/src/main/java/org/knapweedmount/wire/TaskMessages.java
+++ b/wire/src/main/java/org/knapweedmount/wire/TaskMessages.java
@@ -53,11 +53,13 @@
     }
 
     static void writeNotStarted(FieldWriter out, NotStarted notStarted) throws IOException, FrameException {
-        out.value(notStarted.task(), ValueFormats::writeTask).constant(EnumFormat.REASON, notStarted.reason());
+        out.value(notStarted.task(), ValueFormats::writeTask)
+                .number(notStarted.sequence())
+                .constant(EnumFormat.REASON, notStarted.reason());
     }
 
     static NotStarted readNotStarted(FieldReader in) throws IOException, FrameException {
-        return new NotStarted(ValueFormats.readTask(in), in.constant(EnumFormat.REASON));
+        return new NotStarted(ValueFormats.readTask(in), in.natural(), in.constant(EnumFormat.REASON));
     }
 
     static void writeResume(FieldWriter out, Resume resume) throws IOException, FrameException {
@@ -69,11 +71,11 @@
     }
 
     static void writeResumed(FieldWriter out, Resumed resumed) throws IOException, FrameException {
-        out.list(resumed.tasks(), TaskMessages::writeReport);
+        out.number(resumed.lastSequence()).list(resumed.tasks(), TaskMessages::writeReport);
     }
 
     static Resumed readResumed(FieldReader in) throws IOException, FrameException {
-        return new Resumed(in.list(TaskMessages::readReport));
+        return new Resumed(in.natural(), in.list(TaskMessages::readReport));
     }
 
     private static void writeReport(FieldWriter out, TaskReport report) throws IOException, FrameException {
--- a/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
+++ b/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
@@ -82,9 +82,9 @@
             case RELEASE -> new Release(text(), list(this::longNumber));
             case START -> new Start(longNumber(), longNumber(), task(), text(), text(), spec(), number());
             case FINISHED -> new Finished(task(), longNumber(), result(), optional(this::grant));
-            case NOT_STARTED -> new NotStarted(task(), pick(Reason.values()));
+            case NOT_STARTED -> new NotStarted(task(), longNumber(), pick(Reason.values()));
             case RESUME -> new Resume(longNumber(), list(this::task));
-            case RESUMED -> new Resumed(list(this::report));
+            case RESUMED -> new Resumed(longNumber(), list(this::report));
             case CANCEL_TASKS -> new CancelTasks(submission());
             case SEAL -> new Seal(random.nextLong(), submission());
             case SEALED -> new Sealed(random.nextLong(), submission(), random.nextBoolean(), list(this::report));
