Link processes by TCP connections, one for each pair

Cause: agents and entries exchange messages in order or not at all, over connections that break, stall, go silent or are opened from both sides.

Change: LinkTable with hellos both ways, dialling with a capped exponential backoff and jitter, heartbeats, and bounds on connections, frames, queued bytes and messages on the way between the decision thread and the event loop.

--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/link/Dialer.java
@@ -0,0 +1,158 @@
+package org.knapweedmount.daemon.link;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+
+import io.vertx.core.AsyncResult;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetSocket;
+import org.knapweedmount.core.metric.Counters;
+import org.knapweedmount.daemon.runtime.NanoClock;
+import org.knapweedmount.daemon.settings.HostPort;
+
+/**
+ * Opens connections to the addresses that the process wants links to, again and again until it has them.
+ *
+ * <p>An address that was learnt is forgotten when nothing answers there for some minutes and nobody names it any more.
+ *
+ * <p>Used on the event loop.
+ */
+final class Dialer {
+    private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
+    private static final long FORGET_NANOS = TimeUnit.MINUTES.toNanos(10);
+
+    private final Vertx vertx;
+    private final NetClient client;
+    private final NanoClock clock;
+    private final Counters<LinkCounter> counters;
+    private final Random random;
+    private final Predicate<HostPort> linked;
+    private final Listener listener;
+    private final Map<HostPort, Target> targets = new LinkedHashMap<>();
+    private boolean closed;
+
+    /** Takes the connections. */
+    @FunctionalInterface
+    interface Listener {
+        void connected(NetSocket socket, HostPort target);
+    }
+
+    private static final class Target {
+        private final HostPort address;
+        private final Backoff backoff;
+        private boolean permanent;
+        private long wantedNanos;
+
+        private Target(HostPort address, Backoff backoff) {
+            this.address = address;
+            this.backoff = backoff;
+        }
+    }
+
+    Dialer(
+            Vertx vertx,
+            NanoClock clock,
+            Counters<LinkCounter> counters,
+            long seed,
+            Predicate<HostPort> linked,
+            Listener listener) {
+        this.vertx = vertx;
+        this.clock = clock;
+        this.counters = counters;
+        this.random = new Random(seed);
+        this.linked = linked;
+        this.listener = listener;
+        this.client = vertx.createNetClient(
+                new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setTcpNoDelay(true));
+    }
+
+    /** Wants a link to an address, for good if it is permanent and else until it has not answered for some minutes. */
+    void want(HostPort address, boolean permanent) {
+        Target target = targets.get(address);
+        if (target == null) {
+            target = new Target(address, new Backoff(random));
+            targets.put(address, target);
+            Target added = target;
+            vertx.runOnContext(ignored -> connect(added));
+        }
+        target.permanent |= permanent;
+        target.wantedNanos = clock.nanos();
+    }
+
+    /** Takes note that a connection has become a link. */
+    void succeeded(HostPort address) {
+        Target target = targets.get(address);
+        if (target != null) {
+            target.backoff.reset();
+        }
+    }
+
+    /** Takes note that the address is of no use, for instance because it is this process's own. */
+    void forget(HostPort address) {
+        targets.remove(address);
+    }
+
+    /** Takes note that the other end is to open the link, so that this one seldom tries. */
+    void settle(HostPort address) {
+        Target target = targets.get(address);
+        if (target != null) {
+            target.backoff.settle();
+        }
+    }
+
+    /** Takes note that a connection has ended, and opens another one after a pause. */
+    void ended(HostPort address) {
+        Target target = targets.get(address);
+        if (target != null) {
+            retry(target);
+        }
+    }
+
+    private void connect(Target target) {
+        if (closed || targets.get(target.address) != target) {
+            return;
+        }
+        if (linked.test(target.address)) {
+            target.wantedNanos = clock.nanos();
+            retry(target);
+            return;
+        }
+        HostPort address = target.address;
+        client.connect(address.port(), address.host()).onComplete(result -> finished(target, result));
+    }
+
+    private void finished(Target target, AsyncResult<NetSocket> result) {
+        if (result.failed()) {
+            counters.increment(LinkCounter.DIAL_FAILURES);
+            retry(target);
+            return;
+        }
+        if (closed) {
+            result.result().close();
+            return;
+        }
+        listener.connected(result.result(), target.address);
+    }
+
+    private void retry(Target target) {
+        long nowNanos = clock.nanos();
+        if (closed) {
+            return;
+        }
+        if (!target.permanent && nowNanos - target.wantedNanos > FORGET_NANOS) {
+            targets.remove(target.address);
+            return;
+        }
+        vertx.setTimer(target.backoff.next(), timer -> connect(target));
+    }
+
+    void close() {
+        closed = true;
+        client.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedmount/daemon/link/RawPeer.java
@@ -0,0 +1,65 @@
+package org.knapweedmount.daemon.link;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.PeerAddress;
+import org.knapweedmount.api.Role;
+import org.knapweedmount.api.message.Hello;
+import org.knapweedmount.api.message.Message;
+import org.knapweedmount.wire.FrameException;
+import org.knapweedmount.wire.LinkEnds;
+import org.knapweedmount.wire.MessageEncoder;
+
+/** A bare connection to a process under test, which can send anything or nothing. */
+final class RawPeer implements AutoCloseable {
+    private final Socket socket;
+
+    RawPeer(TestProcess process) throws IOException {
+        this.socket = new Socket(InetAddress.getLoopbackAddress(), process.self.port());
+    }
+
+    static Hello hello(String name, Role role, int version) {
+        PeerAddress sender = new PeerAddress(new Incarnation(name, 1), role, "rennes", TestProcess.HOST, 0);
+        return new Hello(version, sender);
+    }
+
+    static Hello agentHello(String name) {
+        return hello(name, Role.AGENT, Hello.PROTOCOL_VERSION);
+    }
+
+    RawPeer send(Message message) throws IOException, FrameException {
+        return send(new MessageEncoder().encode(message, LinkEnds.UNKNOWN));
+    }
+
+    RawPeer send(byte[] bytes) throws IOException {
+        socket.getOutputStream().write(bytes);
+        return this;
+    }
+
+    /** Reads until the other end closes the connection. */
+    void awaitClose() throws IOException {
+        InputStream in = socket.getInputStream();
+        byte[] skipped = new byte[4096];
+        int count = 0;
+        while (count >= 0) {
+            count = readOrEnd(in, skipped);
+        }
+    }
+
+    private static int readOrEnd(InputStream in, byte[] skipped) {
+        try {
+            return in.read(skipped);
+        } catch (IOException e) {
+            return -1;
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedmount/daemon/link/TestProcess.java
@@ -0,0 +1,119 @@
+package org.knapweedmount.daemon.link;
+
+import java.util.OptionalInt;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+
+import io.vertx.core.Vertx;
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.PeerAddress;
+import org.knapweedmount.api.Role;
+import org.knapweedmount.api.message.Heartbeat;
+import org.knapweedmount.api.message.Message;
+import org.knapweedmount.daemon.runtime.DecisionLoop;
+import org.knapweedmount.daemon.runtime.NanoClock;
+import org.knapweedmount.daemon.settings.HostPort;
+
+/** A process with links that notes what its decision thread is told. */
+final class TestProcess implements AutoCloseable {
+    static final String HOST = "127.0.0.1";
+    static final int HEARTBEAT_MILLIS = 100;
+    static final int RING_SIZE = 512;
+
+    final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+    final DecisionLoop<BlockingQueue<String>> loop;
+    final LinkTable<BlockingQueue<String>> links;
+    final PeerAddress self;
+
+    static TestProcess entry(Vertx vertx, String name, int port, LinkOptions options) {
+        return new TestProcess(vertx, Role.ENTRY, name, port, options);
+    }
+
+    static TestProcess entry(Vertx vertx, String name) {
+        return entry(vertx, name, 0, LinkOptions.entry(HEARTBEAT_MILLIS, 1));
+    }
+
+    static TestProcess agent(Vertx vertx, String name) {
+        return new TestProcess(vertx, Role.AGENT, name, 0, LinkOptions.agent(HEARTBEAT_MILLIS, 1));
+    }
+
+    private TestProcess(Vertx vertx, Role role, String name, int port, LinkOptions options) {
+        PeerAddress identity = new PeerAddress(new Incarnation(name, System.nanoTime()), role, "rennes", HOST, 0);
+        this.loop = new DecisionLoop<>(name, RING_SIZE, NanoClock.SYSTEM);
+        this.links = new LinkTable<>(vertx, options, identity, () -> 17, NanoClock.SYSTEM, loop, new Noting());
+        this.self = role == Role.ENTRY
+                ? links.listen(HOST, port, OptionalInt.empty()).await()
+                : identity;
+        loop.start(events);
+    }
+
+    HostPort address() {
+        return new HostPort(HOST, self.port());
+    }
+
+    void send(PeerAddress peer, Message message) {
+        loop.offer((core, nowNanos) -> links.send(peer.incarnation(), message));
+    }
+
+    /** Waits for an event, leaving out others. */
+    void awaitEvent(String event) throws InterruptedException {
+        String next = events.take();
+        while (!next.equals(event)) {
+            next = events.take();
+        }
+    }
+
+    /** Waits until a counter is not 0. */
+    void awaitCounter(LinkCounter counter) {
+        while (links.counters().value(counter) == 0) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Keeps the decision thread busy until the latch is open, and then lets it do something. */
+    void block(CountDownLatch latch, Runnable last) {
+        CountDownLatch blocked = new CountDownLatch(1);
+        loop.offer((core, nowNanos) -> {
+            blocked.countDown();
+            awaitUninterruptibly(latch);
+            last.run();
+        });
+        awaitUninterruptibly(blocked);
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    @Override
+    public void close() {
+        links.close().await();
+        loop.close();
+    }
+
+    private static final class Noting implements LinkHandler<BlockingQueue<String>> {
+        @Override
+        public void linked(BlockingQueue<String> core, PeerAddress peer, long nowNanos) {
+            core.add("linked " + peer.incarnation());
+        }
+
+        @Override
+        public void unlinked(BlockingQueue<String> core, Incarnation peer, long nowNanos) {
+            core.add("unlinked " + peer);
+        }
+
+        @Override
+        public void received(BlockingQueue<String> core, Incarnation from, Message message, long nowNanos) {
+            if (message instanceof Heartbeat heartbeat) {
+                core.add("heartbeat " + heartbeat.configNumber());
+            } else {
+                core.add(from.process() + " " + message);
+            }
+        }
+    }
+}
