Add the relay stand-in

Cause: tests and measurements need delays below 1 ms, cuts and late delivery between processes on one machine. Change: Relay passes TCP connections on with a thread for each duty; DelayLine writes each chunk at its time by sleeping and then spinning. By HTTP a relay is switched to pass, to hold everything back and deliver it late, or to reset its connections; it can also send what an opener sends on a second connection. Ruled out: timers of the event loop, exact to 1 ms only; dropping bytes within a connection, which TCP never does.

--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/relay/DelayLine.java
@@ -0,0 +1,77 @@
+package org.knapweedmount.standins.relay;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.locks.LockSupport;
+
+import org.knapweedmount.api.Payload;
+
+/**
+ * Writes bytes to a socket, each some time after it was read.
+ *
+ * <p>The thread sleeps until shortly before the time and then spins, since sleeping alone is late by some 50 µs.
+ */
+final class DelayLine implements Runnable {
+    private static final int MAX_CHUNKS = 256;
+    private static final long SPIN_NANOS = 80_000;
+
+    private final RelayGate gate;
+    private final Socket destination;
+    private final BlockingQueue<Chunk> chunks = new ArrayBlockingQueue<>(MAX_CHUNKS);
+
+    /** Bytes and the time to write them; no bytes stand for the end of the stream. */
+    private record Chunk(long dueNanos, Payload bytes) {}
+
+    DelayLine(RelayGate gate, Socket destination) {
+        this.gate = gate;
+        this.destination = destination;
+    }
+
+    /** Takes bytes that were read just now; waits while too many are under way. */
+    void accept(Payload bytes) throws InterruptedException {
+        chunks.put(new Chunk(System.nanoTime() + gate.delayNanos(), bytes));
+    }
+
+    /** Takes the end of the stream. */
+    void end() throws InterruptedException {
+        accept(Payload.EMPTY);
+    }
+
+    @Override
+    public void run() {
+        try {
+            while (write(chunks.take())) {
+                // goes on to the next chunk
+            }
+            destination.shutdownOutput();
+        } catch (IOException e) {
+            Sockets.closeQuietly(destination);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private boolean write(Chunk chunk) throws IOException, InterruptedException {
+        awaitTime(chunk.dueNanos);
+        gate.awaitPassing();
+        if (chunk.bytes.size() == 0) {
+            return false;
+        }
+        destination.getOutputStream().write(chunk.bytes.bytes());
+        return true;
+    }
+
+    private static void awaitTime(long dueNanos) {
+        long leftNanos = dueNanos - System.nanoTime();
+        while (leftNanos > 0) {
+            if (leftNanos > SPIN_NANOS) {
+                LockSupport.parkNanos(leftNanos - SPIN_NANOS);
+            } else {
+                Thread.onSpinWait();
+            }
+            leftNanos = dueNanos - System.nanoTime();
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/relay/RelayControl.java
@@ -0,0 +1,74 @@
+package org.knapweedmount.standins.relay;
+
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vertx.core.Future;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import org.knapweedmount.api.ParseException;
+import org.knapweedmount.standins.support.JsonHttp;
+
+/**
+ * Serves the switches of the relays by HTTP.
+ *
+ * <p>{@code PUT /control} changes the relay whose {@code port} the body names, or all relays; {@code GET /control} tells
+ * their conditions.
+ */
+final class RelayControl extends VerticleBase {
+    private final String host;
+    private final int port;
+    private final List<Relay> relays;
+    private HttpServer server;
+
+    private record Status(int port, RelayConditions conditions) {}
+
+    RelayControl(String host, int port, List<Relay> relays) {
+        this.host = host;
+        this.port = port;
+        this.relays = List.copyOf(relays);
+    }
+
+    @Override
+    public Future<?> start() {
+        server = vertx.createHttpServer().requestHandler(this::receive);
+        return server.listen(port, host);
+    }
+
+    int port() {
+        return server.actualPort();
+    }
+
+    private void receive(HttpServerRequest request) {
+        request.body().onSuccess(body -> {
+            try {
+                if (request.method().equals(HttpMethod.PUT)) {
+                    change(JsonHttp.parse(body));
+                }
+                JsonHttp.answer(request, 200, status());
+            } catch (ParseException e) {
+                JsonHttp.answer(request, 400, e.getMessage());
+            }
+        });
+    }
+
+    private void change(JsonNode change) throws ParseException {
+        List<Relay> chosen = relays.stream()
+                .filter(relay -> change.path("port").asInt(relay.port()) == relay.port())
+                .toList();
+        if (chosen.isEmpty()) {
+            throw new ParseException("no relay listens on port " + change.path("port"));
+        }
+        for (Relay relay : chosen) {
+            relay.change(relay.conditions().with(change));
+        }
+    }
+
+    private List<Status> status() {
+        return relays.stream()
+                .map(relay -> new Status(relay.port(), relay.conditions()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/knapweedmount/standins/relay/RelayTest.java
@@ -0,0 +1,161 @@
+package org.knapweedmount.standins.relay;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.Vertx;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.knapweedmount.standins.support.HostPort;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+class RelayTest {
+    private static final int TIMEOUT_MILLIS = 30_000;
+    private static final int SHORT_MILLIS = 50;
+
+    private ServerSocket target;
+    private Relay relay;
+
+    @BeforeEach
+    void start() throws IOException {
+        target = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+        target.setSoTimeout(TIMEOUT_MILLIS);
+        HostPort address = new HostPort("127.0.0.1", target.getLocalPort());
+        relay = Relay.start(new RelayRoute(0, address), RelayConditions.passing(0));
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        relay.close();
+        target.close();
+    }
+
+    @Test
+    void bytesAndTheEndPassBothWays() throws IOException {
+        try (Socket opener = open();
+                Socket accepted = accept()) {
+            opener.getOutputStream().write("ab".getBytes(StandardCharsets.UTF_8));
+            opener.shutdownOutput();
+            assertThat(new String(accepted.getInputStream().readAllBytes(), StandardCharsets.UTF_8), is("ab"));
+            accepted.getOutputStream().write('c');
+            accepted.shutdownOutput();
+            assertThat(opener.getInputStream().read(), is((int) 'c'));
+            assertThat(opener.getInputStream().read(), is(-1));
+        }
+    }
+
+    @Test
+    void theDelayHoldsInEachDirection() throws IOException {
+        int delayMicros = 20_000;
+        relay.change(RelayConditions.passing(delayMicros));
+        try (Socket opener = open();
+                Socket accepted = accept()) {
+            long startNanos = System.nanoTime();
+            opener.getOutputStream().write('a');
+            accepted.getOutputStream().write(accepted.getInputStream().read());
+            opener.getInputStream().read();
+            long elapsedMicros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startNanos);
+            assertThat(elapsedMicros, greaterThanOrEqualTo(2L * delayMicros));
+        }
+    }
+
+    @Test
+    void aStalledConnectionDeliversLate() throws IOException {
+        try (Socket opener = open();
+                Socket accepted = accept()) {
+            relay.change(new RelayConditions(RelayMode.STALL, 0, false));
+            opener.getOutputStream().write('a');
+            accepted.setSoTimeout(SHORT_MILLIS);
+            assertThrows(
+                    SocketTimeoutException.class,
+                    () -> accepted.getInputStream().read());
+            relay.change(RelayConditions.passing(0));
+            accepted.setSoTimeout(TIMEOUT_MILLIS);
+            assertThat(accepted.getInputStream().read(), is((int) 'a'));
+        }
+    }
+
+    @Test
+    void aCutResetsOldAndNewConnections() throws IOException {
+        try (Socket opener = open();
+                Socket accepted = accept()) {
+            relay.change(new RelayConditions(RelayMode.CUT, 0, false));
+            assertThrows(IOException.class, () -> opener.getInputStream().read());
+            assertThrows(IOException.class, () -> accepted.getInputStream().read());
+        }
+        assertThrows(IOException.class, () -> {
+            try (Socket opener = open()) {
+                opener.getInputStream().read();
+            }
+        });
+        relay.change(RelayConditions.passing(0));
+        bytesAndTheEndPassBothWays();
+    }
+
+    @Test
+    void aDuplicateGetsTheSameBytesAndItsAnswersAreDropped() throws IOException {
+        relay.change(new RelayConditions(RelayMode.PASS, 0, true));
+        try (Socket opener = open();
+                Socket first = accept();
+                Socket second = accept()) {
+            opener.getOutputStream().write('a');
+            assertThat(first.getInputStream().read(), is((int) 'a'));
+            assertThat(second.getInputStream().read(), is((int) 'a'));
+            second.getOutputStream().write('x');
+            second.shutdownOutput();
+            first.getOutputStream().write('b');
+            assertThat(opener.getInputStream().read(), is((int) 'b'));
+        }
+    }
+
+    @Test
+    void theSwitchesChangeOneRelay() throws Exception {
+        Vertx vertx = Vertx.vertx();
+        RelayControl control = new RelayControl("127.0.0.1", 0, List.of(relay));
+        vertx.deployVerticle(control).await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        String port = "\"port\":" + relay.port();
+        assertThat(
+                put(control, "{" + port + ",\"mode\":\"stall\",\"delayMicros\":500}"),
+                is("200 [{" + port + ",\"conditions\":{\"mode\":\"STALL\",\"delayMicros\":500,\"duplicate\":false}}]"));
+        assertThat(put(control, "{\"port\":1,\"mode\":\"cut\"}").substring(0, 3), is("400"));
+        assertThat(put(control, "{\"mode\":\"off\"}").substring(0, 3), is("400"));
+        assertThat(relay.conditions(), is(new RelayConditions(RelayMode.STALL, 500, false)));
+        vertx.close().await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private static String put(RelayControl control, String body) throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + control.port() + "/control"))
+                .PUT(BodyPublishers.ofString(body))
+                .build();
+        var response = HttpClient.newHttpClient().send(request, BodyHandlers.ofString());
+        return response.statusCode() + " " + response.body();
+    }
+
+    private Socket open() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), relay.port());
+        socket.setSoTimeout(TIMEOUT_MILLIS);
+        return socket;
+    }
+
+    private Socket accept() throws IOException {
+        Socket socket = target.accept();
+        socket.setSoTimeout(TIMEOUT_MILLIS);
+        return socket;
+    }
+}
