--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/agent/EntryTable.java
@@ -0,0 +1,52 @@
+package org.knapweedmount.core.agent;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.knapweedmount.api.Incarnation;
+
+/**
+ * The links to entries.
+ *
+ * <p>Entries that are otherwise equal are ranked differently by each agent, so that a few slots at each of many agents
+ * are spread over all entries.
+ */
+final class EntryTable {
+    private static final long MIX = 0x9E3779B97F4A7C15L;
+
+    private final Incarnation self;
+    private final Map<Incarnation, EntryLink> links = new LinkedHashMap<>();
+
+    EntryTable(Incarnation self) {
+        this.self = self;
+    }
+
+    void add(Incarnation entry, long nowNanos) {
+        long rank = ((self.hashCode() * MIX) ^ entry.hashCode()) * MIX;
+        links.put(entry, new EntryLink(entry, rank, nowNanos));
+    }
+
+    Optional<EntryLink> remove(Incarnation entry) {
+        return Optional.ofNullable(links.remove(entry));
+    }
+
+    Optional<EntryLink> find(Incarnation entry) {
+        return Optional.ofNullable(links.get(entry));
+    }
+
+    boolean linked(Incarnation entry) {
+        return links.containsKey(entry);
+    }
+
+    boolean reachable(Incarnation entry) {
+        EntryLink link = links.get(entry);
+        return link != null && link.reachable();
+    }
+
+    Collection<EntryLink> all() {
+        return Collections.unmodifiableCollection(links.values());
+    }
+}
