Check settings files by the command-line tool

Cause: an operator wants to know that a settings file is good before a process is started with it. Change: 'settings check FILE' runs the daemon's settings reader. Tests put the examples' tickets and settings through the readers of the product. Ruled out: leaving out the daemon's libraries, tried first, because the reader needs one of them.

--- a/cli/src/main/java/org/knapweedmount/cli/CommandRegistry.java
+++ b/cli/src/main/java/org/knapweedmount/cli/CommandRegistry.java
@@ -21,7 +21,8 @@
                 new TicketHistoryCommand(),
                 new StatusCommand(),
                 new AuditCommand(),
-                new DrainCommand());
+                new DrainCommand(),
+                new SettingsCheckCommand());
     }
 
     /** Finds the command whose words a command line begins with. */
--- /dev/null
+++ b/cli/src/main/java/org/knapweedmount/cli/SettingsCheckCommand.java
@@ -0,0 +1,37 @@
+package org.knapweedmount.cli;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.beust.jcommander.Parameter;
+import org.knapweedmount.daemon.settings.SettingsException;
+import org.knapweedmount.daemon.settings.SettingsReader;
+
+/** Checks a settings file of a daemon without starting it. */
+final class SettingsCheckCommand implements Command {
+    @Parameter(description = "FILE")
+    private List<Path> files = new ArrayList<>();
+
+    @Override
+    public String name() {
+        return "settings check";
+    }
+
+    @Override
+    public String summary() {
+        return "Check a daemon's settings file";
+    }
+
+    @Override
+    public ExitCode run(Session session) throws CliException {
+        Path file = Operand.only(files, "FILE");
+        try {
+            SettingsReader.read(file);
+        } catch (SettingsException e) {
+            throw new CliException(ExitCode.USAGE, e.getMessage(), e);
+        }
+        session.print(file + " is good");
+        return ExitCode.OK;
+    }
+}
--- a/cli/src/test/java/org/knapweedmount/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/knapweedmount/cli/CommandLineTest.java
@@ -162,6 +162,15 @@
         assertThat(text(out), containsString(status));
     }
 
+    @Test
+    void badSettingsAreAUsageErrorWithTheLine() throws IOException {
+        Path settings = file("{\n\"role\": \"guest\"}");
+        assertThat(run("settings", "check", settings.toString()), is(ExitCode.USAGE));
+        assertThat(text(err), containsString(settings + ":2: role"));
+        Path good = Path.of("..", "examples", "kerlann", "entry-rennes.json");
+        assertThat(run("settings", "check", good.toString()), is(ExitCode.OK));
+    }
+
     @Test
     void theAuditTrailNamesTicketAuthorAndObjects() {
         prepare(
--- a/cli/src/test/java/org/knapweedmount/cli/ExampleFilesTest.java
+++ b/cli/src/test/java/org/knapweedmount/cli/ExampleFilesTest.java
@@ -1,6 +1,7 @@
 package org.knapweedmount.cli;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -12,6 +13,11 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.knapweedmount.api.config.Ticket;
+import org.knapweedmount.core.config.ConfigState;
+import org.knapweedmount.core.config.TicketReader;
+import org.knapweedmount.core.config.TicketRules;
+import org.knapweedmount.daemon.settings.SettingsReader;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
@@ -59,6 +65,31 @@
         assertThat(seen.size(), is(12));
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"kerlann", "cuotas"})
+    void ticketsAreAcceptedInTheOrderOfTheirNumbers(String site) throws Exception {
+        ConfigState state = new ConfigState();
+        for (Path file : files(site, "ticket-")) {
+            ObjectNode json = JsonText.readFile(file);
+            long number = json.remove("number").longValue();
+            Ticket ticket = TicketReader.readBody(number, json.toString().getBytes(StandardCharsets.UTF_8));
+            assertThat(file.toString(), number, greaterThan(state.highestNumber()));
+            assertThat(file.toString(), TicketRules.check(ticket, state), is(List.of()));
+            state.apply(ticket);
+        }
+        assertThat(state.highestNumber(), greaterThan(1L));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"kerlann", "cuotas"})
+    void settingsAreGood(String site) throws Exception {
+        for (String prefix : List.of("entry-", "agent-")) {
+            for (Path file : files(site, prefix)) {
+                SettingsReader.read(file);
+            }
+        }
+    }
+
     private static ObjectNode read(String site, String file) throws CliException {
         return JsonText.readFile(directory(site).resolve(file));
     }
