Adapt the entry's model test to numbered confirmations

Change: the model agent repeats the sequence number of the start and of the resume. Ruled out: nothing else was needed.

--- a/core/src/test/java/org/knapweedmount/core/entry/ModelAgent.java
+++ b/core/src/test/java/org/knapweedmount/core/entry/ModelAgent.java
@@ -57,8 +57,9 @@
         }
         if (message instanceof Resume resume) {
             marks.merge(entry, resume.lastSequence(), Math::max);
-            return Optional.of(
-                    new Resumed(resume.tasks().stream().map(this::report).toList()));
+            return Optional.of(new Resumed(
+                    resume.lastSequence(),
+                    resume.tasks().stream().map(this::report).toList()));
         }
         if (message instanceof Seal seal) {
             return Optional.of(seal(seal));
@@ -73,10 +74,10 @@
         }
         marks.put(entry, start.sequence());
         if (sealed.contains(task.submission())) {
-            return Optional.of(new NotStarted(task, Reason.SEALED));
+            return Optional.of(new NotStarted(task, start.sequence(), Reason.SEALED));
         }
         if (random.nextInt(5) == 0) {
-            return Optional.of(new NotStarted(task, REFUSALS.get(random.nextInt(REFUSALS.size()))));
+            return Optional.of(new NotStarted(task, start.sequence(), REFUSALS.get(random.nextInt(REFUSALS.size()))));
         }
         if (running.containsKey(task) || finished.containsKey(task)) {
             throw new AssertionError(task + " was started twice at one agent");
