Use leases as the agents do

Cause: agents refuse a start of another flow under a lease that is meant for one, and refuse a flow without room by reason lease-lapsed; the entry used such leases for any flow, tried again at once under the agent's next lease, and gave a task up as not-run after 20 such refusals. Change: a lease with a flow is used for that flow only; a flow refused for want of room uses no lease without a flow of that agent for 100 ms and waits for one of its own; the number of such refusals is not bounded any more, the time in the queue is. Agents are not asked for tasks that they may not be sent. The tests that assumed otherwise now state the agents' rule. Ruled out: giving back a lease whose flow has no task here, because agents leave such leases on purpose to keep a slot for the flow.

--- a/core/src/main/java/org/knapweedmount/core/entry/AgentState.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/AgentState.java
@@ -20,7 +20,7 @@
     private final long linkTimeoutNanos;
     private final Map<TaskId, TaskRun> inFlight = new LinkedHashMap<>();
     private final Map<String, AgentService> services = new LinkedHashMap<>();
-    private final Map<Flow, Long> overQuotaUntilNanos = new HashMap<>();
+    private final Map<Flow, Long> pausedUntilNanos = new HashMap<>();
     private boolean linked;
     private boolean leaving;
     private boolean drained;
@@ -88,7 +88,7 @@
         linked = false;
         lostNanos = nowNanos;
         services.clear();
-        overQuotaUntilNanos.clear();
+        pausedUntilNanos.clear();
     }
 
     void heard(long nowNanos) {
@@ -118,17 +118,17 @@
         return open() && !silent(nowNanos);
     }
 
-    /** Notes that the agent has refused a flow over its team's quota. */
-    void overQuota(Flow flow, long untilNanos) {
-        overQuotaUntilNanos.put(flow, untilNanos);
+    /** Lets a flow use no leases without a flow for a while, because the agent has no room for it now. */
+    void pause(Flow flow, long untilNanos) {
+        pausedUntilNanos.put(flow, untilNanos);
     }
 
-    /** Tells whether leases without a flow are not to be used for a flow, because its team was over its quota. */
-    boolean blocked(Flow flow, long nowNanos) {
-        if (overQuotaUntilNanos.isEmpty()) {
+    /** Tells whether leases without a flow are not to be used for a flow now. */
+    boolean paused(Flow flow, long nowNanos) {
+        if (pausedUntilNanos.isEmpty()) {
             return false;
         }
-        Long untilNanos = overQuotaUntilNanos.get(flow);
+        Long untilNanos = pausedUntilNanos.get(flow);
         return untilNanos != null && untilNanos - nowNanos > 0;
     }
 
--- a/core/src/main/java/org/knapweedmount/core/entry/DemandPlanner.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/DemandPlanner.java
@@ -198,7 +198,8 @@
         Map<Flow, FlowDemand> wanted = new LinkedHashMap<>();
         for (FlowQueue queue : flows.backlog()) {
             FlowAsk ask = asks.get(queue.flow());
-            int queued = ask == null ? 0 : queued(queue, ask, agent);
+            boolean useful = ask != null && queue.firstFor(agent).isPresent();
+            int queued = useful ? queued(queue, ask, agent) : 0;
             if (queued > 0) {
                 long waitedNanos =
                         nowNanos - queue.oldest().map(TaskRun::queuedNanos).orElse(nowNanos);
--- a/core/src/main/java/org/knapweedmount/core/entry/LeasePool.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/LeasePool.java
@@ -52,8 +52,8 @@
     /**
      * Takes the best lease for the first task of a flow that some agent with leases may be sent.
      *
-     * <p>Leases meant for the flow come first, then those for short kinds only, then those for any kind, and at last
-     * those meant for other flows, which have no tasks here or they would have been used.
+     * <p>Leases meant for the flow come first, then those for short kinds only, then those for any kind. Leases meant for
+     * another flow are left alone, because agents refuse starts of any other flow under them.
      */
     Optional<Match> take(FlowQueue queue, long nowNanos) {
         if (size == 0) {
@@ -68,16 +68,6 @@
                 }
             }
         }
-        return takeMeantForOthers(queue, nowNanos);
-    }
-
-    private Optional<Match> takeMeantForOthers(FlowQueue queue, long nowNanos) {
-        for (LeaseClass leaseClass : List.copyOf(shelves.keySet())) {
-            Optional<Match> match = take(leaseClass, queue, nowNanos);
-            if (match.isPresent()) {
-                return match;
-            }
-        }
         return Optional.empty();
     }
 
@@ -100,8 +90,8 @@
     /** Returns the first task of a queue that may be sent to an agent under one of its leases. */
     static Optional<TaskRun> firstFor(AgentService target, FlowQueue queue, boolean meant, long nowNanos) {
         AgentState agent = target.agent();
-        boolean blocked = !meant && agent.blocked(queue.flow(), nowNanos);
-        if (blocked || !agent.usable(nowNanos)) {
+        boolean paused = !meant && agent.paused(queue.flow(), nowNanos);
+        if (paused || !agent.usable(nowNanos)) {
             return Optional.empty();
         }
         return queue.firstFor(target);
--- a/core/src/main/java/org/knapweedmount/core/entry/StartedTasks.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/StartedTasks.java
@@ -24,8 +24,7 @@
  */
 final class StartedTasks {
     private static final long NANOS_PER_MILLI = 1_000_000;
-    private static final long QUOTA_PAUSE_NANOS = 100 * NANOS_PER_MILLI;
-    private static final int MAX_DENIALS = 20;
+    private static final long PAUSE_NANOS = 100 * NANOS_PER_MILLI;
 
     private final EntryContext context;
     private final TaskScheduler scheduler;
@@ -62,7 +61,19 @@
     void notStarted(AgentState agent, NotStarted notStarted, long nowNanos) {
         agent.inFlight(notStarted.task())
                 .filter(task -> task.sequence() == notStarted.sequence())
-                .ifPresent(task -> denied(agent, task, notStarted.reason(), nowNanos));
+                .ifPresent(task -> notStarted(agent, task, notStarted.reason(), nowNanos));
+    }
+
+    private void notStarted(AgentState agent, TaskRun task, Reason reason, long nowNanos) {
+        if (isPassing(reason)) {
+            agent.pause(task.flow(), nowNanos + PAUSE_NANOS);
+        }
+        denied(agent, task, reason, nowNanos);
+    }
+
+    /** Tells whether an agent that has refused a task for a reason may accept it soon. */
+    private static boolean isPassing(Reason reason) {
+        return reason == Reason.LEASE_LAPSED || reason == Reason.OVER_QUOTA;
     }
 
     /** Asks an agent that is linked again what became of the tasks sent before. */
@@ -153,9 +164,7 @@
         context.counters().increment(EntryCounter.STARTS_REFUSED);
         agent.answered(task);
         task.denied(agent);
-        if (reason == Reason.OVER_QUOTA) {
-            agent.overQuota(task.flow(), nowNanos + QUOTA_PAUSE_NANOS);
-        } else if (reason != Reason.LEASE_LAPSED) {
+        if (!isPassing(reason)) {
             task.avoid(agent);
         }
         if (mayBeQueuedAgain(task, reason, nowNanos)) {
@@ -167,13 +176,9 @@
     }
 
     private boolean mayBeQueuedAgain(TaskRun task, Reason reason, long nowNanos) {
-        if (task.submission().stopped() || task.denials() >= MAX_DENIALS) {
+        if (task.submission().stopped() || reason == Reason.SEALED) {
             return false;
         }
-        return switch (reason) {
-            case SEALED -> false;
-            case LEASE_LAPSED, OVER_QUOTA -> true;
-            default -> retries.hasOtherAgent(task, nowNanos);
-        };
+        return isPassing(reason) || retries.hasOtherAgent(task, nowNanos);
     }
 }
--- a/core/src/main/java/org/knapweedmount/core/entry/TaskRun.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/TaskRun.java
@@ -22,7 +22,6 @@
     private TaskPhase phase = TaskPhase.QUEUED;
     private long queuedNanos;
     private long sequence;
-    private int denials;
     private Optional<TaskResult> firstResult = Optional.empty();
 
     /** The neighbours in the queue, kept by {@link TaskList}. */
@@ -73,11 +72,6 @@
         return sequence;
     }
 
-    /** How often agents have refused to start the task. */
-    int denials() {
-        return denials;
-    }
-
     /** The result of the first run if the task is being run again. */
     Optional<TaskResult> firstResult() {
         return firstResult;
@@ -117,7 +111,6 @@
     /** Notes that the agent has denied the start. */
     void denied(AgentState agent) {
         startedAt.remove(agent);
-        denials++;
     }
 
     /** Keeps the task from being sent to an agent again. */
--- a/core/src/main/java/org/knapweedmount/core/entry/TaskScheduler.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/TaskScheduler.java
@@ -196,9 +196,9 @@
     }
 
     private boolean use(ServiceState service, AgentService part, LeaseClass leaseClass, long lease, long nowNanos) {
-        Optional<FlowQueue> meant = leaseClass.flow().flatMap(service.flows()::find);
-        if (meant.isPresent() && use(service, part, meant.get(), leaseClass, lease, nowNanos)) {
-            return true;
+        if (leaseClass.flow().isPresent()) {
+            Optional<FlowQueue> meant = service.flows().find(leaseClass.flow().get());
+            return meant.isPresent() && use(service, part, meant.get(), leaseClass, lease, nowNanos);
         }
         for (FlowQueue queue : service.flows().backlog()) {
             if (use(service, part, queue, leaseClass, lease, nowNanos)) {
--- a/core/src/test/java/org/knapweedmount/core/entry/EntryCoreTest.java
+++ b/core/src/test/java/org/knapweedmount/core/entry/EntryCoreTest.java
@@ -104,6 +104,7 @@
 
         entry.deny(agent, entry.lastStart(), Reason.LEASE_LAPSED);
         entry.grant(agent, 1);
+        entry.after(100);
 
         assertThat(entry.starts(), hasSize(2));
         assertThat(entry.lastStart().sequence(), is(2L));
