Ask each agent for its part of the queue only

Cause: a demand for the whole queue went to every agent. All of them then kept slots for the same few tasks. Change: without a hint, two leases are asked for each queued task, spread over the agents in turn; more agents are asked every 10 ms as long as none grants, and one is reminded each second when all were asked. A start tells its agent the part that is asked of it now. An agent that grants a lease that is not needed is told so. Queued tasks that no agent can be sent any more end after the time limit for lost tasks, whatever the cause.

--- a/core/src/main/java/org/knapweedmount/core/entry/AgentService.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/AgentService.java
@@ -1,6 +1,7 @@
 package org.knapweedmount.core.entry;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 
 import org.knapweedmount.api.Flow;
@@ -11,7 +12,7 @@
 final class AgentService {
     private final AgentState agent;
     private final Map<Flow, Integer> told = new HashMap<>();
-    private final Map<Flow, Integer> asked = new HashMap<>();
+    private final Map<Flow, Integer> wanted = new LinkedHashMap<>();
     private int slots;
     private Resources resources = Resources.NONE;
     private int freeElsewhere;
@@ -44,6 +45,15 @@
         return resources.equals(Resources.NONE) || need.fits(resources);
     }
 
+    /** Tells whether a task may be sent to the agent now, as soon as there is a lease. */
+    boolean accepts(TaskRun task, long nowNanos) {
+        return slots > 0
+                && agent.usable(nowNanos)
+                && agent.joinedVersion() <= task.id().submission().rosterVersion()
+                && fits(task.need())
+                && task.mayStartAt(agent);
+    }
+
     /** The number of slots free elsewhere that the agent reported last, less those asked for since. */
     int freeElsewhere() {
         return freeElsewhere;
@@ -53,14 +63,14 @@
         freeElsewhere = count;
     }
 
-    /** The queued tasks of each flow that the agent was told of last. */
+    /** The leases of each flow that the agent was asked for last. */
     Map<Flow, Integer> told() {
         return told;
     }
 
-    /** The queued tasks of each flow for which this agent alone is asked. */
-    Map<Flow, Integer> asked() {
-        return asked;
+    /** The leases of each flow that the agent is to be asked for. */
+    Map<Flow, Integer> wanted() {
+        return wanted;
     }
 
     /** Tells whether the last demand was sent longer ago than an interval. */
--- a/core/src/main/java/org/knapweedmount/core/entry/DemandPlanner.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/DemandPlanner.java
@@ -1,10 +1,8 @@
 package org.knapweedmount.core.entry;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -16,29 +14,34 @@
 import org.knapweedmount.api.message.FlowDemand;
 
 /**
- * Tells agents of the queued tasks of one service that have no lease.
+ * Asks agents for leases for the queued tasks of one service.
  *
  * <p>Each queued task is asked of the one agent that last reported the most slots free elsewhere. If no agent reported
- * any, or the task waits on, all agents are asked. A demand stands until it is replaced, and each start updates the
- * queue length that its agent knows, so a demand is sent again only when a flow becomes non-empty, becomes empty for
- * good, or has grown much.
+ * any, a few agents are asked, and more as long as none grants a lease. An agent is asked for its part of the queue
+ * only: if each agent were asked for the whole of it, all would keep slots for the same few tasks.
+ *
+ * <p>A demand stands until it is replaced, and each start updates the part that its agent is asked for. So a demand is
+ * sent again only when a flow is asked of the agent for the first time, no longer, or for much more.
  */
 final class DemandPlanner {
     private static final long NANOS_PER_MICRO = 1_000;
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long SHORTEST_INTERVAL_NANOS = 5 * NANOS_PER_MILLI;
-    private static final long INTERVAL_NANOS_PER_AGENT_AND_FLOW = NANOS_PER_MILLI / 10;
-    private static final long WITHDRAWAL_DELAY_NANOS = 20 * NANOS_PER_MILLI;
-    private static final long WIDENING_DELAY_NANOS = 5 * NANOS_PER_MILLI;
+    private static final long INTERVAL_NANOS_PER_FLOW = NANOS_PER_MILLI / 20;
+    private static final long WITHDRAWAL_DELAY_NANOS = 2 * NANOS_PER_MILLI;
+    private static final int LEASES_PER_TASK = 2;
+    private static final int MAX_LEASES_PER_TASK = 4;
+    private static final int MAX_AGENTS_ADDED = 4;
     private static final int GROWTH = 4;
 
     private final EntryContext context;
     private final String service;
     private final ServiceFlows flows;
-    private final Collection<AgentService> agents;
+    private final List<AgentService> agents;
     private final Map<Flow, FlowAsk> asks = new HashMap<>();
     private final Set<Flow> emptied = new LinkedHashSet<>();
     private final Set<AgentService> pending = new LinkedHashSet<>();
+    private int nextAgent;
 
     /**
      * Creates a planner for a service without queued tasks.
@@ -48,72 +51,81 @@
      * @param flows the queues of the service
      * @param agents a view of the agents of the service
      */
-    DemandPlanner(EntryContext context, String service, ServiceFlows flows, Collection<AgentService> agents) {
+    DemandPlanner(EntryContext context, String service, ServiceFlows flows, List<AgentService> agents) {
         this.context = context;
         this.service = service;
         this.flows = flows;
         this.agents = agents;
     }
 
-    /** Asks for leases for tasks that were added to a queue and found none. */
-    void queued(FlowQueue queue, int added, long nowNanos) {
-        FlowAsk ask = asks.computeIfAbsent(queue.flow(), unused -> new FlowAsk());
-        ask.refilled();
-        for (int i = 0; i < added && !ask.everywhere(); i++) {
-            Optional<AgentService> hinted = mostFreeElsewhere();
+    /** Asks for leases for the tasks of a queue if too few are asked for. */
+    void queued(FlowQueue queue, long nowNanos) {
+        FlowAsk ask = asks.computeIfAbsent(queue.flow(), flow -> new FlowAsk(flow, nowNanos));
+        if (ask.refilled()) {
+            ask.progress(nowNanos);
+        }
+        while (ask.total() < queue.size()) {
+            Optional<AgentService> hinted = mostFreeElsewhere(queue);
             if (hinted.isEmpty()) {
-                widen(queue, ask, nowNanos);
-            } else {
-                askOne(hinted.get(), queue.flow(), ask, nowNanos);
+                spread(queue, ask, nowNanos);
+                return;
             }
-        }
-        if (ask.everywhere()) {
-            remind(queue, ask, nowNanos);
+            AgentService agent = hinted.get();
+            agent.freeElsewhere(agent.freeElsewhere() - 1);
+            ask.want(agent, ask.wanted(agent) + 1);
+            update(agent, nowNanos);
         }
     }
 
     /** Notes that a queue has become empty. */
     void emptied(FlowQueue queue, long nowNanos) {
         FlowAsk ask = asks.get(queue.flow());
-        if (ask != null && ask.empty(nowNanos)) {
+        if (ask != null) {
+            ask.empty(nowNanos);
             emptied.add(queue.flow());
         }
     }
 
-    /** Notes the queue length that an agent is told by a start. */
-    void started(AgentService agent, Flow flow, int queued) {
-        if (queued > 0) {
-            agent.told().put(flow, queued);
-            return;
+    /** Notes a start and returns the part of its queue that the agent is asked for from now on. */
+    int started(AgentService agent, FlowQueue queue, long nowNanos) {
+        FlowAsk ask = asks.get(queue.flow());
+        if (ask == null) {
+            return 0;
         }
-        agent.told().remove(flow);
-        FlowAsk ask = asks.get(flow);
-        if (ask != null) {
-            ask.outdated().add(agent);
+        ask.progress(nowNanos);
+        int others = ask.total() - ask.wanted(agent);
+        int least = others < MAX_LEASES_PER_TASK * queue.size() ? 1 : 0;
+        int part = Math.max(least, Math.min(queue.size(), LEASES_PER_TASK * queue.size() - others));
+        ask.want(agent, part);
+        if (part > 0) {
+            agent.told().put(queue.flow(), part);
+        } else {
+            agent.told().remove(queue.flow());
         }
+        return part;
     }
 
-    /** Lets an agent know the present demand if there is any. */
-    void joined(AgentService agent, long nowNanos) {
-        if (!flows.isEmpty()) {
+    /** Notes that an agent has granted a lease for a flow without queued tasks. */
+    void unneeded(AgentService agent, Flow flow, long nowNanos) {
+        FlowAsk ask = asks.get(flow);
+        if (ask != null && ask.wanted(agent) > 0) {
+            ask.want(agent, 0);
             update(agent, nowNanos);
         }
     }
 
     void left(AgentService agent) {
         pending.remove(agent);
-        for (FlowAsk ask : asks.values()) {
-            ask.asked().remove(agent);
-            ask.outdated().remove(agent);
-        }
+        asks.values().forEach(ask -> ask.want(agent, 0));
     }
 
     /** Sends what is due by now. */
     void tick(long nowNanos) {
         withdraw(nowNanos);
         for (FlowQueue queue : flows.backlog()) {
+            queued(queue, nowNanos);
             FlowAsk ask = asks.get(queue.flow());
-            if (ask != null && !ask.everywhere() && waits(queue, nowNanos)) {
+            if (ask.stalled(nowNanos)) {
                 widen(queue, ask, nowNanos);
             }
         }
@@ -122,50 +134,66 @@
         due.forEach(agent -> update(agent, nowNanos));
     }
 
-    private static boolean waits(FlowQueue queue, long nowNanos) {
-        return queue.oldest()
-                .filter(task -> nowNanos - task.queuedNanos() >= WIDENING_DELAY_NANOS)
-                .isPresent();
-    }
-
-    private Optional<AgentService> mostFreeElsewhere() {
+    private Optional<AgentService> mostFreeElsewhere(FlowQueue queue) {
         AgentService best = null;
         for (AgentService agent : agents) {
-            boolean candidate = agent.freeElsewhere() > 0 && agent.agent().open();
-            if (candidate && (best == null || agent.freeElsewhere() > best.freeElsewhere())) {
+            boolean better = agent.freeElsewhere() > (best == null ? 0 : best.freeElsewhere());
+            if (better && serves(agent, queue)) {
                 best = agent;
             }
         }
         return Optional.ofNullable(best);
     }
 
-    private void askOne(AgentService agent, Flow flow, FlowAsk ask, long nowNanos) {
-        agent.freeElsewhere(agent.freeElsewhere() - 1);
-        agent.asked().merge(flow, 1, Integer::sum);
-        ask.asked().add(agent);
-        update(agent, nowNanos);
+    private static boolean serves(AgentService agent, FlowQueue queue) {
+        return agent.agent().open() && queue.firstFor(agent).isPresent();
     }
 
+    /** Asks the next agents in turn for equal parts of what is not asked for yet. */
+    private void spread(FlowQueue queue, FlowAsk ask, long nowNanos) {
+        int missing = LEASES_PER_TASK * queue.size() - ask.total();
+        int part = agents.isEmpty() ? 0 : (missing + agents.size() - 1) / agents.size();
+        for (int i = 0; i < agents.size() && missing > 0; i++) {
+            AgentService agent = next();
+            int before = ask.wanted(agent);
+            int after = Math.min(queue.size(), before + Math.min(part, missing));
+            if (after > before && serves(agent, queue)) {
+                missing -= after - before;
+                ask.want(agent, after);
+                update(agent, nowNanos);
+            }
+        }
+    }
+
+    /** Asks more agents, up to twice as many, because none has granted a lease for a while; or reminds one. */
     private void widen(FlowQueue queue, FlowAsk ask, long nowNanos) {
-        forgetAsked(queue.flow(), ask);
-        ask.announced(queue.size());
-        agents.forEach(agent -> update(agent, nowNanos));
+        int missing = Math.max(1, Math.min(ask.breadth(), MAX_AGENTS_ADDED));
+        for (int i = 0; i < agents.size() && missing > 0; i++) {
+            AgentService agent = next();
+            if (ask.wanted(agent) == 0 && serves(agent, queue)) {
+                missing--;
+                ask.want(agent, 1);
+                update(agent, nowNanos);
+            }
+        }
+        if (ask.exhausted() && missing > 0 && ask.breadth() > 0) {
+            remind(queue, ask, nowNanos);
+        }
+        ask.widened(missing > 0, nowNanos);
     }
 
-    /** Tells the agents that believe the queue empty, once they are so many that the others do not suffice. */
     private void remind(FlowQueue queue, FlowAsk ask, long nowNanos) {
-        if (2 * ask.outdated().size() >= agents.size()) {
-            ask.outdated().forEach(agent -> update(agent, nowNanos));
-            ask.outdated().clear();
-        }
-        if (hasGrown(ask.announcedSize(), queue.size())) {
-            widen(queue, ask, nowNanos);
+        AgentService agent = next();
+        while (ask.wanted(agent) == 0) {
+            agent = next();
         }
+        agent.told().remove(queue.flow());
+        update(agent, nowNanos);
     }
 
-    /** Tells whether a queue is much longer than all agents together believe. */
-    private boolean hasGrown(int told, int queued) {
-        return queued >= GROWTH * told && queued > agents.size();
+    private AgentService next() {
+        nextAgent = (nextAgent + 1) % agents.size();
+        return agents.get(nextAgent);
     }
 
     private void withdraw(long nowNanos) {
@@ -177,75 +205,49 @@
                 iterator.remove();
             } else if (ask.emptyFor(nowNanos, WITHDRAWAL_DELAY_NANOS)) {
                 iterator.remove();
-                forgetAsked(flow, ask);
                 asks.remove(flow);
-                agents.stream().filter(agent -> agent.told().containsKey(flow)).forEach(pending::add);
+                ask.withdraw().forEach(agent -> update(agent, nowNanos));
             }
         }
     }
 
-    private static void forgetAsked(Flow flow, FlowAsk ask) {
-        ask.asked().forEach(agent -> agent.asked().remove(flow));
-        ask.asked().clear();
-    }
-
     /** Sends an agent its demand, or notes it as pending if the last one was sent too recently. */
     private void update(AgentService agent, long nowNanos) {
-        int parts = agents.size() + flows.backlog().size();
-        long intervalNanos = SHORTEST_INTERVAL_NANOS + parts * INTERVAL_NANOS_PER_AGENT_AND_FLOW;
-        if (!agent.maySend(nowNanos, intervalNanos)) {
-            pending.add(agent);
+        if (!differs(agent)) {
             return;
         }
-        Map<Flow, FlowDemand> wanted = wanted(agent, nowNanos);
-        if (differs(agent, wanted)) {
-            send(agent, wanted, nowNanos);
-        }
-    }
-
-    private Map<Flow, FlowDemand> wanted(AgentService agent, long nowNanos) {
-        Map<Flow, FlowDemand> wanted = new LinkedHashMap<>();
-        for (FlowQueue queue : flows.backlog()) {
-            FlowAsk ask = asks.get(queue.flow());
-            boolean useful = ask != null && queue.firstFor(agent).isPresent();
-            int queued = useful ? queued(queue, ask, agent) : 0;
-            if (queued > 0) {
-                long waitedNanos =
-                        nowNanos - queue.oldest().map(TaskRun::queuedNanos).orElse(nowNanos);
-                wanted.put(queue.flow(), new FlowDemand(queue.flow(), queued, waitedNanos / NANOS_PER_MICRO));
-            }
-        }
-        return wanted;
-    }
-
-    private static int queued(FlowQueue queue, FlowAsk ask, AgentService agent) {
-        if (ask.everywhere()) {
-            return queue.size();
+        long intervalNanos = SHORTEST_INTERVAL_NANOS + agent.wanted().size() * INTERVAL_NANOS_PER_FLOW;
+        if (agent.maySend(nowNanos, intervalNanos)) {
+            send(agent, nowNanos);
+        } else {
+            pending.add(agent);
         }
-        return Math.min(queue.size(), agent.asked().getOrDefault(queue.flow(), 0));
     }
 
-    private boolean differs(AgentService agent, Map<Flow, FlowDemand> wanted) {
-        for (FlowDemand demand : wanted.values()) {
-            int told = agent.told().getOrDefault(demand.flow(), 0);
-            if (told == 0 || hasGrown(told, demand.queued())) {
+    private static boolean differs(AgentService agent) {
+        for (Map.Entry<Flow, Integer> wanted : agent.wanted().entrySet()) {
+            if (wanted.getValue() >= GROWTH * agent.told().getOrDefault(wanted.getKey(), 0)) {
                 return true;
             }
         }
-        for (Flow flow : agent.told().keySet()) {
-            if (!wanted.containsKey(flow) && !asks.containsKey(flow)) {
-                return true;
-            }
-        }
-        return false;
+        return !agent.wanted().keySet().containsAll(agent.told().keySet());
     }
 
-    private void send(AgentService agent, Map<Flow, FlowDemand> wanted, long nowNanos) {
+    private void send(AgentService agent, long nowNanos) {
+        List<FlowDemand> demands = new ArrayList<>();
+        agent.wanted().forEach((flow, leases) -> demands.add(demand(flow, leases, nowNanos)));
         agent.told().clear();
-        wanted.forEach((flow, demand) -> agent.told().put(flow, demand.queued()));
+        agent.told().putAll(agent.wanted());
         agent.sent(nowNanos);
         context.counters().increment(EntryCounter.DEMANDS);
-        Demand demand = new Demand(service, new ArrayList<>(wanted.values()));
-        context.output().send(agent.agent().incarnation(), demand);
+        context.output().send(agent.agent().incarnation(), new Demand(service, demands));
+    }
+
+    private FlowDemand demand(Flow flow, int leases, long nowNanos) {
+        long sinceNanos = flows.find(flow)
+                .flatMap(FlowQueue::oldest)
+                .map(TaskRun::queuedNanos)
+                .orElse(nowNanos);
+        return new FlowDemand(flow, leases, (nowNanos - sinceNanos) / NANOS_PER_MICRO);
     }
 }
--- a/core/src/main/java/org/knapweedmount/core/entry/EntryCore.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/EntryCore.java
@@ -70,7 +70,7 @@
                 new Admission(context, services, scheduler, runTimes, roster.linkedEntries(), new Random(seed));
         RetryPolicy retries = new RetryPolicy(context, services);
         this.submissions = new Submissions(context, issuer, answers, admission, scheduler, retries);
-        this.startedTasks = new StartedTasks(context, scheduler, submissions, retries, runTimes);
+        this.startedTasks = new StartedTasks(context, scheduler, submissions, services, runTimes);
         this.queueWatch = new QueueWatch(context, services, submissions, admission);
         this.agentLinks = new AgentLinks(agents, scheduler, startedTasks);
         this.claims = new KeyClaims(context, answers, issuer, submissions, admission);
--- a/core/src/main/java/org/knapweedmount/core/entry/FlowAsk.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/FlowAsk.java
@@ -1,50 +1,96 @@
 package org.knapweedmount.core.entry;
 
-import java.util.LinkedHashSet;
-import java.util.Set;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 
-/** Which agents are asked for leases for the queued tasks of one flow. */
+import org.knapweedmount.api.Flow;
+
+/** How many leases for one flow each agent is asked for. */
 final class FlowAsk {
-    private final Set<AgentService> asked = new LinkedHashSet<>();
-    private final Set<AgentService> outdated = new LinkedHashSet<>();
-    private int announcedSize;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long WIDENING_NANOS = 10 * NANOS_PER_MILLI;
+    private static final long REMINDER_NANOS = 1_000 * NANOS_PER_MILLI;
+
+    private final Flow flow;
+    private final Map<AgentService, Integer> wanted = new LinkedHashMap<>();
+    private int total;
+    private long progressNanos;
+    private boolean exhausted;
     private boolean emptied;
     private long emptiedNanos;
 
-    /** Tells whether all agents of the service are asked. */
-    boolean everywhere() {
-        return announcedSize > 0;
+    FlowAsk(Flow flow, long nowNanos) {
+        this.flow = flow;
+        this.progressNanos = nowNanos;
+    }
+
+    /** The number of leases that all agents together are asked for. */
+    int total() {
+        return total;
+    }
+
+    int wanted(AgentService agent) {
+        return wanted.getOrDefault(agent, 0);
+    }
+
+    /** Sets the number of leases that an agent is asked for. */
+    void want(AgentService agent, int leases) {
+        Integer before = leases == 0 ? wanted.remove(agent) : wanted.put(agent, leases);
+        total += leases - (before == null ? 0 : before);
+        if (leases == 0) {
+            agent.wanted().remove(flow);
+        } else {
+            agent.wanted().put(flow, leases);
+        }
+    }
+
+    /** Asks for nothing any more and returns the agents that were asked. */
+    List<AgentService> withdraw() {
+        List<AgentService> agents = new ArrayList<>(wanted.keySet());
+        agents.forEach(agent -> want(agent, 0));
+        return agents;
+    }
+
+    /** The number of agents that are asked. */
+    int breadth() {
+        return wanted.size();
     }
 
-    /** The length of the queue when all agents were asked last. */
-    int announcedSize() {
-        return announcedSize;
+    /** Notes that a task was started or that the queue is no longer empty. */
+    void progress(long nowNanos) {
+        progressNanos = nowNanos;
+        exhausted = false;
     }
 
-    void announced(int size) {
-        announcedSize = size;
+    /** Tells whether there were no further agents to ask. */
+    boolean exhausted() {
+        return exhausted;
     }
 
-    /** The agents that are asked as long as not all of them are. */
-    Set<AgentService> asked() {
-        return asked;
+    /** Notes whether there are further agents to ask, and when the last was asked. */
+    void widened(boolean all, long nowNanos) {
+        progressNanos = nowNanos;
+        exhausted = all;
     }
 
-    /** The agents that have been told by a start that the queue is empty. */
-    Set<AgentService> outdated() {
-        return outdated;
+    /** Tells whether more agents are to be asked, or those asked reminded, because no task was started for a while. */
+    boolean stalled(long nowNanos) {
+        return nowNanos - progressNanos >= (exhausted ? REMINDER_NANOS : WIDENING_NANOS);
     }
 
-    /** Notes that the queue is empty, and returns whether it was not before. */
-    boolean empty(long nowNanos) {
-        boolean first = !emptied;
+    /** Notes that the queue is empty. */
+    void empty(long nowNanos) {
         emptied = true;
         emptiedNanos = nowNanos;
-        return first;
     }
 
-    void refilled() {
+    /** Notes that tasks wait, and returns whether the queue was empty before. */
+    boolean refilled() {
+        boolean before = emptied;
         emptied = false;
+        return before;
     }
 
     boolean emptied() {
--- a/core/src/main/java/org/knapweedmount/core/entry/QueueWatch.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/QueueWatch.java
@@ -23,18 +23,10 @@
     private final Services services;
     private final Submissions submissions;
     private final Admission admission;
-    private final Map<Stranded, Long> strandedSince = new HashMap<>();
+    private Map<TaskRun, Long> strandedSince = Map.of();
     private long checkedNanos;
     private boolean checkedBefore;
 
-    /**
-     * The queued tasks of a service with a roster version of which no agent takes new work.
-     *
-     * @param service the service's name
-     * @param version the roster version
-     */
-    private record Stranded(String service, int version) {}
-
     QueueWatch(EntryContext context, Services services, Submissions submissions, Admission admission) {
         this.context = context;
         this.services = services;
@@ -49,7 +41,7 @@
         }
         checkedBefore = true;
         checkedNanos = nowNanos;
-        strandedSince.keySet().removeIf(stranded -> !isStranded(stranded));
+        strandedSince = stranded(nowNanos);
         for (ServiceState service : services.all()) {
             for (FlowQueue queue : List.copyOf(service.flows().backlog())) {
                 check(service, queue, nowNanos);
@@ -57,11 +49,19 @@
         }
     }
 
-    private boolean isStranded(Stranded stranded) {
-        Optional<ServiceState> service = services.find(stranded.service());
-        return service.isPresent()
-                && !service.get().serves(stranded.version())
-                && service.get().flows().backlog().stream().anyMatch(queue -> queue.hasVersion(stranded.version()));
+    /** Returns the first tasks of the queues that no agent can be sent, with the time since when. */
+    private Map<TaskRun, Long> stranded(long nowNanos) {
+        Map<TaskRun, Long> stranded = new HashMap<>();
+        for (ServiceState service : services.all()) {
+            for (FlowQueue queue : service.flows().backlog()) {
+                for (TaskRun head : queue.heads()) {
+                    if (!services.hasAgentFor(head, nowNanos)) {
+                        stranded.put(head, strandedSince.getOrDefault(head, nowNanos));
+                    }
+                }
+            }
+        }
+        return stranded;
     }
 
     private void check(ServiceState service, FlowQueue queue, long nowNanos) {
@@ -96,20 +96,10 @@
             return Optional.of(Reason.OVERLOADED);
         }
         long lostNanos = context.limits().lostTaskMillis() * NANOS_PER_MILLI;
-        if (strandedNanos(service, task, nowNanos) >= lostNanos) {
-            return Optional.of(Reason.NO_ENDPOINT);
-        }
-        if (waitedNanos > lostNanos && !service.fits(task.need())) {
-            return Optional.of(Reason.FITS_NO_WORKER);
+        Long sinceNanos = strandedSince.get(task);
+        if (sinceNanos != null && nowNanos - sinceNanos >= lostNanos) {
+            return Optional.of(service.fits(task.need()) ? Reason.NO_ENDPOINT : Reason.FITS_NO_WORKER);
         }
         return Optional.empty();
     }
-
-    private long strandedNanos(ServiceState service, TaskRun task, long nowNanos) {
-        int version = task.id().submission().rosterVersion();
-        if (service.serves(version)) {
-            return 0;
-        }
-        return nowNanos - strandedSince.computeIfAbsent(new Stranded(service.name(), version), unused -> nowNanos);
-    }
 }
--- a/core/src/main/java/org/knapweedmount/core/entry/RetryPolicy.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/RetryPolicy.java
@@ -32,22 +32,7 @@
 
     /** Decides whether a task that has ended runs again; if so, the budget is charged. */
     boolean grants(TaskRun task, TaskResult result, long nowNanos) {
-        return mayRepeat(task) && worthwhile(result) && hasOtherAgent(task, nowNanos) && budget.tryRetry();
-    }
-
-    /** Tells whether some agent that takes new work may be sent the task. */
-    boolean hasOtherAgent(TaskRun task, long nowNanos) {
-        Optional<ServiceState> service = services.find(task.submission().service());
-        return service.isPresent() && service.get().agents().stream().anyMatch(agent -> accepts(agent, task, nowNanos));
-    }
-
-    private static boolean accepts(AgentService target, TaskRun task, long nowNanos) {
-        AgentState agent = target.agent();
-        return target.slots() > 0
-                && agent.usable(nowNanos)
-                && agent.joinedVersion() <= task.id().submission().rosterVersion()
-                && target.fits(task.need())
-                && task.mayStartAt(agent);
+        return mayRepeat(task) && worthwhile(result) && services.hasAgentFor(task, nowNanos) && budget.tryRetry();
     }
 
     private boolean mayRepeat(TaskRun task) {
--- a/core/src/main/java/org/knapweedmount/core/entry/ServiceState.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/ServiceState.java
@@ -1,10 +1,8 @@
 package org.knapweedmount.core.entry;
 
-import java.util.Collection;
+import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.Map;
-import java.util.Optional;
+import java.util.List;
 import java.util.Set;
 
 import org.knapweedmount.api.Resources;
@@ -17,7 +15,7 @@
     private final ServiceFlows flows;
     private final LeasePool leases = new LeasePool();
     private final DemandPlanner demand;
-    private final Map<AgentState, AgentService> agents = new LinkedHashMap<>();
+    private final List<AgentService> agents = new ArrayList<>();
     private final Set<Resources> workerSizes = new HashSet<>();
     private int openSlots;
     private int earliestVersion;
@@ -25,7 +23,7 @@
     ServiceState(EntryContext context, String name, RunTimes runTimes) {
         this.name = name;
         this.flows = new ServiceFlows(context.config(), runTimes);
-        this.demand = new DemandPlanner(context, name, flows, agents.values());
+        this.demand = new DemandPlanner(context, name, flows, agents);
     }
 
     String name() {
@@ -44,25 +42,23 @@
         return demand;
     }
 
-    Collection<AgentService> agents() {
-        return agents.values();
+    List<AgentService> agents() {
+        return agents;
     }
 
     /** Returns an agent's part in this service, created if need be. */
     AgentService join(AgentState agent) {
-        AgentService part = agents.get(agent);
-        if (part == null) {
-            part = new AgentService(agent);
-            agents.put(agent, part);
-            agent.services().put(name, part);
-        }
-        return part;
+        return agent.services().computeIfAbsent(name, unused -> {
+            AgentService part = new AgentService(agent);
+            agents.add(part);
+            return part;
+        });
     }
 
     /** Forgets the part of an agent whose link is lost. */
     void leave(AgentService part) {
         leases.clear(part);
-        agents.remove(part.agent());
+        agents.remove(part);
         demand.left(part);
         refresh();
     }
@@ -72,7 +68,7 @@
         openSlots = 0;
         earliestVersion = Integer.MAX_VALUE;
         workerSizes.clear();
-        for (AgentService part : agents.values()) {
+        for (AgentService part : agents) {
             if (part.slots() == 0) {
                 continue;
             }
@@ -120,9 +116,4 @@
         double perSecond = queue.departures().perSecond(slots * MILLIS_PER_SECOND / runMillis);
         return queue.size() / perSecond * MILLIS_PER_SECOND;
     }
-
-    /** Returns the agent's part in this service, empty if it has none. */
-    Optional<AgentService> find(AgentState agent) {
-        return Optional.ofNullable(agents.get(agent));
-    }
 }
--- a/core/src/main/java/org/knapweedmount/core/entry/Services.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/Services.java
@@ -24,6 +24,13 @@
         return Optional.ofNullable(byName.get(name));
     }
 
+    /** Tells whether some agent may be sent a task now. */
+    boolean hasAgentFor(TaskRun task, long nowNanos) {
+        return find(task.submission().service())
+                .filter(service -> service.agents().stream().anyMatch(agent -> agent.accepts(task, nowNanos)))
+                .isPresent();
+    }
+
     Collection<ServiceState> all() {
         return byName.values();
     }
--- a/core/src/main/java/org/knapweedmount/core/entry/StartedTasks.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/StartedTasks.java
@@ -29,7 +29,7 @@
     private final EntryContext context;
     private final TaskScheduler scheduler;
     private final Submissions submissions;
-    private final RetryPolicy retries;
+    private final Services services;
     private final RunTimes runTimes;
     private final Set<AgentState> unresolved = new LinkedHashSet<>();
 
@@ -37,12 +37,12 @@
             EntryContext context,
             TaskScheduler scheduler,
             Submissions submissions,
-            RetryPolicy retries,
+            Services services,
             RunTimes runTimes) {
         this.context = context;
         this.scheduler = scheduler;
         this.submissions = submissions;
-        this.retries = retries;
+        this.services = services;
         this.runTimes = runTimes;
     }
 
@@ -179,6 +179,6 @@
         if (task.submission().stopped() || reason == Reason.SEALED) {
             return false;
         }
-        return isPassing(reason) || retries.hasOtherAgent(task, nowNanos);
+        return isPassing(reason) || services.hasAgentFor(task, nowNanos);
     }
 }
--- a/core/src/main/java/org/knapweedmount/core/entry/TaskScheduler.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/TaskScheduler.java
@@ -1,12 +1,11 @@
 package org.knapweedmount.core.entry;
 
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
-import org.knapweedmount.api.Flow;
 import org.knapweedmount.api.message.Capacity;
 import org.knapweedmount.api.message.Grant;
 import org.knapweedmount.api.message.Recall;
@@ -41,17 +40,16 @@
     /** Queues the tasks of a new submission and starts those for which there are leases. */
     void submit(String serviceName, List<TaskRun> tasks, long nowNanos) {
         ServiceState service = services.obtain(serviceName);
-        Map<FlowQueue, Integer> added = new LinkedHashMap<>();
+        Set<FlowQueue> queues = new LinkedHashSet<>();
         boolean mayStart = false;
         for (TaskRun task : tasks) {
             mayStart |= isFirst(service, task);
             task.queued(nowNanos);
-            FlowQueue queue = service.flows().addLast(task, nowNanos);
+            queues.add(service.flows().addLast(task, nowNanos));
             entered(task);
-            added.merge(queue, 1, Integer::sum);
         }
-        for (Map.Entry<FlowQueue, Integer> entry : added.entrySet()) {
-            place(service, entry.getKey(), entry.getValue(), mayStart, nowNanos);
+        for (FlowQueue queue : queues) {
+            place(service, queue, mayStart, nowNanos);
         }
     }
 
@@ -60,7 +58,7 @@
         ServiceState service = services.obtain(task.submission().service());
         FlowQueue queue = service.flows().addFirst(task, nowNanos);
         entered(task);
-        place(service, queue, 1, true, nowNanos);
+        place(service, queue, true, nowNanos);
     }
 
     /** Takes a queued task out of its queue. */
@@ -80,7 +78,7 @@
         AgentService part = service.join(agent);
         part.update(capacity);
         service.refresh();
-        service.demand().joined(part, nowNanos);
+        service.flows().backlog().forEach(queue -> service.demand().queued(queue, nowNanos));
     }
 
     /** Takes leases and uses them for queued tasks as far as there are any. */
@@ -97,6 +95,9 @@
                 unused.add(lease);
             }
         }
+        if (!unused.isEmpty()) {
+            grant.flow().ifPresent(flow -> service.demand().unneeded(part, flow, nowNanos));
+        }
         if (draining) {
             release(part, service, unused);
         } else {
@@ -161,12 +162,12 @@
                 .isEmpty();
     }
 
-    private void place(ServiceState service, FlowQueue queue, int added, boolean mayStart, long nowNanos) {
+    private void place(ServiceState service, FlowQueue queue, boolean mayStart, long nowNanos) {
         if (mayStart) {
             startQueued(service, queue, nowNanos);
         }
         if (!queue.isEmpty()) {
-            service.demand().queued(queue, Math.min(added, queue.size()), nowNanos);
+            service.demand().queued(queue, nowNanos);
         }
     }
 
@@ -232,8 +233,7 @@
         left(task);
         task.sent(agent, agent.nextSequence());
         agent.sent(task);
-        Flow flow = task.flow();
-        service.demand().started(part, flow, queue.size());
+        int asked = service.demand().started(part, queue, nowNanos);
         if (queue.isEmpty()) {
             service.demand().emptied(queue, nowNanos);
         }
@@ -246,9 +246,9 @@
                                 match.lease(),
                                 task.id(),
                                 service.name(),
-                                flow.team(),
+                                task.flow().team(),
                                 task.spec(),
-                                queue.size()));
+                                asked));
     }
 
     private void checkStart(TaskRun task, AgentState agent) {
