Run an entry: links, HTTP, table service, tickets and planned stop

Cause: the parts of an entry have to be joined into a process.

Change: EntryStarter builds an entry from its settings. EntryModule is what the decision thread owns: the core, the configuration in force and what is known of other entries. ConfigDistributor puts tickets in force and passes on those that changed something; EntryPeers tells agents and entries of each other. Results that must not be lost wait in RetryingQueue while the ring is full. Claims have a client of their own, so that a flood of them does not hold tickets up. A planned stop turns readiness off, drains the core, waits for the callers' answers, deletes the entry's row and closes the ports. Each HTTP instance now runs on an event loop of its own: servers created by one thread shared its context before.

Ruled out: claims and tickets through one bounded client; ending the process from the drain request itself, so that the planned stop has one path.

--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/ConfigDistributor.java
@@ -0,0 +1,101 @@
+package org.knapweedmount.daemon.entry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.PeerAddress;
+import org.knapweedmount.api.Role;
+import org.knapweedmount.api.config.Ticket;
+import org.knapweedmount.api.message.ConfigApplied;
+import org.knapweedmount.api.message.ConfigUpdate;
+import org.knapweedmount.core.config.ConfigState;
+import org.knapweedmount.daemon.ticket.AuditAction;
+import org.knapweedmount.daemon.ticket.AuditLog;
+
+/**
+ * Puts tickets in force at this entry and passes them to all linked processes.
+ *
+ * <p>A ticket is passed on only if it changed something here, so that it goes round once. Used on the decision
+ * thread; the highest number in force is also read by others.
+ */
+final class ConfigDistributor {
+    private static final int MAX_TICKETS_PER_MESSAGE = 100;
+
+    private final ConfigState config;
+    private final Links links;
+    private final AuditLog audit;
+    private final Map<Incarnation, Long> peerNumbers = new HashMap<>();
+    private final AtomicLong appliedNumber;
+
+    ConfigDistributor(ConfigState config, Links links, AuditLog audit, AtomicLong appliedNumber) {
+        this.config = config;
+        this.links = links;
+        this.audit = audit;
+        this.appliedNumber = appliedNumber;
+    }
+
+    /** Puts tickets in force and passes them on, except to the process that sent them; tells whether any was new. */
+    boolean apply(List<Ticket> tickets, Optional<Incarnation> from) {
+        List<Ticket> changing = new ArrayList<>();
+        for (Ticket ticket : tickets) {
+            if (!config.apply(ticket).isEmpty()) {
+                changing.add(ticket);
+            }
+        }
+        appliedNumber.set(config.highestNumber());
+        if (changing.isEmpty()) {
+            return false;
+        }
+        for (PeerAddress peer : links.peers()) {
+            if (!from.equals(Optional.of(peer.incarnation()))) {
+                send(peer.incarnation(), changing);
+            }
+            if (peer.role() == Role.ENTRY) {
+                links.send(peer.incarnation(), new ConfigApplied(config.highestNumber()));
+            }
+        }
+        changing.forEach(ticket -> note(ticket, from));
+        return true;
+    }
+
+    private void note(Ticket ticket, Optional<Incarnation> from) {
+        String source = from.map(Incarnation::toString).orElse("table service");
+        audit.add(AuditAction.APPLIED, ticket.number(), ticket.author(), "from " + source);
+    }
+
+    /** Brings a newly linked process to the state of this entry. */
+    void linked(Incarnation peer) {
+        send(peer, config.tickets());
+    }
+
+    void unlinked(Incarnation peer) {
+        peerNumbers.remove(peer);
+    }
+
+    private void send(Incarnation peer, List<Ticket> tickets) {
+        for (int start = 0; start < tickets.size(); start += MAX_TICKETS_PER_MESSAGE) {
+            int end = Math.min(tickets.size(), start + MAX_TICKETS_PER_MESSAGE);
+            links.send(peer, new ConfigUpdate(tickets.subList(start, end)));
+        }
+    }
+
+    /** Takes note of the highest ticket number that a linked process says it has applied. */
+    void told(Incarnation peer, long number) {
+        peerNumbers.put(peer, number);
+    }
+
+    /** Returns the highest ticket number that a linked process has told, 0 if it told none. */
+    long numberOf(Incarnation peer) {
+        return peerNumbers.getOrDefault(peer, 0L);
+    }
+
+    /** Returns the highest ticket number in force. */
+    long appliedNumber() {
+        return appliedNumber.get();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryBuilder.java
@@ -0,0 +1,201 @@
+package org.knapweedmount.daemon.entry;
+
+import java.security.SecureRandom;
+import java.time.Instant;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.ParseException;
+import org.knapweedmount.api.PeerAddress;
+import org.knapweedmount.api.Role;
+import org.knapweedmount.core.config.ConfigState;
+import org.knapweedmount.core.entry.EntryCore;
+import org.knapweedmount.core.metric.Invariants;
+import org.knapweedmount.daemon.http.CallerApi;
+import org.knapweedmount.daemon.http.CallerDecisions;
+import org.knapweedmount.daemon.http.HttpLimits;
+import org.knapweedmount.daemon.http.PendingRequests;
+import org.knapweedmount.daemon.link.LinkOptions;
+import org.knapweedmount.daemon.link.LinkTable;
+import org.knapweedmount.daemon.runtime.DecisionLoop;
+import org.knapweedmount.daemon.runtime.DecisionQueue;
+import org.knapweedmount.daemon.runtime.NanoClock;
+import org.knapweedmount.daemon.runtime.Ticker;
+import org.knapweedmount.daemon.settings.EntrySettings;
+import org.knapweedmount.daemon.store.ClaimLimits;
+import org.knapweedmount.daemon.store.ClaimStore;
+import org.knapweedmount.daemon.store.EntryAnnouncement;
+import org.knapweedmount.daemon.store.EntryDirectory;
+import org.knapweedmount.daemon.store.TableClient;
+import org.knapweedmount.daemon.store.TableLimits;
+import org.knapweedmount.daemon.ticket.AuditLog;
+import org.knapweedmount.daemon.ticket.OperatorApi;
+import org.knapweedmount.daemon.ticket.OperatorTokens;
+import org.knapweedmount.daemon.ticket.TicketService;
+import org.tinylog.Logger;
+
+/** Joins the parts of an entry. */
+final class EntryBuilder {
+    private static final int RING_SIZE = 64 * 1024;
+    private static final int TICK_MILLIS = 5;
+    private static final int MAX_HTTP_LOOPS = 4;
+    private static final int MAX_AUDIT_EVENTS = 1_000;
+    private static final long START_SECONDS = 20;
+
+    private final EntrySettings settings;
+    private final Vertx vertx;
+    private final NanoClock clock;
+    private final Runnable exit;
+    private final SecureRandom random = new SecureRandom();
+    private final EntryCounters counters = EntryCounters.create();
+    private final AtomicLong appliedNumber = new AtomicLong();
+    private final AuditLog audit =
+            new AuditLog(MAX_AUDIT_EVENTS, () -> Instant.now().toString());
+    private final DecisionLoop<EntryModule> loop;
+    private final RetryingQueue<EntryModule> results;
+    private final PendingRequests pending;
+    private final HttpLimits httpLimits;
+
+    EntryBuilder(EntrySettings settings, Vertx vertx, NanoClock clock, Runnable exit) {
+        this.settings = settings;
+        this.vertx = vertx;
+        this.clock = clock;
+        this.exit = exit;
+        this.loop = new DecisionLoop<>("entry-decisions", RING_SIZE, clock);
+        this.results = new RetryingQueue<>(vertx, loop);
+        this.httpLimits = HttpLimits.of(
+                settings.http().maxBodyBytes(),
+                settings.http().maxConnections(),
+                settings.limits().maxJobTasks());
+        this.pending = new PendingRequests(httpLimits.maxPending(), counters.http());
+    }
+
+    EntryProcess build() throws ParseException, ExecutionException, TimeoutException, InterruptedException {
+        OperatorTokens tokens = OperatorTokens.read(settings.operators().tokenFile());
+        EntryStore store = store();
+        Readiness readiness = new Readiness(store.tickets()::isLoaded, () -> "");
+        EntryDrain drain = new EntryDrain(readiness, results);
+        LinkTable<EntryModule> linkTable = linkTable();
+        PeerAddress self = listenForLinks(linkTable);
+        startDecisions(linkTable, self, store, readiness);
+        if (!await(store.tickets().start())) {
+            Logger.warn("starting while the table service is not available");
+        }
+        settings.peers().forEach(linkTable::dial);
+        EntryPorts ports = ports(self, store, readiness, drain, tokens);
+        EntryAnnouncement announcement = new EntryAnnouncement(vertx, store.tables(), self);
+        EntryDirectory directory = new EntryDirectory(
+                vertx,
+                store.tables(),
+                clock::nanos,
+                known -> loop.offer((module, now) -> module.peers().listed(known)));
+        store.announce(announcement, directory);
+        Ticker<EntryModule> ticker = Ticker.start(vertx, TICK_MILLIS, loop, EntryModule::tick);
+        return new EntryProcess(new EntryParts(
+                settings,
+                clock,
+                vertx,
+                self,
+                loop,
+                ticker,
+                linkTable,
+                pending,
+                drain,
+                store,
+                announcement,
+                directory,
+                ports));
+    }
+
+    private EntryStore store() throws ExecutionException, TimeoutException, InterruptedException {
+        Context context = await(EntryContexts.create(vertx));
+        TableClient tables = tableClient(context);
+        ClaimStore claims = new ClaimStore(context, tableClient(context), clock::nanos, ClaimLimits.DEFAULT);
+        TicketService tickets = new TicketService(
+                context,
+                tables,
+                settings.name(),
+                () -> Instant.now().toString(),
+                audit,
+                (accepted, from) -> results.add((module, now) -> module.apply(accepted, from, now)));
+        return new EntryStore(context, tables, claims, tickets);
+    }
+
+    private EntryPorts ports(
+            PeerAddress self, EntryStore store, Readiness readiness, EntryDrain drain, OperatorTokens tokens)
+            throws ExecutionException, TimeoutException, InterruptedException {
+        StatusWriter status = new StatusWriter(self.incarnation(), readiness, counters);
+        OperatorApi operatorApi = new OperatorApi(
+                vertx, tokens, store.tickets(), audit, new EntryOperatorPages(loop, status, drain, exit));
+        int operatorPort = await(operatorApi.listen(
+                settings.operators().host(), settings.operators().port()));
+        CallerApi callerApi = new CallerApi(
+                vertx,
+                httpLimits,
+                callerDecisions(),
+                pending,
+                new OwnKeyLookup(loop, store.context(), store.claims()),
+                readiness,
+                counters.http());
+        int callerPort =
+                await(callerApi.listen(settings.http().host(), settings.http().port(), httpLoops()));
+        return new EntryPorts(callerApi, callerPort, operatorApi, operatorPort);
+    }
+
+    private TableClient tableClient(Context storeContext) {
+        return new TableClient(
+                storeContext,
+                settings.platform().host(),
+                settings.platform().port(),
+                TableLimits.DEFAULT,
+                clock::nanos,
+                counters.tables());
+    }
+
+    private LinkTable<EntryModule> linkTable() {
+        Incarnation incarnation = new Incarnation(settings.name(), random.nextLong());
+        PeerAddress unbound = new PeerAddress(
+                incarnation, Role.ENTRY, settings.dataCentre(), settings.links().host(), 0);
+        LinkOptions options = LinkOptions.entry(settings.heartbeatMillis(), random.nextLong());
+        return new LinkTable<>(vertx, options, unbound, appliedNumber::get, clock, loop, new EntryLinkHandler());
+    }
+
+    private PeerAddress listenForLinks(LinkTable<EntryModule> linkTable)
+            throws ExecutionException, TimeoutException, InterruptedException {
+        return await(linkTable.listen(
+                settings.links().host(),
+                settings.links().port(),
+                settings.links().advertisedPort()));
+    }
+
+    private void startDecisions(
+            LinkTable<EntryModule> linkTable, PeerAddress self, EntryStore store, Readiness readiness) {
+        ConfigState config = new ConfigState();
+        Links links = new TableOfLinks(linkTable);
+        EntryOutputs outputs = new EntryOutputs(links, pending, store.context(), store.claims(), results);
+        Invariants invariants = Invariants.counting(statement -> Logger.error("invariant violated: {}", statement));
+        EntryCore core = new EntryCore(
+                settings.limits(), self, config, outputs, counters.submissions(), invariants, random.nextLong());
+        ConfigDistributor distributor = new ConfigDistributor(config, links, audit, appliedNumber);
+        EntryPeers peers = new EntryPeers(self, links);
+        loop.start(new EntryModule(core, config, distributor, peers, store.tickets(), readiness, clock.nanos()));
+    }
+
+    private DecisionQueue<CallerDecisions> callerDecisions() {
+        return decision -> loop.offer((module, now) -> decision.decide(module.callers(), now));
+    }
+
+    private static int httpLoops() {
+        return Math.min(MAX_HTTP_LOOPS, Runtime.getRuntime().availableProcessors());
+    }
+
+    private static <T> T await(Future<T> future) throws ExecutionException, TimeoutException, InterruptedException {
+        return future.toCompletionStage().toCompletableFuture().get(START_SECONDS, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryContexts.java
@@ -0,0 +1,29 @@
+package org.knapweedmount.daemon.entry;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.Vertx;
+
+/** Creates event loops for duties that are not to share one. */
+final class EntryContexts {
+    private EntryContexts() {}
+
+    /** Keeps its context for its creator. */
+    private static final class Duty extends VerticleBase {
+        Context ownContext() {
+            return context;
+        }
+    }
+
+    /**
+     * Creates the context of a duty on the next event loop.
+     *
+     * @param vertx provides the event loops
+     * @return the context
+     */
+    static Future<Context> create(Vertx vertx) {
+        Duty duty = new Duty();
+        return vertx.deployVerticle(duty).map(ignored -> duty.ownContext());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/TableOfLinks.java
@@ -0,0 +1,32 @@
+package org.knapweedmount.daemon.entry;
+
+import java.util.List;
+
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.PeerAddress;
+import org.knapweedmount.api.message.Message;
+import org.knapweedmount.daemon.link.LinkTable;
+
+/** The links of the link table. */
+final class TableOfLinks implements Links {
+    private final LinkTable<EntryModule> table;
+
+    TableOfLinks(LinkTable<EntryModule> table) {
+        this.table = table;
+    }
+
+    @Override
+    public void send(Incarnation peer, Message message) {
+        table.send(peer, message);
+    }
+
+    @Override
+    public List<PeerAddress> peers() {
+        return table.peers();
+    }
+
+    @Override
+    public void know(PeerAddress entry) {
+        table.know(entry);
+    }
+}
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/CallerApi.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/CallerApi.java
@@ -1,14 +1,18 @@
 package org.knapweedmount.daemon.http;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.LongFunction;
 import java.util.function.UnaryOperator;
 
+import io.vertx.core.DeploymentOptions;
 import io.vertx.core.Future;
+import io.vertx.core.VerticleBase;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
@@ -33,6 +37,7 @@
     private static final int SHARED_FREE_PORT = -1;
 
     private static final String METRICS_TEXT = "text/plain; version=0.0.4; charset=utf-8";
+    private static final long SHUTDOWN_SECONDS = 2;
     private static final int BUSY_RETRY_MILLIS = 1_000;
 
     private final Vertx vertx;
@@ -45,7 +50,7 @@
     private final JobReader jobReader;
     private final BodyReader bodyReader;
     private final ConnectionLimit connections;
-    private final List<HttpServer> servers = new ArrayList<>();
+    private final Queue<HttpServer> servers = new ConcurrentLinkedQueue<>();
 
     /**
      * Creates the interface without listening.
@@ -88,28 +93,42 @@
      */
     public Future<Integer> listen(String host, int port, int instances) {
         int shared = port == 0 ? SHARED_FREE_PORT : port;
-        Future<Integer> bound = listenOnce(host, shared);
-        for (int i = 1; i < instances; i++) {
-            bound = bound.compose(ignored -> listenOnce(host, shared));
-        }
-        return bound;
+        DeploymentOptions options = new DeploymentOptions().setInstances(instances);
+        return vertx.deployVerticle(() -> new Listener(host, shared), options).map(ignored -> {
+            return servers.peek().actualPort();
+        });
     }
 
-    private Future<Integer> listenOnce(String host, int port) {
-        HttpServer server = vertx.createHttpServer(ServerOptions.of(limits));
-        server.connectionHandler(connections);
-        server.requestHandler(this::handle);
-        servers.add(server);
-        return server.listen(port, host).map(HttpServer::actualPort);
+    /** One event loop that serves the port. */
+    private final class Listener extends VerticleBase {
+        private final String host;
+        private final int port;
+
+        Listener(String host, int port) {
+            this.host = host;
+            this.port = port;
+        }
+
+        @Override
+        public Future<?> start() {
+            HttpServer server = vertx.createHttpServer(ServerOptions.of(limits));
+            server.connectionHandler(connections);
+            server.requestHandler(CallerApi.this::handle);
+            servers.add(server);
+            return server.listen(port, host);
+        }
     }
 
     /**
-     * Stops listening and closes the connections.
+     * Stops listening, lets the answers under way go out and closes the connections.
      *
      * @return completes when all are closed
      */
     public Future<Void> close() {
-        return Future.join(servers.stream().map(HttpServer::close).toList()).mapEmpty();
+        return Future.join(servers.stream()
+                        .map(server -> server.shutdown(SHUTDOWN_SECONDS, TimeUnit.SECONDS))
+                        .toList())
+                .mapEmpty();
     }
 
     private void handle(HttpServerRequest request) {
--- a/daemon/src/main/java/org/knapweedmount/daemon/store/ClaimStore.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/store/ClaimStore.java
@@ -196,7 +196,7 @@
      * @param row the key's row
      * @return the id, empty if the row cannot be read
      */
-    static Optional<SubmissionId> holder(Row row) {
+    public static Optional<SubmissionId> holder(Row row) {
         try {
             return Optional.of(SubmissionId.parse(row.value().path(SUBMISSION).asText()));
         } catch (ParseException e) {
@@ -206,10 +206,10 @@
     }
 
     /**
-     * Finds the id that a key stands for without claiming it.
+     * Reads the row of a key without claiming it.
      *
      * @param key the team and the caller's key, joined by a slash
-     * @return what was read of the key's row
+     * @return the result, whose row {@link #holder} reads; never fails
      */
     public Future<ReadResult> find(String key) {
         return tables.read(new RowKey(TABLE, key));
--- a/daemon/src/main/java/org/knapweedmount/daemon/store/EntryDirectory.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/store/EntryDirectory.java
@@ -1,6 +1,5 @@
 package org.knapweedmount.daemon.store;
 
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -23,7 +22,6 @@
     private final LongSupplier nanoClock;
     private final Consumer<KnownEntries> listener;
     private final EntryRows rows = new EntryRows(STALE_NANOS);
-    private KnownEntries latest = new KnownEntries(List.of(), List.of());
     private long timer;
 
     /**
@@ -32,7 +30,7 @@
      * @param vertx starts the timers
      * @param tables the table service
      * @param nanoClock gives the present time of a monotonic clock, in ns
-     * @param listener told the entries whenever they change
+     * @param listener told the entries after each list
      */
     public EntryDirectory(Vertx vertx, Tables tables, LongSupplier nanoClock, Consumer<KnownEntries> listener) {
         this.vertx = vertx;
@@ -54,16 +52,8 @@
     private void list() {
         tables.listAll(EntryRow.TABLE, "").onSuccess(result -> {
             if (result.answered()) {
-                received(rows.observe(result.rows(), nanoClock.getAsLong()));
+                listener.accept(rows.observe(result.rows(), nanoClock.getAsLong()));
             }
         });
     }
-
-    private void received(KnownEntries known) {
-        if (known.equals(latest)) {
-            return;
-        }
-        latest = known;
-        listener.accept(known);
-    }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/ticket/TicketService.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/ticket/TicketService.java
@@ -67,6 +67,15 @@
         });
     }
 
+    /**
+     * Tells whether this process has been told a configuration.
+     *
+     * @return true once the table service was read or a peer has sent tickets
+     */
+    public boolean isLoaded() {
+        return sync.isLoaded();
+    }
+
     /** Stops to read tickets. */
     public void stop() {
         context.runOnContext(ignored -> context.owner().cancelTimer(timer));
--- a/daemon/src/main/java/org/knapweedmount/daemon/ticket/TicketSync.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/ticket/TicketSync.java
@@ -26,6 +26,7 @@
     private final ConfigSink sink;
     private final ConfigState known = new ConfigState();
     private long completeNumber;
+    private volatile boolean loaded;
     private Optional<Future<Boolean>> running = Optional.empty();
 
     TicketSync(Tables tables, ConfigSink sink) {
@@ -38,6 +39,11 @@
         return known;
     }
 
+    /** Tells whether the table service or a peer has told the configuration; any thread may call it. */
+    boolean isLoaded() {
+        return loaded;
+    }
+
     /** Tells whether every ticket up to a number is known. */
     boolean isCompleteUpTo(long number) {
         return completeNumber >= number;
@@ -66,6 +72,7 @@
         }
         long number = TicketRows.headNumber(head.row());
         if (isCompleteUpTo(number)) {
+            loaded = true;
             return Future.succeededFuture(true);
         }
         return completeNumber == 0
@@ -83,6 +90,7 @@
                     .toList();
             apply(tickets, Optional.empty());
             completeNumber = Math.max(completeNumber, number);
+            loaded = true;
             return true;
         });
     }
@@ -90,6 +98,7 @@
     /** Takes tickets from a peer. */
     void received(Incarnation from, List<Ticket> tickets) {
         apply(tickets, Optional.of(from));
+        loaded |= !tickets.isEmpty();
     }
 
     /** Takes a ticket that this process has just accepted, when the given number was the highest. */
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedmount/daemon/entry/EchoAgent.java
@@ -0,0 +1,78 @@
+package org.knapweedmount.daemon.entry;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.vertx.core.Vertx;
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.PeerAddress;
+import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.Role;
+import org.knapweedmount.api.TaskResult;
+import org.knapweedmount.api.message.Capacity;
+import org.knapweedmount.api.message.ConfigApplied;
+import org.knapweedmount.api.message.ConfigUpdate;
+import org.knapweedmount.api.message.Finished;
+import org.knapweedmount.api.message.Grant;
+import org.knapweedmount.api.message.LeaseScope;
+import org.knapweedmount.api.message.Message;
+import org.knapweedmount.api.message.Start;
+import org.knapweedmount.daemon.link.LinkHandler;
+import org.knapweedmount.daemon.link.LinkOptions;
+import org.knapweedmount.daemon.link.LinkTable;
+import org.knapweedmount.daemon.runtime.DecisionLoop;
+import org.knapweedmount.daemon.runtime.NanoClock;
+import org.knapweedmount.daemon.settings.HostPort;
+
+/** An agent that answers each task with its own body and counts the starts. */
+final class EchoAgent implements LinkHandler<EchoAgent> {
+    private static final int HEARTBEAT_MILLIS = 300;
+    private static final int LEASES = 100;
+    private static final int STATUS_OK = 200;
+
+    private final DecisionLoop<EchoAgent> loop = new DecisionLoop<>("echo-agent", 1_024, NanoClock.SYSTEM);
+    private final AtomicInteger starts = new AtomicInteger();
+    private final LinkTable<EchoAgent> links;
+    private final String service;
+
+    EchoAgent(Vertx vertx, String service, List<HostPort> entries) {
+        this.service = service;
+        PeerAddress self = new PeerAddress(new Incarnation("agent-1", 1), Role.AGENT, "bilbao", "127.0.0.1", 0);
+        LinkOptions options = LinkOptions.agent(HEARTBEAT_MILLIS, 1);
+        this.links = new LinkTable<>(vertx, options, self, () -> 0, NanoClock.SYSTEM, loop, this);
+        loop.start(this);
+        entries.forEach(links::dial);
+    }
+
+    int starts() {
+        return starts.get();
+    }
+
+    void close() throws Exception {
+        links.close().toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
+        loop.close();
+    }
+
+    @Override
+    public void linked(EchoAgent core, PeerAddress peer, long nowNanos) {
+        links.send(peer.incarnation(), new Capacity(service, LEASES, Resources.NONE));
+        links.send(peer.incarnation(), new Grant(service, 1, LEASES, LeaseScope.ANY, Optional.empty(), 0));
+    }
+
+    @Override
+    public void unlinked(EchoAgent core, Incarnation peer, long nowNanos) {}
+
+    @Override
+    public void received(EchoAgent core, Incarnation from, Message message, long nowNanos) {
+        if (message instanceof Start start) {
+            starts.incrementAndGet();
+            TaskResult echo =
+                    TaskResult.complete(STATUS_OK, "text/plain", start.spec().body());
+            links.send(from, new Finished(start.task(), 1_000, echo, Optional.empty()));
+        } else if (message instanceof ConfigUpdate update) {
+            update.tickets().forEach(ticket -> links.send(from, new ConfigApplied(ticket.number())));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedmount/daemon/entry/EntryProcessTest.java
@@ -0,0 +1,256 @@
+package org.knapweedmount.daemon.entry;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.knapweedmount.core.entry.EntryLimits;
+import org.knapweedmount.daemon.settings.EntrySettings;
+import org.knapweedmount.daemon.settings.HostPort;
+import org.knapweedmount.daemon.settings.HttpSettings;
+import org.knapweedmount.daemon.settings.LinkSettings;
+import org.knapweedmount.daemon.settings.LogLevel;
+import org.knapweedmount.daemon.settings.OperatorSettings;
+import org.knapweedmount.daemon.store.EntryRow;
+import org.knapweedmount.daemon.store.FakeTableServer;
+import org.knapweedmount.daemon.store.FakeTables;
+import org.knapweedmount.daemon.store.FakeTables.Mode;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+@Timeout(60)
+class EntryProcessTest {
+    private static final String TOKEN = "0123456789abcdef";
+    private static final String HOST = "127.0.0.1";
+
+    private record Answer(int status, String body) {
+        JsonNode json() throws Exception {
+            return new ObjectMapper().readTree(body);
+        }
+    }
+
+    @TempDir
+    private Path directory;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final FakeTables tables = new FakeTables();
+    private final List<EntryProcess> started = new ArrayList<>();
+    private final HttpClientAgent client = vertx.createHttpClient();
+    private final CountDownLatch exits = new CountDownLatch(1);
+    private int platformPort;
+
+    @BeforeEach
+    void startPlatform() throws Exception {
+        platformPort = new FakeTableServer(vertx, tables).port();
+        Files.writeString(directory.resolve("token"), TOKEN);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        for (EntryProcess entry : started) {
+            entry.stop();
+        }
+        vertx.close().toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void ticketAcceptedAtOneEntryComesInForceAtAnother() throws Exception {
+        EntryProcess first = start("entry-1", List.of());
+        EntryProcess second = start("entry-2", List.of());
+
+        assertThat(putTicket(first, 7).status, is(200));
+
+        while (status(second).path("configNumber").asLong() < 7) {
+            Thread.onSpinWait();
+        }
+        assertThat(putTicket(second, 6).status, is(409));
+    }
+
+    @Test
+    void entryThatStartsDuringAnOutageLearnsFromItsPeer() throws Exception {
+        EntryProcess first = start("entry-1", List.of());
+        putTicket(first, 7);
+        tables.mode(Mode.DOWN, Mode.DOWN);
+
+        EntryProcess second = start("entry-2", List.of(new HostPort(HOST, first.linkPort())));
+
+        while (status(second).path("configNumber").asLong() < 7) {
+            Thread.onSpinWait();
+        }
+        assertThat(status(second).path("entries").size(), is(1));
+        assertThat(putTicket(second, 8).status, is(503));
+    }
+
+    @Test
+    void requestIsRefusedTruthfullyWhileNoAgentIsLinked() throws Exception {
+        EntryProcess entry = start("entry-1", List.of());
+        putTicket(entry, 1);
+        while (status(entry).path("configNumber").asLong() < 1) {
+            Thread.onSpinWait();
+        }
+
+        Answer answer = send(entry.callerPort(), HttpMethod.POST, "/v1/services/dues/check", "");
+
+        assertThat(answer.body, containsString("\"outcome\":\"not-run\",\"reason\":\"no-endpoint\""));
+        assertThat(send(entry.callerPort(), HttpMethod.GET, "/readyz", "").status, is(503));
+        assertThat(send(entry.callerPort(), HttpMethod.GET, "/v1/jobs/unused", "").status, is(404));
+    }
+
+    @Test
+    void requestRunsOnceHoweverOftenItsKeyIsSent() throws Exception {
+        EntryProcess first = start("entry-1", List.of());
+        EntryProcess second = start("entry-2", List.of(new HostPort(HOST, first.linkPort())));
+        putTicket(first, 1);
+        EchoAgent agent = agent(first, second);
+        while (status(second).path("entries").size() < 1
+                || status(second).path("configNumber").asLong() < 1) {
+            Thread.onSpinWait();
+        }
+
+        Answer once = call(first, "payment-1");
+        Answer again = call(first, "payment-1");
+        Answer elsewhere = call(second, "payment-1");
+
+        assertThat(once, is(new Answer(200, "7 euro")));
+        assertThat(again, is(once));
+        assertThat(elsewhere, is(once));
+        assertThat(agent.starts(), is(1));
+        assertThat(status(first).path("agents").get(0).path("configNumber").asLong(), is(1L));
+        agent.close();
+    }
+
+    @Test
+    void keyIsNotRunWhileItCannotBeClaimed() throws Exception {
+        EntryProcess entry = start("entry-1", List.of());
+        putTicket(entry, 1);
+        EchoAgent agent = agent(entry);
+        tables.mode(Mode.DOWN, Mode.DOWN);
+
+        Answer withKey = call(entry, "payment-1");
+        Answer withIssuedId = call(entry, issuedId(entry));
+
+        assertThat(withKey.json().path("outcome").asText(), is("unknown"));
+        assertThat(withKey.json().path("reason").asText(), is("store-unavailable"));
+        assertThat(withIssuedId, is(new Answer(200, "7 euro")));
+        assertThat(agent.starts(), is(1));
+        agent.close();
+    }
+
+    private EchoAgent agent(EntryProcess... entries) throws Exception {
+        List<HostPort> addresses = Arrays.stream(entries)
+                .map(entry -> new HostPort(HOST, entry.linkPort()))
+                .toList();
+        EchoAgent agent = new EchoAgent(vertx, "dues", addresses);
+        for (EntryProcess entry : entries) {
+            while (send(entry.callerPort(), HttpMethod.GET, "/readyz", "").status != 200) {
+                Thread.onSpinWait();
+            }
+        }
+        return agent;
+    }
+
+    private String issuedId(EntryProcess entry) throws Exception {
+        Answer ids = send(entry.callerPort(), HttpMethod.POST, "/v1/submission-ids", "");
+        return ids.json().path("ids").get(0).asText();
+    }
+
+    private Answer call(EntryProcess entry, String key) throws Exception {
+        RequestOptions options = options(entry.callerPort(), HttpMethod.POST, "/v1/services/dues/pay")
+                .putHeader("Idempotency-Key", key);
+        return send(options, "7 euro");
+    }
+
+    @Test
+    void plannedStopDeletesTheRow() throws Exception {
+        EntryProcess entry = start("entry-1", List.of());
+        while (entryRows() == 0) {
+            Thread.onSpinWait();
+        }
+        Answer drained = send(entry.operatorPort(), HttpMethod.POST, "/v1/drain", "");
+
+        assertThat(drained.status, is(202));
+        assertThat(exits.await(20, TimeUnit.SECONDS), is(true));
+        assertThat(send(entry.callerPort(), HttpMethod.GET, "/readyz", "").body, containsString("draining"));
+        started.remove(entry);
+        entry.stop();
+        assertThat(entryRows(), is(0));
+    }
+
+    private int entryRows() {
+        return tables.list(EntryRow.TABLE, "").result().rows().size();
+    }
+
+    private EntryProcess start(String name, List<HostPort> peers) throws Exception {
+        EntryProcess entry = new EntryStarter(exits::countDown)
+                .start(new EntrySettings(
+                        name,
+                        "bilbao",
+                        LogLevel.WARN,
+                        new LinkSettings(HOST, 0, OptionalInt.empty()),
+                        new HttpSettings(HOST, 0, 1_000_000, 100),
+                        new OperatorSettings(HOST, 0, directory.resolve("token")),
+                        new HostPort(HOST, platformPort),
+                        peers,
+                        5_000,
+                        300,
+                        EntryLimits.DEFAULT));
+        started.add(entry);
+        return entry;
+    }
+
+    private Answer putTicket(EntryProcess entry, long number) throws Exception {
+        String ticket = """
+                {"author": "ana", "objects": [
+                  {"type": "service", "name": "dues", "defaultKind": "check", "maxBodyBytes": 1000, "shortOnlyShare": 0},
+                  {"type": "kind", "name": "check", "service": "dues", "repeatable": true, "shortTask": true,
+                   "weight": 1, "expectedMillis": 80, "maxWaitMillis": 500},
+                  {"type": "team", "name": "default", "weight": 1, "quotaShare": 1}]}
+                """;
+        return send(entry.operatorPort(), HttpMethod.PUT, "/v1/tickets/" + number, ticket);
+    }
+
+    private JsonNode status(EntryProcess entry) throws Exception {
+        return send(entry.operatorPort(), HttpMethod.GET, "/v1/status", "").json();
+    }
+
+    private Answer send(int port, HttpMethod method, String uri, String body) throws Exception {
+        return send(options(port, method, uri), body);
+    }
+
+    private static RequestOptions options(int port, HttpMethod method, String uri) {
+        return new RequestOptions()
+                .setMethod(method)
+                .setHost(HOST)
+                .setPort(port)
+                .setURI(uri)
+                .putHeader("Authorization", "Bearer " + TOKEN);
+    }
+
+    private Answer send(RequestOptions options, String body) throws Exception {
+        return client.request(options)
+                .compose(request -> request.send(Buffer.buffer(body)))
+                .compose(response -> response.body().map(text -> new Answer(response.statusCode(), text.toString())))
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(20, TimeUnit.SECONDS);
+    }
+}
