Run an agent: endpoints, links, metrics and planned stop

Cause: the agent's decisions need a process around them that talks to endpoints and entries, finds the entries, and stops without cutting tasks off.

Change: AgentStarter and AgentProcess on one event loop and one decision thread; an HTTP interface for announcements; requests to endpoints over as many connections as announced, whose results tell not-run, failed and unknown apart; tickets applied on the decision thread and confirmed to all entries; entries found by rows, messages and settings. ProcessMetrics reads the counters when asked. Main and bin/knapweedmountd start the process of a settings file and end with the documented codes. IP numbers are checked without Netty's tables, which would log before the log level is known.

Ruled out: one HTTP client for all endpoints, because its pool has one size; the management beans for memory figures, because they are large for an agent.

--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/Main.java
@@ -0,0 +1,81 @@
+package org.knapweedmount.daemon;
+
+import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.knapweedmount.daemon.agent.AgentStarter;
+import org.knapweedmount.daemon.runtime.RunningProcess;
+import org.knapweedmount.daemon.runtime.StartException;
+import org.knapweedmount.daemon.settings.AgentSettings;
+import org.knapweedmount.daemon.settings.Settings;
+import org.knapweedmount.daemon.settings.SettingsException;
+import org.knapweedmount.daemon.settings.SettingsReader;
+import org.tinylog.Logger;
+import org.tinylog.configuration.Configuration;
+
+/**
+ * Starts the process that a settings file describes.
+ *
+ * <p>The exit code is 0 after a planned stop, 2 if the settings are not allowed, and 1 after any other failure.
+ */
+public final class Main {
+    private static final int PLANNED_STOP = 0;
+    private static final int FAILURE = 1;
+    private static final int BAD_SETTINGS = 2;
+
+    private Main() {}
+
+    /**
+     * Starts the process.
+     *
+     * @param arguments the path of the settings file
+     */
+    public static void main(String[] arguments) {
+        if (arguments.length != 1) {
+            System.err.println("usage: knapweedmountd SETTINGS-FILE");
+            halt(BAD_SETTINGS);
+        }
+        try {
+            Settings settings = SettingsReader.read(Path.of(arguments[0]));
+            Configuration.set("level", settings.logLevel().text());
+            serve(settings);
+        } catch (SettingsException e) {
+            System.err.println("knapweedmountd: " + e.getMessage());
+            halt(BAD_SETTINGS);
+        } catch (StartException | RuntimeException e) {
+            Logger.error(e, "the process does not start");
+            halt(FAILURE);
+        }
+    }
+
+    private static void serve(Settings settings) throws StartException {
+        AtomicReference<RunningProcess> running = new AtomicReference<>();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(running.get()), "stop"));
+        running.set(start(settings));
+        Logger.info("ready");
+    }
+
+    private static RunningProcess start(Settings settings) throws StartException {
+        if (settings instanceof AgentSettings agent) {
+            return new AgentStarter().start(agent);
+        }
+        throw new StartException("this build has no entry", null);
+    }
+
+    private static void stop(RunningProcess process) {
+        try {
+            if (process != null) {
+                process.stop();
+            }
+            halt(PLANNED_STOP);
+        } catch (InterruptedException | RuntimeException e) {
+            Logger.error(e, "the process does not stop as planned");
+            halt(FAILURE);
+        }
+    }
+
+    /** Ends the process at once, so that its exit code is not that of the signal that asked for the stop. */
+    private static void halt(int code) {
+        Runtime.getRuntime().halt(code);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentApi.java
@@ -0,0 +1,150 @@
+package org.knapweedmount.daemon.agent;
+
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import org.knapweedmount.api.ParseException;
+import org.knapweedmount.api.Payload;
+import org.knapweedmount.core.metric.Counters;
+import org.knapweedmount.daemon.http.BodyReader;
+import org.knapweedmount.daemon.http.ConnectionLimit;
+import org.knapweedmount.daemon.http.HttpAnswer;
+import org.knapweedmount.daemon.http.HttpCounter;
+import org.knapweedmount.daemon.http.HttpFault;
+import org.knapweedmount.daemon.http.HttpLimits;
+import org.knapweedmount.daemon.http.Problem;
+import org.knapweedmount.daemon.http.ProblemException;
+import org.knapweedmount.daemon.http.ProblemWriter;
+import org.knapweedmount.daemon.http.ProcessPages;
+import org.knapweedmount.daemon.http.ResponseSender;
+import org.knapweedmount.daemon.http.ServerOptions;
+
+/**
+ * The HTTP interface of an agent for the endpoints and workers beside it, with the pages about the process.
+ *
+ * <p>Runs on one event loop.
+ */
+final class AgentApi {
+    private static final Pattern ENDPOINT = Pattern.compile("/v1/endpoints/([A-Za-z0-9._-]{1,64})(/usage)?");
+    private static final int ID = 1;
+    private static final int USAGE = 2;
+    private static final int OK = 200;
+    private static final int NO_CONTENT = 204;
+    private static final int UNAVAILABLE = 503;
+
+    private final Context context;
+    private final HttpLimits limits;
+    private final EndpointRegistry registry;
+    private final ProcessPages pages;
+    private final Counters<HttpCounter> counters;
+    private final BodyReader bodies;
+
+    /** Carries out a request whose body has arrived. */
+    private interface Action {
+        boolean run(Buffer body) throws ParseException;
+    }
+
+    AgentApi(
+            Context context,
+            HttpLimits limits,
+            EndpointRegistry registry,
+            ProcessPages pages,
+            Counters<HttpCounter> counters) {
+        this.context = context;
+        this.limits = limits;
+        this.registry = registry;
+        this.pages = pages;
+        this.counters = counters;
+        this.bodies = new BodyReader(context.owner(), limits);
+    }
+
+    /** Serves from now on, on the event loop; returns the server with its port. */
+    Future<HttpServer> listen(String host, int port) {
+        return context.owner()
+                .createHttpServer(ServerOptions.of(limits).setHost(host).setPort(port))
+                .connectionHandler(new ConnectionLimit(limits.maxConnections(), counters))
+                .requestHandler(this::handle)
+                .listen();
+    }
+
+    private void handle(HttpServerRequest request) {
+        counters.increment(HttpCounter.REQUESTS);
+        ResponseSender sender = new ResponseSender(context, request, pages.draining());
+        Matcher endpoint = ENDPOINT.matcher(request.path());
+        if (endpoint.matches()) {
+            handleEndpoint(request, sender, endpoint.group(ID), endpoint.group(USAGE) != null);
+            return;
+        }
+        sender.sendNow(request.method().equals(HttpMethod.GET) ? page(request.path()) : fault(HttpFault.NOT_FOUND, ""));
+    }
+
+    private HttpAnswer page(String path) {
+        return switch (path) {
+            case "/healthz" -> text(OK, "ok\n");
+            case "/readyz" -> readiness();
+            case "/metrics" -> text(OK, pages.metrics());
+            default -> fault(HttpFault.NOT_FOUND, "");
+        };
+    }
+
+    private HttpAnswer readiness() {
+        String reason = pages.notReadyReason();
+        return reason.isEmpty() ? text(OK, "ready\n") : text(UNAVAILABLE, reason + "\n");
+    }
+
+    private void handleEndpoint(HttpServerRequest request, ResponseSender sender, String id, boolean usage) {
+        if (request.method().equals(HttpMethod.PUT)) {
+            receive(
+                    request,
+                    sender,
+                    body -> usage
+                            ? registry.reported(AnnouncementReader.usage(id, body))
+                            : registry.announced(AnnouncementReader.announcement(id, body)));
+            return;
+        }
+        if (request.method().equals(HttpMethod.DELETE) && !usage) {
+            receive(request, sender, body -> registry.left(id));
+            return;
+        }
+        sender.sendNow(fault(HttpFault.METHOD_NOT_ALLOWED, "PUT and DELETE are allowed, PUT alone for usage"));
+    }
+
+    private void receive(HttpServerRequest request, ResponseSender sender, Action action) {
+        bodies.read(request)
+                .onSuccess(body -> sender.sendNow(answer(body, action)))
+                .onFailure(failure -> refuse(request, sender, failure));
+    }
+
+    private HttpAnswer answer(Buffer body, Action action) {
+        try {
+            if (action.run(body)) {
+                return HttpAnswer.of(NO_CONTENT, "", Payload.EMPTY);
+            }
+            return fault(HttpFault.UNAVAILABLE, "the agent is busy or has too many endpoints");
+        } catch (ParseException e) {
+            counters.increment(HttpCounter.BAD_REQUESTS);
+            return fault(HttpFault.BAD_REQUEST, e.getMessage());
+        }
+    }
+
+    private void refuse(HttpServerRequest request, ResponseSender sender, Throwable failure) {
+        counters.increment(HttpCounter.BAD_REQUESTS);
+        if (failure instanceof ProblemException refused) {
+            sender.sendAndClose(ProblemWriter.write(refused.problem()), request);
+        }
+    }
+
+    private static HttpAnswer fault(HttpFault fault, String detail) {
+        return ProblemWriter.write(Problem.of(fault, detail));
+    }
+
+    private static HttpAnswer text(int status, String text) {
+        return HttpAnswer.of(status, HttpAnswer.TEXT, Payload.of(text));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentOutputs.java
@@ -0,0 +1,40 @@
+package org.knapweedmount.daemon.agent;
+
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.TaskId;
+import org.knapweedmount.api.TaskSpec;
+import org.knapweedmount.api.message.Message;
+import org.knapweedmount.core.agent.AgentOutput;
+import org.knapweedmount.daemon.runtime.RetryingQueue;
+
+/** Carries out what the agent decides: messages go to the links, tasks to the endpoints. */
+final class AgentOutputs implements AgentOutput {
+    private final Links links;
+    private final EndpointClient endpoints;
+    private final RetryingQueue<AgentModule> results;
+
+    AgentOutputs(Links links, EndpointClient endpoints, RetryingQueue<AgentModule> results) {
+        this.links = links;
+        this.endpoints = endpoints;
+        this.results = results;
+    }
+
+    @Override
+    public void send(Incarnation entry, Message message) {
+        links.send(entry, message);
+    }
+
+    @Override
+    public void start(String endpoint, TaskId task, TaskSpec spec) {
+        endpoints.start(
+                endpoint,
+                task,
+                spec,
+                result -> results.add((module, nowNanos) -> module.core().taskEnded(task, result, nowNanos)));
+    }
+
+    @Override
+    public void stop(String endpoint, TaskId task) {
+        endpoints.stop(endpoint, task);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentParts.java
@@ -0,0 +1,35 @@
+package org.knapweedmount.daemon.agent;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import org.knapweedmount.daemon.link.LinkTable;
+import org.knapweedmount.daemon.runtime.DecisionLoop;
+import org.knapweedmount.daemon.runtime.NanoClock;
+import org.knapweedmount.daemon.runtime.Ticker;
+import org.knapweedmount.daemon.settings.AgentSettings;
+
+/**
+ * The parts of a running agent that a planned stop needs.
+ *
+ * @param settings the settings
+ * @param clock the clock
+ * @param vertx the event loops
+ * @param loop the decision thread
+ * @param ticker the timer of the decisions
+ * @param links the links
+ * @param finder the search for entries
+ * @param endpoints the requests to endpoints
+ * @param readiness whether the agent can be given work
+ * @param server the HTTP server
+ */
+record AgentParts(
+        AgentSettings settings,
+        NanoClock clock,
+        Vertx vertx,
+        DecisionLoop<AgentModule> loop,
+        Ticker<AgentModule> ticker,
+        LinkTable<AgentModule> links,
+        EntryFinder finder,
+        EndpointClient endpoints,
+        AgentReadiness readiness,
+        HttpServer server) {}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentProcess.java
@@ -0,0 +1,65 @@
+package org.knapweedmount.daemon.agent;
+
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import io.vertx.core.Future;
+import org.knapweedmount.daemon.runtime.IdleWait;
+import org.knapweedmount.daemon.runtime.RunningProcess;
+import org.tinylog.Logger;
+
+/** An agent that serves. */
+public final class AgentProcess implements RunningProcess {
+    private static final long CLOSE_SECONDS = 5;
+
+    private final AgentParts parts;
+    private final AtomicBoolean stopping = new AtomicBoolean();
+
+    AgentProcess(AgentParts parts) {
+        this.parts = parts;
+    }
+
+    /**
+     * Returns the port for endpoints.
+     *
+     * @return the TCP port
+     */
+    public int httpPort() {
+        return parts.server().actualPort();
+    }
+
+    @Override
+    public void stop() throws InterruptedException {
+        if (!stopping.compareAndSet(false, true)) {
+            return;
+        }
+        Logger.info("draining");
+        parts.readiness().drain();
+        parts.loop().offer((module, nowNanos) -> module.core().drain(nowNanos));
+        boolean idle = IdleWait.await(
+                parts.loop(),
+                module -> module.core().idle(),
+                parts.clock(),
+                parts.settings().drainMillis());
+        if (!idle) {
+            Logger.warn("stopping while {} tasks run", parts.endpoints().running());
+        }
+        parts.finder().stop();
+        parts.ticker().close();
+        close("the links", parts.links().close());
+        close("the HTTP port", parts.server().close());
+        parts.loop().close();
+        close("the event loop", parts.vertx().close());
+        Logger.info("stopped");
+    }
+
+    private static void close(String what, Future<Void> closed) throws InterruptedException {
+        try {
+            closed.toCompletionStage().toCompletableFuture().get(CLOSE_SECONDS, TimeUnit.SECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            Logger.warn(e, "{} could not be closed", what);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AnswerBody.java
@@ -0,0 +1,50 @@
+package org.knapweedmount.daemon.agent;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+
+/** Receives the body of an endpoint's answer up to a size. */
+final class AnswerBody {
+    private final HttpClientResponse response;
+    private final int maxBytes;
+    private final Buffer received = Buffer.buffer();
+    private final Promise<Buffer> promise = Promise.promise();
+
+    /** Reports an answer that is larger than this process can pass on. */
+    static final class TooLargeException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        private TooLargeException(int maxBytes) {
+            super("the answer has more than " + maxBytes + " bytes");
+        }
+    }
+
+    private AnswerBody(HttpClientResponse response, int maxBytes) {
+        this.response = response;
+        this.maxBytes = maxBytes;
+    }
+
+    /** Receives a body; called before the handler of the response has returned. */
+    static Future<Buffer> receive(HttpClientResponse response, int maxBytes) {
+        return new AnswerBody(response, maxBytes).start();
+    }
+
+    private Future<Buffer> start() {
+        response.handler(this::received);
+        response.endHandler(ignored -> promise.tryComplete(received));
+        response.exceptionHandler(promise::tryFail);
+        return promise.future();
+    }
+
+    private void received(Buffer chunk) {
+        if (received.length() + chunk.length() <= maxBytes) {
+            received.appendBuffer(chunk);
+            return;
+        }
+        if (promise.tryFail(new TooLargeException(maxBytes))) {
+            response.request().reset();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/EndpointClient.java
@@ -0,0 +1,154 @@
+package org.knapweedmount.daemon.agent;
+
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import org.knapweedmount.api.Outcome;
+import org.knapweedmount.api.Reason;
+import org.knapweedmount.api.TaskId;
+import org.knapweedmount.api.TaskResult;
+import org.knapweedmount.api.TaskSpec;
+import org.knapweedmount.core.agent.EndpointAnnouncement;
+
+/**
+ * Sends tasks to endpoints, each over as many connections as it has announced.
+ *
+ * <p>Everything runs on one event loop; {@link #start} and {@link #stop} may be called by any thread.
+ */
+final class EndpointClient {
+    private static final int MAX_ENDPOINTS = 256;
+    private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
+    private static final int KEEP_ALIVE_SECONDS = 15;
+    private static final int STOP_TIMEOUT_MILLIS = 2_000;
+    private static final long SHUTDOWN_MILLIS = 2 * TaskRequest.SILENCE_MILLIS;
+    private static final int KEPT_LIFETIMES = 10;
+
+    private final Vertx vertx;
+    private final Context context;
+    private final int maxAnswerBytes;
+    private final AtomicInteger running = new AtomicInteger();
+    private final Map<String, Endpoint> endpoints = new HashMap<>();
+
+    private static final class Endpoint {
+        private final EndpointAnnouncement announced;
+        private final HttpClient client;
+        private long expiryNanos;
+
+        private Endpoint(EndpointAnnouncement announced, HttpClient client) {
+            this.announced = announced;
+            this.client = client;
+        }
+
+        private boolean isAt(EndpointAnnouncement announcement) {
+            return announced.host().equals(announcement.host())
+                    && announced.port() == announcement.port()
+                    && announced.connections() == announcement.connections();
+        }
+    }
+
+    EndpointClient(Context context, int maxAnswerBytes) {
+        this.vertx = context.owner();
+        this.context = context;
+        this.maxAnswerBytes = maxAnswerBytes;
+    }
+
+    /** Takes an announcement, on the event loop; returns false if there are too many endpoints. */
+    boolean announced(EndpointAnnouncement announcement, long nowNanos) {
+        expire(nowNanos);
+        Endpoint present = endpoints.get(announcement.id());
+        if (present == null && endpoints.size() >= MAX_ENDPOINTS) {
+            return false;
+        }
+        if (present == null || !present.isAt(announcement)) {
+            left(announcement.id());
+            present = new Endpoint(announcement, client(announcement));
+            endpoints.put(announcement.id(), present);
+        }
+        present.expiryNanos =
+                nowNanos + TimeUnit.MILLISECONDS.toNanos((long) KEPT_LIFETIMES * announcement.ttlMillis());
+        return true;
+    }
+
+    private HttpClient client(EndpointAnnouncement announcement) {
+        HttpClientOptions options = new HttpClientOptions()
+                .setDefaultHost(announcement.host())
+                .setDefaultPort(announcement.port())
+                .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
+                .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
+                .setTcpKeepAlive(true)
+                .setTcpNoDelay(true);
+        PoolOptions pool =
+                new PoolOptions().setHttp1MaxSize(announcement.connections()).setMaxWaitQueueSize(announcement.slots());
+        return vertx.createHttpClient(options, pool);
+    }
+
+    /** Forgets an endpoint, on the event loop; requests that are under way go on. */
+    void left(String id) {
+        Endpoint endpoint = endpoints.remove(id);
+        if (endpoint != null) {
+            endpoint.client.shutdown(SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void expire(long nowNanos) {
+        endpoints.values().removeIf(endpoint -> {
+            boolean expired = nowNanos - endpoint.expiryNanos > 0;
+            if (expired) {
+                endpoint.client.shutdown(SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS);
+            }
+            return expired;
+        });
+    }
+
+    /** Sends a task to an endpoint and tells how it ended, exactly once. */
+    void start(String endpoint, TaskId task, TaskSpec spec, Consumer<TaskResult> ended) {
+        running.incrementAndGet();
+        context.runOnContext(ignored -> send(endpoint, task, spec, result -> {
+            running.decrementAndGet();
+            ended.accept(result);
+        }));
+    }
+
+    private void send(String id, TaskId task, TaskSpec spec, Consumer<TaskResult> ended) {
+        Endpoint endpoint = endpoints.get(id);
+        if (endpoint == null) {
+            ended.accept(TaskResult.of(Outcome.NOT_RUN, Reason.ENDPOINT_UNREACHABLE));
+            return;
+        }
+        new TaskRequest(task, spec, maxAnswerBytes).run(endpoint.client).onSuccess(ended::accept);
+    }
+
+    /** Asks an endpoint to stop a task, as well as can be; the task still ends by the answer to its own request. */
+    void stop(String id, TaskId task) {
+        context.runOnContext(ignored -> {
+            Endpoint endpoint = endpoints.get(id);
+            if (endpoint != null) {
+                requestStop(endpoint.client, task);
+            }
+        });
+    }
+
+    private static void requestStop(HttpClient client, TaskId task) {
+        String path = "/tasks/" + URLEncoder.encode(task.toString(), StandardCharsets.UTF_8);
+        client.request(HttpMethod.DELETE, path)
+                .map(request -> request.idleTimeout(STOP_TIMEOUT_MILLIS))
+                .compose(HttpClientRequest::send);
+    }
+
+    /** Counts the tasks that were sent and have not ended. */
+    int running() {
+        return running.get();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/EndpointRegistry.java
@@ -0,0 +1,43 @@
+package org.knapweedmount.daemon.agent;
+
+import io.vertx.core.Context;
+import org.knapweedmount.core.agent.EndpointAnnouncement;
+import org.knapweedmount.daemon.runtime.DecisionQueue;
+import org.knapweedmount.daemon.runtime.NanoClock;
+
+/**
+ * Passes what endpoints tell of themselves to the client that sends them tasks and to the decisions.
+ *
+ * <p>The client knows an endpoint before the decisions do and as long as they do, so that there is a connection for each
+ * task that they start. Used on the event loop; each method returns false if the agent cannot take the request at present.
+ */
+final class EndpointRegistry {
+    private final Context context;
+    private final EndpointClient client;
+    private final DecisionQueue<AgentModule> queue;
+    private final NanoClock clock;
+
+    EndpointRegistry(Context context, EndpointClient client, DecisionQueue<AgentModule> queue, NanoClock clock) {
+        this.context = context;
+        this.client = client;
+        this.queue = queue;
+        this.clock = clock;
+    }
+
+    boolean announced(EndpointAnnouncement endpoint) {
+        return client.announced(endpoint, clock.nanos())
+                && queue.offer((module, nowNanos) -> module.core().endpointAnnounced(endpoint, nowNanos));
+    }
+
+    boolean left(String id) {
+        return queue.offer((module, nowNanos) -> {
+            module.core().endpointLeft(id, nowNanos);
+            context.runOnContext(ignored -> client.left(id));
+        });
+    }
+
+    boolean reported(UsageReport usage) {
+        return queue.offer((module, nowNanos) ->
+                module.core().usageReported(usage.endpoint(), usage.kind(), usage.usedPerTask(), nowNanos));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/runtime/IdleWait.java
@@ -0,0 +1,48 @@
+package org.knapweedmount.daemon.runtime;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Predicate;
+
+/** Waits, on a planned stop, until the work in flight has ended. */
+public final class IdleWait {
+    private static final int CHECK_MILLIS = 20;
+    private static final long ANSWER_SECONDS = 5;
+
+    private IdleWait() {}
+
+    /**
+     * Asks the decision thread again and again whether anything is left to do.
+     *
+     * @param queue the ring of the decision thread
+     * @param idle tells whether nothing is left, called on the decision thread
+     * @param clock the clock of the time limit
+     * @param limitMillis the longest wait, in ms
+     * @param <T> the decision module
+     * @return false if something was left at the time limit
+     * @throws InterruptedException if the thread was interrupted while it waited
+     */
+    public static <T> boolean await(DecisionQueue<T> queue, Predicate<T> idle, NanoClock clock, int limitMillis)
+            throws InterruptedException {
+        long startNanos = clock.nanos();
+        long limitNanos = TimeUnit.MILLISECONDS.toNanos(limitMillis);
+        while (!isIdle(queue, idle)) {
+            if (clock.nanos() - startNanos >= limitNanos) {
+                return false;
+            }
+            TimeUnit.MILLISECONDS.sleep(CHECK_MILLIS);
+        }
+        return true;
+    }
+
+    private static <T> boolean isIdle(DecisionQueue<T> queue, Predicate<T> idle) throws InterruptedException {
+        AtomicBoolean result = new AtomicBoolean();
+        CountDownLatch answered = new CountDownLatch(1);
+        boolean offered = queue.offer((core, nowNanos) -> {
+            result.set(idle.test(core));
+            answered.countDown();
+        });
+        return offered && answered.await(ANSWER_SECONDS, TimeUnit.SECONDS) && result.get();
+    }
+}
--- a/daemon/src/main/java/org/knapweedmount/daemon/settings/HostPort.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/settings/HostPort.java
@@ -1,12 +1,12 @@
 package org.knapweedmount.daemon.settings;
 
+import java.net.InetAddress;
+import java.net.UnknownHostException;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-import io.netty.util.NetUtil;
-
 /**
  * An address that a process connects to.
  *
@@ -18,7 +18,14 @@
  */
 public record HostPort(String host, int port) {
     static final int MAX_PORT = 65_535;
-    private static final Pattern TEXT = Pattern.compile("(?:\\[([0-9a-fA-F:.]+)]|([0-9.]+)):([0-9]{1,5})");
+    private static final Pattern TEXT =
+            Pattern.compile("(?:\\[([0-9a-fA-F.]*:[0-9a-fA-F:.]*)]|([0-9.]+)):([0-9]{1,5})");
+    private static final String BYTE = "(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])";
+    private static final Pattern IPV4 = Pattern.compile(BYTE + "(?:\\." + BYTE + "){3}");
+
+    /** In brackets, such a text is never looked up as a name. */
+    private static final Pattern IPV6_CHARACTERS = Pattern.compile("[0-9a-fA-F.]*:[0-9a-fA-F:.]*");
+
     private static final int BRACKETED_HOST = 1;
     private static final int PLAIN_HOST = 2;
     private static final int PORT = 3;
@@ -55,7 +62,18 @@
      * @return true if it is an IPv4 or IPv6 address in its usual notation
      */
     public static boolean isIpNumber(String text) {
-        return NetUtil.isValidIpV4Address(text) || NetUtil.isValidIpV6Address(text);
+        return IPV4.matcher(text).matches() || isIpv6Number(text);
+    }
+
+    private static boolean isIpv6Number(String text) {
+        if (!IPV6_CHARACTERS.matcher(text).matches()) {
+            return false;
+        }
+        try {
+            return InetAddress.getAllByName("[" + text + "]").length > 0;
+        } catch (UnknownHostException e) {
+            return false;
+        }
     }
 
     @Override
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedmount/daemon/metrics/ProcessMetricsTest.java
@@ -0,0 +1,49 @@
+package org.knapweedmount.daemon.metrics;
+
+import org.junit.jupiter.api.Test;
+import org.knapweedmount.core.agent.AgentCounter;
+import org.knapweedmount.core.metric.Counters;
+import org.knapweedmount.core.metric.Invariants;
+import org.knapweedmount.daemon.runtime.DecisionLoop;
+import org.knapweedmount.daemon.runtime.NanoClock;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+
+class ProcessMetricsTest {
+    private final ProcessMetrics metrics = new ProcessMetrics();
+
+    @Test
+    void countersAreReadWhenTheyAreAskedForAlsoAfterACollectionOfGarbage() {
+        Counters<AgentCounter> counters = new Counters<>(AgentCounter.class);
+        metrics.counters("agent", AgentCounter.class, counters);
+        System.gc();
+
+        counters.add(AgentCounter.DUPLICATE_STARTS, 3);
+
+        assertThat(metrics.text(), containsString("\nknapweedmount_agent_duplicate_starts_total 3.0\n"));
+    }
+
+    @Test
+    void violationsAndRefusedEventsAreShown() {
+        Invariants invariants = Invariants.counting(statement -> {});
+        DecisionLoop<String> loop = new DecisionLoop<>("decisions", 2, NanoClock.SYSTEM);
+        metrics.invariants(invariants);
+        metrics.decisions(loop);
+
+        invariants.check(false, "expected by this test");
+        loop.offer((core, nowNanos) -> {});
+        loop.offer((core, nowNanos) -> {});
+        loop.offer((core, nowNanos) -> {});
+
+        assertThat(metrics.text(), containsString("\nknapweedmount_invariant_violations_total 1.0\n"));
+        assertThat(metrics.text(), containsString("\nknapweedmount_decisions_waiting 2.0\n"));
+        assertThat(metrics.text(), containsString("\nknapweedmount_decisions_refused_total 1.0\n"));
+    }
+
+    @Test
+    void memoryIsShown() {
+        assertThat(metrics.text(), containsString("\nknapweedmount_memory_resident_bytes "));
+        assertThat(metrics.text(), containsString("\nknapweedmount_memory_heap_used_bytes "));
+    }
+}
