Accept whole URLs in request lines, and note many tickets at once

Cause: HTTP/1.1 servers accept a whole URL in the request line; a process that loads the configuration wrote one audit line for each object.

Change: RequestUri gives path and query in both forms. More than ten tickets put in force together are one event. A second stop of an entry has no effect. A test shows that connections are spread over the event loops.

Ruled out: nothing.

--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/ConfigDistributor.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/ConfigDistributor.java
@@ -25,6 +25,7 @@
  */
 final class ConfigDistributor {
     private static final int MAX_TICKETS_PER_MESSAGE = 100;
+    private static final int MAX_NOTES = 10;
 
     private final ConfigState config;
     private final Links links;
@@ -59,13 +60,18 @@
                 links.send(peer.incarnation(), new ConfigApplied(config.highestNumber()));
             }
         }
-        changing.forEach(ticket -> note(ticket, from));
+        note(changing, from);
         return true;
     }
 
-    private void note(Ticket ticket, Optional<Incarnation> from) {
-        String source = from.map(Incarnation::toString).orElse("table service");
-        audit.add(AuditAction.APPLIED, ticket.number(), ticket.author(), "from " + source);
+    private void note(List<Ticket> applied, Optional<Incarnation> from) {
+        String source = "from " + from.map(Incarnation::toString).orElse("table service");
+        if (applied.size() > MAX_NOTES) {
+            String detail = source + ", the highest of " + applied.size() + " tickets";
+            audit.add(AuditAction.APPLIED, config.highestNumber(), "", detail);
+            return;
+        }
+        applied.forEach(ticket -> audit.add(AuditAction.APPLIED, ticket.number(), ticket.author(), source));
     }
 
     /** Brings a newly linked process to the state of this entry. */
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryProcess.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryProcess.java
@@ -16,6 +16,7 @@
     private static final long CLOSE_SECONDS = 5;
 
     private final EntryParts parts;
+    private final AtomicBoolean stopping = new AtomicBoolean();
 
     EntryProcess(EntryParts parts) {
         this.parts = parts;
@@ -50,6 +51,9 @@
 
     @Override
     public void stop() throws InterruptedException {
+        if (!stopping.compareAndSet(false, true)) {
+            return;
+        }
         parts.drain().begin();
         boolean idle = awaitIdle();
         if (!idle) {
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/CallerApi.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/CallerApi.java
@@ -135,7 +135,7 @@
         counters.increment(HttpCounter.REQUESTS);
         ResponseSender response = new ResponseSender(vertx.getOrCreateContext(), request, pages.draining());
         try {
-            RequestTarget target = RequestTarget.parse(request.method().name(), request.uri());
+            RequestTarget target = RequestTarget.parse(request.method().name(), RequestUri.of(request));
             route(target, request, response);
         } catch (ProblemException e) {
             refuse(request, response, e.problem());
--- a/daemon/src/main/java/org/knapweedmount/daemon/ticket/OperatorApi.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/ticket/OperatorApi.java
@@ -23,6 +23,7 @@
 import org.knapweedmount.daemon.http.Problem;
 import org.knapweedmount.daemon.http.ProblemException;
 import org.knapweedmount.daemon.http.ProblemWriter;
+import org.knapweedmount.daemon.http.RequestUri;
 import org.knapweedmount.daemon.http.ResponseSender;
 import org.knapweedmount.daemon.http.ServerOptions;
 import org.knapweedmount.daemon.store.ListResult;
@@ -95,7 +96,7 @@
             return;
         }
         try {
-            OperatorTarget target = OperatorTarget.parse(request.method().name(), request.uri());
+            OperatorTarget target = OperatorTarget.parse(request.method().name(), RequestUri.of(request));
             answer(target, token.get(), request).onSuccess(response::send);
         } catch (ProblemException e) {
             response.sendAndClose(ProblemWriter.write(e.problem()), request);
--- a/daemon/src/test/java/org/knapweedmount/daemon/http/CallerApiTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/http/CallerApiTest.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -37,6 +39,7 @@
 class CallerApiTest {
     private static final SubmissionId ID = new SubmissionId(new Incarnation("entry-1", 255), 17, 3);
     private static final int MAX_PENDING = 2;
+    private static final int EVENT_LOOPS = 2;
 
     private record Submitted(long number, SubmissionRequest request) {}
 
@@ -46,6 +49,7 @@
     private final Counters<HttpCounter> counters = new Counters<>(HttpCounter.class);
     private final PendingRequests pending = new PendingRequests(MAX_PENDING, counters);
     private final BlockingQueue<Submitted> submitted = new LinkedBlockingQueue<>();
+    private final Set<Thread> threads = ConcurrentHashMap.newKeySet();
     private final List<String> asked = new ArrayList<>();
     private volatile boolean ringFull;
     private volatile String notReady = "";
@@ -58,7 +62,7 @@
         KeyLookup keys = (team, key) ->
                 Future.succeededFuture(key.equals("used") ? KeyLookupResult.found(ID) : KeyLookupResult.UNUSED);
         CallerApi api = new CallerApi(vertx, limits, this::offer, pending, keys, new Pages(), counters);
-        port = await(api.listen("127.0.0.1", 0, 2));
+        port = await(api.listen("127.0.0.1", 0, EVENT_LOOPS));
         client = vertx.createHttpClient();
     }
 
@@ -87,6 +91,21 @@
         assertThat(one.request.job().tasks().get(0).path(), is("/a"));
     }
 
+    @Test
+    void connectionsAreSpreadOverTheEventLoops() throws Exception {
+        for (int i = 0; i < EVENT_LOOPS; i++) {
+            client = vertx.createHttpClient();
+            await(request(HttpMethod.GET, "/v1/jobs/" + ID, ""));
+        }
+
+        assertThat(threads.size(), is(EVENT_LOOPS));
+    }
+
+    @Test
+    void wholeUrlInTheRequestLineIsAccepted() throws Exception {
+        assertThat(await(request(HttpMethod.GET, "http://127.0.0.1:1/healthz", "")).status, is(200));
+    }
+
     @Test
     void fullRingIsARefusalThatSaysNotRun() throws Exception {
         ringFull = true;
@@ -183,6 +202,7 @@
         if (ringFull) {
             return false;
         }
+        threads.add(Thread.currentThread());
         decision.decide(new Core(), 0);
         return true;
     }
