Tell requests that were never sent from lost ones

Change: a request whose connection could not be made is unreached, whatever the error; only one that was sent can be lost. A request without an id that a stopping entry refuses goes to another entry, as behind the balancer. The quick start has not run with the daemon itself.

--- a/standins/src/main/java/org/knapweedmount/standins/load/Answer.java
+++ b/standins/src/main/java/org/knapweedmount/standins/load/Answer.java
@@ -1,6 +1,6 @@
 package org.knapweedmount.standins.load;
 
-import java.net.ConnectException;
+import org.knapweedmount.api.Reason;
 
 /**
  * The answer to a request of the load.
@@ -10,9 +10,26 @@
  * @param submission the id of the submission, empty if the entry gave none
  */
 record Answer(Ending ending, String reason, String submission) {
-    /** Returns what an error of the connection means. */
-    static Answer withoutAnswer(Throwable error) {
-        Ending ending = error instanceof ConnectException ? Ending.UNREACHED : Ending.LOST;
-        return new Answer(ending, error.getClass().getSimpleName(), "");
+    /** Returns the answer in place of one that did not come after the request was sent. */
+    static Answer lost(Throwable error) {
+        return new Answer(Ending.LOST, error.getClass().getSimpleName(), "");
+    }
+
+    /** Returns the answer to a request that could not be sent. */
+    static Answer unreached(Throwable error) {
+        return new Answer(Ending.UNREACHED, error.getClass().getSimpleName(), "");
+    }
+
+    /**
+     * Tells whether the request may be sent to another entry.
+     *
+     * <p>A stopping entry refuses for good the submissions whose ids it has issued, so these end with its refusal.
+     *
+     * @param issuedId the id that the request was sent with, empty if it had none
+     * @return true if nothing was sent, or a request without an id was refused because the entry is stopping
+     */
+    boolean mayGoElsewhere(String issuedId) {
+        boolean refusedByStop = ending == Ending.NOT_RUN && reason.equals(Reason.DRAINING.text());
+        return ending == Ending.UNREACHED || (refusedByStop && issuedId.isEmpty());
     }
 }
--- a/standins/src/main/java/org/knapweedmount/standins/load/EntryClient.java
+++ b/standins/src/main/java/org/knapweedmount/standins/load/EntryClient.java
@@ -33,17 +33,22 @@
     /** Sends a single request, under an issued id unless it is empty. */
     Future<Answer> single(PlannedRequest request, String submission) {
         return request(HttpMethod.POST, RequestWriter.singlePath(request))
-                .compose(http -> {
-                    putHeaders(http, request, submission);
-                    return http.send(Buffer.buffer(request.body(0)));
-                })
+                .compose(http -> single(http, request, submission).otherwise(Answer::lost), EntryClient::unreached);
+    }
+
+    private static Future<Answer> single(HttpClientRequest http, PlannedRequest request, String submission) {
+        putHeaders(http, request, submission);
+        return http.send(Buffer.buffer(request.body(0)))
                 .compose(response -> response.body()
                         .map(body -> AnswerReader.single(
                                 request,
                                 response.getHeader("Knapweedmount-Outcome"),
                                 response.getHeader("Knapweedmount-Submission"),
-                                body.getBytes())))
-                .otherwise(Answer::withoutAnswer);
+                                body.getBytes())));
+    }
+
+    private static Future<Answer> unreached(Throwable error) {
+        return Future.succeededFuture(Answer.unreached(error));
     }
 
     private static void putHeaders(HttpClientRequest http, PlannedRequest request, String submission) {
@@ -62,11 +67,14 @@
     /** Sends a job under an issued id. */
     Future<Answer> job(PlannedRequest request, String submission) {
         return request(HttpMethod.PUT, "/v1/jobs/" + submission)
-                .compose(http ->
-                        http.putHeader("Content-Type", "application/json").send(RequestWriter.job(request)))
+                .compose(http -> job(http, request).otherwise(Answer::lost), EntryClient::unreached);
+    }
+
+    private static Future<Answer> job(HttpClientRequest http, PlannedRequest request) {
+        return http.putHeader("Content-Type", "application/json")
+                .send(RequestWriter.job(request))
                 .compose(response -> response.body())
-                .map(body -> AnswerReader.job(request, body.getBytes()))
-                .otherwise(Answer::withoutAnswer);
+                .map(body -> AnswerReader.job(request, body.getBytes()));
     }
 
     /** Has ids issued. */
--- a/standins/src/main/java/org/knapweedmount/standins/load/LoadRunner.java
+++ b/standins/src/main/java/org/knapweedmount/standins/load/LoadRunner.java
@@ -54,7 +54,7 @@
         inFlight++;
         submissionId(request, entry)
                 .compose(id -> send(request, entry, id, flow, recorded, intendedNanos))
-                .otherwise(Answer::withoutAnswer)
+                .otherwise(Answer::unreached)
                 .onSuccess(answer -> finish(request, flow, answer, recorded, intendedNanos))
                 .onComplete(ignored -> ended());
     }
@@ -91,7 +91,7 @@
         return null;
     }
 
-    /** Sends to an entry, or to the next one that takes a connection, as the platform's balancer does. */
+    /** Sends to an entry, or to the next one if it is down or stopping, as the platform's balancer does. */
     private Future<Answer> sendTo(int entry, PlannedRequest request, String id) {
         return sendTo(entry, request, id, entries.size());
     }
@@ -102,7 +102,7 @@
         if (triesLeft <= 1) {
             return answer;
         }
-        return answer.compose(result -> result.ending() == Ending.UNREACHED
+        return answer.compose(result -> result.mayGoElsewhere(id)
                 ? sendTo(entry + 1, request, id, triesLeft - 1)
                 : Future.succeededFuture(result));
     }
--- a/standins/src/test/java/org/knapweedmount/standins/load/AnswerReaderTest.java
+++ b/standins/src/test/java/org/knapweedmount/standins/load/AnswerReaderTest.java
@@ -1,5 +1,6 @@
 package org.knapweedmount.standins.load;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Collections;
 import java.util.OptionalDouble;
@@ -52,6 +53,16 @@
         assertThat(Ending.COMPLETE.contradicts(Ending.COMPLETE), is(false));
     }
 
+    @Test
+    void onlyWhatWasNotTakenMayGoToAnotherEntry() {
+        Answer draining = new Answer(Ending.NOT_RUN, "draining", "");
+        assertThat(draining.mayGoElsewhere(""), is(true));
+        assertThat(draining.mayGoElsewhere("id"), is(false));
+        assertThat(new Answer(Ending.NOT_RUN, "overloaded", "").mayGoElsewhere(""), is(false));
+        assertThat(Answer.unreached(new IOException()).mayGoElsewhere("id"), is(true));
+        assertThat(Answer.lost(new IOException()).mayGoElsewhere(""), is(false));
+    }
+
     private static Answer single(String outcome, String body) throws ParseException {
         return AnswerReader.single(request(1), outcome, "id", bytes(body));
     }
--- a/standins/src/test/java/org/knapweedmount/standins/load/LoadRunnerTest.java
+++ b/standins/src/test/java/org/knapweedmount/standins/load/LoadRunnerTest.java
@@ -64,6 +64,13 @@
         assertThat(none.unreached(), is(none.sent()));
     }
 
+    @Test
+    void aConnectionThatBreaksLosesTheRequest() throws Exception {
+        FlowSummary summary = run(LoadFlow.parse("one:broken:k:t:1:fixed(1)", 1, OptionalDouble.empty()))
+                .get(0);
+        assertThat(summary.lost(), is(summary.sent()));
+    }
+
     private static int unusedPort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0)) {
             return socket.getLocalPort();
@@ -107,6 +114,8 @@
                     .setStatusCode(503)
                     .putHeader("Knapweedmount-Outcome", "not-run")
                     .end("{}");
+        } else if (request.path().startsWith("/v1/services/broken")) {
+            request.connection().close();
         } else if (request.path().startsWith("/v1/services/")) {
             request.response().putHeader("Knapweedmount-Outcome", "complete").end(echo(body.toString()));
         } else if (request.path().equals("/v1/submission-ids")) {
