--- a/cli/src/main/java/org/knapweedmount/cli/StatusCommand.java
+++ b/cli/src/main/java/org/knapweedmount/cli/StatusCommand.java
@@ -11,7 +11,8 @@
 
     @Parameter(
             names = "--await-ticket",
-            description = "Wait until this ticket is in force at the entry and its agents, else end with code 8")
+            description =
+                    "Wait until this ticket is in force at the entry and all processes linked to it, else end with code 8")
     private long awaitedTicket;
 
     @Parameter(names = "--await-millis", description = "Longest wait for the ticket, in ms")
@@ -54,13 +55,16 @@
         return answer.successful() && !inForce(answer.json(), awaitedTicket);
     }
 
-    /** Tells whether a ticket is in force at the entry and at all agents that it knows. */
+    /** Tells whether a ticket is in force at the entry and at all other processes that it is linked to. */
     static boolean inForce(JsonNode status, long ticket) {
-        if (status.path("configNumber").asLong() < ticket) {
-            return false;
-        }
-        for (JsonNode agent : status.path("agents")) {
-            if (agent.path("configNumber").asLong() < ticket) {
+        return status.path("configNumber").asLong() >= ticket
+                && allReached(status.path("entries"), ticket)
+                && allReached(status.path("agents"), ticket);
+    }
+
+    private static boolean allReached(JsonNode processes, long ticket) {
+        for (JsonNode process : processes) {
+            if (process.path("configNumber").asLong() < ticket) {
                 return false;
             }
         }
--- a/cli/src/main/java/org/knapweedmount/cli/StatusText.java
+++ b/cli/src/main/java/org/knapweedmount/cli/StatusText.java
@@ -29,7 +29,7 @@
     }
 
     private static String entries(JsonNode status) {
-        TextTable table = new TextTable("entry");
+        TextTable table = new TextTable("other entry", "ticket");
         for (JsonNode entry : status.path("entries")) {
             table.row(
                     entry.isTextual()
@@ -40,7 +40,7 @@
     }
 
     private static String agents(JsonNode status) {
-        TextTable table = new TextTable("agent", "data centre", "service", "slots", "leases", "ticket");
+        TextTable table = new TextTable("agent", "data centre", "service", "slots", "leases", "open", "ticket");
         for (JsonNode agent : status.path("agents")) {
             table.row(
                     agent.path("incarnation").asText(),
@@ -48,15 +48,17 @@
                     agent.path("service").asText(),
                     agent.path("slots").asText(),
                     agent.path("leases").asText(),
+                    agent.path("open").asText(),
                     agent.path("configNumber").asText());
         }
         return table.toString();
     }
 
     private static String queues(JsonNode status) {
-        TextTable table = new TextTable("kind", "team", "queued", "oldest wait ms");
+        TextTable table = new TextTable("service", "kind", "team", "queued", "oldest wait ms");
         for (JsonNode queue : status.path("queues")) {
             table.row(
+                    queue.path("service").asText(),
                     queue.path("kind").asText(),
                     queue.path("team").asText(),
                     queue.path("queued").asText(),
--- a/cli/src/test/java/org/knapweedmount/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/knapweedmount/cli/CommandLineTest.java
@@ -153,11 +153,16 @@
     }
 
     @Test
-    void statusWaitsForATicketAtEveryAgent() {
-        String status = "{\"configNumber\":3,\"agents\":[{\"configNumber\":3},{\"configNumber\":2}]}";
+    void statusWaitsForATicketAtEveryProcess() {
+        String status =
+                "{\"configNumber\":3,\"entries\":[{\"configNumber\":3}],\"agents\":[{\"configNumber\":3},{\"configNumber\":2}]}";
         prepare("GET /v1/status", 200, "", status);
         assertThat(run("status", "--await-ticket", "2"), is(ExitCode.OK));
         assertThat(run("status", "--await-ticket", "3", "--await-millis", "1"), is(ExitCode.PENDING));
+        String behind = status.replace("[{\"configNumber\":3}]", "[{\"configNumber\":1}]");
+        prepare("GET /v1/status", 200, "", behind);
+        assertThat(run("status", "--await-ticket", "2", "--await-millis", "1"), is(ExitCode.PENDING));
+        prepare("GET /v1/status", 200, "", status);
         assertThat(run("status", "--json"), is(ExitCode.OK));
         assertThat(text(out), containsString(status));
     }
