--- a/daemon/src/main/java/org/knapweedmount/daemon/Main.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/Main.java
@@ -4,9 +4,11 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 import org.knapweedmount.daemon.agent.AgentStarter;
+import org.knapweedmount.daemon.entry.EntryStarter;
 import org.knapweedmount.daemon.runtime.RunningProcess;
 import org.knapweedmount.daemon.runtime.StartException;
 import org.knapweedmount.daemon.settings.AgentSettings;
+import org.knapweedmount.daemon.settings.EntrySettings;
 import org.knapweedmount.daemon.settings.Settings;
 import org.knapweedmount.daemon.settings.SettingsException;
 import org.knapweedmount.daemon.settings.SettingsReader;
@@ -56,10 +58,10 @@
     }
 
     private static RunningProcess start(Settings settings) throws StartException {
-        if (settings instanceof AgentSettings agent) {
-            return new AgentStarter().start(agent);
+        if (settings instanceof EntrySettings entry) {
+            return new EntryStarter().start(entry);
         }
-        throw new StartException("this build has no entry", null);
+        return new AgentStarter().start((AgentSettings) settings);
     }
 
     private static void stop(RunningProcess process) {
