--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/replay/ReplayMain.java
@@ -0,0 +1,43 @@
+package org.knapweedmount.standins.replay;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Random;
+
+import org.knapweedmount.api.ParseException;
+import org.tinylog.Logger;
+
+/** Prints the response times of a measured run beside those that other policies would have had. */
+public final class ReplayMain {
+    private static final int FAILURE = 1;
+
+    private ReplayMain() {}
+
+    /**
+     * Reads a trace and prints a table.
+     *
+     * @param args the words of the command line
+     */
+    public static void main(String[] args) {
+        ReplayOptions options = new ReplayOptions();
+        options.readOrExit("standin replay", args);
+        try {
+            System.out.print(table(options, TraceReader.read(options.trace())));
+        } catch (IOException | ParseException e) {
+            Logger.error("cannot read the trace: {}", e.getMessage());
+            System.exit(FAILURE);
+        }
+    }
+
+    private static String table(ReplayOptions options, List<TracedRequest> requests) {
+        List<Arrival> arrivals = requests.stream().map(TracedRequest::arrival).toList();
+        ResponseTable table = new ResponseTable(arrivals, options.fleet(), options.skipMicros());
+        long[] measured =
+                requests.stream().mapToLong(TracedRequest::responseMicros).toArray();
+        table.add("measured", measured);
+        for (Policy policy : Policy.values()) {
+            table.add(policy.text(), policy.responses(arrivals, options.fleet(), new Random(options.seed())));
+        }
+        return table.text();
+    }
+}
