--- a/cli/src/main/java/org/knapweedmount/cli/StatusText.java
+++ b/cli/src/main/java/org/knapweedmount/cli/StatusText.java
@@ -32,9 +32,8 @@
         TextTable table = new TextTable("other entry", "ticket");
         for (JsonNode entry : status.path("entries")) {
             table.row(
-                    entry.isTextual()
-                            ? entry.asText()
-                            : entry.path("incarnation").asText());
+                    entry.path("incarnation").asText(),
+                    entry.path("configNumber").asText());
         }
         return table.toString();
     }
