--- a/core/src/main/java/org/knapweedmount/core/agent/FlowTable.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/FlowTable.java
@@ -177,6 +177,11 @@
         return wanting.contains(flow);
     }
 
+    /** Tells whether no entry has a queue. */
+    boolean noneQueued() {
+        return queuedBy.isEmpty();
+    }
+
     Collection<KindState> kinds() {
         return Collections.unmodifiableCollection(kinds.values());
     }
--- a/core/src/main/java/org/knapweedmount/core/agent/ServicePool.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/ServicePool.java
@@ -90,7 +90,7 @@
 
     /** Tells whether the pool has nothing to remember. */
     boolean unused() {
-        return capacity.slots() == 0 && running == 0 && book.idle() == 0;
+        return capacity.slots() == 0 && running == 0 && book.idle() == 0 && flows.noneQueued();
     }
 
     /** Closes the pool to new tasks while the agent drains, or opens it again. */
--- a/core/src/test/java/org/knapweedmount/core/agent/AgentLeaseTest.java
+++ b/core/src/test/java/org/knapweedmount/core/agent/AgentLeaseTest.java
@@ -1,6 +1,7 @@
 package org.knapweedmount.core.agent;
 
 import java.util.List;
+import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
 import org.knapweedmount.api.Reason;
@@ -10,6 +11,7 @@
 import org.knapweedmount.api.config.RemovedConfig;
 import org.knapweedmount.api.message.Capacity;
 import org.knapweedmount.api.message.Finished;
+import org.knapweedmount.api.message.Grant;
 import org.knapweedmount.api.message.Heartbeat;
 import org.knapweedmount.api.message.Leaving;
 import org.knapweedmount.api.message.Message;
@@ -102,6 +104,48 @@
         assertThat(fixture.output.take(E2), contains(new Recall(SERVICE, 1)));
     }
 
+    @Test
+    void releaseOfALeaseShowsThatTheQueueIsEmpty() {
+        fixture.announce("a", 1);
+        fixture.link(E1);
+        List<Long> leases = fixture.leases(E1);
+        fixture.demand(E1, SETTLEMENT, 1);
+        fixture.release(E1, leases);
+        Grant bound = fixture.grants(E1).get(0);
+        assertThat(bound.flow(), is(Optional.of(SETTLEMENT)));
+
+        fixture.release(E1, AgentFixture.numbers(bound));
+
+        assertThat(fixture.grants(E1).get(0).flow(), is(Optional.empty()));
+    }
+
+    @Test
+    void demandOutlivesTheEndpointsOfItsService() {
+        fixture.announce("a", 1);
+        fixture.link(E1);
+        fixture.demand(E1, SETTLEMENT, 1);
+        fixture.agent.endpointLeft("a", fixture.now);
+        fixture.output.take(E1);
+
+        fixture.announce("a", 1);
+
+        assertThat(fixture.grants(E1).get(0).flow(), is(Optional.of(SETTLEMENT)));
+    }
+
+    @Test
+    void demandEndsWithTheLink() {
+        fixture.announce("a", 1);
+        fixture.link(E1, E2);
+        TaskId task = fixture.send(E1, fixture.leases(E1).get(0), BALANCE, 0);
+        fixture.demand(E2, SETTLEMENT, 1);
+        fixture.agent.unlinked(E2, fixture.now);
+        fixture.link(E2);
+
+        fixture.end(task, DONE);
+
+        assertThat(fixture.leases(E1), hasSize(1));
+    }
+
     @Test
     void entryThatKeepsWhatItWasAskedForIsLeftAloneForAWhile() {
         fixture.link(E1, E2);
--- a/core/src/test/java/org/knapweedmount/core/agent/AgentRecordTest.java
+++ b/core/src/test/java/org/knapweedmount/core/agent/AgentRecordTest.java
@@ -214,6 +214,17 @@
         assertThat(fixture.output.takeStarted().keySet(), is(empty()));
     }
 
+    @Test
+    void taskThatRunsIsNotStartedAgain() {
+        TaskId task = start();
+        fixture.output.takeStarted();
+
+        fixture.receive(E1, fixture.start(E1, lease(), task, BALANCE, 0));
+
+        assertThat(fixture.output.takeStarted().keySet(), is(empty()));
+        assertThat(fixture.output.take(E1, NotStarted.class), is(empty()));
+    }
+
     @Test
     void taskThatFailedIsStartedAgainIfItsKindIsRepeatable() {
         TaskId task = start();
