--- a/core/src/test/java/org/knapweedmount/core/agent/AgentModel.java
+++ b/core/src/test/java/org/knapweedmount/core/agent/AgentModel.java
@@ -94,7 +94,7 @@
             case 7 -> unlink(entry, rest % 8);
             case 8, 9 -> repeatStart(entry, rest);
             case 10, 11, 12 -> seal(entry, rest);
-            case 13 -> entry.frozen = rest % 3 == 0;
+            case 13 -> entry.freeze(rest % 3 == 0);
             case 14 -> changeEndpoint(rest);
             case 15 -> changeConfig(rest);
             case 16 -> pass(1 + rest % 2_000);
@@ -225,7 +225,7 @@
         }
         for (int round = 0; round < 150; round++) {
             for (EntryModel entry : entries) {
-                entry.frozen = false;
+                entry.freeze(false);
                 link(entry);
                 deliver(entry, Integer.MAX_VALUE);
                 work(entry);
--- a/core/src/test/java/org/knapweedmount/core/agent/EntryModel.java
+++ b/core/src/test/java/org/knapweedmount/core/agent/EntryModel.java
@@ -60,6 +60,11 @@
         send();
     }
 
+    /** Makes it neither read nor send, or lets it go on. */
+    void freeze(boolean freezes) {
+        frozen = freezes;
+    }
+
     boolean idle() {
         return queued.isEmpty() && outstanding.isEmpty();
     }
