Bound the agent's records by task, and recall the leases that help

Cause: a bound on submissions alone leaves jobs of many tasks unbounded; a long task waited although a lease for short tasks only could be turned into one for all; an entry that had been silent got no leases until a slot became free. Change: each remembered result counts 100 bytes beside its body; leases for short tasks only are recalled for a long one when short tasks hold the other slots; leases are balanced when a silent entry returns; the run time of a kind is remembered while it is idle. The test of set-aside endpoints mixes the three ways to fail. Ruled out: a second bound on the number of tasks, since the bytes already stand for memory.

--- a/core/src/main/java/org/knapweedmount/core/agent/FlowTable.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/FlowTable.java
@@ -17,6 +17,7 @@
 /** The flows of one service: their demand, and the slots that they, their kinds and their teams hold. */
 final class FlowTable {
     private static final int MAX_FLOWS = 2_000;
+    private static final int MAX_IDLE_KINDS = 256;
 
     private final SlotPolicy policy;
     private final Map<Flow, FlowState> flows = new HashMap<>();
@@ -199,9 +200,12 @@
         demand(entry, Set.of(), nowNanos);
     }
 
-    /** Removes flows and kinds whose removal changes no decision. */
+    /** Removes flows whose removal changes no decision, and idle kinds beyond the bound. */
     void prune(long nowNanos) {
         removeIdle(presentVirtualNanos);
+        if (kinds.size() <= MAX_IDLE_KINDS) {
+            return;
+        }
         Set<KindState> used = new LinkedHashSet<>();
         flows.values().forEach(flow -> used.add(flow.kind()));
         kinds.values().removeIf(kind -> !used.contains(kind) && !kind.active(nowNanos));
--- a/core/src/main/java/org/knapweedmount/core/agent/Recaller.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/Recaller.java
@@ -40,11 +40,11 @@
             lacking += wanted;
             longOnly &= wanted == 0 || !pool.policy().kind(flow.flow().kind()).shortTask();
         }
-        boolean shortWanted = !longOnly;
+        boolean anyOnly = longOnly && pool.longHeld() >= limits.longLimit();
         ask(
                 pool,
                 lacking,
-                lease -> spare(lease, waiting, nowNanos) && (shortWanted || lease.scope() == LeaseScope.ANY),
+                lease -> spare(lease, waiting, nowNanos) && (!anyOnly || lease.scope() == LeaseScope.ANY),
                 nowNanos);
     }
 
--- a/core/src/main/java/org/knapweedmount/core/agent/ServicePools.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/ServicePools.java
@@ -72,6 +72,7 @@
                 ports.output().send(entry, new Recall(pool.service(), lapsed));
             }
             serve(pool, nowNanos);
+            recaller.balance(pool, nowNanos);
         }
     }
 
--- a/core/src/main/java/org/knapweedmount/core/agent/TaskRecord.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/TaskRecord.java
@@ -8,6 +8,9 @@
 
 /** What became of one task that was sent to an endpoint. */
 final class TaskRecord {
+    /** What a result takes beside its body and media type. */
+    static final int RESULT_OVERHEAD_BYTES = 100;
+
     private final int index;
     private TaskState state = TaskState.NOT_STARTED;
     private boolean complete;
@@ -35,11 +38,16 @@
     }
 
     int resultBytes() {
-        return result.map(TaskRecord::size).orElse(0);
+        if (state != TaskState.FINISHED) {
+            return 0;
+        }
+        return result.map(TaskRecord::size).orElse(RESULT_OVERHEAD_BYTES);
     }
 
     static int size(TaskResult result) {
-        return result.body().size() + result.contentType().length();
+        return RESULT_OVERHEAD_BYTES
+                + result.body().size()
+                + result.contentType().length();
     }
 
     void started() {
--- a/core/src/test/java/org/knapweedmount/core/agent/AgentFixture.java
+++ b/core/src/test/java/org/knapweedmount/core/agent/AgentFixture.java
@@ -27,7 +27,6 @@
 import org.knapweedmount.api.message.Finished;
 import org.knapweedmount.api.message.FlowDemand;
 import org.knapweedmount.api.message.Grant;
-import org.knapweedmount.api.message.LeaseScope;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.Release;
 import org.knapweedmount.api.message.Start;
@@ -38,7 +37,6 @@
 /** An agent with two entries and a service of two kinds, driven by hand. */
 final class AgentFixture {
     static final String SERVICE = "dues";
-    static final String OTHER_SERVICE = "stock";
     static final Incarnation E1 = new Incarnation("entry-1", 1);
     static final Incarnation E2 = new Incarnation("entry-2", 2);
     static final Flow BALANCE = new Flow("balance", "gate");
@@ -175,8 +173,4 @@
     void release(Incarnation entry, List<Long> leases) {
         receive(entry, new Release(SERVICE, leases));
     }
-
-    static LeaseScope scope(Flow flow) {
-        return flow.equals(BALANCE) ? LeaseScope.SHORT_ONLY : LeaseScope.ANY;
-    }
 }
--- a/core/src/test/java/org/knapweedmount/core/agent/AgentLeaseTest.java
+++ b/core/src/test/java/org/knapweedmount/core/agent/AgentLeaseTest.java
@@ -4,9 +4,11 @@
 import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
+import org.knapweedmount.api.Outcome;
 import org.knapweedmount.api.Reason;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.TaskId;
+import org.knapweedmount.api.TaskResult;
 import org.knapweedmount.api.config.DrainConfig;
 import org.knapweedmount.api.config.RemovedConfig;
 import org.knapweedmount.api.message.Capacity;
@@ -33,6 +35,7 @@
 import static org.knapweedmount.core.agent.AgentFixture.E2;
 import static org.knapweedmount.core.agent.AgentFixture.SERVICE;
 import static org.knapweedmount.core.agent.AgentFixture.SETTLEMENT;
+import static org.knapweedmount.core.agent.AgentFixture.UNREACHED;
 
 class AgentLeaseTest {
     private static final int TIMEOUT_MILLIS = AgentLimits.DEFAULT.linkTimeoutMillis();
@@ -219,15 +222,18 @@
 
     @Test
     void endpointThatFailsEverythingIsSetAsideAndTriedWithOneTask() {
+        TaskResult lost = TaskResult.of(Outcome.UNKNOWN, Reason.CONNECTION_LOST);
+        List<TaskResult> failures = List.of(BROKEN, UNREACHED, lost);
         fixture.announce("a", 8);
         fixture.link(E1);
         List<Long> leases = fixture.leases(E1);
         for (int i = 0; i < AgentLimits.DEFAULT.setAsideFailures(); i++) {
-            fixture.end(fixture.send(E1, leases.get(i), BALANCE, 0), BROKEN);
+            fixture.end(fixture.send(E1, leases.get(i), BALANCE, 0), failures.get(i % failures.size()));
         }
         assertThat(fixture.counters.value(AgentCounter.ENDPOINTS_SET_ASIDE), is(1L));
-        fixture.send(E1, leases.get(7), BALANCE, 0);
-        assertThat(fixture.output.take(E1, NotStarted.class), hasSize(1));
+        fixture.output.take(E1);
+        TaskId refused = fixture.send(E1, leases.get(7), BALANCE, 0);
+        assertThat(fixture.output.take(E1), contains(new NotStarted(refused, Reason.LEASE_LAPSED)));
         fixture.output.takeStarted();
 
         fixture.receive(E1, new Heartbeat(0));
--- a/core/src/test/java/org/knapweedmount/core/agent/AgentRecordTest.java
+++ b/core/src/test/java/org/knapweedmount/core/agent/AgentRecordTest.java
@@ -38,7 +38,7 @@
 
 class AgentRecordTest {
     private static final int MAX_RECORDS = 3;
-    private static final int MAX_RESULT_BYTES = 80;
+    private static final int MAX_RESULT_BYTES = 1_000;
     private static final int MAX_SEALS = 2;
 
     private final AgentFixture fixture =
@@ -116,10 +116,11 @@
 
     @Test
     void resultsAreDiscardedWhenTheirBytesExceedTheBound() {
-        TaskResult large = TaskResult.complete(200, "", Payload.of("x".repeat(MAX_RESULT_BYTES / 4)));
+        int largest = MAX_RESULT_BYTES / 4 - TaskRecord.RESULT_OVERHEAD_BYTES;
+        TaskResult large = TaskResult.complete(200, "", Payload.of("x".repeat(largest)));
         limitRecordsToBytes(large);
 
-        TaskResult tooLarge = TaskResult.complete(200, "", Payload.of("x".repeat(MAX_RESULT_BYTES / 4 + 1)));
+        TaskResult tooLarge = TaskResult.complete(200, "", Payload.of("x".repeat(largest + 1)));
         TaskId task = start();
         fixture.end(task, tooLarge);
 
--- a/core/src/test/java/org/knapweedmount/core/agent/AgentSharingTest.java
+++ b/core/src/test/java/org/knapweedmount/core/agent/AgentSharingTest.java
@@ -17,6 +17,7 @@
 import org.knapweedmount.api.message.Grant;
 import org.knapweedmount.api.message.LeaseScope;
 import org.knapweedmount.api.message.NotStarted;
+import org.knapweedmount.api.message.Recall;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.allOf;
@@ -115,6 +116,22 @@
         assertThat(grants.get(0).count(), is(2));
     }
 
+    @Test
+    void leaseForShortTasksOnlyIsRecalledForALongOneIfShortTasksHoldTheOtherSlots() {
+        fixture.configure(new ServiceConfig(SERVICE, "balance", 1_000, 0.2));
+        fixture.announce("a", 4);
+        fixture.link(E1);
+        List<Long> leases = fixture.leases(E1);
+        leases.subList(0, 3).forEach(lease -> fixture.send(E1, lease, BALANCE, 0));
+        fixture.link(E2);
+
+        fixture.demand(E2, SETTLEMENT, 1);
+        assertThat(fixture.output.take(E1), contains(new Recall(SERVICE, 1)));
+        fixture.release(E1, leases.subList(3, 4));
+
+        assertThat(fixture.grants(E2).get(0).scope(), is(LeaseScope.ANY));
+    }
+
     @Test
     void teamHoldsNoMoreThanItsQuota() {
         fixture.configure(new TeamConfig("office", 1, 0.25));
@@ -151,10 +168,10 @@
         Resources worker = new Resources(4_000, 8_000, 0);
         fixture.configure(AgentFixture.kind("settlement", false, 1, new Resources(1_000, 1_000, 0)));
         fixture.announce(new EndpointAnnouncement("w", SERVICE, "127.0.0.1", 80, 8, 64, TTL_MILLIS, worker));
-        fixture.agent.usageReported("w", "settlement", new Resources(1_000, 4_000, 0), fixture.now);
         fixture.link(E1);
         List<Long> leases = fixture.leases(E1);
         TaskId first = fixture.send(E1, leases.get(0), SETTLEMENT, 0);
+        fixture.agent.usageReported("w", "settlement", new Resources(1_000, 4_000, 0), fixture.now);
         fixture.send(E1, leases.get(1), SETTLEMENT, 0);
 
         TaskId third = fixture.send(E1, leases.get(2), SETTLEMENT, 0);
