--- a/core/src/test/java/org/knapweedmount/core/agent/AgentLeaseTest.java
+++ b/core/src/test/java/org/knapweedmount/core/agent/AgentLeaseTest.java
@@ -235,7 +235,8 @@
         assertThat(fixture.counters.value(AgentCounter.ENDPOINTS_SET_ASIDE), is(1L));
         fixture.output.take(E1);
         TaskId refused = fixture.send(E1, leases.get(7), BALANCE, 0);
-        assertThat(fixture.output.take(E1), contains(new NotStarted(refused, Reason.LEASE_LAPSED)));
+        assertThat(
+                fixture.output.take(E1), contains(new NotStarted(refused, fixture.sequence(E1), Reason.LEASE_LAPSED)));
         fixture.output.takeStarted();
 
         fixture.receive(E1, new Heartbeat(0));
