--- a/daemon/src/main/java/org/knapweedmount/daemon/Main.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/Main.java
@@ -33,6 +33,7 @@
      * @param arguments the path of the settings file
      */
     public static void main(String[] arguments) {
+        Thread.currentThread().setUncaughtExceptionHandler((thread, failure) -> fail(failure));
         if (arguments.length != 1) {
             System.err.println("usage: knapweedmountd SETTINGS-FILE");
             halt(BAD_SETTINGS);
@@ -44,12 +45,16 @@
         } catch (SettingsException e) {
             System.err.println("knapweedmountd: " + e.getMessage());
             halt(BAD_SETTINGS);
-        } catch (StartException | RuntimeException e) {
-            Logger.error(e, "the process does not start");
-            halt(FAILURE);
+        } catch (StartException e) {
+            fail(e);
         }
     }
 
+    private static void fail(Throwable failure) {
+        Logger.error(failure, "the process does not start");
+        halt(FAILURE);
+    }
+
     private static void serve(Settings settings) throws StartException {
         AtomicReference<RunningProcess> running = new AtomicReference<>();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(running.get()), "stop"));
--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentParts.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentParts.java
@@ -5,6 +5,7 @@
 import org.knapweedmount.daemon.link.LinkTable;
 import org.knapweedmount.daemon.runtime.DecisionLoop;
 import org.knapweedmount.daemon.runtime.NanoClock;
+import org.knapweedmount.daemon.runtime.RetryingQueue;
 import org.knapweedmount.daemon.runtime.Ticker;
 import org.knapweedmount.daemon.settings.AgentSettings;
 
@@ -15,6 +16,7 @@
  * @param clock the clock
  * @param vertx the event loops
  * @param loop the decision thread
+ * @param results passes events to the decision thread that must not be lost
  * @param ticker the timer of the decisions
  * @param links the links
  * @param finder the search for entries
@@ -27,6 +29,7 @@
         NanoClock clock,
         Vertx vertx,
         DecisionLoop<AgentModule> loop,
+        RetryingQueue<AgentModule> results,
         Ticker<AgentModule> ticker,
         LinkTable<AgentModule> links,
         EntryFinder finder,
--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentProcess.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentProcess.java
@@ -37,7 +37,7 @@
         }
         Logger.info("draining");
         parts.readiness().drain();
-        parts.loop().offer((module, nowNanos) -> module.core().drain(nowNanos));
+        parts.results().add((module, nowNanos) -> module.core().drain(nowNanos));
         boolean idle = IdleWait.await(
                 parts.loop(),
                 module -> module.core().idle(),
--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentStarter.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentStarter.java
@@ -100,19 +100,21 @@
         EndpointClient endpoints = new EndpointClient(context, settings.http().maxBodyBytes());
         Links links = Links.of(table);
         ConfigState config = new ConfigState();
-        AgentOutputs outputs = new AgentOutputs(links, endpoints, new RetryingQueue<>(vertx, loop));
+        RetryingQueue<AgentModule> results = new RetryingQueue<>(vertx, loop);
+        AgentOutputs outputs = new AgentOutputs(links, endpoints, results);
         AgentCore core = new AgentCore(settings.limits(), self, config, outputs, decided, invariants);
         loop.start(new AgentModule(core, config, links, appliedNumber));
         AgentReadiness readiness = new AgentReadiness(table::linkCount, metrics::text);
         bindMetrics(loop, table, endpoints);
         HttpServer server = listen(settings, context, readiness, new EndpointRegistry(context, endpoints, loop, clock));
+        Logger.info("endpoints are served at {}:{}", settings.http().host(), server.actualPort());
         settings.peers().forEach(table::dial);
-        EntryFinder finder = new EntryFinder(vertx, tables(settings, context), clock, table::know);
-        finder.start();
+        EntryFinder finder = new EntryFinder(vertx, tables(settings, context), clock, table::know, random.nextLong());
+        context.runOnContext(ignored -> finder.start());
         Ticker<AgentModule> ticker = Ticker.start(
                 vertx, TICK_MILLIS, loop, (module, nowNanos) -> module.core().tick(nowNanos));
-        return new AgentProcess(
-                new AgentParts(settings, clock, vertx, loop, ticker, table, finder, endpoints, readiness, server));
+        return new AgentProcess(new AgentParts(
+                settings, clock, vertx, loop, results, ticker, table, finder, endpoints, readiness, server));
     }
 
     private HttpServer listen(
--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/EntryFinder.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/EntryFinder.java
@@ -1,5 +1,6 @@
 package org.knapweedmount.daemon.agent;
 
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -20,36 +21,36 @@
  * <p>Used on the event loop.
  */
 final class EntryFinder {
-    private static final int LIST_MILLIS = 10_000;
+    private static final int MIN_LIST_MILLIS = 8_000;
+    private static final int MAX_LIST_MILLIS = 12_000;
     private static final long STALE_NANOS = TimeUnit.SECONDS.toNanos(35);
 
     private final Vertx vertx;
     private final Tables tables;
     private final NanoClock clock;
     private final Consumer<PeerAddress> found;
+    private final Random random;
     private final EntryRows rows = new EntryRows(STALE_NANOS);
     private long timer;
 
-    EntryFinder(Vertx vertx, Tables tables, NanoClock clock, Consumer<PeerAddress> found) {
+    EntryFinder(Vertx vertx, Tables tables, NanoClock clock, Consumer<PeerAddress> found, long seed) {
         this.vertx = vertx;
         this.tables = tables;
         this.clock = clock;
         this.found = found;
+        this.random = new Random(seed);
     }
 
-    /** Reads the rows now and then from time to time. */
+    /** Reads the rows now and then from time to time, at random so that agents do not all ask at the same moment. */
     void start() {
-        timer = vertx.setPeriodic(1, LIST_MILLIS, fired -> list());
+        tables.listAll(EntryRow.TABLE, "").onSuccess(this::listed);
+        timer = vertx.setTimer(random.nextInt(MIN_LIST_MILLIS, MAX_LIST_MILLIS), fired -> start());
     }
 
     void stop() {
         vertx.cancelTimer(timer);
     }
 
-    private void list() {
-        tables.listAll(EntryRow.TABLE, "").onSuccess(this::listed);
-    }
-
     private void listed(ListResult result) {
         if (result.answered()) {
             KnownEntries known = rows.observe(result.rows(), clock.nanos());
--- a/daemon/src/main/java/org/knapweedmount/daemon/metrics/ProcessMemory.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/metrics/ProcessMemory.java
@@ -1,16 +1,12 @@
 package org.knapweedmount.daemon.metrics;
 
 import java.io.IOException;
+import java.lang.management.BufferPoolMXBean;
+import java.lang.management.ManagementFactory;
 import java.nio.file.Files;
 import java.nio.file.Path;
 
-import io.netty.util.internal.PlatformDependent;
-
-/**
- * Reads what the process uses of the machine's memory.
- *
- * <p>The management beans of the virtual machine would tell more, but are themselves large for an agent.
- */
+/** Reads what the process uses of the machine's memory. */
 final class ProcessMemory {
     private static final Path STATUS = Path.of("/proc/self/statm");
     private static final int RESIDENT_FIELD = 1;
@@ -29,8 +25,11 @@
         }
     }
 
-    /** Returns the memory that the network buffers take outside the heap, in bytes, or -1 if it is not counted. */
+    /** Returns the memory of buffers outside the heap, in bytes. */
     static long directBytes() {
-        return PlatformDependent.usedDirectMemory();
+        return ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class).stream()
+                .filter(pool -> pool.getName().equals("direct"))
+                .mapToLong(BufferPoolMXBean::getMemoryUsed)
+                .sum();
     }
 }
--- a/daemon/src/test/java/org/knapweedmount/daemon/metrics/ProcessMetricsTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/metrics/ProcessMetricsTest.java
@@ -43,6 +43,7 @@
 
     @Test
     void memoryIsShown() {
+        assertThat(metrics.text(), containsString("\nknapweedmount_memory_direct_bytes "));
         assertThat(metrics.text(), containsString("\nknapweedmount_memory_resident_bytes "));
         assertThat(metrics.text(), containsString("\nknapweedmount_memory_heap_used_bytes "));
     }
