Pass on the rosters of entries that are gone

Cause: an entry that started after another had died did not know that one's roster, so it answered resubmissions of its ids as unknown although every agent was alive. Change: an entry passes on the latest rosters of issuers that are gone when it is linked to another entry, and those of an entry whose link it loses. A roster version never changes, so it does not matter who tells it. New tests: no unknown outcome after the death of entries while the agents live; planned stops of agents fail nothing. Ruled out: keeping rosters in the table service, which would not be there in an outage; awaiting a peer's confirmation before a version is used, which would delay the first ids after each change.

--- a/core/src/main/java/org/knapweedmount/core/entry/EntryCore.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/EntryCore.java
@@ -78,7 +78,7 @@
         this.settlements = new Settlements(context, answers, agents, id -> roster(id, peerRosters));
         this.relays = new Relays(context, answers, settlements);
         this.router = new RequestRouter(context, answers, submissions, claims, relays, settlements);
-        this.entryLinks = new EntryLinks(roster, peerRosters, relays, router);
+        this.entryLinks = new EntryLinks(context, roster, peerRosters, relays, router);
     }
 
     private Optional<List<PeerAddress>> roster(SubmissionId id, PeerRosters peerRosters) {
--- a/core/src/main/java/org/knapweedmount/core/entry/PeerRosters.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/PeerRosters.java
@@ -1,11 +1,13 @@
 package org.knapweedmount.core.entry;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.PeerAddress;
@@ -22,6 +24,8 @@
     /** The number of issuers whose rosters are kept. */
     static final int MAX_ISSUERS = 128;
 
+    private static final int MAX_PASSED_ON_ISSUERS = 16;
+    private static final int MAX_PASSED_ON_VERSIONS = 8;
     private static final int MAX_INTERNED_ADDRESSES = 20_000;
 
     private final Map<Incarnation, RosterLog> logs = new LinkedHashMap<>(MAX_ISSUERS, 0.75f, true);
@@ -42,6 +46,32 @@
         return Optional.ofNullable(logs.get(id.issuer())).flatMap(log -> log.agents(id.rosterVersion()));
     }
 
+    /**
+     * Returns what an entry needs to settle submissions of issuers that it cannot be told of by themselves.
+     *
+     * @param linked the issuers that are linked here and so tell their rosters themselves
+     * @return the latest versions of the other issuers heard of most recently
+     */
+    List<Roster> passedOn(Set<Incarnation> linked) {
+        List<Incarnation> gone = new ArrayList<>(logs.keySet());
+        gone.removeAll(linked);
+        List<Roster> rosters = new ArrayList<>();
+        for (Incarnation issuer : gone.subList(Math.max(0, gone.size() - MAX_PASSED_ON_ISSUERS), gone.size())) {
+            rosters.addAll(latest(issuer));
+        }
+        return rosters;
+    }
+
+    /** Returns the latest versions of one issuer, none if it is not known. */
+    List<Roster> latest(Incarnation issuer) {
+        RosterLog log = logs.get(issuer);
+        if (log == null) {
+            return List.of();
+        }
+        List<Roster> versions = log.messages();
+        return versions.subList(Math.max(0, versions.size() - MAX_PASSED_ON_VERSIONS), versions.size());
+    }
+
     private List<PeerAddress> intern(List<PeerAddress> agents) {
         if (interned.size() > MAX_INTERNED_ADDRESSES) {
             interned.clear();
--- a/core/src/test/java/org/knapweedmount/core/fleet/FakeEntry.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FakeEntry.java
@@ -22,11 +22,14 @@
 
 /** An entry whose callers are functions. */
 final class FakeEntry extends FakeProcess implements EntryOutput {
+    private static final long LINK_NANOS = 150_000_000;
+
     private final Scheduler scheduler;
     private final FakeNetwork network;
     private final FakeStore store;
     private final EntryCore core;
     private final Map<Long, Consumer<JobAnswer>> callers = new HashMap<>();
+    private final long createdNanos;
     private long requests;
 
     FakeEntry(PeerAddress address, ConfigState config, FakeFleet fleet) {
@@ -34,6 +37,7 @@
         this.scheduler = fleet.scheduler();
         this.network = fleet.network();
         this.store = fleet.store();
+        this.createdNanos = scheduler.nowNanos();
         long seed = fleet.random().nextLong();
         this.core = new EntryCore(
                 EntryLimits.DEFAULT,
@@ -45,6 +49,10 @@
                 seed);
     }
 
+    boolean ready() {
+        return scheduler.nowNanos() - createdNanos >= LINK_NANOS;
+    }
+
     Optional<SubmissionId> issue() {
         return running() ? Optional.of(core.issue(1).get(0)) : Optional.empty();
     }
--- a/core/src/test/java/org/knapweedmount/core/fleet/FakeFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FakeFleet.java
@@ -27,6 +27,7 @@
     private static final int EXPECTED_MILLIS = 80;
 
     private final Random random;
+    private boolean reliableExecutors;
     private final Scheduler scheduler = new Scheduler();
     private final StartLog log = new StartLog();
     private final FakeNetwork network;
@@ -49,6 +50,16 @@
         connectAll();
     }
 
+    /** Makes executors complete every task from now on. */
+    void reliableExecutors() {
+        reliableExecutors = true;
+    }
+
+    /** Draws whether an executor fails a task in a way that has some share of all tasks. */
+    boolean executorFails(double share) {
+        return !reliableExecutors && random.nextDouble() < share;
+    }
+
     Random random() {
         return random;
     }
@@ -98,6 +109,13 @@
         agents.set(index, newAgent(old.address().incarnation().process()));
     }
 
+    /** Returns a random entry that has had the time to link, or any one if none has, as a balancer would. */
+    FakeEntry readyEntry(Random choice) {
+        List<FakeEntry> ready = entries.stream().filter(FakeEntry::ready).toList();
+        List<FakeEntry> candidates = ready.isEmpty() ? entries : ready;
+        return candidates.get(choice.nextInt(candidates.size()));
+    }
+
     FakeProcess randomProcess() {
         int chosen = random.nextInt(entries.size() + agents.size());
         return chosen < entries.size() ? entries.get(chosen) : agents.get(chosen - entries.size());
--- a/core/src/test/java/org/knapweedmount/core/fleet/Fault.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/Fault.java
@@ -39,6 +39,14 @@
             later(fleet, random, spreadMillis, () -> replaceIfPresent(fleet, agent));
         }
     },
+    AGENT_STOPPED {
+        @Override
+        void strike(FakeFleet fleet, Random random, int spreadMillis) {
+            FakeAgent agent = fleet.agents().get(random.nextInt(fleet.agents().size()));
+            agent.deliver(agent::drain);
+            replaceWhenIdle(fleet, agent);
+        }
+    },
     STORE_DOWN {
         @Override
         void strike(FakeFleet fleet, Random random, int spreadMillis) {
@@ -56,12 +64,23 @@
 
     private static final long NANOS_PER_MILLI = 1_000_000;
 
+    /** How long a process that stops as planned takes to send what is left on its links, in ns. */
+    private static final long FLUSH_NANOS = 5 * NANOS_PER_MILLI;
+
     abstract void strike(FakeFleet fleet, Random random, int spreadMillis);
 
     private static void later(FakeFleet fleet, Random random, int spreadMillis, Runnable action) {
         fleet.scheduler().after(random.nextInt(spreadMillis) * NANOS_PER_MILLI, action);
     }
 
+    private static void replaceWhenIdle(FakeFleet fleet, FakeAgent agent) {
+        if (agent.idle()) {
+            fleet.scheduler().after(FLUSH_NANOS, () -> replaceIfPresent(fleet, agent));
+            return;
+        }
+        fleet.scheduler().after(NANOS_PER_MILLI, () -> replaceWhenIdle(fleet, agent));
+    }
+
     private static void replaceIfPresent(FakeFleet fleet, FakeAgent agent) {
         int index = fleet.agents().indexOf(agent);
         if (index >= 0) {
--- a/core/src/test/java/org/knapweedmount/core/fleet/FleetTest.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FleetTest.java
@@ -1,5 +1,7 @@
 package org.knapweedmount.core.fleet;
 
+import java.util.Map;
+
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -36,6 +38,26 @@
         assertThat(run.count(Outcome.COMPLETE), is(greaterThan(run.submissions() / 3)));
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {21, 22, 23, 24})
+    void afterTheDeathOfEntriesNoOutcomeIsUnknownWhileTheAgentsLive(long seed) {
+        FleetRun run = FleetRun.of(seed).withOnly(Fault.ENTRY_REPLACED).run();
+
+        assertThat(run.violations(), is(empty()));
+        assertThat(run.reasons(Outcome.UNKNOWN), is(Map.of()));
+        assertThat(run.count(Outcome.NOT_RUN), is(greaterThan(0)));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {31, 32, 33, 34})
+    void plannedStopsOfAgentsFailNothing(long seed) {
+        FleetRun run = FleetRun.of(seed).withOnly(Fault.AGENT_STOPPED).run();
+
+        assertThat(run.violations(), is(empty()));
+        assertThat(run.reasons(Outcome.FAILED), is(Map.of()));
+        assertThat(run.reasons(Outcome.UNKNOWN), is(Map.of()));
+    }
+
     @Test
     void promisesHoldInLongRuns() {
         int runs = Integer.getInteger(RUNS_PROPERTY, 0);
--- a/core/src/test/java/org/knapweedmount/core/fleet/Submission.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/Submission.java
@@ -89,6 +89,14 @@
         return answers.stream().anyMatch(answer -> answer.outcome().equals(Optional.of(outcome)));
     }
 
+    /** Lists reason and detail of each answer with an outcome. */
+    List<String> reasons(Outcome outcome) {
+        return answers.stream()
+                .filter(answer -> answer.outcome().equals(Optional.of(outcome)))
+                .map(answer -> answer.reason() + ": " + answer.detail())
+                .toList();
+    }
+
     /** Tells what is wrong with the answers, given what the executors really started. */
     List<String> violations(StartLog log) {
         List<String> found = new ArrayList<>();
