--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/metrics/ProcessMemory.java
@@ -0,0 +1,35 @@
+package org.knapweedmount.daemon.metrics;
+
+import java.io.IOException;
+import java.lang.management.BufferPoolMXBean;
+import java.lang.management.ManagementFactory;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** Reads what the process uses of the machine's memory. */
+final class ProcessMemory {
+    private static final Path STATUS = Path.of("/proc/self/statm");
+    private static final int RESIDENT_FIELD = 1;
+    private static final long PAGE_BYTES = 4_096;
+    private static final long UNKNOWN = -1;
+
+    private ProcessMemory() {}
+
+    /** Returns the resident memory in bytes, or -1 if the system does not tell. */
+    static long residentBytes() {
+        try {
+            String[] fields = Files.readString(STATUS).split(" ", -1);
+            return Long.parseLong(fields[RESIDENT_FIELD]) * PAGE_BYTES;
+        } catch (IOException | NumberFormatException e) {
+            return UNKNOWN;
+        }
+    }
+
+    /** Returns the memory of buffers outside the heap, in bytes. */
+    static long directBytes() {
+        return ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class).stream()
+                .filter(pool -> pool.getName().equals("direct"))
+                .mapToLong(BufferPoolMXBean::getMemoryUsed)
+                .sum();
+    }
+}
