Give the balancer time at a planned stop, and serve the entry's metrics

An entry's /metrics was empty. Change: after /readyz turns 503 an entry goes on accepting for up to 3 s, each answer closing its connection, before it refuses and ends. Counters, ring, links, memory and invariants are served as metrics. The client code of three tests reads answers within one step. Ruled out: closing idle connections at once, which has the same race.

--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryBuilder.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryBuilder.java
@@ -16,16 +16,20 @@
 import org.knapweedmount.api.Role;
 import org.knapweedmount.core.config.ConfigState;
 import org.knapweedmount.core.entry.EntryCore;
+import org.knapweedmount.core.entry.EntryCounter;
 import org.knapweedmount.core.metric.Invariants;
 import org.knapweedmount.daemon.http.CallerApi;
 import org.knapweedmount.daemon.http.CallerDecisions;
+import org.knapweedmount.daemon.http.HttpCounter;
 import org.knapweedmount.daemon.http.HttpLimits;
 import org.knapweedmount.daemon.http.PendingRequests;
 import org.knapweedmount.daemon.link.LinkOptions;
 import org.knapweedmount.daemon.link.LinkTable;
+import org.knapweedmount.daemon.metrics.ProcessMetrics;
 import org.knapweedmount.daemon.runtime.DecisionLoop;
 import org.knapweedmount.daemon.runtime.DecisionQueue;
 import org.knapweedmount.daemon.runtime.NanoClock;
+import org.knapweedmount.daemon.runtime.RetryingQueue;
 import org.knapweedmount.daemon.runtime.Ticker;
 import org.knapweedmount.daemon.settings.EntrySettings;
 import org.knapweedmount.daemon.store.ClaimLimits;
@@ -33,6 +37,7 @@
 import org.knapweedmount.daemon.store.EntryAnnouncement;
 import org.knapweedmount.daemon.store.EntryDirectory;
 import org.knapweedmount.daemon.store.TableClient;
+import org.knapweedmount.daemon.store.TableCounter;
 import org.knapweedmount.daemon.store.TableLimits;
 import org.knapweedmount.daemon.ticket.AuditLog;
 import org.knapweedmount.daemon.ticket.OperatorApi;
@@ -45,6 +50,8 @@
     private static final int RING_SIZE = 64 * 1024;
     private static final int TICK_MILLIS = 5;
     private static final int MAX_HTTP_LOOPS = 4;
+    private static final int MAX_GRACE_MILLIS = 3_000;
+    private static final int GRACE_DIVISOR = 10;
     private static final int MAX_AUDIT_EVENTS = 1_000;
     private static final long START_SECONDS = 20;
 
@@ -54,6 +61,9 @@
     private final Runnable exit;
     private final SecureRandom random = new SecureRandom();
     private final EntryCounters counters = EntryCounters.create();
+    private final ProcessMetrics metrics = new ProcessMetrics();
+    private final Invariants invariants =
+            Invariants.counting(statement -> Logger.error("invariant violated: {}", statement));
     private final AtomicLong appliedNumber = new AtomicLong();
     private final AuditLog audit =
             new AuditLog(MAX_AUDIT_EVENTS, () -> Instant.now().toString());
@@ -79,11 +89,12 @@
     EntryProcess build() throws ParseException, ExecutionException, TimeoutException, InterruptedException {
         OperatorTokens tokens = OperatorTokens.read(settings.operators().tokenFile());
         EntryStore store = store();
-        Readiness readiness = new Readiness(store.tickets()::isLoaded, () -> "");
-        EntryDrain drain = new EntryDrain(readiness, results);
+        Readiness readiness = new Readiness(store.tickets()::isLoaded, metrics::text);
+        EntryDrain drain = new EntryDrain(vertx, readiness, results, graceMillis());
         LinkTable<EntryModule> linkTable = linkTable();
         PeerAddress self = listenForLinks(linkTable);
         startDecisions(linkTable, self, store, readiness);
+        bindMetrics(linkTable);
         if (!await(store.tickets().start())) {
             Logger.warn("starting while the table service is not available");
         }
@@ -179,7 +190,6 @@
         ConfigState config = new ConfigState();
         Links links = new TableOfLinks(linkTable);
         EntryOutputs outputs = new EntryOutputs(links, pending, store.context(), store.claims(), results);
-        Invariants invariants = Invariants.counting(statement -> Logger.error("invariant violated: {}", statement));
         EntryCore core = new EntryCore(
                 settings.limits(), self, config, outputs, counters.submissions(), invariants, random.nextLong());
         ConfigDistributor distributor = new ConfigDistributor(config, links, audit, appliedNumber);
@@ -187,6 +197,22 @@
         loop.start(new EntryModule(core, config, distributor, peers, store.tickets(), readiness, clock.nanos()));
     }
 
+    private void bindMetrics(LinkTable<EntryModule> linkTable) {
+        metrics.counters("entry", EntryCounter.class, counters.submissions());
+        metrics.counters("http", HttpCounter.class, counters.http());
+        metrics.counters("tables", TableCounter.class, counters.tables());
+        metrics.gauge("http.pending", "Callers who wait for an answer", pending::size);
+        metrics.gauge("config.number", "The highest ticket number in force", appliedNumber::get);
+        metrics.invariants(invariants);
+        metrics.decisions(loop);
+        metrics.links(linkTable);
+    }
+
+    /** Returns how long the balancer is given to notice a planned stop. */
+    private int graceMillis() {
+        return Math.max(1, Math.min(MAX_GRACE_MILLIS, settings.drainMillis() / GRACE_DIVISOR));
+    }
+
     private DecisionQueue<CallerDecisions> callerDecisions() {
         return decision -> loop.offer((module, now) -> decision.decide(module.callers(), now));
     }
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryOutputs.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryOutputs.java
@@ -7,6 +7,7 @@
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.core.entry.EntryOutput;
 import org.knapweedmount.daemon.http.PendingRequests;
+import org.knapweedmount.daemon.runtime.RetryingQueue;
 import org.knapweedmount.daemon.store.ClaimStore;
 
 /** Carries out what the core decides. */
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryProcess.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryProcess.java
@@ -1,18 +1,17 @@
 package org.knapweedmount.daemon.entry;
 
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.vertx.core.Future;
+import org.knapweedmount.daemon.runtime.IdleWait;
 import org.knapweedmount.daemon.runtime.RunningProcess;
 import org.tinylog.Logger;
 
 /** An entry that serves. */
 public final class EntryProcess implements RunningProcess {
-    private static final int IDLE_CHECK_MILLIS = 20;
     private static final long CLOSE_SECONDS = 5;
 
     private final EntryParts parts;
@@ -54,8 +53,11 @@
         if (!stopping.compareAndSet(false, true)) {
             return;
         }
-        parts.drain().begin();
-        boolean idle = awaitIdle();
+        long startNanos = parts.clock().nanos();
+        close("the intake of requests", parts.drain().begin());
+        long usedMillis = TimeUnit.NANOSECONDS.toMillis(parts.clock().nanos() - startNanos);
+        int leftMillis = (int) Math.max(0, parts.settings().drainMillis() - usedMillis);
+        boolean idle = IdleWait.await(parts.loop(), this::isIdle, parts.clock(), leftMillis);
         if (!idle) {
             Logger.warn("stopping with {} requests unanswered", parts.pending().size());
         }
@@ -69,26 +71,8 @@
         Logger.info("stopped");
     }
 
-    private boolean awaitIdle() throws InterruptedException {
-        long deadlineNanos = parts.clock().nanos()
-                + TimeUnit.MILLISECONDS.toNanos(parts.settings().drainMillis());
-        while (parts.clock().nanos() - deadlineNanos < 0) {
-            if (isIdle() && parts.pending().size() == 0) {
-                return true;
-            }
-            TimeUnit.MILLISECONDS.sleep(IDLE_CHECK_MILLIS);
-        }
-        return false;
-    }
-
-    private boolean isIdle() throws InterruptedException {
-        AtomicBoolean idle = new AtomicBoolean();
-        CountDownLatch answered = new CountDownLatch(1);
-        boolean offered = parts.loop().offer((module, nowNanos) -> {
-            idle.set(module.core().idle());
-            answered.countDown();
-        });
-        return offered && answered.await(CLOSE_SECONDS, TimeUnit.SECONDS) && idle.get();
+    private boolean isIdle(EntryModule module) {
+        return module.core().idle() && parts.pending().size() == 0;
     }
 
     private static void close(String what, Future<Void> closed) throws InterruptedException {
--- a/daemon/src/main/java/org/knapweedmount/daemon/store/EntryDirectory.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/store/EntryDirectory.java
@@ -41,7 +41,7 @@
 
     /** Lists the entries now and then from time to time. */
     public void start() {
-        timer = vertx.setPeriodic(0, LIST_MILLIS, fired -> list());
+        timer = vertx.setPeriodic(1, LIST_MILLIS, fired -> list());
     }
 
     /** Stops listing. */
--- a/daemon/src/test/java/org/knapweedmount/daemon/entry/EntryProcessTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/entry/EntryProcessTest.java
@@ -11,9 +11,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import org.junit.jupiter.api.AfterEach;
@@ -113,6 +115,9 @@
         assertThat(answer.body, containsString("\"outcome\":\"not-run\",\"reason\":\"no-endpoint\""));
         assertThat(send(entry.callerPort(), HttpMethod.GET, "/readyz", "").status, is(503));
         assertThat(send(entry.callerPort(), HttpMethod.GET, "/v1/jobs/unused", "").status, is(404));
+        assertThat(
+                send(entry.callerPort(), HttpMethod.GET, "/metrics", "").body,
+                containsString("knapweedmount_entry_refused_total 1.0"));
     }
 
     @Test
@@ -210,7 +215,7 @@
                         new OperatorSettings(HOST, 0, directory.resolve("token")),
                         new HostPort(HOST, platformPort),
                         peers,
-                        5_000,
+                        1_000,
                         300,
                         EntryLimits.DEFAULT));
         started.add(entry);
@@ -247,10 +252,13 @@
 
     private Answer send(RequestOptions options, String body) throws Exception {
         return client.request(options)
-                .compose(request -> request.send(Buffer.buffer(body)))
-                .compose(response -> response.body().map(text -> new Answer(response.statusCode(), text.toString())))
+                .compose(request -> request.send(Buffer.buffer(body)).compose(EntryProcessTest::answer))
                 .toCompletionStage()
                 .toCompletableFuture()
                 .get(20, TimeUnit.SECONDS);
     }
+
+    private static Future<Answer> answer(HttpClientResponse response) {
+        return response.body().map(text -> new Answer(response.statusCode(), text.toString()));
+    }
 }
--- a/daemon/src/test/java/org/knapweedmount/daemon/http/CallerApiTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/http/CallerApiTest.java
@@ -209,8 +209,7 @@
 
     private Future<Answer> request(HttpMethod method, String uri, String body) {
         return client.request(options(method, uri))
-                .compose(request -> request.send(Buffer.buffer(body)))
-                .compose(CallerApiTest::answer);
+                .compose(request -> request.send(Buffer.buffer(body)).compose(CallerApiTest::answer));
     }
 
     private Future<Answer> chunked(String body) {
--- a/daemon/src/test/java/org/knapweedmount/daemon/entry/RetryingQueueTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/runtime/RetryingQueueTest.java
@@ -1,4 +1,4 @@
-package org.knapweedmount.daemon.entry;
+package org.knapweedmount.daemon.runtime;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -8,7 +8,6 @@
 import io.vertx.core.Vertx;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.knapweedmount.daemon.runtime.Decision;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
--- a/daemon/src/test/java/org/knapweedmount/daemon/ticket/OperatorApiTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/ticket/OperatorApiTest.java
@@ -9,6 +9,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import org.junit.jupiter.api.AfterEach;
@@ -136,8 +137,11 @@
                 .putHeader("Authorization", authorization);
         return vertx.createHttpClient()
                 .request(options)
-                .compose(request -> request.send(Buffer.buffer(body)))
-                .compose(response -> response.body().map(text -> new Answer(response.statusCode(), text.toString())));
+                .compose(request -> request.send(Buffer.buffer(body)).compose(OperatorApiTest::answer));
+    }
+
+    private static Future<Answer> answer(HttpClientResponse response) {
+        return response.body().map(text -> new Answer(response.statusCode(), text.toString()));
     }
 
     private static <T> T await(Future<T> future) throws Exception {
