Keep the life of tasks and submissions in state charts

Cause: the phases of a task and the stopping of a submission were set here and there in the code. Change: task.json and submission.json hold the steps; an illegal step is a violated invariant. Run times of removed kinds are forgotten. Ruled out: a chart for links, which have two states.

--- a/core/src/main/java/org/knapweedmount/core/entry/EntryCore.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/EntryCore.java
@@ -65,7 +65,7 @@
         this.agents = new Agents(context, roster);
         RunTimes runTimes = new RunTimes();
         this.services = new Services(context, runTimes);
-        this.scheduler = new TaskScheduler(context, services);
+        this.scheduler = new TaskScheduler(context, services, runTimes);
         Admission admission =
                 new Admission(context, services, scheduler, runTimes, roster.linkedEntries(), new Random(seed));
         RetryPolicy retries = new RetryPolicy(context, services);
--- a/core/src/main/java/org/knapweedmount/core/entry/RunTimes.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/RunTimes.java
@@ -1,5 +1,6 @@
 package org.knapweedmount.core.entry;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -35,15 +36,7 @@
     }
 
     /** Forgets kinds that no longer exist. */
-    void retain(Iterable<String> kinds) {
-        Map<String, Average> kept = new HashMap<>();
-        for (String kind : kinds) {
-            Average average = byKind.get(kind);
-            if (average != null) {
-                kept.put(kind, average);
-            }
-        }
-        byKind.clear();
-        byKind.putAll(kept);
+    void retain(Collection<String> kinds) {
+        byKind.keySet().retainAll(kinds);
     }
 }
--- a/core/src/main/java/org/knapweedmount/core/entry/ServiceState.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/ServiceState.java
@@ -80,11 +80,6 @@
         }
     }
 
-    /** The slots of all agents that take new work. */
-    int openSlots() {
-        return openSlots;
-    }
-
     /** Tells whether some agent that takes new work may be sent tasks of a roster version. */
     boolean serves(int rosterVersion) {
         return openSlots > 0 && earliestVersion <= rosterVersion;
--- a/core/src/main/java/org/knapweedmount/core/entry/StartedTasks.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/StartedTasks.java
@@ -168,7 +168,6 @@
             task.avoid(agent);
         }
         if (mayBeQueuedAgain(task, reason, nowNanos)) {
-            task.requeued();
             scheduler.requeue(task, nowNanos);
             return;
         }
--- a/core/src/main/java/org/knapweedmount/core/entry/Submission.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/Submission.java
@@ -12,6 +12,7 @@
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.SubmissionId;
 import org.knapweedmount.api.TaskResult;
+import org.knapweedmount.core.metric.Invariants;
 
 /** An accepted submission that has not ended. */
 final class Submission {
@@ -22,7 +23,9 @@
     private final List<TaskRun> tasks;
     private final TaskResult[] results;
     private final List<Requester> waiting = new ArrayList<>(1);
-    private Optional<Reason> stopReason = Optional.empty();
+    private final Invariants invariants;
+    private SubmissionState state = EntryCharts.SUBMISSION.initial();
+    private Reason stopReason = Reason.NONE;
     private int open;
     private int retryAfterMillis;
 
@@ -34,15 +37,23 @@
      * @param job the job
      * @param needs what each task needs of a worker
      * @param repeated true if the id may be submitted again, so that the answer is to be kept
+     * @param invariants checks of the program itself
      */
-    Submission(SubmissionId id, String service, JobSpec job, List<Resources> needs, boolean repeated) {
+    Submission(
+            SubmissionId id,
+            String service,
+            JobSpec job,
+            List<Resources> needs,
+            boolean repeated,
+            Invariants invariants) {
         this.id = id;
         this.service = service;
         this.job = job;
         this.repeated = repeated;
+        this.invariants = invariants;
         this.tasks = new ArrayList<>(needs.size());
         for (int i = 0; i < needs.size(); i++) {
-            tasks.add(new TaskRun(this, i, needs.get(i)));
+            tasks.add(new TaskRun(this, i, needs.get(i), invariants));
         }
         this.results = new TaskResult[needs.size()];
         this.open = needs.size();
@@ -75,18 +86,19 @@
 
     /** Tells whether no further task is to be started. */
     boolean stopped() {
-        return stopReason.isPresent();
+        return state != SubmissionState.RUNNING;
     }
 
     Reason stopReason() {
-        return stopReason.orElse(Reason.NONE);
+        return stopReason;
     }
 
     /** Lets no further task start; the first reason stands. */
     void stop(Reason reason) {
-        if (stopReason.isEmpty()) {
-            stopReason = Optional.of(reason);
+        if (state == SubmissionState.RUNNING) {
+            stopReason = reason;
         }
+        step(SubmissionEvent.STOPPED);
     }
 
     /** Sets the time that the caller should wait before its next try if nothing was started. */
@@ -106,10 +118,17 @@
         if (result.outcome() != Outcome.COMPLETE) {
             stop(result.reason());
         }
+        if (open == 0) {
+            step(SubmissionEvent.LAST_TASK_ENDED);
+        }
     }
 
     boolean allEnded() {
-        return open == 0;
+        return state == SubmissionState.ENDED;
+    }
+
+    private void step(SubmissionEvent event) {
+        state = EntryCharts.SUBMISSION.next(state, event, invariants);
     }
 
     /** Returns the answer after all tasks have ended. */
@@ -117,7 +136,7 @@
         if (count(Outcome.COMPLETE) == results.length) {
             return JobAnswer.complete(id, Arrays.asList(results));
         }
-        Reason reason = stopReason();
+        Reason reason = stopReason;
         if (count(Outcome.NOT_RUN) == results.length) {
             return answer(Outcome.NOT_RUN, reason, "nothing was started").retryAfter(retryAfterMillis);
         }
@@ -135,8 +154,8 @@
 
     private Reason failureReason() {
         Optional<Integer> failed = first(Outcome.FAILED);
-        if (failed.isEmpty() || stopReason() == Reason.CANCELLED) {
-            return stopReason();
+        if (failed.isEmpty() || stopReason == Reason.CANCELLED) {
+            return stopReason;
         }
         return results[failed.get()].reason();
     }
--- a/core/src/main/java/org/knapweedmount/core/entry/Submissions.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/Submissions.java
@@ -203,7 +203,8 @@
     private void accept(SubmissionId id, JobRequest request, boolean repeated, long nowNanos) {
         issuer.use(id);
         JobSpec job = request.job();
-        Submission submission = new Submission(id, request.service(), job, admission.needs(job), repeated);
+        Submission submission =
+                new Submission(id, request.service(), job, admission.needs(job), repeated, context.invariants());
         live.put(id, submission);
         context.counters().increment(EntryCounter.ACCEPTED);
         retries.accepted();
--- a/core/src/main/java/org/knapweedmount/core/entry/TaskPhase.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/TaskPhase.java
@@ -1,6 +1,6 @@
 package org.knapweedmount.core.entry;
 
-/** What the entry does with a task at present. */
+/** What the entry does with a task at present; the steps between the phases are in {@code task.json}. */
 enum TaskPhase {
     /** It waits for a lease. */
     QUEUED(false),
--- a/core/src/main/java/org/knapweedmount/core/entry/TaskRun.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/TaskRun.java
@@ -9,6 +9,7 @@
 import org.knapweedmount.api.TaskId;
 import org.knapweedmount.api.TaskResult;
 import org.knapweedmount.api.TaskSpec;
+import org.knapweedmount.core.metric.Invariants;
 
 /** One task of an accepted submission, from its first wait in a queue to its result. */
 final class TaskRun {
@@ -19,7 +20,8 @@
     private final Resources need;
     private final List<AgentState> startedAt = new ArrayList<>(1);
     private final List<AgentState> avoided = new ArrayList<>(0);
-    private TaskPhase phase = TaskPhase.QUEUED;
+    private final Invariants invariants;
+    private TaskPhase phase = EntryCharts.TASK.initial();
     private long queuedNanos;
     private long sequence;
     private Optional<TaskResult> firstResult = Optional.empty();
@@ -29,12 +31,13 @@
 
     TaskRun next;
 
-    TaskRun(Submission submission, int index, Resources need) {
+    TaskRun(Submission submission, int index, Resources need, Invariants invariants) {
         this.submission = submission;
         this.id = submission.id().task(index);
         this.spec = submission.job().tasks().get(index);
         this.flow = new Flow(spec.kind(), submission.job().team());
         this.need = need;
+        this.invariants = invariants;
     }
 
     Submission submission() {
@@ -92,24 +95,20 @@
         return startedAt.get(startedAt.size() - 1);
     }
 
+    /** Notes when the task was put into its queue; a task that was denied keeps the time of its first wait. */
     void queued(long nowNanos) {
-        phase = TaskPhase.QUEUED;
         queuedNanos = nowNanos;
     }
 
-    /** Notes that the task waits again, with the time that it has waited so far. */
-    void requeued() {
-        phase = TaskPhase.QUEUED;
-    }
-
     void sent(AgentState agent, long startSequence) {
-        phase = TaskPhase.SENT;
+        step(TaskEvent.SENT);
         sequence = startSequence;
         startedAt.add(agent);
     }
 
     /** Notes that the agent has denied the start. */
     void denied(AgentState agent) {
+        step(TaskEvent.DENIED);
         startedAt.remove(agent);
     }
 
@@ -119,19 +118,24 @@
     }
 
     void linkLost() {
-        phase = TaskPhase.AWAITING_AGENT;
+        step(TaskEvent.LINK_LOST);
     }
 
     void running() {
-        phase = TaskPhase.SENT;
+        step(TaskEvent.FOUND_RUNNING);
     }
 
     /** Notes the result of a run that is followed by another one. */
     void runAgainAfter(TaskResult result) {
+        step(TaskEvent.RETRIED);
         firstResult = Optional.of(result);
     }
 
     void ended() {
-        phase = TaskPhase.ENDED;
+        step(TaskEvent.ENDED);
+    }
+
+    private void step(TaskEvent event) {
+        phase = EntryCharts.TASK.next(phase, event, invariants);
     }
 }
--- a/core/src/main/java/org/knapweedmount/core/entry/TaskScheduler.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/TaskScheduler.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.knapweedmount.api.config.KindConfig;
 import org.knapweedmount.api.message.Capacity;
 import org.knapweedmount.api.message.Grant;
 import org.knapweedmount.api.message.Recall;
@@ -18,13 +19,15 @@
 final class TaskScheduler {
     private final EntryContext context;
     private final Services services;
+    private final RunTimes runTimes;
     private int queuedTasks;
     private long queuedBytes;
     private boolean draining;
 
-    TaskScheduler(EntryContext context, Services services) {
+    TaskScheduler(EntryContext context, Services services, RunTimes runTimes) {
         this.context = context;
         this.services = services;
+        this.runTimes = runTimes;
     }
 
     /** The number of tasks in all queues. */
@@ -132,6 +135,9 @@
     /** Puts new weights in force. */
     void configChanged() {
         services.all().forEach(service -> service.flows().configChanged());
+        runTimes.retain(context.config().all(KindConfig.class).stream()
+                .map(KindConfig::name)
+                .toList());
     }
 
     /** Forgets the leases of an agent whose link is lost. */
@@ -252,7 +258,6 @@
     }
 
     private void checkStart(TaskRun task, AgentState agent) {
-        context.invariants().check(task.phase() == TaskPhase.QUEUED, "only queued tasks are started");
         context.invariants()
                 .check(
                         !task.mayHaveStarted() || task.firstResult().isPresent(),
