Smooth the predicted wait, and move demands off agents that leave

Change: observations of a queue's rate fade over 4 s. What an agent that leaves or is drained was asked for is asked of others at once. Run times of results that come from records are not observed. The question for an id that was not submitted is documented to end it. Ruled out: a shorter interval; it was the cause.

--- a/core/src/main/java/org/knapweedmount/core/entry/AgentState.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/AgentState.java
@@ -129,7 +129,11 @@
             return false;
         }
         Long untilNanos = pausedUntilNanos.get(flow);
-        return untilNanos != null && untilNanos - nowNanos > 0;
+        if (untilNanos == null || untilNanos - nowNanos > 0) {
+            return untilNanos != null;
+        }
+        pausedUntilNanos.remove(flow);
+        return false;
     }
 
     Map<String, AgentService> services() {
--- a/core/src/main/java/org/knapweedmount/core/entry/DepartureRate.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/DepartureRate.java
@@ -7,7 +7,7 @@
  * their age, and as long as there are too few of them the rate expected from the known slots fills in.
  */
 final class DepartureRate {
-    private static final double FADING_SECONDS = 2;
+    private static final double FADING_SECONDS = 4;
     private static final double SUFFICIENT_SECONDS = 0.25;
     private static final double NANOS_PER_SECOND = 1e9;
 
--- a/core/src/main/java/org/knapweedmount/core/entry/EntryCore.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/EntryCore.java
@@ -112,6 +112,9 @@
     /**
      * Takes a caller's question for the state of a submission.
      *
+     * <p>An issued id that was not submitted yet is ended by the question as not-run and never starts, so that the answer
+     * stays true whatever is still under way.
+     *
      * @param request a number that the answer is given under
      * @param id the submission
      * @param awaitEnd true if the answer is wanted when the submission has ended
--- a/core/src/main/java/org/knapweedmount/core/entry/ServiceState.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/ServiceState.java
@@ -63,6 +63,14 @@
         refresh();
     }
 
+    /** Takes account of an agent that takes new work from now on or no longer does. */
+    void changed(AgentService part) {
+        if (!part.agent().open()) {
+            demand.left(part);
+        }
+        refresh();
+    }
+
     /** Sums up the agents after one of them has changed. */
     void refresh() {
         openSlots = 0;
--- a/core/src/main/java/org/knapweedmount/core/entry/StartedTasks.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/StartedTasks.java
@@ -50,7 +50,7 @@
     void finished(AgentState agent, Finished finished, long nowNanos) {
         Optional<TaskRun> task = agent.inFlight(finished.task());
         if (task.isPresent()) {
-            if (finished.result().outcome() == Outcome.COMPLETE) {
+            if (finished.result().outcome() == Outcome.COMPLETE && finished.runMicros() > 0) {
                 runTimes.observed(task.get().flow().kind(), finished.runMicros());
             }
             ended(agent, task.get(), finished.result(), nowNanos);
--- a/core/src/main/java/org/knapweedmount/core/entry/TaskScheduler.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/TaskScheduler.java
@@ -147,7 +147,7 @@
 
     /** Takes account of an agent that takes new work from now on or no longer does. */
     void agentChanged(AgentState agent) {
-        agent.services().keySet().forEach(name -> services.obtain(name).refresh());
+        agent.services().forEach((name, part) -> services.obtain(name).changed(part));
     }
 
     /** Gives all idle leases back and keeps none from now on. */
--- a/core/src/test/java/org/knapweedmount/core/entry/DemandTest.java
+++ b/core/src/test/java/org/knapweedmount/core/entry/DemandTest.java
@@ -9,6 +9,7 @@
 import org.knapweedmount.api.message.Demand;
 import org.knapweedmount.api.message.FlowDemand;
 import org.knapweedmount.api.message.LeaseScope;
+import org.knapweedmount.api.message.Leaving;
 import org.knapweedmount.api.message.Start;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -168,6 +169,17 @@
         assertThat(demands(agents.get(0)), contains(demand(1, 0), new Demand(SERVICE, both)));
     }
 
+    @Test
+    void whatAnAgentThatLeavesWasAskedForIsAskedOfOthers() {
+        agents(4);
+        entry.submit(job(LOOKUP, "1"));
+
+        asked().forEach(agent -> entry.receive(agent, new Leaving("replaced")));
+        entry.after(1);
+
+        assertThat(asked(), hasSize(4));
+    }
+
     @Test
     void agentThatIsLinkedAgainIsAskedAndOneThatMayNotBeSentTheTaskIsNot() {
         agents(1);
