Let waits in tests end at the time limit

Cause: a wait that spins did not end when its test's time limit was reached, so that a fault would have hung the build instead of failing it.

Change: Polling.until ends when the thread is interrupted.

Ruled out: nothing.

--- a/daemon/src/test/java/org/knapweedmount/daemon/link/LinkTableTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/link/LinkTableTest.java
@@ -20,6 +20,7 @@
 import org.knapweedmount.api.message.Hello;
 import org.knapweedmount.api.message.Leaving;
 import org.knapweedmount.api.message.Message;
+import org.knapweedmount.daemon.runtime.Polling;
 import org.knapweedmount.daemon.settings.HostPort;
 import org.knapweedmount.wire.FrameException;
 
@@ -258,9 +259,10 @@
             peer.send(RawPeer.agentHello("agent-1"));
             entry.awaitEvent("linked " + deaf.incarnation());
 
-            while (entry.links.counters().value(LinkCounter.CLOSED_OVERFLOW) == 0) {
+            Polling.until(() -> {
                 entry.send(deaf, large);
-            }
+                return entry.links.counters().value(LinkCounter.CLOSED_OVERFLOW) > 0;
+            });
         }
         entry.awaitEvent("unlinked " + deaf.incarnation());
     }
@@ -347,9 +349,7 @@
         entry.awaitCounter(LinkCounter.UNLINKED);
         try (RawPeer second = new RawPeer(entry)) {
             second.send(RawPeer.agentHello("agent-1"));
-            while (entry.links.counters().value(LinkCounter.LINKED) < 2) {
-                Thread.onSpinWait();
-            }
+            Polling.until(() -> entry.links.counters().value(LinkCounter.LINKED) >= 2);
             long sent = entry.links.counters().value(LinkCounter.SENT_MESSAGES);
             release.countDown();
 
--- a/daemon/src/test/java/org/knapweedmount/daemon/link/TestProcess.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/link/TestProcess.java
@@ -13,6 +13,7 @@
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.daemon.runtime.DecisionLoop;
 import org.knapweedmount.daemon.runtime.NanoClock;
+import org.knapweedmount.daemon.runtime.Polling;
 import org.knapweedmount.daemon.settings.HostPort;
 
 /** A process with links that notes what its decision thread is told. */
@@ -66,9 +67,7 @@
 
     /** Waits until a counter is not 0. */
     void awaitCounter(LinkCounter counter) {
-        while (links.counters().value(counter) == 0) {
-            Thread.onSpinWait();
-        }
+        Polling.until(() -> links.counters().value(counter) > 0);
     }
 
     /** Keeps the decision thread busy until the latch is open, and then lets it do something. */
--- a/daemon/src/test/java/org/knapweedmount/daemon/runtime/DecisionLoopTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/runtime/DecisionLoopTest.java
@@ -55,9 +55,7 @@
 
         loop.start(seen);
         emptied.await();
-        while (!loop.offer((core, nowNanos) -> core.add(2L))) {
-            Thread.onSpinWait();
-        }
+        Polling.until(() -> loop.offer((core, nowNanos) -> core.add(2L)));
         loop.close();
         assertThat(seen, contains(2L));
         assertThat(loop.depth(), is(0L));
@@ -99,9 +97,7 @@
 
     private void offerAll(int count) {
         for (int i = 0; i < count; i++) {
-            while (!loop.offer((core, nowNanos) -> core.add(nowNanos))) {
-                Thread.onSpinWait();
-            }
+            Polling.until(() -> loop.offer((core, nowNanos) -> core.add(nowNanos)));
         }
     }
 
--- a/daemon/src/test/java/org/knapweedmount/daemon/runtime/TickerTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/runtime/TickerTest.java
@@ -60,9 +60,7 @@
         };
         Ticker<String> ticker = Ticker.start(vertx, 10, fullAtFirst, (core, nowNanos) -> ticks.add(core));
 
-        while (offered.size() < 2) {
-            Thread.onSpinWait();
-        }
+        Polling.until(() -> offered.size() >= 2);
         ticker.close();
     }
 }
