--- a/core/src/test/java/org/knapweedmount/core/agent/AgentLeaseTest.java
+++ b/core/src/test/java/org/knapweedmount/core/agent/AgentLeaseTest.java
@@ -1,15 +1,19 @@
 package org.knapweedmount.core.agent;
 
 import java.util.List;
+import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
+import org.knapweedmount.api.Outcome;
 import org.knapweedmount.api.Reason;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.TaskId;
+import org.knapweedmount.api.TaskResult;
 import org.knapweedmount.api.config.DrainConfig;
 import org.knapweedmount.api.config.RemovedConfig;
 import org.knapweedmount.api.message.Capacity;
 import org.knapweedmount.api.message.Finished;
+import org.knapweedmount.api.message.Grant;
 import org.knapweedmount.api.message.Heartbeat;
 import org.knapweedmount.api.message.Leaving;
 import org.knapweedmount.api.message.Message;
@@ -31,6 +35,7 @@
 import static org.knapweedmount.core.agent.AgentFixture.E2;
 import static org.knapweedmount.core.agent.AgentFixture.SERVICE;
 import static org.knapweedmount.core.agent.AgentFixture.SETTLEMENT;
+import static org.knapweedmount.core.agent.AgentFixture.UNREACHED;
 
 class AgentLeaseTest {
     private static final int TIMEOUT_MILLIS = AgentLimits.DEFAULT.linkTimeoutMillis();
@@ -104,6 +109,48 @@
         assertThat(fixture.output.take(E2), contains(new Recall(SERVICE, 1)));
     }
 
+    @Test
+    void releaseOfALeaseShowsThatTheQueueIsEmpty() {
+        fixture.announce("a", 1);
+        fixture.link(E1);
+        List<Long> leases = fixture.leases(E1);
+        fixture.demand(E1, SETTLEMENT, 1);
+        fixture.release(E1, leases);
+        Grant bound = fixture.grants(E1).get(0);
+        assertThat(bound.flow(), is(Optional.of(SETTLEMENT)));
+
+        fixture.release(E1, AgentFixture.numbers(bound));
+
+        assertThat(fixture.grants(E1).get(0).flow(), is(Optional.empty()));
+    }
+
+    @Test
+    void demandOutlivesTheEndpointsOfItsService() {
+        fixture.announce("a", 1);
+        fixture.link(E1);
+        fixture.demand(E1, SETTLEMENT, 1);
+        fixture.agent.endpointLeft("a", fixture.now);
+        fixture.output.take(E1);
+
+        fixture.announce("a", 1);
+
+        assertThat(fixture.grants(E1).get(0).flow(), is(Optional.of(SETTLEMENT)));
+    }
+
+    @Test
+    void demandEndsWithTheLink() {
+        fixture.announce("a", 1);
+        fixture.link(E1, E2);
+        TaskId task = fixture.send(E1, fixture.leases(E1).get(0), BALANCE, 0);
+        fixture.demand(E2, SETTLEMENT, 1);
+        fixture.agent.unlinked(E2, fixture.now);
+        fixture.link(E2);
+
+        fixture.end(task, DONE);
+
+        assertThat(fixture.leases(E1), hasSize(1));
+    }
+
     @Test
     void entryThatKeepsWhatItWasAskedForIsLeftAloneForAWhile() {
         fixture.link(E1, E2);
@@ -177,15 +224,19 @@
 
     @Test
     void endpointThatFailsEverythingIsSetAsideAndTriedWithOneTask() {
+        TaskResult lost = TaskResult.of(Outcome.UNKNOWN, Reason.CONNECTION_LOST);
+        List<TaskResult> failures = List.of(BROKEN, UNREACHED, lost);
         fixture.announce("a", 8);
         fixture.link(E1);
         List<Long> leases = fixture.leases(E1);
         for (int i = 0; i < AgentLimits.DEFAULT.setAsideFailures(); i++) {
-            fixture.end(fixture.send(E1, leases.get(i), BALANCE, 0), BROKEN);
+            fixture.end(fixture.send(E1, leases.get(i), BALANCE, 0), failures.get(i % failures.size()));
         }
         assertThat(fixture.counters.value(AgentCounter.ENDPOINTS_SET_ASIDE), is(1L));
-        fixture.send(E1, leases.get(7), BALANCE, 0);
-        assertThat(fixture.output.take(E1, NotStarted.class), hasSize(1));
+        fixture.output.take(E1);
+        TaskId refused = fixture.send(E1, leases.get(7), BALANCE, 0);
+        assertThat(
+                fixture.output.take(E1), contains(new NotStarted(refused, fixture.sequence(E1), Reason.LEASE_LAPSED)));
         fixture.output.takeStarted();
 
         fixture.receive(E1, new Heartbeat(0));
