--- a/core/src/main/java/org/knapweedmount/core/entry/ServiceState.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/ServiceState.java
@@ -63,6 +63,14 @@
         refresh();
     }
 
+    /** Takes account of an agent that takes new work from now on or no longer does. */
+    void changed(AgentService part) {
+        if (!part.agent().open()) {
+            demand.left(part);
+        }
+        refresh();
+    }
+
     /** Sums up the agents after one of them has changed. */
     void refresh() {
         openSlots = 0;
@@ -80,11 +88,6 @@
         }
     }
 
-    /** The slots of all agents that take new work. */
-    int openSlots() {
-        return openSlots;
-    }
-
     /** Tells whether some agent that takes new work may be sent tasks of a roster version. */
     boolean serves(int rosterVersion) {
         return openSlots > 0 && earliestVersion <= rosterVersion;
