Test leases for short kinds and late reports more strictly

Cause: of the entry's rules broken on purpose in a scratch copy, one was not noticed: a long task under an idle lease for short kinds. Change: the test submits a long task both before and after such a lease; a report about an earlier start does not queue the task again. Ruled out: none.

--- a/core/src/test/java/org/knapweedmount/core/entry/SchedulingTest.java
+++ b/core/src/test/java/org/knapweedmount/core/entry/SchedulingTest.java
@@ -70,6 +70,8 @@
         entry.submit(job(RESERVE, "1"));
 
         entry.grant(agent, 1, LeaseScope.SHORT_ONLY, Optional.empty(), 0);
+        entry.after(1);
+        entry.submit(job(RESERVE, "2"));
 
         assertThat(entry.starts(), is(empty()));
     }
--- a/core/src/test/java/org/knapweedmount/core/entry/StartedTasksTest.java
+++ b/core/src/test/java/org/knapweedmount/core/entry/StartedTasksTest.java
@@ -99,6 +99,18 @@
         assertThat(entry.ending(request), is("COMPLETE/NONE"));
     }
 
+    @Test
+    void reportOfATaskThatWasSentAgainSinceIsIgnored() {
+        submitAndRelink(RESERVE);
+        resumed(TaskState.NOT_STARTED, Optional.empty());
+        entry.grant(agent, 2);
+        assertThat(entry.starts(), hasSize(2));
+
+        resumed(TaskState.NOT_STARTED, Optional.empty());
+
+        assertThat(entry.starts(), hasSize(2));
+    }
+
     @Test
     void forgottenTaskIsUnknown() {
         long request = submitAndRelink(RESERVE);
