Refuse connections by a bound port in the test of a service that is down

The test closed its HTTP server first. Netty reports the close before its selector has let go of the socket, so a connection may still be accepted from the backlog and reset afterwards: the request was sent and its end is unknown.

Change: the client is pointed at a port that is bound and not listened on, which refuses every connection.

Ruled out: a fault of the client, whose answer was the truthful one.

Conclusion: the expectation is the same, and no race is left in how the refusal comes about.

--- a/daemon/src/test/java/org/knapweedmount/daemon/store/TableClientTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/store/TableClientTest.java
@@ -1,5 +1,8 @@
 package org.knapweedmount.daemon.store;
 
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.Collections;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -115,10 +118,15 @@
 
     @Test
     void transactionToAServerThatIsDownWasNotCarriedOut() throws Exception {
-        await(server.close());
+        // A port that is bound without being listened on refuses connections. Closing the server would not do: its
+        // selector may still accept a connection after the close has been reported.
+        try (Socket port = new Socket()) {
+            port.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            client = client(LIMITS, port.getLocalPort());
 
-        assertThat(await(client.transact(TRANSACTION)), is(new TransactResult.Unavailable()));
-        assertThat(await(client.read(ROW)), is(ReadResult.UNAVAILABLE));
+            assertThat(await(client.transact(TRANSACTION)), is(new TransactResult.Unavailable()));
+            assertThat(await(client.read(ROW)), is(ReadResult.UNAVAILABLE));
+        }
     }
 
     @Test
@@ -190,7 +198,10 @@
     }
 
     private TableClient client(TableLimits limits) {
-        int port = server.actualPort();
+        return client(limits, server.actualPort());
+    }
+
+    private TableClient client(TableLimits limits, int port) {
         return new TableClient(vertx.getOrCreateContext(), "127.0.0.1", port, limits, () -> nowNanos, counters);
     }
 
