Keep headroom for the likely need of other kinds instead of their peak

Cause: in a flood of settlements a third of the slots stayed idle. Each agent left every other active kind its recent peak plus one, although a task that finds no slot at one agent is sent to another, so no agent has to be ready for its own peak.

The fake fleet takes its size and configuration from a record, and FleetLoad measures loads on it in virtual time.

--- a/core/src/main/java/org/knapweedmount/core/agent/FlowTable.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/FlowTable.java
@@ -110,8 +110,8 @@
     }
 
     void started(FlowState flow, boolean longTask, long nowNanos) {
-        flow.addRunning(1);
         flow.kind().seen(nowNanos);
+        flow.addRunning(1);
         addToTeam(flow, 1);
         runningLong += longTask ? 1 : 0;
     }
--- a/core/src/main/java/org/knapweedmount/core/agent/SlotLimits.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/SlotLimits.java
@@ -6,8 +6,8 @@
 /**
  * How many of a service's slots each kind and team may hold at one moment.
  *
- * <p>While other kinds are active, a kind leaves each of them the lesser of its guaranteed share and its recent peak
- * plus one, so that a flood of one kind does not take the slots that the others are about to need.
+ * <p>While other kinds are active, a kind leaves each of them the lesser of its guaranteed share and its likely need,
+ * so that a flood of one kind does not take the slots that the others are about to need.
  */
 final class SlotLimits {
     private final SlotPolicy policy;
@@ -38,7 +38,7 @@
 
     private void reserve(KindState kind, double weights, long nowNanos) {
         int guaranteed = (int) (slots * policy.kindWeight(kind.name()) / weights);
-        int reserve = Math.min(guaranteed, kind.recentPeak(nowNanos) + 1);
+        int reserve = Math.min(guaranteed, kind.recentNeed(nowNanos));
         reserves.put(kind.name(), reserve);
         totalReserve += reserve;
     }
--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FleetSite.java
@@ -0,0 +1,62 @@
+package org.knapweedmount.core.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.config.ConfigObject;
+import org.knapweedmount.api.config.KindConfig;
+import org.knapweedmount.api.config.ServiceConfig;
+import org.knapweedmount.api.config.TeamConfig;
+import org.knapweedmount.api.config.Ticket;
+
+/**
+ * The size and the configuration of a fake fleet.
+ *
+ * @param entries the number of entries
+ * @param agents the number of agents, each with one executor
+ * @param slots the slots of each executor
+ * @param repeatedMessages the share of messages that arrive twice
+ * @param ticket the configuration in force
+ */
+record FleetSite(int entries, int agents, int slots, double repeatedMessages, Ticket ticket) {
+    /** A small site whose messages are now and then repeated. */
+    static final FleetSite SMALL = new FleetSite(
+            3,
+            5,
+            4,
+            0.02,
+            ticket(
+                    kind(FakeFleet.REPEATABLE, true, 1, 80, 3_000),
+                    kind(FakeFleet.ONCE, false, 1, 80, 3_000),
+                    new TeamConfig(FakeFleet.TEAM, 1, 1)));
+
+    /** A site of 88 slots, with short urgent balance checks and long settlements as its kinds. */
+    static final FleetSite DUES = new FleetSite(
+            3,
+            11,
+            8,
+            0,
+            ticket(
+                    kind(FakeFleet.REPEATABLE, true, 4, 80, 2_000),
+                    kind(FakeFleet.ONCE, false, 1, 900, 60_000),
+                    new TeamConfig("kiosks", 4, 1),
+                    new TeamConfig("settlements", 1, 0.75)));
+
+    private static final double SHORT_ONLY_SHARE = 0.25;
+
+    private static Ticket ticket(KindConfig shortKind, KindConfig longKind, TeamConfig... teams) {
+        ServiceConfig service = new ServiceConfig(FakeFleet.SERVICE, FakeFleet.REPEATABLE, 100_000, SHORT_ONLY_SHARE);
+        List<ConfigObject> objects = new ArrayList<>();
+        objects.add(service);
+        objects.add(shortKind);
+        objects.add(longKind);
+        objects.addAll(List.of(teams));
+        return new Ticket(1, "test", objects);
+    }
+
+    private static KindConfig kind(String name, boolean shortTask, double weight, int expectedMillis, int waitMillis) {
+        return new KindConfig(
+                name, FakeFleet.SERVICE, shortTask, shortTask, weight, expectedMillis, waitMillis, Resources.NONE);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FloodTest.java
@@ -0,0 +1,56 @@
+package org.knapweedmount.core.fleet;
+
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+/** What other work keeps while one kind arrives at many times what the fleet can take, in virtual time. */
+class FloodTest {
+    private static final long SEED = 1;
+    private static final int SECONDS = 20;
+    private static final double CHECKS_PER_SECOND = 190;
+    private static final double CHECK_MILLIS = 80;
+    private static final double SETTLEMENTS_PER_SECOND = 10;
+    private static final double SETTLEMENT_MILLIS = 900;
+    private static final double SLOTS = 88;
+
+    private static final FleetLoad ORDINARY = load(CHECKS_PER_SECOND, SETTLEMENTS_PER_SECOND);
+
+    private static FleetLoad load(double checksPerSecond, double settlementsPerSecond) {
+        return FleetLoad.of(SEED, FleetSite.DUES, SECONDS)
+                .flow(FakeFleet.REPEATABLE, "kiosks", checksPerSecond, CHECK_MILLIS)
+                .flow(FakeFleet.ONCE, "settlements", settlementsPerSecond, SETTLEMENT_MILLIS)
+                .run();
+    }
+
+    @Test
+    void checksKeepThroughputAndResponseTimeInAFloodOfSettlements() {
+        FleetLoad flood = load(CHECKS_PER_SECOND, 980);
+
+        MeasuredFlow checks = flood.flows().get(0);
+        assertThat(checks.completeCount(), is(checks.sentCount()));
+        double ordinaryMillis = ORDINARY.flows().get(0).responseMillis(0.99);
+        assertThat(checks.responseMillis(0.99), is(lessThan(1.2 * ordinaryMillis)));
+    }
+
+    @Test
+    void aFloodUsesTheSlotsThatTheOtherKindsDoNotNeed() {
+        FleetLoad flood = load(CHECKS_PER_SECOND, 980);
+
+        double held = flood.flows().stream().mapToDouble(flood::slotsHeld).sum();
+        assertThat(held, is(greaterThan(0.8 * SLOTS)));
+    }
+
+    @Test
+    void settlementsKeepThroughputAndResponseTimeInAFloodOfChecks() {
+        FleetLoad flood = load(11_000, SETTLEMENTS_PER_SECOND);
+
+        MeasuredFlow settlements = flood.flows().get(1);
+        assertThat(settlements.completeCount(), is(settlements.sentCount()));
+        double ordinaryMillis = ORDINARY.flows().get(1).responseMillis(0.99);
+        assertThat(settlements.responseMillis(0.99), is(lessThan(1.2 * ordinaryMillis)));
+    }
+}
