Measure placement in virtual time and count where time goes

Entries count the time that tasks waited in their queue, the time away from the entry and the part of it in which they held a slot, so that the rest, which is links and processing, can be read off in a running site.

Ruled out: placement as the cause.

--- a/core/src/main/java/org/knapweedmount/core/entry/EntryCounter.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/EntryCounter.java
@@ -18,6 +18,12 @@
     UNKNOWN,
     /** Start messages sent. */
     STARTS,
+    /** Time that started tasks had waited in their queue, in µs. */
+    QUEUED_MICROS,
+    /** Time between the start message and the result of tasks that ended, in µs. */
+    AWAY_MICROS,
+    /** The part of the time away in which the tasks held a slot, as their agents tell, in µs. */
+    HELD_MICROS,
     /** Starts that the agent did not carry out. */
     STARTS_REFUSED,
     /** Repeated runs of repeatable requests. */
--- a/core/src/main/java/org/knapweedmount/core/entry/StartedTasks.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/StartedTasks.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import org.knapweedmount.api.Outcome;
 import org.knapweedmount.api.Reason;
@@ -53,11 +54,18 @@
             if (finished.result().outcome() == Outcome.COMPLETE && finished.runMicros() > 0) {
                 runTimes.observed(task.get().flow().kind(), finished.runMicros());
             }
+            count(task.get(), finished, nowNanos);
             ended(agent, task.get(), finished.result(), nowNanos);
         }
         finished.next().ifPresent(grant -> scheduler.granted(agent, grant, nowNanos));
     }
 
+    private void count(TaskRun task, Finished finished, long nowNanos) {
+        long awayMicros = TimeUnit.NANOSECONDS.toMicros(nowNanos - task.sentNanos());
+        context.counters().add(EntryCounter.AWAY_MICROS, awayMicros);
+        context.counters().add(EntryCounter.HELD_MICROS, finished.runMicros());
+    }
+
     void notStarted(AgentState agent, NotStarted notStarted, long nowNanos) {
         agent.inFlight(notStarted.task())
                 .filter(task -> task.sequence() == notStarted.sequence())
--- a/core/src/main/java/org/knapweedmount/core/entry/TaskRun.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/TaskRun.java
@@ -23,6 +23,7 @@
     private final Invariants invariants;
     private TaskPhase phase = EntryCharts.TASK.initial();
     private long queuedNanos;
+    private long sentNanos;
     private long sequence;
     private Optional<TaskResult> firstResult = Optional.empty();
 
@@ -70,6 +71,11 @@
         return queuedNanos;
     }
 
+    /** When it was sent to an agent, most recently. */
+    long sentNanos() {
+        return sentNanos;
+    }
+
     /** The sequence number of the start that was sent last. */
     long sequence() {
         return sequence;
@@ -100,9 +106,11 @@
         queuedNanos = nowNanos;
     }
 
-    void sent(AgentState agent, long startSequence) {
+    /** Notes that it was sent to an agent. */
+    void sent(AgentState agent, long startSequence, long nowNanos) {
         step(TaskEvent.SENT);
         sequence = startSequence;
+        sentNanos = nowNanos;
         startedAt.add(agent);
     }
 
--- a/core/src/main/java/org/knapweedmount/core/entry/TaskScheduler.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/TaskScheduler.java
@@ -17,6 +17,8 @@
 
 /** Brings queued tasks and leases together. */
 final class TaskScheduler {
+    private static final long NANOS_PER_MICRO = 1_000;
+
     private final EntryContext context;
     private final Services services;
     private final RunTimes runTimes;
@@ -237,13 +239,14 @@
         checkStart(task, agent);
         service.flows().start(queue, task, nowNanos);
         left(task);
-        task.sent(agent, agent.nextSequence());
+        task.sent(agent, agent.nextSequence(), nowNanos);
         agent.sent(task);
         int asked = service.demand().started(part, queue, nowNanos);
         if (queue.isEmpty()) {
             service.demand().emptied(queue, nowNanos);
         }
         context.counters().increment(EntryCounter.STARTS);
+        context.counters().add(EntryCounter.QUEUED_MICROS, (nowNanos - task.queuedNanos()) / NANOS_PER_MICRO);
         context.output()
                 .send(
                         agent.incarnation(),
--- a/core/src/test/java/org/knapweedmount/core/fleet/FakeNetwork.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FakeNetwork.java
@@ -22,7 +22,7 @@
     private final Map<Incarnation, FakeProcess> processes = new TreeMap<>();
     private final Map<Set<Incarnation>, Link> links = new HashMap<>();
     private UnaryOperator<Message> tamper = UnaryOperator.identity();
-    private long messages;
+    private final Map<Class<?>, Integer> messages = new HashMap<>();
 
     private static final class Link {
         private final Map<Incarnation, Long> lastArrival = new HashMap<>();
@@ -45,8 +45,9 @@
         processes.put(process.address().incarnation(), process);
     }
 
-    long messages() {
-        return messages;
+    /** Counts the messages sent so far of a type. */
+    int messages(Class<? extends Message> type) {
+        return messages.getOrDefault(type, 0);
     }
 
     void connect(FakeProcess one, FakeProcess other) {
@@ -89,7 +90,7 @@
         if (link == null || !link.open) {
             return;
         }
-        messages++;
+        messages.merge(message.getClass(), 1, Integer::sum);
         Message sent = tamper.apply(message);
         long earliest = link.lastArrival.getOrDefault(to, 0L) + 1;
         long arrival = Math.max(earliest, scheduler.nowNanos() + delay());
--- a/core/src/test/java/org/knapweedmount/core/fleet/FleetLoad.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FleetLoad.java
@@ -11,6 +11,7 @@
 import org.knapweedmount.api.Payload;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.TaskSpec;
+import org.knapweedmount.api.message.Message;
 
 /** Sends single requests at random times to a fleet without faults, and measures the answers in virtual time. */
 final class FleetLoad {
@@ -39,15 +40,15 @@
     }
 
     /**
-     * Adds requests of one flow, which arrive independently of each other and run for exponential times; the same ones in
+     * Adds requests of one flow, which arrive independently of each other; the same ones in
      * each load with the same seed, whatever the other flows are.
      *
      * @param perSecond how many arrive in a second
-     * @param meanMillis the mean of their run times
+     * @param runTime for how long they run
      */
-    FleetLoad flow(String kind, String team, double perSecond, double meanMillis) {
+    FleetLoad flow(String kind, String team, double perSecond, RunTime runTime) {
         Random arrivals = new Random(seed + flows.size());
-        flows.add(new MeasuredFlow(kind, team, perSecond, meanMillis, arrivals));
+        flows.add(new MeasuredFlow(kind, team, perSecond, runTime, arrivals));
         return this;
     }
 
@@ -64,9 +65,9 @@
         return flows;
     }
 
-    /** The number of messages that were sent between processes. */
-    long messages() {
-        return fleet.network().messages();
+    /** Counts the messages of a type that were sent between processes. */
+    int messages(Class<? extends Message> type) {
+        return fleet.network().messages(type);
     }
 
     private void scheduleNext(MeasuredFlow flow) {
--- a/core/src/test/java/org/knapweedmount/core/fleet/FleetSite.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FleetSite.java
@@ -43,6 +43,17 @@
                     new TeamConfig("kiosks", 4, 1),
                     new TeamConfig("settlements", 1, 0.75)));
 
+    /** A site of 88 slots for one kind of lookups. */
+    static final FleetSite LOOKUPS = new FleetSite(
+            3,
+            11,
+            8,
+            0,
+            ticket(
+                    kind(FakeFleet.REPEATABLE, true, 1, 330, 60_000),
+                    kind(FakeFleet.ONCE, false, 1, 330, 60_000),
+                    new TeamConfig(FakeFleet.TEAM, 1, 1)));
+
     private static final double SHORT_ONLY_SHARE = 0.25;
 
     private static Ticket ticket(KindConfig shortKind, KindConfig longKind, TeamConfig... teams) {
--- a/core/src/test/java/org/knapweedmount/core/fleet/FloodTest.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FloodTest.java
@@ -21,8 +21,8 @@
 
     private static FleetLoad load(double checksPerSecond, double settlementsPerSecond) {
         return FleetLoad.of(SEED, FleetSite.DUES, SECONDS)
-                .flow(FakeFleet.REPEATABLE, "kiosks", checksPerSecond, CHECK_MILLIS)
-                .flow(FakeFleet.ONCE, "settlements", settlementsPerSecond, SETTLEMENT_MILLIS)
+                .flow(FakeFleet.REPEATABLE, "kiosks", checksPerSecond, RunTime.exponential(CHECK_MILLIS))
+                .flow(FakeFleet.ONCE, "settlements", settlementsPerSecond, RunTime.exponential(SETTLEMENT_MILLIS))
                 .run();
     }
 
@@ -32,8 +32,8 @@
 
         MeasuredFlow checks = flood.flows().get(0);
         assertThat(checks.completeCount(), is(checks.sentCount()));
-        double ordinaryMillis = ORDINARY.flows().get(0).responseMillis(0.99);
-        assertThat(checks.responseMillis(0.99), is(lessThan(1.2 * ordinaryMillis)));
+        double ordinaryMillis = ORDINARY.flows().get(0).responseMillis().at(0.99);
+        assertThat(checks.responseMillis().at(0.99), is(lessThan(1.2 * ordinaryMillis)));
     }
 
     @Test
@@ -50,7 +50,7 @@
 
         MeasuredFlow settlements = flood.flows().get(1);
         assertThat(settlements.completeCount(), is(settlements.sentCount()));
-        double ordinaryMillis = ORDINARY.flows().get(1).responseMillis(0.99);
-        assertThat(settlements.responseMillis(0.99), is(lessThan(1.2 * ordinaryMillis)));
+        double ordinaryMillis = ORDINARY.flows().get(1).responseMillis().at(0.99);
+        assertThat(settlements.responseMillis().at(0.99), is(lessThan(1.2 * ordinaryMillis)));
     }
 }
--- a/core/src/test/java/org/knapweedmount/core/fleet/MeasuredFlow.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/MeasuredFlow.java
@@ -1,7 +1,6 @@
 package org.knapweedmount.core.fleet;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 
@@ -13,7 +12,7 @@
     private final String kind;
     private final String team;
     private final double perSecond;
-    private final double meanMillis;
+    private final RunTime runTime;
     private final Random random;
     private final List<Long> responseNanos = new ArrayList<>();
     private final List<Long> waitNanos = new ArrayList<>();
@@ -28,11 +27,11 @@
      */
     record Arrival(long atNanos, long runNanos) {}
 
-    MeasuredFlow(String kind, String team, double perSecond, double meanMillis, Random random) {
+    MeasuredFlow(String kind, String team, double perSecond, RunTime runTime, Random random) {
         this.kind = kind;
         this.team = team;
         this.perSecond = perSecond;
-        this.meanMillis = meanMillis;
+        this.runTime = runTime;
         this.random = random;
     }
 
@@ -46,16 +45,12 @@
 
     /** Draws the time until the next request. */
     long nextGapNanos() {
-        return (long) (exponential() / perSecond * NANOS_PER_SECOND);
+        return (long) (-Math.log(1 - random.nextDouble()) / perSecond * NANOS_PER_SECOND);
     }
 
     /** Draws the run time of the next request, in ms. */
     int nextRunMillis() {
-        return (int) Math.ceil(exponential() * meanMillis);
-    }
-
-    private double exponential() {
-        return -Math.log(1 - random.nextDouble());
+        return (int) Math.ceil(runTime.nextMillis(random));
     }
 
     void sent(long atNanos, long runNanos) {
@@ -89,20 +84,19 @@
         return ranNanos;
     }
 
-    /** Returns a quantile of the response times of complete requests, in ms. */
-    double responseMillis(double quantile) {
-        return quantileMillis(responseNanos, quantile);
-    }
-
-    /** Returns a quantile of the response times less the run times, in ms. */
-    double waitMillis(double quantile) {
-        return quantileMillis(waitNanos, quantile);
+    /** Returns the quantiles of the response times of complete requests, in ms. */
+    Quantiles responseMillis() {
+        return Quantiles.of(
+                responseNanos.stream().map(nanos -> nanos / NANOS_PER_MILLI).toList());
     }
 
-    private static double quantileMillis(List<Long> nanos, double quantile) {
-        List<Long> sorted = new ArrayList<>(nanos);
-        Collections.sort(sorted);
-        int index = (int) Math.ceil(quantile * sorted.size()) - 1;
-        return sorted.get(Math.max(0, index)) / NANOS_PER_MILLI;
+    /** Returns the ratios of response time to ideal, which is the run time and two delays. */
+    Quantiles ratios(long delaysNanos) {
+        List<Double> ratios = new ArrayList<>();
+        for (int index = 0; index < responseNanos.size(); index++) {
+            double idealNanos = responseNanos.get(index) - waitNanos.get(index) + delaysNanos;
+            ratios.add(responseNanos.get(index) / idealNanos);
+        }
+        return Quantiles.of(ratios);
     }
 }
