--- a/core/src/main/java/org/knapweedmount/core/agent/StartRecords.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/StartRecords.java
@@ -30,7 +30,7 @@
     private final Invariants invariants;
     private final Map<SubmissionId, SubmissionRecord> running = new HashMap<>();
     private final Map<SubmissionId, SubmissionRecord> ended = new LinkedHashMap<>();
-    private final IssuerHorizons horizons = new IssuerHorizons();
+    private final IssuerHorizons horizons = new IssuerHorizons(IssuerHorizons.MAX_ISSUERS);
     private long resultBytes;
 
     StartRecords(AgentLimits limits, Counters<AgentCounter> counters, Invariants invariants) {
