Replace an issuer's older seals by a bound when there is no room

Cause: an agent never discarded a seal, and after maxSeals (5,000) of them it answered every further one without certainty until its restart, so settlements ended as unknown. Change: when there is no room, the older half of the seals of the issuer with the most is replaced by a bound on its sequence numbers, up to which nothing of it is started any more. Issuers without a link come first; those with a link only up to the highest id that was seen from them. 4,096 issuers can have a bound. Ruled out: discarding seals by age or time, or those of an issuer whose process came back with a new nonce: an issuer that is frozen or cut off may still send the start.

--- a/core/src/main/java/org/knapweedmount/core/agent/AgentCore.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/AgentCore.java
@@ -74,7 +74,7 @@
         this.endpoints = new EndpointTable(invariants);
         this.pools = new ServicePools(ports, endpoints, entries, config);
         this.gate = new StartGate(entries::linked);
-        this.seals = new Seals(limits.maxSeals());
+        this.seals = new Seals(limits.maxSeals(), entries::linked, counters);
         this.records = new StartRecords(limits, counters, invariants);
         this.starter = new TaskStarter(ports, gate, seals, records);
         this.draining = drainedByConfig();
--- a/core/src/main/java/org/knapweedmount/core/agent/AgentCounter.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/AgentCounter.java
@@ -24,6 +24,8 @@
     SEALS,
     /** Seals that had to be answered without certainty. */
     UNCERTAIN_SEALS,
+    /** Seals replaced by a bound on their issuer's sequence numbers to bound memory. */
+    FOLDED_SEALS,
     /** Records of submissions discarded to bound memory. */
     EVICTED_RECORDS,
     /** Endpoints set aside because they failed everything. */
--- a/core/src/main/java/org/knapweedmount/core/agent/TaskStarter.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/TaskStarter.java
@@ -42,6 +42,9 @@
             ports.counters().increment(AgentCounter.DUPLICATE_STARTS);
             return;
         }
+        if (start.task().submission().issuer().equals(entry)) {
+            seals.issued(start.task().submission());
+        }
         Optional<Lease> lease = pool.flatMap(slots -> slots.take(entry, start));
         pool.ifPresent(slots -> slots.queued(entry, start, nowNanos));
         boolean repeatable = pool.map(slots -> slots.repeatable(start)).orElse(false);
--- a/core/src/test/java/org/knapweedmount/core/agent/AgentModel.java
+++ b/core/src/test/java/org/knapweedmount/core/agent/AgentModel.java
@@ -50,7 +50,7 @@
     private static final String[] ENDPOINTS = {"a", "b"};
     private static final int SLOTS = 3;
     private static final DrainConfig DRAIN = new DrainConfig("agent-1");
-    private static final AgentLimits LIMITS = new AgentLimits(4, 600, 40, 1_500, 3, 500);
+    private static final AgentLimits LIMITS = new AgentLimits(4, 600, 6, 1_500, 3, 500);
     private static final TaskResult[] RESULTS = {
         AgentFixture.DONE,
         AgentFixture.BROKEN,
--- a/core/src/test/java/org/knapweedmount/core/agent/AgentRecordTest.java
+++ b/core/src/test/java/org/knapweedmount/core/agent/AgentRecordTest.java
@@ -155,6 +155,18 @@
         assertThat(fixture.output.takeStarted(), hasKey(task));
     }
 
+    @Test
+    void sealsOfAnIssuerThatIsGoneStayCertainHoweverManyThereAre() {
+        Incarnation gone = new Incarnation("entry-3", 3);
+
+        for (int i = 0; i < 100 * MAX_SEALS; i++) {
+            SubmissionId submission = fixture.newTask(gone).submission();
+            assertThat(seal(submission), is(sealed(submission, true)));
+        }
+
+        assertThat(fixture.counters.value(AgentCounter.UNCERTAIN_SEALS), is(0L));
+    }
+
     @Test
     void resumeTellsWhatBecameOfEachTask() {
         TaskId running = start();
