Count only an endpoint's own faults when it is set aside

Cause: five failures in a row set an endpoint aside, also if the requests were at fault, so that one caller's faulty requests took a sound endpoint from everybody. Change: a result with a status from 400 to 499, an answer over the size limit, or a task that is no HTTP request says nothing of the endpoint; it neither adds to the row of failures nor ends it, and leaves a trial as it is. Ruled out: letting such a result end the row, since it would hide an endpoint that fails all other requests; a share of failures in a window; comparing with other agents. Before: the three new tests of AgentLeaseTest failed (set aside by 404s; set aside after the third 500; trial ended). Note: the verdict reaches ServicePool by RunningTask.stopped(), which is to be renamed where ServicePool is changed.

--- a/core/src/main/java/org/knapweedmount/core/agent/AgentCore.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/AgentCore.java
@@ -217,7 +217,7 @@
      * @param nowNanos the present time
      */
     public void taskEnded(TaskId task, TaskResult result, long nowNanos) {
-        Optional<RunningTask> ended = starter.ended(task);
+        Optional<RunningTask> ended = starter.ended(task, result);
         if (ended.isEmpty()) {
             ports.invariants().check(false, "a task that ends was started and has not ended before");
             return;
--- a/core/src/main/java/org/knapweedmount/core/agent/AgentLimits.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/AgentLimits.java
@@ -7,7 +7,7 @@
  * @param maxResultBytes the total size of the results that are remembered, in bytes
  * @param maxSeals the number of seals that are remembered one by one
  * @param linkTimeoutMillis how long an entry may be silent before its idle leases go to others, in ms
- * @param setAsideFailures the number of failures in a row after which an endpoint gets one task at a time
+ * @param setAsideFailures the number of its own failures in a row after which an endpoint gets one task at a time
  * @param setAsideMillis the pause before an endpoint that was set aside is tried again, in ms
  */
 public record AgentLimits(
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/agent/EndpointVerdict.java
@@ -0,0 +1,32 @@
+package org.knapweedmount.core.agent;
+
+import org.knapweedmount.api.Outcome;
+import org.knapweedmount.api.Reason;
+import org.knapweedmount.api.TaskResult;
+
+/** What the end of one task says of its endpoint. */
+enum EndpointVerdict {
+    /** The endpoint completed the task. */
+    SUCCEEDED,
+    /** The endpoint could not be reached, broke off, or answered that the fault is its own. */
+    FAILED,
+    /** The request was at fault, which says nothing of the endpoint. */
+    NONE;
+
+    private static final int FIRST_REQUEST_FAULT = 400;
+    private static final int FIRST_SERVER_FAULT = 500;
+
+    static EndpointVerdict of(TaskResult result) {
+        if (result.outcome() == Outcome.COMPLETE) {
+            return SUCCEEDED;
+        }
+        return requestAtFault(result) ? NONE : FAILED;
+    }
+
+    private static boolean requestAtFault(TaskResult result) {
+        if (result.reason() == Reason.MALFORMED || result.reason() == Reason.TOO_LARGE) {
+            return true;
+        }
+        return result.status() >= FIRST_REQUEST_FAULT && result.status() < FIRST_SERVER_FAULT;
+    }
+}
--- a/core/src/main/java/org/knapweedmount/core/agent/RunningTask.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/RunningTask.java
@@ -5,6 +5,7 @@
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.TaskId;
+import org.knapweedmount.api.TaskResult;
 import org.knapweedmount.api.message.Start;
 
 /** A task that was sent to an endpoint and has not ended. */
@@ -20,6 +21,7 @@
     private final long startedNanos;
     private Resources endpointCharge;
     private boolean stopped;
+    private boolean requestAtFault;
 
     RunningTask(
             Start start,
@@ -104,7 +106,13 @@
         stopped = true;
     }
 
+    /** Takes its result, which may say nothing of the endpoint either. */
+    void ended(TaskResult result) {
+        requestAtFault = EndpointVerdict.of(result) == EndpointVerdict.NONE;
+    }
+
+    /** Tells whether it ended for a reason that says nothing of the endpoint. */
     boolean stopped() {
-        return stopped;
+        return stopped || requestAtFault;
     }
 }
--- a/core/src/main/java/org/knapweedmount/core/agent/TaskStarter.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/TaskStarter.java
@@ -121,12 +121,15 @@
     }
 
     /**
-     * Takes the end of a task out of the running ones.
+     * Takes a task that has ended out of the running ones.
      *
+     * @param result how it ended
      * @return the task, empty if no such task was running
      */
-    Optional<RunningTask> ended(TaskId id) {
-        return Optional.ofNullable(running.remove(id));
+    Optional<RunningTask> ended(TaskId id, TaskResult result) {
+        Optional<RunningTask> task = Optional.ofNullable(running.remove(id));
+        task.ifPresent(ended -> ended.ended(result));
+        return task;
     }
 
     /** Asks the endpoints to stop the running tasks of a submission. */
--- a/core/src/test/java/org/knapweedmount/core/agent/AgentLeaseTest.java
+++ b/core/src/test/java/org/knapweedmount/core/agent/AgentLeaseTest.java
@@ -5,6 +5,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.knapweedmount.api.Outcome;
+import org.knapweedmount.api.Payload;
 import org.knapweedmount.api.Reason;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.TaskId;
@@ -252,6 +253,60 @@
         assertThat(fixture.leases(E1), hasSize(8));
     }
 
+    @Test
+    void requestsAtFaultDoNotSetTheEndpointAside() {
+        fixture.announce("a", 8);
+        fixture.link(E1);
+        long lease = fixture.leases(E1).get(0);
+
+        for (int i = 0; i < 4 * AgentLimits.DEFAULT.setAsideFailures(); i++) {
+            fixture.end(fixture.send(E1, lease, BALANCE, 0), failed(404));
+            lease = fixture.leases(E1).get(0);
+        }
+
+        assertThat(fixture.counters.value(AgentCounter.ENDPOINTS_SET_ASIDE), is(0L));
+    }
+
+    @Test
+    void requestsAtFaultDoNotHideAnEndpointThatFailsAllOthers() {
+        fixture.announce("a", 16);
+        fixture.link(E1);
+        List<Long> leases = fixture.leases(E1);
+
+        for (int i = 0; i < 2 * AgentLimits.DEFAULT.setAsideFailures(); i++) {
+            assertThat(fixture.counters.value(AgentCounter.ENDPOINTS_SET_ASIDE), is(0L));
+            fixture.end(fixture.send(E1, leases.get(i), BALANCE, 0), failed(i % 2 == 0 ? 422 : 500));
+        }
+
+        assertThat(fixture.counters.value(AgentCounter.ENDPOINTS_SET_ASIDE), is(1L));
+    }
+
+    @Test
+    void endpointOnTrialStaysThereAfterARequestAtFault() {
+        fixture.announce("a", 8);
+        fixture.link(E1);
+        List<Long> leases = fixture.leases(E1);
+        for (int i = 0; i < AgentLimits.DEFAULT.setAsideFailures(); i++) {
+            fixture.end(fixture.send(E1, leases.get(i), BALANCE, 0), failed(503));
+        }
+        fixture.output.take(E1);
+        fixture.receive(E1, new Heartbeat(0));
+        fixture.pass(TIMEOUT_MILLIS - 1);
+        fixture.receive(E1, new Heartbeat(0));
+        fixture.pass(AgentLimits.DEFAULT.setAsideMillis() - TIMEOUT_MILLIS + 1);
+
+        fixture.end(fixture.send(E1, fixture.leases(E1).get(0), BALANCE, 0), failed(400));
+
+        List<Long> trial = fixture.leases(E1);
+        assertThat(trial, hasSize(1));
+        fixture.end(fixture.send(E1, trial.get(0), BALANCE, 0), DONE);
+        assertThat(fixture.leases(E1), hasSize(8));
+    }
+
+    private static TaskResult failed(int status) {
+        return new TaskResult(Outcome.FAILED, Reason.TASK_FAILED, status, "", Payload.EMPTY);
+    }
+
     @Test
     void drainingAgentRefusesStartsAndFinishesWhatRuns() {
         fixture.announce("a", 4);
