Let the fleet's agents replace seals by bounds

Cause: the fleet runs never reached 5,000 seals, so they did not try bounds under faults. Change: the fake agents hold 8 single seals.

--- a/core/src/test/java/org/knapweedmount/core/fleet/FakeAgent.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FakeAgent.java
@@ -27,6 +27,10 @@
     private static final int SLOTS = 4;
     private static final int CONNECTIONS = 64;
     private static final int TTL_MILLIS = 3_600_000;
+
+    /** Room for so few seals that older ones are replaced by bounds. */
+    private static final AgentLimits LIMITS = new AgentLimits(10_000, 3_000_000, 8, 1_500, 5, 2_000);
+
     private static final double FAILURE_SHARE = 0.02;
     private static final double BROKEN_SHARE = 0.01;
     private static final double REFUSED_SHARE = 0.01;
@@ -47,8 +51,8 @@
         this.network = fleet.network();
         this.fleet = fleet;
         this.log = fleet.log();
-        this.core = new AgentCore(
-                AgentLimits.DEFAULT, address, config, this, new Counters<>(AgentCounter.class), Invariants.fatal());
+        this.core =
+                new AgentCore(LIMITS, address, config, this, new Counters<>(AgentCounter.class), Invariants.fatal());
         EndpointAnnouncement endpoint = new EndpointAnnouncement(
                 "executor", FakeFleet.SERVICE, "127.0.0.1", 1, SLOTS, CONNECTIONS, TTL_MILLIS, Resources.NONE);
         core.endpointAnnounced(endpoint, scheduler.nowNanos());
