Tick seldom while an agent has no work

Cause: an idle agent woke up 160 times a second, 100 of them for ticks of 20 ms on the event loop and the decision thread; with 8 links it took 2.8% of a core, and the budget is 2.7%. Change: AdaptiveTicker ticks each 20 ms while a task runs or an entry has told of a queued one, else each 100 ms; a message that brings work sets the short interval at once. Ruled out: a longer interval at all times (recalls are repeated after 50 ms while there is demand); a timer for each due time (every part would have to tell when it is due next).

--- a/core/src/main/java/org/knapweedmount/core/agent/AgentCore.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/AgentCore.java
@@ -296,4 +296,13 @@
     public boolean idle() {
         return starter.idle();
     }
+
+    /**
+     * Tells whether there is no work, so that nothing urgent is due.
+     *
+     * @return true if no task is running and no entry has told of a queued one
+     */
+    public boolean quiet() {
+        return starter.idle() && pools.noneQueued();
+    }
 }
--- a/core/src/main/java/org/knapweedmount/core/agent/ServicePools.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/ServicePools.java
@@ -184,4 +184,14 @@
             recaller.tick(pool, nowNanos);
         }
     }
+
+    /** Tells whether no entry has told of a queued task. */
+    boolean noneQueued() {
+        for (ServicePool pool : pools.values()) {
+            if (!pool.flows().noneQueued()) {
+                return false;
+            }
+        }
+        return true;
+    }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AdaptiveTicker.java
@@ -0,0 +1,96 @@
+package org.knapweedmount.daemon.agent;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Predicate;
+
+import io.vertx.core.Context;
+import org.knapweedmount.daemon.runtime.Decision;
+import org.knapweedmount.daemon.runtime.DecisionQueue;
+
+/**
+ * Lets the decision thread do what is due, often while there is work and seldom while there is none.
+ *
+ * <p>An idle agent wakes up mostly for its ticks, and nothing that is due without work is urgent. While a tick waits in
+ * the ring no other is added.
+ *
+ * @param <T> the decision module
+ */
+final class AdaptiveTicker<T> implements AutoCloseable {
+    private final Context context;
+    private final int busyMillis;
+    private final int quietMillis;
+    private final DecisionQueue<T> queue;
+    private final Decision<T> tick;
+    private final Predicate<T> isQuiet;
+    private final AtomicBoolean waiting = new AtomicBoolean();
+    private volatile boolean quiet;
+    private volatile boolean closed;
+    private long timer;
+
+    /**
+     * Creates a ticker that is not started.
+     *
+     * @param context the event loop of the timer
+     * @param busyMillis the time between ticks while there is work, in ms
+     * @param quietMillis the time between ticks while there is none, in ms
+     * @param queue takes the ticks
+     * @param tick what is done
+     * @param isQuiet tells whether there is no work, called on the decision thread
+     */
+    AdaptiveTicker(
+            Context context,
+            int busyMillis,
+            int quietMillis,
+            DecisionQueue<T> queue,
+            Decision<T> tick,
+            Predicate<T> isQuiet) {
+        this.context = context;
+        this.busyMillis = busyMillis;
+        this.quietMillis = quietMillis;
+        this.queue = queue;
+        this.tick = tick;
+        this.isQuiet = isQuiet;
+    }
+
+    void start() {
+        context.runOnContext(ignored -> schedule());
+    }
+
+    /** Ticks often again at once if there is work; called on the decision thread after each event that may bring it. */
+    void wake(T module) {
+        if (quiet && !isQuiet.test(module)) {
+            quiet = false;
+            context.runOnContext(ignored -> reschedule());
+        }
+    }
+
+    private void reschedule() {
+        context.owner().cancelTimer(timer);
+        schedule();
+    }
+
+    private void schedule() {
+        if (!closed) {
+            timer = context.owner().setTimer(quiet ? quietMillis : busyMillis, fired -> fire());
+        }
+    }
+
+    private void fire() {
+        if (waiting.compareAndSet(false, true) && !queue.offer(this::run)) {
+            waiting.set(false);
+        }
+        schedule();
+    }
+
+    private void run(T module, long nowNanos) {
+        waiting.set(false);
+        tick.decide(module, nowNanos);
+        quiet = isQuiet.test(module);
+    }
+
+    /** Stops to tick; a tick that waits in the ring is still run. */
+    @Override
+    public void close() {
+        closed = true;
+    }
+}
--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentLinkHandler.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentLinkHandler.java
@@ -7,6 +7,12 @@
 
 /** Passes what happens on the links to the decisions of the agent. */
 final class AgentLinkHandler implements LinkHandler<AgentModule> {
+    private final AdaptiveTicker<AgentModule> ticker;
+
+    AgentLinkHandler(AdaptiveTicker<AgentModule> ticker) {
+        this.ticker = ticker;
+    }
+
     @Override
     public void linked(AgentModule module, PeerAddress peer, long nowNanos) {
         module.linked(peer, nowNanos);
@@ -20,5 +26,6 @@
     @Override
     public void received(AgentModule module, Incarnation from, Message message, long nowNanos) {
         module.received(from, message, nowNanos);
+        ticker.wake(module);
     }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentParts.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentParts.java
@@ -6,7 +6,6 @@
 import org.knapweedmount.daemon.runtime.DecisionLoop;
 import org.knapweedmount.daemon.runtime.NanoClock;
 import org.knapweedmount.daemon.runtime.RetryingQueue;
-import org.knapweedmount.daemon.runtime.Ticker;
 import org.knapweedmount.daemon.settings.AgentSettings;
 
 /**
@@ -30,7 +29,7 @@
         Vertx vertx,
         DecisionLoop<AgentModule> loop,
         RetryingQueue<AgentModule> results,
-        Ticker<AgentModule> ticker,
+        AdaptiveTicker<AgentModule> ticker,
         LinkTable<AgentModule> links,
         EntryFinder finder,
         EndpointClient endpoints,
--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentStarter.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentStarter.java
@@ -31,7 +31,6 @@
 import org.knapweedmount.daemon.runtime.ProcessStarter;
 import org.knapweedmount.daemon.runtime.RetryingQueue;
 import org.knapweedmount.daemon.runtime.StartException;
-import org.knapweedmount.daemon.runtime.Ticker;
 import org.knapweedmount.daemon.settings.AgentSettings;
 import org.knapweedmount.daemon.store.TableClient;
 import org.knapweedmount.daemon.store.TableCounter;
@@ -41,7 +40,8 @@
 /** Starts agents. */
 public final class AgentStarter implements ProcessStarter<AgentSettings> {
     private static final int RING_SIZE = 4 * 1024;
-    private static final int TICK_MILLIS = 20;
+    private static final int BUSY_TICK_MILLIS = 20;
+    private static final int QUIET_TICK_MILLIS = 100;
     private static final long START_SECONDS = 20;
     private static final int MAX_JOB_TASKS = 1;
     private static final TableLimits TABLE_LIMITS = new TableLimits(2_000, 2_000, 1, 4, 5, 500);
@@ -95,8 +95,9 @@
                 incarnation, Role.AGENT, settings.dataCentre(), settings.http().host(), 0);
         DecisionLoop<AgentModule> loop = new DecisionLoop<>("agent-decisions", RING_SIZE, clock);
         LinkOptions options = LinkOptions.agent(settings.heartbeatMillis(), random.nextLong());
+        AdaptiveTicker<AgentModule> ticker = ticker(context, loop);
         LinkTable<AgentModule> table =
-                new LinkTable<>(vertx, options, self, appliedNumber::get, clock, loop, new AgentLinkHandler());
+                new LinkTable<>(vertx, options, self, appliedNumber::get, clock, loop, new AgentLinkHandler(ticker));
         EndpointClient endpoints = new EndpointClient(context, settings.http().maxBodyBytes());
         Links links = Links.of(table);
         ConfigState config = new ConfigState();
@@ -111,12 +112,21 @@
         settings.peers().forEach(table::dial);
         EntryFinder finder = new EntryFinder(vertx, tables(settings, context), clock, table::know, random.nextLong());
         context.runOnContext(ignored -> finder.start());
-        Ticker<AgentModule> ticker = Ticker.start(
-                vertx, TICK_MILLIS, loop, (module, nowNanos) -> module.core().tick(nowNanos));
+        ticker.start();
         return new AgentProcess(new AgentParts(
                 settings, clock, vertx, loop, results, ticker, table, finder, endpoints, readiness, server));
     }
 
+    private static AdaptiveTicker<AgentModule> ticker(Context context, DecisionLoop<AgentModule> loop) {
+        return new AdaptiveTicker<>(
+                context,
+                BUSY_TICK_MILLIS,
+                QUIET_TICK_MILLIS,
+                loop,
+                (module, nowNanos) -> module.core().tick(nowNanos),
+                module -> module.core().quiet());
+    }
+
     private HttpServer listen(
             AgentSettings settings, Context context, AgentReadiness readiness, EndpointRegistry registry)
             throws ExecutionException, TimeoutException, InterruptedException {
