--- a/core/src/main/java/org/knapweedmount/core/agent/StartGate.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/StartGate.java
@@ -10,8 +10,8 @@
 /**
  * Recognises repeated starts by their sequence number alone, at the cost of one number per entry.
  *
- * <p>Beyond the bound, the number of the unlinked entry that was heard of least recently is dropped; no start of it is
- * under way any more, because starts arrive in order over its link or not at all.
+ * <p>Beyond the bound, the number of the unlinked entry that was heard of first is dropped; no start of it is under way
+ * any more, because starts arrive in order over its link or not at all.
  */
 final class StartGate {
     private static final int MAX_ENTRIES = 4_096;
