--- a/core/src/main/java/org/knapweedmount/core/agent/AgentCore.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/AgentCore.java
@@ -74,7 +74,7 @@
         this.endpoints = new EndpointTable(invariants);
         this.pools = new ServicePools(ports, endpoints, entries, config);
         this.gate = new StartGate(entries::linked);
-        this.seals = new Seals(limits.maxSeals());
+        this.seals = new Seals(limits.maxSeals(), entries::linked, counters);
         this.records = new StartRecords(limits, counters, invariants);
         this.starter = new TaskStarter(ports, gate, seals, records);
         this.draining = drainedByConfig();
@@ -217,7 +217,7 @@
      * @param nowNanos the present time
      */
     public void taskEnded(TaskId task, TaskResult result, long nowNanos) {
-        Optional<RunningTask> ended = starter.ended(task);
+        Optional<RunningTask> ended = starter.ended(task, result);
         if (ended.isEmpty()) {
             ports.invariants().check(false, "a task that ends was started and has not ended before");
             return;
@@ -296,4 +296,13 @@
     public boolean idle() {
         return starter.idle();
     }
+
+    /**
+     * Tells whether there is no work, so that nothing urgent is due.
+     *
+     * @return true if no task is running and no entry has told of a queued one
+     */
+    public boolean quiet() {
+        return starter.idle() && pools.noneQueued();
+    }
 }
--- a/core/src/main/java/org/knapweedmount/core/agent/TaskStarter.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/TaskStarter.java
@@ -42,6 +42,9 @@
             ports.counters().increment(AgentCounter.DUPLICATE_STARTS);
             return;
         }
+        if (start.task().submission().issuer().equals(entry)) {
+            seals.issued(start.task().submission());
+        }
         Optional<Lease> lease = pool.flatMap(slots -> slots.take(entry, start));
         pool.ifPresent(slots -> slots.queued(entry, start, nowNanos));
         boolean repeatable = pool.map(slots -> slots.repeatable(start)).orElse(false);
@@ -118,12 +121,15 @@
     }
 
     /**
-     * Takes the end of a task out of the running ones.
+     * Takes a task that has ended out of the running ones.
      *
+     * @param result how it ended
      * @return the task, empty if no such task was running
      */
-    Optional<RunningTask> ended(TaskId id) {
-        return Optional.ofNullable(running.remove(id));
+    Optional<RunningTask> ended(TaskId id, TaskResult result) {
+        Optional<RunningTask> task = Optional.ofNullable(running.remove(id));
+        task.ifPresent(ended -> ended.ended(result));
+        return task;
     }
 
     /** Asks the endpoints to stop the running tasks of a submission. */
