Drive the tests of silent and idle links by a clock of the test

Cause: links in LinkTableTest ended after 1 s without a message, so that a stall of a busy machine ended links in any of its tests. Two tests bound a port anew that another process may have taken. One wrote to a connection that the other end was about to close, and failed if the close came first.

Change: the two tests of silence move the clock heartbeat by heartbeat; the links of all others end after 50 s. A port that is used twice stays bound meanwhile. Writing ends without an error when the connection is closed, which is what that test then waits for.

Ruled out: longer real times for the tests of silence.

Conclusion: stricter. The link must stay for exactly ten silent heartbeats and end with the eleventh; before, any end would do. Idle links are checked at both ends instead of one.

--- a/daemon/src/test/java/org/knapweedmount/daemon/link/LinkTableTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/link/LinkTableTest.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -21,15 +23,20 @@
 import org.knapweedmount.api.message.Leaving;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.daemon.runtime.Polling;
+import org.knapweedmount.daemon.runtime.RefusingPort;
 import org.knapweedmount.daemon.settings.HostPort;
 import org.knapweedmount.wire.FrameException;
 
 import static org.hamcrest.MatcherAssert.assertThat;
-import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 
 @Timeout(60)
 class LinkTableTest {
+    private static final int TICKING_MILLIS = 20;
+    private static final long TICKING_NANOS = TimeUnit.MILLISECONDS.toNanos(TICKING_MILLIS);
+    private static final int SILENT_HEARTBEATS = 10;
+
+    private final AtomicLong now = new AtomicLong();
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(2));
     private final List<TestProcess> processes = new ArrayList<>();
 
@@ -141,38 +148,54 @@
     }
 
     @Test
-    void agentLinksToTheNextIncarnationAtTheSameAddress() throws InterruptedException {
-        TestProcess first = TestProcess.entry(vertx, "entry-1");
-        TestProcess agent = agent("agent-1");
-        agent.links.dial(first.address());
-        agent.awaitEvent(linked(first));
-
-        first.close();
-        agent.awaitEvent("unlinked " + first.self.incarnation());
-        TestProcess second = added(TestProcess.entry(
-                vertx, "entry-1", first.self.port(), LinkOptions.entry(TestProcess.HEARTBEAT_MILLIS, 1)));
+    void agentLinksToTheNextIncarnationAtTheSameAddress() throws Exception {
+        try (RefusingPort held = new RefusingPort()) {
+            TestProcess first = entryAt(held.port());
+            TestProcess agent = agent("agent-1");
+            agent.links.dial(first.address());
+            agent.awaitEvent(linked(first));
+
+            first.close();
+            agent.awaitEvent("unlinked " + first.self.incarnation());
+            TestProcess second = added(entryAt(held.port()));
+
+            agent.awaitEvent(linked(second));
+        }
+    }
 
-        agent.awaitEvent(linked(second));
+    private TestProcess entryAt(int port) {
+        return TestProcess.entry(vertx, "entry-1", port, LinkOptions.entry(TestProcess.HEARTBEAT_MILLIS, 1));
     }
 
     @Test
     void heartbeatsKeepAnIdleLinkAndTellTheConfigNumber() throws InterruptedException {
-        TestProcess entry = entry("entry-1");
-        TestProcess agent = agent("agent-1");
+        TestProcess entry = added(TestProcess.entry(vertx, "entry-1", LinkOptions.entry(TICKING_MILLIS, 1), now::get));
+        TestProcess agent = added(TestProcess.agent(vertx, "agent-1", LinkOptions.agent(TICKING_MILLIS, 1), now::get));
         agent.links.dial(entry.address());
+        agent.awaitEvent(linked(entry));
+        entry.awaitEvent(linked(agent));
 
-        for (int i = 0; i < 15; i++) {
+        for (int i = 0; i < 2 * SILENT_HEARTBEATS; i++) {
+            now.addAndGet(TICKING_NANOS);
             entry.awaitEvent("heartbeat 17");
+            agent.awaitEvent("heartbeat 17");
         }
 
         assertThat(entry.links.counters().value(LinkCounter.UNLINKED), is(0L));
+        assertThat(agent.links.counters().value(LinkCounter.UNLINKED), is(0L));
     }
 
     @Test
     void silentLinkIsClosed() throws Exception {
-        TestProcess entry = entry("entry-1");
+        TestProcess entry = added(TestProcess.entry(vertx, "entry-1", LinkOptions.entry(TICKING_MILLIS, 1), now::get));
         try (RawPeer peer = new RawPeer(entry)) {
             peer.send(RawPeer.agentHello("agent-1"));
+            entry.awaitEvent("linked agent-1~0000000000000001");
+            for (int i = 0; i < SILENT_HEARTBEATS; i++) {
+                awaitHeartbeatAfter(entry, TICKING_NANOS);
+            }
+            assertThat(entry.links.counters().value(LinkCounter.CLOSED_SILENT), is(0L));
+            now.addAndGet(TICKING_NANOS);
             peer.awaitClose();
         }
 
@@ -180,6 +203,12 @@
         assertThat(entry.links.counters().value(LinkCounter.CLOSED_SILENT), is(1L));
     }
 
+    private void awaitHeartbeatAfter(TestProcess process, long nanos) {
+        long sent = process.links.counters().value(LinkCounter.SENT_MESSAGES);
+        now.addAndGet(nanos);
+        Polling.until(() -> process.links.counters().value(LinkCounter.SENT_MESSAGES) > sent);
+    }
+
     private static List<Message> badHellos() {
         return List.of(
                 RawPeer.hello("agent-1", Role.AGENT, Hello.PROTOCOL_VERSION + 1),
@@ -240,9 +269,7 @@
             peer.send(RawPeer.agentHello("agent-1"));
             entry.awaitEvent("linked agent-1~0000000000000001");
             entry.block(release, () -> {});
-            for (int i = 0; i < 2 * TestProcess.RING_SIZE; i++) {
-                peer.send(new Heartbeat(i));
-            }
+            peer.sendWhileOpen(new Heartbeat(17), 2 * TestProcess.RING_SIZE);
             entry.awaitCounter(LinkCounter.CLOSED_RING_FULL);
         }
 
@@ -322,18 +349,17 @@
     }
 
     @Test
-    void addressWhereNobodyListensIsTriedAgain() throws InterruptedException {
-        TestProcess unused = TestProcess.entry(vertx, "entry-9");
-        unused.close();
-        TestProcess agent = agent("agent-1");
+    void addressWhereNobodyListensIsTriedAgain() throws Exception {
+        try (RefusingPort held = new RefusingPort()) {
+            Incarnation gone = new Incarnation("entry-9", 1);
+            TestProcess agent = agent("agent-1");
 
-        agent.links.know(unused.self);
-        agent.awaitCounter(LinkCounter.DIAL_FAILURES);
-        TestProcess entry = added(TestProcess.entry(
-                vertx, "entry-1", unused.self.port(), LinkOptions.entry(TestProcess.HEARTBEAT_MILLIS, 1)));
+            agent.links.know(new PeerAddress(gone, Role.ENTRY, "rennes", TestProcess.HOST, held.port()));
+            agent.awaitCounter(LinkCounter.DIAL_FAILURES);
+            TestProcess entry = added(entryAt(held.port()));
 
-        agent.awaitEvent(linked(entry));
-        assertThat(agent.links.counters().value(LinkCounter.DIAL_FAILURES), is(greaterThan(0L)));
+            agent.awaitEvent(linked(entry));
+        }
     }
 
     @Test
--- a/daemon/src/test/java/org/knapweedmount/daemon/link/RawPeer.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/link/RawPeer.java
@@ -40,6 +40,24 @@
         return this;
     }
 
+    /** Sends messages until the other end has closed the connection or all are sent. */
+    void sendWhileOpen(Message message, int count) throws FrameException {
+        byte[] frame = new MessageEncoder().encode(message, LinkEnds.UNKNOWN);
+        boolean open = true;
+        for (int i = 0; i < count && open; i++) {
+            open = sendIfOpen(frame);
+        }
+    }
+
+    private boolean sendIfOpen(byte[] frame) {
+        try {
+            send(frame);
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** Reads until the other end closes the connection. */
     void awaitClose() throws IOException {
         InputStream in = socket.getInputStream();
--- a/daemon/src/test/java/org/knapweedmount/daemon/link/TestProcess.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/link/TestProcess.java
@@ -19,7 +19,7 @@
 /** A process with links that notes what its decision thread is told. */
 final class TestProcess implements AutoCloseable {
     static final String HOST = "127.0.0.1";
-    static final int HEARTBEAT_MILLIS = 100;
+    static final int HEARTBEAT_MILLIS = 5_000;
     static final int RING_SIZE = 512;
 
     final BlockingQueue<String> events = new LinkedBlockingQueue<>();
@@ -28,21 +28,31 @@
     final PeerAddress self;
 
     static TestProcess entry(Vertx vertx, String name, int port, LinkOptions options) {
-        return new TestProcess(vertx, Role.ENTRY, name, port, options);
+        return new TestProcess(vertx, Role.ENTRY, name, port, options, NanoClock.SYSTEM);
     }
 
     static TestProcess entry(Vertx vertx, String name) {
         return entry(vertx, name, 0, LinkOptions.entry(HEARTBEAT_MILLIS, 1));
     }
 
+    /** Starts an entry whose links go by a clock of the test. */
+    static TestProcess entry(Vertx vertx, String name, LinkOptions options, NanoClock clock) {
+        return new TestProcess(vertx, Role.ENTRY, name, 0, options, clock);
+    }
+
     static TestProcess agent(Vertx vertx, String name) {
-        return new TestProcess(vertx, Role.AGENT, name, 0, LinkOptions.agent(HEARTBEAT_MILLIS, 1));
+        return agent(vertx, name, LinkOptions.agent(HEARTBEAT_MILLIS, 1), NanoClock.SYSTEM);
+    }
+
+    /** Starts an agent whose links go by a clock of the test. */
+    static TestProcess agent(Vertx vertx, String name, LinkOptions options, NanoClock clock) {
+        return new TestProcess(vertx, Role.AGENT, name, 0, options, clock);
     }
 
-    private TestProcess(Vertx vertx, Role role, String name, int port, LinkOptions options) {
+    private TestProcess(Vertx vertx, Role role, String name, int port, LinkOptions options, NanoClock clock) {
         PeerAddress identity = new PeerAddress(new Incarnation(name, System.nanoTime()), role, "rennes", HOST, 0);
         this.loop = new DecisionLoop<>(name, RING_SIZE, NanoClock.SYSTEM);
-        this.links = new LinkTable<>(vertx, options, identity, () -> 17, NanoClock.SYSTEM, loop, new Noting());
+        this.links = new LinkTable<>(vertx, options, identity, () -> 17, clock, loop, new Noting());
         this.self = role == Role.ENTRY
                 ? links.listen(HOST, port, OptionalInt.empty()).await()
                 : identity;
