Limit how long the executor's tests wait

Cause: a loop in ExecutorServerTest had no time limit, so that a failure would have stopped the build for good.

Change: a time limit for each test of the class.

Conclusion: the assertions are the same.

--- a/standins/src/test/java/org/knapweedmount/standins/executor/ExecutorServerTest.java
+++ b/standins/src/test/java/org/knapweedmount/standins/executor/ExecutorServerTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.standins.support.HostPort;
 
@@ -26,6 +27,7 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 
+@Timeout(60)
 class ExecutorServerTest {
     private static final String TASK = "entry-1~00000000000000ff.17.3#0";
 
