Read the settings that both roles have in one place

Cause: AgentSettings and EntrySettings declared, checked and read the same eight keys twice, so that a new key of every process needed two of each.

Change: ProcessSettings holds these keys and SettingsReader.process reads them. The accessors of Settings stay as they were, so that nothing that uses settings changes. The keys of the file are the same.

Ruled out: a common superclass; records can't have one.

Conclusion: a key that every process has is now one component and one line of the reader.

--- a/daemon/src/main/java/org/knapweedmount/daemon/settings/Settings.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/settings/Settings.java
@@ -17,59 +17,82 @@
      */
     Role role();
 
+    /**
+     * Returns the settings that a process of any role has.
+     *
+     * @return the common settings
+     */
+    ProcessSettings process();
+
     /**
      * Returns the name of the process, which stays the same when it is restarted.
      *
      * @return 1 to 64 letters, digits and hyphens
      */
-    String name();
+    default String name() {
+        return process().name();
+    }
 
     /**
      * Returns the data centre that the process runs in.
      *
      * @return the data centre's name
      */
-    String dataCentre();
+    default String dataCentre() {
+        return process().dataCentre();
+    }
 
     /**
      * Returns the least severity of log lines.
      *
      * @return the level
      */
-    LogLevel logLevel();
+    default LogLevel logLevel() {
+        return process().logLevel();
+    }
 
     /**
      * Returns where the process listens for HTTP requests.
      *
      * @return the settings of the HTTP server
      */
-    HttpSettings http();
+    default HttpSettings http() {
+        return process().http();
+    }
 
     /**
      * Returns where the platform's services are.
      *
      * @return the address
      */
-    HostPort platform();
+    default HostPort platform() {
+        return process().platform();
+    }
 
     /**
      * Returns link addresses of entries that are used besides those in the table service.
      *
      * @return the addresses, empty if there are none
      */
-    List<HostPort> peers();
+    default List<HostPort> peers() {
+        return process().peers();
+    }
 
     /**
      * Returns how long a planned stop waits for work in flight.
      *
      * @return the time limit, in ms
      */
-    int drainMillis();
+    default int drainMillis() {
+        return process().drainMillis();
+    }
 
     /**
      * Returns after how long without another message a heartbeat is sent on a link.
      *
      * @return the interval, in ms
      */
-    int heartbeatMillis();
+    default int heartbeatMillis() {
+        return process().heartbeatMillis();
+    }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/settings/SettingsReader.java
@@ -69,16 +69,9 @@
     private EntrySettings entry() throws SettingsException {
         root.refuse("agent", "allowed for the role \"agent\" only");
         return new EntrySettings(
-                name("name"),
-                name("dataCentre"),
-                logLevel(),
+                process(),
                 links(root.section("links")),
-                http(root.section("http")),
                 operators(root.section("operators")),
-                platform(root.section("platform")),
-                peers(),
-                root.integer("drainMillis", DRAIN_MILLIS, DEFAULT_DRAIN_MILLIS),
-                root.integer("heartbeatMillis", HEARTBEAT_MILLIS, DEFAULT_HEARTBEAT_MILLIS),
                 LimitsReader.entry(root.optionalSection("entry")));
     }
 
@@ -86,7 +79,11 @@
         for (String key : List.of("links", "operators", "entry")) {
             root.refuse(key, "allowed for the role \"entry\" only");
         }
-        return new AgentSettings(
+        return new AgentSettings(process(), LimitsReader.agent(root.optionalSection("agent")));
+    }
+
+    private ProcessSettings process() throws SettingsException {
+        return new ProcessSettings(
                 name("name"),
                 name("dataCentre"),
                 logLevel(),
@@ -94,8 +91,7 @@
                 platform(root.section("platform")),
                 peers(),
                 root.integer("drainMillis", DRAIN_MILLIS, DEFAULT_DRAIN_MILLIS),
-                root.integer("heartbeatMillis", HEARTBEAT_MILLIS, DEFAULT_HEARTBEAT_MILLIS),
-                LimitsReader.agent(root.optionalSection("agent")));
+                root.integer("heartbeatMillis", HEARTBEAT_MILLIS, DEFAULT_HEARTBEAT_MILLIS));
     }
 
     private String name(String key) throws SettingsException {
--- a/daemon/src/test/java/org/knapweedmount/daemon/agent/AgentProcessTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/agent/AgentProcessTest.java
@@ -42,6 +42,7 @@
 import org.knapweedmount.daemon.settings.HostPort;
 import org.knapweedmount.daemon.settings.HttpSettings;
 import org.knapweedmount.daemon.settings.LogLevel;
+import org.knapweedmount.daemon.settings.ProcessSettings;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
@@ -78,7 +79,7 @@
     }
 
     private static AgentSettings settings(int platformPort) {
-        return new AgentSettings(
+        ProcessSettings process = new ProcessSettings(
                 "agent-1",
                 "rennes",
                 LogLevel.INFO,
@@ -86,8 +87,8 @@
                 new HostPort(HOST, platformPort),
                 List.of(),
                 30_000,
-                FakeEntry.HEARTBEAT_MILLIS,
-                AgentLimits.DEFAULT);
+                FakeEntry.HEARTBEAT_MILLIS);
+        return new AgentSettings(process, AgentLimits.DEFAULT);
     }
 
     @AfterEach
--- a/daemon/src/test/java/org/knapweedmount/daemon/entry/EntryProcessTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/entry/EntryProcessTest.java
@@ -31,6 +31,7 @@
 import org.knapweedmount.daemon.settings.LinkSettings;
 import org.knapweedmount.daemon.settings.LogLevel;
 import org.knapweedmount.daemon.settings.OperatorSettings;
+import org.knapweedmount.daemon.settings.ProcessSettings;
 import org.knapweedmount.daemon.store.EntryRow;
 import org.knapweedmount.daemon.store.FakeTableServer;
 import org.knapweedmount.daemon.store.FakeTables;
@@ -194,19 +195,21 @@
     }
 
     private EntryProcess start(String name, List<HostPort> peers) throws Exception {
-        EntryProcess entry = new EntryStarter(exits::countDown)
-                .start(new EntrySettings(
-                        name,
-                        "bilbao",
-                        LogLevel.WARN,
-                        new LinkSettings(HOST, 0, OptionalInt.empty()),
-                        new HttpSettings(HOST, 0, 1_000_000, 100),
-                        new OperatorSettings(HOST, 0, directory.resolve("token")),
-                        new HostPort(HOST, platformPort),
-                        peers,
-                        1_000,
-                        EchoAgent.HEARTBEAT_MILLIS,
-                        EntryLimits.DEFAULT));
+        ProcessSettings process = new ProcessSettings(
+                name,
+                "bilbao",
+                LogLevel.WARN,
+                new HttpSettings(HOST, 0, 1_000_000, 100),
+                new HostPort(HOST, platformPort),
+                peers,
+                1_000,
+                EchoAgent.HEARTBEAT_MILLIS);
+        EntrySettings settings = new EntrySettings(
+                process,
+                new LinkSettings(HOST, 0, OptionalInt.empty()),
+                new OperatorSettings(HOST, 0, directory.resolve("token")),
+                EntryLimits.DEFAULT);
+        EntryProcess entry = new EntryStarter(exits::countDown).start(settings);
         started.add(entry);
         return entry;
     }
--- a/daemon/src/test/java/org/knapweedmount/daemon/settings/SettingsReaderTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/settings/SettingsReaderTest.java
@@ -47,17 +47,19 @@
     @Test
     void entryWithEverythingGiven() throws Exception {
         EntryLimits limits = new EntryLimits(9, 64_000_000, 1_000, 50_000, 64_000_000, 1_500, 5_000, 3_000, 0);
-        Settings expected = new EntrySettings(
+        ProcessSettings process = new ProcessSettings(
                 "entry-1",
                 "rennes",
                 LogLevel.WARN,
-                new LinkSettings("127.0.0.1", 0, OptionalInt.of(7201)),
                 new HttpSettings("0.0.0.0", 8101, 1000, 7),
-                new OperatorSettings("::1", 9101, directory.resolve("operators.token")),
                 new HostPort("127.0.0.1", 7000),
                 List.of(new HostPort("127.0.0.1", 7101), new HostPort("::1", 7102)),
                 5,
-                20,
+                20);
+        Settings expected = new EntrySettings(
+                process,
+                new LinkSettings("127.0.0.1", 0, OptionalInt.of(7201)),
+                new OperatorSettings("::1", 9101, directory.resolve("operators.token")),
                 limits);
 
         assertThat(SettingsReader.read(file(ENTRY)), is(expected));
@@ -65,7 +67,7 @@
 
     @Test
     void agentWithDefaults() throws Exception {
-        Settings expected = new AgentSettings(
+        ProcessSettings process = new ProcessSettings(
                 "agent-1",
                 "rennes",
                 LogLevel.INFO,
@@ -73,8 +75,8 @@
                 new HostPort("127.0.0.1", 7000),
                 List.of(),
                 30_000,
-                300,
-                AgentLimits.DEFAULT);
+                300);
+        Settings expected = new AgentSettings(process, AgentLimits.DEFAULT);
 
         assertThat(SettingsReader.read(file(AGENT)), is(expected));
     }
