Bound the requests in flight of the load tool and its end

Cause: in a flood of 11,000 requests a second the tool ran out of memory. Its arrivals were handed to the event loop without a bound, and so were the requests that waited for a connection. After the last request it waited for answers as long as the requests' own limits allowed, entry after entry.

Refusals have columns of their own for the median and the 99th percentile of their time and for their number a second. The trace has a line for no-answer, none for not-sent.

Ruled out: a bound inside the event loop, since the hand-over to it would stay without one; counting a request that was not sent as unreached, since the entries never had a chance to take it.

Conclusion: two tests of the bounds with entries that never answer. Memory in a flood is yet to be tried.

--- a/standins/src/main/java/org/knapweedmount/standins/load/Answer.java
+++ b/standins/src/main/java/org/knapweedmount/standins/load/Answer.java
@@ -10,6 +10,9 @@
  * @param submission the id of the submission, empty if the entry gave none
  */
 record Answer(Ending ending, String reason, String submission) {
+    /** Stands for the answer that had not come when the load ended. */
+    static final Answer NONE = new Answer(Ending.NO_ANSWER, "", "");
+
     /** Returns the answer in place of one that did not come after the request was sent. */
     static Answer lost(Throwable error) {
         return new Answer(Ending.LOST, error.getClass().getSimpleName(), "");
--- a/standins/src/main/java/org/knapweedmount/standins/load/ArrivalThread.java
+++ b/standins/src/main/java/org/knapweedmount/standins/load/ArrivalThread.java
@@ -29,7 +29,9 @@
             PlannedRequest request = next.get();
             long atNanos = startNanos + TimeUnit.MICROSECONDS.toNanos(request.atMicros());
             awaitTime(atNanos);
-            context.runOnContext(ignored -> runner.submit(request, atNanos));
+            if (runner.admit(request)) {
+                context.runOnContext(ignored -> runner.submit(request, atNanos));
+            }
         }
         context.runOnContext(ignored -> atEnd.accept(runner));
     }
--- a/standins/src/main/java/org/knapweedmount/standins/load/Ending.java
+++ b/standins/src/main/java/org/knapweedmount/standins/load/Ending.java
@@ -16,8 +16,10 @@
     UNKNOWN,
     /** No connection to any entry could be made, so that nothing was sent. */
     UNREACHED,
-    /** No answer came. */
+    /** The connection broke or the time limit of the request passed before an answer came. */
     LOST,
+    /** No answer had come when the load ended. */
+    NO_ANSWER,
     /** An answer came that is not whole, belongs to another request, or states no outcome. */
     WRONG;
 
--- a/standins/src/main/java/org/knapweedmount/standins/load/LoadOptions.java
+++ b/standins/src/main/java/org/knapweedmount/standins/load/LoadOptions.java
@@ -65,6 +65,14 @@
     @Parameter(names = "--connections", description = "Largest number of connections to each entry")
     private int connections = 1_000;
 
+    @Parameter(
+            names = "--max-in-flight",
+            description = "Number of requests in flight from which on further ones are not sent but counted")
+    private int maxInFlight = 10_000;
+
+    @Parameter(names = "--await-millis", description = "How long answers are awaited after the last request, in ms")
+    private int awaitMillis = 60_000;
+
     @Parameter(names = "--json", description = "File for the report in JSON")
     private Path json;
 
@@ -89,6 +97,9 @@
         if (ratePerSecond <= 0 || seconds <= 0 || jobTasks < 1 || connections < 1 || timeoutMillis < 1) {
             throw new ParameterException("--rate, --seconds, --jobs, --connections and --timeout-millis are positive");
         }
+        if (maxInFlight < 1 || awaitMillis < 1) {
+            throw new ParameterException("--max-in-flight and --await-millis are positive");
+        }
         if (warmUpSeconds < 0 || idealOverheadMicros < 0 || resubmitShare < 0 || resubmitShare > 1) {
             throw new ParameterException("--warm-up-seconds, --ideal-overhead-micros or --resubmit is out of range");
         }
@@ -122,7 +133,9 @@
                 seed,
                 idealOverheadMicros,
                 timeoutMillis,
-                connections);
+                connections,
+                maxInFlight,
+                awaitMillis);
     }
 
     Optional<Path> json() {
--- a/standins/src/main/java/org/knapweedmount/standins/load/LoadReport.java
+++ b/standins/src/main/java/org/knapweedmount/standins/load/LoadReport.java
@@ -13,8 +13,8 @@
  * @param flows what became of each flow
  */
 record LoadReport(double ratePerSecond, double seconds, long seed, int idealOverheadMicros, List<FlowSummary> flows) {
-    private static final String COUNTS = "%-20s %8s %8s %7s %8s %8s %9s %6s %6s %8s %6s";
-    private static final String TIMES = "%-20s %9s %9s %9s %9s %9s %9s %9s %9s";
+    private static final String COUNTS = "%-20s %8s %8s %7s %8s %8s %9s %6s %9s %6s %8s %8s %6s";
+    private static final String TIMES = "%-20s %9s %9s %9s %9s %9s %9s %9s %9s %10s %10s %9s";
 
     LoadReport {
         flows = List.copyOf(flows);
@@ -44,7 +44,9 @@
                 "unknown",
                 "unreached",
                 "lost",
+                "no-answer",
                 "wrong",
+                "not-sent",
                 "resubmit",
                 "contra");
         for (FlowSummary flow : flows) {
@@ -59,11 +61,27 @@
                     flow.unknown(),
                     flow.unreached(),
                     flow.lost(),
+                    flow.noAnswer(),
                     flow.wrong(),
+                    flow.notSent(),
                     flow.resubmitted(),
                     flow.contradictions());
         }
-        line(text, TIMES, "response ms, ratio", "mean", "p50", "p90", "p99", "p99.9", "max", "ratio p50", "ratio p99");
+        line(
+                text,
+                TIMES,
+                "response ms, ratio",
+                "mean",
+                "p50",
+                "p90",
+                "p99",
+                "p99.9",
+                "max",
+                "ratio p50",
+                "ratio p99",
+                "refuse p50",
+                "refuse p99",
+                "refused/s");
         for (FlowSummary flow : flows) {
             Percentiles response = flow.responseMillis();
             Percentiles ratio = flow.ratioToIdeal();
@@ -78,7 +96,10 @@
                     response.p999(),
                     response.max(),
                     ratio.p50(),
-                    ratio.p99());
+                    ratio.p99(),
+                    flow.refusalMillis().p50(),
+                    flow.refusalMillis().p99(),
+                    Percentiles.rounded(flow.refusalsPerSecond()));
         }
         return text.toString();
     }
--- a/standins/src/main/java/org/knapweedmount/standins/load/LoadRunner.java
+++ b/standins/src/main/java/org/knapweedmount/standins/load/LoadRunner.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -12,7 +13,8 @@
 /**
  * Sends the requests of a load and measures their answers.
  *
- * <p>Used on one event loop.
+ * <p>The number of requests in flight is bounded, and with it the memory. Used on one event loop, but for
+ * {@link #admit}.
  */
 final class LoadRunner {
     private final Vertx vertx;
@@ -22,8 +24,10 @@
     private final TraceLog trace;
     private final Map<LoadFlow, FlowStats> stats = new LinkedHashMap<>();
     private final Promise<Void> done = Promise.promise();
-    private long inFlight;
+    private final Map<Long, SentRequest> outstanding = new LinkedHashMap<>();
+    private final AtomicInteger inFlight = new AtomicInteger();
     private boolean allSent;
+    private boolean closed;
 
     LoadRunner(Vertx vertx, LoadSettings settings, TraceLog trace) {
         this.vertx = vertx;
@@ -33,7 +37,11 @@
                 .map(entry -> new EntryClient(vertx, entry, settings.connections(), settings.timeoutMillis()))
                 .toList();
         this.ids = entries.stream().map(IssuedIds::new).toList();
-        settings.flows().forEach(flow -> stats.put(flow, new FlowStats(settings.idealOverheadMicros())));
+        settings.flows().forEach(flow -> stats.put(flow, flowStats(flow)));
+    }
+
+    private FlowStats flowStats(LoadFlow flow) {
+        return new FlowStats(settings.idealOverheadMicros(), settings.recordedSeconds(flow));
     }
 
     /** Has ids issued by each entry before the load begins. */
@@ -43,19 +51,39 @@
                 .mapEmpty();
     }
 
-    /** Sends a request that was meant to be sent at a time of {@link System#nanoTime}. */
+    /**
+     * Takes a place for a request, or counts it as not sent if too many are in flight; called by the arrivals' thread.
+     *
+     * <p>The place is taken before the request is handed to the event loop, so that the hand-over is bounded too. A
+     * resubmission takes a place of its own without asking, since each request has at most one.
+     *
+     * @return true if the request is to be submitted
+     */
+    boolean admit(PlannedRequest request) {
+        if (inFlight.get() < settings.maxInFlight()) {
+            inFlight.incrementAndGet();
+            return true;
+        }
+        if (isRecorded(request)) {
+            stats.get(request.flow()).notSent();
+        }
+        return false;
+    }
+
+    private boolean isRecorded(PlannedRequest request) {
+        return request.atMicros() >= settings.warmUpMicros();
+    }
+
+    /** Sends an admitted request that was meant to be sent at a time of {@link System#nanoTime}. */
     void submit(PlannedRequest request, long intendedNanos) {
         int entry = (int) (request.number() % entries.size());
-        boolean recorded = request.atMicros() >= settings.warmUpMicros();
-        FlowStats flow = stats.get(request.flow());
-        if (recorded) {
-            flow.sent();
-        }
-        inFlight++;
+        SentRequest sent = new SentRequest(request, stats.get(request.flow()), isRecorded(request), intendedNanos);
+        sent.begin();
+        outstanding.put(request.number(), sent);
         submissionId(request, entry)
-                .compose(id -> send(request, entry, id, flow, recorded, intendedNanos))
+                .compose(id -> send(sent, entry, id))
                 .otherwise(Answer::unreached)
-                .onSuccess(answer -> finish(request, flow, answer, recorded, intendedNanos))
+                .onSuccess(answer -> finish(sent, answer))
                 .onComplete(ignored -> ended());
     }
 
@@ -70,23 +98,22 @@
         return triesLeft <= 1 ? id : id.recover(error -> takeId(entry + 1, triesLeft - 1));
     }
 
-    private Future<Answer> send(
-            PlannedRequest request, int entry, String id, FlowStats flow, boolean recorded, long intendedNanos) {
+    private Future<Answer> send(SentRequest sent, int entry, String id) {
+        PlannedRequest request = sent.request();
         Future<Answer> first = sendTo(entry, request, id);
         if (request.resubmitAfterMicros().isPresent()) {
-            long afterMicros = request.resubmitAfterMicros().getAsLong();
-            inFlight++;
-            delay(intendedNanos, afterMicros)
+            inFlight.incrementAndGet();
+            delay(sent.intendedNanos(), request.resubmitAfterMicros().getAsLong())
                     .compose(ignored -> sendTo(entry + 1, request, id))
-                    .compose(second -> first.map(answer -> pair(flow, recorded, answer, second)))
+                    .compose(second -> first.map(answer -> pair(sent, answer, second)))
                     .onComplete(ignored -> ended());
         }
         return first;
     }
 
-    private Void pair(FlowStats flow, boolean recorded, Answer first, Answer second) {
-        if (recorded) {
-            flow.resubmitted(first.ending(), second.ending());
+    private Void pair(SentRequest sent, Answer first, Answer second) {
+        if (!closed) {
+            sent.resubmitted(first, second);
         }
         return null;
     }
@@ -113,33 +140,39 @@
         return vertx.timer(Math.max(1, leftMillis), TimeUnit.MILLISECONDS).mapEmpty();
     }
 
-    private void finish(PlannedRequest request, FlowStats flow, Answer answer, boolean recorded, long intendedNanos) {
-        if (!recorded) {
-            return;
+    private void finish(SentRequest sent, Answer answer) {
+        if (outstanding.remove(sent.request().number()) != null) {
+            sent.end(answer, System.nanoTime(), trace);
         }
-        long responseMicros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - intendedNanos);
-        flow.ended(answer, responseMicros, request.longestRunMicros());
-        trace.append(request, responseMicros, answer);
     }
 
     private void ended() {
-        inFlight--;
-        finishIfDone();
+        inFlight.decrementAndGet();
+        closeIfDone();
     }
 
-    /** Notes that no request follows; returns a future that is done with the last answer. */
+    /** Notes that no request follows; returns a future that is done with the last answer or at the time limit. */
     Future<Void> awaitAnswers() {
         allSent = true;
-        finishIfDone();
+        vertx.setTimer(settings.awaitMillis(), fired -> close());
+        closeIfDone();
         return done.future();
     }
 
-    private void finishIfDone() {
-        if (allSent && inFlight == 0) {
-            done.tryComplete();
+    private void closeIfDone() {
+        if (allSent && inFlight.get() == 0) {
+            close();
         }
     }
 
+    /** Ends the load; answers that come later are not counted. */
+    private void close() {
+        closed = true;
+        outstanding.values().forEach(sent -> sent.end(Answer.NONE, System.nanoTime(), trace));
+        outstanding.clear();
+        done.tryComplete();
+    }
+
     /** Returns what became of each flow. */
     List<FlowSummary> summaries() {
         return stats.entrySet().stream()
--- a/standins/src/main/java/org/knapweedmount/standins/load/Percentiles.java
+++ b/standins/src/main/java/org/knapweedmount/standins/load/Percentiles.java
@@ -32,7 +32,8 @@
                 rounded(histogram.getMaxValue() / unit));
     }
 
-    private static double rounded(double value) {
+    /** Rounds to three digits after the point. */
+    static double rounded(double value) {
         return Math.round(value * ROUNDING) / ROUNDING;
     }
 }
--- a/standins/src/test/java/org/knapweedmount/standins/load/LoadReportTest.java
+++ b/standins/src/test/java/org/knapweedmount/standins/load/LoadReportTest.java
@@ -13,8 +13,9 @@
 class LoadReportTest {
     private static final int OVERHEAD_MICROS = 1_000;
     private static final int RUN_MICROS = 9_000;
+    private static final double RECORDED_SECONDS = 4;
 
-    private final FlowStats stats = new FlowStats(OVERHEAD_MICROS);
+    private final FlowStats stats = new FlowStats(OVERHEAD_MICROS, RECORDED_SECONDS);
 
     @Test
     void timesAreThoseOfCompleteRequestsOnly() {
@@ -35,13 +36,32 @@
         }
         end(Ending.UNKNOWN, "timeout", 1);
         FlowSummary summary = stats.summary("a");
-        assertThat(summary.sent(), is(8L));
+        assertThat(summary.sent(), is(9L));
         assertThat(summary.complete() + summary.failed() + summary.notRun(), is(3L));
         assertThat(summary.unknown(), is(2L));
-        assertThat(summary.unreached() + summary.lost() + summary.wrong(), is(3L));
+        assertThat(summary.unreached() + summary.lost() + summary.noAnswer() + summary.wrong(), is(4L));
         assertThat(summary.reasons(), is(Map.of("unknown timeout", 1L)));
     }
 
+    @Test
+    void refusalsHaveTimesAndARateOfTheirOwn() {
+        end(Ending.NOT_RUN, "overloaded", 1_000);
+        end(Ending.NOT_RUN, "overloaded", 3_000);
+        end(Ending.COMPLETE, "", 10_000);
+        FlowSummary summary = stats.summary("a");
+        assertThat(summary.refusalMillis().p50(), closeTo(1, 0.01));
+        assertThat(summary.refusalMillis().p99(), closeTo(3, 0.01));
+        assertThat(summary.refusalsPerSecond(), is(0.5));
+    }
+
+    @Test
+    void requestsThatWereNotSentAreNoRefusals() {
+        stats.notSent();
+        FlowSummary summary = stats.summary("a");
+        assertThat(summary.notSent(), is(1L));
+        assertThat(summary.sent() + summary.notRun(), is(0L));
+    }
+
     @Test
     void contradictionsAndWrongAnswersViolate() {
         stats.resubmitted(Ending.COMPLETE, Ending.COMPLETE);
@@ -53,7 +73,10 @@
     @Test
     void theTableHasALineForEachFlow() {
         end(Ending.COMPLETE, "", 10_000);
-        assertThat(report().table(), containsString("a                           1        1       0"));
+        end(Ending.NOT_RUN, "overloaded", 2_000);
+        stats.notSent();
+        assertThat(report().table(), containsString("a                           2        1       0        1"));
+        assertThat(report().table(), containsString("      2.0        2.0      0.25"));
     }
 
     private LoadReport report() {
--- a/standins/src/test/java/org/knapweedmount/standins/load/LoadRunnerTest.java
+++ b/standins/src/test/java/org/knapweedmount/standins/load/LoadRunnerTest.java
@@ -5,9 +5,11 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
@@ -75,6 +77,45 @@
         assertThat(summary.lost(), is(summary.sent()));
     }
 
+    @Test
+    void requestsBeyondTheBoundAreNotSent() throws Exception {
+        int maxInFlight = 3;
+        LoadFlow flow = LoadFlow.parse("one:silent:k:t:1:fixed(1)", 1, OptionalDouble.empty());
+        LoadSettings settings = settings(List.of(entry()), maxInFlight, 1, flow);
+        FlowSummary summary = run(settings).get(0);
+        assertThat(summary.sent(), is((long) maxInFlight));
+        assertThat(summary.notSent(), is(planned(settings) - maxInFlight));
+        assertThat(summary.notRun(), is(0L));
+    }
+
+    @Test
+    void theLoadEndsAtItsLimitWithoutAnswers() throws Exception {
+        LoadFlow flow = LoadFlow.parse("one:silent:k:t:1:fixed(1)", 1, OptionalDouble.empty());
+        LoadSettings settings = settings(List.of(entry()), 1_000, 1, flow);
+        FlowSummary summary = run(settings).get(0);
+        assertThat(summary.sent(), is(planned(settings)));
+        assertThat(summary.noAnswer(), is(summary.sent()));
+        assertThat(
+                trace.toString()
+                        .lines()
+                        .filter(line -> line.contains(",no-answer,"))
+                        .count(),
+                is(summary.sent()));
+    }
+
+    @Test
+    void onlyTheTimeAfterTheWarmUpIsRecorded() throws Exception {
+        LoadFlow flow = LoadFlow.parse("one:s:k:t:1:fixed(1)", 1, OptionalDouble.empty());
+        LoadSettings settings =
+                new LoadSettings(List.of(), List.of(flow), 200, 5, 2_000_000, 0, 1, 0, 30_000, 100, 1, 1);
+        assertThat(settings.recordedSeconds(flow), is(3.0));
+    }
+
+    private static long planned(LoadSettings settings) {
+        ArrivalPlan plan = settings.plan();
+        return Stream.generate(plan::next).takeWhile(Optional::isPresent).count();
+    }
+
     private List<FlowSummary> run(LoadFlow... flows) throws Exception {
         HostPort entry = entry();
         return run(List.of(entry, entry), flows);
@@ -90,7 +131,14 @@
     }
 
     private List<FlowSummary> run(List<HostPort> entries, LoadFlow... flows) throws Exception {
-        LoadSettings settings = new LoadSettings(entries, List.of(flows), 200, 0.2, 0, 1, 1, 0, 30_000, 100);
+        return run(settings(entries, 1_000, 30_000, flows));
+    }
+
+    private static LoadSettings settings(List<HostPort> entries, int maxInFlight, int awaitMillis, LoadFlow... flows) {
+        return new LoadSettings(entries, List.of(flows), 200, 0.2, 0, 1, 1, 0, 30_000, 100, maxInFlight, awaitMillis);
+    }
+
+    private List<FlowSummary> run(LoadSettings settings) throws Exception {
         TraceLog log = TraceLog.to(trace);
         CompletableFuture<List<FlowSummary>> result = new CompletableFuture<>();
         Context context = vertx.getOrCreateContext();
@@ -107,6 +155,9 @@
     }
 
     private void answer(HttpServerRequest request, Buffer body) {
+        if (request.path().startsWith("/v1/services/silent")) {
+            return;
+        }
         if (request.path().startsWith("/v1/services/none")) {
             request.response()
                     .setStatusCode(503)
