Share the code of the commands that list and that name a job

Cause: audit and ticket history had the same option, request and printing; job status and job cancel had the same operand and path, and job submit built that path a third time.

Change: ListCommand and JobCommand hold these.

Ruled out: a common class for job submit and ticket apply; they share the reading of a file only, which is one call already, and their help differs.

Conclusion: the help of ticket history says "records" in place of "tickets"; nothing else changes for users.

--- a/cli/src/main/java/org/knapweedmount/cli/AuditCommand.java
+++ b/cli/src/main/java/org/knapweedmount/cli/AuditCommand.java
@@ -1,12 +1,12 @@
 package org.knapweedmount.cli;
 
-import com.beust.jcommander.Parameter;
 import com.fasterxml.jackson.databind.JsonNode;
 
 /** Lists the audit trail and the entry's own log of operators' requests. */
-final class AuditCommand implements Command {
-    @Parameter(names = "--limit", description = "Largest number of records")
-    private int limit = 20;
+final class AuditCommand extends ListCommand {
+    AuditCommand() {
+        super("/v1/audit");
+    }
 
     @Override
     public String name() {
@@ -19,12 +19,7 @@
     }
 
     @Override
-    public ExitCode run(Session session) throws CliException {
-        ApiAnswer answer = session.askOperators(ApiRequest.of("GET", "/v1/audit?limit=" + limit));
-        return session.show(answer, AuditCommand::text);
-    }
-
-    private static String text(JsonNode answer) {
+    String text(JsonNode answer) {
         String trail = answer.path("trailRead").asBoolean()
                 ? trail(answer).toString()
                 : "the table service did not answer; this entry's own log:\n";
--- a/cli/src/main/java/org/knapweedmount/cli/JobCancelCommand.java
+++ b/cli/src/main/java/org/knapweedmount/cli/JobCancelCommand.java
@@ -1,15 +1,7 @@
 package org.knapweedmount.cli;
 
-import java.util.ArrayList;
-import java.util.List;
-
-import com.beust.jcommander.Parameter;
-
 /** Cancels a job. */
-final class JobCancelCommand implements Command {
-    @Parameter(description = "ID")
-    private List<String> ids = new ArrayList<>();
-
+final class JobCancelCommand extends JobCommand {
     @Override
     public String name() {
         return "job cancel";
@@ -22,8 +14,7 @@
 
     @Override
     public ExitCode run(Session session) throws CliException {
-        String path = "/v1/jobs/" + Operand.pathSegment(Operand.only(ids, "ID"));
-        ApiAnswer answer = session.callers().send(ApiRequest.of("DELETE", path));
+        ApiAnswer answer = session.callers().send(ApiRequest.of("DELETE", path()));
         return session.show(answer, body -> body.isEmpty() ? "cancelled\n" : body + "\n");
     }
 }
--- a/cli/src/main/java/org/knapweedmount/cli/JobStatusCommand.java
+++ b/cli/src/main/java/org/knapweedmount/cli/JobStatusCommand.java
@@ -1,15 +1,9 @@
 package org.knapweedmount.cli;
 
-import java.util.ArrayList;
-import java.util.List;
-
 import com.beust.jcommander.Parameter;
 
 /** Asks for the answer to a job. */
-final class JobStatusCommand implements Command {
-    @Parameter(description = "ID")
-    private List<String> ids = new ArrayList<>();
-
+final class JobStatusCommand extends JobCommand {
     @Parameter(names = "--wait", description = "Wait for the end of the job")
     private boolean wait;
 
@@ -25,7 +19,7 @@
 
     @Override
     public ExitCode run(Session session) throws CliException {
-        String path = "/v1/jobs/" + Operand.pathSegment(Operand.only(ids, "ID"));
-        return JobText.show(session, session.callers().send(ApiRequest.of("GET", wait ? path + "?wait=true" : path)));
+        ApiRequest request = ApiRequest.of("GET", path() + (wait ? "?wait=true" : ""));
+        return JobText.show(session, session.callers().send(request));
     }
 }
--- a/cli/src/main/java/org/knapweedmount/cli/JobSubmitCommand.java
+++ b/cli/src/main/java/org/knapweedmount/cli/JobSubmitCommand.java
@@ -42,7 +42,7 @@
         EntryApi entry = session.callers();
         String submission = id == null ? issueId(entry) : id;
         session.note("submission " + submission);
-        ApiRequest request = ApiRequest.of("PUT", "/v1/jobs/" + Operand.pathSegment(submission))
+        ApiRequest request = ApiRequest.of("PUT", JobCommand.path(submission))
                 .withBody(Payload.of(job.toString()), "application/json")
                 .withHeader("Prefer", async ? "respond-async" : "");
         ExitCode exitCode = JobText.show(session, entry.send(request));
--- a/cli/src/main/java/org/knapweedmount/cli/TicketHistoryCommand.java
+++ b/cli/src/main/java/org/knapweedmount/cli/TicketHistoryCommand.java
@@ -1,12 +1,12 @@
 package org.knapweedmount.cli;
 
-import com.beust.jcommander.Parameter;
 import com.fasterxml.jackson.databind.JsonNode;
 
 /** Lists accepted tickets. */
-final class TicketHistoryCommand implements Command {
-    @Parameter(names = "--limit", description = "Largest number of tickets")
-    private int limit = 20;
+final class TicketHistoryCommand extends ListCommand {
+    TicketHistoryCommand() {
+        super("/v1/tickets");
+    }
 
     @Override
     public String name() {
@@ -19,12 +19,7 @@
     }
 
     @Override
-    public ExitCode run(Session session) throws CliException {
-        ApiAnswer answer = session.askOperators(ApiRequest.of("GET", "/v1/tickets?limit=" + limit));
-        return session.show(answer, TicketHistoryCommand::text);
-    }
-
-    private static String text(JsonNode answer) {
+    String text(JsonNode answer) {
         TextTable table = new TextTable("number", "author", "objects");
         for (JsonNode ticket : JsonLists.items(answer, "tickets")) {
             table.row(ticket.path("number").asText(), ticket.path("author").asText(), objects(ticket));
