Hand links, messages and ticks to the decisions in FakeProcess

Cause: FakeAgent and FakeEntry passed the same four events on in the same twenty lines, each with the present time.

Change: FakeProcess passes them on, to the four functions that its subclass names; it also gives the present time.

Ruled out: a common interface of AgentCore and EntryCore, which nothing but these fakes would use.

--- a/core/src/test/java/org/knapweedmount/core/fleet/FakeAgent.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FakeAgent.java
@@ -42,7 +42,7 @@
     private final Set<TaskId> stopped = new HashSet<>();
 
     FakeAgent(PeerAddress address, ConfigState config, FakeFleet fleet) {
-        super(address);
+        super(address, fleet.scheduler());
         this.scheduler = fleet.scheduler();
         this.network = fleet.network();
         this.fleet = fleet;
@@ -51,7 +51,7 @@
                 AgentLimits.DEFAULT, address, config, this, new Counters<>(AgentCounter.class), Invariants.fatal());
         EndpointAnnouncement endpoint = new EndpointAnnouncement(
                 "executor", FakeFleet.SERVICE, "127.0.0.1", 1, SLOTS, CONNECTIONS, TTL_MILLIS, Resources.NONE);
-        core.endpointAnnounced(endpoint, scheduler.nowNanos());
+        core.endpointAnnounced(endpoint, nowNanos());
     }
 
     @Override
@@ -86,7 +86,7 @@
     private void ended(TaskId task, TaskResult result) {
         boolean wasStopped = stopped.remove(task);
         TaskResult told = wasStopped ? TaskResult.of(Outcome.FAILED, Reason.CANCELLED) : result;
-        core.taskEnded(task, told, scheduler.nowNanos());
+        core.taskEnded(task, told, nowNanos());
     }
 
     @Override
@@ -95,23 +95,8 @@
     }
 
     @Override
-    void linked(PeerAddress peer) {
-        core.linked(peer, scheduler.nowNanos());
-    }
-
-    @Override
-    void unlinked(Incarnation peer) {
-        core.unlinked(peer, scheduler.nowNanos());
-    }
-
-    @Override
-    void receive(Incarnation from, Message message) {
-        core.receive(from, message, scheduler.nowNanos());
-    }
-
-    @Override
-    void tick() {
-        core.tick(scheduler.nowNanos());
+    Decisions decisions() {
+        return new Decisions(core::linked, core::unlinked, core::receive, core::tick);
     }
 
     boolean idle() {
@@ -119,6 +104,6 @@
     }
 
     void drain() {
-        core.drain(scheduler.nowNanos());
+        core.drain(nowNanos());
     }
 }
--- a/core/src/test/java/org/knapweedmount/core/fleet/FakeEntry.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FakeEntry.java
@@ -24,7 +24,6 @@
 final class FakeEntry extends FakeProcess implements EntryOutput {
     private static final long LINK_NANOS = 150_000_000;
 
-    private final Scheduler scheduler;
     private final FakeNetwork network;
     private final FakeStore store;
     private final EntryCore core;
@@ -33,11 +32,10 @@
     private long requests;
 
     FakeEntry(PeerAddress address, ConfigState config, FakeFleet fleet) {
-        super(address);
-        this.scheduler = fleet.scheduler();
+        super(address, fleet.scheduler());
         this.network = fleet.network();
         this.store = fleet.store();
-        this.createdNanos = scheduler.nowNanos();
+        this.createdNanos = nowNanos();
         long seed = fleet.random().nextLong();
         this.core = new EntryCore(
                 EntryLimits.DEFAULT,
@@ -50,7 +48,7 @@
     }
 
     boolean ready() {
-        return scheduler.nowNanos() - createdNanos >= LINK_NANOS;
+        return nowNanos() - createdNanos >= LINK_NANOS;
     }
 
     Optional<SubmissionId> issue() {
@@ -69,13 +67,13 @@
     private void submit(SubmissionRequest submission, Consumer<JobAnswer> caller) {
         long request = ++requests;
         callers.put(request, caller);
-        deliver(() -> core.submit(request, submission, scheduler.nowNanos()));
+        deliver(() -> core.submit(request, submission, nowNanos()));
     }
 
     void cancel(SubmissionId id, Consumer<JobAnswer> caller) {
         long request = ++requests;
         callers.put(request, caller);
-        deliver(() -> core.cancel(request, id, scheduler.nowNanos()));
+        deliver(() -> core.cancel(request, id, nowNanos()));
     }
 
     int unanswered() {
@@ -98,30 +96,15 @@
 
     @Override
     public void claim(String key, SubmissionId proposed) {
-        store.claim(key, proposed, result -> deliver(() -> core.claimed(key, proposed, result, scheduler.nowNanos())));
+        store.claim(key, proposed, result -> deliver(() -> core.claimed(key, proposed, result, nowNanos())));
     }
 
     @Override
-    void linked(PeerAddress peer) {
-        core.linked(peer, scheduler.nowNanos());
-    }
-
-    @Override
-    void unlinked(Incarnation peer) {
-        core.unlinked(peer, scheduler.nowNanos());
-    }
-
-    @Override
-    void receive(Incarnation from, Message message) {
-        core.receive(from, message, scheduler.nowNanos());
-    }
-
-    @Override
-    void tick() {
-        core.tick(scheduler.nowNanos());
+    Decisions decisions() {
+        return new Decisions(core::linked, core::unlinked, core::receive, core::tick);
     }
 
     void drain() {
-        deliver(() -> core.drain(scheduler.nowNanos()));
+        deliver(() -> core.drain(nowNanos()));
     }
 }
--- a/core/src/test/java/org/knapweedmount/core/fleet/FakeProcess.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FakeProcess.java
@@ -10,12 +10,14 @@
 /** A process that can be frozen and killed; what reaches it while frozen is handled when it goes on. */
 abstract class FakeProcess {
     private final PeerAddress address;
+    private final Scheduler scheduler;
     private final Deque<Runnable> held = new ArrayDeque<>();
     private boolean alive = true;
     private boolean frozen;
 
-    FakeProcess(PeerAddress address) {
+    FakeProcess(PeerAddress address, Scheduler scheduler) {
         this.address = address;
+        this.scheduler = scheduler;
     }
 
     final PeerAddress address() {
@@ -57,11 +59,26 @@
         held.clear();
     }
 
-    abstract void linked(PeerAddress peer);
+    /** Returns what decides for the process. */
+    abstract Decisions decisions();
 
-    abstract void unlinked(Incarnation peer);
+    final long nowNanos() {
+        return scheduler.nowNanos();
+    }
+
+    final void linked(PeerAddress peer) {
+        decisions().linked().accept(peer, nowNanos());
+    }
 
-    abstract void receive(Incarnation from, Message message);
+    final void unlinked(Incarnation peer) {
+        decisions().unlinked().accept(peer, nowNanos());
+    }
 
-    abstract void tick();
+    final void receive(Incarnation from, Message message) {
+        decisions().received().accept(from, message, nowNanos());
+    }
+
+    final void tick() {
+        decisions().tick().accept(nowNanos());
+    }
 }
