--- a/daemon/src/test/java/org/knapweedmount/daemon/link/TestProcess.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/link/TestProcess.java
@@ -63,6 +63,11 @@
         return new HostPort(HOST, self.port());
     }
 
+    /** Returns the event by which others are told that they are linked to this process. */
+    String linkedEvent() {
+        return "linked " + self.incarnation();
+    }
+
     void send(PeerAddress peer, Message message) {
         loop.offer((core, nowNanos) -> links.send(peer.incarnation(), message));
     }
