Ask the fake agent's own scheduler for the time of its announcement

Cause: the line stands beside one that changes elsewhere at the same time. Change: back to what it was. Ruled out: nothing. Conclusion: no change of behaviour.

--- a/core/src/test/java/org/knapweedmount/core/fleet/FakeAgent.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FakeAgent.java
@@ -51,7 +51,7 @@
                 AgentLimits.DEFAULT, address, config, this, new Counters<>(AgentCounter.class), Invariants.fatal());
         EndpointAnnouncement endpoint = new EndpointAnnouncement(
                 "executor", FakeFleet.SERVICE, "127.0.0.1", 1, SLOTS, CONNECTIONS, TTL_MILLIS, Resources.NONE);
-        core.endpointAnnounced(endpoint, nowNanos());
+        core.endpointAnnounced(endpoint, scheduler.nowNanos());
     }
 
     @Override
