Read the two sections of limits by the same steps

Cause: the defaults of a missing section and the refusal of unknown keys stood twice in LimitsReader.

Change: one method does both, around the keys of the role.

Ruled out: a table of keys; the records' constructors name them already.

Conclusion: no change of behaviour.

--- a/daemon/src/main/java/org/knapweedmount/daemon/settings/LimitsReader.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/settings/LimitsReader.java
@@ -13,13 +13,19 @@
 
     private LimitsReader() {}
 
+    /** Reads limits from a section. */
+    @FunctionalInterface
+    private interface Parser<T> {
+        T parse(SettingsSection given) throws SettingsException;
+    }
+
     static EntryLimits entry(Optional<SettingsSection> section) throws SettingsException {
+        return read(section, EntryLimits.DEFAULT, LimitsReader::entryLimits);
+    }
+
+    private static EntryLimits entryLimits(SettingsSection given) throws SettingsException {
         EntryLimits fallback = EntryLimits.DEFAULT;
-        if (section.isEmpty()) {
-            return fallback;
-        }
-        SettingsSection given = section.get();
-        EntryLimits limits = new EntryLimits(
+        return new EntryLimits(
                 given.integer("maxQueuedTasks", COUNT, fallback.maxQueuedTasks()),
                 given.integer("maxQueuedBytes", BYTES, fallback.maxQueuedBytes()),
                 given.integer("maxJobTasks", COUNT, fallback.maxJobTasks()),
@@ -29,24 +35,30 @@
                 given.integer("lostTaskMillis", MILLIS, fallback.lostTaskMillis()),
                 given.integer("settleMillis", MILLIS, fallback.settleMillis()),
                 given.share("retryShare", fallback.retryShare()));
-        given.refuseUnknownKeys();
-        return limits;
     }
 
     static AgentLimits agent(Optional<SettingsSection> section) throws SettingsException {
+        return read(section, AgentLimits.DEFAULT, LimitsReader::agentLimits);
+    }
+
+    private static AgentLimits agentLimits(SettingsSection given) throws SettingsException {
         AgentLimits fallback = AgentLimits.DEFAULT;
-        if (section.isEmpty()) {
-            return fallback;
-        }
-        SettingsSection given = section.get();
-        AgentLimits limits = new AgentLimits(
+        return new AgentLimits(
                 given.integer("maxRecords", COUNT, fallback.maxRecords()),
                 given.integer("maxResultBytes", BYTES, fallback.maxResultBytes()),
                 given.integer("maxSeals", COUNT, fallback.maxSeals()),
                 given.integer("linkTimeoutMillis", MILLIS, fallback.linkTimeoutMillis()),
                 given.integer("setAsideFailures", COUNT, fallback.setAsideFailures()),
                 given.integer("setAsideMillis", MILLIS, fallback.setAsideMillis()));
-        given.refuseUnknownKeys();
+    }
+
+    private static <T> T read(Optional<SettingsSection> section, T fallback, Parser<T> parser)
+            throws SettingsException {
+        if (section.isEmpty()) {
+            return fallback;
+        }
+        T limits = parser.parse(section.get());
+        section.get().refuseUnknownKeys();
         return limits;
     }
 }
