--- a/standins/src/main/java/org/knapweedmount/standins/load/LoadReport.java
+++ b/standins/src/main/java/org/knapweedmount/standins/load/LoadReport.java
@@ -33,6 +33,12 @@
     /** Returns the report as aligned text. */
     String table() {
         StringBuilder text = new StringBuilder();
+        appendCounts(text);
+        appendTimes(text);
+        return text.toString();
+    }
+
+    private void appendCounts(StringBuilder text) {
         line(
                 text,
                 COUNTS,
@@ -67,6 +73,9 @@
                     flow.resubmitted(),
                     flow.contradictions());
         }
+    }
+
+    private void appendTimes(StringBuilder text) {
         line(
                 text,
                 TIMES,
@@ -101,7 +110,6 @@
                     flow.refusalMillis().p99(),
                     Percentiles.rounded(flow.refusalsPerSecond()));
         }
-        return text.toString();
     }
 
     private static void line(StringBuilder text, String format, Object... columns) {
