--- a/core/src/test/java/org/knapweedmount/core/fleet/FakeAgent.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FakeAgent.java
@@ -45,7 +45,7 @@
     private final Set<TaskId> stopped = new HashSet<>();
 
     FakeAgent(PeerAddress address, ConfigState config, FakeFleet fleet) {
-        super(address);
+        super(address, fleet.scheduler());
         this.scheduler = fleet.scheduler();
         this.network = fleet.network();
         this.fleet = fleet;
@@ -96,7 +96,7 @@
     private void ended(TaskId task, TaskResult result) {
         boolean wasStopped = stopped.remove(task);
         TaskResult told = wasStopped ? TaskResult.of(Outcome.FAILED, Reason.CANCELLED) : result;
-        core.taskEnded(task, told, scheduler.nowNanos());
+        core.taskEnded(task, told, nowNanos());
     }
 
     @Override
@@ -105,23 +105,8 @@
     }
 
     @Override
-    void linked(PeerAddress peer) {
-        core.linked(peer, scheduler.nowNanos());
-    }
-
-    @Override
-    void unlinked(Incarnation peer) {
-        core.unlinked(peer, scheduler.nowNanos());
-    }
-
-    @Override
-    void receive(Incarnation from, Message message) {
-        core.receive(from, message, scheduler.nowNanos());
-    }
-
-    @Override
-    void tick() {
-        core.tick(scheduler.nowNanos());
+    Decisions decisions() {
+        return new Decisions(core::linked, core::unlinked, core::receive, core::tick);
     }
 
     boolean idle() {
@@ -129,6 +114,6 @@
     }
 
     void drain() {
-        core.drain(scheduler.nowNanos());
+        core.drain(nowNanos());
     }
 }
--- a/daemon/src/test/java/org/knapweedmount/daemon/link/RawPeer.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/link/RawPeer.java
@@ -1,5 +1,6 @@
 package org.knapweedmount.daemon.link;
 
+import java.io.DataInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -40,6 +41,30 @@
         return this;
     }
 
+    /** Sends messages until the other end has closed the connection or all are sent. */
+    void sendWhileOpen(Message message, int count) throws FrameException {
+        byte[] frame = new MessageEncoder().encode(message, LinkEnds.UNKNOWN);
+        boolean open = true;
+        for (int i = 0; i < count && open; i++) {
+            open = sendIfOpen(frame);
+        }
+    }
+
+    private boolean sendIfOpen(byte[] frame) {
+        try {
+            send(frame);
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Reads one whole frame. */
+    void awaitFrame() throws IOException {
+        DataInputStream in = new DataInputStream(socket.getInputStream());
+        in.skipNBytes(in.readInt());
+    }
+
     /** Reads until the other end closes the connection. */
     void awaitClose() throws IOException {
         InputStream in = socket.getInputStream();
