Leave replaced and stopping agents out of the next roster at once

Cause: an agent that was replaced stayed in the rosters of new ids for 60 s, so that submissions of a dead entry settled as unknown although the agent had never been sent their tasks.

Change: an agent that is not linked while another incarnation of its name is, and an agent that says it is leaving, is left out of the next version. Its state with the start sequence is kept for 60 s as before. An agent that is linked again joins a new version and gets tasks of ids from that version on.

Ruled out: dropping at the loss of a link (versions by every short cut), matching by IP number (agents may share one), changing issued versions (untrue not-run).

--- a/core/src/main/java/org/knapweedmount/core/entry/AgentLinks.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/AgentLinks.java
@@ -32,7 +32,7 @@
         }
         agent.linked(nowNanos);
         startedTasks.linked(agent);
-        agents.replacedBy(agent).forEach(earlier -> startedTasks.lost(earlier, nowNanos));
+        agents.replacedBy(agent).forEach(earlier -> replaced(earlier, nowNanos));
     }
 
     void unlinked(Incarnation incarnation, long nowNanos) {
@@ -45,10 +45,16 @@
         agent.unlinked(nowNanos);
         startedTasks.unlinked(agent);
         if (agents.isGone(incarnation)) {
-            startedTasks.lost(agent, nowNanos);
+            replaced(agent, nowNanos);
         }
     }
 
+    /** Gives up an agent that is not linked while a later incarnation of its process is. */
+    private void replaced(AgentState agent, long nowNanos) {
+        startedTasks.lost(agent, nowNanos);
+        agents.drop(agent);
+    }
+
     /** Takes a message; any message shows that its sender runs. */
     void receive(Incarnation from, Message message, long nowNanos) {
         Optional<AgentState> agent = agents.find(from).filter(AgentState::linked);
@@ -85,6 +91,7 @@
             scheduler.recalled(agent, recall);
         } else if (message instanceof Leaving) {
             agent.leaving();
+            agents.drop(agent);
             scheduler.agentChanged(agent);
         }
     }
--- a/core/src/main/java/org/knapweedmount/core/entry/AgentState.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/AgentState.java
@@ -14,13 +14,15 @@
 
 /** What an entry knows of one incarnation of an agent, through all its links. */
 final class AgentState {
+    private static final int NOT_LISTED = Integer.MAX_VALUE;
+
     private final PeerAddress address;
-    private final int joinedVersion;
     private final boolean local;
     private final long linkTimeoutNanos;
     private final Map<TaskId, TaskRun> inFlight = new LinkedHashMap<>();
     private final Map<String, AgentService> services = new LinkedHashMap<>();
     private final Map<Flow, Long> pausedUntilNanos = new HashMap<>();
+    private int joinedVersion = NOT_LISTED;
     private boolean linked;
     private boolean leaving;
     private boolean drained;
@@ -29,17 +31,15 @@
     private long lastSequence;
 
     /**
-     * Creates the state of an agent before its first link.
+     * Creates the state of an agent before its first link, which no version of the roster lists yet.
      *
      * @param address the agent
-     * @param joinedVersion the first version of the entry's roster that lists the agent
      * @param local true if the agent runs in the entry's data centre
      * @param lastSequence the sequence number after which those of starts sent to this agent begin
      * @param linkTimeoutNanos how long the agent may be silent before it gets no new work
      */
-    AgentState(PeerAddress address, int joinedVersion, boolean local, long lastSequence, long linkTimeoutNanos) {
+    AgentState(PeerAddress address, boolean local, long lastSequence, long linkTimeoutNanos) {
         this.address = address;
-        this.joinedVersion = joinedVersion;
         this.local = local;
         this.lastSequence = lastSequence;
         this.linkTimeoutNanos = linkTimeoutNanos;
@@ -53,10 +53,26 @@
         return address.incarnation();
     }
 
+    /** The version since which all versions of the entry's roster list the agent; beyond all if later ones will not. */
     int joinedVersion() {
         return joinedVersion;
     }
 
+    /** Tells whether the next version of the entry's roster lists the agent. */
+    boolean listed() {
+        return joinedVersion != NOT_LISTED;
+    }
+
+    /** Notes the first version that lists the agent from now on. */
+    void joined(int version) {
+        joinedVersion = version;
+    }
+
+    /** Notes that later versions do not list the agent; so it is sent no new task until it joins again. */
+    void dropped() {
+        joinedVersion = NOT_LISTED;
+    }
+
     boolean local() {
         return local;
     }
--- a/core/src/main/java/org/knapweedmount/core/entry/Agents.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/Agents.java
@@ -34,10 +34,24 @@
         return byIncarnation.values();
     }
 
-    /** Returns an agent's state; an agent seen for the first time is added to the roster. */
+    /** Returns the state of an agent that has a link now; one that is not in the roster joins it. */
     AgentState obtain(PeerAddress address) {
         latestByProcess.put(address.incarnation().process(), address.incarnation());
-        return byIncarnation.computeIfAbsent(address.incarnation(), unused -> create(address));
+        AgentState agent = byIncarnation.computeIfAbsent(address.incarnation(), unused -> create(address));
+        if (!agent.listed()) {
+            agent.joined(roster.join(address));
+        }
+        return agent;
+    }
+
+    /**
+     * Leaves an agent out of the rosters of ids issued from now on.
+     *
+     * <p>Its state is kept, so that a task that was sent to it is never sent to it again should it be linked once more.
+     */
+    void drop(AgentState agent) {
+        agent.dropped();
+        roster.drop(agent.address());
     }
 
     boolean isLinked(Incarnation incarnation) {
@@ -58,7 +72,7 @@
                 .toList();
     }
 
-    /** Forgets agents that have been gone for long, so that later ids do not name them. */
+    /** Forgets agents that have been gone for long, and leaves them out of later rosters. */
     void forget(long nowNanos) {
         List<AgentState> gone = byIncarnation.values().stream()
                 .filter(agent -> !agent.linked() && !agent.hasInFlight())
@@ -67,7 +81,7 @@
         for (AgentState agent : gone) {
             byIncarnation.remove(agent.incarnation());
             latestByProcess.remove(agent.incarnation().process(), agent.incarnation());
-            roster.drop(agent.address());
+            drop(agent);
             highestForgottenSequence = Math.max(highestForgottenSequence, agent.lastSequence());
         }
     }
@@ -78,10 +92,9 @@
     }
 
     private AgentState create(PeerAddress address) {
-        int version = roster.join(address);
         boolean local = address.dataCentre().equals(context.address().dataCentre());
         long linkTimeoutNanos = context.limits().linkTimeoutMillis() * NANOS_PER_MILLI;
-        AgentState agent = new AgentState(address, version, local, highestForgottenSequence, linkTimeoutNanos);
+        AgentState agent = new AgentState(address, local, highestForgottenSequence, linkTimeoutNanos);
         updateDrained(agent);
         return agent;
     }
--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/fleet/MembershipTest.java
@@ -0,0 +1,104 @@
+package org.knapweedmount.core.fleet;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.knapweedmount.api.Outcome;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+/** What becomes of submissions of a dead entry after agents were replaced or stopped. */
+class MembershipTest {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final int ENTRIES = 3;
+    private static final int AGENTS = 5;
+    private static final int CHANGED_AGENT = 2;
+    private static final int SUBMISSIONS = 20;
+    private static final long LINKED_MILLIS = 500;
+    private static final long SETTLED_MILLIS = 5_000;
+
+    private FakeFleet fleet;
+
+    @ParameterizedTest
+    @ValueSource(longs = {41, 42, 43, 44})
+    void idsIssuedAfterAnAgentWasReplacedAreSettledWithoutIt(long seed) {
+        List<Submission> submissions = settle(seed, MembershipTest::replaceAgent, MembershipTest::leaveAlone);
+
+        assertThat(outcomes(submissions), is(Map.of(Outcome.NOT_RUN, SUBMISSIONS)));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {51, 52, 53, 54})
+    void idsIssuedAfterAnAgentBeganToStopAreSettledWithoutIt(long seed) {
+        List<Submission> submissions = settle(seed, MembershipTest::drainAgent, MembershipTest::replaceAgent);
+
+        assertThat(outcomes(submissions), is(Map.of(Outcome.NOT_RUN, SUBMISSIONS)));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {61, 62})
+    void idsIssuedBeforeAnAgentDiedStayUnknown(long seed) {
+        List<Submission> submissions = settle(seed, MembershipTest::leaveAlone, MembershipTest::replaceAgent);
+
+        assertThat(outcomes(submissions), is(Map.of(Outcome.UNKNOWN, SUBMISSIONS)));
+    }
+
+    private static void leaveAlone(FakeFleet fleet) {}
+
+    private static void replaceAgent(FakeFleet fleet) {
+        fleet.replaceAgent(CHANGED_AGENT);
+    }
+
+    private static void drainAgent(FakeFleet fleet) {
+        FakeAgent agent = fleet.agents().get(CHANGED_AGENT);
+        agent.deliver(agent::drain);
+    }
+
+    /** Issues ids at an entry between two changes, then replaces the entry and asks another one for the ids. */
+    private List<Submission> settle(long seed, Consumer<FakeFleet> before, Consumer<FakeFleet> after) {
+        fleet = new FakeFleet(seed, ENTRIES, AGENTS, 0);
+        pass(LINKED_MILLIS);
+        before.accept(fleet);
+        pass(LINKED_MILLIS);
+        List<Submission> submissions = issue(seed);
+        pass(LINKED_MILLIS);
+        after.accept(fleet);
+        fleet.replaceEntry(0);
+        pass(LINKED_MILLIS);
+        submissions.forEach(submission -> submission.send(fleet.entries().get(1), true, fleet.log()));
+        pass(SETTLED_MILLIS);
+        return submissions;
+    }
+
+    private List<Submission> issue(long seed) {
+        Random random = new Random(seed);
+        List<Submission> submissions = new ArrayList<>();
+        for (int number = 0; number < SUBMISSIONS; number++) {
+            submissions.add(new Submission(number, fleet.entries().get(0).issue(), random));
+        }
+        return submissions;
+    }
+
+    private void pass(long millis) {
+        fleet.scheduler().runUntil(fleet.scheduler().nowNanos() + millis * NANOS_PER_MILLI);
+    }
+
+    private static Map<Outcome, Integer> outcomes(List<Submission> submissions) {
+        Map<Outcome, Integer> counts = new EnumMap<>(Outcome.class);
+        for (Outcome outcome : Outcome.values()) {
+            int count = (int)
+                    submissions.stream().filter(each -> each.ended(outcome)).count();
+            if (count > 0) {
+                counts.put(outcome, count);
+            }
+        }
+        return counts;
+    }
+}
