--- a/core/src/main/java/org/knapweedmount/core/entry/EntryCore.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/EntryCore.java
@@ -1,5 +1,6 @@
 package org.knapweedmount.core.entry;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -37,6 +38,7 @@
     private final Relays relays;
     private final RequestRouter router;
     private final EntryLinks entryLinks;
+    private final RemoteEntries remoteEntries;
     private boolean draining;
 
     /**
@@ -76,9 +78,10 @@
         this.claims = new KeyClaims(context, answers, issuer, submissions, admission);
         PeerRosters peerRosters = new PeerRosters();
         this.settlements = new Settlements(context, answers, agents, id -> roster(id, peerRosters));
-        this.relays = new Relays(context, answers, settlements);
+        this.remoteEntries = new RemoteEntries(self);
+        this.relays = new Relays(context, answers, settlements, remoteEntries);
         this.router = new RequestRouter(context, answers, submissions, claims, relays, settlements);
-        this.entryLinks = new EntryLinks(context, roster, peerRosters, relays, router);
+        this.entryLinks = new EntryLinks(context, roster, peerRosters, relays, router, remoteEntries);
     }
 
     private Optional<List<PeerAddress>> roster(SubmissionId id, PeerRosters peerRosters) {
@@ -173,10 +176,20 @@
             agentLinks.linked(peer, nowNanos);
             settlements.linked(peer.incarnation());
         } else {
-            entryLinks.linked(peer.incarnation(), nowNanos);
+            remoteEntries.know(List.of(peer));
+            entryLinks.linked(peer, nowNanos);
         }
     }
 
+    /**
+     * Takes entries that exist, so that it is known whom to ask for submissions of other regions.
+     *
+     * @param entries entries of any region
+     */
+    public void know(Collection<PeerAddress> entries) {
+        remoteEntries.know(entries);
+    }
+
     /**
      * Takes the loss of a link.
      *
--- a/core/src/main/java/org/knapweedmount/core/entry/EntryOutput.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/EntryOutput.java
@@ -2,6 +2,7 @@
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.JobAnswer;
+import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.SubmissionId;
 import org.knapweedmount.api.message.Message;
 
@@ -15,6 +16,13 @@
      */
     void send(Incarnation peer, Message message);
 
+    /**
+     * Opens a link to an entry of another region; closed by its owner when it has not been used for a while.
+     *
+     * @param entry the entry
+     */
+    void reach(PeerAddress entry);
+
     /**
      * Answers a caller's request; called exactly once for each request.
      *
--- a/core/src/main/java/org/knapweedmount/core/entry/ForeignRequest.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/ForeignRequest.java
@@ -31,6 +31,12 @@
         return new ForeignRequest(requester, Operation.CANCEL, id, Optional.empty(), true);
     }
 
+    /** Returns what an entry of another region asks for. */
+    static ForeignRequest relayed(Requester requester, RelayRequest request) {
+        return new ForeignRequest(
+                requester, request.operation(), request.submission(), request.job(), request.awaitEnd());
+    }
+
     RelayRequest message(long number) {
         return new RelayRequest(number, operation, id, job, awaitEnd);
     }
--- a/core/src/main/java/org/knapweedmount/core/entry/RequestRouter.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/RequestRouter.java
@@ -69,18 +69,26 @@
         }
     }
 
-    /** Takes a request that another entry relays; only requests for ids of this entry are answered. */
-    void relayed(Incarnation from, RelayRequest request, long nowNanos) {
+    /**
+     * Takes a request that another entry relays.
+     *
+     * <p>An entry of this region asks the issuer alone. One of another region may ask any entry of the issuer's region; so
+     * that requests do not go round, they are not passed on to a further region.
+     */
+    void relayed(Incarnation from, RelayRequest request, boolean fromOtherRegion, long nowNanos) {
         Requester requester = Requester.peer(from, request.request());
         SubmissionId id = request.submission();
         if (!answers.awaits(requester)) {
             answers.await(requester);
-            relayed(requester, id, request, nowNanos);
+            relayed(requester, id, request, fromOtherRegion, nowNanos);
         }
     }
 
-    private void relayed(Requester requester, SubmissionId id, RelayRequest request, long nowNanos) {
-        if (!isOwn(id)) {
+    private void relayed(
+            Requester requester, SubmissionId id, RelayRequest request, boolean fromOtherRegion, long nowNanos) {
+        if (!isOwn(id) && fromOtherRegion) {
+            relays.askInRegion(ForeignRequest.relayed(requester, request), nowNanos);
+        } else if (!isOwn(id)) {
             answers.deliver(
                     requester,
                     JobAnswer.ended(
--- a/core/src/test/java/org/knapweedmount/core/entry/ModelNetwork.java
+++ b/core/src/test/java/org/knapweedmount/core/entry/ModelNetwork.java
@@ -97,6 +97,11 @@
                 }
             }
 
+            @Override
+            public void reach(PeerAddress entry) {
+                throw new AssertionError("all entries are in one region");
+            }
+
             @Override
             public void answer(long request, JobAnswer answer) {
                 if (answers.put(request, answer) != null) {
--- a/core/src/test/java/org/knapweedmount/core/entry/RecordingOutput.java
+++ b/core/src/test/java/org/knapweedmount/core/entry/RecordingOutput.java
@@ -7,12 +7,14 @@
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.JobAnswer;
+import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.SubmissionId;
 import org.knapweedmount.api.message.Message;
 
 /** Keeps what an entry has decided. */
 final class RecordingOutput implements EntryOutput {
     final List<Sent> sent = new ArrayList<>();
+    final List<PeerAddress> reached = new ArrayList<>();
     final Map<Long, JobAnswer> answers = new HashMap<>();
     final Map<String, SubmissionId> claims = new HashMap<>();
 
@@ -29,6 +31,11 @@
         sent.add(new Sent(peer, message));
     }
 
+    @Override
+    public void reach(PeerAddress entry) {
+        reached.add(entry);
+    }
+
     @Override
     public void answer(long request, JobAnswer answer) {
         if (answers.put(request, answer) != null) {
--- a/core/src/test/java/org/knapweedmount/core/fleet/FakeEntry.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FakeEntry.java
@@ -1,6 +1,7 @@
 package org.knapweedmount.core.fleet;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -27,6 +28,7 @@
     private final Scheduler scheduler;
     private final FakeNetwork network;
     private final FakeStore store;
+    private final FakeFleet fleet;
     private final EntryCore core;
     private final Map<Long, Consumer<JobAnswer>> callers = new HashMap<>();
     private final long createdNanos;
@@ -37,6 +39,7 @@
         this.scheduler = fleet.scheduler();
         this.network = fleet.network();
         this.store = fleet.store();
+        this.fleet = fleet;
         this.createdNanos = scheduler.nowNanos();
         long seed = fleet.random().nextLong();
         this.core = new EntryCore(
@@ -87,6 +90,15 @@
         network.send(this, peer, message);
     }
 
+    @Override
+    public void reach(PeerAddress entry) {
+        fleet.reach(this, entry);
+    }
+
+    void know(List<PeerAddress> entries) {
+        core.know(entries);
+    }
+
     @Override
     public void answer(long request, JobAnswer answer) {
         Consumer<JobAnswer> caller = callers.remove(request);
--- a/core/src/test/java/org/knapweedmount/core/fleet/FakeFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FakeFleet.java
@@ -14,7 +14,7 @@
 import org.knapweedmount.api.config.Ticket;
 import org.knapweedmount.core.config.ConfigState;
 
-/** A site of some entries and agents, whose processes are killed, replaced, frozen, drained and cut off. */
+/** Some entries and agents in one or more regions, whose processes are killed, replaced, frozen, drained and cut off. */
 final class FakeFleet {
     static final String SERVICE = "dues";
     static final String REPEATABLE = "balance-check";
@@ -25,8 +25,12 @@
     private static final int DATA_CENTRES = 3;
     private static final int MAX_WAIT_MILLIS = 3_000;
     private static final int EXPECTED_MILLIS = 80;
+    private static final int REACH_SPREAD_NANOS = 60_000_000;
+    private static final double IDLE_CLOSE_SHARE = 0.03;
 
     private final Random random;
+    private final int regions;
+    private boolean regionsCut;
     private boolean reliableExecutors;
     private final Scheduler scheduler = new Scheduler();
     private final StartLog log = new StartLog();
@@ -37,6 +41,11 @@
     private final List<FakeEntry> allEntries = new ArrayList<>();
 
     FakeFleet(long seed, int entryCount, int agentCount, double repeatShare) {
+        this(seed, 1, entryCount, agentCount, repeatShare);
+    }
+
+    FakeFleet(long seed, int regions, int entryCount, int agentCount, double repeatShare) {
+        this.regions = regions;
         this.random = new Random(seed);
         this.network = new FakeNetwork(scheduler, random, repeatShare);
         for (int index = 0; index < entryCount; index++) {
@@ -124,6 +133,7 @@
     void thawAll() {
         entries.forEach(FakeProcess::thaw);
         agents.forEach(FakeProcess::thaw);
+        regionsCut(false);
     }
 
     private void cutAll(FakeProcess process) {
@@ -134,14 +144,53 @@
     private void connectAll() {
         for (int one = 0; one < entries.size(); one++) {
             for (int other = one + 1; other < entries.size(); other++) {
-                network.connect(entries.get(one), entries.get(other));
+                connectInRegion(entries.get(one), entries.get(other));
             }
             for (FakeAgent agent : agents) {
-                network.connect(entries.get(one), agent);
+                connectInRegion(entries.get(one), agent);
             }
         }
     }
 
+    private void connectInRegion(FakeProcess one, FakeProcess other) {
+        if (one.address().sharesRegionWith(other.address())) {
+            network.connect(one, other);
+        }
+    }
+
+    /** Opens a link to an entry of another region, if the regions reach each other and the entry lives. */
+    void reach(FakeEntry from, PeerAddress to) {
+        scheduler.after(
+                random.nextInt(REACH_SPREAD_NANOS),
+                () -> entries.stream()
+                        .filter(entry -> entry.address().equals(to) && !regionsCut)
+                        .forEach(entry -> network.connect(from, entry)));
+    }
+
+    /** Cuts the regions off from each other, or ends that. */
+    void regionsCut(boolean cut) {
+        regionsCut = cut;
+        if (cut) {
+            closeRemoteLinks(1);
+        }
+    }
+
+    private void closeRemoteLinks(double share) {
+        for (FakeEntry one : entries) {
+            for (FakeEntry other : entries) {
+                if (!one.address().sharesRegionWith(other.address()) && random.nextDouble() < share) {
+                    network.cut(one, other);
+                }
+            }
+        }
+    }
+
+    /** Tells all entries of the others, as the rows of the table service do. */
+    private void listEntries() {
+        List<PeerAddress> listed = entries.stream().map(FakeProcess::address).toList();
+        entries.forEach(entry -> entry.deliver(() -> entry.know(listed)));
+    }
+
     private void tick() {
         entries.forEach(entry -> entry.deliver(entry::tick));
         agents.forEach(agent -> agent.deliver(agent::tick));
@@ -150,6 +199,10 @@
 
     private void reconnect() {
         connectAll();
+        if (regions > 1) {
+            listEntries();
+            closeRemoteLinks(IDLE_CLOSE_SHARE);
+        }
         scheduler.after(RECONNECT_NANOS, this::reconnect);
     }
 
@@ -168,7 +221,13 @@
 
     private PeerAddress address(String name, Role role) {
         String dataCentre = "dc-" + Math.floorMod(name.hashCode(), DATA_CENTRES);
-        return new PeerAddress(new Incarnation(name, random.nextLong()), role, dataCentre, "127.0.0.1", 0);
+        Incarnation incarnation = new Incarnation(name, random.nextLong());
+        return new PeerAddress(incarnation, role, region(name), dataCentre, "127.0.0.1", 0);
+    }
+
+    private String region(String name) {
+        int index = Integer.parseInt(name.substring(name.indexOf('-') + 1));
+        return "region-" + index % regions;
     }
 
     private static ConfigState config() {
--- a/core/src/test/java/org/knapweedmount/core/fleet/Fault.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/Fault.java
@@ -47,6 +47,13 @@
             replaceWhenIdle(fleet, agent);
         }
     },
+    REGIONS_CUT {
+        @Override
+        void strike(FakeFleet fleet, Random random, int spreadMillis) {
+            fleet.regionsCut(true);
+            later(fleet, random, spreadMillis, () -> fleet.regionsCut(false));
+        }
+    },
     STORE_DOWN {
         @Override
         void strike(FakeFleet fleet, Random random, int spreadMillis) {
--- a/core/src/test/java/org/knapweedmount/core/fleet/FleetRun.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FleetRun.java
@@ -15,6 +15,8 @@
 /** One seeded run: callers submit and resubmit while processes and links fail; then everything heals. */
 final class FleetRun {
     private static final List<Fault> FAULTS = List.of(Fault.values());
+    private static final List<Fault> FAULTS_IN_ONE_REGION =
+            FAULTS.stream().filter(fault -> fault != Fault.REGIONS_CUT).toList();
     private static final int ENTRIES = 3;
     private static final int AGENTS = 5;
     private static final int SHOWN_VIOLATIONS = 5;
@@ -34,17 +36,24 @@
     private final Random random;
     private final FakeFleet fleet;
     private final List<Submission> submissions = new ArrayList<>();
-    private List<Fault> faults = FAULTS;
+    private List<Fault> faults;
     private int faultSpreadMillis = FAULT_SPREAD_MILLIS;
     private double cancelShare = CANCEL_SHARE;
 
-    private FleetRun(long seed) {
+    private FleetRun(long seed, FakeFleet fleet, List<Fault> faults) {
         this.random = new Random(seed);
-        this.fleet = new FakeFleet(seed, ENTRIES, AGENTS, REPEATED_MESSAGES);
+        this.fleet = fleet;
+        this.faults = faults;
     }
 
     static FleetRun of(long seed) {
-        return new FleetRun(seed);
+        return new FleetRun(seed, new FakeFleet(seed, ENTRIES, AGENTS, REPEATED_MESSAGES), FAULTS_IN_ONE_REGION);
+    }
+
+    /** Creates a run in several regions, each as large as the one of the other runs. */
+    static FleetRun inRegions(long seed, int regions) {
+        FakeFleet fleet = new FakeFleet(seed, regions, regions * ENTRIES, regions * AGENTS, REPEATED_MESSAGES);
+        return new FleetRun(seed, fleet, FAULTS);
     }
 
     FleetRun withoutFaults() {
--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/fleet/RegionsTest.java
@@ -0,0 +1,96 @@
+package org.knapweedmount.core.fleet;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.knapweedmount.api.Outcome;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+/** What must hold when callers resubmit in other regions, whose entries have no permanent links. */
+class RegionsTest {
+    private static final int REGIONS = 2;
+    private static final int SUBMISSIONS = 20;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long LINKED_MILLIS = 500;
+    private static final long SETTLED_MILLIS = 5_000;
+
+    @Test
+    void withoutFaultsResubmissionsInOtherRegionsAreAnsweredByTheIssuer() {
+        FleetRun run = FleetRun.inRegions(71, REGIONS).withoutFaults().run();
+
+        assertThat(run.violations(), is(empty()));
+        assertThat(run.unanswered(), is(0));
+        assertThat(run.reasons(Outcome.UNKNOWN).keySet(), everyItem(not(containsString("cannot be reached"))));
+        assertThat(run.count(Outcome.COMPLETE), is(greaterThan(run.submissions() * 9 / 10)));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {81, 82, 83, 84})
+    void promisesHoldUnderFaults(long seed) {
+        FleetRun run = FleetRun.inRegions(seed, REGIONS).run();
+
+        assertThat(run.violations(), is(empty()));
+        assertThat(run.unanswered(), is(0));
+        assertThat(run.count(Outcome.COMPLETE), is(greaterThan(run.submissions() / 3)));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {91, 92})
+    void submissionsOfDeadEntriesAreSettledByTheirRegion(long seed) {
+        FleetRun run =
+                FleetRun.inRegions(seed, REGIONS).withOnly(Fault.ENTRY_REPLACED).run();
+
+        assertThat(run.violations(), is(empty()));
+        assertThat(run.reasons(Outcome.UNKNOWN), is(Map.of()));
+    }
+
+    @Test
+    void unusedIdsOfADeadEntryAreSettledAsNotRunFromAnotherRegion() {
+        FakeFleet fleet = new FakeFleet(93, REGIONS, 4, 6, 0);
+        pass(fleet, LINKED_MILLIS);
+        FakeEntry issuer = fleet.entries().get(0);
+        FakeEntry remote = fleet.entries().get(1);
+        assertThat(issuer.address().sharesRegionWith(remote.address()), is(false));
+        Random random = new Random(93);
+        List<Submission> submissions = IntStream.range(0, SUBMISSIONS)
+                .mapToObj(number -> new Submission(number, issuer.issue(), random))
+                .toList();
+        pass(fleet, LINKED_MILLIS);
+        fleet.replaceEntry(0);
+        pass(fleet, LINKED_MILLIS);
+
+        submissions.forEach(submission -> submission.send(remote, true, fleet.log()));
+        pass(fleet, SETTLED_MILLIS);
+
+        assertThat(submissions.stream().allMatch(submission -> submission.ended(Outcome.NOT_RUN)), is(true));
+    }
+
+    private static void pass(FakeFleet fleet, long millis) {
+        fleet.scheduler().runUntil(fleet.scheduler().nowNanos() + millis * NANOS_PER_MILLI);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {101, 102})
+    void cutBetweenRegionsLeavesOnlyResubmissionsInOtherRegionsUnknown(long seed) {
+        FleetRun run =
+                FleetRun.inRegions(seed, REGIONS).withOnly(Fault.REGIONS_CUT).run();
+
+        assertThat(run.violations(), is(empty()));
+        assertThat(run.unanswered(), is(0));
+        assertThat(run.reasons(Outcome.FAILED), is(Map.of()));
+        assertThat(run.reasons(Outcome.UNKNOWN).keySet(), everyItem(containsString("the region of the entry")));
+        assertThat(run.count(Outcome.COMPLETE), is(greaterThan(run.submissions() * 9 / 10)));
+    }
+}
--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentStarter.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentStarter.java
@@ -92,7 +92,12 @@
         AtomicLong appliedNumber = new AtomicLong();
         Incarnation incarnation = new Incarnation(settings.name(), random.nextLong());
         PeerAddress self = new PeerAddress(
-                incarnation, Role.AGENT, settings.dataCentre(), settings.http().host(), 0);
+                incarnation,
+                Role.AGENT,
+                settings.region(),
+                settings.dataCentre(),
+                settings.http().host(),
+                0);
         DecisionLoop<AgentModule> loop = new DecisionLoop<>("agent-decisions", RING_SIZE, clock);
         LinkOptions options = LinkOptions.agent(settings.heartbeatMillis(), random.nextLong());
         LinkTable<AgentModule> table =
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/ConfigDistributor.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/ConfigDistributor.java
@@ -18,7 +18,9 @@
 import org.knapweedmount.daemon.ticket.AuditLog;
 
 /**
- * Puts tickets in force at this entry and passes them to all linked processes.
+ * Puts tickets in force at this entry and passes them to all linked processes of its region.
+ *
+ * <p>Entries of other regions read accepted tickets from the table service by themselves.
  *
  * <p>A ticket is passed on only if it changed something here, so that it goes round once. Used on the decision
  * thread; the highest number in force is also read by others.
@@ -27,13 +29,15 @@
     private static final int MAX_TICKETS_PER_MESSAGE = 100;
     private static final int MAX_NOTES = 10;
 
+    private final PeerAddress self;
     private final ConfigState config;
     private final Links links;
     private final AuditLog audit;
     private final Map<Incarnation, Long> peerNumbers = new HashMap<>();
     private final AtomicLong appliedNumber;
 
-    ConfigDistributor(ConfigState config, Links links, AuditLog audit, AtomicLong appliedNumber) {
+    ConfigDistributor(PeerAddress self, ConfigState config, Links links, AuditLog audit, AtomicLong appliedNumber) {
+        this.self = self;
         this.config = config;
         this.links = links;
         this.audit = audit;
@@ -52,7 +56,7 @@
         if (changing.isEmpty()) {
             return false;
         }
-        for (PeerAddress peer : links.peers()) {
+        for (PeerAddress peer : regionPeers()) {
             if (!from.equals(Optional.of(peer.incarnation()))) {
                 send(peer.incarnation(), changing);
             }
@@ -74,9 +78,15 @@
         applied.forEach(ticket -> audit.add(AuditAction.APPLIED, ticket.number(), ticket.author(), source));
     }
 
-    /** Brings a newly linked process to the state of this entry. */
-    void linked(Incarnation peer) {
-        send(peer, config.tickets());
+    private List<PeerAddress> regionPeers() {
+        return links.peers().stream().filter(self::sharesRegionWith).toList();
+    }
+
+    /** Brings a newly linked process of the region to the state of this entry. */
+    void linked(PeerAddress peer) {
+        if (self.sharesRegionWith(peer)) {
+            send(peer.incarnation(), config.tickets());
+        }
     }
 
     void unlinked(Incarnation peer) {
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryBuilder.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryBuilder.java
@@ -102,10 +102,7 @@
         EntryPorts ports = ports(self, store, readiness, drain, tokens);
         EntryAnnouncement announcement = new EntryAnnouncement(vertx, store.tables(), self);
         EntryDirectory directory = new EntryDirectory(
-                vertx,
-                store.tables(),
-                clock::nanos,
-                known -> loop.offer((module, now) -> module.peers().listed(known)));
+                vertx, store.tables(), clock::nanos, known -> loop.offer((module, now) -> module.listed(known)));
         store.announce(announcement, directory);
         Ticker<EntryModule> ticker = Ticker.start(vertx, TICK_MILLIS, loop, EntryModule::tick);
         return new EntryProcess(new EntryParts(
@@ -172,7 +169,12 @@
     private LinkTable<EntryModule> linkTable() {
         Incarnation incarnation = new Incarnation(settings.name(), random.nextLong());
         PeerAddress unbound = new PeerAddress(
-                incarnation, Role.ENTRY, settings.dataCentre(), settings.links().host(), 0);
+                incarnation,
+                Role.ENTRY,
+                settings.region(),
+                settings.dataCentre(),
+                settings.links().host(),
+                0);
         LinkOptions options = LinkOptions.entry(settings.heartbeatMillis(), random.nextLong());
         return new LinkTable<>(vertx, options, unbound, appliedNumber::get, clock, loop, new EntryLinkHandler());
     }
@@ -192,7 +194,7 @@
         EntryOutputs outputs = new EntryOutputs(links, pending, store.context(), store.claims(), results);
         EntryCore core = new EntryCore(
                 settings.limits(), self, config, outputs, counters.submissions(), invariants, random.nextLong());
-        ConfigDistributor distributor = new ConfigDistributor(config, links, audit, appliedNumber);
+        ConfigDistributor distributor = new ConfigDistributor(self, config, links, audit, appliedNumber);
         EntryPeers peers = new EntryPeers(self, links);
         loop.start(new EntryModule(core, config, distributor, peers, store.tickets(), readiness, clock.nanos()));
     }
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryModule.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryModule.java
@@ -15,6 +15,7 @@
 import org.knapweedmount.core.config.ConfigState;
 import org.knapweedmount.core.entry.EntryCore;
 import org.knapweedmount.daemon.http.CallerDecisions;
+import org.knapweedmount.daemon.store.KnownEntries;
 import org.knapweedmount.daemon.ticket.TicketService;
 
 /**
@@ -82,9 +83,16 @@
         }
     }
 
+    /** Takes the rows of entries. */
+    void listed(KnownEntries known) {
+        peers.listed(known);
+        core.know(known.stale());
+        core.know(known.recent());
+    }
+
     /** Takes a new link: the peer gets the configuration before anything else. */
     void linked(PeerAddress peer, long nowNanos) {
-        distributor.linked(peer.incarnation());
+        distributor.linked(peer);
         peers.linked(peer);
         core.linked(peer, nowNanos);
     }
@@ -105,6 +113,7 @@
             tickets.received(from, update.tickets());
         } else if (message instanceof Peers known) {
             peers.received(known);
+            core.know(known.entries());
         }
         core.receive(from, message, nowNanos);
     }
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryOutputs.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryOutputs.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Context;
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.JobAnswer;
+import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.SubmissionId;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.core.entry.EntryOutput;
@@ -36,6 +37,11 @@
         links.send(peer, message);
     }
 
+    @Override
+    public void reach(PeerAddress entry) {
+        links.reach(entry);
+    }
+
     @Override
     public void answer(long request, JobAnswer answer) {
         pending.answer(request, answer);
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryPeers.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryPeers.java
@@ -1,9 +1,11 @@
 package org.knapweedmount.daemon.entry;
 
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.PeerAddress;
@@ -15,13 +17,15 @@
  * The entries that this one knows, and tells to agents and other entries.
  *
  * <p>It tells those that have a row and those that are linked, so that processes find each other while the table
- * service is down, and entries that are gone are not told for ever. Used on the decision thread.
+ * service is down, and entries that are gone are not told for ever. Agents are told the entries of their region alone.
+ * Used on the decision thread.
  */
 final class EntryPeers {
     private final PeerAddress self;
     private final Links links;
     private KnownEntries listed = new KnownEntries(List.of(), List.of());
     private List<PeerAddress> told = List.of();
+    private List<PeerAddress> toldToAgents = List.of();
 
     EntryPeers(PeerAddress self, Links links) {
         this.self = self;
@@ -42,8 +46,8 @@
     }
 
     void linked(PeerAddress peer) {
-        if (!tellChange()) {
-            links.send(peer.incarnation(), new Peers(told));
+        if (!tellChange().contains(peer.role())) {
+            links.send(peer.incarnation(), message(peer.role()));
         }
     }
 
@@ -51,17 +55,28 @@
         tellChange();
     }
 
-    private boolean tellChange() {
+    /** Tells what has changed, and returns the roles of those who were told. */
+    private Set<Role> tellChange() {
+        Set<Role> roles = EnumSet.noneOf(Role.class);
         List<PeerAddress> known = known();
-        if (known.equals(told)) {
-            return false;
+        if (!known.equals(told)) {
+            told = known;
+            roles.add(Role.ENTRY);
         }
-        told = known;
-        Peers message = new Peers(known);
-        for (PeerAddress peer : links.peers()) {
-            links.send(peer.incarnation(), message);
+        List<PeerAddress> inRegion =
+                known.stream().filter(self::sharesRegionWith).toList();
+        if (!inRegion.equals(toldToAgents)) {
+            toldToAgents = inRegion;
+            roles.add(Role.AGENT);
         }
-        return true;
+        links.peers().stream()
+                .filter(peer -> roles.contains(peer.role()))
+                .forEach(peer -> links.send(peer.incarnation(), message(peer.role())));
+        return roles;
+    }
+
+    private Peers message(Role role) {
+        return new Peers(role == Role.AGENT ? toldToAgents : told);
     }
 
     private List<PeerAddress> known() {
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/Links.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/Links.java
@@ -29,4 +29,11 @@
      * @param entry the entry
      */
     void know(PeerAddress entry);
+
+    /**
+     * Wants a link to an entry of another region for the moment.
+     *
+     * @param entry the entry
+     */
+    void reach(PeerAddress entry);
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/TableOfLinks.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/TableOfLinks.java
@@ -29,4 +29,9 @@
     public void know(PeerAddress entry) {
         table.know(entry);
     }
+
+    @Override
+    public void reach(PeerAddress entry) {
+        table.reach(entry);
+    }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/link/Connections.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/link/Connections.java
@@ -22,6 +22,8 @@
 import org.knapweedmount.api.message.Heartbeat;
 import org.knapweedmount.api.message.Hello;
 import org.knapweedmount.api.message.Message;
+import org.knapweedmount.api.message.RelayAnswer;
+import org.knapweedmount.api.message.RelayRequest;
 import org.knapweedmount.core.metric.Counters;
 import org.knapweedmount.daemon.runtime.NanoClock;
 import org.knapweedmount.daemon.settings.HostPort;
@@ -59,6 +61,7 @@
     private final List<Link> unflushed = new ArrayList<>();
     private final long heartbeatNanos;
     private final long tickNanos;
+    private final long idleNanos;
     private PeerAddress self;
     private Optional<NetServer> server = Optional.empty();
     private long lastTickNanos;
@@ -97,6 +100,7 @@
                 (socket, target) -> opened(socket, Optional.of(target)));
         this.heartbeatNanos = TimeUnit.MILLISECONDS.toNanos(options.heartbeatMillis());
         this.tickNanos = heartbeatNanos / TICKS_PER_HEARTBEAT;
+        this.idleNanos = TimeUnit.MILLISECONDS.toNanos(options.idleMillis());
     }
 
     /** Begins to send heartbeats and to look for silent links. */
@@ -114,7 +118,7 @@
         listening.connectHandler(socket -> opened(socket, Optional.empty()));
         return listening.listen().map(bound -> {
             int advertised = advertisedPort.orElse(bound.actualPort());
-            self = new PeerAddress(self.incarnation(), self.role(), self.dataCentre(), host, advertised);
+            self = new PeerAddress(self.incarnation(), self.role(), self.region(), self.dataCentre(), host, advertised);
             return self;
         });
     }
@@ -124,15 +128,30 @@
         dialer.want(address, true);
     }
 
-    /** Wants a link to an entry, if it is up to this process to open it. */
+    /** Wants a link to an entry of this region, if it is up to this process to open it. */
     void know(PeerAddress peer) {
-        boolean listens = peer.role() == Role.ENTRY && HostPort.isIpNumber(peer.host()) && peer.port() > 0;
-        boolean other = !peer.incarnation().equals(self.incarnation());
-        if (listens && other && HelloVerdict.opens(self, peer)) {
+        if (listens(peer) && self.sharesRegionWith(peer) && HelloVerdict.opens(self, peer)) {
             dialer.want(new HostPort(peer.host(), peer.port()), false);
         }
     }
 
+    /**
+     * Wants a link to an entry of another region for the moment.
+     *
+     * <p>If the other entry is to open the link, this one connects all the same: by its hello the other learns that a link
+     * is wanted.
+     */
+    void reach(PeerAddress peer) {
+        if (listens(peer)) {
+            dialer.wantBriefly(new HostPort(peer.host(), peer.port()));
+        }
+    }
+
+    private boolean listens(PeerAddress peer) {
+        boolean other = !peer.incarnation().equals(self.incarnation());
+        return other && peer.role() == Role.ENTRY && HostPort.isIpNumber(peer.host()) && peer.port() > 0;
+    }
+
     private boolean reached(HostPort address) {
         return isAt(self, address)
                 || byPeer.values().stream()
@@ -182,6 +201,7 @@
             close(link, LinkCounter.CLOSED_HELLO);
             return;
         }
+        noteUse(link, message);
         if (!listener.received(link.peer().get().incarnation(), message)) {
             close(link, LinkCounter.CLOSED_RING_FULL);
         }
@@ -220,11 +240,23 @@
         }
         if (verdict == HelloVerdict.WRONG_DIRECTION) {
             link.target().ifPresent(dialer::settle);
-            know(peer);
+            wantBack(link, peer);
+        }
+        if (verdict == HelloVerdict.OTHER_REGION) {
+            link.target().ifPresent(dialer::settle);
         }
         close(link, LinkCounter.CLOSED_HELLO);
     }
 
+    /** Opens the link that the other end has connected for, if it is up to this process to open it. */
+    private void wantBack(Link link, PeerAddress peer) {
+        if (self.sharesRegionWith(peer)) {
+            know(peer);
+        } else if (link.target().isEmpty()) {
+            reach(peer);
+        }
+    }
+
     @Override
     public void write(Link link, Message message) {
         if (!link.isOpen()) {
@@ -239,6 +271,7 @@
         try {
             byte[] frame = encoder.encode(message, link.sending());
             counters.increment(LinkCounter.SENT_MESSAGES);
+            noteUse(link, message);
             counters.add(LinkCounter.SENT_BYTES, frame.length);
             if (link.append(frame, clock.nanos())) {
                 unflushed.add(link);
@@ -249,6 +282,12 @@
         }
     }
 
+    private void noteUse(Link link, Message message) {
+        if (message instanceof RelayRequest || message instanceof RelayAnswer) {
+            link.used(clock.nanos());
+        }
+    }
+
     @Override
     public void flush() {
         unflushed.forEach(Link::flush);
@@ -283,11 +322,20 @@
             }
             return;
         }
+        if (isRemote(link) && nowNanos - link.lastUsedNanos() > idleNanos) {
+            close(link, LinkCounter.CLOSED_IDLE);
+            link.target().ifPresent(dialer::settle);
+            return;
+        }
         if (nowNanos - link.lastSentNanos() >= heartbeatNanos) {
             write(link, new Heartbeat(configNumber.getAsLong()));
         }
     }
 
+    private boolean isRemote(Link link) {
+        return link.peer().filter(peer -> !self.sharesRegionWith(peer)).isPresent();
+    }
+
     private void close(Link link, LinkCounter reason) {
         if (!link.isOpen()) {
             return;
--- a/daemon/src/main/java/org/knapweedmount/daemon/link/Dialer.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/link/Dialer.java
@@ -18,13 +18,15 @@
 /**
  * Opens connections to the addresses that the process wants links to, again and again until it has them.
  *
- * <p>An address that was learnt is forgotten when nothing answers there for some minutes and nobody names it any more.
+ * <p>An address that was learnt is forgotten when nothing answers there for some minutes and nobody names it any more; one
+ * that a link is wanted to for the moment is forgotten after some seconds.
  *
  * <p>Used on the event loop.
  */
 final class Dialer {
     private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
     private static final long FORGET_NANOS = TimeUnit.MINUTES.toNanos(10);
+    private static final long BRIEF_NANOS = TimeUnit.SECONDS.toNanos(5);
 
     private final Vertx vertx;
     private final NetClient client;
@@ -46,7 +48,8 @@
         private final HostPort address;
         private final Backoff backoff;
         private boolean permanent;
-        private long wantedNanos;
+        private boolean learnt;
+        private long untilNanos;
 
         private Target(HostPort address, Backoff backoff) {
             this.address = address;
@@ -73,6 +76,22 @@
 
     /** Wants a link to an address, for good if it is permanent and else until it has not answered for some minutes. */
     void want(HostPort address, boolean permanent) {
+        Target target = obtain(address);
+        target.permanent |= permanent;
+        target.learnt = true;
+        target.untilNanos = clock.nanos() + FORGET_NANOS;
+    }
+
+    /** Wants a link to an address now, but not to keep it. */
+    void wantBriefly(HostPort address) {
+        Target target = obtain(address);
+        long untilNanos = clock.nanos() + BRIEF_NANOS;
+        if (!target.learnt || untilNanos - target.untilNanos > 0) {
+            target.untilNanos = untilNanos;
+        }
+    }
+
+    private Target obtain(HostPort address) {
         Target target = targets.get(address);
         if (target == null) {
             target = new Target(address, new Backoff(random));
@@ -80,8 +99,7 @@
             Target added = target;
             vertx.runOnContext(ignored -> connect(added));
         }
-        target.permanent |= permanent;
-        target.wantedNanos = clock.nanos();
+        return target;
     }
 
     /** Takes note that a connection has become a link. */
@@ -118,7 +136,7 @@
             return;
         }
         if (linked.test(target.address)) {
-            target.wantedNanos = clock.nanos();
+            keep(target);
             retry(target);
             return;
         }
@@ -126,6 +144,12 @@
         client.connect(address.port(), address.host()).onComplete(result -> finished(target, result));
     }
 
+    private void keep(Target target) {
+        if (target.learnt) {
+            target.untilNanos = clock.nanos() + FORGET_NANOS;
+        }
+    }
+
     private void finished(Target target, AsyncResult<NetSocket> result) {
         if (result.failed()) {
             counters.increment(LinkCounter.DIAL_FAILURES);
@@ -144,7 +168,7 @@
         if (closed) {
             return;
         }
-        if (!target.permanent && nowNanos - target.wantedNanos > FORGET_NANOS) {
+        if (!target.permanent && nowNanos - target.untilNanos > 0) {
             targets.remove(target.address);
             return;
         }
--- a/daemon/src/main/java/org/knapweedmount/daemon/link/HelloVerdict.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/link/HelloVerdict.java
@@ -14,6 +14,8 @@
     SELF,
     /** There are no links between processes of these roles, or not opened from this side. */
     WRONG_ROLE,
+    /** Agents have links to the entries of their own region only. */
+    OTHER_REGION,
     /** Of two entries the one with the lesser incarnation opens the link, and this is the other one's connection. */
     WRONG_DIRECTION;
 
@@ -38,6 +40,9 @@
         if (listener != Role.ENTRY) {
             return WRONG_ROLE;
         }
+        if (dialler == Role.AGENT && !self.sharesRegionWith(peer)) {
+            return OTHER_REGION;
+        }
         if (dialler == Role.ENTRY && opens(self, peer) != dialled) {
             return WRONG_DIRECTION;
         }
--- a/daemon/src/main/java/org/knapweedmount/daemon/link/Link.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/link/Link.java
@@ -24,6 +24,7 @@
     private long queuedBytes;
     private long lastSentNanos;
     private long lastReceivedNanos;
+    private long lastUsedNanos;
     private OptionalLong overBoundSince = OptionalLong.empty();
     private boolean open = true;
     private volatile boolean cutOff;
@@ -35,6 +36,7 @@
         this.openedNanos = nowNanos;
         this.lastSentNanos = nowNanos;
         this.lastReceivedNanos = nowNanos;
+        this.lastUsedNanos = nowNanos;
     }
 
     NetSocket socket() {
@@ -129,6 +131,15 @@
         return lastReceivedNanos;
     }
 
+    /** Returns when something was asked or answered last. */
+    long lastUsedNanos() {
+        return lastUsedNanos;
+    }
+
+    void used(long nowNanos) {
+        lastUsedNanos = nowNanos;
+    }
+
     void forgiveSilence(long nowNanos) {
         lastReceivedNanos = nowNanos;
     }
--- a/daemon/src/main/java/org/knapweedmount/daemon/link/LinkCounter.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/link/LinkCounter.java
@@ -32,6 +32,8 @@
     CLOSED_BAD_FRAME,
     /** Connections closed because nothing was received for long. */
     CLOSED_SILENT,
+    /** Connections to other regions closed because nothing was asked over them for a while. */
+    CLOSED_IDLE,
     /** Connections closed because the other end did not read fast enough. */
     CLOSED_OVERFLOW,
     /** Connections closed because the decision thread could not take a message. */
--- a/daemon/src/main/java/org/knapweedmount/daemon/link/LinkTable.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/link/LinkTable.java
@@ -91,7 +91,8 @@
     }
 
     /**
-     * Takes note of an entry; keeps trying for some minutes to have a link to it, unless the entry is to open it.
+     * Takes note of an entry; keeps trying for some minutes to have a link to it, unless the entry is to open it or is in
+     * another region.
      *
      * @param peer the entry as it was learnt from a table row or another process
      */
@@ -99,6 +100,15 @@
         context.runOnContext(ignored -> connections.know(peer));
     }
 
+    /**
+     * Wants a link to an entry of another region for the moment; it is closed when it has not been used for a while.
+     *
+     * @param peer the entry
+     */
+    public void reach(PeerAddress peer) {
+        context.runOnContext(ignored -> connections.reach(peer));
+    }
+
     /**
      * Sends a message on the link to a process; dropped and counted if there is none.
      *
--- a/daemon/src/main/java/org/knapweedmount/daemon/settings/AgentSettings.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/settings/AgentSettings.java
@@ -10,6 +10,7 @@
  * The settings of an agent.
  *
  * @param name the name of the process
+ * @param region the region of the data centre
  * @param dataCentre the data centre that the process runs in
  * @param logLevel the least severity of log lines
  * @param http where it listens for the announcements of endpoints
@@ -21,6 +22,7 @@
  */
 public record AgentSettings(
         String name,
+        String region,
         String dataCentre,
         LogLevel logLevel,
         HttpSettings http,
@@ -33,6 +35,7 @@
     /** Copies the list and checks that nothing is missing. */
     public AgentSettings {
         Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(region, "region");
         Objects.requireNonNull(dataCentre, "dataCentre");
         Objects.requireNonNull(logLevel, "logLevel");
         Objects.requireNonNull(http, "http");
--- a/daemon/src/main/java/org/knapweedmount/daemon/settings/EntrySettings.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/settings/EntrySettings.java
@@ -10,6 +10,7 @@
  * The settings of an entry.
  *
  * @param name the name of the process
+ * @param region the region of the data centre
  * @param dataCentre the data centre that the process runs in
  * @param logLevel the least severity of log lines
  * @param links where it listens for links
@@ -23,6 +24,7 @@
  */
 public record EntrySettings(
         String name,
+        String region,
         String dataCentre,
         LogLevel logLevel,
         LinkSettings links,
@@ -37,6 +39,7 @@
     /** Copies the list and checks that nothing is missing. */
     public EntrySettings {
         Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(region, "region");
         Objects.requireNonNull(dataCentre, "dataCentre");
         Objects.requireNonNull(logLevel, "logLevel");
         Objects.requireNonNull(links, "links");
--- a/daemon/src/main/java/org/knapweedmount/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/settings/SettingsReader.java
@@ -9,6 +9,7 @@
 import java.util.regex.Pattern;
 
 import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.Role;
 
 /**
@@ -70,6 +71,7 @@
         root.refuse("agent", "allowed for the role \"agent\" only");
         return new EntrySettings(
                 name("name"),
+                region(),
                 name("dataCentre"),
                 logLevel(),
                 links(root.section("links")),
@@ -88,6 +90,7 @@
         }
         return new AgentSettings(
                 name("name"),
+                region(),
                 name("dataCentre"),
                 logLevel(),
                 http(root.section("http")),
@@ -102,6 +105,11 @@
         return root.text(key, NAME, text -> Optional.of(text).filter(Incarnation::isName));
     }
 
+    private String region() throws SettingsException {
+        return root.optionalText("region", NAME, text -> Optional.of(text).filter(Incarnation::isName))
+                .orElse(PeerAddress.DEFAULT_REGION);
+    }
+
     private LogLevel logLevel() throws SettingsException {
         return root.optionalText("logLevel", "one of " + LogLevel.allowed(), LogLevel::of)
                 .orElse(LogLevel.INFO);
--- a/daemon/src/main/java/org/knapweedmount/daemon/store/EntryRow.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/store/EntryRow.java
@@ -33,13 +33,14 @@
         try {
             Incarnation incarnation =
                     Incarnation.parse(value.path("incarnation").asText());
+            String region = value.path("region").asText(PeerAddress.DEFAULT_REGION);
             String dataCentre = value.path("dataCentre").asText();
             String host = value.path("host").asText();
             int port = value.path("port").asInt();
             if (host.isEmpty() || port < 1 || port > MAX_PORT) {
                 throw new ParseException("an entry needs a host and a port");
             }
-            PeerAddress address = new PeerAddress(incarnation, Role.ENTRY, dataCentre, host, port);
+            PeerAddress address = new PeerAddress(incarnation, Role.ENTRY, region, dataCentre, host, port);
             return Optional.of(new EntryRow(address, value.path("beat").asLong()));
         } catch (ParseException e) {
             Logger.error(e, "unreadable row of entry {}", row.name().key());
@@ -66,6 +67,7 @@
         return JsonNodeFactory.instance
                 .objectNode()
                 .put("incarnation", address.incarnation().toString())
+                .put("region", address.region())
                 .put("dataCentre", address.dataCentre())
                 .put("host", address.host())
                 .put("port", address.port())
--- a/daemon/src/test/java/org/knapweedmount/daemon/agent/AgentProcessTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/agent/AgentProcessTest.java
@@ -79,6 +79,7 @@
     private static AgentSettings settings(int platformPort) {
         return new AgentSettings(
                 "agent-1",
+                PeerAddress.DEFAULT_REGION,
                 "rennes",
                 LogLevel.INFO,
                 new HttpSettings(HOST, 0, 10_000, 10),
--- a/daemon/src/test/java/org/knapweedmount/daemon/entry/ConfigDistributorTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/entry/ConfigDistributorTest.java
@@ -30,7 +30,8 @@
     private final FakeLinks links = new FakeLinks();
     private final AuditLog audit = new AuditLog(10, () -> "now");
     private final AtomicLong applied = new AtomicLong();
-    private final ConfigDistributor distributor = new ConfigDistributor(new ConfigState(), links, audit, applied);
+    private final ConfigDistributor distributor =
+            new ConfigDistributor(FakeLinks.peer("entry-1", Role.ENTRY), new ConfigState(), links, audit, applied);
 
     @Test
     void ticketIsPassedOnOnceAndNotToItsSender() {
@@ -52,7 +53,7 @@
 
     @Test
     void newLinkGetsTheWholeConfigurationInSeveralMessages() {
-        distributor.linked(AGENT.incarnation());
+        distributor.linked(AGENT);
         assertThat(links.sent, is(empty()));
         distributor.apply(
                 LongStream.rangeClosed(1, 101)
@@ -60,13 +61,24 @@
                         .toList(),
                 Optional.empty());
 
-        distributor.linked(AGENT.incarnation());
+        distributor.linked(AGENT);
 
         assertThat(links.sent, hasSize(2));
         assertThat(((ConfigUpdate) links.sent.get(0).message()).tickets(), hasSize(100));
         assertThat(links.sent.get(1).message(), is(new ConfigUpdate(List.of(ticket(101)))));
     }
 
+    @Test
+    void entriesOfOtherRegionsAreToldNothing() {
+        PeerAddress remote = FakeLinks.remoteEntry("entry-3");
+        links.linked.add(remote);
+
+        distributor.apply(List.of(ticket(3)), Optional.empty());
+        distributor.linked(remote);
+
+        assertThat(links.sent, is(empty()));
+    }
+
     @Test
     void numbersOfPeersAreForgottenWithTheirLinks() {
         distributor.told(AGENT.incarnation(), 4);
--- a/daemon/src/test/java/org/knapweedmount/daemon/entry/EchoAgent.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/entry/EchoAgent.java
@@ -38,8 +38,17 @@
     private final String service;
 
     EchoAgent(Vertx vertx, String service, List<HostPort> entries) {
+        this(vertx, PeerAddress.DEFAULT_REGION, service, entries);
+    }
+
+    static EchoAgent inRegion(Vertx vertx, String region, String service, HostPort entry) {
+        return new EchoAgent(vertx, region, service, List.of(entry));
+    }
+
+    private EchoAgent(Vertx vertx, String region, String service, List<HostPort> entries) {
         this.service = service;
-        PeerAddress self = new PeerAddress(new Incarnation("agent-1", 1), Role.AGENT, "bilbao", "127.0.0.1", 0);
+        Incarnation incarnation = new Incarnation("agent-1", 1);
+        PeerAddress self = new PeerAddress(incarnation, Role.AGENT, region, "bilbao", "127.0.0.1", 0);
         LinkOptions options = LinkOptions.agent(HEARTBEAT_MILLIS, 1);
         this.links = new LinkTable<>(vertx, options, self, () -> 0, NanoClock.SYSTEM, loop, this);
         loop.start(this);
--- a/daemon/src/test/java/org/knapweedmount/daemon/entry/EntryPeersTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/entry/EntryPeersTest.java
@@ -54,6 +54,21 @@
         assertThat(links.known, is(List.of(THIRD, SECOND)));
     }
 
+    @Test
+    void agentsAreToldTheEntriesOfTheirRegionAlone() {
+        PeerAddress remote = FakeLinks.remoteEntry("entry-9");
+        links.linked.addAll(List.of(AGENT, SECOND));
+
+        peers.listed(new KnownEntries(List.of(remote), List.of()));
+        peers.listed(new KnownEntries(List.of(), List.of(remote)));
+
+        assertThat(
+                links.sent,
+                contains(
+                        new Sent(AGENT.incarnation(), new Peers(List.of(SELF, SECOND))),
+                        new Sent(SECOND.incarnation(), new Peers(List.of(SELF, SECOND, remote)))));
+    }
+
     @Test
     void entriesHeardOfArePassedOnOnlyWhenLinked() {
         links.linked.add(AGENT);
--- a/daemon/src/test/java/org/knapweedmount/daemon/entry/EntryProcessTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/entry/EntryProcessTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.core.entry.EntryLimits;
 import org.knapweedmount.daemon.settings.EntrySettings;
 import org.knapweedmount.daemon.settings.HostPort;
@@ -143,6 +144,40 @@
         agent.close();
     }
 
+    @Test
+    void regionsShareTicketsAndAnswersWithoutPermanentLinks() throws Exception {
+        EntryProcess first = start("entry-1", "north", List.of());
+        EntryProcess second = start("entry-2", "south", List.of());
+        putTicket(first, 1);
+        EchoAgent agent = EchoAgent.inRegion(vertx, "north", "dues", new HostPort(HOST, first.linkPort()));
+        awaitReady(first);
+        while (status(second).path("configNumber").asLong() < 1) {
+            Thread.onSpinWait();
+        }
+        assertThat(linkedTotal(second), is("0.0"));
+        String id = issuedId(first);
+
+        Answer once = call(first, id);
+        Answer elsewhere = call(second, id);
+
+        assertThat(once, is(new Answer(200, "7 euro")));
+        assertThat(elsewhere, is(once));
+        assertThat(agent.starts(), is(1));
+        assertThat(linkedTotal(second), is("1.0"));
+        agent.close();
+    }
+
+    private String linkedTotal(EntryProcess entry) throws Exception {
+        String name = "knapweedmount_links_linked_total ";
+        return send(entry.callerPort(), HttpMethod.GET, "/metrics", "")
+                .body
+                .lines()
+                .filter(line -> line.startsWith(name))
+                .map(line -> line.substring(name.length()))
+                .findFirst()
+                .orElseThrow();
+    }
+
     @Test
     void keyIsNotRunWhileItCannotBeClaimed() throws Exception {
         EntryProcess entry = start("entry-1", List.of());
@@ -166,13 +201,17 @@
                 .toList();
         EchoAgent agent = new EchoAgent(vertx, "dues", addresses);
         for (EntryProcess entry : entries) {
-            while (send(entry.callerPort(), HttpMethod.GET, "/readyz", "").status != 200) {
-                Thread.onSpinWait();
-            }
+            awaitReady(entry);
         }
         return agent;
     }
 
+    private void awaitReady(EntryProcess entry) throws Exception {
+        while (send(entry.callerPort(), HttpMethod.GET, "/readyz", "").status != 200) {
+            Thread.onSpinWait();
+        }
+    }
+
     private String issuedId(EntryProcess entry) throws Exception {
         Answer ids = send(entry.callerPort(), HttpMethod.POST, "/v1/submission-ids", "");
         return ids.json().path("ids").get(0).asText();
@@ -205,9 +244,14 @@
     }
 
     private EntryProcess start(String name, List<HostPort> peers) throws Exception {
+        return start(name, PeerAddress.DEFAULT_REGION, peers);
+    }
+
+    private EntryProcess start(String name, String region, List<HostPort> peers) throws Exception {
         EntryProcess entry = new EntryStarter(exits::countDown)
                 .start(new EntrySettings(
                         name,
+                        region,
                         "bilbao",
                         LogLevel.WARN,
                         new LinkSettings(HOST, 0, OptionalInt.empty()),
--- a/daemon/src/test/java/org/knapweedmount/daemon/entry/FakeLinks.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/entry/FakeLinks.java
@@ -16,6 +16,11 @@
     final List<PeerAddress> linked = new ArrayList<>();
     final List<Sent> sent = new ArrayList<>();
     final List<PeerAddress> known = new ArrayList<>();
+    final List<PeerAddress> reached = new ArrayList<>();
+
+    static PeerAddress remoteEntry(String name) {
+        return new PeerAddress(new Incarnation(name, 1), Role.ENTRY, "elsewhere", "bilbao", "127.0.0.1", 7101);
+    }
 
     static PeerAddress peer(String name, Role role) {
         return new PeerAddress(new Incarnation(name, 1), role, "rennes", "127.0.0.1", role == Role.ENTRY ? 7101 : 0);
@@ -35,4 +40,9 @@
     public void know(PeerAddress entry) {
         known.add(entry);
     }
+
+    @Override
+    public void reach(PeerAddress entry) {
+        reached.add(entry);
+    }
 }
--- a/daemon/src/test/java/org/knapweedmount/daemon/link/LinkTableTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/link/LinkTableTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.Role;
@@ -168,6 +169,40 @@
         assertThat(entry.links.counters().value(LinkCounter.UNLINKED), is(0L));
     }
 
+    private TestProcess remote(Role role, String name) {
+        return added(TestProcess.remote(vertx, role, name));
+    }
+
+    @Test
+    void agentHasNoLinkToAnEntryOfAnotherRegion() {
+        TestProcess entry = entry("entry-1");
+        TestProcess agent = remote(Role.AGENT, "agent-1");
+
+        agent.links.know(entry.self);
+        agent.links.dial(entry.address());
+
+        agent.awaitCounter(LinkCounter.CLOSED_HELLO);
+        assertThat(agent.links.counters().value(LinkCounter.LINKED), is(0L));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"entry-1", "entry-3"})
+    void linkToAnotherRegionIsOpenedOnDemandFromEitherSideAndClosedWhenIdle(String name) throws InterruptedException {
+        TestProcess entry = entry("entry-2", new LinkOptions(100, 10, 1_000_000, 100_000, 1024, 400, 1));
+        TestProcess remote = remote(Role.ENTRY, name);
+        entry.links.know(remote.self);
+        remote.links.know(entry.self);
+
+        entry.links.reach(remote.self);
+        entry.awaitEvent(linked(remote));
+        remote.awaitEvent(linked(entry));
+        entry.awaitEvent("unlinked " + remote.self.incarnation());
+
+        assertThat(entry.links.counters().value(LinkCounter.CLOSED_IDLE), is(1L));
+        entry.links.reach(remote.self);
+        entry.awaitEvent(linked(remote));
+    }
+
     @Test
     void silentLinkIsClosed() throws Exception {
         TestProcess entry = entry("entry-1");
@@ -252,7 +287,7 @@
 
     @Test
     void linkWhoseOtherEndDoesNotReadIsClosed() throws Exception {
-        TestProcess entry = entry("entry-1", new LinkOptions(5_000, 10, 1_000_000, 100_000, 1024, 1));
+        TestProcess entry = entry("entry-1", new LinkOptions(5_000, 10, 1_000_000, 100_000, 1024, 60_000, 1));
         Message large = new Leaving("x".repeat(10_000));
         PeerAddress deaf = RawPeer.agentHello("agent-1").sender();
         try (RawPeer peer = new RawPeer(entry)) {
@@ -270,7 +305,7 @@
     @Test
     void fullOutboxClosesTheLinkInsteadOfLeavingAMessageOut() throws Exception {
         int ringSize = 4;
-        TestProcess entry = entry("entry-1", new LinkOptions(20, 10, 1_000_000, 100_000, ringSize, 1));
+        TestProcess entry = entry("entry-1", new LinkOptions(20, 10, 1_000_000, 100_000, ringSize, 60_000, 1));
         TestProcess agent = agent("agent-1");
         agent.links.dial(entry.address());
         entry.awaitEvent(linked(agent));
@@ -287,7 +322,7 @@
 
     @Test
     void connectionsOverTheLimitAreClosed() throws Exception {
-        TestProcess entry = entry("entry-1", new LinkOptions(5_000, 1, 1_000_000, 100_000, 16, 1));
+        TestProcess entry = entry("entry-1", new LinkOptions(5_000, 1, 1_000_000, 100_000, 16, 60_000, 1));
         try (RawPeer first = new RawPeer(entry)) {
             first.send(RawPeer.agentHello("agent-1"));
             entry.awaitEvent("linked agent-1~0000000000000001");
--- a/daemon/src/test/java/org/knapweedmount/daemon/link/TestProcess.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/link/TestProcess.java
@@ -28,7 +28,7 @@
     final PeerAddress self;
 
     static TestProcess entry(Vertx vertx, String name, int port, LinkOptions options) {
-        return new TestProcess(vertx, Role.ENTRY, name, port, options);
+        return new TestProcess(vertx, Role.ENTRY, PeerAddress.DEFAULT_REGION, name, port, options);
     }
 
     static TestProcess entry(Vertx vertx, String name) {
@@ -36,11 +36,18 @@
     }
 
     static TestProcess agent(Vertx vertx, String name) {
-        return new TestProcess(vertx, Role.AGENT, name, 0, LinkOptions.agent(HEARTBEAT_MILLIS, 1));
+        LinkOptions options = LinkOptions.agent(HEARTBEAT_MILLIS, 1);
+        return new TestProcess(vertx, Role.AGENT, PeerAddress.DEFAULT_REGION, name, 0, options);
     }
 
-    private TestProcess(Vertx vertx, Role role, String name, int port, LinkOptions options) {
-        PeerAddress identity = new PeerAddress(new Incarnation(name, System.nanoTime()), role, "rennes", HOST, 0);
+    /** Creates a process of a region of its own. */
+    static TestProcess remote(Vertx vertx, Role role, String name) {
+        return new TestProcess(vertx, role, "elsewhere", name, 0, LinkOptions.entry(HEARTBEAT_MILLIS, 1));
+    }
+
+    private TestProcess(Vertx vertx, Role role, String region, String name, int port, LinkOptions options) {
+        Incarnation incarnation = new Incarnation(name, System.nanoTime());
+        PeerAddress identity = new PeerAddress(incarnation, role, region, "rennes", HOST, 0);
         this.loop = new DecisionLoop<>(name, RING_SIZE, NanoClock.SYSTEM);
         this.links = new LinkTable<>(vertx, options, identity, () -> 17, NanoClock.SYSTEM, loop, new Noting());
         this.self = role == Role.ENTRY
--- a/daemon/src/test/java/org/knapweedmount/daemon/settings/SettingsReaderTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/settings/SettingsReaderTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.core.agent.AgentLimits;
 import org.knapweedmount.core.entry.EntryLimits;
 
@@ -22,7 +23,7 @@
     private static final String ENTRY = """
             { // an entry
               "role": "entry", "name": "entry-1",
-              "dataCentre": "rennes",
+              "region": "brittany", "dataCentre": "rennes",
               "logLevel": "warn",
               "links": {"host": "127.0.0.1", "port": 0, "advertisedPort": 7201},
               "http": {"host": "0.0.0.0", "port": 8101, "maxBodyBytes": 1000, "maxConnections": 7},
@@ -49,6 +50,7 @@
         EntryLimits limits = new EntryLimits(9, 64_000_000, 1_000, 50_000, 64_000_000, 1_500, 5_000, 3_000, 0);
         Settings expected = new EntrySettings(
                 "entry-1",
+                "brittany",
                 "rennes",
                 LogLevel.WARN,
                 new LinkSettings("127.0.0.1", 0, OptionalInt.of(7201)),
@@ -67,6 +69,7 @@
     void agentWithDefaults() throws Exception {
         Settings expected = new AgentSettings(
                 "agent-1",
+                PeerAddress.DEFAULT_REGION,
                 "rennes",
                 LogLevel.INFO,
                 new HttpSettings("127.0.0.1", 8201, 1_048_576, 1_000),
@@ -83,6 +86,7 @@
     @CsvSource(delimiter = '|', quoteCharacter = '`', textBlock = """
             "name": "entry-1"       | "name": "entry 1"     | 2: name: "entry 1" is not allowed, expected 1 to 64
             "name": "entry-1",      | ``                    | 1: name: missing, expected 1 to 64 letters
+            "region": "brittany"    | "region": "a b"       | 3: region: "a b" is not allowed, expected 1 to 64
             "warn"                  | "loud"                | 4: logLevel: "loud" is not allowed, expected one of trace
             "warn"                  | 3                     | 4: logLevel: 3 is not allowed, expected one of trace
             "port": 8101            | "port": 65536         | 6: http.port: 65536 is not allowed, expected a whole number
--- a/daemon/src/test/java/org/knapweedmount/daemon/store/EntryRowsTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/store/EntryRowsTest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.junit.jupiter.api.Test;
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.PeerAddress;
@@ -35,6 +36,18 @@
         assertThat(known, is(new KnownEntries(List.of(FIRST), List.of())));
     }
 
+    @Test
+    void rowKeepsTheRegionAndOneWithoutIsOfTheDefaultRegion() {
+        PeerAddress remote =
+                new PeerAddress(SECOND.incarnation(), Role.ENTRY, "elsewhere", "bilbao", "127.0.0.1", 7101);
+        ObjectNode without = new EntryRow(remote, 1).value().deepCopy();
+        without.remove("region");
+
+        assertThat(EntryRow.parse(row(remote, 1)).orElseThrow().address(), is(remote));
+        Row old = new Row(EntryRow.name(remote.incarnation()), 1, without);
+        assertThat(EntryRow.parse(old).orElseThrow().address().region(), is(PeerAddress.DEFAULT_REGION));
+    }
+
     private static Row row(PeerAddress address, long version) {
         return new Row(EntryRow.name(address.incarnation()), version, new EntryRow(address, version).value());
     }
--- a/wire/src/main/java/org/knapweedmount/wire/ValueFormats.java
+++ b/wire/src/main/java/org/knapweedmount/wire/ValueFormats.java
@@ -18,17 +18,19 @@
     private ValueFormats() {}
 
     static void writeAddress(FieldWriter out, PeerAddress address) throws IOException, FrameException {
-        out.array(5)
+        out.array(6)
                 .incarnation(address.incarnation())
                 .constant(EnumFormat.ROLE, address.role())
+                .name(address.region())
                 .name(address.dataCentre())
                 .name(address.host())
                 .number(address.port());
     }
 
     static PeerAddress readAddress(FieldReader in) throws IOException, FrameException {
-        in.array(5);
-        return new PeerAddress(in.incarnation(), in.constant(EnumFormat.ROLE), in.name(), in.name(), in.count());
+        in.array(6);
+        return new PeerAddress(
+                in.incarnation(), in.constant(EnumFormat.ROLE), in.name(), in.name(), in.name(), in.count());
     }
 
     static void writeSubmission(FieldWriter out, SubmissionId id) throws IOException, FrameException {
--- a/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
+++ b/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
@@ -176,7 +176,7 @@
     }
 
     private PeerAddress address() {
-        return new PeerAddress(incarnation(), pick(Role.values()), text(), text(), number());
+        return new PeerAddress(incarnation(), pick(Role.values()), text(), text(), text(), number());
     }
 
     private Incarnation incarnation() {
