Send many seals to an agent in one message

Cause: settling the submissions of a dead entry cost a message to and from each agent for each submission.

Change: the first seal for an agent goes at once, those of the next 50 ms go as one SealBatch of at most 256; the agent answers in SealedBatch messages cut at 128 KiB of results. In core.agent the sealing moved from AgentCore to SealAnswers.

Ruled out: sealing a whole issuer (ends what a merely cut-off issuer has not started), rosters of a part of a region.

Tests changed: BrokenMechanismTest also tampers with batches, ModelAgent answers them.

--- /dev/null
+++ b/api/src/main/java/org/knapweedmount/api/message/SealBatch.java
@@ -0,0 +1,18 @@
+package org.knapweedmount.api.message;
+
+import java.util.List;
+
+/**
+ * Several seals for one agent; each is carried out and answered by itself, in one or more {@link SealedBatch} messages.
+ *
+ * @param seals the seals, at most {@link #MAX_SEALS}
+ */
+public record SealBatch(List<Seal> seals) implements Message {
+    /** The greatest number of seals in a message. */
+    public static final int MAX_SEALS = 256;
+
+    /** Copies the list. */
+    public SealBatch {
+        seals = List.copyOf(seals);
+    }
+}
--- a/core/src/main/java/org/knapweedmount/core/agent/AgentCore.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/AgentCore.java
@@ -7,7 +7,6 @@
 import org.knapweedmount.api.Outcome;
 import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.Resources;
-import org.knapweedmount.api.SubmissionId;
 import org.knapweedmount.api.TaskId;
 import org.knapweedmount.api.TaskResult;
 import org.knapweedmount.api.message.CancelTasks;
@@ -21,7 +20,7 @@
 import org.knapweedmount.api.message.Resume;
 import org.knapweedmount.api.message.Resumed;
 import org.knapweedmount.api.message.Seal;
-import org.knapweedmount.api.message.Sealed;
+import org.knapweedmount.api.message.SealBatch;
 import org.knapweedmount.api.message.Start;
 import org.knapweedmount.api.message.TaskReport;
 import org.knapweedmount.api.message.TaskState;
@@ -44,7 +43,7 @@
     private final EndpointTable endpoints;
     private final ServicePools pools;
     private final StartGate gate;
-    private final Seals seals;
+    private final SealAnswers sealAnswers;
     private final StartRecords records;
     private final TaskStarter starter;
     private boolean stopping;
@@ -74,8 +73,9 @@
         this.endpoints = new EndpointTable(invariants);
         this.pools = new ServicePools(ports, endpoints, entries, config);
         this.gate = new StartGate(entries::linked);
-        this.seals = new Seals(limits.maxSeals());
+        Seals seals = new Seals(limits.maxSeals());
         this.records = new StartRecords(limits, counters, invariants);
+        this.sealAnswers = new SealAnswers(ports, seals, records);
         this.starter = new TaskStarter(ports, gate, seals, records);
         this.draining = drainedByConfig();
         pools.closed(draining);
@@ -182,7 +182,9 @@
         } else if (message instanceof Resume resume) {
             resume(from, resume);
         } else if (message instanceof Seal seal) {
-            seal(from, seal);
+            sealAnswers.answer(from, seal);
+        } else if (message instanceof SealBatch batch) {
+            sealAnswers.answer(from, batch);
         } else if (message instanceof Leaving) {
             link.get().leaves();
         }
@@ -199,13 +201,6 @@
         ports.output().send(entry, new Resumed(resume.lastSequence(), reports));
     }
 
-    private void seal(Incarnation entry, Seal seal) {
-        SubmissionId submission = seal.submission();
-        boolean certain = seals.seal(submission) && records.certain(submission);
-        ports.counters().increment(certain ? AgentCounter.SEALS : AgentCounter.UNCERTAIN_SEALS);
-        ports.output().send(entry, new Sealed(seal.request(), submission, certain, records.started(submission)));
-    }
-
     /**
      * Takes the end of a task that was sent to an endpoint.
      *
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/agent/SealAnswers.java
@@ -0,0 +1,64 @@
+package org.knapweedmount.core.agent;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.SubmissionId;
+import org.knapweedmount.api.message.Seal;
+import org.knapweedmount.api.message.SealBatch;
+import org.knapweedmount.api.message.Sealed;
+import org.knapweedmount.api.message.SealedBatch;
+
+/** Carries out seals and tells what was started of their submissions. */
+final class SealAnswers {
+    /** The size of the results after which the answers to a batch go on in a further message, in bytes. */
+    static final int BATCH_BYTES = 128 * 1024;
+
+    private final AgentPorts ports;
+    private final Seals seals;
+    private final StartRecords records;
+
+    SealAnswers(AgentPorts ports, Seals seals, StartRecords records) {
+        this.ports = ports;
+        this.seals = seals;
+        this.records = records;
+    }
+
+    void answer(Incarnation entry, Seal seal) {
+        ports.output().send(entry, seal(seal));
+    }
+
+    /** Answers each seal of a batch, in as many messages as the size of the results needs. */
+    void answer(Incarnation entry, SealBatch batch) {
+        List<Sealed> answers = new ArrayList<>();
+        long bytes = 0;
+        for (Seal seal : batch.seals()) {
+            Sealed answer = seal(seal);
+            answers.add(answer);
+            bytes += resultBytes(answer);
+            if (bytes >= BATCH_BYTES) {
+                ports.output().send(entry, new SealedBatch(answers));
+                answers.clear();
+                bytes = 0;
+            }
+        }
+        if (!answers.isEmpty()) {
+            ports.output().send(entry, new SealedBatch(answers));
+        }
+    }
+
+    private Sealed seal(Seal seal) {
+        SubmissionId submission = seal.submission();
+        boolean certain = seals.seal(submission) && records.certain(submission);
+        ports.counters().increment(certain ? AgentCounter.SEALS : AgentCounter.UNCERTAIN_SEALS);
+        return new Sealed(seal.request(), submission, certain, records.started(submission));
+    }
+
+    private static long resultBytes(Sealed answer) {
+        return answer.tasks().stream()
+                .flatMap(report -> report.result().stream())
+                .mapToLong(result -> result.body().size())
+                .sum();
+    }
+}
--- a/core/src/main/java/org/knapweedmount/core/entry/EntryCore.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/EntryCore.java
@@ -12,6 +12,7 @@
 import org.knapweedmount.api.message.Leaving;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.Sealed;
+import org.knapweedmount.api.message.SealedBatch;
 import org.knapweedmount.core.config.ConfigState;
 import org.knapweedmount.core.metric.Counters;
 import org.knapweedmount.core.metric.Invariants;
@@ -174,7 +175,7 @@
     public void linked(PeerAddress peer, long nowNanos) {
         if (peer.role() == Role.AGENT) {
             agentLinks.linked(peer, nowNanos);
-            settlements.linked(peer.incarnation());
+            settlements.linked(peer.incarnation(), nowNanos);
         } else {
             remoteEntries.know(List.of(peer));
             entryLinks.linked(peer, nowNanos);
@@ -212,6 +213,8 @@
         agentLinks.receive(from, message, nowNanos);
         if (message instanceof Sealed sealed) {
             settlements.sealed(from, sealed, nowNanos);
+        } else if (message instanceof SealedBatch batch) {
+            batch.answers().forEach(answer -> settlements.sealed(from, answer, nowNanos));
         } else {
             entryLinks.receive(from, message, nowNanos);
         }
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/entry/SealQueue.java
@@ -0,0 +1,83 @@
+package org.knapweedmount.core.entry;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.message.Seal;
+import org.knapweedmount.api.message.SealBatch;
+
+/**
+ * Sends seals to agents, several in one message when many submissions are settled.
+ *
+ * <p>The first seal for an agent goes at once, so that a single settlement does not wait. Those that follow within the
+ * hold time go together at its end.
+ */
+final class SealQueue {
+    /** How long after a message further seals for the same agent are held, in ns. */
+    static final long HOLD_NANOS = 50_000_000;
+
+    private final EntryContext context;
+    private final Map<Incarnation, Held> byAgent = new LinkedHashMap<>();
+
+    /** The seals that wait for an agent that was sent some a moment ago. */
+    private static final class Held {
+        private final long untilNanos;
+        private List<Seal> seals = new ArrayList<>();
+
+        private Held(long untilNanos) {
+            this.untilNanos = untilNanos;
+        }
+    }
+
+    SealQueue(EntryContext context) {
+        this.context = context;
+    }
+
+    void add(Incarnation agent, Seal seal, long nowNanos) {
+        Held held = byAgent.get(agent);
+        if (held == null) {
+            context.output().send(agent, seal);
+            byAgent.put(agent, new Held(nowNanos + HOLD_NANOS));
+            return;
+        }
+        held.seals.add(seal);
+        if (held.seals.size() >= SealBatch.MAX_SEALS) {
+            send(agent, held.seals);
+            held.seals = new ArrayList<>();
+        }
+    }
+
+    /** Forgets what was to be sent on the last link to an agent. */
+    void linked(Incarnation agent) {
+        byAgent.remove(agent);
+    }
+
+    /**
+     * Sends what has been held long enough.
+     *
+     * @param wanted tells whether a seal is still wanted
+     * @param nowNanos the present time
+     */
+    void tick(Predicate<Seal> wanted, long nowNanos) {
+        List<Incarnation> due = byAgent.entrySet().stream()
+                .filter(entry -> nowNanos - entry.getValue().untilNanos >= 0)
+                .map(Map.Entry::getKey)
+                .toList();
+        for (Incarnation agent : due) {
+            List<Seal> seals =
+                    byAgent.remove(agent).seals.stream().filter(wanted).toList();
+            if (!seals.isEmpty()) {
+                send(agent, seals);
+                byAgent.put(agent, new Held(nowNanos + HOLD_NANOS));
+            }
+        }
+    }
+
+    private void send(Incarnation agent, List<Seal> seals) {
+        context.output().send(agent, seals.size() == 1 ? seals.get(0) : new SealBatch(seals));
+    }
+}
--- a/core/src/main/java/org/knapweedmount/core/entry/Settlements.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/Settlements.java
@@ -33,6 +33,7 @@
     private final Agents agents;
     private final Rosters rosters;
     private final EndedJobs settled;
+    private final SealQueue seals;
     private final Map<SubmissionId, Settlement> open = new LinkedHashMap<>();
     private long lastNumber;
 
@@ -47,6 +48,7 @@
         this.answers = answers;
         this.agents = agents;
         this.rosters = rosters;
+        this.seals = new SealQueue(context);
         this.settled =
                 new EndedJobs(context.limits().maxEndedJobs(), context.limits().maxEndedBytes());
     }
@@ -98,10 +100,11 @@
     }
 
     /** Asks an agent that is linked now for the submissions that it has not told of. */
-    void linked(Incarnation agent) {
+    void linked(Incarnation agent, long nowNanos) {
+        seals.linked(agent);
         for (Settlement settlement : open.values()) {
             if (settlement.reports().missing().contains(agent)) {
-                seal(settlement, agent);
+                seal(settlement, agent, nowNanos);
             }
         }
     }
@@ -110,10 +113,16 @@
     void tick(long nowNanos) {
         for (Settlement settlement : List.copyOf(open.values())) {
             if (settlement.askAgain(nowNanos, INTERVAL_NANOS)) {
-                settlement.reports().runningAgents().forEach(agent -> seal(settlement, agent));
+                settlement.reports().runningAgents().forEach(agent -> seal(settlement, agent, nowNanos));
             }
             conclude(settlement, nowNanos);
         }
+        seals.tick(this::isWanted, nowNanos);
+    }
+
+    private boolean isWanted(Seal seal) {
+        Settlement settlement = open.get(seal.submission());
+        return settlement != null && settlement.number() == seal.request();
     }
 
     private void open(ForeignRequest request, List<PeerAddress> roster, long nowNanos) {
@@ -122,7 +131,7 @@
         Settlement settlement = new Settlement(++lastNumber, request.id(), roster, nowNanos, deadlineNanos);
         open.put(request.id(), settlement);
         settlement.join(request);
-        roster.forEach(agent -> seal(settlement, agent.incarnation()));
+        roster.forEach(agent -> seal(settlement, agent.incarnation(), nowNanos));
         conclude(settlement, nowNanos);
     }
 
@@ -135,9 +144,9 @@
         conclude(settlement, nowNanos);
     }
 
-    private void seal(Settlement settlement, Incarnation agent) {
+    private void seal(Settlement settlement, Incarnation agent, long nowNanos) {
         if (agents.isLinked(agent)) {
-            context.output().send(agent, new Seal(settlement.number(), settlement.id()));
+            seals.add(agent, new Seal(settlement.number(), settlement.id()), nowNanos);
         }
     }
 
--- a/core/src/test/java/org/knapweedmount/core/entry/ModelAgent.java
+++ b/core/src/test/java/org/knapweedmount/core/entry/ModelAgent.java
@@ -23,7 +23,9 @@
 import org.knapweedmount.api.message.Resume;
 import org.knapweedmount.api.message.Resumed;
 import org.knapweedmount.api.message.Seal;
+import org.knapweedmount.api.message.SealBatch;
 import org.knapweedmount.api.message.Sealed;
+import org.knapweedmount.api.message.SealedBatch;
 import org.knapweedmount.api.message.Start;
 import org.knapweedmount.api.message.TaskReport;
 import org.knapweedmount.api.message.TaskState;
@@ -64,6 +66,10 @@
         if (message instanceof Seal seal) {
             return Optional.of(seal(seal));
         }
+        if (message instanceof SealBatch batch) {
+            return Optional.of(
+                    new SealedBatch(batch.seals().stream().map(this::seal).toList()));
+        }
         return Optional.empty();
     }
 
--- a/core/src/test/java/org/knapweedmount/core/fleet/BrokenMechanismTest.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/BrokenMechanismTest.java
@@ -12,6 +12,7 @@
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.Resumed;
 import org.knapweedmount.api.message.Sealed;
+import org.knapweedmount.api.message.SealedBatch;
 import org.knapweedmount.api.message.TaskReport;
 import org.knapweedmount.api.message.TaskState;
 
@@ -61,11 +62,20 @@
 
     private static Message hideStarts(Message message) {
         if (message instanceof Sealed sealed) {
-            return new Sealed(sealed.request(), sealed.submission(), true, List.of());
+            return hideStarts(sealed);
+        }
+        if (message instanceof SealedBatch batch) {
+            return new SealedBatch(batch.answers().stream()
+                    .map(BrokenMechanismTest::hideStarts)
+                    .toList());
         }
         return message;
     }
 
+    private static Sealed hideStarts(Sealed sealed) {
+        return new Sealed(sealed.request(), sealed.submission(), true, List.of());
+    }
+
     private static Message denyStarts(Message message) {
         if (message instanceof Resumed resumed) {
             List<TaskReport> denied = resumed.tasks().stream()
--- a/wire/src/main/java/org/knapweedmount/wire/MessageType.java
+++ b/wire/src/main/java/org/knapweedmount/wire/MessageType.java
@@ -25,7 +25,9 @@
 import org.knapweedmount.api.message.Resumed;
 import org.knapweedmount.api.message.Roster;
 import org.knapweedmount.api.message.Seal;
+import org.knapweedmount.api.message.SealBatch;
 import org.knapweedmount.api.message.Sealed;
+import org.knapweedmount.api.message.SealedBatch;
 import org.knapweedmount.api.message.Start;
 
 /** The types of messages with the number, the fields and the format of each. */
@@ -73,7 +75,11 @@
     /** Accepted change tickets. */
     CONFIG_UPDATE(21, 1, ConfigUpdate.class, ConfigMessages::writeUpdate, ConfigMessages::readUpdate),
     /** The highest ticket applied. */
-    CONFIG_APPLIED(22, 1, ConfigApplied.class, ConfigMessages::writeApplied, ConfigMessages::readApplied);
+    CONFIG_APPLIED(22, 1, ConfigApplied.class, ConfigMessages::writeApplied, ConfigMessages::readApplied),
+    /** Settlements of several submissions. */
+    SEAL_BATCH(23, 1, SealBatch.class, TaskMessages::writeSealBatch, TaskMessages::readSealBatch),
+    /** Answers to several seals. */
+    SEALED_BATCH(24, 1, SealedBatch.class, TaskMessages::writeSealedBatch, TaskMessages::readSealedBatch);
 
     private static final Map<Class<? extends Message>, MessageType> BY_CLASS = new HashMap<>();
     private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
--- a/wire/src/main/java/org/knapweedmount/wire/TaskMessages.java
+++ b/wire/src/main/java/org/knapweedmount/wire/TaskMessages.java
@@ -8,7 +8,9 @@
 import org.knapweedmount.api.message.Resume;
 import org.knapweedmount.api.message.Resumed;
 import org.knapweedmount.api.message.Seal;
+import org.knapweedmount.api.message.SealBatch;
 import org.knapweedmount.api.message.Sealed;
+import org.knapweedmount.api.message.SealedBatch;
 import org.knapweedmount.api.message.Start;
 import org.knapweedmount.api.message.TaskReport;
 
@@ -107,6 +109,42 @@
         return new Seal(in.anyLong(), ValueFormats.readSubmission(in));
     }
 
+    static void writeSealBatch(FieldWriter out, SealBatch batch) throws IOException, FrameException {
+        out.list(batch.seals(), TaskMessages::writeBatched);
+    }
+
+    static SealBatch readSealBatch(FieldReader in) throws IOException, FrameException {
+        return new SealBatch(in.list(TaskMessages::readBatched));
+    }
+
+    private static void writeBatched(FieldWriter out, Seal seal) throws IOException, FrameException {
+        out.array(2);
+        writeSeal(out, seal);
+    }
+
+    private static Seal readBatched(FieldReader in) throws IOException, FrameException {
+        in.array(2);
+        return readSeal(in);
+    }
+
+    static void writeSealedBatch(FieldWriter out, SealedBatch batch) throws IOException, FrameException {
+        out.list(batch.answers(), TaskMessages::writeBatchedAnswer);
+    }
+
+    static SealedBatch readSealedBatch(FieldReader in) throws IOException, FrameException {
+        return new SealedBatch(in.list(TaskMessages::readBatchedAnswer));
+    }
+
+    private static void writeBatchedAnswer(FieldWriter out, Sealed sealed) throws IOException, FrameException {
+        out.array(4);
+        writeSealed(out, sealed);
+    }
+
+    private static Sealed readBatchedAnswer(FieldReader in) throws IOException, FrameException {
+        in.array(4);
+        return readSealed(in);
+    }
+
     static void writeSealed(FieldWriter out, Sealed sealed) throws IOException, FrameException {
         out.number(sealed.request())
                 .value(sealed.submission(), ValueFormats::writeSubmission)
--- a/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
+++ b/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
@@ -52,7 +52,9 @@
 import org.knapweedmount.api.message.Resumed;
 import org.knapweedmount.api.message.Roster;
 import org.knapweedmount.api.message.Seal;
+import org.knapweedmount.api.message.SealBatch;
 import org.knapweedmount.api.message.Sealed;
+import org.knapweedmount.api.message.SealedBatch;
 import org.knapweedmount.api.message.Start;
 import org.knapweedmount.api.message.TaskReport;
 import org.knapweedmount.api.message.TaskState;
@@ -87,7 +89,9 @@
             case RESUMED -> new Resumed(longNumber(), list(this::report));
             case CANCEL_TASKS -> new CancelTasks(submission());
             case SEAL -> new Seal(random.nextLong(), submission());
-            case SEALED -> new Sealed(random.nextLong(), submission(), random.nextBoolean(), list(this::report));
+            case SEAL_BATCH -> new SealBatch(list(() -> new Seal(random.nextLong(), submission())));
+            case SEALED -> sealed();
+            case SEALED_BATCH -> new SealedBatch(list(this::sealed));
             case RELAY_REQUEST -> relayRequest();
             case RELAY_ANSWER -> new RelayAnswer(random.nextLong(), answer());
             case CONFIG_UPDATE -> new ConfigUpdate(list(this::ticket));
@@ -95,6 +99,10 @@
         };
     }
 
+    private Sealed sealed() {
+        return new Sealed(random.nextLong(), submission(), random.nextBoolean(), list(this::report));
+    }
+
     private RelayRequest relayRequest() {
         return new RelayRequest(
                 random.nextLong(),
