Look repeated keys up without endpoints, and delete rows of gone entries

Cause: an entry that knew no endpoint refused a repeated own key as unknown without asking the table, although another entry might have the answer. Rows of entries that ended without a planned stop stayed for ever.

Change: such an entry reads the key's row first and relays to the holder; if there is none the answer is unknown/no-endpoint as before.

Ruled out: claiming the key without endpoints (it could then never be used), looking up under load (a flood would reach the store), ages by a clock (after an outage all rows would go).

Figures: a refused repeated key costs one read, before none; rows by count in EntryDirectoryTest.

--- a/core/src/main/java/org/knapweedmount/core/entry/EntryCore.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/EntryCore.java
@@ -155,6 +155,17 @@
         router.claimed(key, proposed, result, nowNanos);
     }
 
+    /**
+     * Takes the result of a question asked by {@link EntryOutput#lookUp}.
+     *
+     * @param key the key that was looked up
+     * @param holder the id that it stands for, empty if it was not claimed or the table service could not be asked
+     * @param nowNanos the present time
+     */
+    public void lookedUp(String key, Optional<SubmissionId> holder, long nowNanos) {
+        router.lookedUp(key, holder, nowNanos);
+    }
+
     /**
      * Finds the id that a caller's own key stands for, as far as this entry knows.
      *
--- a/core/src/main/java/org/knapweedmount/core/entry/EntryOutput.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/EntryOutput.java
@@ -38,4 +38,11 @@
      * @param proposed the id that the key is to stand for unless it stands for another already
      */
     void claim(String key, SubmissionId proposed);
+
+    /**
+     * Reads what a caller's own key stands for without claiming it; the core is told by {@link EntryCore#lookedUp}.
+     *
+     * @param key the team and the caller's key
+     */
+    void lookUp(String key);
 }
--- a/core/src/main/java/org/knapweedmount/core/entry/KeyClaims.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/KeyClaims.java
@@ -17,6 +17,9 @@
  *
  * <p>Unless a caller states that it sends a key for the first time, the key may have been used through another entry. So
  * as long as the table service has not been asked, a refusal cannot say that nothing was run.
+ *
+ * <p>An entry without endpoints does not claim keys, so that they stay free for other entries. It looks up what a repeated
+ * key stands for, because another entry may have the answer.
  */
 final class KeyClaims {
     private static final int MAX_PENDING = 4_096;
@@ -29,6 +32,7 @@
     private final Admission admission;
     private final Map<String, Claim> pending = new HashMap<>();
     private final Map<String, SubmissionId> known;
+    private final Map<String, LookUp> lookUps = new HashMap<>();
     private long pendingBytes;
 
     /** Runs a job under the id that its key stands for. */
@@ -57,6 +61,14 @@
      */
     private record Claim(SubmissionId proposed, List<Waiting> waiting) {}
 
+    /**
+     * A key that is being looked up, because it may not be claimed now.
+     *
+     * @param refusal the answer if the key is not known to stand for an id
+     * @param waiting the requests with the key, at least one
+     */
+    private record LookUp(Refusal refusal, List<Waiting> waiting) {}
+
     KeyClaims(EntryContext context, Answers answers, IdIssuer issuer, Submissions submissions, Admission admission) {
         this.context = context;
         this.answers = answers;
@@ -73,7 +85,7 @@
     }
 
     boolean isEmpty() {
-        return pending.isEmpty();
+        return pending.isEmpty() && lookUps.isEmpty();
     }
 
     /** Returns what is claimed for a caller's own key. */
@@ -100,12 +112,51 @@
             return;
         }
         Optional<Refusal> refusal = check(request, nowNanos);
-        if (refusal.isPresent()) {
-            context.counters().increment(EntryCounter.REFUSED);
-            answers.deliver(request.requester(), refusal.get().answer(Optional.empty(), waiting.outcomeOfRefusal()));
+        if (refusal.isEmpty()) {
+            claim(name, waiting);
+        } else if (mayBeElsewhere(refusal.get(), waiting)) {
+            lookUp(name, refusal.get(), waiting);
+        } else {
+            refuse(waiting, refusal.get());
+        }
+    }
+
+    /** Tells whether a request that this entry cannot run is worth a question for an earlier attempt. */
+    private boolean mayBeElsewhere(Refusal refusal, Waiting waiting) {
+        return refusal.reason() == Reason.NO_ENDPOINT && !waiting.firstAttempt() && lookUps.size() < MAX_PENDING;
+    }
+
+    private void lookUp(String name, Refusal refusal, Waiting waiting) {
+        boolean first = !lookUps.containsKey(name);
+        lookUps.computeIfAbsent(name, unused -> new LookUp(refusal, new ArrayList<>(1)))
+                .waiting()
+                .add(waiting);
+        pendingBytes += bytes(waiting);
+        if (first) {
+            context.output().lookUp(name);
+        }
+    }
+
+    /** Takes what a key stands for; empty if it was not claimed or could not be looked up. */
+    void lookedUp(String name, Optional<SubmissionId> holder, Continuation continuation, long nowNanos) {
+        LookUp lookUp = lookUps.remove(name);
+        if (lookUp == null) {
             return;
         }
-        claim(name, waiting);
+        lookUp.waiting().forEach(waiting -> pendingBytes -= bytes(waiting));
+        holder.ifPresent(id -> known.put(name, id));
+        for (Waiting waiting : lookUp.waiting()) {
+            if (holder.isPresent()) {
+                continuation.submit(holder.get(), waiting.request(), nowNanos);
+            } else {
+                refuse(waiting, lookUp.refusal());
+            }
+        }
+    }
+
+    private void refuse(Waiting waiting, Refusal refusal) {
+        context.counters().increment(EntryCounter.REFUSED);
+        answers.deliver(waiting.request().requester(), refusal.answer(Optional.empty(), waiting.outcomeOfRefusal()));
     }
 
     /** Takes the result of a claim. */
@@ -164,11 +215,7 @@
         Optional<SubmissionId> id = Optional.of(claim.proposed());
         JobAnswer never = refusal.answer(id, Outcome.NOT_RUN);
         submissions.endUnstarted(claim.proposed(), never);
-        for (Waiting waiting : claim.waiting()) {
-            context.counters().increment(EntryCounter.REFUSED);
-            answers.deliver(
-                    waiting.request().requester(), refusal.answer(Optional.empty(), waiting.outcomeOfRefusal()));
-        }
+        claim.waiting().forEach(waiting -> refuse(waiting, refusal));
     }
 
     private static long bytes(Waiting waiting) {
--- a/core/src/main/java/org/knapweedmount/core/entry/RequestRouter.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/RequestRouter.java
@@ -51,6 +51,11 @@
         claims.claimed(key, proposed, result, this::submitClaimed, nowNanos);
     }
 
+    /** Takes what a key stands for. */
+    void lookedUp(String key, Optional<SubmissionId> holder, long nowNanos) {
+        claims.lookedUp(key, holder, this::submitClaimed, nowNanos);
+    }
+
     void status(SubmissionId id, Requester requester, boolean awaitEnd, long nowNanos) {
         if (!isOwn(id)) {
             relays.ask(ForeignRequest.status(id, requester, awaitEnd), nowNanos);
--- a/core/src/test/java/org/knapweedmount/core/entry/KeyClaimsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/entry/KeyClaimsTest.java
@@ -1,11 +1,15 @@
 package org.knapweedmount.core.entry;
 
+import java.util.List;
 import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
 import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.JobAnswer;
 import org.knapweedmount.api.JobSpec;
+import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.SubmissionId;
+import org.knapweedmount.api.message.RelayAnswer;
 import org.knapweedmount.api.message.RelayRequest;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -113,7 +117,34 @@
         entry.core.unlinked(agent, entry.now);
 
         assertThat(entry.ending(submit(true, JOB)), is("NOT_RUN/NO_ENDPOINT"));
-        assertThat(entry.ending(submit(false, JOB)), is("UNKNOWN/NO_ENDPOINT"));
+        long again = submit(false, JOB);
+        long joined = submit(false, JOB);
+        assertThat(entry.output.lookUps, contains(CLAIMED));
+        assertThat(entry.answered(again), is(false));
+        assertThat(entry.core.idle(), is(false));
+
+        entry.core.lookedUp(CLAIMED, Optional.empty(), entry.now);
+
+        assertThat(entry.ending(again), is("UNKNOWN/NO_ENDPOINT"));
+        assertThat(entry.ending(joined), is("UNKNOWN/NO_ENDPOINT"));
         assertThat(entry.output.claims.keySet(), is(empty()));
     }
+
+    @Test
+    void entryWithoutEndpointsRelaysAKeyThatAnotherEntryHasClaimed() {
+        PeerAddress other = EntryFixture.entryAddress("entry-2");
+        entry.core.linked(other, entry.now);
+        entry.core.unlinked(agent, entry.now);
+        SubmissionId holder = new SubmissionId(other.incarnation(), 9, 1);
+        long request = submit(false, JOB);
+
+        entry.core.lookedUp(CLAIMED, Optional.of(holder), entry.now);
+        RelayRequest relayed =
+                entry.output.to(other.incarnation(), RelayRequest.class).get(0);
+        JobAnswer answer = JobAnswer.complete(holder, List.of(complete("reserved")));
+        entry.receive(other.incarnation(), new RelayAnswer(relayed.request(), answer));
+
+        assertThat(relayed.submission(), is(holder));
+        assertThat(entry.answer(request), is(answer));
+    }
 }
--- a/core/src/test/java/org/knapweedmount/core/entry/ModelNetwork.java
+++ b/core/src/test/java/org/knapweedmount/core/entry/ModelNetwork.java
@@ -113,12 +113,23 @@
             public void claim(String key, SubmissionId proposed) {
                 claims.add(() -> claimed(self, key, proposed));
             }
+
+            @Override
+            public void lookUp(String key) {
+                claims.add(() -> lookedUp(self, key));
+            }
         };
         Counters<EntryCounter> counters = new Counters<>(EntryCounter.class);
         entries.put(
                 self, new EntryCore(LIMITS, address, config, output, counters, Invariants.fatal(), random.nextLong()));
     }
 
+    private void lookedUp(Incarnation entry, String key) {
+        boolean answered = random.nextInt(4) > 0;
+        Optional<SubmissionId> holder = answered ? Optional.ofNullable(store.get(key)) : Optional.empty();
+        entries.get(entry).lookedUp(key, holder, now);
+    }
+
     private void claimed(Incarnation entry, String key, SubmissionId proposed) {
         Optional<SubmissionId> holder = Optional.empty();
         boolean written = random.nextInt(4) > 0;
--- a/core/src/test/java/org/knapweedmount/core/entry/RecordingOutput.java
+++ b/core/src/test/java/org/knapweedmount/core/entry/RecordingOutput.java
@@ -16,6 +16,7 @@
     final List<Sent> sent = new ArrayList<>();
     final List<PeerAddress> reached = new ArrayList<>();
     final Map<Long, JobAnswer> answers = new HashMap<>();
+    final List<String> lookUps = new ArrayList<>();
     final Map<String, SubmissionId> claims = new HashMap<>();
 
     /**
@@ -48,6 +49,11 @@
         claims.put(key, proposed);
     }
 
+    @Override
+    public void lookUp(String key) {
+        lookUps.add(key);
+    }
+
     /** Returns the messages of a type sent to any peer, in order. */
     <T extends Message> List<T> all(Class<T> type) {
         return sent.stream()
--- a/core/src/test/java/org/knapweedmount/core/fleet/FakeEntry.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FakeEntry.java
@@ -113,6 +113,11 @@
         store.claim(key, proposed, result -> deliver(() -> core.claimed(key, proposed, result, scheduler.nowNanos())));
     }
 
+    @Override
+    public void lookUp(String key) {
+        store.lookUp(key, holder -> deliver(() -> core.lookedUp(key, holder, scheduler.nowNanos())));
+    }
+
     @Override
     void linked(PeerAddress peer) {
         core.linked(peer, scheduler.nowNanos());
--- a/core/src/test/java/org/knapweedmount/core/fleet/FakeStore.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FakeStore.java
@@ -36,6 +36,11 @@
         unconditional = true;
     }
 
+    void lookUp(String key, Consumer<Optional<SubmissionId>> caller) {
+        Optional<SubmissionId> holder = down ? Optional.empty() : Optional.ofNullable(claims.get(key));
+        scheduler.after(down ? GIVE_UP_NANOS : ANSWER_NANOS, () -> caller.accept(holder));
+    }
+
     void claim(String key, SubmissionId proposed, Consumer<ClaimResult> caller) {
         if (down) {
             scheduler.after(GIVE_UP_NANOS, () -> caller.accept(new ClaimResult(Optional.empty())));
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryBuilder.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryBuilder.java
@@ -36,6 +36,7 @@
 import org.knapweedmount.daemon.store.ClaimStore;
 import org.knapweedmount.daemon.store.EntryAnnouncement;
 import org.knapweedmount.daemon.store.EntryDirectory;
+import org.knapweedmount.daemon.store.EntryRow;
 import org.knapweedmount.daemon.store.TableClient;
 import org.knapweedmount.daemon.store.TableCounter;
 import org.knapweedmount.daemon.store.TableLimits;
@@ -102,7 +103,11 @@
         EntryPorts ports = ports(self, store, readiness, drain, tokens);
         EntryAnnouncement announcement = new EntryAnnouncement(vertx, store.tables(), self);
         EntryDirectory directory = new EntryDirectory(
-                vertx, store.tables(), clock::nanos, known -> loop.offer((module, now) -> module.listed(known)));
+                vertx,
+                store.tables(),
+                EntryRow.name(self.incarnation()),
+                clock::nanos,
+                known -> loop.offer((module, now) -> module.listed(known)));
         store.announce(announcement, directory);
         Ticker<EntryModule> ticker = Ticker.start(vertx, TICK_MILLIS, loop, EntryModule::tick);
         return new EntryProcess(new EntryParts(
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryOutputs.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryOutputs.java
@@ -54,4 +54,12 @@
                     module.core().claimed(key, proposed, result, now);
                 })));
     }
+
+    @Override
+    public void lookUp(String key) {
+        storeContext.runOnContext(ignored -> claims.find(key)
+                .onSuccess(read -> results.add((module, now) -> {
+                    module.core().lookedUp(key, read.row().flatMap(ClaimStore::holder), now);
+                })));
+    }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/store/EntryDirectory.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/store/EntryDirectory.java
@@ -5,9 +5,10 @@
 import java.util.function.LongSupplier;
 
 import io.vertx.core.Vertx;
+import org.tinylog.Logger;
 
 /**
- * Lists the entries that have a row in the table service, from time to time.
+ * Lists the entries that have a row in the table service, from time to time, and deletes rows of entries long gone.
  *
  * <p>Used on the context of the store.
  */
@@ -22,6 +23,7 @@
     private final LongSupplier nanoClock;
     private final Consumer<KnownEntries> listener;
     private final EntryRows rows = new EntryRows(STALE_NANOS);
+    private final OutdatedRows outdated;
     private long timer;
 
     /**
@@ -29,12 +31,15 @@
      *
      * @param vertx starts the timers
      * @param tables the table service
+     * @param own the row of this entry
      * @param nanoClock gives the present time of a monotonic clock, in ns
      * @param listener told the entries after each list
      */
-    public EntryDirectory(Vertx vertx, Tables tables, LongSupplier nanoClock, Consumer<KnownEntries> listener) {
+    public EntryDirectory(
+            Vertx vertx, Tables tables, RowKey own, LongSupplier nanoClock, Consumer<KnownEntries> listener) {
         this.vertx = vertx;
         this.tables = tables;
+        this.outdated = new OutdatedRows(own);
         this.nanoClock = nanoClock;
         this.listener = listener;
     }
@@ -53,7 +58,14 @@
         tables.listAll(EntryRow.TABLE, "").onSuccess(result -> {
             if (result.answered()) {
                 listener.accept(rows.observe(result.rows(), nanoClock.getAsLong()));
+                outdated.observe(result.rows()).stream().findFirst().ifPresent(this::delete);
             }
         });
     }
+
+    /** Deletes a row unless it has changed since it was listed. */
+    private void delete(Row row) {
+        Logger.info("deleting the row of entry {}, which has gone", row.name().key());
+        tables.transact(Transaction.EMPTY.require(row.name(), row.version()).delete(row.name()));
+    }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/knapweedmount/daemon/store/EntryDirectoryTest.java
@@ -0,0 +1,76 @@
+package org.knapweedmount.daemon.store;
+
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+
+import io.vertx.core.Vertx;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.PeerAddress;
+import org.knapweedmount.api.Role;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+@Timeout(60)
+class EntryDirectoryTest {
+    private static final PeerAddress SELF = address("entry-1");
+    private static final PeerAddress OTHER = address("entry-2");
+
+    private final Vertx vertx = Vertx.vertx();
+    private final FakeTables tables = new FakeTables();
+    private final BlockingQueue<KnownEntries> lists = new LinkedBlockingQueue<>();
+    private int listed;
+
+    private static PeerAddress address(String name) {
+        return new PeerAddress(new Incarnation(name, 1), Role.ENTRY, "rennes", "127.0.0.1", 7101);
+    }
+
+    private void write(PeerAddress address) {
+        tables.carryOut(Transaction.EMPTY.put(EntryRow.name(address.incarnation()), new EntryRow(address, 1).value()));
+    }
+
+    /** Lists the rows three times, with many beats of the own row between the first and the second. */
+    private KnownEntries thirdList(Runnable beforeDeletion) throws InterruptedException {
+        write(SELF);
+        write(OTHER);
+        EntryDirectory directory =
+                new EntryDirectory(vertx, tables, EntryRow.name(SELF.incarnation()), System::nanoTime, known -> {
+                    listed++;
+                    if (listed == 1) {
+                        beat();
+                    } else if (listed == 2) {
+                        beforeDeletion.run();
+                    }
+                    lists.add(known);
+                });
+        vertx.runOnContext(ignored -> directory.start());
+        lists.take();
+        lists.take();
+        return lists.take();
+    }
+
+    private void beat() {
+        for (long beat = 0; beat < OutdatedRows.OUTDATED_BEATS; beat++) {
+            write(SELF);
+        }
+    }
+
+    @AfterEach
+    void close() {
+        vertx.close().await();
+    }
+
+    @Test
+    void rowOfAnEntryThatHasGoneIsDeleted() throws InterruptedException {
+        assertThat(thirdList(() -> {}), is(new KnownEntries(List.of(SELF), List.of())));
+    }
+
+    @Test
+    void rowThatChangesBeforeItIsDeletedStays() throws InterruptedException {
+        assertThat(thirdList(() -> write(OTHER)), is(new KnownEntries(List.of(SELF, OTHER), List.of())));
+    }
+}
