Run the long seeds of the fleet in two regions too

Cause: the random runs in two regions had four seeds only.

Change: RegionsTest runs -Dfleet.runs seeds from 3000 on with all faults.

--- a/core/src/test/java/org/knapweedmount/core/fleet/FleetTest.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FleetTest.java
@@ -15,7 +15,7 @@
 /** What must hold between entries and agents, in randomised runs under failures. */
 class FleetTest {
     /** The property that sets how many further seeds are run, for long runs by hand. */
-    private static final String RUNS_PROPERTY = "fleet.runs";
+    static final String RUNS_PROPERTY = "fleet.runs";
 
     private static final long FIRST_LONG_SEED = 1_000;
 
--- a/core/src/test/java/org/knapweedmount/core/fleet/RegionsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/RegionsTest.java
@@ -21,6 +21,7 @@
 /** What must hold when callers resubmit in other regions, whose entries have no permanent links. */
 class RegionsTest {
     private static final int REGIONS = 2;
+    private static final long FIRST_LONG_SEED = 3_000;
     private static final int SUBMISSIONS = 20;
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long LINKED_MILLIS = 500;
@@ -77,6 +78,17 @@
         assertThat(submissions.stream().allMatch(submission -> submission.ended(Outcome.NOT_RUN)), is(true));
     }
 
+    @Test
+    void promisesHoldInLongRuns() {
+        int runs = Integer.getInteger(FleetTest.RUNS_PROPERTY, 0);
+        for (long seed = FIRST_LONG_SEED; seed < FIRST_LONG_SEED + runs; seed++) {
+            FleetRun run = FleetRun.inRegions(seed, REGIONS).run();
+
+            assertThat("seed " + seed, run.violations(), is(empty()));
+            assertThat("seed " + seed, run.unanswered(), is(0));
+        }
+    }
+
     private static void pass(FakeFleet fleet, long millis) {
         fleet.scheduler().runUntil(fleet.scheduler().nowNanos() + millis * NANOS_PER_MILLI);
     }
