--- a/core/src/main/java/org/knapweedmount/core/entry/EntryCore.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/EntryCore.java
@@ -1,5 +1,6 @@
 package org.knapweedmount.core.entry;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -11,6 +12,7 @@
 import org.knapweedmount.api.message.Leaving;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.Sealed;
+import org.knapweedmount.api.message.SealedBatch;
 import org.knapweedmount.core.config.ConfigState;
 import org.knapweedmount.core.metric.Counters;
 import org.knapweedmount.core.metric.Invariants;
@@ -37,6 +39,7 @@
     private final Relays relays;
     private final RequestRouter router;
     private final EntryLinks entryLinks;
+    private final RemoteEntries remoteEntries;
     private boolean draining;
 
     /**
@@ -76,9 +79,10 @@
         this.claims = new KeyClaims(context, answers, issuer, submissions, admission);
         PeerRosters peerRosters = new PeerRosters();
         this.settlements = new Settlements(context, answers, agents, id -> roster(id, peerRosters));
-        this.relays = new Relays(context, answers, settlements);
+        this.remoteEntries = new RemoteEntries(self);
+        this.relays = new Relays(context, answers, settlements, remoteEntries);
         this.router = new RequestRouter(context, answers, submissions, claims, relays, settlements);
-        this.entryLinks = new EntryLinks(context, roster, peerRosters, relays, router);
+        this.entryLinks = new EntryLinks(context, roster, peerRosters, relays, router, remoteEntries);
     }
 
     private Optional<List<PeerAddress>> roster(SubmissionId id, PeerRosters peerRosters) {
@@ -151,6 +155,17 @@
         router.claimed(key, proposed, result, nowNanos);
     }
 
+    /**
+     * Takes the result of a question asked by {@link EntryOutput#lookUp}.
+     *
+     * @param key the key that was looked up
+     * @param holder the id that it stands for, empty if it was not claimed or the table service could not be asked
+     * @param nowNanos the present time
+     */
+    public void lookedUp(String key, Optional<SubmissionId> holder, long nowNanos) {
+        router.lookedUp(key, holder, nowNanos);
+    }
+
     /**
      * Finds the id that a caller's own key stands for, as far as this entry knows.
      *
@@ -171,12 +186,22 @@
     public void linked(PeerAddress peer, long nowNanos) {
         if (peer.role() == Role.AGENT) {
             agentLinks.linked(peer, nowNanos);
-            settlements.linked(peer.incarnation());
+            settlements.linked(peer.incarnation(), nowNanos);
         } else {
-            entryLinks.linked(peer.incarnation(), nowNanos);
+            remoteEntries.know(List.of(peer));
+            entryLinks.linked(peer, nowNanos);
         }
     }
 
+    /**
+     * Takes entries that exist, so that it is known whom to ask for submissions of other regions.
+     *
+     * @param entries entries of any region
+     */
+    public void know(Collection<PeerAddress> entries) {
+        remoteEntries.know(entries);
+    }
+
     /**
      * Takes the loss of a link.
      *
@@ -199,6 +224,8 @@
         agentLinks.receive(from, message, nowNanos);
         if (message instanceof Sealed sealed) {
             settlements.sealed(from, sealed, nowNanos);
+        } else if (message instanceof SealedBatch batch) {
+            batch.answers().forEach(answer -> settlements.sealed(from, answer, nowNanos));
         } else {
             entryLinks.receive(from, message, nowNanos);
         }
--- a/core/src/main/java/org/knapweedmount/core/entry/EntryOutput.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/EntryOutput.java
@@ -2,6 +2,7 @@
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.JobAnswer;
+import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.SubmissionId;
 import org.knapweedmount.api.message.Message;
 
@@ -15,6 +16,13 @@
      */
     void send(Incarnation peer, Message message);
 
+    /**
+     * Opens a link to an entry of another region; closed by its owner when it has not been used for a while.
+     *
+     * @param entry the entry
+     */
+    void reach(PeerAddress entry);
+
     /**
      * Answers a caller's request; called exactly once for each request.
      *
@@ -30,4 +38,11 @@
      * @param proposed the id that the key is to stand for unless it stands for another already
      */
     void claim(String key, SubmissionId proposed);
+
+    /**
+     * Reads what a caller's own key stands for without claiming it; the core is told by {@link EntryCore#lookedUp}.
+     *
+     * @param key the team and the caller's key
+     */
+    void lookUp(String key);
 }
--- a/core/src/test/java/org/knapweedmount/core/entry/RecordingOutput.java
+++ b/core/src/test/java/org/knapweedmount/core/entry/RecordingOutput.java
@@ -7,13 +7,16 @@
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.JobAnswer;
+import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.SubmissionId;
 import org.knapweedmount.api.message.Message;
 
 /** Keeps what an entry has decided. */
 final class RecordingOutput implements EntryOutput {
     final List<Sent> sent = new ArrayList<>();
+    final List<PeerAddress> reached = new ArrayList<>();
     final Map<Long, JobAnswer> answers = new HashMap<>();
+    final List<String> lookUps = new ArrayList<>();
     final Map<String, SubmissionId> claims = new HashMap<>();
 
     /**
@@ -29,6 +32,11 @@
         sent.add(new Sent(peer, message));
     }
 
+    @Override
+    public void reach(PeerAddress entry) {
+        reached.add(entry);
+    }
+
     @Override
     public void answer(long request, JobAnswer answer) {
         if (answers.put(request, answer) != null) {
@@ -41,6 +49,11 @@
         claims.put(key, proposed);
     }
 
+    @Override
+    public void lookUp(String key) {
+        lookUps.add(key);
+    }
+
     /** Returns the messages of a type sent to any peer, in order. */
     <T extends Message> List<T> all(Class<T> type) {
         return sent.stream()
--- a/core/src/test/java/org/knapweedmount/core/fleet/FakeEntry.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FakeEntry.java
@@ -1,6 +1,7 @@
 package org.knapweedmount.core.fleet;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -26,6 +27,7 @@
 
     private final FakeNetwork network;
     private final FakeStore store;
+    private final FakeFleet fleet;
     private final EntryCore core;
     private final Map<Long, Consumer<JobAnswer>> callers = new HashMap<>();
     private final long createdNanos;
@@ -35,6 +37,7 @@
         super(address, fleet.scheduler());
         this.network = fleet.network();
         this.store = fleet.store();
+        this.fleet = fleet;
         this.createdNanos = nowNanos();
         long seed = fleet.random().nextLong();
         this.core = new EntryCore(
@@ -85,6 +88,15 @@
         network.send(this, peer, message);
     }
 
+    @Override
+    public void reach(PeerAddress entry) {
+        fleet.reach(this, entry);
+    }
+
+    void know(List<PeerAddress> entries) {
+        core.know(entries);
+    }
+
     @Override
     public void answer(long request, JobAnswer answer) {
         Consumer<JobAnswer> caller = callers.remove(request);
@@ -99,6 +111,11 @@
         store.claim(key, proposed, result -> deliver(() -> core.claimed(key, proposed, result, nowNanos())));
     }
 
+    @Override
+    public void lookUp(String key) {
+        store.lookUp(key, holder -> deliver(() -> core.lookedUp(key, holder, nowNanos())));
+    }
+
     @Override
     Decisions decisions() {
         return new Decisions(core::linked, core::unlinked, core::receive, core::tick);
--- a/core/src/test/java/org/knapweedmount/core/fleet/FleetRun.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FleetRun.java
@@ -15,6 +15,8 @@
 /** One seeded run: callers submit and resubmit while processes and links fail; then everything heals. */
 final class FleetRun {
     private static final List<Fault> FAULTS = List.of(Fault.values());
+    private static final List<Fault> FAULTS_IN_ONE_REGION =
+            FAULTS.stream().filter(fault -> fault != Fault.REGIONS_CUT).toList();
     private static final int SHOWN_VIOLATIONS = 5;
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final long FAULT_END_NANOS = 30_000 * NANOS_PER_MILLI;
@@ -31,17 +33,23 @@
     private final Random random;
     private final FakeFleet fleet;
     private final List<Submission> submissions = new ArrayList<>();
-    private List<Fault> faults = FAULTS;
+    private List<Fault> faults;
     private int faultSpreadMillis = FAULT_SPREAD_MILLIS;
     private double cancelShare = CANCEL_SHARE;
 
-    private FleetRun(long seed) {
+    private FleetRun(long seed, FakeFleet fleet, List<Fault> faults) {
         this.random = new Random(seed);
-        this.fleet = new FakeFleet(seed, FleetSite.SMALL);
+        this.fleet = fleet;
+        this.faults = faults;
     }
 
     static FleetRun of(long seed) {
-        return new FleetRun(seed);
+        return new FleetRun(seed, new FakeFleet(seed, FleetSite.SMALL), FAULTS_IN_ONE_REGION);
+    }
+
+    /** Creates a run in several regions, each as large as the one of the other runs. */
+    static FleetRun inRegions(long seed, int regions) {
+        return new FleetRun(seed, new FakeFleet(seed, FleetSite.SMALL.inRegions(regions)), FAULTS);
     }
 
     /** Lets no fault strike, while executors complete every task and nothing is cancelled. */
--- a/core/src/test/java/org/knapweedmount/core/fleet/FleetSite.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FleetSite.java
@@ -13,15 +13,17 @@
 /**
  * The size and the configuration of a fake fleet.
  *
- * @param entries the number of entries
- * @param agents the number of agents, each with one executor
+ * @param regions the number of regions, over which entries and agents are spread evenly
+ * @param entries the number of entries in all regions
+ * @param agents the number of agents in all regions, each with one executor
  * @param slots the slots of each executor
  * @param repeatedMessages the share of messages that arrive twice
  * @param ticket the configuration in force
  */
-record FleetSite(int entries, int agents, int slots, double repeatedMessages, Ticket ticket) {
+record FleetSite(int regions, int entries, int agents, int slots, double repeatedMessages, Ticket ticket) {
     /** A small site whose messages are now and then repeated. */
     static final FleetSite SMALL = new FleetSite(
+            1,
             3,
             5,
             4,
@@ -33,6 +35,7 @@
 
     /** A site of 88 slots, with short urgent balance checks and long settlements as its kinds. */
     static final FleetSite DUES = new FleetSite(
+            1,
             3,
             11,
             8,
@@ -45,6 +48,7 @@
 
     /** A site of 88 slots for one kind of lookups. */
     static final FleetSite LOOKUPS = new FleetSite(
+            1,
             3,
             11,
             8,
@@ -54,6 +58,16 @@
                     kind(FakeFleet.ONCE, false, 1, 330, 60_000),
                     new TeamConfig(FakeFleet.TEAM, 1, 1)));
 
+    /** Returns a site with this one in each of several regions. */
+    FleetSite inRegions(int count) {
+        return new FleetSite(count, count * entries, count * agents, slots, repeatedMessages, ticket);
+    }
+
+    /** Returns a site of another size, without repeated messages. */
+    FleetSite sized(int regionCount, int entryCount, int agentCount) {
+        return new FleetSite(regionCount, entryCount, agentCount, slots, 0, ticket);
+    }
+
     private static final double SHORT_ONLY_SHARE = 0.25;
 
     private static Ticket ticket(KindConfig shortKind, KindConfig longKind, TeamConfig... teams) {
--- a/daemon/src/main/java/org/knapweedmount/daemon/settings/ProcessSettings.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/settings/ProcessSettings.java
@@ -7,6 +7,7 @@
  * The settings that a process of any role has.
  *
  * @param name the name of the process, which stays the same when it is restarted; 1 to 64 letters, digits and hyphens
+ * @param region the region of the data centre
  * @param dataCentre the data centre that the process runs in
  * @param logLevel the least severity of log lines
  * @param http where it listens for HTTP requests: an entry for callers, an agent for the announcements of endpoints
@@ -17,6 +18,7 @@
  */
 public record ProcessSettings(
         String name,
+        String region,
         String dataCentre,
         LogLevel logLevel,
         HttpSettings http,
@@ -27,6 +29,7 @@
     /** Copies the list and checks that nothing is missing. */
     public ProcessSettings {
         Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(region, "region");
         Objects.requireNonNull(dataCentre, "dataCentre");
         Objects.requireNonNull(logLevel, "logLevel");
         Objects.requireNonNull(http, "http");
--- a/daemon/src/main/java/org/knapweedmount/daemon/settings/Settings.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/settings/Settings.java
@@ -33,6 +33,15 @@
         return process().name();
     }
 
+    /**
+     * Returns the region of the data centre.
+     *
+     * @return the region's name
+     */
+    default String region() {
+        return process().region();
+    }
+
     /**
      * Returns the data centre that the process runs in.
      *
--- a/daemon/src/main/java/org/knapweedmount/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/settings/SettingsReader.java
@@ -9,6 +9,7 @@
 import java.util.regex.Pattern;
 
 import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.Role;
 
 /**
@@ -85,6 +86,7 @@
     private ProcessSettings process() throws SettingsException {
         return new ProcessSettings(
                 name("name"),
+                region(),
                 name("dataCentre"),
                 logLevel(),
                 http(root.section("http")),
@@ -98,6 +100,11 @@
         return root.text(key, NAME, text -> Optional.of(text).filter(Incarnation::isName));
     }
 
+    private String region() throws SettingsException {
+        return root.optionalText("region", NAME, text -> Optional.of(text).filter(Incarnation::isName))
+                .orElse(PeerAddress.DEFAULT_REGION);
+    }
+
     private LogLevel logLevel() throws SettingsException {
         return root.optionalText("logLevel", "one of " + LogLevel.allowed(), LogLevel::of)
                 .orElse(LogLevel.INFO);
--- a/daemon/src/test/java/org/knapweedmount/daemon/agent/AgentProcessTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/agent/AgentProcessTest.java
@@ -81,6 +81,7 @@
     private static AgentSettings settings(int platformPort) {
         ProcessSettings process = new ProcessSettings(
                 "agent-1",
+                PeerAddress.DEFAULT_REGION,
                 "rennes",
                 LogLevel.INFO,
                 new HttpSettings(HOST, 0, 10_000, 10),
--- a/daemon/src/test/java/org/knapweedmount/daemon/link/LinkClosingTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/link/LinkClosingTest.java
@@ -147,7 +147,7 @@
 
     @Test
     void linkWhoseOtherEndDoesNotReadIsClosed() throws Exception {
-        TestProcess entry = processes.entry("entry-1", new LinkOptions(5_000, 10, 1_000_000, 100_000, 1024, 1));
+        TestProcess entry = processes.entry("entry-1", new LinkOptions(5_000, 10, 1_000_000, 100_000, 1024, 60_000, 1));
         Message large = new Leaving("x".repeat(10_000));
         PeerAddress deaf = RawPeer.agentHello("agent-1").sender();
         try (RawPeer peer = new RawPeer(entry)) {
@@ -165,7 +165,8 @@
     @Test
     void fullOutboxClosesTheLinkInsteadOfLeavingAMessageOut() throws Exception {
         int ringSize = 4;
-        TestProcess entry = processes.entry("entry-1", new LinkOptions(20, 10, 1_000_000, 100_000, ringSize, 1));
+        TestProcess entry =
+                processes.entry("entry-1", new LinkOptions(20, 10, 1_000_000, 100_000, ringSize, 60_000, 1));
         TestProcess agent = processes.agentLinkedTo(entry);
 
         entry.loop.offer((core, nowNanos) -> {
@@ -180,7 +181,7 @@
 
     @Test
     void connectionsOverTheLimitAreClosed() throws Exception {
-        TestProcess entry = processes.entry("entry-1", new LinkOptions(5_000, 1, 1_000_000, 100_000, 16, 1));
+        TestProcess entry = processes.entry("entry-1", new LinkOptions(5_000, 1, 1_000_000, 100_000, 16, 60_000, 1));
         try (RawPeer first = new RawPeer(entry)) {
             first.send(RawPeer.agentHello("agent-1"));
             entry.awaitEvent("linked agent-1~0000000000000001");
--- a/daemon/src/test/java/org/knapweedmount/daemon/link/LinkTableTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/link/LinkTableTest.java
@@ -5,6 +5,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.Role;
@@ -127,6 +129,40 @@
                 processes.vertx(), "entry-1", port, LinkOptions.entry(TestProcess.HEARTBEAT_MILLIS, 1));
     }
 
+    private TestProcess remote(Role role, String name) {
+        return processes.added(TestProcess.remote(processes.vertx(), role, name));
+    }
+
+    @Test
+    void agentHasNoLinkToAnEntryOfAnotherRegion() {
+        TestProcess entry = processes.entry("entry-1");
+        TestProcess agent = remote(Role.AGENT, "agent-1");
+
+        agent.links.know(entry.self);
+        agent.links.dial(entry.address());
+
+        agent.awaitCounter(LinkCounter.CLOSED_HELLO);
+        assertThat(agent.links.counters().value(LinkCounter.LINKED), is(0L));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"entry-1", "entry-3"})
+    void linkToAnotherRegionIsOpenedOnDemandFromEitherSideAndClosedWhenIdle(String name) throws InterruptedException {
+        TestProcess entry = processes.entry("entry-2", new LinkOptions(100, 10, 1_000_000, 100_000, 1024, 400, 1));
+        TestProcess remote = remote(Role.ENTRY, name);
+        entry.links.know(remote.self);
+        remote.links.know(entry.self);
+
+        entry.links.reach(remote.self);
+        entry.awaitEvent(remote.linkedEvent());
+        remote.awaitEvent(entry.linkedEvent());
+        entry.awaitEvent("unlinked " + remote.self.incarnation());
+
+        assertThat(entry.links.counters().value(LinkCounter.CLOSED_IDLE), is(1L));
+        entry.links.reach(remote.self);
+        entry.awaitEvent(remote.linkedEvent());
+    }
+
     @Test
     void messageToAProcessWithoutALinkIsDroppedAndCounted() {
         TestProcess entry = processes.entry("entry-1");
--- a/daemon/src/test/java/org/knapweedmount/daemon/link/TestProcess.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/link/TestProcess.java
@@ -28,7 +28,7 @@
     final PeerAddress self;
 
     static TestProcess entry(Vertx vertx, String name, int port, LinkOptions options) {
-        return new TestProcess(vertx, Role.ENTRY, name, port, options, NanoClock.SYSTEM);
+        return new TestProcess(vertx, Role.ENTRY, PeerAddress.DEFAULT_REGION, name, port, options, NanoClock.SYSTEM);
     }
 
     static TestProcess entry(Vertx vertx, String name) {
@@ -37,7 +37,7 @@
 
     /** Starts an entry whose links go by a clock of the test. */
     static TestProcess entry(Vertx vertx, String name, LinkOptions options, NanoClock clock) {
-        return new TestProcess(vertx, Role.ENTRY, name, 0, options, clock);
+        return new TestProcess(vertx, Role.ENTRY, PeerAddress.DEFAULT_REGION, name, 0, options, clock);
     }
 
     static TestProcess agent(Vertx vertx, String name) {
@@ -46,11 +46,19 @@
 
     /** Starts an agent whose links go by a clock of the test. */
     static TestProcess agent(Vertx vertx, String name, LinkOptions options, NanoClock clock) {
-        return new TestProcess(vertx, Role.AGENT, name, 0, options, clock);
+        return new TestProcess(vertx, Role.AGENT, PeerAddress.DEFAULT_REGION, name, 0, options, clock);
     }
 
-    private TestProcess(Vertx vertx, Role role, String name, int port, LinkOptions options, NanoClock clock) {
-        PeerAddress identity = new PeerAddress(new Incarnation(name, System.nanoTime()), role, "rennes", HOST, 0);
+    /** Creates a process of a region of its own. */
+    static TestProcess remote(Vertx vertx, Role role, String name) {
+        LinkOptions options = LinkOptions.entry(HEARTBEAT_MILLIS, 1);
+        return new TestProcess(vertx, role, "elsewhere", name, 0, options, NanoClock.SYSTEM);
+    }
+
+    private TestProcess(
+            Vertx vertx, Role role, String region, String name, int port, LinkOptions options, NanoClock clock) {
+        Incarnation incarnation = new Incarnation(name, System.nanoTime());
+        PeerAddress identity = new PeerAddress(incarnation, role, region, "rennes", HOST, 0);
         this.loop = new DecisionLoop<>(name, RING_SIZE, NanoClock.SYSTEM);
         this.links = new LinkTable<>(vertx, options, identity, () -> 17, clock, loop, new Noting());
         this.self = role == Role.ENTRY
