Bound all requests for other regions by themselves

Cause: requests for an issuer of another region that was being reached counted as requests inside the region. During a cut they could fill all 10,000 relays, so that relays inside the region were refused.

Change: an id of another region is always asked for as such, within the bound of 2,000. RelaysTest brings about the cut, the way round a dead issuer, and a link that ends under a request.

Ruled out: a shared bound with a reserve, which is the same with more state.

--- a/core/src/main/java/org/knapweedmount/core/entry/Relays.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/Relays.java
@@ -29,7 +29,9 @@
     private static final long RELINK_NANOS = 500 * NANOS_PER_MILLI;
     private static final long REACH_NANOS = 2_000 * NANOS_PER_MILLI;
     private static final int MAX_PENDING = 10_000;
-    private static final int MAX_REMOTE_PENDING = 2_000;
+    /** The number of requests for other regions that wait, so that a cut does not use up all relays. */
+    static final int MAX_REMOTE_PENDING = 2_000;
+
     private static final int MAX_CARRIERS = 3;
     private static final int RETRY_MILLIS = 1_000;
 
@@ -55,11 +57,10 @@
         if (settlements.answerSettled(request)) {
             return;
         }
-        if (isAwaited(request.id().issuer())
-                || !remote.issuedElsewhere(request.id().issuer())) {
-            askInRegion(request, nowNanos);
-        } else {
+        if (remote.issuedElsewhere(request.id().issuer())) {
             askRegion(request, Set.of(), nowNanos);
+        } else {
+            askInRegion(request, nowNanos);
         }
     }
 
