Hold the HTTP clients of tests for as long as they are used

Cause: OperatorApiTest failed once in four full checks with "Connection was closed". A client that nothing refers to is closed when it is collected as garbage, also with a request under way; the tests created one for each request and kept only its future.

Change: the clients of OperatorApiTest, AgentProcessTest and TaskRequestTest are fields.

Ruled out: a loss of the refusal by the server, which was suspected first; 3,000 requests to one server lost none.

Figures before: of 3,000 requests, each with a server and a client of its own, 3 failed; one of these said "Pool closed", which only the client does.

Conclusion: the assertions are the same.

--- a/daemon/src/test/java/org/knapweedmount/daemon/agent/AgentProcessTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/agent/AgentProcessTest.java
@@ -7,6 +7,7 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
@@ -53,6 +54,7 @@
     private static final String HOST = "127.0.0.1";
 
     private final Vertx vertx = Vertx.vertx();
+    private final HttpClientAgent client = vertx.createHttpClient();
     private final BlockingQueue<HttpServerRequest> tasks = new LinkedBlockingQueue<>();
     private FakeEntry entry;
     private AgentProcess agent;
@@ -204,16 +206,14 @@
     }
 
     private int status(HttpMethod method, String path, String body) {
-        return vertx.createHttpClient()
-                .request(method, agent.httpPort(), HOST, path)
+        return client.request(method, agent.httpPort(), HOST, path)
                 .compose(request -> request.send(Buffer.buffer(body)))
                 .map(HttpClientResponse::statusCode)
                 .await();
     }
 
     private String get(String path) {
-        return vertx.createHttpClient()
-                .request(HttpMethod.GET, agent.httpPort(), HOST, path)
+        return client.request(HttpMethod.GET, agent.httpPort(), HOST, path)
                 .compose(request -> request.send().compose(HttpClientResponse::body))
                 .map(Buffer::toString)
                 .await();
--- a/daemon/src/test/java/org/knapweedmount/daemon/agent/TaskRequestTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/agent/TaskRequestTest.java
@@ -37,6 +37,7 @@
     private static final int MAX_ANSWER_BYTES = 1_000;
 
     private final Vertx vertx = Vertx.vertx();
+    private HttpClient client;
 
     @AfterEach
     void close() {
@@ -137,7 +138,7 @@
     }
 
     private TaskResult run(int port, TaskSpec spec) {
-        HttpClient client = vertx.createHttpClient(
+        client = vertx.createHttpClient(
                 new HttpClientOptions().setDefaultHost("127.0.0.1").setDefaultPort(port));
         return new TaskRequest(TASK, spec, MAX_ANSWER_BYTES).run(client).await();
     }
--- a/daemon/src/test/java/org/knapweedmount/daemon/ticket/OperatorApiTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/ticket/OperatorApiTest.java
@@ -9,6 +9,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
@@ -36,6 +37,7 @@
     private record Answer(int status, String body) {}
 
     private final Vertx vertx = Vertx.vertx();
+    private final HttpClientAgent client = vertx.createHttpClient();
     private final FakeTables tables = new FakeTables();
     private final AtomicInteger drains = new AtomicInteger();
     private int port;
@@ -135,8 +137,7 @@
                 .setPort(port)
                 .setURI(uri)
                 .putHeader("Authorization", authorization);
-        return vertx.createHttpClient()
-                .request(options)
+        return client.request(options)
                 .compose(request -> request.send(Buffer.buffer(body)).compose(OperatorApiTest::answer));
     }
 
