Let a relay cut the links of some processes only

Cause: a relay stands before an entry and could cut all of its links or none, so that no test could part one agent, or one data centre, from an entry.

Change: the switch cutOpeners names processes or data centres. The relay looks for a name in the first bytes of a connection, which hold the opener's hello, and resets the connections that state one as a whole word.

Ruled out: a relay for each pair of processes, since processes tell one another the address that an entry advertises, and would go round a relay that is cut; reading the hello as a message, since the relay needs no more than the name.

Conclusion: RelayTest passes with a new test; the expected text of the switches in it has the new field.

--- a/standins/src/main/java/org/knapweedmount/standins/relay/Relay.java
+++ b/standins/src/main/java/org/knapweedmount/standins/relay/Relay.java
@@ -53,9 +53,7 @@
     void change(RelayConditions conditions) {
         gate.change(conditions);
         Logger.info("port {}: {}", port(), conditions);
-        if (conditions.mode() == RelayMode.CUT) {
-            connections.forEach(RelayedConnection::reset);
-        }
+        connections.forEach(RelayedConnection::resetIfCut);
     }
 
     /** Stops listening and resets the connections. */
--- a/standins/src/main/java/org/knapweedmount/standins/relay/RelayedConnection.java
+++ b/standins/src/main/java/org/knapweedmount/standins/relay/RelayedConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -25,6 +26,7 @@
     private final HostPort target;
     private final ThreadFactory threads;
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+    private volatile String opening = "";
 
     RelayedConnection(RelayGate gate, Socket opener, HostPort target, ThreadFactory threads) {
         this.gate = gate;
@@ -85,6 +87,10 @@
             InputStream in = source.getInputStream();
             byte[] buffer = new byte[BUFFER_BYTES];
             for (int length = in.read(buffer); length >= 0; length = in.read(buffer)) {
+                if (source == opener && opening.isEmpty()) {
+                    opening = new String(buffer, 0, length, StandardCharsets.ISO_8859_1);
+                    resetIfCut();
+                }
                 Payload bytes = Payload.of(Arrays.copyOf(buffer, length));
                 for (DelayLine line : lines) {
                     line.accept(bytes);
@@ -100,6 +106,13 @@
         }
     }
 
+    /** Resets the connection if the conditions say so; one that has sent nothing yet is judged by its first bytes. */
+    void resetIfCut() {
+        if (gate.conditions().cuts(opening)) {
+            reset();
+        }
+    }
+
     /** Resets the connections to both sides. */
     void reset() {
         sockets.forEach(Sockets::reset);
--- a/standins/src/test/java/org/knapweedmount/standins/relay/RelayTest.java
+++ b/standins/src/test/java/org/knapweedmount/standins/relay/RelayTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vertx.core.Vertx;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -108,6 +109,39 @@
         bytesAndTheEndPassBothWays();
     }
 
+    @Test
+    void aCutOfOneOpenerLeavesTheOthers() throws Exception {
+        try (Socket opener = opened("\u00a7agent-1\u00cf");
+                Socket accepted = accept();
+                Socket other = opened("\u00a8agent-11\u00cf");
+                Socket otherAccepted = accept()) {
+            accepted.getInputStream().read();
+            otherAccepted.getInputStream().read();
+            relay.change(relay.conditions().with(new ObjectMapper().readTree("{\"cutOpeners\":[\"agent-1\"]}")));
+            assertThrows(IOException.class, () -> opener.getInputStream().read());
+            otherAccepted.getOutputStream().write('b');
+            assertThat(other.getInputStream().read(), is((int) 'b'));
+        }
+        assertThrows(IOException.class, () -> {
+            try (Socket opener = opened("\u00a7agent-1\u00cf")) {
+                opener.getInputStream().read();
+            }
+        });
+        accept().close();
+        relay.change(RelayConditions.passing(0));
+        try (Socket opener = opened("agent-1");
+                Socket accepted = accept()) {
+            accepted.getOutputStream().write('c');
+            assertThat(opener.getInputStream().read(), is((int) 'c'));
+        }
+    }
+
+    private Socket opened(String bytes) throws IOException {
+        Socket opener = open();
+        opener.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+        return opener;
+    }
+
     @Test
     void aDuplicateGetsTheSameBytesAndItsAnswersAreDropped() throws IOException {
         relay.change(new RelayConditions(RelayMode.PASS, 0, true));
@@ -132,7 +166,9 @@
         String port = "\"port\":" + relay.port();
         assertThat(
                 put(control, "{" + port + ",\"mode\":\"stall\",\"delayMicros\":500}"),
-                is("200 [{" + port + ",\"conditions\":{\"mode\":\"STALL\",\"delayMicros\":500,\"duplicate\":false}}]"));
+                is(
+                        "200 [{" + port
+                                + ",\"conditions\":{\"mode\":\"STALL\",\"delayMicros\":500,\"duplicate\":false,\"cutOpeners\":[]}}]"));
         assertThat(put(control, "{\"port\":1,\"mode\":\"cut\"}").substring(0, 3), is("400"));
         assertThat(put(control, "{\"mode\":\"off\"}").substring(0, 3), is("400"));
         assertThat(relay.conditions(), is(new RelayConditions(RelayMode.STALL, 500, false)));
