--- a/bin/lib/site.sh
+++ b/bin/lib/site.sh
@@ -8,6 +8,7 @@
 
 declare -A pids=()
 
+relay_control() { echo $((base + 10)); }
 entry_link() { echo $((base + 100 + $1)); }
 entry_relay() { echo $((base + 120 + $1)); }
 entry_http() { echo $((base + 140 + $1)); }
@@ -125,7 +126,8 @@
   for ((number = 1; number <= ENTRY_COUNT; number++)); do
     relays+=(--relay "$(entry_relay "$number")=127.0.0.1:$(entry_link "$number")")
   done
-  start relay "$root/bin/standin" relay --delay-micros "$DELAY_MICROS" "${relays[@]}"
+  start relay "$root/bin/standin" relay --delay-micros "$DELAY_MICROS" --control-port "$(relay_control)" "${relays[@]}"
+  await_ready relay "http://127.0.0.1:$(relay_control)/control"
 }
 
 start_entry() { start "entry-$1" "$root/bin/knapweedmountd" "$dir/entry-$1.json"; }
