--- a/bin/lib/faults.sh
+++ b/bin/lib/faults.sh
@@ -132,13 +132,12 @@
   local name lost=()
   for name in $(processes_in "$1" entry "$ENTRY_COUNT") $(processes_in "$1" agent "$AGENT_COUNT") \
     $(processes_in "$1" endpoint "$AGENT_COUNT"); do
-    kill -KILL "${pids[$name]}"
+    kill_process "$name"
     lost+=("$name")
   done
   echo "killed ${lost[*]}"
   sleep "$2"
   for name in "${lost[@]}"; do
-    wait "${pids[$name]}" 2>/dev/null || true
     if [[ $name == endpoint-* ]]; then start_endpoint "${name#endpoint-}"; else start_again "$name"; fi
   done
 }
