Send work again to an agent whose drain was lifted

Cause: an agent that a ticket drains tells its entries that it leaves. When a later ticket lifts the drain it offers its slots and grants leases, but an entry kept taking it for a leaving agent until the link was lost: the lifted drain came in force nowhere, and the leases lay idle. Found between processes by operators who race with drains of different agents.

Change: an agent that offers slots again has stopped leaving. A leaving agent offers none, and messages on a link keep their order.

Ruled out: a message of its own for the end of a drain, since the offer is sent already and says the same; having the entry conclude it from its own configuration, since the agent may also stop by a signal.

--- a/core/src/main/java/org/knapweedmount/core/entry/AgentLinks.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/AgentLinks.java
@@ -80,7 +80,7 @@
         } else if (message instanceof Resumed resumed) {
             startedTasks.resumed(agent, resumed, nowNanos);
         } else if (message instanceof Capacity capacity) {
-            scheduler.capacity(agent, capacity, nowNanos);
+            capacity(agent, capacity, nowNanos);
         } else if (message instanceof Recall recall) {
             scheduler.recalled(agent, recall);
         } else if (message instanceof Leaving) {
@@ -88,4 +88,14 @@
             scheduler.agentChanged(agent);
         }
     }
+
+    /** Takes what an agent offers; one that was leaving and offers slots again is part of the roster as before. */
+    private void capacity(AgentState agent, Capacity capacity, long nowNanos) {
+        agent.offered(capacity);
+        if (capacity.slots() > 0) {
+            agents.obtain(agent.address());
+        }
+        scheduler.agentChanged(agent);
+        scheduler.capacity(agent, capacity, nowNanos);
+    }
 }
--- a/core/src/main/java/org/knapweedmount/core/entry/AgentState.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/AgentState.java
@@ -11,6 +11,7 @@
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.TaskId;
+import org.knapweedmount.api.message.Capacity;
 
 /** What an entry knows of one incarnation of an agent, through all its links. */
 final class AgentState {
@@ -99,6 +100,11 @@
         leaving = true;
     }
 
+    /** Takes note of what the agent offers: an agent that leaves offers no slots, so it has stopped if there are any. */
+    void offered(Capacity capacity) {
+        leaving &= capacity.slots() == 0;
+    }
+
     void drained(boolean inForce) {
         drained = inForce;
     }
--- a/core/src/test/java/org/knapweedmount/core/agent/AgentLeaseTest.java
+++ b/core/src/test/java/org/knapweedmount/core/agent/AgentLeaseTest.java
@@ -285,4 +285,16 @@
 
         assertThat(fixture.leases(E1), hasSize(4));
     }
+
+    @Test
+    void liftedDrainOffersTheSlotsAgain() {
+        fixture.announce("a", 4);
+        fixture.link(E1);
+        fixture.configure(DRAIN);
+        fixture.output.take(E1);
+
+        fixture.configure(new RemovedConfig(DRAIN.key()));
+
+        assertThat(fixture.output.take(E1, Capacity.class), contains(new Capacity(SERVICE, 4, Resources.NONE)));
+    }
 }
--- a/core/src/test/java/org/knapweedmount/core/entry/SchedulingTest.java
+++ b/core/src/test/java/org/knapweedmount/core/entry/SchedulingTest.java
@@ -164,6 +164,20 @@
         assertThat(entry.starts(), hasSize(1));
     }
 
+    @Test
+    void anAgentThatOffersSlotsAgainHasStoppedLeaving() {
+        Incarnation agent = entry.agent("agent-1", 8);
+        entry.receive(agent, new Leaving("draining"));
+        entry.receive(agent, new Capacity(SERVICE, 0, Resources.NONE));
+        assertThat(entry.ending(entry.submit(job(LOOKUP, "1"))), is("NOT_RUN/NO_ENDPOINT"));
+
+        entry.receive(agent, new Capacity(SERVICE, 8, Resources.NONE));
+        entry.grant(agent, 1);
+        entry.submit(job(LOOKUP, "2"));
+
+        assertThat(entry.starts(), hasSize(1));
+    }
+
     @Test
     void taskGoesOnlyToAgentsOfTheRosterVersionInItsId() {
         Incarnation early = entry.agent("agent-1", 8);
