--- a/bin/lib/site.sh
+++ b/bin/lib/site.sh
@@ -8,6 +8,10 @@
 
 declare -A pids=()
 
+# Further options of the endpoints, and the port of the agent that each announces itself to, if not its own agent's.
+endpoint_options=()
+declare -A announcement_ports=()
+
 relay_control() { echo $((base + 10)); }
 entry_link() { echo $((base + 100 + $1)); }
 entry_relay() { echo $((base + 120 + $1)); }
@@ -149,7 +153,8 @@
 start_endpoint() {
   start "endpoint-$1" "$root/bin/standin" executor --id "executor-$1" --service "$SERVICE" \
     --port "$(endpoint_http "$1")" --slots 8 --connections 64 \
-    --agent "127.0.0.1:$(agent_http "$1")" --start-log "$dir/starts-$1.log"
+    --agent "127.0.0.1:${announcement_ports[$1]:-$(agent_http "$1")}" --start-log "$dir/starts-$1.log" \
+    "${endpoint_options[@]}"
 }
 
 start_endpoints() {
