Step the life of a ticket by a state chart

Cause: the acceptance of a ticket kept its life in an optional version and a count, which no file shows; and a ticket whose write was in doubt was told as invalid if a peer's later ticket had made it unfit, although the lost write may have taken effect before that.

A ticket in doubt that no longer fits is read again. A ticket that is found to be accepted already is applied at once, as a newly accepted one is. StateChart.packaged loads a chart that is part of the program.

Ruled out: keeping the lost write's version as an optional beside the state, since the states IN_DOUBT and REWRITING say the same.

Tests: the test of a service that is down used one acceptance for two tickets' lives, which the chart forbids; it is now two tests with the same assertions. New: invalid, invalid in doubt, in force, refused is never applied.

--- a/core/src/main/java/org/knapweedmount/core/chart/StateChart.java
+++ b/core/src/main/java/org/knapweedmount/core/chart/StateChart.java
@@ -51,6 +51,26 @@
         }
     }
 
+    /**
+     * Reads a chart that is part of the program, from a resource file beside this class.
+     *
+     * @param file the file's name, for instance {@code lease.json}
+     * @param states the enum that the file's states are named after
+     * @param events the enum that the file's events are named after
+     * @param <S> the states
+     * @param <E> the events
+     * @return the chart
+     * @throws IllegalStateException if the file is not a complete chart
+     */
+    public static <S extends Enum<S>, E extends Enum<E>> StateChart<S, E> packaged(
+            String file, Class<S> states, Class<E> events) {
+        try {
+            return load(file, states, events);
+        } catch (ChartException e) {
+            throw new IllegalStateException("a packaged state chart is broken", e);
+        }
+    }
+
     /**
      * Reads a chart from a text.
      *
--- a/core/src/test/java/org/knapweedmount/core/ticket/TicketAcceptanceTest.java
+++ b/core/src/test/java/org/knapweedmount/core/ticket/TicketAcceptanceTest.java
@@ -6,10 +6,12 @@
 import org.junit.jupiter.api.Test;
 import org.knapweedmount.api.config.DrainConfig;
 import org.knapweedmount.api.config.Ticket;
+import org.knapweedmount.core.metric.Invariants;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 class TicketAcceptanceTest {
     private static final TicketStep READ = new TicketStep.Read();
@@ -17,7 +19,7 @@
     private static final TicketAnswer NOT_ACCEPTED = new TicketAnswer.NotAccepted();
     private static final TicketAnswer UNKNOWN = new TicketAnswer.Unknown();
 
-    private final TicketAcceptance acceptance = new TicketAcceptance(ticket("a"));
+    private final TicketAcceptance acceptance = new TicketAcceptance(ticket("a"), Invariants.fatal());
 
     @Test
     void higherNumberIsWrittenOnConditionOfTheHead() {
@@ -60,7 +62,12 @@
     @Test
     void nothingIsWrittenWhileTheServiceIsDown() {
         assertThat(acceptance.afterRead(Optional.empty()), is(done(NOT_ACCEPTED)));
+    }
+
+    @Test
+    void writeThatTheServiceDidNotTakeIsNotAccepted() {
         absent(6, 3);
+
         assertThat(acceptance.afterWrite(WriteResult.UNAVAILABLE), is(done(NOT_ACCEPTED)));
     }
 
@@ -123,6 +130,44 @@
         assertThat(step, is(done(NOT_ACCEPTED)));
     }
 
+    @Test
+    void ticketThatDoesNotFitIsNotWritten() {
+        absent(6, 3);
+
+        TicketStep step = acceptance.insteadOfWrite(List.of("no such service"));
+
+        assertThat(step, is(done(new TicketAnswer.Invalid(List.of("no such service")))));
+        assertThat(acceptance.state(), is(TicketState.INVALID));
+    }
+
+    @Test
+    void ticketInDoubtIsReadAgainEvenIfItNoLongerFits() {
+        absent(6, 3);
+        acceptance.afterWrite(WriteResult.UNKNOWN);
+        absent(6, 3);
+
+        assertThat(acceptance.insteadOfWrite(List.of("no such service")), is(READ));
+        assertThat(present("a", 8), is(done(ACCEPTED)));
+    }
+
+    @Test
+    void acceptedTicketIsInForceOnceItIsApplied() {
+        present("a", 9);
+        assertThat(acceptance.state(), is(TicketState.ACCEPTED));
+
+        acceptance.applied();
+
+        assertThat(acceptance.state(), is(TicketState.IN_FORCE));
+    }
+
+    @Test
+    void refusedTicketIsNeverApplied() {
+        present("b", 9);
+
+        assertThrows(AssertionError.class, acceptance::applied);
+        assertThat(acceptance.state(), is(TicketState.REFUSED));
+    }
+
     private TicketStep absent(long headNumber, long headVersion) {
         return acceptance.afterRead(Optional.of(new TicketView(headNumber, headVersion, Optional.empty())));
     }
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryBuilder.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryBuilder.java
@@ -134,7 +134,8 @@
                 settings.name(),
                 () -> Instant.now().toString(),
                 audit,
-                (accepted, from) -> results.add((module, now) -> module.apply(accepted, from, now)));
+                (accepted, from) -> results.add((module, now) -> module.apply(accepted, from, now)),
+                invariants);
         return new EntryStore(context, tables, claims, tickets);
     }
 
--- a/daemon/src/main/java/org/knapweedmount/daemon/ticket/TicketRun.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/ticket/TicketRun.java
@@ -6,9 +6,11 @@
 import io.vertx.core.Future;
 import org.knapweedmount.api.config.Ticket;
 import org.knapweedmount.core.config.TicketRules;
+import org.knapweedmount.core.metric.Invariants;
 import org.knapweedmount.core.ticket.AuditEntry;
 import org.knapweedmount.core.ticket.TicketAcceptance;
 import org.knapweedmount.core.ticket.TicketAnswer;
+import org.knapweedmount.core.ticket.TicketState;
 import org.knapweedmount.core.ticket.TicketStep;
 import org.knapweedmount.core.ticket.TicketView;
 import org.knapweedmount.core.ticket.WriteResult;
@@ -25,12 +27,12 @@
     private final TicketAcceptance acceptance;
     private long headNumber;
 
-    TicketRun(Tables tables, TicketSync sync, Ticket ticket, TicketOrigin origin) {
+    TicketRun(Tables tables, TicketSync sync, Ticket ticket, TicketOrigin origin, Invariants invariants) {
         this.tables = tables;
         this.sync = sync;
         this.ticket = ticket;
         this.origin = origin;
-        this.acceptance = new TicketAcceptance(ticket);
+        this.acceptance = new TicketAcceptance(ticket, invariants);
     }
 
     Future<TicketAnswer> run() {
@@ -51,8 +53,9 @@
     }
 
     private Future<TicketAnswer> done(TicketAnswer answer) {
-        if (answer instanceof TicketAnswer.Accepted) {
+        if (acceptance.state() == TicketState.ACCEPTED) {
             sync.accepted(ticket, headNumber);
+            acceptance.applied();
         }
         return Future.succeededFuture(answer);
     }
@@ -92,7 +95,7 @@
     private Future<TicketAnswer> checkAndWrite(long headVersion) {
         List<String> problems = TicketRules.check(ticket, sync.known());
         if (!problems.isEmpty()) {
-            return Future.succeededFuture(new TicketAnswer.Invalid(problems));
+            return carryOut(acceptance.insteadOfWrite(problems));
         }
         AuditEntry audit = AuditEntry.of(ticket, sync.known(), origin.token(), origin.entry(), origin.when());
         return tables.transact(TicketRows.acceptance(ticket, headVersion, audit))
--- a/daemon/src/main/java/org/knapweedmount/daemon/ticket/TicketService.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/ticket/TicketService.java
@@ -10,6 +10,7 @@
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.config.ConfigKey;
 import org.knapweedmount.api.config.Ticket;
+import org.knapweedmount.core.metric.Invariants;
 import org.knapweedmount.core.ticket.TicketAnswer;
 import org.knapweedmount.daemon.store.ListResult;
 import org.knapweedmount.daemon.store.ReadResult;
@@ -30,6 +31,7 @@
     private final String entry;
     private final Supplier<String> wallClock;
     private final AuditLog audit;
+    private final Invariants invariants;
     private final TicketSync sync;
     private Future<TicketAnswer> lastRun = Future.succeededFuture(new TicketAnswer.NotAccepted());
     private int waiting;
@@ -44,14 +46,22 @@
      * @param wallClock gives the present time in the form of ISO 8601, for the audit trail alone
      * @param audit notes what was accepted and refused
      * @param sink puts tickets in force and passes them on
+     * @param invariants checks of the program itself
      */
     public TicketService(
-            Context context, Tables tables, String entry, Supplier<String> wallClock, AuditLog audit, ConfigSink sink) {
+            Context context,
+            Tables tables,
+            String entry,
+            Supplier<String> wallClock,
+            AuditLog audit,
+            ConfigSink sink,
+            Invariants invariants) {
         this.context = context;
         this.tables = tables;
         this.entry = entry;
         this.wallClock = wallClock;
         this.audit = audit;
+        this.invariants = invariants;
         this.sync = new TicketSync(tables, sink);
     }
 
@@ -105,7 +115,8 @@
             }
             waiting++;
             TicketOrigin origin = new TicketOrigin(token, entry, wallClock.get());
-            Future<TicketAnswer> run = lastRun.compose(done -> new TicketRun(tables, sync, ticket, origin).run())
+            Future<TicketAnswer> run = lastRun.compose(
+                            done -> new TicketRun(tables, sync, ticket, origin, invariants).run())
                     .recover(TicketService::failure);
             lastRun = run;
             return run.onComplete(ended -> waiting--).onSuccess(answer -> note(ticket, token, answer));
--- a/daemon/src/test/java/org/knapweedmount/daemon/ticket/OperatorApiTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/ticket/OperatorApiTest.java
@@ -20,6 +20,7 @@
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Payload;
 import org.knapweedmount.api.config.Ticket;
+import org.knapweedmount.core.metric.Invariants;
 import org.knapweedmount.daemon.http.HttpAnswer;
 import org.knapweedmount.daemon.store.FakeTables;
 import org.knapweedmount.daemon.store.FakeTables.Mode;
@@ -45,7 +46,8 @@
         Context context = vertx.getOrCreateContext();
         AuditLog audit = new AuditLog(10, () -> "now");
         ConfigSink sink = (List<Ticket> tickets, Optional<Incarnation> from) -> {};
-        TicketService service = new TicketService(context, tables, "entry-1", () -> "now", audit, sink);
+        TicketService service =
+                new TicketService(context, tables, "entry-1", () -> "now", audit, sink, Invariants.fatal());
         OperatorTokens tokens = OperatorTokens.parse("night-shift " + TOKEN);
         OperatorApi api = new OperatorApi(vertx, tokens, service, audit, new Pages());
         port = await(api.listen("127.0.0.1", 0));
--- a/daemon/src/test/java/org/knapweedmount/daemon/ticket/TicketServiceTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/ticket/TicketServiceTest.java
@@ -16,6 +16,7 @@
 import org.knapweedmount.api.config.TeamConfig;
 import org.knapweedmount.api.config.Ticket;
 import org.knapweedmount.core.config.ConfigState;
+import org.knapweedmount.core.metric.Invariants;
 import org.knapweedmount.core.ticket.AuditEntry;
 import org.knapweedmount.core.ticket.TicketAnswer;
 import org.knapweedmount.daemon.store.FakeTables;
@@ -45,7 +46,7 @@
         private final TicketService service;
 
         Entry(String name) {
-            service = new TicketService(context, tables, name, () -> "now", audit, this);
+            service = new TicketService(context, tables, name, () -> "now", audit, this, Invariants.fatal());
         }
 
         @Override
