Step the life of a process by a state chart

Cause: whether an entry or agent stops was a flag in three classes, and the wait for the end of the work could begin before the decision thread refused new work, if the ring was full.

An entry or agent counts as idle only once its intake is closed. /readyz is 503 while the process starts; GET /v1/status and the CLI show the state.

Tests: EntryDrainTest gives the life in place of the readiness and checks the starting state besides; its other assertions are as they were.

--- a/cli/src/main/java/org/knapweedmount/cli/StatusText.java
+++ b/cli/src/main/java/org/knapweedmount/cli/StatusText.java
@@ -18,12 +18,12 @@
     }
 
     private static String head(JsonNode status) {
-        TextTable table = new TextTable("process", "role", "ready", "draining", "ticket");
+        TextTable table = new TextTable("process", "role", "state", "ready", "ticket");
         table.row(
                 status.path("incarnation").asText(),
                 status.path("role").asText(),
+                status.path("state").asText(),
                 status.path("ready").asText(),
-                status.path("draining").asText(),
                 status.path("configNumber").asText());
         return table.toString();
     }
--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentParts.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentParts.java
@@ -5,6 +5,7 @@
 import org.knapweedmount.daemon.link.LinkTable;
 import org.knapweedmount.daemon.runtime.DecisionLoop;
 import org.knapweedmount.daemon.runtime.NanoClock;
+import org.knapweedmount.daemon.runtime.ProcessLife;
 import org.knapweedmount.daemon.runtime.RetryingQueue;
 import org.knapweedmount.daemon.runtime.Ticker;
 import org.knapweedmount.daemon.settings.AgentSettings;
@@ -21,7 +22,7 @@
  * @param links the links
  * @param finder the search for entries
  * @param endpoints the requests to endpoints
- * @param readiness whether the agent can be given work
+ * @param life where the agent stands
  * @param server the HTTP server
  */
 record AgentParts(
@@ -34,5 +35,5 @@
         LinkTable<AgentModule> links,
         EntryFinder finder,
         EndpointClient endpoints,
-        AgentReadiness readiness,
+        ProcessLife life,
         HttpServer server) {}
--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentProcess.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentProcess.java
@@ -7,6 +7,9 @@
 
 import io.vertx.core.Future;
 import org.knapweedmount.daemon.runtime.IdleWait;
+import org.knapweedmount.daemon.runtime.ProcessEvent;
+import org.knapweedmount.daemon.runtime.ProcessLife;
+import org.knapweedmount.daemon.runtime.ProcessState;
 import org.knapweedmount.daemon.runtime.RunningProcess;
 import org.tinylog.Logger;
 
@@ -35,24 +38,33 @@
         if (!stopping.compareAndSet(false, true)) {
             return;
         }
-        Logger.info("draining");
-        parts.readiness().drain();
-        parts.results().add((module, nowNanos) -> module.core().drain(nowNanos));
+        ProcessLife life = parts.life();
+        life.step(ProcessEvent.STOP_REQUESTED);
+        parts.results().add((module, nowNanos) -> {
+            module.core().drain(nowNanos);
+            life.step(ProcessEvent.INTAKE_CLOSED);
+        });
         boolean idle = IdleWait.await(
                 parts.loop(),
-                module -> module.core().idle(),
+                module -> isIdle(module, life),
                 parts.clock(),
                 parts.settings().drainMillis());
         if (!idle) {
             Logger.warn("stopping while {} tasks run", parts.endpoints().running());
         }
+        life.step(idle ? ProcessEvent.WORK_ENDED : ProcessEvent.TIME_LIMIT_REACHED);
         parts.finder().stop();
         parts.ticker().close();
         close("the links", parts.links().close());
         close("the HTTP port", parts.server().close());
         parts.loop().close();
         close("the event loop", parts.vertx().close());
-        Logger.info("stopped");
+        life.step(ProcessEvent.CLOSED);
+    }
+
+    /** Tells whether nothing is left; work may still come in until the intake is closed. */
+    private static boolean isIdle(AgentModule module, ProcessLife life) {
+        return life.state() == ProcessState.FINISHING && module.core().idle();
     }
 
     private static void close(String what, Future<Void> closed) throws InterruptedException {
--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentReadiness.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentReadiness.java
@@ -4,32 +4,31 @@
 import java.util.function.Supplier;
 
 import org.knapweedmount.daemon.http.ProcessPages;
+import org.knapweedmount.daemon.runtime.ProcessLife;
+import org.knapweedmount.daemon.runtime.ProcessState;
 
 /** Tells whether this agent can be given work; any thread may use it. */
 final class AgentReadiness implements ProcessPages {
+    private final ProcessLife life;
     private final LongSupplier linkCount;
     private final Supplier<String> metrics;
-    private volatile boolean draining;
 
-    AgentReadiness(LongSupplier linkCount, Supplier<String> metrics) {
+    AgentReadiness(ProcessLife life, LongSupplier linkCount, Supplier<String> metrics) {
+        this.life = life;
         this.linkCount = linkCount;
         this.metrics = metrics;
     }
 
-    /** Takes note that this agent takes no new work from now on. */
-    void drain() {
-        draining = true;
-    }
-
     @Override
     public boolean draining() {
-        return draining;
+        return life.state().stopping();
     }
 
     @Override
     public String notReadyReason() {
-        if (draining) {
-            return "this agent is draining";
+        ProcessState state = life.state();
+        if (state != ProcessState.SERVING) {
+            return "this agent is " + state.text();
         }
         return linkCount.getAsLong() > 0 ? "" : "no entry is linked";
     }
--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentStarter.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentStarter.java
@@ -28,6 +28,8 @@
 import org.knapweedmount.daemon.metrics.ProcessMetrics;
 import org.knapweedmount.daemon.runtime.DecisionLoop;
 import org.knapweedmount.daemon.runtime.NanoClock;
+import org.knapweedmount.daemon.runtime.ProcessEvent;
+import org.knapweedmount.daemon.runtime.ProcessLife;
 import org.knapweedmount.daemon.runtime.ProcessStarter;
 import org.knapweedmount.daemon.runtime.RetryingQueue;
 import org.knapweedmount.daemon.runtime.StartException;
@@ -53,6 +55,7 @@
     private final Counters<TableCounter> tableCounters = new Counters<>(TableCounter.class);
     private final Invariants invariants =
             Invariants.counting(statement -> Logger.error("invariant violated: {}", statement));
+    private final ProcessLife life = new ProcessLife(invariants);
     private final ProcessMetrics metrics = new ProcessMetrics();
 
     /** Creates a starter, which starts one agent. */
@@ -104,7 +107,7 @@
         AgentOutputs outputs = new AgentOutputs(links, endpoints, results);
         AgentCore core = new AgentCore(settings.limits(), self, config, outputs, decided, invariants);
         loop.start(new AgentModule(core, config, links, appliedNumber));
-        AgentReadiness readiness = new AgentReadiness(table::linkCount, metrics::text);
+        AgentReadiness readiness = new AgentReadiness(life, table::linkCount, metrics::text);
         bindMetrics(loop, table, endpoints);
         HttpServer server = listen(settings, context, readiness, new EndpointRegistry(context, endpoints, loop, clock));
         Logger.info("endpoints are served at {}:{}", settings.http().host(), server.actualPort());
@@ -113,8 +116,9 @@
         context.runOnContext(ignored -> finder.start());
         Ticker<AgentModule> ticker = Ticker.start(
                 vertx, TICK_MILLIS, loop, (module, nowNanos) -> module.core().tick(nowNanos));
-        return new AgentProcess(new AgentParts(
-                settings, clock, vertx, loop, results, ticker, table, finder, endpoints, readiness, server));
+        life.step(ProcessEvent.STARTED);
+        return new AgentProcess(
+                new AgentParts(settings, clock, vertx, loop, results, ticker, table, finder, endpoints, life, server));
     }
 
     private HttpServer listen(
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryBuilder.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryBuilder.java
@@ -29,6 +29,8 @@
 import org.knapweedmount.daemon.runtime.DecisionLoop;
 import org.knapweedmount.daemon.runtime.DecisionQueue;
 import org.knapweedmount.daemon.runtime.NanoClock;
+import org.knapweedmount.daemon.runtime.ProcessEvent;
+import org.knapweedmount.daemon.runtime.ProcessLife;
 import org.knapweedmount.daemon.runtime.RetryingQueue;
 import org.knapweedmount.daemon.runtime.Ticker;
 import org.knapweedmount.daemon.settings.EntrySettings;
@@ -64,6 +66,7 @@
     private final ProcessMetrics metrics = new ProcessMetrics();
     private final Invariants invariants =
             Invariants.counting(statement -> Logger.error("invariant violated: {}", statement));
+    private final ProcessLife life = new ProcessLife(invariants);
     private final AtomicLong appliedNumber = new AtomicLong();
     private final AuditLog audit =
             new AuditLog(MAX_AUDIT_EVENTS, () -> Instant.now().toString());
@@ -89,8 +92,8 @@
     EntryProcess build() throws ParseException, ExecutionException, TimeoutException, InterruptedException {
         OperatorTokens tokens = OperatorTokens.read(settings.operators().tokenFile());
         EntryStore store = store();
-        Readiness readiness = new Readiness(store.tickets()::isLoaded, metrics::text);
-        EntryDrain drain = new EntryDrain(vertx, readiness, results, graceMillis());
+        Readiness readiness = new Readiness(life, store.tickets()::isLoaded, metrics::text);
+        EntryDrain drain = new EntryDrain(vertx, life, results, graceMillis());
         LinkTable<EntryModule> linkTable = linkTable();
         PeerAddress self = listenForLinks(linkTable);
         startDecisions(linkTable, self, store, readiness);
@@ -108,10 +111,12 @@
                 known -> loop.offer((module, now) -> module.peers().listed(known)));
         store.announce(announcement, directory);
         Ticker<EntryModule> ticker = Ticker.start(vertx, TICK_MILLIS, loop, EntryModule::tick);
+        life.step(ProcessEvent.STARTED);
         return new EntryProcess(new EntryParts(
                 settings,
                 clock,
                 vertx,
+                life,
                 self,
                 loop,
                 ticker,
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryDrain.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryDrain.java
@@ -3,8 +3,9 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import org.knapweedmount.daemon.runtime.ProcessEvent;
+import org.knapweedmount.daemon.runtime.ProcessLife;
 import org.knapweedmount.daemon.runtime.RetryingQueue;
-import org.tinylog.Logger;
 
 /**
  * Makes an entry take no new work.
@@ -14,7 +15,7 @@
  */
 final class EntryDrain {
     private final Vertx vertx;
-    private final Readiness readiness;
+    private final ProcessLife life;
     private final RetryingQueue<EntryModule> queue;
     private final int graceMillis;
     private final Promise<Void> drained = Promise.promise();
@@ -23,13 +24,13 @@
      * Creates a drain that has not begun.
      *
      * @param vertx starts the timer
-     * @param readiness tells the balancer
+     * @param life where the entry stands, which the balancer is told
      * @param queue takes the core's part
      * @param graceMillis how long requests are accepted after the balancer is told, in ms, at least 1
      */
-    EntryDrain(Vertx vertx, Readiness readiness, RetryingQueue<EntryModule> queue, int graceMillis) {
+    EntryDrain(Vertx vertx, ProcessLife life, RetryingQueue<EntryModule> queue, int graceMillis) {
         this.vertx = vertx;
-        this.readiness = readiness;
+        this.life = life;
         this.queue = queue;
         this.graceMillis = graceMillis;
     }
@@ -40,12 +41,12 @@
      * @return completes when the core refuses new requests
      */
     Future<Void> begin() {
-        if (readiness.drain()) {
-            Logger.info("draining");
+        if (life.step(ProcessEvent.STOP_REQUESTED)) {
             vertx.setTimer(
                     graceMillis,
                     fired -> queue.add((module, nowNanos) -> {
                         module.core().drain(nowNanos);
+                        life.step(ProcessEvent.INTAKE_CLOSED);
                         drained.complete();
                     }));
         }
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryParts.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryParts.java
@@ -7,6 +7,7 @@
 import org.knapweedmount.daemon.link.LinkTable;
 import org.knapweedmount.daemon.runtime.DecisionLoop;
 import org.knapweedmount.daemon.runtime.NanoClock;
+import org.knapweedmount.daemon.runtime.ProcessLife;
 import org.knapweedmount.daemon.runtime.Ticker;
 import org.knapweedmount.daemon.settings.EntrySettings;
 import org.knapweedmount.daemon.store.EntryAnnouncement;
@@ -18,6 +19,7 @@
  * @param settings the settings
  * @param clock the monotonic clock
  * @param vertx the event loops
+ * @param life where the entry stands
  * @param self where the entry listens for links
  * @param loop the decision thread
  * @param ticker lets the decision thread do what is due
@@ -33,6 +35,7 @@
         EntrySettings settings,
         NanoClock clock,
         Vertx vertx,
+        ProcessLife life,
         PeerAddress self,
         DecisionLoop<EntryModule> loop,
         Ticker<EntryModule> ticker,
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryProcess.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryProcess.java
@@ -7,6 +7,8 @@
 
 import io.vertx.core.Future;
 import org.knapweedmount.daemon.runtime.IdleWait;
+import org.knapweedmount.daemon.runtime.ProcessEvent;
+import org.knapweedmount.daemon.runtime.ProcessState;
 import org.knapweedmount.daemon.runtime.RunningProcess;
 import org.tinylog.Logger;
 
@@ -61,6 +63,7 @@
         if (!idle) {
             Logger.warn("stopping with {} requests unanswered", parts.pending().size());
         }
+        parts.life().step(idle ? ProcessEvent.WORK_ENDED : ProcessEvent.TIME_LIMIT_REACHED);
         close("the entry's row", parts.withdraw());
         close("the HTTP ports", parts.ports().close());
         parts.store().tickets().stop();
@@ -68,11 +71,13 @@
         close("the links", parts.linkTable().close());
         parts.loop().close();
         close("the event loops", parts.vertx().close());
-        Logger.info("stopped");
+        parts.life().step(ProcessEvent.CLOSED);
     }
 
     private boolean isIdle(EntryModule module) {
-        return module.core().idle() && parts.pending().size() == 0;
+        return parts.life().state() == ProcessState.FINISHING
+                && module.core().idle()
+                && parts.pending().size() == 0;
     }
 
     private static void close(String what, Future<Void> closed) throws InterruptedException {
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/Readiness.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/Readiness.java
@@ -1,19 +1,21 @@
 package org.knapweedmount.daemon.entry;
 
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import org.knapweedmount.daemon.http.ProcessPages;
+import org.knapweedmount.daemon.runtime.ProcessLife;
+import org.knapweedmount.daemon.runtime.ProcessState;
 
 /** Tells whether this entry takes requests; any thread may use it. */
 final class Readiness implements ProcessPages {
+    private final ProcessLife life;
     private final BooleanSupplier configured;
     private final Supplier<String> metrics;
     private volatile boolean serving;
-    private final AtomicBoolean draining = new AtomicBoolean();
 
-    Readiness(BooleanSupplier configured, Supplier<String> metrics) {
+    Readiness(ProcessLife life, BooleanSupplier configured, Supplier<String> metrics) {
+        this.life = life;
         this.configured = configured;
         this.metrics = metrics;
     }
@@ -23,20 +25,21 @@
         serving = newServing;
     }
 
-    /** Takes note that this entry takes no new work from now on; tells whether it did until now. */
-    boolean drain() {
-        return draining.compareAndSet(false, true);
+    /** Returns where this entry stands. */
+    ProcessState state() {
+        return life.state();
     }
 
     @Override
     public boolean draining() {
-        return draining.get();
+        return state().stopping();
     }
 
     @Override
     public String notReadyReason() {
-        if (draining.get()) {
-            return "this entry is draining";
+        ProcessState state = state();
+        if (state != ProcessState.SERVING) {
+            return "this entry is " + state.text();
         }
         if (!configured.getAsBoolean()) {
             return "no configuration has been read yet";
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/StatusWriter.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/StatusWriter.java
@@ -35,6 +35,7 @@
         return HttpAnswer.of(OK, HttpAnswer.JSON, JsonOutput.object(json -> {
             json.writeStringField("incarnation", self.toString());
             json.writeStringField("role", Role.ENTRY.name().toLowerCase(Locale.ROOT));
+            json.writeStringField("state", readiness.state().text());
             json.writeBooleanField("ready", readiness.notReadyReason().isEmpty());
             json.writeBooleanField("draining", readiness.draining());
             json.writeNumberField("configNumber", numbers.appliedNumber());
--- a/daemon/src/test/java/org/knapweedmount/daemon/entry/EntryDrainTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/entry/EntryDrainTest.java
@@ -6,6 +6,9 @@
 import io.vertx.core.Vertx;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.knapweedmount.core.metric.Invariants;
+import org.knapweedmount.daemon.runtime.ProcessEvent;
+import org.knapweedmount.daemon.runtime.ProcessLife;
 import org.knapweedmount.daemon.runtime.RetryingQueue;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -15,7 +18,8 @@
     private static final int NEVER_MILLIS = 86_400_000;
 
     private final Vertx vertx = Vertx.vertx();
-    private final Readiness readiness = new Readiness(() -> true, () -> "");
+    private final ProcessLife life = new ProcessLife(Invariants.fatal());
+    private final Readiness readiness = new Readiness(life, () -> true, () -> "");
     private final CountDownLatch refusing = new CountDownLatch(1);
     private final RetryingQueue<EntryModule> queue = new RetryingQueue<>(vertx, decision -> {
         refusing.countDown();
@@ -29,10 +33,12 @@
 
     @Test
     void balancerIsToldBeforeRequestsAreRefused() {
+        assertThat(readiness.notReadyReason(), is("this entry is starting"));
+        life.step(ProcessEvent.STARTED);
         readiness.serving(true);
         assertThat(readiness.notReadyReason(), is(""));
 
-        new EntryDrain(vertx, readiness, queue, NEVER_MILLIS).begin();
+        new EntryDrain(vertx, life, queue, NEVER_MILLIS).begin();
 
         assertThat(readiness.notReadyReason(), is("this entry is draining"));
         assertThat(refusing.getCount(), is(1L));
@@ -40,7 +46,7 @@
 
     @Test
     void requestsAreRefusedAfterTheGrace() throws Exception {
-        new EntryDrain(vertx, readiness, queue, 1).begin();
+        new EntryDrain(vertx, life, queue, 1).begin();
 
         assertThat(refusing.await(20, TimeUnit.SECONDS), is(true));
     }
