Give callers what the endpoint said to a failed request

Cause: a failed answer held no results at all, so a caller whose single request got a 4xx or 5xx from the endpoint saw a 502 problem without the endpoint's status and body, and a failed job did not tell how its tasks ended.

Change: a failed or unknown answer carries the ending of each task; bodies of complete tasks are dropped, and of the failed tasks only the first keeps its body, which bounds the answer's size on links and in memory. A single request gets the endpoint's own status, type and body with the outcome failed, at every entry. A job's problem document lists its tasks, also when another entry settled it. The CLI prints both. The protocol version of links is 2.

Ruled out: passing an endpoint's 503 on as 503, since a balancer takes it for a refusal without effect and would send a payment again; it becomes 502 with the header Knapweedmount-Endpoint-Status. Listing tasks of a settled GET, as the number of tasks is not known then. Bodies of all failed tasks, since such an answer could exceed a frame and never be relayed.

Tests: EntryCoreTest and ForeignSubmissionTest check the endings besides what they checked; new tests of the answer, its HTTP form, both entries, the CLI.

--- a/api/src/main/java/org/knapweedmount/api/JobAnswer.java
+++ b/api/src/main/java/org/knapweedmount/api/JobAnswer.java
@@ -1,14 +1,18 @@
 package org.knapweedmount.api;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.stream.IntStream;
 
 /**
  * The answer to a submission.
  *
  * <p>An answer that is complete holds the result of each task in order; any other final answer holds none, so that no
- * caller can take a part for the whole.
+ * caller can take a part for the whole. A failed or unknown answer may tell how each task ended, with what the endpoint
+ * said to the first task that failed.
  *
  * @param submission the id, empty if the submission was refused before it had one
  * @param outcome how the submission ended; empty while it is still queued or running
@@ -16,6 +20,8 @@
  * @param detail a sentence for the caller, empty if there is nothing to add
  * @param retryAfterMillis how long the caller should wait before it tries again, in ms, 0 if it makes no difference
  * @param results the results of all tasks if complete, else none
+ * @param tasks how each task ended, in order, if failed or unknown and if this is known, else none; only the first failed
+ *     task has a body
  */
 public record JobAnswer(
         Optional<SubmissionId> submission,
@@ -23,11 +29,13 @@
         Reason reason,
         String detail,
         int retryAfterMillis,
-        List<TaskResult> results) {
+        List<TaskResult> results,
+        List<TaskResult> tasks) {
     /**
-     * Checks that results come with a complete outcome only.
+     * Checks that results come with a complete outcome only, and that no other answer has a part of them.
      *
-     * @throws IllegalArgumentException if an answer that is not complete has results
+     * @throws IllegalArgumentException if an answer that is not complete has results, or has the body of a task that did
+     *     not fail
      */
     public JobAnswer {
         Objects.requireNonNull(submission, "submission");
@@ -38,6 +46,16 @@
         if (complete == results.isEmpty()) {
             throw new IllegalArgumentException("results belong to complete answers: " + outcome + " " + reason);
         }
+        tasks = List.copyOf(tasks);
+        boolean endedInPart = outcome.isPresent() && !complete && outcome.get().mayHaveRun();
+        if (!tasks.isEmpty() && !endedInPart) {
+            throw new IllegalArgumentException("the endings of tasks belong to failed and unknown answers: " + outcome);
+        }
+        if (tasks.stream()
+                .anyMatch(
+                        task -> task.outcome() != Outcome.FAILED && task.body().size() > 0)) {
+            throw new IllegalArgumentException("only a failed task may have a body");
+        }
     }
 
     /**
@@ -48,7 +66,8 @@
      * @return the answer
      */
     public static JobAnswer complete(SubmissionId submission, List<TaskResult> results) {
-        return new JobAnswer(Optional.of(submission), Optional.of(Outcome.COMPLETE), Reason.NONE, "", 0, results);
+        return new JobAnswer(
+                Optional.of(submission), Optional.of(Outcome.COMPLETE), Reason.NONE, "", 0, results, List.of());
     }
 
     /**
@@ -61,7 +80,7 @@
      * @return the answer
      */
     public static JobAnswer ended(Optional<SubmissionId> submission, Outcome outcome, Reason reason, String detail) {
-        return new JobAnswer(submission, Optional.of(outcome), reason, detail, 0, List.of());
+        return new JobAnswer(submission, Optional.of(outcome), reason, detail, 0, List.of(), List.of());
     }
 
     /**
@@ -71,7 +90,7 @@
      * @return the answer
      */
     public static JobAnswer pending(SubmissionId submission) {
-        return new JobAnswer(Optional.of(submission), Optional.empty(), Reason.NONE, "", 0, List.of());
+        return new JobAnswer(Optional.of(submission), Optional.empty(), Reason.NONE, "", 0, List.of(), List.of());
     }
 
     /**
@@ -81,6 +100,34 @@
      * @return the changed copy
      */
     public JobAnswer retryAfter(int millis) {
-        return new JobAnswer(submission, outcome, reason, detail, millis, results);
+        return new JobAnswer(submission, outcome, reason, detail, millis, results, tasks);
+    }
+
+    /**
+     * Returns this answer with the endings of the tasks; of the bodies only that of the first failed task is kept.
+     *
+     * @param endings how each task ended, in order
+     * @return the changed copy
+     */
+    public JobAnswer withTasks(List<TaskResult> endings) {
+        List<TaskResult> kept = new ArrayList<>(endings.size());
+        boolean failed = false;
+        for (TaskResult ending : endings) {
+            boolean first = !failed && ending.outcome() == Outcome.FAILED;
+            failed |= first;
+            kept.add(first ? ending : ending.withoutBody());
+        }
+        return new JobAnswer(submission, outcome, reason, detail, retryAfterMillis, results, kept);
+    }
+
+    /**
+     * Returns the index of the first task that failed.
+     *
+     * @return the index, empty if it is not known that one did
+     */
+    public OptionalInt firstFailed() {
+        return IntStream.range(0, tasks.size())
+                .filter(i -> tasks.get(i).outcome() == Outcome.FAILED)
+                .findFirst();
     }
 }
--- a/api/src/main/java/org/knapweedmount/api/TaskResult.java
+++ b/api/src/main/java/org/knapweedmount/api/TaskResult.java
@@ -42,4 +42,13 @@
     public static TaskResult of(Outcome outcome, Reason reason) {
         return new TaskResult(outcome, reason, 0, "", Payload.EMPTY);
     }
+
+    /**
+     * Returns this result without its body and the body's media type.
+     *
+     * @return the changed copy
+     */
+    public TaskResult withoutBody() {
+        return new TaskResult(outcome, reason, status, "", Payload.EMPTY);
+    }
 }
--- a/api/src/main/java/org/knapweedmount/api/message/Hello.java
+++ b/api/src/main/java/org/knapweedmount/api/message/Hello.java
@@ -10,5 +10,5 @@
  */
 public record Hello(int protocolVersion, PeerAddress sender) implements Message {
     /** The version of the message formats of this build. */
-    public static final int PROTOCOL_VERSION = 1;
+    public static final int PROTOCOL_VERSION = 2;
 }
--- a/cli/src/main/java/org/knapweedmount/cli/ApiAnswer.java
+++ b/cli/src/main/java/org/knapweedmount/cli/ApiAnswer.java
@@ -18,11 +18,19 @@
 record ApiAnswer(
         int status, String outcomeHeader, String submission, String contentType, String retryAfter, String body) {
     private static final int FIRST_ERROR = 400;
+    private static final String PROBLEM_TYPE = "application/problem+json";
+    private static final String OWN_PROBLEM = "urn:knapweedmount:problem:";
 
     boolean successful() {
         return status < FIRST_ERROR;
     }
 
+    /** Tells whether this is a problem document of the entry, not an endpoint's. */
+    boolean isProblem() {
+        return contentType.startsWith(PROBLEM_TYPE)
+                && json().path("type").asText(OWN_PROBLEM).startsWith(OWN_PROBLEM);
+    }
+
     JsonNode json() {
         return JsonText.parse(body);
     }
--- a/cli/src/main/java/org/knapweedmount/cli/CallCommand.java
+++ b/cli/src/main/java/org/knapweedmount/cli/CallCommand.java
@@ -86,7 +86,7 @@
 
     private static ExitCode show(Session session, ApiAnswer answer) {
         Optional<Outcome> outcome = answer.outcome();
-        boolean problem = answer.contentType().startsWith("application/problem+json");
+        boolean problem = answer.isProblem();
         if (session.json()) {
             session.print(json(answer, outcome).toString());
         } else if (!problem) {
--- a/cli/src/test/java/org/knapweedmount/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/knapweedmount/cli/CommandLineTest.java
@@ -132,6 +132,31 @@
         assertThat(run("call", "desk", "a"), is(ExitCode.REFUSED));
     }
 
+    @Test
+    void aProblemDocumentOfTheEndpointIsPrintedAsTheAnswer() {
+        String body = "{\"type\":\"urn:shop:no-such-lens\",\"title\":\"No such lens\"}";
+        answers.put("POST /v1/services/desk/a", new Prepared(404, "failed", "application/problem+json", body));
+        assertThat(run("call", "desk", "a"), is(ExitCode.FAILED));
+        assertThat(text(out), is(body + "\n"));
+        assertThat(text(err), containsString("failed with status 404"));
+    }
+
+    @Test
+    void aFailedJobTellsHowEachTaskEnded() {
+        String body =
+                "{\"type\":\"urn:knapweedmount:problem:task-failed\",\"outcome\":\"failed\",\"reason\":\"task-failed\","
+                        + "\"detail\":\"task 1 failed\",\"tasks\":[{\"outcome\":\"complete\",\"reason\":\"none\",\"status\":200},"
+                        + "{\"outcome\":\"failed\",\"reason\":\"task-failed\",\"status\":404,\"body\":\"no lens\"}]}";
+        answers.put("GET /v1/jobs/mine", new Prepared(502, "failed", "application/problem+json", body));
+        assertThat(run("job", "status", "mine"), is(ExitCode.FAILED));
+        assertThat(text(err), is("failed: task-failed: task 1 failed\n"));
+        assertThat(text(out), is("""
+                task  outcome   reason       status  body
+                0     complete  none         200
+                1     failed    task-failed  404     no lens
+                """));
+    }
+
     @Test
     void aJobGetsAnIdBeforeItIsSubmitted() throws IOException {
         prepare("POST /v1/submission-ids?count=1", 200, "", "{\"ids\":[\"" + ID + "\"]}");
--- a/core/src/main/java/org/knapweedmount/core/entry/EndedJob.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/EndedJob.java
@@ -14,6 +14,7 @@
  */
 record EndedJob(JobAnswer answer, Optional<JobDigest> digest) {
     private static final int OVERHEAD_BYTES = 500;
+    private static final int TASK_BYTES = 50;
 
     /** Tells whether a resubmission brings another job than the one that has ended. */
     boolean conflicts(JobSpec job) {
@@ -26,6 +27,9 @@
         for (TaskResult result : answer.results()) {
             bytes += result.body().size() + OVERHEAD_BYTES;
         }
+        for (TaskResult task : answer.tasks()) {
+            bytes += task.body().size() + TASK_BYTES;
+        }
         return bytes;
     }
 }
--- a/core/src/main/java/org/knapweedmount/core/entry/SealReports.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/SealReports.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -116,17 +117,53 @@
 
     private JobAnswer concludeCertain(Map<Integer, TaskVerdict> verdicts, Optional<Integer> tasks) {
         if (verdicts.containsValue(TaskVerdict.FAILED)) {
-            return answer(Outcome.FAILED, Reason.TASK_FAILED, "a task failed");
+            return tasks.map(this::failed).orElseGet(this::failed);
         }
         if (!verdicts.containsValue(TaskVerdict.COMPLETE)) {
             return answer(Outcome.NOT_RUN, Reason.SEALED, "nothing was started");
         }
         if (tasks.isPresent()) {
-            return answer(Outcome.FAILED, Reason.SEALED, "not all tasks were started");
+            return answer(Outcome.FAILED, Reason.SEALED, "not all tasks were started")
+                    .withTasks(endings(tasks.get()));
         }
         return answer(Outcome.UNKNOWN, Reason.SEALED, "submit the job again to get its answer");
     }
 
+    private JobAnswer failed(int tasks) {
+        List<TaskResult> endings = endings(tasks);
+        for (int i = 0; i < tasks; i++) {
+            TaskResult ending = endings.get(i);
+            if (ending.outcome() == Outcome.FAILED) {
+                return answer(Outcome.FAILED, ending.reason(), Submission.failure(i, ending))
+                        .withTasks(endings);
+            }
+        }
+        return failed();
+    }
+
+    private JobAnswer failed() {
+        return answer(Outcome.FAILED, Reason.TASK_FAILED, "a task failed");
+    }
+
+    /** Returns how each task ended, when nothing is uncertain. */
+    private List<TaskResult> endings(int tasks) {
+        List<TaskResult> endings =
+                new ArrayList<>(Collections.nCopies(tasks, TaskResult.of(Outcome.NOT_RUN, Reason.SEALED)));
+        for (TaskReport report :
+                tasksByAgent.values().stream().flatMap(List::stream).toList()) {
+            int index = report.task().index();
+            if (index >= tasks || report.result().isEmpty()) {
+                continue;
+            }
+            TaskResult result = report.result().get();
+            boolean stronger = endings.get(index).outcome() == Outcome.NOT_RUN || result.outcome() == Outcome.COMPLETE;
+            if (stronger) {
+                endings.set(index, result);
+            }
+        }
+        return endings;
+    }
+
     private Map<Integer, TaskVerdict> verdicts() {
         Map<Integer, TaskVerdict> verdicts = new HashMap<>();
         for (List<TaskReport> reports : tasksByAgent.values()) {
--- a/core/src/main/java/org/knapweedmount/core/entry/Submission.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/Submission.java
@@ -143,9 +143,10 @@
         Optional<Integer> unknown = first(Outcome.UNKNOWN);
         if (unknown.isPresent()) {
             Reason cause = results[unknown.get()].reason();
-            return answer(Outcome.UNKNOWN, cause, "what became of task " + unknown.get() + " is not known");
+            String detail = "what became of task " + unknown.get() + " is not known";
+            return answer(Outcome.UNKNOWN, cause, detail).withTasks(Arrays.asList(results));
         }
-        return answer(Outcome.FAILED, failureReason(), failure());
+        return answer(Outcome.FAILED, failureReason(), failure()).withTasks(Arrays.asList(results));
     }
 
     private JobAnswer answer(Outcome outcome, Reason reason, String detail) {
@@ -165,8 +166,13 @@
         if (failed.isEmpty()) {
             return count(Outcome.COMPLETE) + " of " + results.length + " tasks ran";
         }
-        int status = results[failed.get()].status();
-        return "task " + failed.get() + " failed" + (status > 0 ? " with status " + status : "");
+        return failure(failed.get(), results[failed.get()]);
+    }
+
+    /** Describes the failure of a task. */
+    static String failure(int index, TaskResult result) {
+        int status = result.status();
+        return "task " + index + " failed" + (status > 0 ? " with status " + status : "");
     }
 
     private Optional<Integer> first(Outcome outcome) {
--- a/core/src/test/java/org/knapweedmount/core/entry/EntryCoreTest.java
+++ b/core/src/test/java/org/knapweedmount/core/entry/EntryCoreTest.java
@@ -3,8 +3,10 @@
 import org.junit.jupiter.api.Test;
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.JobSpec;
+import org.knapweedmount.api.Outcome;
 import org.knapweedmount.api.Reason;
 import org.knapweedmount.api.SubmissionId;
+import org.knapweedmount.api.TaskResult;
 import org.knapweedmount.api.message.Start;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -75,6 +77,10 @@
 
         assertThat(entry.ending(request), is("FAILED/TASK_FAILED"));
         assertThat(entry.answer(request).results(), hasSize(0));
+        assertThat(entry.answer(request).detail(), is("task 0 failed with status 500"));
+        assertThat(
+                entry.answer(request).tasks(),
+                contains(failed(500), complete("2").withoutBody(), TaskResult.of(Outcome.NOT_RUN, Reason.TASK_FAILED)));
         assertThat(entry.starts(), hasSize(2));
     }
 
--- a/core/src/test/java/org/knapweedmount/core/entry/ForeignSubmissionTest.java
+++ b/core/src/test/java/org/knapweedmount/core/entry/ForeignSubmissionTest.java
@@ -8,7 +8,9 @@
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.JobAnswer;
 import org.knapweedmount.api.JobSpec;
+import org.knapweedmount.api.Outcome;
 import org.knapweedmount.api.PeerAddress;
+import org.knapweedmount.api.Reason;
 import org.knapweedmount.api.SubmissionId;
 import org.knapweedmount.api.TaskResult;
 import org.knapweedmount.api.message.CancelTasks;
@@ -142,6 +144,10 @@
         sealed(second, true, finished(1, complete("2")));
 
         assertThat(entry.ending(request), is("FAILED/TASK_FAILED"));
+        assertThat(entry.answer(request).detail(), is("task 0 failed with status 500"));
+        assertThat(
+                entry.answer(request).tasks(),
+                contains(failed(500), complete("2").withoutBody()));
     }
 
     @Test
@@ -153,6 +159,9 @@
         sealed(second, true);
 
         assertThat(entry.ending(request), is("FAILED/SEALED"));
+        assertThat(
+                entry.answer(request).tasks(),
+                contains(complete("1").withoutBody(), TaskResult.of(Outcome.NOT_RUN, Reason.SEALED)));
     }
 
     @Test
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/AnswerWriter.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/AnswerWriter.java
@@ -7,23 +7,42 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import org.knapweedmount.api.JobAnswer;
 import org.knapweedmount.api.Outcome;
 import org.knapweedmount.api.Payload;
+import org.knapweedmount.api.Reason;
 import org.knapweedmount.api.SubmissionId;
 import org.knapweedmount.api.TaskResult;
 
 /** Turns the answer to a submission into an HTTP answer. */
 public enum AnswerWriter {
-    /** A request to a service: the endpoint's answer is passed on as it is. */
+    /**
+     * A request to a service: the endpoint's answer is passed on as it is, also if it is a failure.
+     *
+     * <p>A failure with status 503 gets another status, because senders take 503 for a refusal without effect and may
+     * send the request again.
+     */
     SINGLE {
         @Override
         HttpAnswer complete(JobAnswer answer) {
             TaskResult result = answer.results().get(0);
             return new HttpAnswer(result.status(), result.contentType(), headers(answer), result.body());
         }
+
+        @Override
+        HttpAnswer notComplete(Problem problem, JobAnswer answer) {
+            OptionalInt failed = answer.firstFailed();
+            if (failed.isEmpty() || answer.reason() != Reason.TASK_FAILED) {
+                return ProblemWriter.write(problem);
+            }
+            TaskResult result = answer.tasks().get(failed.getAsInt());
+            int status = result.status() == Outcome.NOT_RUN.httpStatus() ? problem.status() : result.status();
+            return new HttpAnswer(status, result.contentType(), headers(answer), result.body())
+                    .with(CallerHeaders.ENDPOINT_STATUS, Integer.toString(result.status()));
+        }
     },
     /** A job: the results of all tasks in one document. */
     JOB {
@@ -39,6 +58,11 @@
                 json.writeEndArray();
             }));
         }
+
+        @Override
+        HttpAnswer notComplete(Problem problem, JobAnswer answer) {
+            return ProblemWriter.write(problem, json -> writeTasks(json, answer.tasks()));
+        }
     };
 
     private static final int OK = 200;
@@ -61,11 +85,13 @@
         Problem problem = Problem.of(outcome, answer.reason(), answer.detail())
                 .withSubmission(answer.submission())
                 .retryAfter(answer.retryAfterMillis());
-        return ProblemWriter.write(problem);
+        return notComplete(problem, answer);
     }
 
     abstract HttpAnswer complete(JobAnswer answer);
 
+    abstract HttpAnswer notComplete(Problem problem, JobAnswer answer);
+
     private static HttpAnswer pending(JobAnswer answer) {
         return new HttpAnswer(ACCEPTED, HttpAnswer.JSON, headers(answer), JsonOutput.object(json -> {
             writeSubmission(json, answer.submission());
@@ -89,6 +115,31 @@
     private static void writeResult(JsonGenerator json, TaskResult result) throws IOException {
         json.writeStartObject();
         json.writeNumberField("status", result.status());
+        writeBody(json, result);
+        json.writeEndObject();
+    }
+
+    private static void writeTasks(JsonGenerator json, List<TaskResult> tasks) throws IOException {
+        if (tasks.isEmpty()) {
+            return;
+        }
+        json.writeArrayFieldStart("tasks");
+        for (TaskResult task : tasks) {
+            json.writeStartObject();
+            json.writeStringField("outcome", task.outcome().text());
+            json.writeStringField("reason", task.reason().text());
+            if (task.status() > 0) {
+                json.writeNumberField("status", task.status());
+            }
+            if (task.body().size() > 0) {
+                writeBody(json, task);
+            }
+            json.writeEndObject();
+        }
+        json.writeEndArray();
+    }
+
+    private static void writeBody(JsonGenerator json, TaskResult result) throws IOException {
         json.writeStringField("contentType", result.contentType());
         Optional<String> text = decode(result.body());
         if (text.isPresent()) {
@@ -96,7 +147,6 @@
         } else {
             json.writeBinaryField("bodyBase64", result.body().bytes());
         }
-        json.writeEndObject();
     }
 
     private static Optional<String> decode(Payload body) {
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/CallerHeaders.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/CallerHeaders.java
@@ -34,6 +34,9 @@
     /** Tells the id of a submission. */
     public static final String SUBMISSION = "Knapweedmount-Submission";
 
+    /** Tells the status that the endpoint answered a failed request with. */
+    public static final String ENDPOINT_STATUS = "Knapweedmount-Endpoint-Status";
+
     /** The team of a request that names none. */
     public static final String DEFAULT_TEAM = "default";
 
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/ProblemWriter.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/ProblemWriter.java
@@ -22,6 +22,17 @@
      * @return the HTTP answer
      */
     public static HttpAnswer write(Problem problem) {
+        return write(problem, json -> {});
+    }
+
+    /**
+     * Writes a problem with further members.
+     *
+     * @param problem the problem
+     * @param members writes the further members
+     * @return the HTTP answer
+     */
+    public static HttpAnswer write(Problem problem, JsonOutput.Content members) {
         List<Header> headers = new ArrayList<>();
         problem.outcome().ifPresent(outcome -> headers.add(new Header(CallerHeaders.OUTCOME, outcome.text())));
         problem.submission().ifPresent(id -> headers.add(new Header(CallerHeaders.SUBMISSION, id.toString())));
@@ -47,6 +58,7 @@
             if (problem.highest().isPresent()) {
                 json.writeNumberField("highest", problem.highest().getAsLong());
             }
+            members.write(json);
         }));
     }
 }
--- a/daemon/src/test/java/org/knapweedmount/daemon/entry/EchoAgent.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/entry/EchoAgent.java
@@ -7,10 +7,13 @@
 
 import io.vertx.core.Vertx;
 import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.Outcome;
 import org.knapweedmount.api.PeerAddress;
+import org.knapweedmount.api.Reason;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.Role;
 import org.knapweedmount.api.TaskResult;
+import org.knapweedmount.api.TaskSpec;
 import org.knapweedmount.api.message.Capacity;
 import org.knapweedmount.api.message.ConfigApplied;
 import org.knapweedmount.api.message.ConfigUpdate;
@@ -28,9 +31,11 @@
 
 /** An agent that answers each task with its own body and counts the starts. */
 final class EchoAgent implements LinkHandler<EchoAgent> {
+    static final String FAILING_PATH = "/refund";
     private static final int HEARTBEAT_MILLIS = 300;
     private static final int LEASES = 100;
     private static final int STATUS_OK = 200;
+    private static final int STATUS_FAILED = 422;
 
     private final DecisionLoop<EchoAgent> loop = new DecisionLoop<>("echo-agent", 1_024, NanoClock.SYSTEM);
     private final AtomicInteger starts = new AtomicInteger();
@@ -61,6 +66,12 @@
         links.send(peer.incarnation(), new Grant(service, 1, LEASES, LeaseScope.ANY, Optional.empty(), 0));
     }
 
+    private static TaskResult result(TaskSpec spec) {
+        return spec.path().equals(FAILING_PATH)
+                ? new TaskResult(Outcome.FAILED, Reason.TASK_FAILED, STATUS_FAILED, "text/plain", spec.body())
+                : TaskResult.complete(STATUS_OK, "text/plain", spec.body());
+    }
+
     @Override
     public void unlinked(EchoAgent core, Incarnation peer, long nowNanos) {}
 
@@ -68,9 +79,7 @@
     public void received(EchoAgent core, Incarnation from, Message message, long nowNanos) {
         if (message instanceof Start start) {
             starts.incrementAndGet();
-            TaskResult echo =
-                    TaskResult.complete(STATUS_OK, "text/plain", start.spec().body());
-            links.send(from, new Finished(start.task(), 1_000, echo, Optional.empty()));
+            links.send(from, new Finished(start.task(), 1_000, result(start.spec()), Optional.empty()));
         } else if (message instanceof ConfigUpdate update) {
             update.tickets().forEach(ticket -> links.send(from, new ConfigApplied(ticket.number())));
         }
--- a/daemon/src/test/java/org/knapweedmount/daemon/entry/EntryProcessTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/entry/EntryProcessTest.java
@@ -143,6 +143,26 @@
         agent.close();
     }
 
+    @Test
+    void failedRequestGetsTheEndpointsAnswerAtEveryEntry() throws Exception {
+        EntryProcess first = start("entry-1", List.of());
+        EntryProcess second = start("entry-2", List.of(new HostPort(HOST, first.linkPort())));
+        putTicket(first, 1);
+        EchoAgent agent = agent(first, second);
+        while (status(second).path("entries").size() < 1
+                || status(second).path("configNumber").asLong() < 1) {
+            Thread.onSpinWait();
+        }
+
+        Answer once = call(first, "refund-1", EchoAgent.FAILING_PATH);
+        Answer elsewhere = call(second, "refund-1", EchoAgent.FAILING_PATH);
+
+        assertThat(once, is(new Answer(422, "7 euro")));
+        assertThat(elsewhere, is(once));
+        assertThat(agent.starts(), is(1));
+        agent.close();
+    }
+
     @Test
     void keyIsNotRunWhileItCannotBeClaimed() throws Exception {
         EntryProcess entry = start("entry-1", List.of());
@@ -179,7 +199,11 @@
     }
 
     private Answer call(EntryProcess entry, String key) throws Exception {
-        RequestOptions options = options(entry.callerPort(), HttpMethod.POST, "/v1/services/dues/pay")
+        return call(entry, key, "/pay");
+    }
+
+    private Answer call(EntryProcess entry, String key, String path) throws Exception {
+        RequestOptions options = options(entry.callerPort(), HttpMethod.POST, "/v1/services/dues" + path)
                 .putHeader("Idempotency-Key", key);
         return send(options, "7 euro");
     }
--- a/daemon/src/test/java/org/knapweedmount/daemon/http/AnswerWriterTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/http/AnswerWriterTest.java
@@ -16,6 +16,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.is;
 
 class AnswerWriterTest {
@@ -50,6 +51,51 @@
                         + "{\"status\":200,\"contentType\":\"x/y\",\"bodyBase64\":\"/w==\"}]}"));
     }
 
+    @ParameterizedTest
+    @CsvSource({"404, 404", "500, 500", "504, 504", "503, 502"})
+    void failedSingleRequestGetsTheEndpointsAnswer(int endpointStatus, int status) {
+        TaskResult result =
+                new TaskResult(Outcome.FAILED, Reason.TASK_FAILED, endpointStatus, "text/csv", Payload.of("no;lens"));
+
+        HttpAnswer answer = AnswerWriter.SINGLE.write(failed(List.of(result)));
+
+        Header stated = new Header("Knapweedmount-Endpoint-Status", Integer.toString(endpointStatus));
+        List<Header> headers = List.of(new Header("Knapweedmount-Outcome", "failed"), SUBMISSION, stated);
+        assertThat(answer, is(new HttpAnswer(status, "text/csv", headers, Payload.of("no;lens"))));
+    }
+
+    @Test
+    void failedSingleRequestWithoutAWholeAnswerIsAProblem() {
+        TaskResult cut = new TaskResult(Outcome.FAILED, Reason.TOO_LARGE, 200, "", Payload.EMPTY);
+        JobAnswer failed = JobAnswer.ended(Optional.of(ID), Outcome.FAILED, Reason.TOO_LARGE, "")
+                .withTasks(List.of(cut));
+
+        assertThat(AnswerWriter.SINGLE.write(failed).contentType(), is("application/problem+json"));
+    }
+
+    @Test
+    void failedJobTellsHowEachTaskEndedAndOnlyTheFailedOnesBody() {
+        HttpAnswer answer = AnswerWriter.JOB.write(failed(List.of(
+                TaskResult.complete(200, "text/plain", Payload.of("red")),
+                new TaskResult(Outcome.FAILED, Reason.TASK_FAILED, 404, "text/plain", Payload.of("no lens")),
+                new TaskResult(Outcome.FAILED, Reason.TASK_FAILED, 500, "text/plain", Payload.of("no hood")),
+                TaskResult.of(Outcome.NOT_RUN, Reason.TASK_FAILED))));
+
+        assertThat(answer.status(), is(502));
+        assertThat(
+                answer.body().text(),
+                endsWith("\"tasks\":[{\"outcome\":\"complete\",\"reason\":\"none\",\"status\":200},"
+                        + "{\"outcome\":\"failed\",\"reason\":\"task-failed\",\"status\":404,"
+                        + "\"contentType\":\"text/plain\",\"body\":\"no lens\"},"
+                        + "{\"outcome\":\"failed\",\"reason\":\"task-failed\",\"status\":500},"
+                        + "{\"outcome\":\"not-run\",\"reason\":\"task-failed\"}]}"));
+    }
+
+    private static JobAnswer failed(List<TaskResult> tasks) {
+        return JobAnswer.ended(Optional.of(ID), Outcome.FAILED, Reason.TASK_FAILED, "a task failed")
+                .withTasks(tasks);
+    }
+
     @Test
     void jobThatRunsIsPending() {
         HttpAnswer answer = AnswerWriter.JOB.write(JobAnswer.pending(ID));
--- a/wire/src/main/java/org/knapweedmount/wire/ValueFormats.java
+++ b/wire/src/main/java/org/knapweedmount/wire/ValueFormats.java
@@ -118,23 +118,25 @@
     }
 
     static void writeAnswer(FieldWriter out, JobAnswer answer) throws IOException, FrameException {
-        out.array(6)
+        out.array(7)
                 .optional(answer.submission(), ValueFormats::writeSubmission)
                 .optional(answer.outcome(), (field, outcome) -> field.constant(EnumFormat.OUTCOME, outcome))
                 .constant(EnumFormat.REASON, answer.reason())
                 .text(answer.detail())
                 .number(answer.retryAfterMillis())
-                .list(answer.results(), ValueFormats::writeResult);
+                .list(answer.results(), ValueFormats::writeResult)
+                .list(answer.tasks(), ValueFormats::writeResult);
     }
 
     static JobAnswer readAnswer(FieldReader in) throws IOException, FrameException {
-        in.array(6);
+        in.array(7);
         return new JobAnswer(
                 in.optional(ValueFormats::readSubmission),
                 in.optional(outcome -> outcome.constant(EnumFormat.OUTCOME)),
                 in.constant(EnumFormat.REASON),
                 in.text(),
                 in.count(),
+                in.list(ValueFormats::readResult),
                 in.list(ValueFormats::readResult));
     }
 }
--- a/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
+++ b/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
@@ -113,7 +113,12 @@
                 pick(Reason.values()),
                 text(),
                 number(),
-                complete ? List.of(result(), result()) : List.of());
+                complete ? List.of(result(), result()) : List.of(),
+                outcome.equals(Optional.of(Outcome.FAILED)) ? list(this::failure) : List.of());
+    }
+
+    private TaskResult failure() {
+        return new TaskResult(Outcome.FAILED, pick(Reason.values()), number(), text(), payload());
     }
 
     private Ticket ticket() {
