Log no error for a reset connection, and read the tickets again at the start

Cause: an entry warned at its start that the table service is not available when the first read took longer than 1 s, as it may on a busy machine while everything is loaded. The library logged "Connection reset" as an error when a caller, endpoint or the table service closed a connection, for instance at a planned stop.

Change: up to three reads before the start goes on without the configuration, with a line that says just that. Failures of HTTP connections, taken from callers or made to endpoints and the table service, are logged for debugging only; who waits for an answer is told in any case.

Ruled out: a lower log level for the library, which would hide its warnings of blocked threads.

--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/EndpointClient.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/EndpointClient.java
@@ -21,6 +21,7 @@
 import org.knapweedmount.api.TaskResult;
 import org.knapweedmount.api.TaskSpec;
 import org.knapweedmount.core.agent.EndpointAnnouncement;
+import org.knapweedmount.daemon.http.ConnectionFailures;
 
 /**
  * Sends tasks to endpoints, each over as many connections as it has announced.
@@ -91,7 +92,11 @@
                 .setTcpNoDelay(true);
         PoolOptions pool =
                 new PoolOptions().setHttp1MaxSize(announcement.connections()).setMaxWaitQueueSize(announcement.slots());
-        return vertx.createHttpClient(options, pool);
+        return vertx.httpClientBuilder()
+                .with(options)
+                .with(pool)
+                .withConnectHandler(ConnectionFailures.INSTANCE)
+                .build();
     }
 
     /** Forgets an endpoint, on the event loop; requests that are under way go on. */
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryBuilder.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryBuilder.java
@@ -99,7 +99,7 @@
         startDecisions(linkTable, self, store, readiness);
         bindMetrics(linkTable);
         if (!await(store.tickets().start())) {
-            Logger.warn("starting while the table service is not available");
+            Logger.warn("starting without the configuration of the table service, which does not answer");
         }
         settings.peers().forEach(linkTable::dial);
         EntryPorts ports = ports(self, store, readiness, drain, tokens);
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/ConnectionLimit.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/ConnectionLimit.java
@@ -25,6 +25,7 @@
 
     @Override
     public void handle(HttpConnection connection) {
+        ConnectionFailures.INSTANCE.handle(connection);
         connection.closeHandler(ignored -> open.decrementAndGet());
         if (open.incrementAndGet() > maxConnections) {
             counters.increment(HttpCounter.CONNECTIONS_REFUSED);
--- a/daemon/src/main/java/org/knapweedmount/daemon/store/TableClient.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/store/TableClient.java
@@ -16,6 +16,7 @@
 import io.vertx.core.http.RequestOptions;
 import org.knapweedmount.api.ParseException;
 import org.knapweedmount.core.metric.Counters;
+import org.knapweedmount.daemon.http.ConnectionFailures;
 import org.tinylog.Logger;
 
 /**
@@ -68,7 +69,11 @@
                 .setConnectTimeout(limits.readMillis());
         PoolOptions pool =
                 new PoolOptions().setHttp1MaxSize(limits.connections()).setMaxWaitQueueSize(limits.queued());
-        this.client = vertx.createHttpClient(options, pool);
+        this.client = vertx.httpClientBuilder()
+                .with(options)
+                .with(pool)
+                .withConnectHandler(ConnectionFailures.INSTANCE)
+                .build();
     }
 
     @Override
--- a/daemon/src/main/java/org/knapweedmount/daemon/ticket/TicketService.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/ticket/TicketService.java
@@ -24,6 +24,7 @@
  */
 public final class TicketService {
     private static final int POLL_MILLIS = 1_000;
+    private static final int START_READS = 3;
     private static final int MAX_WAITING = 100;
 
     private final Context context;
@@ -73,10 +74,15 @@
     public Future<Boolean> start() {
         return onContext(ignored -> {
             timer = context.owner().setPeriodic(POLL_MILLIS, fired -> sync.sync());
-            return sync.sync();
+            return firstSync(START_READS);
         });
     }
 
+    /** Reads the tickets, again if the first reads of a process that has just begun take too long. */
+    private Future<Boolean> firstSync(int reads) {
+        return sync.sync().compose(read -> read || reads == 1 ? Future.succeededFuture(read) : firstSync(reads - 1));
+    }
+
     /**
      * Tells whether this process has been told a configuration.
      *
--- a/daemon/src/test/java/org/knapweedmount/daemon/store/FakeTables.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/store/FakeTables.java
@@ -34,6 +34,7 @@
     private Mode readMode = Mode.UP;
     private Consumer<Transaction> beforeTransact = transaction -> {};
     private int transactions;
+    private int failingReads;
 
     /**
      * Sets what becomes of requests from now on.
@@ -58,6 +59,15 @@
         };
     }
 
+    /**
+     * Lets the next reads of rows fail.
+     *
+     * @param count the number of reads
+     */
+    public void failNextReads(int count) {
+        failingReads = count;
+    }
+
     /**
      * Counts the transactions that were asked for.
      *
@@ -69,6 +79,10 @@
 
     @Override
     public Future<ReadResult> read(RowKey row) {
+        if (failingReads > 0) {
+            failingReads--;
+            return Future.succeededFuture(ReadResult.UNAVAILABLE);
+        }
         if (readMode != Mode.UP) {
             return Future.succeededFuture(ReadResult.UNAVAILABLE);
         }
--- a/daemon/src/test/java/org/knapweedmount/daemon/ticket/TicketServiceTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/ticket/TicketServiceTest.java
@@ -10,6 +10,8 @@
 import io.vertx.core.Vertx;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.config.KindConfig;
@@ -81,6 +83,16 @@
         assertThat(second.quota(), is(Optional.of(0.7)));
     }
 
+    @ParameterizedTest
+    @CsvSource({"1, true", "2, true", "3, false"})
+    void startReadsAgainBeforeItTakesTheServiceForUnavailable(int failingReads, boolean read) throws Exception {
+        first.accept(ticket(3, 0.5));
+        tables.failNextReads(failingReads);
+
+        assertThat(await(second.service.start()), is(read));
+        assertThat(second.quota(), is(read ? Optional.of(0.5) : Optional.empty()));
+    }
+
     @Test
     void lowerNumberIsRefusedAtAnyEntry() throws Exception {
         first.accept(ticket(5, 0.5));
