Test the status and cancellation of a submission through another entry

Cause: that GET and DELETE of a job reach it through any entry was tested of the decisions alone, not of processes.

Change: two processes answer PUT, GET and DELETE alike, for an issued id and for a key of the caller's own; an unused id that is cancelled through the other entry is never started. No fault was found.

--- a/daemon/src/test/java/org/knapweedmount/daemon/entry/EntryProcessTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/entry/EntryProcessTest.java
@@ -124,12 +124,7 @@
     void requestRunsOnceHoweverOftenItsKeyIsSent() throws Exception {
         EntryProcess first = start("entry-1", List.of());
         EntryProcess second = start("entry-2", List.of(new HostPort(HOST, first.linkPort())));
-        putTicket(first, 1);
-        EchoAgent agent = agent(first, second);
-        while (status(second).path("entries").size() < 1
-                || status(second).path("configNumber").asLong() < 1) {
-            Thread.onSpinWait();
-        }
+        EchoAgent agent = serve(first, second);
 
         Answer once = call(first, "payment-1");
         Answer again = call(first, "payment-1");
@@ -144,15 +139,61 @@
     }
 
     @Test
-    void failedRequestGetsTheEndpointsAnswerAtEveryEntry() throws Exception {
+    void statusAndCancelReachASubmissionThroughAnotherEntry() throws Exception {
+        EntryProcess first = start("entry-1", List.of());
+        EntryProcess second = start("entry-2", List.of(new HostPort(HOST, first.linkPort())));
+        EchoAgent agent = serve(first, second);
+        String id = issuedId(first);
+
+        for (String key : List.of(id, "order-1")) {
+            Answer answer = job(first, HttpMethod.PUT, key);
+            assertThat(answer.status, is(200));
+            assertThat(job(second, HttpMethod.PUT, key), is(answer));
+            assertThat(job(second, HttpMethod.GET, key), is(answer));
+            assertThat(job(second, HttpMethod.DELETE, key), is(answer));
+        }
+        assertThat(agent.starts(), is(2));
+        agent.close();
+    }
+
+    @Test
+    void idThatIsCancelledThroughAnotherEntryIsNeverStarted() throws Exception {
         EntryProcess first = start("entry-1", List.of());
         EntryProcess second = start("entry-2", List.of(new HostPort(HOST, first.linkPort())));
+        EchoAgent agent = serve(first, second);
+        String id = issuedId(first);
+
+        Answer cancelled = job(second, HttpMethod.DELETE, id);
+        Answer submitted = job(first, HttpMethod.PUT, id);
+
+        assertThat(cancelled.status, is(409));
+        assertThat(cancelled.json().path("outcome").asText(), is("not-run"));
+        assertThat(submitted, is(cancelled));
+        assertThat(agent.starts(), is(0));
+        assertThat(job(second, HttpMethod.GET, "unused").status, is(404));
+        agent.close();
+    }
+
+    private Answer job(EntryProcess entry, HttpMethod method, String key) throws Exception {
+        String job = method.equals(HttpMethod.PUT) ? "{\"service\": \"dues\", \"tasks\": [{\"path\": \"/pay\"}]}" : "";
+        return send(entry.callerPort(), method, "/v1/jobs/" + key, job);
+    }
+
+    private EchoAgent serve(EntryProcess first, EntryProcess second) throws Exception {
         putTicket(first, 1);
         EchoAgent agent = agent(first, second);
         while (status(second).path("entries").size() < 1
                 || status(second).path("configNumber").asLong() < 1) {
             Thread.onSpinWait();
         }
+        return agent;
+    }
+
+    @Test
+    void failedRequestGetsTheEndpointsAnswerAtEveryEntry() throws Exception {
+        EntryProcess first = start("entry-1", List.of());
+        EntryProcess second = start("entry-2", List.of(new HostPort(HOST, first.linkPort())));
+        EchoAgent agent = serve(first, second);
 
         Answer once = call(first, "refund-1", EchoAgent.FAILING_PATH);
         Answer elsewhere = call(second, "refund-1", EchoAgent.FAILING_PATH);
