Limit the connections of each caller, and note applied tickets at agents

Cause: the limit of connections was one for all callers, so that one of them could take it all; and an agent left no line in the audit log when it applied a ticket.

Change: http.maxConnectionsPerCaller bounds the connections from one IP number; it is maxConnections if missing, because behind a balancer all callers have its address. An agent writes a line with the tag audit for each ticket that changed something: number, author, objects and the entry that sent it. It keeps none in memory.

Ruled out: a limit by team, which a connection does not tell; quotas do that.

Tests: ConnectionLimitTest covers both limits; a new test of the setting.

--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentApi.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentApi.java
@@ -68,7 +68,7 @@
     Future<HttpServer> listen(String host, int port) {
         return context.owner()
                 .createHttpServer(ServerOptions.of(limits).setHost(host).setPort(port))
-                .connectionHandler(new ConnectionLimit(limits.maxConnections(), counters))
+                .connectionHandler(ConnectionLimit.of(limits, counters))
                 .requestHandler(this::handle)
                 .listen();
     }
--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentModule.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentModule.java
@@ -1,9 +1,11 @@
 package org.knapweedmount.daemon.agent;
 
+import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.PeerAddress;
+import org.knapweedmount.api.config.ConfigKey;
 import org.knapweedmount.api.config.Ticket;
 import org.knapweedmount.api.message.ConfigApplied;
 import org.knapweedmount.api.message.ConfigUpdate;
@@ -11,9 +13,14 @@
 import org.knapweedmount.api.message.Peers;
 import org.knapweedmount.core.agent.AgentCore;
 import org.knapweedmount.core.config.ConfigState;
+import org.knapweedmount.daemon.ticket.AuditAction;
+import org.tinylog.Logger;
+import org.tinylog.TaggedLogger;
 
 /** What the decision thread of an agent works on: the decisions and the configuration that they read. */
 final class AgentModule {
+    private static final TaggedLogger AUDIT = Logger.tag("audit");
+
     private final AgentCore core;
     private final ConfigState config;
     private final Links links;
@@ -43,7 +50,7 @@
 
     void received(Incarnation from, Message message, long nowNanos) {
         if (message instanceof ConfigUpdate update) {
-            apply(update, nowNanos);
+            apply(update, from, nowNanos);
         }
         if (message instanceof Peers known) {
             known.entries().forEach(links::know);
@@ -51,11 +58,25 @@
         core.receive(from, message, nowNanos);
     }
 
-    private void apply(ConfigUpdate update, long nowNanos) {
+    private static void audit(Ticket ticket, List<ConfigKey> keys, Incarnation from) {
+        if (!keys.isEmpty()) {
+            AUDIT.info(
+                    "action={} number={} who=\"{}\" detail=\"{} from {}\"",
+                    AuditAction.APPLIED.text(),
+                    ticket.number(),
+                    ticket.author(),
+                    keys,
+                    from);
+        }
+    }
+
+    private void apply(ConfigUpdate update, Incarnation from, long nowNanos) {
         long before = config.highestNumber();
         boolean changed = false;
         for (Ticket ticket : update.tickets()) {
-            changed |= !config.apply(ticket).isEmpty();
+            List<ConfigKey> keys = config.apply(ticket);
+            changed |= !keys.isEmpty();
+            audit(ticket, keys, from);
         }
         if (changed) {
             core.configChanged(nowNanos);
--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentStarter.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentStarter.java
@@ -124,8 +124,11 @@
     private HttpServer listen(
             AgentSettings settings, Context context, AgentReadiness readiness, EndpointRegistry registry)
             throws ExecutionException, TimeoutException, InterruptedException {
-        HttpLimits limits =
-                HttpLimits.of(settings.http().maxBodyBytes(), settings.http().maxConnections(), MAX_JOB_TASKS);
+        HttpLimits limits = HttpLimits.of(
+                settings.http().maxBodyBytes(),
+                settings.http().maxConnections(),
+                settings.http().maxConnectionsPerCaller(),
+                MAX_JOB_TASKS);
         AgentApi api = new AgentApi(context, limits, registry, readiness, requests);
         Promise<HttpServer> listening = Promise.promise();
         context.runOnContext(ignored ->
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryBuilder.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryBuilder.java
@@ -85,6 +85,7 @@
         this.httpLimits = HttpLimits.of(
                 settings.http().maxBodyBytes(),
                 settings.http().maxConnections(),
+                settings.http().maxConnectionsPerCaller(),
                 settings.limits().maxJobTasks());
         this.pending = new PendingRequests(httpLimits.maxPending(), counters.http());
     }
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/CallerApi.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/CallerApi.java
@@ -80,7 +80,7 @@
         this.counters = counters;
         this.jobReader = new JobReader(limits.maxJobTasks());
         this.bodyReader = new BodyReader(vertx, limits);
-        this.connections = new ConnectionLimit(limits.maxConnections(), counters);
+        this.connections = ConnectionLimit.of(limits, counters);
     }
 
     /**
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/ConnectionLimit.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/ConnectionLimit.java
@@ -1,35 +1,57 @@
 package org.knapweedmount.daemon.http;
 
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.HashMap;
+import java.util.Map;
 
 import io.vertx.core.Handler;
 import io.vertx.core.http.HttpConnection;
 import org.knapweedmount.core.metric.Counters;
 
-/** Closes connections beyond a number; any thread may use it. */
+/** Closes connections beyond a number in all or from one IP number; any thread may use it. */
 public final class ConnectionLimit implements Handler<HttpConnection> {
     private final int maxConnections;
+    private final int maxPerCaller;
     private final Counters<HttpCounter> counters;
-    private final AtomicInteger open = new AtomicInteger();
+    private final Map<String, Integer> openByCaller = new HashMap<>();
+    private int open;
+
+    ConnectionLimit(int maxConnections, int maxPerCaller, Counters<HttpCounter> counters) {
+        this.maxConnections = maxConnections;
+        this.maxPerCaller = maxPerCaller;
+        this.counters = counters;
+    }
 
     /**
      * Creates a limit without connections.
      *
-     * @param maxConnections the number of open connections
+     * @param limits the limits of the server
      * @param counters counts the connections that were closed
+     * @return the limit
      */
-    public ConnectionLimit(int maxConnections, Counters<HttpCounter> counters) {
-        this.maxConnections = maxConnections;
-        this.counters = counters;
+    public static ConnectionLimit of(HttpLimits limits, Counters<HttpCounter> counters) {
+        return new ConnectionLimit(limits.maxConnections(), limits.maxConnectionsPerCaller(), counters);
     }
 
     @Override
     public void handle(HttpConnection connection) {
         ConnectionFailures.INSTANCE.handle(connection);
-        connection.closeHandler(ignored -> open.decrementAndGet());
-        if (open.incrementAndGet() > maxConnections) {
+        String caller = connection.remoteAddress().hostAddress();
+        boolean admitted = opened(caller);
+        connection.closeHandler(ignored -> closed(caller));
+        if (!admitted) {
             counters.increment(HttpCounter.CONNECTIONS_REFUSED);
             connection.close();
         }
     }
+
+    private synchronized boolean opened(String caller) {
+        open++;
+        int fromCaller = openByCaller.merge(caller, 1, Integer::sum);
+        return open <= maxConnections && fromCaller <= maxPerCaller;
+    }
+
+    private synchronized void closed(String caller) {
+        open--;
+        openByCaller.computeIfPresent(caller, (name, count) -> count == 1 ? null : count - 1);
+    }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/HttpLimits.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/HttpLimits.java
@@ -6,6 +6,7 @@
  * @param maxBodyBytes the largest body of a request, in bytes
  * @param maxHeaderBytes the largest total size of a request's headers, in bytes
  * @param maxConnections the number of open connections
+ * @param maxConnectionsPerCaller the number of open connections from one IP number
  * @param maxPending the number of requests that wait for an answer
  * @param maxReadingBytes the total size of the bodies that are being received, in bytes
  * @param maxJobTasks the number of tasks of one job
@@ -15,6 +16,7 @@
         int maxBodyBytes,
         int maxHeaderBytes,
         int maxConnections,
+        int maxConnectionsPerCaller,
         int maxPending,
         int maxReadingBytes,
         int maxJobTasks,
@@ -29,14 +31,16 @@
      *
      * @param maxBodyBytes the largest body of a request, in bytes
      * @param maxConnections the number of open connections
+     * @param maxConnectionsPerCaller the number of open connections from one IP number
      * @param maxJobTasks the number of tasks of one job
      * @return the limits
      */
-    public static HttpLimits of(int maxBodyBytes, int maxConnections, int maxJobTasks) {
+    public static HttpLimits of(int maxBodyBytes, int maxConnections, int maxConnectionsPerCaller, int maxJobTasks) {
         return new HttpLimits(
                 maxBodyBytes,
                 DEFAULT_HEADER_BYTES,
                 maxConnections,
+                maxConnectionsPerCaller,
                 DEFAULT_PENDING,
                 Math.max(maxBodyBytes, DEFAULT_READING_BYTES),
                 maxJobTasks,
--- a/daemon/src/main/java/org/knapweedmount/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/settings/SettingsReader.java
@@ -116,11 +116,13 @@
     }
 
     private static HttpSettings http(SettingsSection section) throws SettingsException {
+        int maxConnections = section.integer("maxConnections", CONNECTIONS, DEFAULT_CONNECTIONS);
         HttpSettings http = new HttpSettings(
                 ipNumber(section),
                 section.integer("port", IntRange.LISTEN_PORT),
                 section.integer("maxBodyBytes", BODY_BYTES, DEFAULT_BODY_BYTES),
-                section.integer("maxConnections", CONNECTIONS, DEFAULT_CONNECTIONS));
+                maxConnections,
+                section.integer("maxConnectionsPerCaller", CONNECTIONS, maxConnections));
         section.refuseUnknownKeys();
         return http;
     }
--- a/daemon/src/main/java/org/knapweedmount/daemon/ticket/OperatorApi.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/ticket/OperatorApi.java
@@ -59,10 +59,10 @@
         this.tickets = tickets;
         this.audit = audit;
         this.pages = pages;
-        HttpLimits limits = HttpLimits.of(MAX_BODY_BYTES, MAX_CONNECTIONS, 0);
+        HttpLimits limits = HttpLimits.of(MAX_BODY_BYTES, MAX_CONNECTIONS, MAX_CONNECTIONS, 0);
         this.bodyReader = new BodyReader(vertx, limits);
         this.server = vertx.createHttpServer(ServerOptions.of(limits));
-        server.connectionHandler(new ConnectionLimit(MAX_CONNECTIONS, new Counters<>(HttpCounter.class)));
+        server.connectionHandler(ConnectionLimit.of(limits, new Counters<>(HttpCounter.class)));
         server.requestHandler(this::handle);
     }
 
--- a/daemon/src/test/java/org/knapweedmount/daemon/http/CallerApiTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/http/CallerApiTest.java
@@ -58,7 +58,7 @@
 
     @BeforeEach
     void start() throws Exception {
-        HttpLimits limits = new HttpLimits(1_000, 16_384, 10, MAX_PENDING, 2_000, 5, 60_000);
+        HttpLimits limits = new HttpLimits(1_000, 16_384, 10, 10, MAX_PENDING, 2_000, 5, 60_000);
         KeyLookup keys = (team, key) ->
                 Future.succeededFuture(key.equals("used") ? KeyLookupResult.found(ID) : KeyLookupResult.UNUSED);
         CallerApi api = new CallerApi(vertx, limits, this::offer, pending, keys, new Pages(), counters);
--- a/daemon/src/test/java/org/knapweedmount/daemon/http/ConnectionLimitTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/http/ConnectionLimitTest.java
@@ -6,24 +6,28 @@
 
 import io.vertx.core.Handler;
 import io.vertx.core.http.HttpConnection;
+import io.vertx.core.net.SocketAddress;
 import org.junit.jupiter.api.Test;
 import org.knapweedmount.core.metric.Counters;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
-import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
-import static org.hamcrest.Matchers.not;
 
 class ConnectionLimitTest {
     private final Counters<HttpCounter> counters = new Counters<>(HttpCounter.class);
-    private final ConnectionLimit limit = new ConnectionLimit(1, counters);
+    private final ConnectionLimit limit = new ConnectionLimit(2, 1, counters);
 
     /** A connection that notes which methods were called. */
     private static final class FakeConnection {
         private final List<String> calls = new ArrayList<>();
+        private final String caller;
         private Handler<Void> closeHandler;
 
+        private FakeConnection(String caller) {
+            this.caller = caller;
+        }
+
         private HttpConnection connection() {
             return (HttpConnection) Proxy.newProxyInstance(
                     getClass().getClassLoader(), new Class<?>[] {HttpConnection.class}, (proxy, method, arguments) -> {
@@ -31,7 +35,8 @@
                         if (method.getName().equals("closeHandler")) {
                             closeHandler = castHandler(arguments[0]);
                         }
-                        return null;
+                        boolean address = method.getName().equals("remoteAddress");
+                        return address ? SocketAddress.inetSocketAddress(40_000, caller) : null;
                     });
         }
 
@@ -39,36 +44,39 @@
         private static Handler<Void> castHandler(Object handler) {
             return (Handler<Void>) handler;
         }
-    }
 
-    @Test
-    void connectionBeyondTheLimitIsClosed() {
-        FakeConnection first = new FakeConnection();
-        FakeConnection second = new FakeConnection();
+        private boolean refused() {
+            return calls.contains("close");
+        }
+    }
 
-        limit.handle(first.connection());
-        limit.handle(second.connection());
+    private FakeConnection open(String caller) {
+        FakeConnection connection = new FakeConnection(caller);
+        limit.handle(connection.connection());
+        return connection;
+    }
 
-        assertThat(first.calls, not(hasItem("close")));
-        assertThat(second.calls, hasItem("close"));
-        assertThat(counters.value(HttpCounter.CONNECTIONS_REFUSED), is(1L));
+    @Test
+    void connectionsBeyondTheLimitsAreClosed() {
+        assertThat(open("10.0.0.1").refused(), is(false));
+        FakeConnection secondOfCaller = open("10.0.0.1");
+        assertThat(secondOfCaller.refused(), is(true));
+        secondOfCaller.closeHandler.handle(null);
+        assertThat(open("10.0.0.2").refused(), is(false));
+        assertThat(open("10.0.0.3").refused(), is(true));
+        assertThat(counters.value(HttpCounter.CONNECTIONS_REFUSED), is(2L));
     }
 
     @Test
     void closedConnectionMakesRoom() {
-        FakeConnection first = new FakeConnection();
-        FakeConnection second = new FakeConnection();
-
-        limit.handle(first.connection());
-        first.closeHandler.handle(null);
-        limit.handle(second.connection());
+        open("10.0.0.1").closeHandler.handle(null);
 
-        assertThat(second.calls, not(hasItem("close")));
+        assertThat(open("10.0.0.1").refused(), is(false));
     }
 
     @Test
     void failuresOfConnectionsAreNotLeftToTheLibrary() {
-        FakeConnection connection = new FakeConnection();
+        FakeConnection connection = new FakeConnection("10.0.0.1");
 
         ConnectionFailures.INSTANCE.handle(connection.connection());
 
--- a/daemon/src/test/java/org/knapweedmount/daemon/settings/SettingsReaderTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/settings/SettingsReaderTest.java
@@ -63,6 +63,15 @@
         assertThat(SettingsReader.read(file(ENTRY)), is(expected));
     }
 
+    @Test
+    void oneCallerMayUseAllConnectionsUnlessALimitIsGiven() throws Exception {
+        String limited =
+                ENTRY.replace("\"maxConnections\": 7", "\"maxConnections\": 7, \"maxConnectionsPerCaller\": 3");
+
+        assertThat(SettingsReader.read(file(ENTRY)).http().maxConnectionsPerCaller(), is(7));
+        assertThat(SettingsReader.read(file(limited)).http().maxConnectionsPerCaller(), is(3));
+    }
+
     @Test
     void agentWithDefaults() throws Exception {
         Settings expected = new AgentSettings(
