--- a/cli/src/main/java/org/knapweedmount/cli/CommandLine.java
+++ b/cli/src/main/java/org/knapweedmount/cli/CommandLine.java
@@ -55,10 +55,20 @@
             return ExitCode.USAGE;
         } catch (CliException e) {
             err.println(PROGRAM + " " + command.name() + ": " + e.getMessage());
+            if (options.json()) {
+                out.println(error(e));
+            }
             return e.exitCode();
         }
     }
 
+    private static String error(CliException failure) {
+        return JsonText.object()
+                .put("error", failure.getMessage())
+                .put("exitCode", failure.exitCode().code())
+                .toString();
+    }
+
     private void printUsage(Command command, JCommander commander) {
         StringBuilder text = new StringBuilder();
         commander.getUsageFormatter().usage(text);
--- a/cli/src/main/java/org/knapweedmount/cli/JobStatusCommand.java
+++ b/cli/src/main/java/org/knapweedmount/cli/JobStatusCommand.java
@@ -13,6 +13,9 @@
     @Parameter(names = "--wait", description = "Wait for the end of the job")
     private boolean wait;
 
+    @Parameter(names = "--team", description = "Team that the job is charged to, needed if ID is a key of its own")
+    private String team = "";
+
     @Override
     public String name() {
         return "job status";
@@ -26,6 +29,7 @@
     @Override
     public ExitCode run(Session session) throws CliException {
         String path = "/v1/jobs/" + Operand.pathSegment(Operand.only(ids, "ID"));
-        return JobText.show(session, session.callers().send(ApiRequest.of("GET", wait ? path + "?wait=true" : path)));
+        ApiRequest request = ApiRequest.of("GET", wait ? path + "?wait=true" : path);
+        return JobText.show(session, session.callers().send(request.withHeader("Knapweedmount-Team", team)));
     }
 }
--- a/cli/src/main/java/org/knapweedmount/cli/JobSubmitCommand.java
+++ b/cli/src/main/java/org/knapweedmount/cli/JobSubmitCommand.java
@@ -23,6 +23,9 @@
     @Parameter(names = "--async", description = "Don't wait for the end of the job")
     private boolean async;
 
+    @Parameter(names = "--first-attempt", description = "State that the id was not sent before")
+    private boolean firstAttempt;
+
     @Override
     public String name() {
         return "job submit";
@@ -44,7 +47,8 @@
         session.note("submission " + submission);
         ApiRequest request = ApiRequest.of("PUT", "/v1/jobs/" + Operand.pathSegment(submission))
                 .withBody(Payload.of(job.toString()), "application/json")
-                .withHeader("Prefer", async ? "respond-async" : "");
+                .withHeader("Prefer", async ? "respond-async" : "")
+                .withHeader("Knapweedmount-First-Attempt", firstAttempt || id == null ? "true" : "");
         ExitCode exitCode = JobText.show(session, entry.send(request));
         return async && exitCode == ExitCode.PENDING ? ExitCode.OK : exitCode;
     }
--- a/cli/src/main/java/org/knapweedmount/cli/SettingsCheckCommand.java
+++ b/cli/src/main/java/org/knapweedmount/cli/SettingsCheckCommand.java
@@ -31,7 +31,13 @@
         } catch (SettingsException e) {
             throw new CliException(ExitCode.USAGE, e.getMessage(), e);
         }
-        session.print(file + " is good");
+        session.print(
+                session.json()
+                        ? JsonText.object()
+                                .put("file", file.toString())
+                                .put("good", true)
+                                .toString()
+                        : file + " is good");
         return ExitCode.OK;
     }
 }
--- a/cli/src/main/java/org/knapweedmount/cli/StatusText.java
+++ b/cli/src/main/java/org/knapweedmount/cli/StatusText.java
@@ -4,6 +4,8 @@
 
 /** Writes the status of an entry as aligned text. */
 final class StatusText {
+    private static final int PERCENT = 100;
+
     private StatusText() {}
 
     static String of(JsonNode status, boolean counters) {
@@ -11,6 +13,8 @@
         text.append('\n').append(entries(status));
         text.append('\n').append(agents(status));
         text.append('\n').append(queues(status));
+        text.append('\n').append(shares(status));
+        text.append('\n').append(teams(status));
         if (counters) {
             text.append('\n').append(counters(status));
         }
@@ -66,6 +70,31 @@
         return table.toString();
     }
 
+    private static String shares(JsonNode status) {
+        TextTable table = new TextTable("service", "kind", "weight", "share", "short");
+        for (JsonNode kind : status.path("shares")) {
+            table.row(
+                    kind.path("service").asText(),
+                    kind.path("kind").asText(),
+                    kind.path("weight").asText(),
+                    percent(kind.path("share")),
+                    kind.path("shortTask").asText());
+        }
+        return table.toString();
+    }
+
+    private static String teams(JsonNode status) {
+        TextTable table = new TextTable("team", "weight", "quota");
+        for (JsonNode team : status.path("teams")) {
+            table.row(team.path("team").asText(), team.path("weight").asText(), percent(team.path("quotaShare")));
+        }
+        return table.toString();
+    }
+
+    private static String percent(JsonNode share) {
+        return Math.round(share.asDouble() * PERCENT) + "%";
+    }
+
     private static String counters(JsonNode status) {
         TextTable table = new TextTable("counter", "value");
         status.path("counters")
--- a/cli/src/test/java/org/knapweedmount/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/knapweedmount/cli/CommandLineTest.java
@@ -14,6 +14,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
@@ -40,6 +41,8 @@
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
     private final ByteArrayOutputStream err = new ByteArrayOutputStream();
     private final List<String> requests = new ArrayList<>();
+    private final List<String> teams = new ArrayList<>();
+    private final List<String> firstAttempts = new ArrayList<>();
     private final Map<String, Prepared> answers = new HashMap<>();
     private HttpServer entry;
 
@@ -177,6 +180,42 @@
         assertThat(run("job", "status", "mine"), is(ExitCode.PENDING));
     }
 
+    @Test
+    void aKeyOfTheCallersOwnIsAskedForWithItsTeam() {
+        prepare("GET /v1/jobs/mine", 202, "", "{\"state\":\"pending\"}");
+        prepare("DELETE /v1/jobs/mine", 200, "complete", "{}");
+        run("job", "status", "mine", "--team", "lamps");
+        run("job", "cancel", "mine", "--team", "lamps");
+        assertThat(teams, is(List.of("lamps", "lamps")));
+    }
+
+    @Test
+    void aJobWithANewIdIsAFirstAttempt() throws IOException {
+        prepare("POST /v1/submission-ids?count=1", 200, "", "{\"ids\":[\"new\"]}");
+        run("job", "submit", file("{}").toString());
+        run("job", "submit", file("{}").toString(), "--id", "mine");
+        run("job", "submit", file("{}").toString(), "--id", "mine", "--first-attempt");
+        assertThat(firstAttempts, is(List.of("PUT /v1/jobs/new", "PUT /v1/jobs/mine")));
+    }
+
+    @Test
+    void statusShowsTheSharesAndQuotas() {
+        prepare("GET /v1/status", 200, "", """
+                {"shares":[{"service":"desk","kind":"find","weight":3.0,"share":0.75,"shortTask":true}],
+                 "teams":[{"team":"lamps","weight":1.0,"quotaShare":0.5}]}""");
+        assertThat(run("status"), is(ExitCode.OK));
+        assertThat(
+                text(out), containsString("service  kind  weight  share  short\ndesk     find  3.0     75%    true\n"));
+        assertThat(text(out), containsString("team   weight  quota\nlamps  1.0     50%\n"));
+    }
+
+    @Test
+    void errorsAreJsonTooIfAskedFor() throws IOException {
+        Path settings = file("{\n\"role\": \"guest\"}");
+        assertThat(run("settings", "check", settings.toString(), "--json"), is(ExitCode.USAGE));
+        assertThat(text(out), containsString("\"exitCode\":2}"));
+    }
+
     @Test
     void statusWaitsForATicketAtEveryProcess() {
         String status =
@@ -249,6 +288,11 @@
     private void answer(HttpExchange exchange) throws IOException {
         String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
         String call = exchange.getRequestMethod() + " " + exchange.getRequestURI();
+        Optional.ofNullable(exchange.getRequestHeaders().getFirst("Knapweedmount-Team"))
+                .ifPresent(teams::add);
+        if ("true".equals(exchange.getRequestHeaders().getFirst("Knapweedmount-First-Attempt"))) {
+            firstAttempts.add(call);
+        }
         requests.add(call + " " + exchange.getRequestHeaders().getFirst("Authorization") + " " + body);
         Prepared prepared = answers.getOrDefault(call, new Prepared(404, "", "text/plain", ""));
         exchange.getResponseHeaders().add("Content-Type", prepared.contentType);
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/ConfigDistributor.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/ConfigDistributor.java
@@ -100,6 +100,11 @@
         return peerNumbers.getOrDefault(peer, 0L);
     }
 
+    /** Returns the configuration in force, not to be changed. */
+    ConfigState config() {
+        return config;
+    }
+
     /** Returns the highest ticket number in force. */
     long appliedNumber() {
         return appliedNumber.get();
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/StatusWriter.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/StatusWriter.java
@@ -54,6 +54,7 @@
                 writeQueue(json, queue);
             }
             json.writeEndArray();
+            ShareWriter.write(json, numbers.config());
             json.writeObjectFieldStart("counters");
             writeCounters(json);
             json.writeEndObject();
--- a/daemon/src/test/java/org/knapweedmount/daemon/entry/EntryProcessTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/entry/EntryProcessTest.java
@@ -85,6 +85,10 @@
             Thread.onSpinWait();
         }
         assertThat(putTicket(second, 6).status, is(409));
+        JsonNode kind = status(second).path("shares").get(0);
+        assertThat(kind.path("kind").asText() + " " + kind.path("share").asText(), is("check 1.0"));
+        assertThat(status(second).path("teams").get(0).path("quotaShare").asText(), is("1.0"));
+        assertThat(status(second).path("state").asText(), is("serving"));
     }
 
     @Test
