--- a/cli/src/main/java/org/knapweedmount/cli/Session.java
+++ b/cli/src/main/java/org/knapweedmount/cli/Session.java
@@ -25,6 +25,11 @@
         return new EntryApi(options.entry(), options.timeout());
     }
 
+    /** Returns the address of an agent for endpoints. */
+    EntryApi agent(String address) {
+        return new EntryApi(address, options.timeout());
+    }
+
     /**
      * Sends a request to the entry's address for operators.
      *
--- a/cli/src/main/java/org/knapweedmount/cli/StatusCommand.java
+++ b/cli/src/main/java/org/knapweedmount/cli/StatusCommand.java
@@ -18,6 +18,9 @@
     @Parameter(names = "--await-millis", description = "Longest wait for the ticket, in ms")
     private int awaitMillis = 3_000;
 
+    @Parameter(names = "--agent", description = "Show the endpoints of the agent at this HOST:PORT instead")
+    private String agent;
+
     @Parameter(names = "--counters", description = "Show the counters too")
     private boolean counters;
 
@@ -33,6 +36,10 @@
 
     @Override
     public ExitCode run(Session session) throws CliException {
+        if (agent != null) {
+            ApiAnswer endpoints = session.agent(agent).send(ApiRequest.of("GET", "/v1/endpoints"));
+            return session.show(endpoints, StatusText::endpoints);
+        }
         long startNanos = System.nanoTime();
         ApiAnswer answer = ask(session);
         while (waits(answer) && millisSince(startNanos) < awaitMillis) {
--- a/cli/src/main/java/org/knapweedmount/cli/StatusText.java
+++ b/cli/src/main/java/org/knapweedmount/cli/StatusText.java
@@ -21,6 +21,21 @@
         return text.toString();
     }
 
+    /** Writes the endpoints of an agent. */
+    static String endpoints(JsonNode status) {
+        TextTable table = new TextTable("endpoint", "service", "address", "slots", "connections", "time to live ms");
+        for (JsonNode endpoint : status.path("endpoints")) {
+            table.row(
+                    endpoint.path("id").asText(),
+                    endpoint.path("service").asText(),
+                    endpoint.path("host").asText() + ":" + endpoint.path("port").asText(),
+                    endpoint.path("slots").asText(),
+                    endpoint.path("connections").asText(),
+                    endpoint.path("ttlMillis").asText());
+        }
+        return table + "tasks that run: " + status.path("running").asText() + "\n";
+    }
+
     private static String head(JsonNode status) {
         TextTable table = new TextTable("process", "role", "state", "ready", "ticket");
         table.row(
--- a/cli/src/test/java/org/knapweedmount/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/knapweedmount/cli/CommandLineTest.java
@@ -209,6 +209,20 @@
         assertThat(text(out), containsString("team   weight  quota\nlamps  1.0     50%\n"));
     }
 
+    @Test
+    void statusOfAnAgentListsItsEndpoints() {
+        prepare("GET /v1/endpoints", 200, "", """
+                {"running":3,"endpoints":[{"id":"desk-1","service":"desk","host":"10.0.0.7","port":80,
+                 "slots":8,"connections":64,"ttlMillis":900}]}""");
+        String address = "127.0.0.1:" + entry.getAddress().getPort();
+        assertThat(run("status", "--agent", address), is(ExitCode.OK));
+        assertThat(text(out), is("""
+                endpoint  service  address      slots  connections  time to live ms
+                desk-1    desk     10.0.0.7:80  8      64           900
+                tasks that run: 3
+                """));
+    }
+
     @Test
     void errorsAreJsonTooIfAskedFor() throws IOException {
         Path settings = file("{\n\"role\": \"guest\"}");
--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentApi.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentApi.java
@@ -89,6 +89,7 @@
             case "/healthz" -> text(OK, "ok\n");
             case "/readyz" -> readiness();
             case "/metrics" -> text(OK, pages.metrics());
+            case "/v1/endpoints" -> EndpointWriter.write(registry.known(), registry.running());
             default -> fault(HttpFault.NOT_FOUND, "");
         };
     }
--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/EndpointClient.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/EndpointClient.java
@@ -3,6 +3,7 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -43,7 +44,7 @@
     private final Map<String, Endpoint> endpoints = new HashMap<>();
 
     private static final class Endpoint {
-        private final EndpointAnnouncement announced;
+        private EndpointAnnouncement announced;
         private final HttpClient client;
         private long expiryNanos;
 
@@ -77,6 +78,7 @@
             present = new Endpoint(announcement, client(announcement));
             endpoints.put(announcement.id(), present);
         }
+        present.announced = announcement;
         present.expiryNanos =
                 nowNanos + TimeUnit.MILLISECONDS.toNanos((long) KEPT_LIFETIMES * announcement.ttlMillis());
         return true;
@@ -99,6 +101,11 @@
                 .build();
     }
 
+    /** Lists the endpoints that are known, on the event loop. */
+    List<EndpointAnnouncement> known() {
+        return endpoints.values().stream().map(endpoint -> endpoint.announced).toList();
+    }
+
     /** Forgets an endpoint, on the event loop; requests that are under way go on. */
     void left(String id) {
         Endpoint endpoint = endpoints.remove(id);
--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/EndpointRegistry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/EndpointRegistry.java
@@ -1,5 +1,8 @@
 package org.knapweedmount.daemon.agent;
 
+import java.util.Comparator;
+import java.util.List;
+
 import io.vertx.core.Context;
 import org.knapweedmount.core.agent.EndpointAnnouncement;
 import org.knapweedmount.daemon.runtime.DecisionQueue;
@@ -29,6 +32,18 @@
                 && queue.offer((module, nowNanos) -> module.core().endpointAnnounced(endpoint, nowNanos));
     }
 
+    /** Lists the endpoints that are known, by id. */
+    List<EndpointAnnouncement> known() {
+        return client.known().stream()
+                .sorted(Comparator.comparing(EndpointAnnouncement::id))
+                .toList();
+    }
+
+    /** Counts the tasks that were sent to endpoints and have not ended. */
+    int running() {
+        return client.running();
+    }
+
     boolean left(String id) {
         return queue.offer((module, nowNanos) -> {
             module.core().endpointLeft(id, nowNanos);
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/EndpointWriter.java
@@ -0,0 +1,33 @@
+package org.knapweedmount.daemon.agent;
+
+import java.util.List;
+
+import org.knapweedmount.core.agent.EndpointAnnouncement;
+import org.knapweedmount.daemon.http.HttpAnswer;
+import org.knapweedmount.daemon.http.JsonOutput;
+
+/** Writes for operators which endpoints an agent knows. */
+final class EndpointWriter {
+    private static final int OK = 200;
+
+    private EndpointWriter() {}
+
+    static HttpAnswer write(List<EndpointAnnouncement> endpoints, int running) {
+        return HttpAnswer.of(OK, HttpAnswer.JSON, JsonOutput.object(json -> {
+            json.writeNumberField("running", running);
+            json.writeArrayFieldStart("endpoints");
+            for (EndpointAnnouncement endpoint : endpoints) {
+                json.writeStartObject();
+                json.writeStringField("id", endpoint.id());
+                json.writeStringField("service", endpoint.service());
+                json.writeStringField("host", endpoint.host());
+                json.writeNumberField("port", endpoint.port());
+                json.writeNumberField("slots", endpoint.slots());
+                json.writeNumberField("connections", endpoint.connections());
+                json.writeNumberField("ttlMillis", endpoint.ttlMillis());
+                json.writeEndObject();
+            }
+            json.writeEndArray();
+        }));
+    }
+}
--- a/daemon/src/test/java/org/knapweedmount/daemon/agent/AgentProcessTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/agent/AgentProcessTest.java
@@ -36,6 +36,7 @@
 import org.knapweedmount.api.message.Peers;
 import org.knapweedmount.api.message.Start;
 import org.knapweedmount.core.agent.AgentLimits;
+import org.knapweedmount.daemon.runtime.Polling;
 import org.knapweedmount.daemon.runtime.StartException;
 import org.knapweedmount.daemon.settings.AgentSettings;
 import org.knapweedmount.daemon.settings.HostPort;
@@ -160,6 +161,20 @@
         }
     }
 
+    @Test
+    void endpointsAreListedUntilTheyLeave() {
+        announce();
+        assertThat(
+                get("/v1/endpoints"),
+                is("{\"running\":0,\"endpoints\":[{\"id\":\"desk-1\",\"service\":\"stock-desk\",\"host\":\"127.0.0.1\","
+                        + "\"port\":" + endpoint.actualPort()
+                        + ",\"slots\":1,\"connections\":2,\"ttlMillis\":60000}]}"));
+
+        status(HttpMethod.DELETE, "/v1/endpoints/desk-1", "");
+
+        Polling.until(() -> get("/v1/endpoints").equals("{\"running\":0,\"endpoints\":[]}"));
+    }
+
     @Test
     void requestsThatAreNotAllowedAreRefused() {
         assertThat(status(HttpMethod.PUT, "/v1/endpoints/desk-1", "{\"slots\": 0}"), is(400));
