--- a/cli/src/main/java/org/knapweedmount/cli/JobCancelCommand.java
+++ b/cli/src/main/java/org/knapweedmount/cli/JobCancelCommand.java
@@ -14,7 +14,7 @@
 
     @Override
     public ExitCode run(Session session) throws CliException {
-        ApiAnswer answer = session.callers().send(ApiRequest.of("DELETE", path()));
+        ApiAnswer answer = session.callers().send(request("DELETE", ""));
         return session.show(answer, body -> body.isEmpty() ? "cancelled\n" : body + "\n");
     }
 }
--- a/cli/src/main/java/org/knapweedmount/cli/JobStatusCommand.java
+++ b/cli/src/main/java/org/knapweedmount/cli/JobStatusCommand.java
@@ -19,7 +19,6 @@
 
     @Override
     public ExitCode run(Session session) throws CliException {
-        ApiRequest request = ApiRequest.of("GET", path() + (wait ? "?wait=true" : ""));
-        return JobText.show(session, session.callers().send(request));
+        return JobText.show(session, session.callers().send(request("GET", wait ? "?wait=true" : "")));
     }
 }
--- a/cli/src/test/java/org/knapweedmount/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/knapweedmount/cli/CommandLineTest.java
@@ -13,6 +13,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -41,6 +42,8 @@
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
     private final ByteArrayOutputStream err = new ByteArrayOutputStream();
     private final List<String> requests = new CopyOnWriteArrayList<>();
+    private final List<String> teams = new CopyOnWriteArrayList<>();
+    private final List<String> firstAttempts = new CopyOnWriteArrayList<>();
     private final Map<String, Prepared> answers = new ConcurrentHashMap<>();
     private HttpServer entry;
 
@@ -133,6 +136,31 @@
         assertThat(run("call", "desk", "a"), is(ExitCode.REFUSED));
     }
 
+    @Test
+    void aProblemDocumentOfTheEndpointIsPrintedAsTheAnswer() {
+        String body = "{\"type\":\"urn:shop:no-such-lens\",\"title\":\"No such lens\"}";
+        answers.put("POST /v1/services/desk/a", new Prepared(404, "failed", "application/problem+json", body));
+        assertThat(run("call", "desk", "a"), is(ExitCode.FAILED));
+        assertThat(text(out), is(body + "\n"));
+        assertThat(text(err), containsString("failed with status 404"));
+    }
+
+    @Test
+    void aFailedJobTellsHowEachTaskEnded() {
+        String body =
+                "{\"type\":\"urn:knapweedmount:problem:task-failed\",\"outcome\":\"failed\",\"reason\":\"task-failed\","
+                        + "\"detail\":\"task 1 failed\",\"tasks\":[{\"outcome\":\"complete\",\"reason\":\"none\",\"status\":200},"
+                        + "{\"outcome\":\"failed\",\"reason\":\"task-failed\",\"status\":404,\"body\":\"no lens\"}]}";
+        answers.put("GET /v1/jobs/mine", new Prepared(502, "failed", "application/problem+json", body));
+        assertThat(run("job", "status", "mine"), is(ExitCode.FAILED));
+        assertThat(text(err), is("failed: task-failed: task 1 failed\n"));
+        assertThat(text(out), is("""
+                task  outcome   reason       status  body
+                0     complete  none         200
+                1     failed    task-failed  404     no lens
+                """));
+    }
+
     @Test
     void aJobGetsAnIdBeforeItIsSubmitted() throws IOException {
         prepare("POST /v1/submission-ids?count=1", 200, "", "{\"ids\":[\"" + ID + "\"]}");
@@ -153,6 +181,56 @@
         assertThat(run("job", "status", "mine"), is(ExitCode.PENDING));
     }
 
+    @Test
+    void aKeyOfTheCallersOwnIsAskedForWithItsTeam() {
+        prepare("GET /v1/jobs/mine", 202, "", "{\"state\":\"pending\"}");
+        prepare("DELETE /v1/jobs/mine", 200, "complete", "{}");
+        run("job", "status", "mine", "--team", "lamps");
+        run("job", "cancel", "mine", "--team", "lamps");
+        assertThat(teams, is(List.of("lamps", "lamps")));
+    }
+
+    @Test
+    void aJobWithANewIdIsAFirstAttempt() throws IOException {
+        prepare("POST /v1/submission-ids?count=1", 200, "", "{\"ids\":[\"new\"]}");
+        run("job", "submit", file("{}").toString());
+        run("job", "submit", file("{}").toString(), "--id", "mine");
+        run("job", "submit", file("{}").toString(), "--id", "mine", "--first-attempt");
+        assertThat(firstAttempts, is(List.of("PUT /v1/jobs/new", "PUT /v1/jobs/mine")));
+    }
+
+    @Test
+    void statusShowsTheSharesAndQuotas() {
+        prepare("GET /v1/status", 200, "", """
+                {"shares":[{"service":"desk","kind":"find","weight":3.0,"share":0.75,"shortTask":true}],
+                 "teams":[{"team":"lamps","weight":1.0,"quotaShare":0.5}]}""");
+        assertThat(run("status"), is(ExitCode.OK));
+        assertThat(
+                text(out), containsString("service  kind  weight  share  short\ndesk     find  3.0     75%    true\n"));
+        assertThat(text(out), containsString("team   weight  quota\nlamps  1.0     50%\n"));
+    }
+
+    @Test
+    void statusOfAnAgentListsItsEndpoints() {
+        prepare("GET /v1/endpoints", 200, "", """
+                {"running":3,"endpoints":[{"id":"desk-1","service":"desk","host":"10.0.0.7","port":80,
+                 "slots":8,"connections":64,"ttlMillis":900}]}""");
+        String address = "127.0.0.1:" + entry.getAddress().getPort();
+        assertThat(run("status", "--agent", address), is(ExitCode.OK));
+        assertThat(text(out), is("""
+                endpoint  service  address      slots  connections  time to live ms
+                desk-1    desk     10.0.0.7:80  8      64           900
+                tasks that run: 3
+                """));
+    }
+
+    @Test
+    void errorsAreJsonTooIfAskedFor() throws IOException {
+        Path settings = file("{\n\"role\": \"guest\"}");
+        assertThat(run("settings", "check", settings.toString(), "--json"), is(ExitCode.USAGE));
+        assertThat(text(out), containsString("\"exitCode\":2}"));
+    }
+
     @Test
     void statusWaitsForATicketAtEveryProcess() {
         String status =
@@ -225,6 +303,11 @@
     private void answer(HttpExchange exchange) throws IOException {
         String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
         String call = exchange.getRequestMethod() + " " + exchange.getRequestURI();
+        Optional.ofNullable(exchange.getRequestHeaders().getFirst("Knapweedmount-Team"))
+                .ifPresent(teams::add);
+        if ("true".equals(exchange.getRequestHeaders().getFirst("Knapweedmount-First-Attempt"))) {
+            firstAttempts.add(call);
+        }
         requests.add(call + " " + exchange.getRequestHeaders().getFirst("Authorization") + " " + body);
         Prepared prepared = answers.getOrDefault(call, new Prepared(404, "", "text/plain", ""));
         exchange.getResponseHeaders().add("Content-Type", prepared.contentType);
--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentApi.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentApi.java
@@ -68,7 +68,7 @@
     Future<HttpServer> listen(String host, int port) {
         return context.owner()
                 .createHttpServer(ServerOptions.of(limits).setHost(host).setPort(port))
-                .connectionHandler(new ConnectionLimit(limits.maxConnections(), counters))
+                .connectionHandler(ConnectionLimit.of(limits, counters))
                 .requestHandler(this::handle)
                 .listen();
     }
@@ -89,6 +89,7 @@
             case "/healthz" -> text(OK, "ok\n");
             case "/readyz" -> readiness();
             case "/metrics" -> text(OK, pages.metrics());
+            case "/v1/endpoints" -> EndpointWriter.write(registry.known(), registry.running());
             default -> fault(HttpFault.NOT_FOUND, "");
         };
     }
--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentStarter.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentStarter.java
@@ -28,6 +28,8 @@
 import org.knapweedmount.daemon.metrics.ProcessMetrics;
 import org.knapweedmount.daemon.runtime.DecisionLoop;
 import org.knapweedmount.daemon.runtime.NanoClock;
+import org.knapweedmount.daemon.runtime.ProcessEvent;
+import org.knapweedmount.daemon.runtime.ProcessLife;
 import org.knapweedmount.daemon.runtime.ProcessStarter;
 import org.knapweedmount.daemon.runtime.RetryingQueue;
 import org.knapweedmount.daemon.runtime.StartException;
@@ -53,6 +55,7 @@
     private final Counters<TableCounter> tableCounters = new Counters<>(TableCounter.class);
     private final Invariants invariants =
             Invariants.counting(statement -> Logger.error("invariant violated: {}", statement));
+    private final ProcessLife life = new ProcessLife(invariants);
     private final ProcessMetrics metrics = new ProcessMetrics();
 
     /** Creates a starter, which starts one agent. */
@@ -110,7 +113,7 @@
         AgentOutputs outputs = new AgentOutputs(links, endpoints, results);
         AgentCore core = new AgentCore(settings.limits(), self, config, outputs, decided, invariants);
         loop.start(new AgentModule(core, config, links, appliedNumber));
-        AgentReadiness readiness = new AgentReadiness(table::linkCount, metrics::text);
+        AgentReadiness readiness = new AgentReadiness(life, table::linkCount, metrics::text);
         bindMetrics(loop, table, endpoints);
         HttpServer server = listen(settings, context, readiness, new EndpointRegistry(context, endpoints, loop, clock));
         Logger.info("endpoints are served at {}:{}", settings.http().host(), server.actualPort());
@@ -118,8 +121,9 @@
         EntryFinder finder = new EntryFinder(vertx, tables(settings, context), clock, table::know, random.nextLong());
         context.runOnContext(ignored -> finder.start());
         ticker.start();
-        return new AgentProcess(new AgentParts(
-                settings, clock, vertx, loop, results, ticker, table, finder, endpoints, readiness, server));
+        life.step(ProcessEvent.STARTED);
+        return new AgentProcess(
+                new AgentParts(settings, clock, vertx, loop, results, ticker, table, finder, endpoints, life, server));
     }
 
     private static AdaptiveTicker<AgentModule> ticker(Context context, DecisionLoop<AgentModule> loop) {
@@ -135,8 +139,11 @@
     private HttpServer listen(
             AgentSettings settings, Context context, AgentReadiness readiness, EndpointRegistry registry)
             throws ExecutionException, TimeoutException, InterruptedException {
-        HttpLimits limits =
-                HttpLimits.of(settings.http().maxBodyBytes(), settings.http().maxConnections(), MAX_JOB_TASKS);
+        HttpLimits limits = HttpLimits.of(
+                settings.http().maxBodyBytes(),
+                settings.http().maxConnections(),
+                settings.http().maxConnectionsPerCaller(),
+                MAX_JOB_TASKS);
         AgentApi api = new AgentApi(context, limits, registry, readiness, requests);
         Promise<HttpServer> listening = Promise.promise();
         context.runOnContext(ignored ->
--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/EndpointClient.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/EndpointClient.java
@@ -3,6 +3,7 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -21,6 +22,7 @@
 import org.knapweedmount.api.TaskResult;
 import org.knapweedmount.api.TaskSpec;
 import org.knapweedmount.core.agent.EndpointAnnouncement;
+import org.knapweedmount.daemon.http.ConnectionFailures;
 
 /**
  * Sends tasks to endpoints, each over as many connections as it has announced.
@@ -42,7 +44,7 @@
     private final Map<String, Endpoint> endpoints = new HashMap<>();
 
     private static final class Endpoint {
-        private final EndpointAnnouncement announced;
+        private EndpointAnnouncement announced;
         private final HttpClient client;
         private long expiryNanos;
 
@@ -76,6 +78,7 @@
             present = new Endpoint(announcement, client(announcement));
             endpoints.put(announcement.id(), present);
         }
+        present.announced = announcement;
         present.expiryNanos =
                 nowNanos + TimeUnit.MILLISECONDS.toNanos((long) KEPT_LIFETIMES * announcement.ttlMillis());
         return true;
@@ -91,7 +94,16 @@
                 .setTcpNoDelay(true);
         PoolOptions pool =
                 new PoolOptions().setHttp1MaxSize(announcement.connections()).setMaxWaitQueueSize(announcement.slots());
-        return vertx.createHttpClient(options, pool);
+        return vertx.httpClientBuilder()
+                .with(options)
+                .with(pool)
+                .withConnectHandler(ConnectionFailures.INSTANCE)
+                .build();
+    }
+
+    /** Lists the endpoints that are known, on the event loop. */
+    List<EndpointAnnouncement> known() {
+        return endpoints.values().stream().map(endpoint -> endpoint.announced).toList();
     }
 
     /** Forgets an endpoint, on the event loop; requests that are under way go on. */
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryBuilder.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryBuilder.java
@@ -29,6 +29,8 @@
 import org.knapweedmount.daemon.runtime.DecisionLoop;
 import org.knapweedmount.daemon.runtime.DecisionQueue;
 import org.knapweedmount.daemon.runtime.NanoClock;
+import org.knapweedmount.daemon.runtime.ProcessEvent;
+import org.knapweedmount.daemon.runtime.ProcessLife;
 import org.knapweedmount.daemon.runtime.RetryingQueue;
 import org.knapweedmount.daemon.runtime.Ticker;
 import org.knapweedmount.daemon.settings.EntrySettings;
@@ -65,6 +67,7 @@
     private final ProcessMetrics metrics = new ProcessMetrics();
     private final Invariants invariants =
             Invariants.counting(statement -> Logger.error("invariant violated: {}", statement));
+    private final ProcessLife life = new ProcessLife(invariants);
     private final AtomicLong appliedNumber = new AtomicLong();
     private final AuditLog audit =
             new AuditLog(MAX_AUDIT_EVENTS, () -> Instant.now().toString());
@@ -83,6 +86,7 @@
         this.httpLimits = HttpLimits.of(
                 settings.http().maxBodyBytes(),
                 settings.http().maxConnections(),
+                settings.http().maxConnectionsPerCaller(),
                 settings.limits().maxJobTasks());
         this.pending = new PendingRequests(httpLimits.maxPending(), counters.http());
     }
@@ -90,14 +94,14 @@
     EntryProcess build() throws ParseException, ExecutionException, TimeoutException, InterruptedException {
         OperatorTokens tokens = OperatorTokens.read(settings.operators().tokenFile());
         EntryStore store = store();
-        Readiness readiness = new Readiness(store.tickets()::isLoaded, metrics::text);
-        EntryDrain drain = new EntryDrain(vertx, readiness, results, graceMillis());
+        Readiness readiness = new Readiness(life, store.tickets()::isLoaded, metrics::text);
+        EntryDrain drain = new EntryDrain(vertx, life, results, graceMillis());
         LinkTable<EntryModule> linkTable = linkTable();
         PeerAddress self = listenForLinks(linkTable);
         startDecisions(linkTable, self, store, readiness);
         bindMetrics(linkTable);
         if (!await(store.tickets().start())) {
-            Logger.warn("starting while the table service is not available");
+            Logger.warn("starting without the configuration of the table service, which does not answer");
         }
         settings.peers().forEach(linkTable::dial);
         EntryPorts ports = ports(self, store, readiness, drain, tokens);
@@ -110,10 +114,12 @@
                 known -> loop.offer((module, now) -> module.listed(known)));
         store.announce(announcement, directory);
         Ticker<EntryModule> ticker = Ticker.start(vertx, TICK_MILLIS, loop, EntryModule::tick);
+        life.step(ProcessEvent.STARTED);
         return new EntryProcess(new EntryParts(
                 settings,
                 clock,
                 vertx,
+                life,
                 self,
                 loop,
                 ticker,
@@ -136,7 +142,8 @@
                 settings.name(),
                 () -> Instant.now().toString(),
                 audit,
-                (accepted, from) -> results.add((module, now) -> module.apply(accepted, from, now)));
+                (accepted, from) -> results.add((module, now) -> module.apply(accepted, from, now)),
+                invariants);
         return new EntryStore(context, tables, claims, tickets);
     }
 
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/StatusWriter.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/StatusWriter.java
@@ -35,6 +35,7 @@
         return HttpAnswer.of(OK, HttpAnswer.JSON, JsonOutput.object(json -> {
             json.writeStringField("incarnation", self.toString());
             json.writeStringField("role", Role.ENTRY.name().toLowerCase(Locale.ROOT));
+            json.writeStringField("state", readiness.state().text());
             json.writeBooleanField("ready", readiness.notReadyReason().isEmpty());
             json.writeBooleanField("draining", readiness.draining());
             json.writeNumberField("configNumber", numbers.appliedNumber());
@@ -53,6 +54,7 @@
                 writeQueue(json, queue);
             }
             json.writeEndArray();
+            ShareWriter.write(json, numbers.config());
             json.writeObjectFieldStart("counters");
             writeCounters(json);
             json.writeEndObject();
--- a/daemon/src/main/java/org/knapweedmount/daemon/ticket/TicketService.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/ticket/TicketService.java
@@ -10,6 +10,7 @@
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.config.ConfigKey;
 import org.knapweedmount.api.config.Ticket;
+import org.knapweedmount.core.metric.Invariants;
 import org.knapweedmount.core.ticket.TicketAnswer;
 import org.knapweedmount.daemon.store.ListResult;
 import org.knapweedmount.daemon.store.ReadResult;
@@ -23,6 +24,7 @@
  */
 public final class TicketService {
     private static final int POLL_MILLIS = 1_000;
+    private static final int START_READS = 3;
     private static final int MAX_WAITING = 100;
 
     private final Context context;
@@ -30,6 +32,7 @@
     private final String entry;
     private final Supplier<String> wallClock;
     private final AuditLog audit;
+    private final Invariants invariants;
     private final TicketSync sync;
     private Future<TicketAnswer> lastRun = Future.succeededFuture(new TicketAnswer.NotAccepted());
     private int waiting;
@@ -44,14 +47,22 @@
      * @param wallClock gives the present time in the form of ISO 8601, for the audit trail alone
      * @param audit notes what was accepted and refused
      * @param sink puts tickets in force and passes them on
+     * @param invariants checks of the program itself
      */
     public TicketService(
-            Context context, Tables tables, String entry, Supplier<String> wallClock, AuditLog audit, ConfigSink sink) {
+            Context context,
+            Tables tables,
+            String entry,
+            Supplier<String> wallClock,
+            AuditLog audit,
+            ConfigSink sink,
+            Invariants invariants) {
         this.context = context;
         this.tables = tables;
         this.entry = entry;
         this.wallClock = wallClock;
         this.audit = audit;
+        this.invariants = invariants;
         this.sync = new TicketSync(tables, sink);
     }
 
@@ -63,10 +74,15 @@
     public Future<Boolean> start() {
         return onContext(ignored -> {
             timer = context.owner().setPeriodic(POLL_MILLIS, fired -> sync.sync());
-            return sync.sync();
+            return firstSync(START_READS);
         });
     }
 
+    /** Reads the tickets, again if the first reads of a process that has just begun take too long. */
+    private Future<Boolean> firstSync(int reads) {
+        return sync.sync().compose(read -> read || reads == 1 ? Future.succeededFuture(read) : firstSync(reads - 1));
+    }
+
     /**
      * Tells whether this process has been told a configuration.
      *
@@ -105,7 +121,8 @@
             }
             waiting++;
             TicketOrigin origin = new TicketOrigin(token, entry, wallClock.get());
-            Future<TicketAnswer> run = lastRun.compose(done -> new TicketRun(tables, sync, ticket, origin).run())
+            Future<TicketAnswer> run = lastRun.compose(
+                            done -> new TicketRun(tables, sync, ticket, origin, invariants).run())
                     .recover(TicketService::failure);
             lastRun = run;
             return run.onComplete(ended -> waiting--).onSuccess(answer -> note(ticket, token, answer));
--- a/daemon/src/test/java/org/knapweedmount/daemon/entry/EntryProcessTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/entry/EntryProcessTest.java
@@ -86,6 +86,10 @@
 
         Polling.until(() -> status(second).path("configNumber").asLong() >= 7);
         assertThat(putTicket(second, 6).status, is(409));
+        JsonNode kind = status(second).path("shares").get(0);
+        assertThat(kind.path("kind").asText() + " " + kind.path("share").asText(), is("check 1.0"));
+        assertThat(status(second).path("teams").get(0).path("quotaShare").asText(), is("1.0"));
+        assertThat(status(second).path("state").asText(), is("serving"));
     }
 
     @Test
@@ -121,10 +125,7 @@
     void requestRunsOnceHoweverOftenItsKeyIsSent() throws Exception {
         EntryProcess first = start("entry-1", List.of());
         EntryProcess second = start("entry-2", List.of(new HostPort(HOST, first.linkPort())));
-        putTicket(first, 1);
-        EchoAgent agent = agent(first, second);
-        Polling.until(() -> status(second).path("entries").size() >= 1);
-        Polling.until(() -> status(second).path("configNumber").asLong() >= 1);
+        EchoAgent agent = serve(first, second);
 
         Answer once = call(first, "payment-1");
         Answer again = call(first, "payment-1");
@@ -138,6 +139,55 @@
         agent.close();
     }
 
+    @Test
+    void statusAndCancelReachASubmissionThroughAnotherEntry() throws Exception {
+        EntryProcess first = start("entry-1", List.of());
+        EntryProcess second = start("entry-2", List.of(new HostPort(HOST, first.linkPort())));
+        EchoAgent agent = serve(first, second);
+        String id = issuedId(first);
+
+        for (String key : List.of(id, "order-1")) {
+            Answer answer = job(first, HttpMethod.PUT, key);
+            assertThat(answer.status, is(200));
+            assertThat(job(second, HttpMethod.PUT, key), is(answer));
+            assertThat(job(second, HttpMethod.GET, key), is(answer));
+            assertThat(job(second, HttpMethod.DELETE, key), is(answer));
+        }
+        assertThat(agent.starts(), is(2));
+        agent.close();
+    }
+
+    @Test
+    void idThatIsCancelledThroughAnotherEntryIsNeverStarted() throws Exception {
+        EntryProcess first = start("entry-1", List.of());
+        EntryProcess second = start("entry-2", List.of(new HostPort(HOST, first.linkPort())));
+        EchoAgent agent = serve(first, second);
+        String id = issuedId(first);
+
+        Answer cancelled = job(second, HttpMethod.DELETE, id);
+        Answer submitted = job(first, HttpMethod.PUT, id);
+
+        assertThat(cancelled.status, is(409));
+        assertThat(cancelled.json().path("outcome").asText(), is("not-run"));
+        assertThat(submitted, is(cancelled));
+        assertThat(agent.starts(), is(0));
+        assertThat(job(second, HttpMethod.GET, "unused").status, is(404));
+        agent.close();
+    }
+
+    private Answer job(EntryProcess entry, HttpMethod method, String key) throws Exception {
+        String job = method.equals(HttpMethod.PUT) ? "{\"service\": \"dues\", \"tasks\": [{\"path\": \"/pay\"}]}" : "";
+        return send(entry.callerPort(), method, "/v1/jobs/" + key, job);
+    }
+
+    private EchoAgent serve(EntryProcess first, EntryProcess second) throws Exception {
+        putTicket(first, 1);
+        EchoAgent agent = agent(first, second);
+        Polling.until(() -> status(second).path("entries").size() >= 1);
+        Polling.until(() -> status(second).path("configNumber").asLong() >= 1);
+        return agent;
+    }
+
     @Test
     void regionsShareTicketsAndAnswersWithoutPermanentLinks() throws Exception {
         EntryProcess first = start("entry-1", "north", List.of());
@@ -145,9 +195,7 @@
         putTicket(first, 1);
         EchoAgent agent = EchoAgent.inRegion(vertx, "north", "dues", new HostPort(HOST, first.linkPort()));
         awaitReady(first);
-        while (status(second).path("configNumber").asLong() < 1) {
-            Thread.onSpinWait();
-        }
+        Polling.until(() -> status(second).path("configNumber").asLong() >= 1);
         assertThat(linkedTotal(second), is("0.0"));
         String id = issuedId(first);
 
@@ -172,6 +220,21 @@
                 .orElseThrow();
     }
 
+    @Test
+    void failedRequestGetsTheEndpointsAnswerAtEveryEntry() throws Exception {
+        EntryProcess first = start("entry-1", List.of());
+        EntryProcess second = start("entry-2", List.of(new HostPort(HOST, first.linkPort())));
+        EchoAgent agent = serve(first, second);
+
+        Answer once = call(first, "refund-1", EchoAgent.FAILING_PATH);
+        Answer elsewhere = call(second, "refund-1", EchoAgent.FAILING_PATH);
+
+        assertThat(once, is(new Answer(422, "7 euro")));
+        assertThat(elsewhere, is(once));
+        assertThat(agent.starts(), is(1));
+        agent.close();
+    }
+
     @Test
     void keyIsNotRunWhileItCannotBeClaimed() throws Exception {
         EntryProcess entry = start("entry-1", List.of());
@@ -201,9 +264,7 @@
     }
 
     private void awaitReady(EntryProcess entry) throws Exception {
-        while (send(entry.callerPort(), HttpMethod.GET, "/readyz", "").status != 200) {
-            Thread.onSpinWait();
-        }
+        Polling.until(() -> send(entry.callerPort(), HttpMethod.GET, "/readyz", "").status == 200);
     }
 
     private String issuedId(EntryProcess entry) throws Exception {
@@ -212,7 +273,11 @@
     }
 
     private Answer call(EntryProcess entry, String key) throws Exception {
-        RequestOptions options = options(entry.callerPort(), HttpMethod.POST, "/v1/services/dues/pay")
+        return call(entry, key, "/pay");
+    }
+
+    private Answer call(EntryProcess entry, String key, String path) throws Exception {
+        RequestOptions options = options(entry.callerPort(), HttpMethod.POST, "/v1/services/dues" + path)
                 .putHeader("Idempotency-Key", key);
         return send(options, "7 euro");
     }
--- a/daemon/src/test/java/org/knapweedmount/daemon/ticket/TicketServiceTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/ticket/TicketServiceTest.java
@@ -10,12 +10,15 @@
 import io.vertx.core.Vertx;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.config.KindConfig;
 import org.knapweedmount.api.config.TeamConfig;
 import org.knapweedmount.api.config.Ticket;
 import org.knapweedmount.core.config.ConfigState;
+import org.knapweedmount.core.metric.Invariants;
 import org.knapweedmount.core.ticket.AuditEntry;
 import org.knapweedmount.core.ticket.TicketAnswer;
 import org.knapweedmount.daemon.store.FakeTables;
@@ -45,7 +48,7 @@
         private final TicketService service;
 
         Entry(String name) {
-            service = new TicketService(context, tables, name, () -> "now", audit, this);
+            service = new TicketService(context, tables, name, () -> "now", audit, this, Invariants.fatal());
         }
 
         @Override
@@ -80,6 +83,16 @@
         assertThat(second.quota(), is(Optional.of(0.7)));
     }
 
+    @ParameterizedTest
+    @CsvSource({"1, true", "2, true", "3, false"})
+    void startReadsAgainBeforeItTakesTheServiceForUnavailable(int failingReads, boolean read) throws Exception {
+        first.accept(ticket(3, 0.5));
+        tables.failNextReads(failingReads);
+
+        assertThat(await(second.service.start()), is(read));
+        assertThat(second.quota(), is(read ? Optional.of(0.5) : Optional.empty()));
+    }
+
     @Test
     void lowerNumberIsRefusedAtAnyEntry() throws Exception {
         first.accept(ticket(5, 0.5));
