--- a/bin/lib/site.sh
+++ b/bin/lib/site.sh
@@ -221,3 +221,16 @@
   [[ $code -ne 0 ]] || rm -rf "$dir"
   exit "$code"
 }
+
+# Lets the processes compile what they need before a measurement: a young process spends more time on compiling than on
+# requests. Sends 400 requests a second for WARMING_SECONDS: warm_up FLOW...
+warm_up() {
+  local flow options=()
+  for flow in "$@"; do
+    options+=(--flow "$flow")
+  done
+  step "warming up for ${WARMING_SECONDS:-40} s"
+  "$root/bin/standin" load --entries "$(entry_callers)" "${options[@]}" --rate 400 \
+    --seconds "${WARMING_SECONDS:-40}" --connections 1000 --seed 2 >"$dir/warming.log" \
+    || fail "the load found wrong answers"
+}
--- a/core/src/main/java/org/knapweedmount/core/agent/EndpointState.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/EndpointState.java
@@ -16,11 +16,6 @@
     },
     /** Set aside after repeated failures; it gets no task until the pause has ended. */
     PAUSED {
-        @Override
-        int usable(int slots) {
-            return 0;
-        }
-
         @Override
         int advertised(int slots) {
             return 1;
@@ -39,33 +34,17 @@
         }
     },
     /** Gone from the announcements, with tasks that still run. */
-    LEAVING {
-        @Override
-        int usable(int slots) {
-            return 0;
-        }
-
-        @Override
-        int advertised(int slots) {
-            return 0;
-        }
-    },
+    LEAVING,
     /** Gone, with nothing running. */
-    GONE {
-        @Override
-        int usable(int slots) {
-            return 0;
-        }
-
-        @Override
-        int advertised(int slots) {
-            return 0;
-        }
-    };
+    GONE;
 
-    /** Returns how many tasks may run at a time. */
-    abstract int usable(int slots);
+    /** Returns how many tasks may run at a time, none unless the state overrides it. */
+    int usable(int slots) {
+        return 0;
+    }
 
-    /** Returns how many slots entries are told of. */
-    abstract int advertised(int slots);
+    /** Returns how many slots entries are told of, none unless the state overrides it. */
+    int advertised(int slots) {
+        return 0;
+    }
 }
--- a/core/src/main/java/org/knapweedmount/core/agent/RunningTask.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/RunningTask.java
@@ -111,8 +111,8 @@
         requestAtFault = EndpointVerdict.of(result) == EndpointVerdict.NONE;
     }
 
-    /** Tells whether it ended for a reason that says nothing of the endpoint. */
-    boolean stopped() {
-        return stopped || requestAtFault;
+    /** Tells whether the way it ended is to be held for or against its endpoint. */
+    boolean judgesEndpoint() {
+        return !stopped && !requestAtFault;
     }
 }
--- a/core/src/main/java/org/knapweedmount/core/agent/ServicePool.java
+++ b/core/src/main/java/org/knapweedmount/core/agent/ServicePool.java
@@ -275,7 +275,7 @@
         }
         Endpoint endpoint = task.endpoint();
         endpoint.ended(task.endpointCharge());
-        if (!task.stopped() && endpoint.judged(result.outcome(), ports.limits(), nowNanos)) {
+        if (task.judgesEndpoint() && endpoint.judged(result.outcome(), ports.limits(), nowNanos)) {
             ports.counters().increment(AgentCounter.ENDPOINTS_SET_ASIDE);
         }
         endpoints.removeIfGone(endpoint);
