--- a/daemon/src/main/java/org/knapweedmount/daemon/link/Connections.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/link/Connections.java
@@ -38,11 +38,8 @@
  * <p>Used on one event loop.
  */
 final class Connections implements Outbox.Receiver {
-    private static final long HELLO_NANOS = TimeUnit.SECONDS.toNanos(5);
-    private static final long STALL_NANOS = TimeUnit.SECONDS.toNanos(2);
     private static final long PROVEN_NANOS = TimeUnit.SECONDS.toNanos(5);
     private static final long LOSS_RETRY_MILLIS = 10;
-    private static final int SILENT_HEARTBEATS = 10;
     private static final int TICKS_PER_HEARTBEAT = 4;
     private static final int PAUSE_TICKS = 4;
     private static final int BURST_FACTOR = 4;
@@ -54,6 +51,7 @@
     private final Counters<LinkCounter> counters;
     private final Listener listener;
     private final Dialer dialer;
+    private final LinkInspector inspector;
     private final MessageEncoder encoder = new MessageEncoder();
     private final MessageDecoder decoder = new MessageDecoder();
     private final Set<Link> open = new LinkedHashSet<>();
@@ -61,7 +59,6 @@
     private final List<Link> unflushed = new ArrayList<>();
     private final long heartbeatNanos;
     private final long tickNanos;
-    private final long idleNanos;
     private PeerAddress self;
     private Optional<NetServer> server = Optional.empty();
     private long lastTickNanos;
@@ -98,9 +95,9 @@
                 options.seed(),
                 this::reached,
                 (socket, target) -> opened(socket, Optional.of(target)));
+        this.inspector = new LinkInspector(self, options);
         this.heartbeatNanos = TimeUnit.MILLISECONDS.toNanos(options.heartbeatMillis());
         this.tickNanos = heartbeatNanos / TICKS_PER_HEARTBEAT;
-        this.idleNanos = TimeUnit.MILLISECONDS.toNanos(options.idleMillis());
     }
 
     /** Begins to send heartbeats and to look for silent links. */
@@ -308,32 +305,22 @@
     }
 
     private void inspect(Link link, long nowNanos) {
-        if (link.isCutOff() || link.stalled(options.maxQueuedBytes(), STALL_NANOS, nowNanos)) {
-            close(link, LinkCounter.CLOSED_OVERFLOW);
-            return;
-        }
-        if (nowNanos - link.lastReceivedNanos() > SILENT_HEARTBEATS * heartbeatNanos) {
-            close(link, LinkCounter.CLOSED_SILENT);
-            return;
-        }
-        if (link.peer().isEmpty()) {
-            if (nowNanos - link.openedNanos() > HELLO_NANOS) {
-                close(link, LinkCounter.CLOSED_HELLO);
-            }
-            return;
-        }
-        if (isRemote(link) && nowNanos - link.lastUsedNanos() > idleNanos) {
-            close(link, LinkCounter.CLOSED_IDLE);
-            link.target().ifPresent(dialer::settle);
+        Optional<LinkCounter> reason = inspector.reasonToClose(link, nowNanos);
+        if (reason.isPresent()) {
+            close(link, reason.get());
+            settleIdle(link, reason.get());
             return;
         }
-        if (nowNanos - link.lastSentNanos() >= heartbeatNanos) {
+        if (link.peer().isPresent() && nowNanos - link.lastSentNanos() >= heartbeatNanos) {
             write(link, new Heartbeat(configNumber.getAsLong()));
         }
     }
 
-    private boolean isRemote(Link link) {
-        return link.peer().filter(peer -> !self.sharesRegionWith(peer)).isPresent();
+    /** Keeps a link that is not needed at the moment from being opened again at once. */
+    private void settleIdle(Link link, LinkCounter reason) {
+        if (reason == LinkCounter.CLOSED_IDLE) {
+            link.target().ifPresent(dialer::settle);
+        }
     }
 
     private void close(Link link, LinkCounter reason) {
