Say why a settled task's result is not known

Cause: after a settlement, a task whose endpoint had broken off was reported as forgotten by an agent, although the agent knew exactly that its result is unknown.

Change: the answer takes the reason of the agent's report and names the task, as the issuer itself does. An agent that is not certain still makes the reason 'forgotten'.

Conclusion: the outcome was and is 'unknown'; the reason is now true.

--- a/core/src/main/java/org/knapweedmount/core/entry/SealReports.java
+++ b/core/src/main/java/org/knapweedmount/core/entry/SealReports.java
@@ -109,12 +109,28 @@
         if (verdicts.containsValue(TaskVerdict.RUNNING)) {
             return answer(Outcome.UNKNOWN, Reason.TIMEOUT, "a task is still running");
         }
-        if (!uncertain.isEmpty() || verdicts.containsValue(TaskVerdict.UNKNOWN)) {
+        if (!uncertain.isEmpty()) {
             return answer(Outcome.UNKNOWN, Reason.FORGOTTEN, "an agent no longer knows whether it ran it");
         }
+        if (verdicts.containsValue(TaskVerdict.UNKNOWN)) {
+            return unknown(verdicts);
+        }
         return concludeCertain(verdicts, tasks);
     }
 
+    /** Tells of the first task that may have run why its result is not known. */
+    private JobAnswer unknown(Map<Integer, TaskVerdict> verdicts) {
+        TaskReport report = tasksByAgent.values().stream()
+                .flatMap(List::stream)
+                .filter(candidate -> verdicts.get(candidate.task().index()) == TaskVerdict.UNKNOWN)
+                .filter(candidate -> TaskVerdict.of(candidate) == TaskVerdict.UNKNOWN)
+                .findFirst()
+                .orElseThrow();
+        Reason reason = report.result().map(TaskResult::reason).orElse(Reason.FORGOTTEN);
+        return answer(
+                Outcome.UNKNOWN, reason, "what became of task " + report.task().index() + " is not known");
+    }
+
     private JobAnswer concludeCertain(Map<Integer, TaskVerdict> verdicts, Optional<Integer> tasks) {
         if (verdicts.containsValue(TaskVerdict.FAILED)) {
             return tasks.map(this::failed).orElseGet(this::failed);
--- a/core/src/test/java/org/knapweedmount/core/entry/ForeignSubmissionTest.java
+++ b/core/src/test/java/org/knapweedmount/core/entry/ForeignSubmissionTest.java
@@ -175,6 +175,17 @@
         assertThat(entry.ending(request), is("UNKNOWN/FORGOTTEN"));
     }
 
+    @Test
+    void taskThatBrokeOffMakesTheOutcomeUnknownForItsOwnReason() {
+        loseIssuer();
+        long request = entry.submit(ID, JOB);
+
+        sealed(first, true, finished(0, TaskResult.of(Outcome.UNKNOWN, Reason.CONNECTION_LOST)));
+        sealed(second, true, finished(1, complete("2")));
+
+        assertThat(entry.ending(request), is("UNKNOWN/CONNECTION_LOST"));
+    }
+
     @Test
     void agentThatCannotBeReachedMakesTheOutcomeUnknownAfterTheTimeLimit() {
         loseIssuer();
