Run the flood of settlements once for its tests

Cause: FloodTest computed the same flood for three tests, and MeasuredFlow kept waits that follow from response and run time.

Change: the flood is a constant like the ordinary load; a completion holds response and run time.

Ruled out: nothing.

Conclusion: the expectations are the same.

--- a/core/src/test/java/org/knapweedmount/core/fleet/FloodTest.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/FloodTest.java
@@ -19,6 +19,7 @@
     private static final double MAX_SETTLEMENT_WAIT_MILLIS = 60_000;
 
     private static final FleetLoad ORDINARY = load(CHECKS_PER_SECOND, SETTLEMENTS_PER_SECOND);
+    private static final FleetLoad FLOOD_OF_SETTLEMENTS = load(CHECKS_PER_SECOND, 980);
 
     private static FleetLoad load(double checksPerSecond, double settlementsPerSecond) {
         return FleetLoad.of(SEED, FleetSite.DUES, SECONDS)
@@ -29,9 +30,8 @@
 
     @Test
     void checksKeepThroughputAndResponseTimeInAFloodOfSettlements() {
-        FleetLoad flood = load(CHECKS_PER_SECOND, 980);
+        MeasuredFlow checks = FLOOD_OF_SETTLEMENTS.flows().get(0);
 
-        MeasuredFlow checks = flood.flows().get(0);
         assertThat(checks.completeCount(), is(checks.sentCount()));
         double ordinaryMillis = ORDINARY.flows().get(0).responseMillis().at(0.99);
         assertThat(checks.responseMillis().at(0.99), is(lessThan(1.2 * ordinaryMillis)));
@@ -39,15 +39,16 @@
 
     @Test
     void aFloodUsesTheSlotsThatTheOtherKindsDoNotNeed() {
-        FleetLoad flood = load(CHECKS_PER_SECOND, 980);
+        double held = FLOOD_OF_SETTLEMENTS.flows().stream()
+                .mapToDouble(FLOOD_OF_SETTLEMENTS::slotsHeld)
+                .sum();
 
-        double held = flood.flows().stream().mapToDouble(flood::slotsHeld).sum();
         assertThat(held, is(greaterThan(0.8 * SLOTS)));
     }
 
     @Test
     void callersOfAllEntriesWaitForTheSameTime() {
-        MeasuredFlow settlements = load(CHECKS_PER_SECOND, 980).flows().get(1);
+        MeasuredFlow settlements = FLOOD_OF_SETTLEMENTS.flows().get(1);
 
         assertThat(settlements.responseMillis().at(0.99), is(lessThan(1.25 * MAX_SETTLEMENT_WAIT_MILLIS)));
     }
--- a/core/src/test/java/org/knapweedmount/core/fleet/MeasuredFlow.java
+++ b/core/src/test/java/org/knapweedmount/core/fleet/MeasuredFlow.java
@@ -14,8 +14,7 @@
     private final double perSecond;
     private final RunTime runTime;
     private final Random random;
-    private final List<Long> responseNanos = new ArrayList<>();
-    private final List<Long> waitNanos = new ArrayList<>();
+    private final List<Completion> completions = new ArrayList<>();
     private long ranNanos;
     private final List<Arrival> arrivals = new ArrayList<>();
 
@@ -27,6 +26,18 @@
      */
     record Arrival(long atNanos, long runNanos) {}
 
+    /**
+     * A request that was answered in full.
+     *
+     * @param responseNanos how long the caller waited
+     * @param runNanos for how long its task ran
+     */
+    private record Completion(long responseNanos, long runNanos) {
+        double ratio(long delaysNanos) {
+            return (double) responseNanos / (runNanos + delaysNanos);
+        }
+    }
+
     MeasuredFlow(String kind, String team, double perSecond, RunTime runTime, Random random) {
         this.kind = kind;
         this.team = team;
@@ -62,9 +73,8 @@
         ranNanos += runNanos;
     }
 
-    void complete(long response, long runNanos) {
-        responseNanos.add(response);
-        waitNanos.add(response - runNanos);
+    void complete(long responseNanos, long runNanos) {
+        completions.add(new Completion(responseNanos, runNanos));
     }
 
     List<Arrival> arrivals() {
@@ -76,7 +86,7 @@
     }
 
     int completeCount() {
-        return responseNanos.size();
+        return completions.size();
     }
 
     /** The total run time of the tasks that were completed while the load lasted, in ns. */
@@ -86,17 +96,15 @@
 
     /** Returns the quantiles of the response times of complete requests, in ms. */
     Quantiles responseMillis() {
-        return Quantiles.of(
-                responseNanos.stream().map(nanos -> nanos / NANOS_PER_MILLI).toList());
+        return Quantiles.of(completions.stream()
+                .map(completion -> completion.responseNanos() / NANOS_PER_MILLI)
+                .toList());
     }
 
     /** Returns the ratios of response time to ideal, which is the run time and two delays. */
     Quantiles ratios(long delaysNanos) {
-        List<Double> ratios = new ArrayList<>();
-        for (int index = 0; index < responseNanos.size(); index++) {
-            double idealNanos = responseNanos.get(index) - waitNanos.get(index) + delaysNanos;
-            ratios.add(responseNanos.get(index) / idealNanos);
-        }
-        return Quantiles.of(ratios);
+        return Quantiles.of(completions.stream()
+                .map(completion -> completion.ratio(delaysNanos))
+                .toList());
     }
 }
