Pass the present time to the end of the wait in status

Cause: StatusCommand read the clock in the function that decides when to stop waiting, and EntryBuilder had the wall clock of the audit trail twice.

Change: the present time is an argument; one method reads the wall clock.

Ruled out: the other reads found in the stand-ins: they measure or wait, at the edge where time enters.

Figures: the 31 tests of EntryProcessTest and CommandLineTest pass.

Conclusion: no change in behaviour.

--- a/cli/src/main/java/org/knapweedmount/cli/StatusCommand.java
+++ b/cli/src/main/java/org/knapweedmount/cli/StatusCommand.java
@@ -42,7 +42,7 @@
         }
         long startNanos = System.nanoTime();
         ApiAnswer answer = ask(session);
-        while (waits(answer) && millisSince(startNanos) < awaitMillis) {
+        while (waits(answer) && !timedOut(startNanos, System.nanoTime())) {
             pause();
             answer = ask(session);
         }
@@ -78,8 +78,8 @@
         return true;
     }
 
-    private static long millisSince(long startNanos) {
-        return Duration.ofNanos(System.nanoTime() - startNanos).toMillis();
+    private boolean timedOut(long startNanos, long nowNanos) {
+        return Duration.ofNanos(nowNanos - startNanos).toMillis() >= awaitMillis;
     }
 
     private static void pause() throws CliException {
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryBuilder.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryBuilder.java
@@ -69,8 +69,7 @@
             Invariants.counting(statement -> Logger.error("invariant violated: {}", statement));
     private final ProcessLife life = new ProcessLife(invariants);
     private final AtomicLong appliedNumber = new AtomicLong();
-    private final AuditLog audit =
-            new AuditLog(MAX_AUDIT_EVENTS, () -> Instant.now().toString());
+    private final AuditLog audit = new AuditLog(MAX_AUDIT_EVENTS, EntryBuilder::timestamp);
     private final DecisionLoop<EntryModule> loop;
     private final RetryingQueue<EntryModule> results;
     private final PendingRequests pending;
@@ -132,6 +131,11 @@
                 ports));
     }
 
+    /** Reads the wall clock for the audit trail, which no decision depends on. */
+    private static String timestamp() {
+        return Instant.now().toString();
+    }
+
     private EntryStore store() throws ExecutionException, TimeoutException, InterruptedException {
         Context context = await(EntryContexts.create(vertx));
         TableClient tables = tableClient(context);
@@ -140,7 +144,7 @@
                 context,
                 tables,
                 settings.name(),
-                () -> Instant.now().toString(),
+                EntryBuilder::timestamp,
                 audit,
                 (accepted, from) -> results.add((module, now) -> module.apply(accepted, from, now)),
                 invariants);
