Ask again at once for lost lists, and take the pace of workers from progress

A slow worker was noticed only by what had ended.

WorkerPace takes slowness from listed progress; agents report it, entries compare it with the median of the service. Connects to silent hosts time out after 400 ms and pause at most 800 ms.

--- a/api/src/main/java/org/knapweedmount/api/message/WorkerReport.java
+++ b/api/src/main/java/org/knapweedmount/api/message/WorkerReport.java
@@ -19,6 +19,7 @@
  * @param open true if the worker takes starts
  * @param ordersSeen the number of the last order of the entry that the free room takes into account
  * @param backlogElsewhere the work that other entries have queued, in milliseconds of a core
+ * @param pacePercent how long runs take on the worker at present, in percent of the expected time
  */
 public record WorkerReport(
         long stampNanos,
@@ -29,7 +30,8 @@
         Resources free,
         boolean open,
         long ordersSeen,
-        long backlogElsewhere)
+        long backlogElsewhere,
+        int pacePercent)
         implements Message {
     /** Copies the labels. */
     public WorkerReport {
--- a/api/src/main/java/org/knapweedmount/api/work/RunItem.java
+++ b/api/src/main/java/org/knapweedmount/api/work/RunItem.java
@@ -7,7 +7,7 @@
  *
  * @param ref the task and the number of the run
  * @param need the room that the run takes
- * @param expectedMillis how long the run is expected to take on this worker, in ms
+ * @param expectedMillis how long the run is expected to take on an ordinary worker, in ms
  * @param checkpoint where the run resumes from, empty to start from the beginning
  */
 public record RunItem(RunRef ref, Resources need, int expectedMillis, String checkpoint) {}
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -48,6 +48,7 @@
     private final HeldJobs held = new HeldJobs();
     private final JobBook jobs = new JobBook();
     private final Map<String, Resources> largest = new HashMap<>();
+    private OptionalLong lonelySinceNanos = OptionalLong.empty();
     private OptionalLong leavingByNanos = OptionalLong.empty();
 
     /**
@@ -107,7 +108,8 @@
         // Callers are spread over the entries, so that the others have about as much of the same queue ahead.
         int entries = 1 + held.peers().size();
         double ahead = jobs.workAhead(job, nowNanos) * entries / share;
-        Optional<Integer> refused = AdmissionRule.retryAfterMillis(job, ahead, own + elsewhere, cores, nowNanos);
+        Optional<Integer> refused = AdmissionRule.retryAfterMillis(
+                job, ahead, own + elsewhere, cores, lonelyNanos(cores, nowNanos), nowNanos);
         String inputs = "job=" + job.id() + " queue=" + request.queue().name() + " tasks="
                 + job.tasks().size() + " chain=" + (long) job.chainMillis() + " ahead=" + (long) ahead + " share="
                 + (long) (100 * share) + " elsewhere=" + elsewhere + " cores=" + (long) cores;
@@ -122,6 +124,18 @@
         place(service, nowNanos);
     }
 
+    /** Returns how long no worker has been open, in ns. */
+    private long lonelyNanos(double cores, long nowNanos) {
+        if (cores > 0) {
+            lonelySinceNanos = OptionalLong.empty();
+            return 0;
+        }
+        if (lonelySinceNanos.isEmpty()) {
+            lonelySinceNanos = OptionalLong.of(nowNanos);
+        }
+        return nowNanos - lonelySinceNanos.getAsLong();
+    }
+
     private boolean canFit(JobRequest request, String service) {
         Resources capacity = largest.get(service);
         return request.steps().stream().allMatch(step -> step.need().fits(capacity));
@@ -175,9 +189,8 @@
         Resources need = Resources.NONE;
         for (WorkTask task : tasks) {
             need = need.plus(task.step().need());
-            int expectedMillis = (int) (durations.expectedMillis(
-                            task.job().request().queue().name(), task.step().estimateMillis())
-                    * view.slowness());
+            int expectedMillis = (int) durations.expectedMillis(
+                    task.job().request().queue().name(), task.step().estimateMillis());
             RunItem item = new RunItem(task.ref(), task.step().need(), expectedMillis, task.checkpoint());
             items.computeIfAbsent(task.job(), none -> new ArrayList<>()).add(item);
         }
@@ -370,9 +383,7 @@
     private void done(WorkerView view, WorkTask task, RunEnd end, long nowNanos) {
         String queue = task.job().request().queue().name();
         int estimate = task.step().estimateMillis();
-        double expected = durations.expectedMillis(queue, estimate);
         durations.observe(queue, estimate, end.elapsedMillis() / view.slowness());
-        view.observe(end.elapsedMillis() / expected);
         task.end();
         task.job().release();
         if (task.job().done()) {
@@ -480,6 +491,7 @@
      * @param nowNanos the present time, in ns
      */
     public void tick(long nowNanos) {
+        workers.comparePaces();
         for (WorkerView view : List.copyOf(workers.all())) {
             if (nowNanos - view.reportNanos() > DispatchTimes.SURELY_ENDED_NANOS) {
                 forget(view, nowNanos);
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
@@ -14,9 +14,8 @@
 
 /** What an entry knows of a worker, by the reports of its agent and its own orders. */
 final class WorkerView {
-    private static final double WEIGHT = 0.1; // some ten runs decide
-    private static final double MIN_SLOWNESS = 0.3;
-    private static final double MAX_SLOWNESS = 20;
+    /** The ratio from which on a worker counts as slow; declared run times are off by up to 40%. */
+    private static final double MIN_SLOWNESS = 1.6;
 
     private final Incarnation agent;
     private final Map<String, WorkTask> ordered = new HashMap<>();
@@ -25,10 +24,10 @@
     private long reportNanos;
     private long renewedNanos;
     private long orders;
-    private double slowness = 1;
     private Optional<RoomDemand> demanded = Optional.empty();
     private long demandedNanos;
     private boolean linked = true;
+    private double slowness = 1;
 
     private record SentOrder(long number, Resources need) {}
 
@@ -57,10 +56,6 @@
     }
 
     void reported(WorkerReport newest, long nowNanos) {
-        boolean otherLife = report.isPresent() && !report.get().worker().equals(newest.worker());
-        if (otherLife) {
-            slowness = 1;
-        }
         report = Optional.of(newest);
         reportNanos = nowNanos;
         while (!unseen.isEmpty() && unseen.peek().number() <= newest.ordersSeen()) {
@@ -112,14 +107,20 @@
         return ordered.containsKey(ref.task()) && ordered.get(ref.task()).ref().equals(ref);
     }
 
-    /** Returns how much longer tasks run on this worker than on an ordinary one. */
+    /** Returns how much longer tasks run on this worker than expected, by its agent's last report. */
+    double pace() {
+        return report.map(newest -> newest.pacePercent() / 100.0).orElse(1.0);
+    }
+
+    /** Returns how much longer tasks run on this worker than on an ordinary one of its service. */
     double slowness() {
         return slowness;
     }
 
-    void observe(double observedSlowness) {
-        double bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, observedSlowness));
-        slowness += WEIGHT * (bounded - slowness);
+    /** Compares the pace with that of an ordinary worker; small differences are those of declared run times. */
+    void compare(double ordinaryPace) {
+        double ratio = pace() / ordinaryPace;
+        slowness = ratio >= MIN_SLOWNESS ? ratio : 1;
     }
 
     boolean renewalDue(long nowNanos) {
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerViews.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerViews.java
@@ -11,6 +11,9 @@
 
 /** The workers that an entry knows, by their agents. */
 final class WorkerViews {
+    /** The least pace that others are compared with, so that a division makes sense. */
+    private static final double MIN_PACE = 0.1;
+
     private final Map<Incarnation, WorkerView> views = new LinkedHashMap<>();
 
     WorkerView link(Incarnation agent, long nowNanos) {
@@ -57,6 +60,27 @@
         views.remove(view.agent());
     }
 
+    /**
+     * Compares the paces of the workers of each service with the median.
+     *
+     * <p>What all workers have in common is learnt as the duration of tasks, not as the slowness of workers.
+     */
+    void comparePaces() {
+        Map<String, List<WorkerView>> services = new LinkedHashMap<>();
+        for (WorkerView view : views.values()) {
+            if (view.open()) {
+                services.computeIfAbsent(view.report().orElseThrow().service(), none -> new ArrayList<>())
+                        .add(view);
+            }
+        }
+        for (List<WorkerView> workers : services.values()) {
+            double[] paces =
+                    workers.stream().mapToDouble(WorkerView::pace).sorted().toArray();
+            double median = Math.max(MIN_PACE, paces[paces.length / 2]);
+            workers.forEach(worker -> worker.compare(median));
+        }
+    }
+
     /** Returns the cores of all open workers of a service. */
     double cores(String service) {
         double sum = 0;
--- a/core/src/main/java/org/knapweedmount/core/worker/HeldRun.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/HeldRun.java
@@ -1,5 +1,7 @@
 package org.knapweedmount.core.worker;
 
+import java.util.OptionalDouble;
+
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.work.RunItem;
@@ -7,6 +9,9 @@
 
 /** A run that takes room on the worker, from the order to start it until its end is certain. */
 final class HeldRun {
+    /** The shortest time between two samples of the progress, in ms; some percents of most runs. */
+    private static final int SAMPLE_MILLIS = 50;
+
     private final Incarnation entry;
     private final RunItem item;
     private final long orderedNanos;
@@ -15,6 +20,9 @@
     private boolean seen;
     private int percent;
     private long progressNanos;
+    private int sampledPercent;
+    private long sampledNanos;
+    private boolean sampled;
     private int absences;
 
     HeldRun(Incarnation entry, RunItem item, long nowNanos) {
@@ -23,6 +31,7 @@
         this.orderedNanos = nowNanos;
         this.stateNanos = nowNanos;
         this.progressNanos = nowNanos;
+        this.sampledNanos = nowNanos;
     }
 
     Incarnation entry() {
@@ -65,13 +74,37 @@
         return seen;
     }
 
-    void listed(int listedPercent, long nowNanos) {
+    /**
+     * Takes the progress that the worker lists.
+     *
+     * @return how much longer the work since the last sample took than expected, empty if it is too early to tell
+     */
+    OptionalDouble listed(int listedPercent, long nowNanos) {
         seen = true;
         absences = 0;
         if (listedPercent != percent) {
             percent = listedPercent;
             progressNanos = nowNanos;
         }
+        long sinceMillis = WorkerTimes.millis(nowNanos - sampledNanos);
+        if (sinceMillis < SAMPLE_MILLIS) {
+            return OptionalDouble.empty();
+        }
+        // Shares are whole percents, so that half of one may have been done when none shows.
+        double doneShare = Math.max(0.5, percent - sampledPercent) / 100;
+        sampledPercent = percent;
+        sampledNanos = nowNanos;
+        sampled = true;
+        return OptionalDouble.of(sinceMillis / (doneShare * Math.max(1, item.expectedMillis())));
+    }
+
+    /** Returns how much longer the whole run took than expected, empty if its progress has told that before. */
+    OptionalDouble ended(long nowNanos) {
+        if (sampled) {
+            return OptionalDouble.empty();
+        }
+        return OptionalDouble.of(
+                (double) WorkerTimes.millis(nowNanos - orderedNanos) / Math.max(1, item.expectedMillis()));
     }
 
     int percent() {
--- a/core/src/main/java/org/knapweedmount/core/worker/ReportRule.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/ReportRule.java
@@ -13,6 +13,9 @@
     /** The part of the worker's cores whose change is reported at once: one in this number. */
     private static final int PARTS = 4;
 
+    /** The factor by which the pace has to change to be reported at once; single runs are off by as much. */
+    private static final double PACE_FACTOR = 1.4;
+
     private ReportRule() {}
 
     /**
@@ -21,14 +24,17 @@
      * @param open true if the worker takes starts
      * @param free the free room
      * @param capacity all room
+     * @param slowness how much longer runs take than expected
      */
-    record View(boolean open, Resources free, Resources capacity) {
-        static final View NONE = new View(false, Resources.NONE, Resources.NONE);
+    record View(boolean open, Resources free, Resources capacity, double slowness) {
+        static final View NONE = new View(false, Resources.NONE, Resources.NONE, 1);
     }
 
     static boolean worth(View reported, View present) {
         int change = Math.abs(reported.free().milliCores() - present.free().milliCores());
         boolean large = change * PARTS >= present.capacity().milliCores() && change > 0;
-        return reported.open() != present.open() || large;
+        boolean pace = present.slowness() > PACE_FACTOR * reported.slowness()
+                || reported.slowness() > PACE_FACTOR * present.slowness();
+        return reported.open() != present.open() || large || pace;
     }
 }
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -26,17 +26,19 @@
  * <p>Used by one thread. Each method takes the present time of a steady clock.
  */
 public final class WorkerAgent {
+    private static final int PERCENT = 100;
+
     private final WorkerOutput output;
     private final EntryTable entries;
     private final RunTable runs = new RunTable();
     private final WorkerClock clock = new WorkerClock();
     private final WorkerHealth health = new WorkerHealth();
+    private final WorkerPace pace = new WorkerPace();
+    private final ListCalls lists = new ListCalls();
     private Optional<WorkerAnnouncement> worker = Optional.empty();
     private Optional<WorkerLife> staleLife = Optional.empty();
     private boolean clean;
-    private boolean responsive;
     private boolean leaving;
-    private boolean listing;
     private long fence;
     private long acknowledged;
     private long latestUntilMillis;
@@ -89,8 +91,8 @@
         clock.observe(announcement.clockMillis(), nowNanos);
         staleLife = Optional.empty();
         clean = false;
-        responsive = true;
-        listing = false;
+        lists.reset(nowNanos);
+        pace.reset();
         acknowledged = 0;
         latestUntilMillis = 0;
         fence = announcement.life().bornMillis() + announcement.clockMillis();
@@ -256,12 +258,15 @@
 
     /** Takes no more starts until the worker has answered again. */
     private void silent() {
-        if (responsive) {
-            responsive = false;
-            output.note("worker-silent", "worker=" + life() + " runs=" + runs.size());
+        if (lists.silenced()) {
+            noteSilence();
         }
     }
 
+    private void noteSilence() {
+        output.note("worker-silent", "worker=" + life() + " runs=" + runs.size());
+    }
+
     private void refence(long nowNanos) {
         fence = Math.max(fence, life().bornMillis() + clock.millis(nowNanos)) + 1;
         output.note("fence-raised", "worker=" + life() + " fence=" + fence);
@@ -307,14 +312,14 @@
         if (!isPresent(life)) {
             return;
         }
-        listing = false;
+        lists.ended(sentNanos);
         if (list.bornMillis() != life.bornMillis()) {
             output.note("worker-restarted", "worker=" + life + " born=" + list.bornMillis());
             lifeOver();
             settle(nowNanos);
             return;
         }
-        responsive = true;
+        lists.answered(nowNanos);
         clock.observe(list.clockMillis(), nowNanos);
         Set<RunRef> present = takeRunning(list.running(), nowNanos);
         takeEnded(list.ended(), nowNanos);
@@ -333,7 +338,7 @@
                 output.stop(life(), row.ref(), fence);
                 continue;
             }
-            held.get().listed(row.percent(), nowNanos);
+            held.get().listed(row.percent(), nowNanos).ifPresent(ratio -> pace.observe(ratio, nowNanos));
             if (held.get().state() == RunState.STARTING) {
                 held.get().enter(RunState.RUNNING, nowNanos);
             }
@@ -355,13 +360,14 @@
             if (run.isEmpty()) {
                 continue;
             }
-            judge(row.ending(), nowNanos);
+            judge(run.get(), row.ending(), nowNanos);
             end(run.get(), row.ending(), row.checkpoint(), nowNanos);
         }
     }
 
-    private void judge(RunEnding ending, long nowNanos) {
+    private void judge(HeldRun run, RunEnding ending, long nowNanos) {
         if (ending == RunEnding.DONE) {
+            run.ended(nowNanos).ifPresent(ratio -> pace.observe(ratio, nowNanos));
             if (health.aside()) {
                 output.note("worker-back", "worker=" + life());
             }
@@ -380,7 +386,7 @@
     /** Ends runs that the worker would have listed if it had them: the list was asked for after the last answer about them. */
     private void takeAbsent(Set<RunRef> present, long sentNanos, long nowNanos) {
         for (HeldRun run : runs.all()) {
-            boolean asked = run.stateNanos() - sentNanos < 0;
+            boolean asked = run.stateNanos() - sentNanos <= 0;
             if (present.contains(run.ref()) || !asked) {
                 continue;
             }
@@ -397,18 +403,29 @@
      * Takes the failure to get the worker's list.
      *
      * @param life the life that was asked
-     * @param fenced true if the worker has seen a higher fencing token
+     * @param sentNanos when the list was asked for, in ns
+     * @param failure why there is no list
      * @param nowNanos the present time, in ns
      */
-    public void listFailed(WorkerLife life, boolean fenced, long nowNanos) {
+    public void listFailed(WorkerLife life, long sentNanos, ListFailure failure, long nowNanos) {
         if (!isPresent(life)) {
             return;
         }
-        listing = false;
-        if (fenced) {
-            refence(nowNanos);
-        } else {
-            silent();
+        lists.ended(sentNanos);
+        switch (failure) {
+            case FENCED -> refence(nowNanos);
+            case OTHER_LIFE -> lifeOver();
+            case UNREACHABLE -> silent();
+            case UNANSWERED -> listLost(nowNanos);
+        }
+    }
+
+    private void listLost(long nowNanos) {
+        if (lists.lost(nowNanos)) {
+            noteSilence();
+        }
+        if (!lists.silent()) {
+            settle(nowNanos);
         }
     }
 
@@ -460,7 +477,7 @@
     /** Ends all runs when the worker's clock has certainly passed the last time that it was given. */
     private void endSurelyLapsed(long nowNanos) {
         boolean passed = clock.known() && clock.millis(nowNanos) > latestUntilMillis + WorkerTimes.STOP_MILLIS;
-        if (responsive || runs.isEmpty() || !passed) {
+        if (!lists.silent() || runs.isEmpty() || !passed) {
             return;
         }
         output.note("worker-lapsed", "worker=" + life() + " runs=" + runs.size());
@@ -471,11 +488,12 @@
     private void settle(long nowNanos) {
         entries.tellEnds();
         offerRoom(nowNanos);
-        ReportRule.View view = new ReportRule.View(isOpen(nowNanos), free(), capacity());
+        ReportRule.View view = new ReportRule.View(isOpen(nowNanos), free(), capacity(), pace.slowness(nowNanos));
         entries.report(lease -> report(lease, nowNanos), view, nowNanos);
-        if (!listing && staleLife.isEmpty() && worker.isPresent() && (!runs.isEmpty() || !clean || !responsive)) {
-            listing = true;
-            list(clean && responsive ? WorkerTimes.LIST_WAIT_MILLIS : 0, nowNanos);
+        boolean due = !runs.isEmpty() || !clean || lists.silent();
+        if (due && !lists.underWay() && staleLife.isEmpty() && worker.isPresent()) {
+            lists.sent(nowNanos);
+            list(clean ? lists.waitMillis(nowNanos) : 0, nowNanos);
         }
     }
 
@@ -519,7 +537,8 @@
                 free(),
                 isOpen(nowNanos),
                 lease.ordersSeen(),
-                entries.backlogWithout(lease));
+                entries.backlogWithout(lease),
+                (int) Math.round(PERCENT * pace.slowness(nowNanos)));
     }
 
     private static final WorkerAnnouncement NO_WORKER =
@@ -538,7 +557,7 @@
                 && !worker.get().draining()
                 && staleLife.isEmpty()
                 && clean
-                && responsive
+                && !lists.silent()
                 && !leaving
                 && health.admits(runs.size(), nowNanos);
     }
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerPace.java
@@ -0,0 +1,37 @@
+package org.knapweedmount.core.worker;
+
+/**
+ * Estimates how much longer runs take on a worker than expected, from the progress that its lists show.
+ *
+ * <p>Load pattern: a worker turns several times slower for some seconds. Its runs end late, so that what has ended says
+ * little about it; the progress of those that run shows the change within some lists.
+ */
+final class WorkerPace {
+    private static final double WEIGHT = 0.15; // some seven samples decide, each off by up to 40%
+    private static final double MIN_SLOWNESS = 0.3;
+    private static final double MAX_SLOWNESS = 20;
+
+    /** The time without samples after which half of the estimate's distance to 1 is forgotten, in ms. */
+    private static final double HALF_LIFE_MILLIS = 500;
+
+    private double slowness = 1;
+    private long sampledNanos;
+
+    void reset() {
+        slowness = 1;
+    }
+
+    /** Takes the ratio of the time that some work took to the time that it was expected to take. */
+    void observe(double ratio, long nowNanos) {
+        double bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, ratio));
+        double present = slowness(nowNanos);
+        slowness = present + WEIGHT * (bounded - present);
+        sampledNanos = nowNanos;
+    }
+
+    /** Returns the estimate; it returns to 1 while nothing runs, so that the worker is tried again. */
+    double slowness(long nowNanos) {
+        double halves = WorkerTimes.millis(nowNanos - sampledNanos) / HALF_LIFE_MILLIS;
+        return 1 + (slowness - 1) * Math.pow(0.5, Math.max(0, halves));
+    }
+}
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerTimes.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerTimes.java
@@ -33,8 +33,11 @@
     /** How long room is kept for an entry that it was offered to, in ms; some round trips between data centres. */
     static final int OFFER_MILLIS = 40;
 
-    /** How long the worker waits for an end before it lists its runs, in ms; several lists fit into a lease. */
-    static final int LIST_WAIT_MILLIS = 200;
+    /** How long the worker waits for an end before it lists its runs, in ms; a lost list hides ends for that long. */
+    static final int LIST_WAIT_MILLIS = 100;
+
+    /** After what time a call to the worker counts as not answered, in ms; a worker on the same VM answers within 1 ms. */
+    public static final int CALL_MILLIS = 60; // a busy agent takes some ten ms, and a lookup may wait 60 ms
 
     /** The time between two orders to stop the same run, in ms. */
     static final int STOP_RETRY_MILLIS = 100;
@@ -45,6 +48,9 @@
     /** How often a list may lack a run whose start was confirmed before it counts as lost. */
     static final int MAX_ABSENCES = 2;
 
+    /** After what time beyond its wait a list counts as lost, in ms; it is asked for again, so that too soon costs little. */
+    public static final int LIST_MILLIS = 30;
+
     private WorkerTimes() {}
 
     static long nanos(long millis) {
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatchFixture.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatchFixture.java
@@ -43,10 +43,11 @@
         WorkerView view = new WorkerView(new Incarnation(name, 1), 0);
         Resources capacity = new Resources(16_000, 65_536, 0);
         Resources free = new Resources(freeMilliCores, 65_536, 0);
-        view.reported(new WorkerReport(1, "service", name, List.of("a", "r1"), capacity, free, true, 0, 0), 0);
-        for (int i = 0; i < 200; i++) {
-            view.observe(slowness);
-        }
+        view.reported(
+                new WorkerReport(
+                        1, "service", name, List.of("a", "r1"), capacity, free, true, 0, 0, (int) (100 * slowness)),
+                0);
+        view.compare(1);
         return view;
     }
 }
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherTest.java
@@ -44,7 +44,7 @@
         Resources free = new Resources(freeMilliCores, 1_000, 0);
         dispatcher.receive(
                 AGENT,
-                new WorkerReport(1, "service", "w", List.of(), capacity, free, open, 9, 0),
+                new WorkerReport(1, "service", "w", List.of(), capacity, free, open, 9, 0, 100),
                 DispatchFixture.millis(millis));
     }
 
--- a/core/src/test/java/org/knapweedmount/core/work/FakeWorker.java
+++ b/core/src/test/java/org/knapweedmount/core/work/FakeWorker.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
 
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.work.RunEnding;
@@ -18,6 +19,7 @@
 import org.knapweedmount.core.worker.WorkerAnnouncement;
 import org.knapweedmount.core.worker.WorkerLife;
 import org.knapweedmount.core.worker.WorkerList;
+import org.knapweedmount.core.worker.WorkerTimes;
 
 /**
  * A worker as the platform describes it: it starts what it is told, whether that fits or not, holds all runs by one lease
@@ -25,7 +27,7 @@
  */
 final class FakeWorker {
     private static final double CALL_MILLIS = 0.3;
-    private static final double SILENCE_MILLIS = 150;
+    private static final double SILENCE_MILLIS = WorkerTimes.CALL_MILLIS;
 
     private final VirtualTime time;
     private final Random random;
@@ -40,14 +42,17 @@
     private long untilMillis;
     private long ends;
     private long sequence;
+    private int starts;
     private boolean up = true;
     private boolean draining;
     private double slowness = 1;
     private double failing;
     private double lateOrders;
+    private double lostLists;
     private boolean standing;
     private boolean oldOrdersArrive;
     private Runnable atStart = () -> {};
+    private ToDoubleFunction<RunItem> runMillis = RunItem::expectedMillis;
 
     private record Running(RunItem item, double endsMillis) {}
 
@@ -61,6 +66,11 @@
         time.every(5, this::expire);
     }
 
+    /** Lets runs take other times than expected. */
+    void runFor(ToDoubleFunction<RunItem> millis) {
+        runMillis = millis;
+    }
+
     /** Lets orders to an earlier life reach a later one even before its first list. */
     void carryOutOldOrders() {
         oldOrdersArrive = true;
@@ -79,6 +89,11 @@
         return capacity;
     }
 
+    /** Counts the runs that were started in all lives. */
+    int starts() {
+        return starts;
+    }
+
     void slow(double factor) {
         slowness = factor;
     }
@@ -91,6 +106,12 @@
         lateOrders = share;
     }
 
+    /** Leaves a share of all calls unanswered, and carries orders among them out late. */
+    void loseAnswers(double share) {
+        lateOrders = share;
+        lostLists = share;
+    }
+
     void standStill(boolean stands) {
         standing = stands;
     }
@@ -173,7 +194,8 @@
         }
         extend(until);
         highest.put(item.ref().task(), item.ref().run());
-        running.put(item.ref(), new Running(item, time.nowMillis() + slowness * item.expectedMillis()));
+        starts++;
+        running.put(item.ref(), new Running(item, time.nowMillis() + slowness * runMillis.applyAsDouble(item)));
         checks.started(name, item, taken(), capacity);
         return StartReply.STARTED;
     }
@@ -208,8 +230,8 @@
 
     void list(long token, long acknowledged, long until, int waitMillis, Consumer<Optional<WorkerList>> answer) {
         time.after(CALL_MILLIS, () -> {
-            if (!up) {
-                time.after(SILENCE_MILLIS, () -> answer.accept(Optional.empty()));
+            if (!up || random.nextDouble() < lostLists) {
+                time.after(waitMillis + WorkerTimes.LIST_MILLIS, () -> answer.accept(Optional.empty()));
                 return;
             }
             if (token < fence) {
@@ -238,9 +260,7 @@
 
     private int percent(Running run) {
         double left = run.endsMillis() - time.nowMillis();
-        return standing
-                ? 0
-                : (int) Math.max(1, 100 - 100 * left / (slowness * run.item().expectedMillis()));
+        return standing ? 0 : (int) Math.max(1, 100 - 100 * left / (slowness * runMillis.applyAsDouble(run.item())));
     }
 
     private void expire() {
--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/work/WorkFaultLoadTest.java
@@ -0,0 +1,77 @@
+package org.knapweedmount.core.work;
+
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.knapweedmount.api.work.WorkQueue;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+/** Replays an ordinary day's load on eleven workers of 18 cores while some of them misbehave. */
+class WorkFaultLoadTest {
+    /** The part of the jobs that keeps its aim while workers misbehave that have a tenth of the room or less. */
+    private static final double KEPT = 0.9;
+
+    private static final double KEPT_LOOKUPS = 0.75;
+
+    private final WorkFleet fleet = WorkFleet.of(7, 3, 11, 18_000);
+    private final WorkLoad load = new WorkLoad(fleet);
+
+    private static Stream<WorkQueue> queues() {
+        return Stream.of(WorkFleet.LOOKUPS, WorkFleet.HOLDS, WorkFleet.MATCHES);
+    }
+
+    private void run(double millis) {
+        load.sendOrdinaryDay(fleet.time().nowMillis() + millis);
+        fleet.time().run(millis + 4_000);
+    }
+
+    @Test
+    void jobsKeepTheirAimWhileOneCallInTwentyIsNotAnswered() {
+        fleet.workers().forEach(worker -> worker.loseAnswers(0.05));
+
+        run(6_000);
+
+        assertThat(fleet.checks().violations(), is(empty()));
+        assertThat(load.outcomes(WorkFleet.HOLDS).toString(), load.keptShare(WorkFleet.HOLDS), greaterThan(KEPT));
+        assertThat(load.outcomes(WorkFleet.MATCHES).toString(), load.keptShare(WorkFleet.MATCHES), greaterThan(KEPT));
+        // A lookup's eight starts lose one in a third of the cases, and it may wait 111 ms.
+        assertThat(
+                load.outcomes(WorkFleet.LOOKUPS).toString(),
+                load.keptShare(WorkFleet.LOOKUPS),
+                greaterThan(KEPT_LOOKUPS));
+    }
+
+    @ParameterizedTest
+    @MethodSource("queues")
+    void jobsKeepTheirAimWhileAWorkerIsSlow(WorkQueue queue) {
+        List<FakeWorker> workers = fleet.workers();
+        fleet.time().after(1_000, () -> workers.get(3).slow(6));
+        fleet.time().after(7_000, () -> workers.get(3).slow(1));
+
+        run(8_000);
+
+        assertThat(load.outcomes(queue).toString(), load.keptShare(queue), greaterThan(KEPT));
+    }
+
+    @Test
+    void slowWorkerIsUsedAgainWhenItHasRecovered() {
+        FakeWorker worker = fleet.workers().get(3);
+        worker.slow(6);
+        fleet.time().after(3_000, () -> worker.slow(1));
+        load.sendOrdinaryDay(fleet.time().nowMillis() + 8_000.0);
+        fleet.time().run(6_000);
+        int before = worker.starts();
+
+        fleet.time().run(2_000);
+
+        // A worker of eleven gets some 30 starts a second at this load.
+        assertThat(worker.starts() - before, greaterThan(30));
+    }
+}
--- a/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
@@ -22,6 +22,7 @@
 import org.knapweedmount.core.dispatch.JobRequest;
 import org.knapweedmount.core.dispatch.JobVerdict;
 import org.knapweedmount.core.dispatch.WorkStep;
+import org.knapweedmount.core.worker.ListFailure;
 import org.knapweedmount.core.worker.WorkerAgent;
 import org.knapweedmount.core.worker.WorkerLife;
 import org.knapweedmount.core.worker.WorkerOutput;
@@ -192,9 +193,13 @@
         });
     }
 
-    String submit(Incarnation entry, WorkQueue queue, int tasks, int milliCores, int millis) {
+    String nextId() {
         jobs++;
-        String id = "%016x".formatted(jobs);
+        return "%016x".formatted(jobs);
+    }
+
+    String submit(Incarnation entry, WorkQueue queue, int tasks, int milliCores, int millis) {
+        String id = nextId();
         submit(entry, id, queue, tasks, milliCores, millis);
         return id;
     }
@@ -309,7 +314,7 @@
                         if (list.isPresent()) {
                             agent.listed(life, sentNanos, list.get(), time.nowNanos());
                         } else {
-                            agent.listFailed(life, false, time.nowNanos());
+                            agent.listFailed(life, sentNanos, ListFailure.UNANSWERED, time.nowNanos());
                         }
                     }));
         }
--- a/daemon/src/main/java/org/knapweedmount/daemon/link/Backoff.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/link/Backoff.java
@@ -9,7 +9,8 @@
  */
 final class Backoff {
     static final long MIN_MILLIS = 50;
-    static final long MAX_MILLIS = 5_000;
+    static final long MAX_MILLIS = 800; // a peer that returns has its links back within a second
+    static final long SETTLED_MILLIS = 5_000;
 
     private final Random random;
     private long nextMillis = MIN_MILLIS;
@@ -30,8 +31,8 @@
         nextMillis = MIN_MILLIS;
     }
 
-    /** Goes on with the longest pause, after an answer that is not likely to change soon. */
+    /** Makes the next pause a long one, after an answer that is not likely to change soon. */
     void settle() {
-        nextMillis = MAX_MILLIS;
+        nextMillis = SETTLED_MILLIS;
     }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/link/Dialer.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/link/Dialer.java
@@ -24,7 +24,7 @@
  * <p>Used on the event loop.
  */
 final class Dialer {
-    private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
+    private static final int CONNECT_TIMEOUT_MILLIS = 400; // longer than a round trip between any two regions
     private static final long FORGET_NANOS = TimeUnit.MINUTES.toNanos(10);
     private static final long BRIEF_NANOS = TimeUnit.SECONDS.toNanos(5);
 
--- a/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerCalls.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerCalls.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Future;
 import org.knapweedmount.api.work.RunItem;
 import org.knapweedmount.api.work.RunRef;
+import org.knapweedmount.core.worker.ListFailure;
 import org.knapweedmount.core.worker.StartReply;
 import org.knapweedmount.core.worker.StopReply;
 import org.knapweedmount.core.worker.WorkerLife;
@@ -13,12 +14,32 @@
 /** The calls that a worker takes from its agent. No future fails: what went wrong is in the result. */
 public interface WorkerCalls {
     /**
-     * The answer to the wish for a list.
+     * The answer to the wish for a list: either the list or why there is none.
      *
-     * @param list the list, empty if there was no usable answer
-     * @param fenced true if the worker has seen a higher fencing token
+     * @param list the list, empty if there is none
+     * @param failure why there is no list, empty if there is one
      */
-    record ListReply(Optional<WorkerList> list, boolean fenced) {}
+    record ListReply(Optional<WorkerList> list, Optional<ListFailure> failure) {
+        /**
+         * Returns the answer with a list.
+         *
+         * @param list the list
+         * @return the answer
+         */
+        public static ListReply of(WorkerList list) {
+            return new ListReply(Optional.of(list), Optional.empty());
+        }
+
+        /**
+         * Returns the answer without a list.
+         *
+         * @param failure why there is no list
+         * @return the answer
+         */
+        public static ListReply failed(ListFailure failure) {
+            return new ListReply(Optional.empty(), Optional.of(failure));
+        }
+    }
 
     /**
      * Starts a run.
--- a/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerProcess.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerProcess.java
@@ -179,11 +179,8 @@
                 WorkerLife life, long fence, long acknowledged, long untilMillis, long sentNanos, int waitMillis) {
             calls.list(life, fence, acknowledged, untilMillis, waitMillis)
                     .onSuccess(reply -> results.add((agent, nowNanos) -> {
-                        if (reply.list().isPresent()) {
-                            agent.listed(life, sentNanos, reply.list().get(), nowNanos);
-                        } else {
-                            agent.listFailed(life, reply.fenced(), nowNanos);
-                        }
+                        reply.list().ifPresent(list -> agent.listed(life, sentNanos, list, nowNanos));
+                        reply.failure().ifPresent(failure -> agent.listFailed(life, sentNanos, failure, nowNanos));
                     }));
         }
 
--- a/wire/src/main/java/org/knapweedmount/wire/MessageType.java
+++ b/wire/src/main/java/org/knapweedmount/wire/MessageType.java
@@ -92,7 +92,7 @@
     /** Answers to several seals. */
     SEALED_BATCH(24, 1, SealedBatch.class, TaskMessages::writeSealedBatch, TaskMessages::readSealedBatch),
     /** The room of a worker. */
-    WORKER_REPORT(25, 9, WorkerReport.class, WorkMessages::writeReport, WorkMessages::readReport),
+    WORKER_REPORT(25, 10, WorkerReport.class, WorkMessages::writeReport, WorkMessages::readReport),
     /** The queued tasks of an entry that wait for room. */
     ROOM_DEMAND(26, 4, RoomDemand.class, WorkMessages::writeDemand, WorkMessages::readDemand),
     /** Room for an entry. */
--- a/wire/src/main/java/org/knapweedmount/wire/WorkMessages.java
+++ b/wire/src/main/java/org/knapweedmount/wire/WorkMessages.java
@@ -33,7 +33,8 @@
                 .value(report.free(), ValueFormats::writeResources)
                 .flag(report.open())
                 .number(report.ordersSeen())
-                .number(report.backlogElsewhere());
+                .number(report.backlogElsewhere())
+                .number(report.pacePercent());
     }
 
     static WorkerReport readReport(FieldReader in) throws IOException, FrameException {
@@ -46,7 +47,8 @@
                 ValueFormats.readResources(in),
                 in.flag(),
                 in.natural(),
-                in.natural());
+                in.natural(),
+                in.count());
     }
 
     static void writeDemand(FieldWriter out, RoomDemand demand) throws IOException, FrameException {
--- a/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
+++ b/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
@@ -138,7 +138,8 @@
                 resources(),
                 random.nextBoolean(),
                 longNumber(),
-                longNumber());
+                longNumber(),
+                number());
     }
 
     private RoomDemand demand() {
