--- a/core/src/main/java/org/knapweedmount/core/dispatch/AdmissionRule.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/AdmissionRule.java
@@ -8,10 +8,8 @@
  *
  * <p>Load pattern: work arrives faster than all workers together can do it, for seconds. The queue then holds as much as
  * can be done in time and no more; a caller beyond that learns at once that its job has not run and when to come back,
- * rather than after its time is used up.
- *
- * <p>Load pattern: all processes were lost and come back. Workers find an entry within some tenths of a second of its start, so
- * that a job that is still of use then is admitted; when no worker has come for longer, jobs are refused at once.
+ * rather than after its time is used up. While no worker is known, as for a moment after a restart, only jobs that can wait
+ * until workers have found the entry are admitted.
  */
 final class AdmissionRule {
     /** The part of the cores that queued work gets: tasks do not fill workers evenly, and some room is kept free. */
@@ -20,9 +18,6 @@
     /** How long it takes until a worker is known after the start of an entry, in ms. */
     private static final int RECONNECT_MILLIS = 500;
 
-    /** After what time without a worker none is expected soon, in ms; agents start some tenths of a second after entries. */
-    private static final long LONELY_MILLIS = 1_500;
-
     private static final int MIN_RETRY_MILLIS = 1_000;
     private static final int MAX_RETRY_MILLIS = 30_000;
 
@@ -35,16 +30,15 @@
      * @param workAhead the queued work that gets room before this job, in milliseconds of a core
      * @param workQueued all queued work, in milliseconds of a core
      * @param cores the cores of all open workers
-     * @param lonelyNanos how long no worker has been open, in ns
      * @param nowNanos the present time, in ns
      * @return the time after which the caller may come back, in ms; empty if the job is admitted
      */
     static Optional<Integer> retryAfterMillis(
-            WorkJob job, double workAhead, double workQueued, double cores, long lonelyNanos, long nowNanos) {
+            WorkJob job, double workAhead, double workQueued, double cores, long nowNanos) {
         if (cores <= 0) {
-            boolean soon = lonelyNanos <= TimeUnit.MILLISECONDS.toNanos(LONELY_MILLIS);
-            boolean useful = JobOrder.useful(job, nowNanos + TimeUnit.MILLISECONDS.toNanos(RECONNECT_MILLIS));
-            return soon && useful ? Optional.empty() : Optional.of(MIN_RETRY_MILLIS);
+            long slackNanos = job.latestStartNanos() - nowNanos;
+            boolean patient = slackNanos >= TimeUnit.MILLISECONDS.toNanos(RECONNECT_MILLIS);
+            return patient ? Optional.empty() : Optional.of(MIN_RETRY_MILLIS);
         }
         double finishMillis = workAhead / (USABLE_PART * cores) + job.chainMillis();
         long finishNanos = nowNanos + (long) (finishMillis * TimeUnit.MILLISECONDS.toNanos(1));
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -48,7 +48,6 @@
     private final HeldJobs held = new HeldJobs();
     private final JobBook jobs = new JobBook();
     private final Map<String, Resources> largest = new HashMap<>();
-    private OptionalLong lonelySinceNanos = OptionalLong.empty();
     private OptionalLong leavingByNanos = OptionalLong.empty();
 
     /**
@@ -108,8 +107,7 @@
         // Callers are spread over the entries, so that the others have about as much of the same queue ahead.
         int entries = 1 + held.peers().size();
         double ahead = jobs.workAhead(job, nowNanos) * entries / share;
-        Optional<Integer> refused = AdmissionRule.retryAfterMillis(
-                job, ahead, own + elsewhere, cores, lonelyNanos(cores, nowNanos), nowNanos);
+        Optional<Integer> refused = AdmissionRule.retryAfterMillis(job, ahead, own + elsewhere, cores, nowNanos);
         String inputs = "job=" + job.id() + " queue=" + request.queue().name() + " tasks="
                 + job.tasks().size() + " chain=" + (long) job.chainMillis() + " ahead=" + (long) ahead + " share="
                 + (long) (100 * share) + " elsewhere=" + elsewhere + " cores=" + (long) cores;
@@ -124,18 +122,6 @@
         place(service, nowNanos);
     }
 
-    /** Returns how long no worker has been open, in ns. */
-    private long lonelyNanos(double cores, long nowNanos) {
-        if (cores > 0) {
-            lonelySinceNanos = OptionalLong.empty();
-            return 0;
-        }
-        if (lonelySinceNanos.isEmpty()) {
-            lonelySinceNanos = OptionalLong.of(nowNanos);
-        }
-        return nowNanos - lonelySinceNanos.getAsLong();
-    }
-
     private boolean canFit(JobRequest request, String service) {
         Resources capacity = largest.get(service);
         return request.steps().stream().allMatch(step -> step.need().fits(capacity));
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/json/package-info.java
@@ -0,0 +1,2 @@
+/** JSON trees without the object mapper. */
+package org.knapweedmount.daemon.json;
--- a/daemon/src/main/java/org/knapweedmount/daemon/store/TableJson.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/store/TableJson.java
@@ -6,18 +6,16 @@
 import java.util.List;
 import java.util.Set;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vertx.core.buffer.Buffer;
 import org.knapweedmount.api.ParseException;
+import org.knapweedmount.daemon.json.JsonTrees;
 
 /** Writes and reads the documents of the table service. */
 final class TableJson {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
     private TableJson() {}
@@ -32,11 +30,7 @@
         for (Transaction.Write write : transaction.writes()) {
             name(writes.addObject(), write.row()).set("value", write.value().orElse(NODES.nullNode()));
         }
-        try {
-            return Buffer.buffer(MAPPER.writeValueAsBytes(root));
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException("a tree of JSON nodes can be written", e);
-        }
+        return Buffer.buffer(JsonTrees.write(root));
     }
 
     private static ObjectNode name(ObjectNode object, RowKey row) {
@@ -73,7 +67,7 @@
 
     private static JsonNode parse(Buffer body) throws ParseException {
         try {
-            return MAPPER.readTree(body.getBytes());
+            return JsonTrees.read(body.getBytes());
         } catch (IOException e) {
             throw new ParseException("the table service sent no JSON", e);
         }
