Give calls to the worker more time while a process is cold, and note large changes of pace

Change: in the first three seconds of a process calls and lists have 200 ms. An agent notes when its worker's pace doubles or halves.

--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -488,6 +488,9 @@
     private void settle(long nowNanos) {
         entries.tellEnds();
         offerRoom(nowNanos);
+        if (pace.changed(nowNanos)) {
+            output.note("worker-pace", "worker=" + life() + " percent=" + pacePercent(nowNanos) + " " + room());
+        }
         ReportRule.View view = new ReportRule.View(isOpen(nowNanos), free(), capacity(), pace.slowness(nowNanos));
         entries.report(lease -> report(lease, nowNanos), view, nowNanos);
         boolean due = !runs.isEmpty() || !clean || lists.silent();
@@ -538,7 +541,11 @@
                 isOpen(nowNanos),
                 lease.ordersSeen(),
                 entries.backlogWithout(lease),
-                (int) Math.round(PERCENT * pace.slowness(nowNanos)));
+                pacePercent(nowNanos));
+    }
+
+    private int pacePercent(long nowNanos) {
+        return (int) Math.round(PERCENT * pace.slowness(nowNanos));
     }
 
     private static final WorkerAnnouncement NO_WORKER =
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerPace.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerPace.java
@@ -14,7 +14,11 @@
     /** The time without samples after which half of the estimate's distance to 1 is forgotten, in ms. */
     private static final double HALF_LIFE_MILLIS = 500;
 
+    /** The factor by which the estimate has to change to be worth a line in the log. */
+    private static final double NOTED_FACTOR = 2;
+
     private double slowness = 1;
+    private double noted = 1;
     private long sampledNanos;
 
     void reset() {
@@ -29,6 +33,16 @@
         sampledNanos = nowNanos;
     }
 
+    /** Tells whether the estimate has changed much since this was last true. */
+    boolean changed(long nowNanos) {
+        double present = slowness(nowNanos);
+        if (present < NOTED_FACTOR * noted && noted < NOTED_FACTOR * present) {
+            return false;
+        }
+        noted = present;
+        return true;
+    }
+
     /** Returns the estimate; it returns to 1 while nothing runs, so that the worker is tried again. */
     double slowness(long nowNanos) {
         double halves = WorkerTimes.millis(nowNanos - sampledNanos) / HALF_LIFE_MILLIS;
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerTimes.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerTimes.java
@@ -39,6 +39,12 @@
     /** After what time a call to the worker counts as not answered, in ms; a worker on the same VM answers within 1 ms. */
     public static final int CALL_MILLIS = 60; // a busy agent takes some ten ms, and a lookup may wait 60 ms
 
+    /** The same for a process that has just started, in ms; code that is not compiled yet took up to 120 ms. */
+    private static final int COLD_CALL_MILLIS = 200;
+
+    /** How long a process counts as just started, in ms; by then what calls need is compiled. */
+    private static final int COLD_MILLIS = 3_000;
+
     /** The time between two orders to stop the same run, in ms. */
     static final int STOP_RETRY_MILLIS = 100;
 
@@ -53,6 +59,26 @@
 
     private WorkerTimes() {}
 
+    /**
+     * Returns after what time a call to the worker counts as not answered.
+     *
+     * @param ageNanos how long the agent's process has run, in ns
+     * @return the time, in ms
+     */
+    public static int callMillis(long ageNanos) {
+        return millis(ageNanos) < COLD_MILLIS ? COLD_CALL_MILLIS : CALL_MILLIS;
+    }
+
+    /**
+     * Returns after what time beyond its wait a list counts as lost.
+     *
+     * @param ageNanos how long the agent's process has run, in ns
+     * @return the time, in ms
+     */
+    public static int listMillis(long ageNanos) {
+        return millis(ageNanos) < COLD_MILLIS ? COLD_CALL_MILLIS : LIST_MILLIS;
+    }
+
     static long nanos(long millis) {
         return TimeUnit.MILLISECONDS.toNanos(millis);
     }
--- a/core/src/test/java/org/knapweedmount/core/worker/WorkerPaceTest.java
+++ b/core/src/test/java/org/knapweedmount/core/worker/WorkerPaceTest.java
@@ -42,4 +42,13 @@
 
         assertThat(pace.slowness(WorkerTimes.nanos(1_000)), closeTo(2.0, 0.1));
     }
+
+    @Test
+    void changeIsToldOnce() {
+        assertThat(pace.changed(0), is(false));
+        observe(20, 6, 0);
+
+        assertThat(pace.changed(0), is(true));
+        assertThat(pace.changed(0), is(false));
+    }
 }
--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/worker/WorkerTimesTest.java
@@ -0,0 +1,18 @@
+package org.knapweedmount.core.worker;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class WorkerTimesTest {
+    @ParameterizedTest
+    @CsvSource({"0, 200, 200", "2999, 200, 200", "3000, 60, 30", "600000, 60, 30"})
+    void processThatHasJustStartedWaitsLongerForItsWorker(long ageMillis, int callMillis, int listMillis) {
+        long ageNanos = WorkerTimes.nanos(ageMillis);
+
+        assertThat(WorkerTimes.callMillis(ageNanos), is(callMillis));
+        assertThat(WorkerTimes.listMillis(ageNanos), is(listMillis));
+    }
+}
