--- a/core/src/main/java/org/knapweedmount/core/worker/ListCalls.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/ListCalls.java
@@ -67,6 +67,10 @@
         return lost >= MAX_LOST && longAgo && silenced();
     }
 
+    boolean isAskedAgainAtOnce() {
+        return lost < MAX_LOST;
+    }
+
     /** Takes note that the worker cannot be reached; returns true if it is silent from now on and was not before. */
     boolean silenced() {
         boolean before = silent;
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -424,7 +424,8 @@
         if (lists.lost(nowNanos)) {
             noteSilence();
         }
-        if (!lists.silent()) {
+        // A worker that breaks off each call at once is asked again at the next tick.
+        if (!lists.silent() && lists.isAskedAgainAtOnce()) {
             settle(nowNanos);
         }
     }
