--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -39,6 +39,8 @@
     /** How far the number of a run is raised when the worker has seen a higher one; more than a task's attempts. */
     private static final int OUTDATED_SKIP = 10;
 
+    private static final int PERCENT = 100;
+
     /** When a caller may come back whose job was given up in the queue, in ms; by then the flood has met admission. */
     private static final int RETRY_MILLIS = 1_000;
 
@@ -117,6 +119,7 @@
             return;
         }
         output.note("job-admitted", inputs);
+        job.trail().add("admitted " + inputs, nowNanos);
         jobs.add(job);
         held.taken(job.id());
         place(service, nowNanos);
@@ -178,6 +181,12 @@
             int expectedMillis = (int) durations.expectedMillis(
                     task.job().request().queue().name(), task.step().estimateMillis());
             RunItem item = new RunItem(task.ref(), task.step().need(), expectedMillis, task.checkpoint());
+            task.job()
+                    .trail()
+                    .add(
+                            "ordered " + task.shortName() + " at "
+                                    + view.agent().process() + " pace " + (int) (PERCENT * view.slowness()) + "%",
+                            nowNanos);
             items.computeIfAbsent(task.job(), none -> new ArrayList<>()).add(item);
         }
         List<JobRuns> runs = new ArrayList<>();
@@ -336,6 +345,9 @@
         }
         view.ordered().remove(task.name());
         task.saved(end.checkpoint());
+        task.job()
+                .trail()
+                .add(end.ending() + " " + task.shortName() + " after " + end.elapsedMillis() + "ms", nowNanos);
         if (end.ending() != RunEnding.DONE) {
             output.note(
                     "run-ended",
@@ -404,6 +416,9 @@
 
     private void lost(WorkerView view, WorkTask task, long nowNanos) {
         view.ordered().remove(task.name());
+        task.job()
+                .trail()
+                .add("lost " + task.shortName() + " at " + view.agent().process(), nowNanos);
         output.note("run-lost", "task=" + task.name() + " run=" + task.ref().run() + " agent=" + view.agent());
         if (task.job().answered()) {
             task.end();
@@ -434,6 +449,10 @@
                 "job-answered",
                 "job=" + job.id() + " kind=" + verdict.kind() + " reason=\"" + verdict.reason() + "\" millis="
                         + TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivalNanos()));
+        if (!job.isWell(verdict, nowNanos)) {
+            job.trail().add(verdict.kind() + " " + verdict.reason(), nowNanos);
+            output.note("job-trail", "job=" + job.id() + " trail=\"" + job.trail() + "\"");
+        }
         output.answer(job.id(), verdict);
         Map<Incarnation, List<RunRef>> stops = new LinkedHashMap<>();
         for (WorkTask task : job.tasks()) {
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkJob.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkJob.java
@@ -13,6 +13,7 @@
     private final long arrivalNanos;
     private final double chainMillis;
     private final List<WorkTask> tasks = new ArrayList<>();
+    private final JobTrail trail;
     private int startedRuns;
     private boolean answered;
     private int queuedTasks;
@@ -25,6 +26,7 @@
     WorkJob(JobRequest request, double chainMillis, long arrivalNanos) {
         this.request = request;
         this.chainMillis = chainMillis;
+        this.trail = new JobTrail(arrivalNanos);
         this.arrivalNanos = arrivalNanos;
         for (int step = 0; step < request.steps().size(); step++) {
             for (int index = 0; index < request.steps().get(step).count(); index++) {
@@ -48,6 +50,11 @@
         return tasks.stream().noneMatch(task -> task.stepNumber() == step && task.state() != TaskState.ENDED);
     }
 
+    /** Returns what was decided about the job. */
+    JobTrail trail() {
+        return trail;
+    }
+
     JobRequest request() {
         return request;
     }
@@ -68,6 +75,11 @@
         return chainMillis;
     }
 
+    /** Tells whether an answer now is what the caller hoped for. */
+    boolean isWell(JobVerdict verdict, long nowNanos) {
+        return verdict.kind() == JobVerdict.Kind.COMPLETED && nowNanos - aimNanos() <= 0;
+    }
+
     /** Returns when the job should be done, in ns. */
     long aimNanos() {
         return arrivalNanos + aimMillis(1);
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkTask.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkTask.java
@@ -39,6 +39,11 @@
         return name;
     }
 
+    /** Returns the number of the step, the number of the task in it and that of the run. */
+    String shortName() {
+        return name.substring(name.indexOf('.', job.id().length() + 1) + 1) + "#" + run;
+    }
+
     TaskState state() {
         return state;
     }
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherTest.java
@@ -24,7 +24,9 @@
 import org.knapweedmount.api.work.RunRef;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 
@@ -37,6 +39,7 @@
 
     private final List<Message> sent = new ArrayList<>();
     private final Map<String, JobVerdict> answers = new LinkedHashMap<>();
+    private final List<String> trails = new ArrayList<>();
     private final Dispatcher dispatcher = new Dispatcher(new Recorder());
 
     private void report(long millis, int freeMilliCores, boolean open) {
@@ -79,6 +82,31 @@
         report(0, 4_000, true);
     }
 
+    @Test
+    void jobThatIsLateLeavesItsTrail() {
+        submit(1, 1_000);
+        end(FIRST, RunEnding.STOPPED, 200);
+        end(new RunRef(FIRST.task(), 2), RunEnding.DONE, 900);
+
+        assertThat(answers.get(JOB).kind(), is(JobVerdict.Kind.COMPLETED));
+        assertThat(trails.size(), is(1));
+        assertThat(
+                trails.get(0),
+                allOf(
+                        containsString("job=" + JOB),
+                        containsString("0ms ordered 0.0#1 at "),
+                        containsString("200ms STOPPED 0.0#1 after 300ms"),
+                        containsString("900ms DONE 0.0#2")));
+    }
+
+    @Test
+    void jobThatIsDoneInTimeLeavesNoTrail() {
+        submit(1, 1_000);
+        end(FIRST, RunEnding.DONE, 300);
+
+        assertThat(trails, is(empty()));
+    }
+
     @Test
     void jobIsCompleteWhenItsLastTaskIsDone() {
         submit(1, 1_000);
@@ -209,7 +237,9 @@
 
         @Override
         public void note(String event, String detail) {
-            // The lines are for operators.
+            if (event.equals("job-trail")) {
+                trails.add(detail);
+            }
         }
     }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -1,6 +1,5 @@
 package org.knapweedmount.daemon.dispatch;
 
-import java.security.SecureRandom;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -25,6 +24,7 @@
 import org.knapweedmount.daemon.runtime.IdleWait;
 import org.knapweedmount.daemon.runtime.LinkedProcess;
 import org.knapweedmount.daemon.runtime.NanoClock;
+import org.knapweedmount.daemon.runtime.Nonces;
 import org.knapweedmount.daemon.runtime.RunningProcess;
 import org.knapweedmount.daemon.runtime.Ticker;
 import org.knapweedmount.daemon.store.EntryAnnouncement;
@@ -66,17 +66,16 @@
         this.vertx = vertx;
         this.clock = clock;
         this.log = new DecisionLog(settings.name());
-        SecureRandom random = new SecureRandom();
         AtomicLong version = new AtomicLong();
         this.self = new PeerAddress(
-                new Incarnation(settings.name(), random.nextLong()),
+                new Incarnation(settings.name(), Nonces.next()),
                 Role.ENTRY,
                 settings.region(),
                 settings.dataCentre(),
                 settings.host(),
                 settings.linkPort());
         this.loop = new EventLoopDecisions<>(vertx.getOrCreateContext(), MAX_WAITING, clock);
-        LinkOptions options = LinkOptions.entry(HEARTBEAT_MILLIS, random.nextLong());
+        LinkOptions options = LinkOptions.entry(HEARTBEAT_MILLIS, Nonces.next());
         this.links = new LinkTable<>(vertx, options, self, version::get, clock, loop, new Handler());
         this.metrics = new EventMetrics(log, links);
         this.module = new DispatchModule(new Output(answers), version, links::know);
--- a/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerProcess.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerProcess.java
@@ -1,6 +1,5 @@
 package org.knapweedmount.daemon.worker;
 
-import java.security.SecureRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.vertx.core.Vertx;
@@ -25,6 +24,7 @@
 import org.knapweedmount.daemon.runtime.IdleWait;
 import org.knapweedmount.daemon.runtime.LinkedProcess;
 import org.knapweedmount.daemon.runtime.NanoClock;
+import org.knapweedmount.daemon.runtime.Nonces;
 import org.knapweedmount.daemon.runtime.RetryingQueue;
 import org.knapweedmount.daemon.runtime.RunningProcess;
 import org.knapweedmount.daemon.runtime.Ticker;
@@ -64,20 +64,19 @@
         this.clock = clock;
         this.calls = calls;
         this.log = new DecisionLog(settings.name());
-        SecureRandom random = new SecureRandom();
         this.loop = new EventLoopDecisions<>(vertx.getOrCreateContext(), MAX_WAITING, clock);
         this.results = new RetryingQueue<>(vertx, loop);
         PeerAddress self = new PeerAddress(
-                new Incarnation(settings.name(), random.nextLong()),
+                new Incarnation(settings.name(), Nonces.next()),
                 Role.AGENT,
                 settings.region(),
                 settings.dataCentre(),
                 settings.host(),
                 0);
-        LinkOptions options = LinkOptions.agent(HEARTBEAT_MILLIS, random.nextLong());
+        LinkOptions options = LinkOptions.agent(HEARTBEAT_MILLIS, Nonces.next());
         this.links = new LinkTable<>(vertx, options, self, () -> 0, clock, loop, new Handler());
         this.metrics = new EventMetrics(log, links);
-        this.finder = new EntryFinder(vertx, tables, clock, links::know, random.nextLong());
+        this.finder = new EntryFinder(vertx, tables, clock, links::know, Nonces.next());
     }
 
     /** Begins to take decisions and to look for entries. */
