--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -416,7 +416,7 @@
             case FENCED -> refence(nowNanos);
             case OTHER_LIFE -> lifeOver();
             case UNREACHABLE -> silent();
-            case UNANSWERED -> listLost(nowNanos);
+            default -> listLost(nowNanos);
         }
     }
 
