Serve latency histograms of jobs, and test the comparison of paces

Cause: the metrics address had counters only; the users ask for latency histograms. The comparison with the median had no test of its own.

Change: JobLatencies counts admitted jobs by kind of answer and upper bound; /metrics serves them. WorkerViewsTest tries six triples of paces.

Ruled out: a Micrometer timer, whose registry would lengthen the start of a process.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -49,6 +49,7 @@
     private final WorkerViews workers = new WorkerViews();
     private final HeldJobs held = new HeldJobs();
     private final JobBook jobs = new JobBook();
+    private final JobLatencies latencies = new JobLatencies();
     private final Map<String, Resources> largest = new HashMap<>();
     private OptionalLong leavingByNanos = OptionalLong.empty();
 
@@ -445,6 +446,7 @@
     /** Answers a job and stops what is left of it. */
     private void conclude(WorkJob job, JobVerdict verdict, long nowNanos) {
         job.answer();
+        latencies.answered(verdict.kind(), TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivalNanos()));
         output.note(
                 "job-answered",
                 "job=" + job.id() + " kind=" + verdict.kind() + " reason=\"" + verdict.reason() + "\" millis="
@@ -581,6 +583,15 @@
         return jobs.unanswered();
     }
 
+    /**
+     * Returns how long answered jobs took; any thread may call it. Jobs that were refused when they arrived are not counted.
+     *
+     * @return the counts
+     */
+    public JobLatencies latencies() {
+        return latencies;
+    }
+
     /**
      * Tells whether any worker takes starts.
      *
--- a/core/src/main/java/org/knapweedmount/core/worker/ReportRule.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/ReportRule.java
@@ -3,11 +3,11 @@
 import org.knapweedmount.api.Resources;
 
 /**
- * Decides which changes of a worker's room the entries are told of at once.
+ * Decides which changes of a worker's room and pace the entries are told of at once.
  *
  * <p>Load pattern: many short runs start and end, each of which changes the room a little. Entries with a queue are
  * offered the room anyway, and an order that does not fit is refused within a round trip, so that only large changes and
- * the opening and closing of the worker are worth a message.
+ * the opening and closing of the worker are worth a message, and a pace that has changed much.
  */
 final class ReportRule {
     /** The part of the worker's cores whose change is reported at once: one in this number. */
--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/WorkerViewsTest.java
@@ -0,0 +1,44 @@
+package org.knapweedmount.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.message.WorkerReport;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class WorkerViewsTest {
+    private final WorkerViews views = new WorkerViews();
+
+    private WorkerView worker(String name, int pacePercent) {
+        Resources capacity = new Resources(16_000, 1_000, 0);
+        WorkerView view = views.link(new Incarnation(name, 1), 0);
+        view.reported(new WorkerReport(1, "service", name, List.of(), capacity, capacity, true, 0, 0, pacePercent), 0);
+        return view;
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "100, 100, 100, 1.0", // all alike
+        "100, 100, 140, 1.0", // within what declared run times are off
+        "100, 100, 500, 5.0", // one is slow
+        "500, 500, 500, 1.0", // all are slow, as when all declared run times are too short
+        "200, 200, 600, 3.0", // compared with what the others take
+        "0, 0, 100, 10.0" // no division by nothing
+    })
+    void workerIsSlowBesideTheMedianOfItsService(int first, int second, int third, double slowness) {
+        List<WorkerView> workers = new ArrayList<>();
+        workers.add(worker("a", first));
+        workers.add(worker("b", second));
+        workers.add(worker("c", third));
+
+        views.comparePaces();
+
+        assertThat(workers.get(2).slowness(), is(slowness));
+    }
+}
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -77,8 +77,9 @@
         this.loop = new EventLoopDecisions<>(vertx.getOrCreateContext(), MAX_WAITING, clock);
         LinkOptions options = LinkOptions.entry(HEARTBEAT_MILLIS, Nonces.next());
         this.links = new LinkTable<>(vertx, options, self, version::get, clock, loop, new Handler());
-        this.metrics = new EventMetrics(log, links);
         this.module = new DispatchModule(new Output(answers), version, links::know);
+        this.metrics = new EventMetrics(
+                log, links, process -> process.jobs(module.dispatcher().latencies()));
     }
 
     /**
--- a/daemon/src/main/java/org/knapweedmount/daemon/metrics/EventMetrics.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/metrics/EventMetrics.java
@@ -1,5 +1,7 @@
 package org.knapweedmount.daemon.metrics;
 
+import java.util.function.Consumer;
+
 import org.knapweedmount.daemon.link.LinkTable;
 import org.knapweedmount.daemon.runtime.DecisionLog;
 
@@ -10,6 +12,7 @@
 public final class EventMetrics {
     private final DecisionLog log;
     private final LinkTable<?> links;
+    private final Consumer<ProcessMetrics> others;
     private ProcessMetrics metrics;
 
     /**
@@ -17,10 +20,12 @@
      *
      * @param log counts the events
      * @param links the links
+     * @param others adds what else the process counts
      */
-    public EventMetrics(DecisionLog log, LinkTable<?> links) {
+    public EventMetrics(DecisionLog log, LinkTable<?> links, Consumer<ProcessMetrics> others) {
         this.log = log;
         this.links = links;
+        this.others = others;
     }
 
     /**
@@ -32,6 +37,7 @@
         if (metrics == null) {
             metrics = new ProcessMetrics();
             metrics.links(links);
+            others.accept(metrics);
         }
         metrics.events(log);
         return metrics.text();
--- a/daemon/src/main/java/org/knapweedmount/daemon/metrics/ProcessMetrics.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/metrics/ProcessMetrics.java
@@ -11,6 +11,8 @@
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.knapweedmount.core.dispatch.JobLatencies;
+import org.knapweedmount.core.dispatch.JobVerdict;
 import org.knapweedmount.core.metric.Counters;
 import org.knapweedmount.core.metric.Invariants;
 import org.knapweedmount.daemon.link.LinkCounter;
@@ -116,6 +118,30 @@
         }
     }
 
+    /**
+     * Adds a histogram of how long answered jobs took: for each kind of answer and each upper bound {@code le}, in ms, the
+     * number of jobs that were answered within it.
+     *
+     * @param latencies the counts
+     */
+    public void jobs(JobLatencies latencies) {
+        for (JobVerdict.Kind kind : JobVerdict.Kind.values()) {
+            for (int classes = 1; classes <= JobLatencies.BOUNDS_MILLIS.size() + 1; classes++) {
+                boolean last = classes > JobLatencies.BOUNDS_MILLIS.size();
+                String bound = last
+                        ? "+Inf"
+                        : JobLatencies.BOUNDS_MILLIS.get(classes - 1).toString();
+                int counted = classes;
+                LongSupplier value = () -> latencies.within(kind, counted);
+                sources.add(value);
+                FunctionCounter.builder(PREFIX + "jobs.within.millis", value, LongSupplier::getAsLong)
+                        .tag("kind", kind.name().toLowerCase(Locale.ROOT))
+                        .tag("le", bound)
+                        .register(registry);
+            }
+        }
+    }
+
     private void counter(String name, LongSupplier value) {
         sources.add(value);
         FunctionCounter.builder(PREFIX + name, value, LongSupplier::getAsLong).register(registry);
--- a/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerProcess.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerProcess.java
@@ -75,7 +75,7 @@
                 0);
         LinkOptions options = LinkOptions.agent(HEARTBEAT_MILLIS, Nonces.next());
         this.links = new LinkTable<>(vertx, options, self, () -> 0, clock, loop, new Handler());
-        this.metrics = new EventMetrics(log, links);
+        this.metrics = new EventMetrics(log, links, none -> {});
         this.finder = new EntryFinder(vertx, tables, clock, links::know, Nonces.next());
     }
 
--- a/daemon/src/test/java/org/knapweedmount/daemon/metrics/ProcessMetricsTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/metrics/ProcessMetricsTest.java
@@ -2,6 +2,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.knapweedmount.core.agent.AgentCounter;
+import org.knapweedmount.core.dispatch.JobLatencies;
 import org.knapweedmount.core.metric.Counters;
 import org.knapweedmount.core.metric.Invariants;
 import org.knapweedmount.daemon.runtime.DecisionLoop;
@@ -41,6 +42,15 @@
         assertThat(metrics.text(), containsString("\nknapweedmount_decisions_refused_total 1.0\n"));
     }
 
+    @Test
+    void latenciesOfJobsAreShown() {
+        metrics.jobs(new JobLatencies());
+
+        assertThat(
+                metrics.text(),
+                containsString("\nknapweedmount_jobs_within_millis_total{kind=\"completed\",le=\"200\"} 0.0\n"));
+    }
+
     @Test
     void memoryIsShown() {
         assertThat(metrics.text(), containsString("\nknapweedmount_memory_direct_bytes "));
