Take the numbers of process starts from the clocks

Change: the numbers that tell the starts of a process apart are drawn from a generator seeded by two clocks.

Ruled out: a fault of the program (the frame is the C library's, called by the runtime). Open: how often it comes, and whether it comes at other calls than reads.

--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -1,6 +1,8 @@
 package org.knapweedmount.daemon.dispatch;
 
 import java.util.OptionalInt;
+import java.util.Random;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -24,7 +26,6 @@
 import org.knapweedmount.daemon.runtime.IdleWait;
 import org.knapweedmount.daemon.runtime.LinkedProcess;
 import org.knapweedmount.daemon.runtime.NanoClock;
-import org.knapweedmount.daemon.runtime.Nonces;
 import org.knapweedmount.daemon.runtime.RunningProcess;
 import org.knapweedmount.daemon.runtime.Ticker;
 import org.knapweedmount.daemon.store.EntryAnnouncement;
@@ -66,16 +67,18 @@
         this.vertx = vertx;
         this.clock = clock;
         this.log = new DecisionLog(settings.name());
+        // Seeded from two clocks, which differ between the starts of a process; a secure one takes 30 ms to set up.
+        Random random = ThreadLocalRandom.current();
         AtomicLong version = new AtomicLong();
         this.self = new PeerAddress(
-                new Incarnation(settings.name(), Nonces.next()),
+                new Incarnation(settings.name(), random.nextLong()),
                 Role.ENTRY,
                 settings.region(),
                 settings.dataCentre(),
                 settings.host(),
                 settings.linkPort());
         this.loop = new EventLoopDecisions<>(vertx.getOrCreateContext(), MAX_WAITING, clock);
-        LinkOptions options = LinkOptions.entry(HEARTBEAT_MILLIS, Nonces.next());
+        LinkOptions options = LinkOptions.entry(HEARTBEAT_MILLIS, random.nextLong());
         this.links = new LinkTable<>(vertx, options, self, version::get, clock, loop, new Handler());
         this.module = new DispatchModule(new Output(answers), version, links::know);
         this.metrics = new EventMetrics(
--- a/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerProcess.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerProcess.java
@@ -1,5 +1,7 @@
 package org.knapweedmount.daemon.worker;
 
+import java.util.Random;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.vertx.core.Vertx;
@@ -24,7 +26,6 @@
 import org.knapweedmount.daemon.runtime.IdleWait;
 import org.knapweedmount.daemon.runtime.LinkedProcess;
 import org.knapweedmount.daemon.runtime.NanoClock;
-import org.knapweedmount.daemon.runtime.Nonces;
 import org.knapweedmount.daemon.runtime.RetryingQueue;
 import org.knapweedmount.daemon.runtime.RunningProcess;
 import org.knapweedmount.daemon.runtime.Ticker;
@@ -64,19 +65,21 @@
         this.clock = clock;
         this.calls = calls;
         this.log = new DecisionLog(settings.name());
+        // Seeded from two clocks, which differ between the starts of a process; a secure one takes 30 ms to set up.
+        Random random = ThreadLocalRandom.current();
         this.loop = new EventLoopDecisions<>(vertx.getOrCreateContext(), MAX_WAITING, clock);
         this.results = new RetryingQueue<>(vertx, loop);
         PeerAddress self = new PeerAddress(
-                new Incarnation(settings.name(), Nonces.next()),
+                new Incarnation(settings.name(), random.nextLong()),
                 Role.AGENT,
                 settings.region(),
                 settings.dataCentre(),
                 settings.host(),
                 0);
-        LinkOptions options = LinkOptions.agent(HEARTBEAT_MILLIS, Nonces.next());
+        LinkOptions options = LinkOptions.agent(HEARTBEAT_MILLIS, random.nextLong());
         this.links = new LinkTable<>(vertx, options, self, () -> 0, clock, loop, new Handler());
         this.metrics = new EventMetrics(log, links, none -> {});
-        this.finder = new EntryFinder(vertx, tables, clock, links::know, Nonces.next());
+        this.finder = new EntryFinder(vertx, tables, clock, links::know, random.nextLong());
     }
 
     /** Begins to take decisions and to look for entries. */
