Take no samples of a worker's pace while its agent is cold

Change: WorkerPace ignores the first three seconds.

Ruled out: that the workers were slow (they ran tasks in their expected time in the same seconds).

--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerPace.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerPace.java
@@ -1,10 +1,13 @@
 package org.knapweedmount.core.worker;
 
+import java.util.OptionalLong;
+
 /**
  * Estimates how much longer runs take on a worker than expected, from the progress that its lists show.
  *
  * <p>Load pattern: a worker turns several times slower for some seconds. Its runs end late, so that what has ended says
- * little about it; the progress of those that run shows the change within some lists.
+ * little about it; the progress of those that run shows the change within some lists. An agent that has just started is
+ * slow itself, so that it takes no samples yet.
  */
 final class WorkerPace {
     private static final double WEIGHT = 0.15; // some seven samples decide, each off by up to 40%
@@ -19,6 +22,7 @@
 
     private double slowness = 1;
     private double noted = 1;
+    private OptionalLong firstNanos = OptionalLong.empty();
     private long sampledNanos;
 
     void reset() {
@@ -27,6 +31,12 @@
 
     /** Takes the ratio of the time that some work took to the time that it was expected to take. */
     void observe(double ratio, long nowNanos) {
+        if (firstNanos.isEmpty()) {
+            firstNanos = OptionalLong.of(nowNanos);
+        }
+        if (WorkerTimes.isCold(nowNanos - firstNanos.getAsLong())) {
+            return;
+        }
         double bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, ratio));
         double present = slowness(nowNanos);
         slowness = present + WEIGHT * (bounded - present);
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerTimes.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerTimes.java
@@ -66,7 +66,7 @@
      * @return the time, in ms
      */
     public static int callMillis(long ageNanos) {
-        return millis(ageNanos) < COLD_MILLIS ? COLD_CALL_MILLIS : CALL_MILLIS;
+        return isCold(ageNanos) ? COLD_CALL_MILLIS : CALL_MILLIS;
     }
 
     /**
@@ -76,7 +76,12 @@
      * @return the time, in ms
      */
     public static int listMillis(long ageNanos) {
-        return millis(ageNanos) < COLD_MILLIS ? COLD_CALL_MILLIS : LIST_MILLIS;
+        return isCold(ageNanos) ? COLD_CALL_MILLIS : LIST_MILLIS;
+    }
+
+    /** Tells whether a process has just started, so that its own code is slow. */
+    static boolean isCold(long ageNanos) {
+        return millis(ageNanos) < COLD_MILLIS;
     }
 
     static long nanos(long millis) {
--- a/core/src/test/java/org/knapweedmount/core/worker/WorkerPaceTest.java
+++ b/core/src/test/java/org/knapweedmount/core/worker/WorkerPaceTest.java
@@ -1,5 +1,6 @@
 package org.knapweedmount.core.worker;
 
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -11,6 +12,11 @@
 class WorkerPaceTest {
     private final WorkerPace pace = new WorkerPace();
 
+    @BeforeEach
+    void warmUp() {
+        pace.observe(1, WorkerTimes.nanos(-10_000));
+    }
+
     private void observe(int samples, double ratio, long nowMillis) {
         for (int i = 0; i < samples; i++) {
             pace.observe(ratio, WorkerTimes.nanos(nowMillis));
@@ -51,4 +57,14 @@
         assertThat(pace.changed(0), is(true));
         assertThat(pace.changed(0), is(false));
     }
+
+    @Test
+    void agentThatHasJustStartedTakesNoSamples() {
+        WorkerPace cold = new WorkerPace();
+        for (int millis = 0; millis < 2_900; millis += 50) {
+            cold.observe(8, WorkerTimes.nanos(millis));
+        }
+
+        assertThat(cold.slowness(WorkerTimes.nanos(2_900)), is(1.0));
+    }
 }
