Move the offers of room to the table of entries, and shorten the trails

Change: EntryTable makes the offers, WorkTask notes what concerns a run, WorkerPace gives percents. No decision changes.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -39,8 +39,6 @@
     /** How far the number of a run is raised when the worker has seen a higher one; more than a task's attempts. */
     private static final int OUTDATED_SKIP = 10;
 
-    private static final int PERCENT = 100;
-
     /** When a caller may come back whose job was given up in the queue, in ms; by then the flood has met admission. */
     private static final int RETRY_MILLIS = 1_000;
 
@@ -182,12 +180,7 @@
             int expectedMillis = (int) durations.expectedMillis(
                     task.job().request().queue().name(), task.step().estimateMillis());
             RunItem item = new RunItem(task.ref(), task.step().need(), expectedMillis, task.checkpoint());
-            task.job()
-                    .trail()
-                    .add(
-                            "ordered " + task.shortName() + " at "
-                                    + view.agent().process() + " pace " + (int) (PERCENT * view.slowness()) + "%",
-                            nowNanos);
+            task.noteOrder(view, nowNanos);
             items.computeIfAbsent(task.job(), none -> new ArrayList<>()).add(item);
         }
         List<JobRuns> runs = new ArrayList<>();
@@ -346,9 +339,7 @@
         }
         view.ordered().remove(task.name());
         task.saved(end.checkpoint());
-        task.job()
-                .trail()
-                .add(end.ending() + " " + task.shortName() + " after " + end.elapsedMillis() + "ms", nowNanos);
+        task.note(end.ending() + " after " + end.elapsedMillis() + "ms", nowNanos);
         if (end.ending() != RunEnding.DONE) {
             output.note(
                     "run-ended",
@@ -417,9 +408,7 @@
 
     private void lost(WorkerView view, WorkTask task, long nowNanos) {
         view.ordered().remove(task.name());
-        task.job()
-                .trail()
-                .add("lost " + task.shortName() + " at " + view.agent().process(), nowNanos);
+        task.note("lost at " + view.agent().process(), nowNanos);
         output.note("run-lost", "task=" + task.name() + " run=" + task.ref().run() + " agent=" + view.agent());
         if (task.job().answered()) {
             task.end();
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkTask.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkTask.java
@@ -7,6 +7,8 @@
 
 /** One task of a job at its entry. */
 final class WorkTask {
+    private static final int PERCENT = 100;
+
     private final WorkJob job;
     private final int stepNumber;
     private final String name;
@@ -39,9 +41,14 @@
         return name;
     }
 
-    /** Returns the number of the step, the number of the task in it and that of the run. */
-    String shortName() {
-        return name.substring(name.indexOf('.', job.id().length() + 1) + 1) + "#" + run;
+    /** Adds to the job's trail what was decided about the present run, named by its step, its task and its number. */
+    void note(String decision, long nowNanos) {
+        String shortName = name.substring(name.indexOf('.', job.id().length() + 1) + 1) + "#" + run;
+        job.trail().add(shortName + " " + decision, nowNanos);
+    }
+
+    void noteOrder(WorkerView view, long nowNanos) {
+        note("ordered at " + view.agent().process() + " pace " + (int) (PERCENT * view.slowness()) + "%", nowNanos);
     }
 
     TaskState state() {
--- a/core/src/main/java/org/knapweedmount/core/worker/EntryTable.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/EntryTable.java
@@ -5,10 +5,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Function;
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.message.RoomOffer;
 import org.knapweedmount.api.message.RunsEnded;
 import org.knapweedmount.api.message.RunsHeld;
 import org.knapweedmount.api.message.WorkerReport;
@@ -21,6 +23,7 @@
     private final Map<Incarnation, List<RunEnd>> ends = new LinkedHashMap<>();
     private ReportRule.View reported = ReportRule.View.NONE;
     private long reportedNanos;
+    private long offers;
 
     EntryTable(WorkerOutput output) {
         this.output = output;
@@ -78,6 +81,27 @@
         ends.clear();
     }
 
+    /** Offers what is left of some room to the entries that want it most. */
+    void offerRoom(Resources room, long nowNanos) {
+        for (Optional<EntryLease> next = nextToOffer(room); next.isPresent(); next = nextToOffer(room)) {
+            offer(next.get(), room.minus(offered()), nowNanos);
+        }
+    }
+
+    private Optional<EntryLease> nextToOffer(Resources room) {
+        return OfferOrder.next(entries.values(), room.minus(offered()));
+    }
+
+    private void offer(EntryLease lease, Resources free, long nowNanos) {
+        offers++;
+        lease.offered(new EntryLease.Offer(offers, free, nowNanos + WorkerTimes.nanos(WorkerTimes.OFFER_MILLIS)));
+        for (Map.Entry<Incarnation, EntryLease> entry : entries.entrySet()) {
+            if (entry.getValue() == lease) {
+                output.send(entry.getKey(), new RoomOffer(offers, free));
+            }
+        }
+    }
+
     /** Returns the room that is kept for entries with offers. */
     Resources offered() {
         Resources sum = Resources.NONE;
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -10,7 +10,6 @@
 import org.knapweedmount.api.message.LeaseRenewal;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.RoomDemand;
-import org.knapweedmount.api.message.RoomOffer;
 import org.knapweedmount.api.message.RunOrder;
 import org.knapweedmount.api.message.StopRuns;
 import org.knapweedmount.api.message.WorkerReport;
@@ -26,8 +25,6 @@
  * <p>Used by one thread. Each method takes the present time of a steady clock.
  */
 public final class WorkerAgent {
-    private static final int PERCENT = 100;
-
     private final WorkerOutput output;
     private final EntryTable entries;
     private final RunTable runs = new RunTable();
@@ -42,7 +39,6 @@
     private long fence;
     private long acknowledged;
     private long latestUntilMillis;
-    private long offers;
 
     /**
      * Creates an agent that knows no worker.
@@ -488,9 +484,11 @@
     /** Does what follows from any change: tells ends, offers free room, reports, and keeps a list under way. */
     private void settle(long nowNanos) {
         entries.tellEnds();
-        offerRoom(nowNanos);
+        if (isOpen(nowNanos)) {
+            entries.offerRoom(capacity().minus(runs.taken()), nowNanos);
+        }
         if (pace.changed(nowNanos)) {
-            output.note("worker-pace", "worker=" + life() + " percent=" + pacePercent(nowNanos) + " " + room());
+            output.note("worker-pace", "worker=" + life() + " percent=" + pace.percent(nowNanos) + " " + room());
         }
         ReportRule.View view = new ReportRule.View(isOpen(nowNanos), free(), capacity(), pace.slowness(nowNanos));
         entries.report(lease -> report(lease, nowNanos), view, nowNanos);
@@ -507,29 +505,6 @@
         output.list(life(), fence, acknowledged, untilMillis, nowNanos, waitMillis);
     }
 
-    private void offerRoom(long nowNanos) {
-        if (!isOpen(nowNanos)) {
-            return;
-        }
-        for (Optional<EntryLease> next = OfferOrder.next(entries.leases(), free());
-                next.isPresent();
-                next = OfferOrder.next(entries.leases(), free())) {
-            offer(next.get(), nowNanos);
-        }
-    }
-
-    private void offer(EntryLease lease, long nowNanos) {
-        offers++;
-        long untilNanos = nowNanos + WorkerTimes.nanos(WorkerTimes.OFFER_MILLIS);
-        lease.offered(new EntryLease.Offer(offers, free(), untilNanos));
-        for (Incarnation entry : entries.byEntry().keySet()) {
-            if (entries.byEntry().get(entry) == lease) {
-                output.send(
-                        entry, new RoomOffer(offers, lease.offer().orElseThrow().room()));
-            }
-        }
-    }
-
     private WorkerReport report(EntryLease lease, long nowNanos) {
         WorkerAnnouncement known = worker.orElse(NO_WORKER);
         return new WorkerReport(
@@ -542,11 +517,7 @@
                 isOpen(nowNanos),
                 lease.ordersSeen(),
                 entries.backlogWithout(lease),
-                pacePercent(nowNanos));
-    }
-
-    private int pacePercent(long nowNanos) {
-        return (int) Math.round(PERCENT * pace.slowness(nowNanos));
+                pace.percent(nowNanos));
     }
 
     private static final WorkerAnnouncement NO_WORKER =
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerPace.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerPace.java
@@ -11,6 +11,7 @@
  */
 final class WorkerPace {
     private static final double WEIGHT = 0.15; // some seven samples decide, each off by up to 40%
+    private static final int PERCENT = 100;
     private static final double MIN_SLOWNESS = 0.3;
     private static final double MAX_SLOWNESS = 20;
 
@@ -53,6 +54,11 @@
         return true;
     }
 
+    /** Returns the estimate in percent. */
+    int percent(long nowNanos) {
+        return (int) Math.round(PERCENT * slowness(nowNanos));
+    }
+
     /** Returns the estimate; it returns to 1 while nothing runs, so that the worker is tried again. */
     double slowness(long nowNanos) {
         double halves = WorkerTimes.millis(nowNanos - sampledNanos) / HALF_LIFE_MILLIS;
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherTest.java
@@ -94,9 +94,9 @@
                 trails.get(0),
                 allOf(
                         containsString("job=" + JOB),
-                        containsString("0ms ordered 0.0#1 at "),
-                        containsString("200ms STOPPED 0.0#1 after 300ms"),
-                        containsString("900ms DONE 0.0#2")));
+                        containsString("0ms 0.0#1 ordered at "),
+                        containsString("200ms 0.0#1 STOPPED after 300ms"),
+                        containsString("900ms 0.0#2 DONE")));
     }
 
     @Test
