--- a/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -42,10 +43,12 @@
     private final Map<Incarnation, Agent> agents = new LinkedHashMap<>();
     private final List<FakeWorker> workers = new ArrayList<>();
     private final Set<Set<Incarnation>> cutLinks = new HashSet<>();
+    private final Map<Incarnation, Map<Incarnation, Long>> openLinks = new HashMap<>();
     private final Map<String, JobResult> results = new LinkedHashMap<>();
     private final Map<String, Long> responseMillis = new HashMap<>();
     private final Map<String, Long> submittedMillis = new HashMap<>();
     private long lastNonce;
+    private long lastLink;
     private long lastJobNumber;
 
     private record Agent(WorkerAgent workerAgent, FakeWorker worker) {}
@@ -139,10 +142,7 @@
         Dispatcher dispatcher = new Dispatcher(new EntryPort(self));
         List<Incarnation> others = entries();
         entries.put(self, dispatcher);
-        others.forEach(other -> {
-            dispatcher.entryLinked(other);
-            entries.get(other).entryLinked(self);
-        });
+        others.forEach(other -> linkEntries(self, other));
         agents.keySet().forEach(agent -> link(self, agent));
         time.every(10, () -> {
             if (entries.containsKey(self)) {
@@ -152,44 +152,111 @@
         return self;
     }
 
+    /** Links an agent to an entry, which accepts the link before the agent reads the entry's first message. */
     private void link(Incarnation entry, Incarnation agent) {
         if (!entries.containsKey(entry) || !agents.containsKey(agent)) {
             return;
         }
+        lastLink++;
+        long number = lastLink;
+        openEnd(entry, agent, number);
         entries.get(entry).agentLinked(agent, time.nowNanos());
-        agents.get(agent).workerAgent().linked(entry, time.nowNanos());
+        time.after(LINK_MILLIS, () -> {
+            boolean closed = !Objects.equals(openEnd(entry, agent), number);
+            if (closed || !agents.containsKey(agent) || cutLinks.contains(Set.of(entry, agent))) {
+                return;
+            }
+            openEnd(agent, entry, number);
+            agents.get(agent).workerAgent().linked(entry, time.nowNanos());
+        });
+    }
+
+    private void linkEntries(Incarnation one, Incarnation other) {
+        if (!entries.containsKey(one) || !entries.containsKey(other)) {
+            return;
+        }
+        lastLink++;
+        openEnd(one, other, lastLink);
+        openEnd(other, one, lastLink);
+        entries.get(one).entryLinked(other);
+        entries.get(other).entryLinked(one);
+    }
+
+    private void openEnd(Incarnation process, Incarnation peer, long number) {
+        openLinks.computeIfAbsent(process, key -> new HashMap<>()).put(peer, number);
+    }
+
+    /** Returns the number of the link that is open at a process, null if there is none. */
+    private Long openEnd(Incarnation process, Incarnation peer) {
+        return openLinks.getOrDefault(process, Map.of()).get(peer);
+    }
+
+    /** Closes a process's end of a link, if the process lives and the end is open. */
+    private void closeEnd(Incarnation process, Incarnation peer) {
+        boolean open = openLinks.getOrDefault(process, new HashMap<>()).remove(peer) != null;
+        if (open && entries.containsKey(process)) {
+            entries.get(process).unlinked(peer, time.nowNanos());
+        } else if (open && agents.containsKey(process)) {
+            agents.get(process).workerAgent().unlinked(peer, time.nowNanos());
+        }
+    }
+
+    private void closeLinksTo(Incarnation lost) {
+        openLinks.remove(lost);
+        List.copyOf(openLinks.keySet()).forEach(process -> closeEnd(process, lost));
+    }
+
+    /** Delivers a message unless its link is cut or closed by the time of its arrival. */
+    private void deliver(Incarnation from, Incarnation to, Runnable receipt) {
+        Long number = openEnd(from, to);
+        boolean lost = number == null || cutLinks.contains(Set.of(from, to));
+        time.after(LINK_MILLIS, () -> {
+            if (!lost && !cutLinks.contains(Set.of(from, to)) && number.equals(openEnd(to, from))) {
+                receipt.run();
+            }
+        });
     }
 
     void killEntry(Incarnation entry) {
         entries.remove(entry);
-        agents.values().forEach(agent -> agent.workerAgent().unlinked(entry, time.nowNanos()));
-        entries.values().forEach(other -> other.unlinked(entry, time.nowNanos()));
+        closeLinksTo(entry);
     }
 
     FakeWorker killAgent(Incarnation agent) {
         FakeWorker worker = agents.remove(agent).worker();
-        entries.values().forEach(entry -> entry.unlinked(agent, time.nowNanos()));
+        closeLinksTo(agent);
         return worker;
     }
 
+    /** Resets a link: both ends detect it at once, messages under way are lost, and it is back after a delay. */
+    void resetLink(Incarnation entry, Incarnation agent, double backMillis) {
+        if (cutLinks.contains(Set.of(entry, agent))) {
+            return;
+        }
+        closeEnd(entry, agent);
+        closeEnd(agent, entry);
+        time.after(backMillis, () -> {
+            if (openEnd(entry, agent) == null) {
+                link(entry, agent);
+            }
+        });
+    }
+
     /** Cuts a link for a time: messages are lost, and both ends detect it after a delay or when the link is back. */
     void cutLink(Incarnation entry, Incarnation agent, double millis, double noticeMillis) {
-        cutLinks.add(Set.of(entry, agent));
-        boolean noticed = millis > noticeMillis;
-        if (noticed) {
+        if (!cutLinks.add(Set.of(entry, agent))) {
+            return;
+        }
+        if (millis > noticeMillis) {
             time.after(noticeMillis, () -> {
-                Optional.ofNullable(entries.get(entry)).ifPresent(process -> process.unlinked(agent, time.nowNanos()));
-                Optional.ofNullable(agents.get(agent))
-                        .ifPresent(process -> process.workerAgent().unlinked(entry, time.nowNanos()));
+                closeEnd(entry, agent);
+                closeEnd(agent, entry);
             });
         }
         time.after(millis + 5, () -> {
             cutLinks.remove(Set.of(entry, agent));
-            if (!noticed) {
-                Optional.ofNullable(entries.get(entry)).ifPresent(process -> process.unlinked(agent, time.nowNanos()));
-                Optional.ofNullable(agents.get(agent))
-                        .ifPresent(process -> process.workerAgent().unlinked(entry, time.nowNanos()));
-            }
+            closeEnd(entry, agent);
+            closeEnd(agent, entry);
             link(entry, agent);
         });
     }
@@ -232,11 +299,7 @@
 
         @Override
         public void send(Incarnation peer, Message message) {
-            boolean lost = cutLinks.contains(Set.of(self, peer));
-            time.after(LINK_MILLIS, () -> {
-                if (lost || cutLinks.contains(Set.of(self, peer)) || !entries.containsKey(self)) {
-                    return;
-                }
+            deliver(self, peer, () -> {
                 if (agents.containsKey(peer)) {
                     agents.get(peer).workerAgent().receive(self, message, time.nowNanos());
                 } else if (entries.containsKey(peer)) {
@@ -278,13 +341,7 @@
 
         @Override
         public void send(Incarnation entry, Message message) {
-            boolean lost = cutLinks.contains(Set.of(self, entry));
-            time.after(LINK_MILLIS, () -> {
-                boolean up = agents.containsKey(self) && entries.containsKey(entry);
-                if (!lost && up && !cutLinks.contains(Set.of(self, entry))) {
-                    entries.get(entry).receive(self, message, time.nowNanos());
-                }
-            });
+            deliver(self, entry, () -> entries.get(entry).receive(self, message, time.nowNanos()));
         }
 
         @Override
--- a/core/src/test/java/org/knapweedmount/core/work/WorkFleetTest.java
+++ b/core/src/test/java/org/knapweedmount/core/work/WorkFleetTest.java
@@ -92,6 +92,32 @@
         }
     }
 
+    /** An order that an entry sends on a new link crosses the agent's list of runs, which does not contain it. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void ordersOnAResetLinkAreNotTakenForLost(long seed) {
+        WorkFleet fleet = WorkFleet.of(seed, 3, 8, 16_000);
+        load(fleet, 80);
+        resets(fleet);
+
+        fleet.time().run(20_000);
+
+        assertThat(fleet.invariants().violations(), is(empty()));
+        assertThat(completed(fleet), greaterThan(300L));
+    }
+
+    private static void resets(WorkFleet fleet) {
+        fleet.time().after(fleet.random().nextInt(20, 200), () -> {
+            List<Incarnation> entries = fleet.entries();
+            List<Incarnation> agents = fleet.agents();
+            fleet.resetLink(
+                    entries.get(fleet.random().nextInt(entries.size())),
+                    agents.get(fleet.random().nextInt(agents.size())),
+                    fleet.random().nextInt(5, 100));
+            resets(fleet);
+        });
+    }
+
     private static void faults(WorkFleet fleet) {
         fleet.time().after(fleet.random().nextInt(50, 900), () -> {
             fault(fleet);
