Order runs on a new link only after the agent has reported on it

Callers saw one task run twice at the same time on two workers.

Cause: after a link was lost and came back, an entry went on using the agent's report of the earlier link. It could order a run as soon as it had accepted the new link. The agent makes its list of active runs (ActiveRuns) when it accepts the link, before it reads that order, so that the list does not contain the run. The entry read the list, took the run for lost and ordered it from another worker, while the agent had started it. An order is only started if the report that it echoes is younger than 500 ms, so this needs a link that is back quickly, as after a reset.

Fix: a new link discards the report. The agent sends its list of runs before its first report on a link, so that an entry that has a report has read the list, and no order can cross it. A result that arrives before the report no longer looks up the report for the service.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -365,7 +365,8 @@
             }
         }
         if (task.state() == TaskState.ORDERED) {
-            if (result.outcome().mayHaveRun() && workers.hasOtherAcceptingStarts(view)) {
+            String service = task.job().request().queue().service();
+            if (result.outcome().mayHaveRun() && workers.hasOtherAcceptingStarts(view, service)) {
                 task.avoidCurrentAgent();
             }
             task.markQueued();
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
@@ -44,8 +44,10 @@
         return linked;
     }
 
+    /** Starts a new link; what was reported on an earlier one may not include the runs that are active now. */
     void link() {
         linked = true;
+        report = Optional.empty();
         unacknowledgedOrders.clear();
         sentDemand = Optional.empty();
     }
@@ -63,6 +65,7 @@
         }
     }
 
+    /** Returns the last report on the current link, which follows the agent's list of its active runs. */
     Optional<WorkerReport> report() {
         return report;
     }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerViews.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerViews.java
@@ -48,12 +48,9 @@
                 .toList();
     }
 
-    /** Returns whether another worker of the same service accepts starts. */
-    boolean hasOtherAcceptingStarts(WorkerView one) {
-        return views.values().stream()
-                .anyMatch(view -> view != one
-                        && view.acceptsStarts()
-                        && view.serves(one.report().orElseThrow().service()));
+    /** Returns whether another worker of a service accepts starts. */
+    boolean hasOtherAcceptingStarts(WorkerView one, String service) {
+        return views.values().stream().anyMatch(view -> view != one && view.acceptsStarts() && view.serves(service));
     }
 
     void remove(WorkerView view) {
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherTest.java
@@ -43,12 +43,13 @@
     private final Dispatcher dispatcher = new Dispatcher(new Recorder());
 
     private void report(long millis, int freeMilliCores, boolean open) {
+        dispatcher.receive(AGENT, report(freeMilliCores, open), DispatchFixture.millisToNanos(millis));
+    }
+
+    private static WorkerReport report(int freeMilliCores, boolean open) {
         Resources capacity = new Resources(4_000, 1_000, 0);
         Resources free = new Resources(freeMilliCores, 1_000, 0);
-        dispatcher.receive(
-                AGENT,
-                new WorkerReport(1, "service", "w", List.of(), capacity, free, open, 9, 0, 100),
-                DispatchFixture.millisToNanos(millis));
+        return new WorkerReport(1, "service", "w", List.of(), capacity, free, open, 9, 0, 100);
     }
 
     private void submit(int tasks, int milliCores) {
@@ -168,6 +169,37 @@
         assertThat(stopped(), contains(FIRST));
     }
 
+    /** An agent's list of runs on a new link does not contain a run that was ordered on that link before it arrived. */
+    @Test
+    void nothingIsOrderedOnANewLinkBeforeTheAgentHasReported() {
+        submit(1, 1_000);
+        dispatcher.unlinked(AGENT, DispatchFixture.millisToNanos(1));
+        dispatcher.agentLinked(AGENT, DispatchFixture.millisToNanos(50));
+        dispatcher.receive(AGENT, new RunsEnded(List.of(new RunResult(FIRST, RunOutcome.STOPPED, 40, ""))), 0);
+        dispatcher.tick(DispatchFixture.millisToNanos(51));
+        assertThat(ordered(), contains(FIRST));
+
+        dispatcher.receive(AGENT, new ActiveRuns(List.of()), DispatchFixture.millisToNanos(52));
+        report(52, 4_000, true);
+
+        assertThat(ordered(), contains(FIRST, SECOND));
+    }
+
+    @Test
+    void resultThatComesBeforeTheFirstReportOfANewLinkQueuesTheTask() {
+        submit(1, 1_000);
+        Incarnation other = new Incarnation("other", 3);
+        dispatcher.agentLinked(other, 0);
+        dispatcher.receive(other, report(4_000, true), 0);
+        dispatcher.unlinked(AGENT, 0);
+        dispatcher.agentLinked(AGENT, DispatchFixture.millisToNanos(50));
+
+        sendResult(FIRST, RunOutcome.STOPPED, 51);
+        dispatcher.tick(DispatchFixture.millisToNanos(52));
+
+        assertThat(ordered(), contains(FIRST, SECOND));
+    }
+
     @Test
     void unknownRunThatAnAgentHoldsIsStopped() {
         dispatcher.receive(AGENT, new ActiveRuns(List.of(FIRST)), 0);
