Log what tells the causes of second runs apart

Change: an agent logs each accepted order (runs-accepted) and each end with its evidence (runs-released), runs that its worker lists although the agent does not hold them (runs-foreign), and the worker's lease five times a second while it has runs (worker-lease). An entry's runs-ordered has the number of the link and the age of the report; run-lost has its cause; new are runs-outdated, jobs-held-twice and job-released. Counters of the metrics: runs lost on a new link, runs lapsed by clock, runs ended by a new incarnation, foreign runs, jobs held by two entries, resubmissions that waited. No decision reads any of it.

The last lines of a stopped process had no process name; they have it now, and lines left out in the last second are reported.

--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchCounter.java
@@ -0,0 +1,11 @@
+package org.knapweedmount.core.dispatch;
+
+/** Counters of events at an entry that can precede a second run of a task. */
+public enum DispatchCounter {
+    /** Runs that the agent's list on a new link does not contain. */
+    RUNS_LOST_ON_NEW_LINK,
+    /** Jobs that another entry owns as well. */
+    JOBS_HELD_TWICE,
+    /** Resubmissions that waited for the end of an earlier submission, here or at another entry. */
+    RESUBMISSIONS_WAITED
+}
--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchOutput.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchOutput.java
@@ -28,4 +28,13 @@
      * @param detail the job and the inputs of the decision
      */
     void logEvent(String event, String detail);
+
+    /**
+     * Counts an event for the metrics of the process.
+     *
+     * @param counter the counter to increment
+     */
+    default void count(DispatchCounter counter) {
+        // An output without metrics counts nothing.
+    }
 }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -24,7 +24,6 @@
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.message.YieldJob;
 import org.knapweedmount.api.work.JobRuns;
-import org.knapweedmount.api.work.RunOutcome;
 import org.knapweedmount.api.work.RunRef;
 import org.knapweedmount.api.work.RunRequest;
 import org.knapweedmount.api.work.RunResult;
@@ -49,6 +48,7 @@
     private final JobTable jobs = new JobTable();
     private final JobLatencies latencies = new JobLatencies();
     private final Map<String, Resources> maxCapacity = new HashMap<>();
+    private final DispatchEvents events;
     private OptionalLong drainByNanos = OptionalLong.empty();
 
     /**
@@ -58,6 +58,7 @@
      */
     public Dispatcher(DispatchOutput output) {
         this.output = output;
+        this.events = new DispatchEvents(output);
     }
 
     /**
@@ -73,7 +74,7 @@
         }
         Optional<Incarnation> owner = ownership.owner(request.id());
         if (owner.isPresent()) {
-            output.logEvent("job-elsewhere", "job=" + request.id() + " entry=" + owner.get());
+            events.waitsForEntry(request.id(), owner.get());
             ownership.awaitEnd(request);
             output.send(owner.get(), new YieldJob(request.id()));
             return;
@@ -84,7 +85,7 @@
     /** Keeps a resubmitted job running, or waits for the runs of its earlier submission to end. */
     private void handleResubmission(JobRequest request) {
         TrackedJob job = jobs.find(request.id()).orElseThrow();
-        output.logEvent("job-again", "job=" + request.id() + " answered=" + job.answered());
+        events.resubmitted(job);
         if (job.answered()) {
             ownership.awaitEnd(request);
         }
@@ -152,6 +153,7 @@
         ResourceDemand demand = demandOf(service, nowNanos);
         chosen.forEach((view, tasks) -> sendOrder(view, 0, tasks, demand, nowNanos));
         sendDemand(views, demand, nowNanos);
+        events.flush(nowNanos);
     }
 
     private void place(
@@ -187,15 +189,7 @@
         }
         List<JobRuns> runs = new ArrayList<>();
         requests.forEach((job, list) -> runs.add(new JobRuns(job.request().spec(), list)));
-        if (!tasks.isEmpty()) {
-            output.logEvent(
-                    "runs-ordered",
-                    "agent=" + view.agent() + " offer=" + offer + " free="
-                            + view.freeCapacity().milliCores() + " tasks="
-                            + tasks.stream()
-                                    .map(task -> task.name() + "#" + task.ref().run())
-                                    .toList());
-        }
+        events.ordered(view, offer, tasks, nowNanos);
         long timestampNanos = view.report().orElseThrow().timestampNanos();
         output.send(view.agent(), new RunOrder(view.registerOrder(need), timestampNanos, offer, runs, demand));
         view.recordDemand(demand, nowNanos);
@@ -254,7 +248,7 @@
      */
     public void unlinked(Incarnation peer, long nowNanos) {
         workers.find(peer).ifPresent(WorkerView::unlink);
-        ownership.unlinked(peer).forEach(request -> admit(request, nowNanos));
+        release(ownership.unlinked(peer), "entry-unlinked", nowNanos);
     }
 
     /**
@@ -266,7 +260,8 @@
      */
     public void receive(Incarnation from, Message message, long nowNanos) {
         if (message instanceof JobOwnershipUpdate update) {
-            ownership.updateReceived(from, update).forEach(request -> admit(request, nowNanos));
+            events.ownedByPeer(from, update, jobs);
+            release(ownership.updateReceived(from, update), "ended-there", nowNanos);
         } else if (message instanceof YieldJob request) {
             yieldJob(from, request.job(), nowNanos);
         }
@@ -286,6 +281,13 @@
         }
     }
 
+    private void release(List<JobRequest> requests, String reason, long nowNanos) {
+        for (JobRequest request : requests) {
+            events.released(request.id(), reason);
+            admit(request, nowNanos);
+        }
+    }
+
     private void yieldJob(Incarnation from, String id, long nowNanos) {
         Optional<TrackedJob> job = jobs.find(id);
         output.logEvent("job-yielded", "job=" + id + " entry=" + from + " held=" + job.isPresent());
@@ -302,7 +304,8 @@
         maxCapacity.merge(report.service(), report.capacity(), Resources::max);
         if (newlyAccepting) {
             // A worker accepts starts only when no run of the agent's earlier incarnation is left and none can start.
-            workers.earlierIncarnations(view).forEach(earlierView -> releaseRuns(earlierView, nowNanos));
+            workers.earlierIncarnations(view)
+                    .forEach(earlierView -> releaseRuns(earlierView, LossCause.AGENT_REPLACED, nowNanos));
         }
         if (view.renewalDue(nowNanos)) {
             view.leaseRenewed(nowNanos);
@@ -332,6 +335,7 @@
             }
         }
         sendOrder(view, offer.number(), chosen, demandOf(service, nowNanos), nowNanos);
+        events.flush(nowNanos);
     }
 
     private void handleResult(WorkerView view, RunResult result, long nowNanos) {
@@ -342,12 +346,7 @@
         view.orderedTasks().remove(task.name());
         task.updateCheckpoint(result.checkpoint());
         task.recordDecision(result.outcome() + " after " + result.elapsedMillis() + "ms", nowNanos);
-        if (result.outcome() != RunOutcome.DONE) {
-            output.logEvent(
-                    "run-ended",
-                    "task=" + task.name() + " run=" + result.ref().run() + " how=" + result.outcome() + " millis="
-                            + result.elapsedMillis() + " agent=" + view.agent());
-        }
+        events.ended(view, result);
         if (!result.outcome().mayHaveRun()) {
             task.job().runRefused();
         }
@@ -401,19 +400,20 @@
         List<RunRef> outdated =
                 held.stream().filter(ref -> !view.isCurrentRun(ref)).toList();
         if (!outdated.isEmpty()) {
+            events.outdated(view, outdated);
             output.send(view.agent(), new StopRuns(outdated));
         }
         for (TrackedTask task : List.copyOf(view.orderedTasks().values())) {
             if (!held.contains(task.ref())) {
-                handleLostRun(view, task, nowNanos);
+                handleLostRun(view, task, LossCause.NEW_LINK, nowNanos);
             }
         }
     }
 
-    private void handleLostRun(WorkerView view, TrackedTask task, long nowNanos) {
+    private void handleLostRun(WorkerView view, TrackedTask task, LossCause cause, long nowNanos) {
         view.orderedTasks().remove(task.name());
         task.recordDecision("lost at " + view.agent().process(), nowNanos);
-        output.logEvent("run-lost", "task=" + task.name() + " run=" + task.ref().run() + " agent=" + view.agent());
+        events.lost(view, task, cause);
         if (task.job().answered()) {
             task.markEnded();
             removeIfDone(task.job(), nowNanos);
@@ -423,7 +423,7 @@
     }
 
     /** Releases the runs of an agent that must all have ended. */
-    private void releaseRuns(WorkerView view, long nowNanos) {
+    private void releaseRuns(WorkerView view, LossCause cause, long nowNanos) {
         List<TrackedTask> tasks = List.copyOf(view.orderedTasks().values());
         if (!tasks.isEmpty() && view.linked()) {
             // An agent whose VM was suspended receives this before any message that renews the lease of these runs.
@@ -431,7 +431,7 @@
                     view.agent(),
                     new StopRuns(tasks.stream().map(TrackedTask::ref).toList()));
         }
-        tasks.forEach(task -> handleLostRun(view, task, nowNanos));
+        tasks.forEach(task -> handleLostRun(view, task, cause, nowNanos));
         if (!view.linked()) {
             workers.remove(view);
         }
@@ -441,10 +441,7 @@
     private void conclude(TrackedJob job, JobResult result, long nowNanos) {
         job.markAnswered();
         latencies.record(result.kind(), TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivalNanos()));
-        output.logEvent(
-                "job-answered",
-                "job=" + job.id() + " kind=" + result.kind() + " reason=\"" + result.reason() + "\" millis="
-                        + TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivalNanos()));
+        events.answered(job, result, nowNanos);
         if (!job.metTarget(result, nowNanos)) {
             job.history().add(result.kind() + " " + result.reason(), nowNanos);
             output.logEvent("job-trail", "job=" + job.id() + " trail=\"" + job.history() + "\"");
@@ -466,7 +463,7 @@
     private void removeIfDone(TrackedJob job, long nowNanos) {
         if (job.isDone() && jobs.remove(job)) {
             ownership.ended(job.id());
-            ownership.removeAwaiting(job.id()).ifPresent(request -> admit(request, nowNanos));
+            release(ownership.removeAwaiting(job.id()).stream().toList(), "ended-here", nowNanos);
         }
     }
 
@@ -493,9 +490,10 @@
      */
     public void tick(long nowNanos) {
         workers.updateRelativeSlowdowns();
+        events.flush(nowNanos);
         for (WorkerView view : List.copyOf(workers.all())) {
             if (nowNanos - view.lastReportNanos() > DispatchTimings.MAX_RUN_END_NANOS) {
-                releaseRuns(view, nowNanos);
+                releaseRuns(view, LossCause.AGENT_SILENT, nowNanos);
             }
         }
         for (TrackedJob job : jobs.all()) {
@@ -503,9 +501,10 @@
                 expire(job, nowNanos);
             }
         }
-        ownership
-                .removeExpired(nowNanos)
-                .forEach(request -> output.answer(request.id(), JobResult.givenUp("held by another entry")));
+        for (JobRequest request : ownership.removeExpired(nowNanos)) {
+            events.released(request.id(), "expired");
+            output.answer(request.id(), JobResult.givenUp("held by another entry"));
+        }
         ownership
                 .pendingUpdate(nowNanos)
                 .ifPresent(update -> ownership.peers().forEach(peer -> output.send(peer, update)));
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
@@ -27,6 +27,7 @@
     private Optional<ResourceDemand> sentDemand = Optional.empty();
     private long demandSentNanos;
     private boolean linked = true;
+    private int linkNumber;
     private double relativeSlowdown = 1;
 
     private record SentOrder(long number, Resources resources) {}
@@ -44,9 +45,15 @@
         return linked;
     }
 
+    /** Returns the number of the last link to the agent, from 1 up. */
+    int linkNumber() {
+        return linkNumber;
+    }
+
     /** Starts a new link; what was reported on an earlier one may not include the runs that are active now. */
     void link() {
         linked = true;
+        linkNumber++;
         report = Optional.empty();
         unacknowledgedOrders.clear();
         sentDemand = Optional.empty();
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunCounter.java
@@ -0,0 +1,11 @@
+package org.knapweedmount.core.worker;
+
+/** Counters of runs that an agent has not seen end. */
+public enum RunCounter {
+    /** Runs of an unresponsive worker whose lease has expired by the worker's clock. */
+    LAPSED_BY_CLOCK,
+    /** Runs that ended because a later incarnation of the worker announced itself. */
+    ENDED_BY_NEW_INCARNATION,
+    /** Listings of a run, or of its end, that the agent does not hold. */
+    FOREIGN
+}
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -32,6 +32,7 @@
     private final WorkerHealth health = new WorkerHealth();
     private final SlowdownEstimator slowdown = new SlowdownEstimator();
     private final RunListCalls listCalls = new RunListCalls();
+    private final RunEvents events;
     private Optional<WorkerAnnouncement> worker = Optional.empty();
     private Optional<WorkerIncarnation> endedIncarnation = Optional.empty();
     private boolean noForeignRuns;
@@ -48,6 +49,7 @@
     public WorkerAgent(WorkerOutput output) {
         this.output = output;
         this.entries = new EntryTable(output);
+        this.events = new RunEvents(output);
     }
 
     /**
@@ -83,7 +85,7 @@
     private void startIncarnation(WorkerAnnouncement announcement, long nowNanos) {
         output.logEvent("worker-life", "worker=" + announcement.incarnation() + " runs=" + runs.size());
         // The first list raises the fencing token of the new incarnation, which rejects orders to the earlier one.
-        runs.all().forEach(run -> end(run, RunOutcome.LAPSED, "", nowNanos));
+        runs.all().forEach(run -> end(run, RunOutcome.LAPSED, RunEndEvidence.NEW_INCARNATION, "", nowNanos));
         clock.reset();
         clock.observe(announcement.clockMillis(), nowNanos);
         endedIncarnation = Optional.empty();
@@ -107,7 +109,7 @@
         }
         output.logEvent("worker-left", "worker=" + worker.get().incarnation());
         markIncarnationEnded();
-        runs.all().forEach(run -> end(run, RunOutcome.LAPSED, "", nowNanos));
+        runs.all().forEach(run -> end(run, RunOutcome.LAPSED, RunEndEvidence.WORKER_LEFT, "", nowNanos));
         reconcile(nowNanos);
     }
 
@@ -164,9 +166,9 @@
             for (RunRequest run : job.runs()) {
                 Optional<String> refusal = refusalReason(run, recent, nowNanos);
                 if (refusal.isEmpty()) {
-                    start(from, job.spec(), run, nowNanos);
+                    start(from, order.timestampNanos(), job.spec(), run, nowNanos);
                 } else {
-                    output.logEvent("run-refused", describe(run.ref()) + " reason=" + refusal.get() + " " + load());
+                    events.orderRefused(run.ref(), refusal.get(), load());
                     entries.addResult(from, new RunResult(run.ref(), RunOutcome.REFUSED, 0, ""));
                 }
             }
@@ -189,10 +191,11 @@
         return Optional.empty();
     }
 
-    private void start(Incarnation from, String spec, RunRequest request, long nowNanos) {
+    private void start(Incarnation from, long timestampNanos, String spec, RunRequest request, long nowNanos) {
         runs.add(new TrackedRun(from, request, nowNanos));
         long expiryMillis = leaseExpiryMillis(nowNanos);
         latestExpiryMillis = Math.max(latestExpiryMillis, expiryMillis);
+        events.accepted(from, request.ref(), nowNanos - timestampNanos, expiryMillis, lease(nowNanos), nowNanos);
         output.start(incarnation(), spec, request, fence, expiryMillis);
     }
 
@@ -220,23 +223,24 @@
         TrackedRun run = found.get();
         switch (reply) {
             case STARTED -> {
+                events.confirmed(ref, nowNanos);
                 if (run.state() == RunState.STARTING) {
                     run.transitionTo(RunState.RUNNING, nowNanos);
                 }
             }
             case UNANSWERED -> {
-                output.logEvent("start-unanswered", describe(ref) + " worker=" + incarnation);
+                output.logEvent("start-unanswered", RunEvents.describe(ref) + " worker=" + incarnation);
                 stop(run, nowNanos);
             }
-            case OUTDATED -> end(run, RunOutcome.OUTDATED, "", nowNanos);
+            case OUTDATED -> end(run, RunOutcome.OUTDATED, RunEndEvidence.START_REPLY, "", nowNanos);
             default -> handleRefusal(run, reply, nowNanos);
         }
         reconcile(nowNanos);
     }
 
     private void handleRefusal(TrackedRun run, StartReply reply, long nowNanos) {
-        output.logEvent("start-refused", describe(run.ref()) + " reason=" + reply + " worker=" + incarnation());
-        end(run, RunOutcome.REFUSED, "", nowNanos);
+        events.startRefused(run.ref(), reply, incarnation());
+        end(run, RunOutcome.REFUSED, RunEndEvidence.START_REPLY, "", nowNanos);
         switch (reply) {
             case FENCED -> raiseFence(nowNanos);
             case UNHEALTHY -> quarantine("unhealthy", nowNanos);
@@ -256,14 +260,10 @@
     /** Accepts no more starts until the worker has answered again. */
     private void markUnresponsive() {
         if (listCalls.markUnresponsive()) {
-            logUnresponsive();
+            events.workerSilent(incarnation());
         }
     }
 
-    private void logUnresponsive() {
-        output.logEvent("worker-silent", "worker=" + incarnation() + " runs=" + runs.size());
-    }
-
     private void raiseFence(long nowNanos) {
         fence = Math.max(fence, incarnation().startMillis() + clock.millis(nowNanos)) + 1;
         output.logEvent("fence-raised", "worker=" + incarnation() + " fence=" + fence);
@@ -286,7 +286,7 @@
             return;
         }
         if (reply == StopReply.OTHER_LIFE) {
-            end(found.get(), RunOutcome.LAPSED, "", nowNanos);
+            end(found.get(), RunOutcome.LAPSED, RunEndEvidence.STOP_REPLY, "", nowNanos);
         }
         if (reply == StopReply.CONFIRMED) {
             found.get().transitionTo(RunState.STOPPED, nowNanos);
@@ -318,6 +318,7 @@
         }
         listCalls.answered(nowNanos);
         clock.observe(list.clockMillis(), nowNanos);
+        events.listed(list, acknowledgedEnd, sentNanos, lease(nowNanos), nowNanos);
         Set<RunRef> listedRuns = applyRunning(list.running(), nowNanos);
         applyEnded(list.ended(), nowNanos);
         handleAbsentRuns(listedRuns, sentNanos, nowNanos);
@@ -358,7 +359,7 @@
                 continue;
             }
             updateHealth(run.get(), row.outcome(), nowNanos);
-            end(run.get(), row.outcome(), row.checkpoint(), nowNanos);
+            end(run.get(), row.outcome(), RunEndEvidence.LISTED, row.checkpoint(), nowNanos);
         }
     }
 
@@ -388,9 +389,9 @@
                 continue;
             }
             if (run.state() == RunState.STOPPED) {
-                end(run, RunOutcome.STOPPED, "", nowNanos);
+                end(run, RunOutcome.STOPPED, RunEndEvidence.ABSENT, "", nowNanos);
             } else if (run.state() == RunState.RUNNING && run.countAbsence() >= WorkerTimings.MAX_ABSENT_LISTS) {
-                output.logEvent("run-missing", describe(run.ref()) + " worker=" + incarnation());
+                output.logEvent("run-missing", RunEvents.describe(run.ref()) + " worker=" + incarnation());
                 stop(run, nowNanos);
             }
         }
@@ -419,7 +420,7 @@
 
     private void handleLostList(long nowNanos) {
         if (listCalls.lost(nowNanos)) {
-            logUnresponsive();
+            events.workerSilent(incarnation());
         }
         // A worker that fails each call at once is asked again only at the next tick.
         if (!listCalls.unresponsive() && listCalls.mayRetryAtOnce()) {
@@ -427,8 +428,9 @@
         }
     }
 
-    private void end(TrackedRun run, RunOutcome outcome, String checkpoint, long nowNanos) {
+    private void end(TrackedRun run, RunOutcome outcome, RunEndEvidence evidence, String checkpoint, long nowNanos) {
         runs.remove(run.ref());
+        events.released(run, outcome, evidence, lease(nowNanos), nowNanos);
         int elapsedMillis = (int) WorkerTimings.millis(nowNanos - run.orderedNanos());
         entries.addResult(run.entry(), new RunResult(run.ref(), outcome, elapsedMillis, checkpoint));
     }
@@ -455,8 +457,7 @@
     private void stopStalled(long nowNanos) {
         for (TrackedRun run : runs.matching(run -> run.state() == RunState.RUNNING)) {
             if (StallRule.isStalled(run, nowNanos)) {
-                output.logEvent(
-                        "run-stalled", describe(run.ref()) + " percent=" + run.percent() + " worker=" + incarnation());
+                events.stalled(run, incarnation());
                 quarantine("stalled", nowNanos);
                 stop(run, nowNanos);
             }
@@ -480,12 +481,13 @@
             return;
         }
         output.logEvent("worker-lapsed", "worker=" + incarnation() + " runs=" + runs.size());
-        runs.all().forEach(run -> end(run, RunOutcome.LAPSED, "", nowNanos));
+        runs.all().forEach(run -> end(run, RunOutcome.LAPSED, RunEndEvidence.CLOCK, "", nowNanos));
     }
 
     /** Follows up any change: sends results, offers capacity, reports, and keeps a list call in flight. */
     private void reconcile(long nowNanos) {
         entries.sendResults();
+        events.flush(lease(nowNanos), nowNanos);
         if (acceptsStarts(nowNanos)) {
             entries.offerCapacity(capacity().minus(runs.usedCapacity()), nowNanos);
         }
@@ -510,7 +512,7 @@
     }
 
     private WorkerReport report(EntryView entryView, long nowNanos) {
-        WorkerAnnouncement known = worker.orElse(NO_WORKER);
+        WorkerAnnouncement known = worker.orElse(WorkerAnnouncement.NONE);
         return new WorkerReport(
                 nowNanos,
                 known.service(),
@@ -524,9 +526,6 @@
                 slowdown.percent(nowNanos));
     }
 
-    private static final WorkerAnnouncement NO_WORKER =
-            new WorkerAnnouncement(new WorkerIncarnation("", 0), "", 0, Resources.NONE, List.of(), false, 0);
-
     private Resources free() {
         return capacity().minus(runs.usedCapacity()).minus(entries.offeredCapacity());
     }
@@ -555,15 +554,15 @@
     }
 
     private WorkerIncarnation incarnation() {
-        return worker.orElse(NO_WORKER).incarnation();
+        return worker.orElse(WorkerAnnouncement.NONE).incarnation();
     }
 
     private boolean isCurrent(WorkerIncarnation incarnation) {
         return worker.isPresent() && worker.get().incarnation().equals(incarnation);
     }
 
-    private static String describe(RunRef ref) {
-        return "task=" + ref.task() + " run=" + ref.run();
+    private RunEvents.Lease lease(long nowNanos) {
+        return new RunEvents.Lease(incarnation(), latestExpiryMillis, clock.millis(nowNanos));
     }
 
     private String load() {
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAnnouncement.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAnnouncement.java
@@ -24,6 +24,10 @@
         List<String> labels,
         boolean draining,
         long clockMillis) {
+    /** Stands for the worker before its first announcement. */
+    static final WorkerAnnouncement NONE =
+            new WorkerAnnouncement(new WorkerIncarnation("", 0), "", 0, Resources.NONE, List.of(), false, 0);
+
     /** Creates an announcement with a copy of the labels, after checking for null values. */
     public WorkerAnnouncement {
         Objects.requireNonNull(incarnation, "life");
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerOutput.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerOutput.java
@@ -62,4 +62,13 @@
      * @param detail the inputs of the decision
      */
     void logEvent(String event, String detail);
+
+    /**
+     * Counts an event for the metrics of the process.
+     *
+     * @param counter the counter to increment
+     */
+    default void count(RunCounter counter) {
+        // An output without metrics counts nothing.
+    }
 }
--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
@@ -0,0 +1,148 @@
+package org.knapweedmount.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.message.ActiveRuns;
+import org.knapweedmount.api.message.JobOwnershipUpdate;
+import org.knapweedmount.api.message.Message;
+import org.knapweedmount.api.message.WorkerReport;
+import org.knapweedmount.api.work.RunRef;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+class DispatchEventsTest {
+    private static final Incarnation AGENT = new Incarnation("agent", 1);
+    private static final Incarnation PEER = new Incarnation("peer", 2);
+    private static final String JOB = "00000000000000aa";
+
+    private final Recorder output = new Recorder();
+    private final Dispatcher dispatcher = new Dispatcher(output);
+
+    private void submit(String job, long millis) {
+        dispatcher.submit(
+                DispatchFixture.request(job, DispatchFixture.step(1, 1_000, 300)),
+                DispatchFixture.millisToNanos(millis));
+    }
+
+    private void report(long millis) {
+        Resources capacity = new Resources(4_000, 1_000, 0);
+        dispatcher.receive(
+                AGENT,
+                new WorkerReport(1, "service", "w", List.of(), capacity, capacity, true, 9, 0, 100),
+                DispatchFixture.millisToNanos(millis));
+    }
+
+    private void ownedByPeer(String job, long millis) {
+        dispatcher.receive(
+                PEER, new JobOwnershipUpdate(List.of(job), List.of()), DispatchFixture.millisToNanos(millis));
+    }
+
+    @BeforeEach
+    void openWorker() {
+        dispatcher.agentLinked(AGENT, 0);
+        report(0);
+    }
+
+    @Test
+    void orderHasNumberOfLinkAndAgeOfReport() {
+        dispatcher.unlinked(AGENT, DispatchFixture.millisToNanos(10));
+        dispatcher.agentLinked(AGENT, DispatchFixture.millisToNanos(20));
+        report(25);
+        submit(JOB, 30);
+
+        assertThat(
+                output.lines("runs-ordered"),
+                contains("ago=0 agent=" + AGENT + " link=2 report=5 offer=0 free=4000 tasks=[" + JOB + ".0.0.0#1]"));
+    }
+
+    @Test
+    void newLinkTellsLostAndOutdatedRuns() {
+        submit(JOB, 10);
+        dispatcher.agentLinked(AGENT, DispatchFixture.millisToNanos(20));
+        dispatcher.receive(AGENT, new ActiveRuns(List.of(new RunRef("x", 7))), DispatchFixture.millisToNanos(30));
+
+        assertThat(output.lines("runs-outdated"), contains("agent=" + AGENT + " link=2 runs=[x#7]"));
+        assertThat(
+                output.lines("run-lost"),
+                contains("task=" + JOB + ".0.0.0 run=1 agent=" + AGENT + " cause=NEW_LINK link=2"));
+        assertThat(output.counted, contains(DispatchCounter.RUNS_LOST_ON_NEW_LINK));
+    }
+
+    @Test
+    void silentAgentIsTheCauseOfALostRun() {
+        submit(JOB, 10);
+        dispatcher.tick(DispatchFixture.millisToNanos(1_200));
+
+        assertThat(
+                output.lines("run-lost"),
+                contains("task=" + JOB + ".0.0.0 run=1 agent=" + AGENT + " cause=AGENT_SILENT link=1"));
+        assertThat(output.counted.isEmpty(), is(true));
+    }
+
+    @Test
+    void jobThatAnotherEntryOwnsAsWellIsLogged() {
+        submit(JOB, 10);
+        ownedByPeer(JOB, 20);
+
+        assertThat(
+                output.lines("jobs-held-twice"), contains("entry=" + PEER + " unanswered=[" + JOB + "] answered=[]"));
+        assertThat(output.counted, contains(DispatchCounter.JOBS_HELD_TWICE));
+    }
+
+    @Test
+    void waitingResubmissionTellsWhyItIsReleased() {
+        ownedByPeer(JOB, 5);
+        submit(JOB, 10);
+        dispatcher.receive(PEER, new JobOwnershipUpdate(List.of(), List.of(JOB)), DispatchFixture.millisToNanos(40));
+        String other = "00000000000000bb";
+        ownedByPeer(other, 50);
+        submit(other, 60);
+        dispatcher.unlinked(PEER, DispatchFixture.millisToNanos(70));
+
+        assertThat(
+                output.lines("job-released"),
+                contains("job=" + JOB + " reason=ended-there", "job=" + other + " reason=entry-unlinked"));
+        assertThat(
+                output.counted, contains(DispatchCounter.RESUBMISSIONS_WAITED, DispatchCounter.RESUBMISSIONS_WAITED));
+    }
+
+    private static final class Recorder implements DispatchOutput {
+        private final List<String> events = new ArrayList<>();
+        private final List<DispatchCounter> counted = new ArrayList<>();
+
+        private List<String> lines(String event) {
+            String prefix = event + " ";
+            return events.stream()
+                    .filter(line -> line.startsWith(prefix))
+                    .map(line -> line.substring(prefix.length()))
+                    .toList();
+        }
+
+        @Override
+        public void send(Incarnation peer, Message message) {
+            // Messages are not checked.
+        }
+
+        @Override
+        public void answer(String job, JobResult result) {
+            // Answers are not checked.
+        }
+
+        @Override
+        public void logEvent(String event, String detail) {
+            events.add(event + " " + detail);
+        }
+
+        @Override
+        public void count(DispatchCounter counter) {
+            counted.add(counter);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/worker/RunEventsTest.java
@@ -0,0 +1,200 @@
+package org.knapweedmount.core.worker;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.message.Message;
+import org.knapweedmount.api.message.ResourceDemand;
+import org.knapweedmount.api.message.RunOrder;
+import org.knapweedmount.api.work.JobRuns;
+import org.knapweedmount.api.work.RunOutcome;
+import org.knapweedmount.api.work.RunRef;
+import org.knapweedmount.api.work.RunRequest;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+class RunEventsTest {
+    private static final Incarnation ENTRY = new Incarnation("entry", 1);
+    private static final WorkerIncarnation WORKER = new WorkerIncarnation("i-1", 1_000);
+    private static final RunRef RUN = new RunRef("aa.0.0.0", 1);
+
+    private final Recorder output = new Recorder();
+    private final WorkerAgent agent = new WorkerAgent(output);
+
+    private static long millisToNanos(long millis) {
+        return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    private void announce(WorkerIncarnation worker, long millis) {
+        agent.announced(
+                new WorkerAnnouncement(
+                        worker, "service", 1, new Resources(4_000, 1_000, 0), List.of("a"), false, 5_000 + millis),
+                millisToNanos(millis));
+    }
+
+    private void list(long sentMillis, long millis, List<RunList.Running> running, List<RunList.Ended> ended) {
+        agent.listAnswered(
+                WORKER,
+                millisToNanos(sentMillis),
+                new RunList(WORKER.startMillis(), 5_000 + millis, running, ended),
+                millisToNanos(millis));
+    }
+
+    private void order(long timestampMillis, long millis) {
+        RunRequest request = new RunRequest(RUN, new Resources(1_000, 100, 0), 300, "");
+        agent.receive(
+                ENTRY,
+                new RunOrder(
+                        1,
+                        millisToNanos(timestampMillis),
+                        0,
+                        List.of(new JobRuns("spec", List.of(request))),
+                        ResourceDemand.NONE),
+                millisToNanos(millis));
+    }
+
+    @BeforeEach
+    void orderRun() {
+        agent.linked(ENTRY, millisToNanos(0));
+        announce(WORKER, 0);
+        list(0, 1, List.of(), List.of());
+        order(90, 100);
+    }
+
+    @Test
+    void acceptedRunHasAgeOfTimestampAndExpiries() {
+        assertThat(
+                output.lines("runs-accepted"),
+                contains("ago=0 worker=i-1@1000 entry=" + ENTRY
+                        + " age=10 expiry=5988 granted=5988 clock=5098 runs=[aa.0.0.0#1]"));
+    }
+
+    @Test
+    void listedEndHasWhenTheRunWasSeen() {
+        agent.startAnswered(WORKER, RUN, StartReply.STARTED, millisToNanos(102));
+        list(110, 120, List.of(new RunList.Running(RUN, "", 10)), List.of());
+        list(120, 150, List.of(), List.of(new RunList.Ended(1, RUN, RunOutcome.DONE, "")));
+
+        assertThat(
+                output.lines("runs-released"),
+                contains("ago=0 worker=i-1@1000 entry=" + ENTRY
+                        + " evidence=LISTED outcome=DONE granted=5988 clock=5150 runs=[aa.0.0.0#1/50/48/40]"));
+    }
+
+    @Test
+    void newIncarnationEndsRunsThatWereNotSeenToEnd() {
+        announce(new WorkerIncarnation("i-1", 2_000), 200);
+
+        assertThat(
+                output.lines("runs-released"),
+                contains(
+                        "ago=0 worker=i-1@1000 entry=" + ENTRY
+                                + " evidence=NEW_INCARNATION outcome=LAPSED granted=5988 clock=5196 runs=[aa.0.0.0#1/100/-/-]"));
+        assertThat(output.counted, contains(RunCounter.ENDED_BY_NEW_INCARNATION));
+    }
+
+    @Test
+    void leftWorkerEndsRunsThatWereNotSeenToEnd() {
+        agent.workerLeft("i-1", millisToNanos(200));
+
+        assertThat(
+                output.lines("runs-released"),
+                contains("ago=0 worker=i-1@1000 entry=" + ENTRY
+                        + " evidence=WORKER_LEFT outcome=LAPSED granted=5988 clock=5196 runs=[aa.0.0.0#1/100/-/-]"));
+    }
+
+    @Test
+    void refusedStartIsEvidenceThatNothingRan() {
+        agent.startAnswered(WORKER, RUN, StartReply.REFUSED, millisToNanos(102));
+
+        assertThat(
+                output.lines("runs-released"),
+                contains("ago=0 worker=i-1@1000 entry=" + ENTRY
+                        + " evidence=START_REPLY outcome=REFUSED granted=5988 clock=5099 runs=[aa.0.0.0#1/2/-/-]"));
+    }
+
+    @Test
+    void lapseByClockIsCounted() {
+        agent.listFailed(WORKER, millisToNanos(100), RunListFailure.UNREACHABLE, millisToNanos(110));
+        agent.tick(millisToNanos(1_200));
+
+        assertThat(output.counted, contains(RunCounter.LAPSED_BY_CLOCK));
+    }
+
+    @Test
+    void runThatTheAgentDoesNotHoldIsLogged() {
+        list(110, 120, List.of(new RunList.Running(new RunRef("bb.0.0.0", 3), "", 10)), List.of());
+
+        assertThat(
+                output.lines("runs-foreign"),
+                contains("ago=0 worker=i-1@1000 state=RUNNING granted=5988 clock=5120 runs=[bb.0.0.0#3]"));
+        assertThat(output.counted, contains(RunCounter.FOREIGN));
+    }
+
+    @Test
+    void leaseIsLoggedFromTimeToTimeWhileThereAreRuns() {
+        for (int millis = 100; millis < 600; millis += 40) {
+            agent.tick(millisToNanos(millis));
+        }
+
+        assertThat(output.lines("worker-lease").size() <= 3, is(true));
+        assertThat(output.lines("worker-lease").isEmpty(), is(false));
+    }
+
+    private static final class Recorder implements WorkerOutput {
+        private final List<String> events = new ArrayList<>();
+        private final List<RunCounter> counted = new ArrayList<>();
+
+        private List<String> lines(String event) {
+            String prefix = event + " ";
+            return events.stream()
+                    .filter(line -> line.startsWith(prefix))
+                    .map(line -> line.substring(prefix.length()))
+                    .toList();
+        }
+
+        @Override
+        public void send(Incarnation entry, Message message) {
+            // Messages are not checked.
+        }
+
+        @Override
+        public void start(
+                WorkerIncarnation incarnation, String spec, RunRequest run, long fence, long leaseExpiryMillis) {
+            // The tests provide the answers.
+        }
+
+        @Override
+        public void stop(WorkerIncarnation incarnation, RunRef run, long fence) {
+            // The tests provide the answers.
+        }
+
+        @Override
+        public void list(
+                WorkerIncarnation incarnation,
+                long fence,
+                long acknowledged,
+                long leaseExpiryMillis,
+                long sentNanos,
+                int waitMillis) {
+            // The tests provide the answers.
+        }
+
+        @Override
+        public void logEvent(String event, String detail) {
+            events.add(event + " " + detail);
+        }
+
+        @Override
+        public void count(RunCounter counter) {
+            counted.add(counter);
+        }
+    }
+}
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -14,8 +14,10 @@
 import org.knapweedmount.api.Role;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.QueueUpdate;
+import org.knapweedmount.core.dispatch.DispatchCounter;
 import org.knapweedmount.core.dispatch.DispatchOutput;
 import org.knapweedmount.core.dispatch.JobResult;
+import org.knapweedmount.core.metric.Counters;
 import org.knapweedmount.daemon.link.LinkHandler;
 import org.knapweedmount.daemon.link.LinkOptions;
 import org.knapweedmount.daemon.link.LinkTable;
@@ -51,6 +53,7 @@
     private final LinkTable<DispatchModule> links;
     private final DecisionLog log;
     private final LazyProcessMetrics metrics;
+    private final Counters<DispatchCounter> counters = new Counters<>(DispatchCounter.class);
     private final DispatchModule dispatchModule;
     private final PeerAddress self;
     private final AtomicBoolean stopping = new AtomicBoolean();
@@ -84,8 +87,10 @@
         LinkOptions options = LinkOptions.entry(HEARTBEAT_INTERVAL_MILLIS, random.nextLong());
         this.links = new LinkTable<>(vertx, options, self, appliedVersion::get, clock, decisions, new Handler());
         this.dispatchModule = new DispatchModule(new Output(answerHandler), appliedVersion, links::addKnownEntry);
-        this.metrics = new LazyProcessMetrics(
-                log, links, process -> process.jobs(dispatchModule.dispatcher().latencies()));
+        this.metrics = new LazyProcessMetrics(log, links, process -> {
+            process.jobs(dispatchModule.dispatcher().latencies());
+            process.counters("dispatch", DispatchCounter.class, counters);
+        });
     }
 
     /**
@@ -239,5 +244,10 @@
         public void logEvent(String event, String detail) {
             log.logEvent(event, detail, clock.nanos());
         }
+
+        @Override
+        public void count(DispatchCounter counter) {
+            counters.increment(counter);
+        }
     }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/runtime/DecisionLog.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/runtime/DecisionLog.java
@@ -6,9 +6,11 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Consumer;
 
 import org.tinylog.Logger;
 
@@ -16,7 +18,7 @@
  * A structured log of decisions that never blocks the decision thread.
  *
  * <p>Lines are rate-limited per event name, so that frequent events do not displace rare ones; dropped lines are
- * counted and reported in a line. A dedicated thread writes the lines.
+ * counted and reported in a line, by event. A dedicated thread writes the lines.
  */
 public final class DecisionLog implements AutoCloseable {
     private static final int MAX_QUEUED_LINES = 2_048; // two seconds of lines at the full rate of all events
@@ -26,10 +28,11 @@
     private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
     private final Map<String, Integer> linesThisSecond = new HashMap<>();
     private final Map<String, LongAdder> counts = new ConcurrentHashMap<>();
+    private final Map<String, Integer> unreportedDrops = new ConcurrentSkipListMap<>();
     private final AtomicLong droppedLines = new AtomicLong();
+    private final Consumer<String> output;
     private final Thread writer;
     private long secondStartNanos;
-    private long reportedDrops;
 
     /**
      * Creates a log and starts its writer thread.
@@ -37,7 +40,12 @@
      * @param process the name of the process, contained in each line
      */
     public DecisionLog(String process) {
-        this.writer = new Thread(() -> write(process), "decision-log");
+        this(line -> Logger.info("process={} {}", process, line));
+    }
+
+    DecisionLog(Consumer<String> output) {
+        this.output = output;
+        this.writer = new Thread(this::write, "decision-log");
         writer.setDaemon(true);
         writer.start();
     }
@@ -59,13 +67,18 @@
         boolean withinRateLimit = linesThisSecond.merge(event, 1, Integer::sum) <= MAX_LINES_PER_EVENT_PER_SECOND;
         if (!withinRateLimit || !lines.offer("event=" + event + " " + detail)) {
             droppedLines.incrementAndGet();
+            unreportedDrops.merge(event, 1, Integer::sum);
         }
     }
 
     private void reportDroppedLines() {
-        long sum = droppedLines.get();
-        if (sum > reportedDrops && lines.offer("event=lines-left-out count=" + (sum - reportedDrops))) {
-            reportedDrops = sum;
+        if (unreportedDrops.isEmpty()) {
+            return;
+        }
+        int count =
+                unreportedDrops.values().stream().mapToInt(Integer::intValue).sum();
+        if (lines.offer("event=lines-left-out count=" + count + " events=" + unreportedDrops)) {
+            unreportedDrops.clear();
         }
     }
 
@@ -89,22 +102,28 @@
         return sums;
     }
 
-    private void write(String process) {
+    private void write() {
         try {
             while (true) {
-                Logger.info("process={} {}", process, lines.take());
+                output.accept(lines.take());
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
-    /** Stops the writer thread and writes the queued lines. */
+    private void writeQueuedLines() {
+        for (String line = lines.poll(); line != null; line = lines.poll()) {
+            output.accept(line);
+        }
+    }
+
+    /** Stops the writer thread and writes the queued lines and the number of dropped ones. */
     @Override
     public void close() {
         writer.interrupt();
-        for (String line = lines.poll(); line != null; line = lines.poll()) {
-            Logger.info(line);
-        }
+        writeQueuedLines();
+        reportDroppedLines();
+        writeQueuedLines();
     }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
@@ -12,6 +12,8 @@
 import org.knapweedmount.api.message.Peers;
 import org.knapweedmount.api.work.RunRef;
 import org.knapweedmount.api.work.RunRequest;
+import org.knapweedmount.core.metric.Counters;
+import org.knapweedmount.core.worker.RunCounter;
 import org.knapweedmount.core.worker.WorkerAgent;
 import org.knapweedmount.core.worker.WorkerAnnouncement;
 import org.knapweedmount.core.worker.WorkerIncarnation;
@@ -46,6 +48,7 @@
     private final LinkTable<WorkerAgent> links;
     private final DecisionLog log;
     private final LazyProcessMetrics metrics;
+    private final Counters<RunCounter> counters = new Counters<>(RunCounter.class);
     private final WorkerClient client;
     private final EntryFinder finder;
     private final AtomicBoolean stopping = new AtomicBoolean();
@@ -79,7 +82,8 @@
                 0);
         LinkOptions options = LinkOptions.agent(HEARTBEAT_INTERVAL_MILLIS, random.nextLong());
         this.links = new LinkTable<>(vertx, options, self, () -> 0, clock, decisions, new Handler());
-        this.metrics = new LazyProcessMetrics(log, links, ignored -> {});
+        this.metrics =
+                new LazyProcessMetrics(log, links, process -> process.counters("worker", RunCounter.class, counters));
         this.finder = new EntryFinder(vertx, tables, clock, links::addKnownEntry, random.nextLong());
     }
 
@@ -198,5 +202,10 @@
         public void logEvent(String event, String detail) {
             log.logEvent(event, detail, clock.nanos());
         }
+
+        @Override
+        public void count(RunCounter counter) {
+            counters.increment(counter);
+        }
     }
 }
