Refuse runs whose entry's lease ends long before the worker's

Callers saw a task run twice. All runs of a worker end with its one lease, which never shortens, while an entry counts on the end of its runs 1,100 ms after the last report that it received. A run ordered under an old timestamp shared the lease that other entries had renewed: ordered under timestamp 20 and accepted at 500, it could live until 1,380 ms on the worker, while its entry ordered the task elsewhere at 1,120 ms if the agent was lost or stood still.

An order is now refused (REFUSED is true, nothing was sent) if the latest expiry granted to the worker, also by calls without an answer, lies more than 100 ms beyond the lease of the ordering entry: (900 + 100) / 0.98 + 50 is 1,070 ms, below 1,100. A report with a new timestamp precedes the refusal, so that the next order is accepted. So that usual orders are not refused, the worker's lease is extended to at most 750 ms from now: an order whose timestamp is up to 250 ms old fits, which is a report interval, a tick and a round trip.

The state of the worker's incarnation moves to CurrentWorker without a change, for room in WorkerAgent.

On the old rule the new tests fail with "Expected: is an empty collection but: <[RunRef[task=t2, run=1]]>", "... <[RunRef[task=t3, run=1]]>" and, for the report before the refusal, "Index 0 out of bounds for length 0".

--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/worker/CurrentWorker.java
@@ -0,0 +1,59 @@
+package org.knapweedmount.core.worker;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.knapweedmount.api.Resources;
+
+/** The latest incarnation of the worker, as its announcements and replies show it. */
+final class CurrentWorker {
+    private static final WorkerAnnouncement NONE =
+            new WorkerAnnouncement(new WorkerIncarnation("", 0), "", 0, Resources.NONE, List.of(), false, 0);
+
+    private Optional<WorkerAnnouncement> announcement = Optional.empty();
+    private boolean ended;
+
+    /** Returns whether any worker has announced itself. */
+    boolean known() {
+        return announcement.isPresent();
+    }
+
+    /** Returns the latest announcement, with empty values if there is none. */
+    WorkerAnnouncement announcement() {
+        return announcement.orElse(NONE);
+    }
+
+    WorkerIncarnation incarnation() {
+        return announcement().incarnation();
+    }
+
+    boolean isCurrent(WorkerIncarnation incarnation) {
+        return known() && incarnation().equals(incarnation);
+    }
+
+    /** Returns whether an announcement is older than the latest one, or comes from an earlier incarnation. */
+    boolean isOutdated(WorkerAnnouncement received) {
+        if (isCurrent(received.incarnation())) {
+            return received.sequence() <= announcement().sequence();
+        }
+        return known() && received.incarnation().startMillis() <= incarnation().startMillis();
+    }
+
+    /** Replaces the latest announcement by one that is not outdated. */
+    void announced(WorkerAnnouncement received) {
+        if (!isCurrent(received.incarnation())) {
+            ended = false;
+        }
+        announcement = Optional.of(received);
+    }
+
+    /** Records that the incarnation has ended; it gets no more orders. */
+    void markEnded() {
+        ended = known();
+    }
+
+    /** Returns whether the worker may be sent orders. */
+    boolean isPresent() {
+        return known() && !ended;
+    }
+}
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -29,16 +29,15 @@
     private final EntryTable entries;
     private final RunTable runs = new RunTable();
     private final WorkerClock clock = new WorkerClock();
+    private final WorkerLease lease = new WorkerLease();
     private final WorkerHealth health = new WorkerHealth();
     private final SlowdownEstimator slowdown = new SlowdownEstimator();
     private final RunListCalls listCalls = new RunListCalls();
-    private Optional<WorkerAnnouncement> worker = Optional.empty();
-    private Optional<WorkerIncarnation> endedIncarnation = Optional.empty();
+    private final CurrentWorker worker = new CurrentWorker();
     private boolean noForeignRuns;
     private boolean draining;
     private long fence;
     private long acknowledgedEnd;
-    private long latestExpiryMillis;
 
     /**
      * Creates an agent without a worker.
@@ -57,13 +56,12 @@
      * @param nowNanos the current time, in ns
      */
     public void announced(WorkerAnnouncement announcement, long nowNanos) {
-        boolean known = worker.isPresent() && worker.get().incarnation().equals(announcement.incarnation());
-        boolean outdated = known && announcement.sequence() <= worker.get().sequence();
-        if (outdated || isEarlierIncarnation(announcement.incarnation())) {
+        if (worker.isOutdated(announcement)) {
             return;
         }
-        boolean wasDraining = worker.isPresent() && worker.get().draining();
-        worker = Optional.of(announcement);
+        boolean known = worker.isCurrent(announcement.incarnation());
+        boolean wasDraining = worker.announcement().draining();
+        worker.announced(announcement);
         if (!known) {
             startIncarnation(announcement, nowNanos);
         } else if (announcement.draining() != wasDraining) {
@@ -73,25 +71,17 @@
         reconcile(nowNanos);
     }
 
-    /** Returns whether an incarnation started before the current one, or at the same time. */
-    private boolean isEarlierIncarnation(WorkerIncarnation incarnation) {
-        return worker.isPresent()
-                && !incarnation.equals(worker.get().incarnation())
-                && incarnation.startMillis() <= worker.get().incarnation().startMillis();
-    }
-
     private void startIncarnation(WorkerAnnouncement announcement, long nowNanos) {
         output.logEvent("worker-life", "worker=" + announcement.incarnation() + " runs=" + runs.size());
         // The first list raises the fencing token of the new incarnation, which rejects orders to the earlier one.
         runs.all().forEach(run -> end(run, RunOutcome.LAPSED, "", nowNanos));
         clock.reset();
         clock.observe(announcement.clockMillis(), nowNanos);
-        endedIncarnation = Optional.empty();
         noForeignRuns = false;
         listCalls.reset(nowNanos);
         slowdown.reset();
         acknowledgedEnd = 0;
-        latestExpiryMillis = 0;
+        lease.reset();
         fence = announcement.incarnation().startMillis() + announcement.clockMillis();
     }
 
@@ -102,11 +92,11 @@
      * @param nowNanos the current time, in ns
      */
     public void workerLeft(String id, long nowNanos) {
-        if (worker.isEmpty() || !worker.get().incarnation().id().equals(id)) {
+        if (!worker.known() || !incarnation().id().equals(id)) {
             return;
         }
-        output.logEvent("worker-left", "worker=" + worker.get().incarnation());
-        markIncarnationEnded();
+        output.logEvent("worker-left", "worker=" + incarnation());
+        worker.markEnded();
         runs.all().forEach(run -> end(run, RunOutcome.LAPSED, "", nowNanos));
         reconcile(nowNanos);
     }
@@ -159,10 +149,14 @@
         entryView.orderReceived(order.number());
         entryView.offerAnswered(order.offer(), !order.jobs().isEmpty());
         entryView.demand(order.demand(), nowNanos);
-        boolean recent = nowNanos - order.timestampNanos() <= WorkerTimings.nanos(WorkerTimings.MAX_ORDER_AGE_MILLIS);
+        Optional<String> outdated = outdatedReason(entryView, order, nowNanos);
+        if (outdated.isPresent()) {
+            // The entry receives a new timestamp before the refusals, so that its next order carries it.
+            output.send(from, report(entryView, nowNanos));
+        }
         for (JobRuns job : order.jobs()) {
             for (RunRequest run : job.runs()) {
-                Optional<String> refusal = refusalReason(run, recent, nowNanos);
+                Optional<String> refusal = refusalReason(run, outdated, nowNanos);
                 if (refusal.isEmpty()) {
                     start(from, job.spec(), run, nowNanos);
                 } else {
@@ -173,12 +167,24 @@
         }
     }
 
-    private Optional<String> refusalReason(RunRequest request, boolean recent, long nowNanos) {
+    /** Returns why the timestamp of an order with runs is too old to start them, empty if it is not. */
+    private Optional<String> outdatedReason(EntryView entryView, RunOrder order, long nowNanos) {
+        if (order.jobs().isEmpty()) {
+            return Optional.empty();
+        }
+        if (nowNanos - order.timestampNanos() > WorkerTimings.nanos(WorkerTimings.MAX_ORDER_AGE_MILLIS)) {
+            return Optional.of("old-order");
+        }
+        long remainingMillis = WorkerTimings.millis(entryView.expiryNanos() - nowNanos);
+        return lease.outlasts(clock.millis(nowNanos) + remainingMillis) ? Optional.of("lease-ahead") : Optional.empty();
+    }
+
+    private Optional<String> refusalReason(RunRequest request, Optional<String> outdated, long nowNanos) {
         if (!acceptsStarts(nowNanos)) {
             return Optional.of("closed");
         }
-        if (!recent) {
-            return Optional.of("old-order");
+        if (outdated.isPresent()) {
+            return outdated;
         }
         if (!request.resources().fits(free())) {
             return Optional.of("no-room");
@@ -192,7 +198,7 @@
     private void start(Incarnation from, String spec, RunRequest request, long nowNanos) {
         runs.add(new TrackedRun(from, request, nowNanos));
         long expiryMillis = leaseExpiryMillis(nowNanos);
-        latestExpiryMillis = Math.max(latestExpiryMillis, expiryMillis);
+        lease.granted(expiryMillis);
         output.start(incarnation(), spec, request, fence, expiryMillis);
     }
 
@@ -214,7 +220,7 @@
      */
     public void startAnswered(WorkerIncarnation incarnation, RunRef ref, StartReply reply, long nowNanos) {
         Optional<TrackedRun> found = runs.find(ref);
-        if (found.isEmpty() || !isCurrent(incarnation)) {
+        if (found.isEmpty() || !worker.isCurrent(incarnation)) {
             return;
         }
         TrackedRun run = found.get();
@@ -240,7 +246,7 @@
         switch (reply) {
             case FENCED -> raiseFence(nowNanos);
             case UNHEALTHY -> quarantine("unhealthy", nowNanos);
-            case OTHER_LIFE -> markIncarnationEnded();
+            case OTHER_LIFE -> worker.markEnded();
             case UNREACHABLE -> markUnresponsive();
             default -> {
                 // The reason concerns only this run.
@@ -248,11 +254,6 @@
         }
     }
 
-    /** Sends the worker no more orders until a later incarnation announces itself. */
-    private void markIncarnationEnded() {
-        endedIncarnation = worker.map(WorkerAnnouncement::incarnation);
-    }
-
     /** Accepts no more starts until the worker has answered again. */
     private void markUnresponsive() {
         if (listCalls.markUnresponsive()) {
@@ -279,10 +280,10 @@
      */
     public void stopAnswered(WorkerIncarnation incarnation, RunRef ref, StopReply reply, long nowNanos) {
         Optional<TrackedRun> found = runs.find(ref);
-        if (reply == StopReply.FENCED && isCurrent(incarnation)) {
+        if (reply == StopReply.FENCED && worker.isCurrent(incarnation)) {
             raiseFence(nowNanos);
         }
-        if (found.isEmpty() || !isCurrent(incarnation)) {
+        if (found.isEmpty() || !worker.isCurrent(incarnation)) {
             return;
         }
         if (reply == StopReply.OTHER_LIFE) {
@@ -306,13 +307,13 @@
      * @param nowNanos the current time, in ns
      */
     public void listAnswered(WorkerIncarnation incarnation, long sentNanos, RunList list, long nowNanos) {
-        if (!isCurrent(incarnation)) {
+        if (!worker.isCurrent(incarnation)) {
             return;
         }
         listCalls.ended(sentNanos);
         if (list.startMillis() != incarnation.startMillis()) {
             output.logEvent("worker-restarted", "worker=" + incarnation + " born=" + list.startMillis());
-            markIncarnationEnded();
+            worker.markEnded();
             reconcile(nowNanos);
             return;
         }
@@ -405,13 +406,13 @@
      * @param nowNanos the current time, in ns
      */
     public void listFailed(WorkerIncarnation incarnation, long sentNanos, RunListFailure failure, long nowNanos) {
-        if (!isCurrent(incarnation)) {
+        if (!worker.isCurrent(incarnation)) {
             return;
         }
         listCalls.ended(sentNanos);
         switch (failure) {
             case FENCED -> raiseFence(nowNanos);
-            case OTHER_LIFE -> markIncarnationEnded();
+            case OTHER_LIFE -> worker.markEnded();
             case UNREACHABLE -> markUnresponsive();
             default -> handleLostList(nowNanos);
         }
@@ -475,7 +476,7 @@
 
     /** Ends all runs of an unresponsive worker once its clock must have passed its last lease expiry. */
     private void endLapsedRuns(long nowNanos) {
-        boolean passed = clock.known() && clock.millis(nowNanos) > latestExpiryMillis + WorkerTimings.MAX_STOP_MILLIS;
+        boolean passed = clock.known() && lease.hasLapsed(clock.millis(nowNanos));
         if (!listCalls.unresponsive() || runs.isEmpty() || !passed) {
             return;
         }
@@ -497,7 +498,7 @@
                 new ReportRule.View(acceptsStarts(nowNanos), free(), capacity(), slowdown.estimate(nowNanos));
         entries.report(entryView -> report(entryView, nowNanos), view, nowNanos);
         boolean due = !runs.isEmpty() || !noForeignRuns || listCalls.unresponsive();
-        if (due && !listCalls.inFlight() && endedIncarnation.isEmpty() && worker.isPresent()) {
+        if (due && !listCalls.inFlight() && worker.isPresent()) {
             listCalls.sent(nowNanos);
             list(noForeignRuns ? listCalls.waitMillis(nowNanos) : 0, nowNanos);
         }
@@ -505,12 +506,12 @@
 
     private void list(int waitMillis, long nowNanos) {
         long expiryMillis = runs.isEmpty() ? 0 : leaseExpiryMillis(nowNanos);
-        latestExpiryMillis = Math.max(latestExpiryMillis, expiryMillis);
+        lease.granted(expiryMillis);
         output.list(incarnation(), fence, acknowledgedEnd, expiryMillis, nowNanos, waitMillis);
     }
 
     private WorkerReport report(EntryView entryView, long nowNanos) {
-        WorkerAnnouncement known = worker.orElse(NO_WORKER);
+        WorkerAnnouncement known = worker.announcement();
         return new WorkerReport(
                 nowNanos,
                 known.service(),
@@ -524,21 +525,17 @@
                 slowdown.percent(nowNanos));
     }
 
-    private static final WorkerAnnouncement NO_WORKER =
-            new WorkerAnnouncement(new WorkerIncarnation("", 0), "", 0, Resources.NONE, List.of(), false, 0);
-
     private Resources free() {
         return capacity().minus(runs.usedCapacity()).minus(entries.offeredCapacity());
     }
 
     private Resources capacity() {
-        return worker.map(WorkerAnnouncement::capacity).orElse(Resources.NONE);
+        return worker.announcement().capacity();
     }
 
     private boolean acceptsStarts(long nowNanos) {
         return worker.isPresent()
-                && !worker.get().draining()
-                && endedIncarnation.isEmpty()
+                && !worker.announcement().draining()
                 && noForeignRuns
                 && !listCalls.unresponsive()
                 && !draining
@@ -547,7 +544,7 @@
 
     /** Returns the worker's lease expiry by its clock, in ms: the earliest lease expiry of entries with runs. */
     private long leaseExpiryMillis(long nowNanos) {
-        long remaining = WorkerTimings.nanos(WorkerTimings.LEASE_MILLIS);
+        long remaining = WorkerTimings.nanos(WorkerTimings.MAX_GRANT_MILLIS);
         for (TrackedRun run : runs.all()) {
             remaining = Math.min(remaining, entries.of(run.entry(), nowNanos).expiryNanos() - nowNanos);
         }
@@ -555,11 +552,7 @@
     }
 
     private WorkerIncarnation incarnation() {
-        return worker.orElse(NO_WORKER).incarnation();
-    }
-
-    private boolean isCurrent(WorkerIncarnation incarnation) {
-        return worker.isPresent() && worker.get().incarnation().equals(incarnation);
+        return worker.incarnation();
     }
 
     private static String describe(RunRef ref) {
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerClock.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerClock.java
@@ -7,8 +7,6 @@
  * is early rather than late.
  */
 final class WorkerClock {
-    private static final double MIN_CLOCK_RATE = 0.98; // the platform allows the worker's clock to be 2% slow
-
     private boolean known;
     private long workerMillis;
     private long receivedNanos;
@@ -32,6 +30,6 @@
 
     /** Returns a time that the worker's clock has reached, in ms. */
     long millis(long nowNanos) {
-        return workerMillis + (long) (MIN_CLOCK_RATE * WorkerTimings.millis(nowNanos - receivedNanos));
+        return workerMillis + (long) (WorkerTimings.MIN_CLOCK_RATE * WorkerTimings.millis(nowNanos - receivedNanos));
     }
 }
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerTimings.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerTimings.java
@@ -15,6 +15,21 @@
     /** The time after receipt of a timestamp by which every run ordered under it must have ended, in ms. */
     public static final int MAX_RUN_END_MILLIS = 1_100; // lease, 2% clock drift, 50 ms to stop, list and timer delays
 
+    /**
+     * How far the worker's lease may reach beyond that of an entry whose run it starts, in ms; all runs end with the
+     * worker's lease, so (lease + excess) / {@link #MIN_CLOCK_RATE} + stop stays below {@link #MAX_RUN_END_MILLIS}.
+     */
+    static final int MAX_LEASE_EXCESS_MILLIS = 100;
+
+    /**
+     * How far the worker's lease reaches into the future, in ms; an order whose timestamp is older than lease + excess
+     * - this time may be refused.
+     */
+    static final int MAX_GRANT_MILLIS = 750; // a report interval, a tick and a round trip are less than 250 ms
+
+    /** The minimum rate of the worker's clock; the platform allows it to be 2% slow. */
+    static final double MIN_CLOCK_RATE = 0.98;
+
     /** The maximum interval between two reports of an agent, in ms; several fit into a lease. */
     public static final int MAX_REPORT_INTERVAL_MILLIS = 150;
 
--- a/core/src/test/java/org/knapweedmount/core/worker/WorkerAgentTest.java
+++ b/core/src/test/java/org/knapweedmount/core/worker/WorkerAgentTest.java
@@ -14,6 +14,7 @@
 import org.knapweedmount.api.message.ResourceOffer;
 import org.knapweedmount.api.message.RunOrder;
 import org.knapweedmount.api.message.RunsEnded;
+import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.work.JobRuns;
 import org.knapweedmount.api.work.RunOutcome;
 import org.knapweedmount.api.work.RunRef;
@@ -24,6 +25,7 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 
 class WorkerAgentTest {
@@ -128,6 +130,66 @@
         assertThat(output.expiryMillis.get(1), is(5_000L + 392 + 599));
     }
 
+    @Test
+    void runIsNotStartedUnderALeaseThatEndsLongBeforeThatOfTheWorker() {
+        order(ENTRY, 1, 2, "t1");
+        agent.receive(ENTRY, new LeaseRenewal(millisToNanos(480)), millisToNanos(480));
+        list(2, 482, "t1");
+        output.clear();
+
+        order(OTHER, 20, 500, "t2");
+
+        assertThat(output.started, is(empty()));
+        assertThat(output.resultsOfOther, contains(new RunResult(ref("t2"), RunOutcome.REFUSED, 0, "")));
+    }
+
+    @Test
+    void laterRunOfAnEntryIsNotStartedUnderItsOutdatedLease() {
+        order(OTHER, 1, 2, "t2");
+        order(ENTRY, 1, 2, "t1");
+        RunList.Ended done = new RunList.Ended(1, ref("t2"), RunOutcome.DONE, "");
+        List<RunList.Running> rest = List.of(new RunList.Running(ref("t1"), "", 10));
+        agent.listAnswered(
+                INCARNATION,
+                millisToNanos(2),
+                new RunList(INCARNATION.startMillis(), 5_000, rest, List.of(done)),
+                millisToNanos(30));
+        agent.receive(ENTRY, new LeaseRenewal(millisToNanos(450)), millisToNanos(450));
+        list(30, 460, "t1");
+        output.clear();
+
+        order(OTHER, 50, 490, "t3");
+
+        assertThat(output.started, is(empty()));
+    }
+
+    @Test
+    void entryReceivesANewTimestampBeforeTheRefusalOfAnOutdatedOne() {
+        order(ENTRY, 1, 2, "t1");
+        agent.receive(ENTRY, new LeaseRenewal(millisToNanos(480)), millisToNanos(480));
+        list(2, 482, "t1");
+        output.clear();
+
+        order(OTHER, 20, 500, "t2");
+        long timestampNanos = ((WorkerReport) output.sentToOther.get(0)).timestampNanos();
+        assertThat(output.sentToOther.get(1), is(instanceOf(RunsEnded.class)));
+        order(OTHER, timestampNanos / millisToNanos(1), 501, "t2");
+
+        assertThat(output.started, contains(ref("t2")));
+    }
+
+    @Test
+    void orderOfAUsualAgeIsAcceptedRightAfterTheWorkersLeaseWasExtended() {
+        order(ENTRY, 1, 2, "t1");
+        agent.receive(ENTRY, new LeaseRenewal(millisToNanos(480)), millisToNanos(480));
+        list(2, 482, "t1");
+        output.clear();
+
+        order(OTHER, 250, 490, "t2");
+
+        assertThat(output.started, contains(ref("t2")));
+    }
+
     @Test
     void unansweredStartKeepsItsCapacityUntilTheStopIsConfirmed() {
         order(ENTRY, 1, 2, "t1", "t2", "t3", "t4");
@@ -217,11 +279,15 @@
         private final List<Long> expiryMillis = new ArrayList<>();
         private final List<Incarnation> offers = new ArrayList<>();
         private final List<RunResult> entryResults = new ArrayList<>();
+        private final List<RunResult> resultsOfOther = new ArrayList<>();
+        private final List<Message> sentToOther = new ArrayList<>();
 
         private void clear() {
             started.clear();
             stopped.clear();
             expiryMillis.clear();
+            resultsOfOther.clear();
+            sentToOther.clear();
         }
 
         private List<RunResult> results(Incarnation entry) {
@@ -231,6 +297,12 @@
 
         @Override
         public void send(Incarnation entry, Message message) {
+            if (entry.equals(OTHER)) {
+                sentToOther.add(message);
+            }
+            if (message instanceof RunsEnded ended && entry.equals(OTHER)) {
+                resultsOfOther.addAll(ended.results());
+            }
             if (message instanceof RunsEnded ended && entry.equals(ENTRY)) {
                 entryResults.addAll(ended.results());
             } else if (message instanceof ResourceOffer) {
