Count the leases of entries on the worker's clock

Callers may have seen a task run twice after the VM of an agent was suspended. The age of an order and the leases of entries were counted on the agent's clock, which does not count the suspended time, so the agent accepted an order that its entry had released meanwhile.

The timestamp in a report is now a lower bound of the worker's clock, the lease of an entry ends 900 ms after it by that clock, and passes unchanged into the expiry that the worker is told, so that the process that ends the runs also counts the lease. Entries only return the number; it stays in ns. An offset keeps the timestamps of an incarnation above all leases of earlier ones, so that timestamps from before it, and from the future, renew and start nothing; without a known clock nothing is granted. So that the lower bound does not lag while the worker is idle, it is also read from announcements, and by a list if there was no reading for 5 s.

--- a/api/src/main/java/org/knapweedmount/api/message/WorkerReport.java
+++ b/api/src/main/java/org/knapweedmount/api/message/WorkerReport.java
@@ -8,9 +8,10 @@
  * Reports the resources of a worker to an entry.
  *
  * <p>The entry returns the timestamp with each request about the worker, so that the agent can determine the age of the
- * request by its own clock.
+ * request by the clock of the worker, which ends the runs.
  *
- * @param timestampNanos the time of the agent's clock when the report was sent, in ns
+ * @param timestampNanos a time that the worker's clock had reached when the report was sent, in ns from a start that
+ *     only the agent knows; it is valid only for this agent and the current incarnation of the worker
  * @param service the name of the service that the worker belongs to
  * @param worker the ID of the worker's current incarnation
  * @param labels the labels of the worker: its kind and rack
--- a/core/src/main/java/org/knapweedmount/core/worker/EntryTable.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/EntryTable.java
@@ -29,8 +29,8 @@
         this.output = output;
     }
 
-    EntryView of(Incarnation entry, long nowNanos) {
-        return entries.computeIfAbsent(entry, key -> new EntryView(nowNanos));
+    EntryView of(Incarnation entry) {
+        return entries.computeIfAbsent(entry, key -> new EntryView());
     }
 
     Collection<EntryView> views() {
@@ -42,8 +42,8 @@
     }
 
     /** Sends the undelivered results and the active runs to an entry on a new link. */
-    void linked(Incarnation entry, RunTable runs, long nowNanos) {
-        EntryView view = of(entry, nowNanos);
+    void linked(Incarnation entry, RunTable runs) {
+        EntryView view = of(entry);
         view.link();
         if (!view.undeliveredResults().isEmpty()) {
             output.send(entry, new RunsEnded(view.undeliveredResults()));
@@ -55,10 +55,10 @@
     }
 
     /** Removes entries with neither a link nor runs, once their lease or time for reconnecting ends. */
-    void removeExpired(RunTable runs, long nowNanos) {
+    void removeExpired(RunTable runs, long timestampMillis, long nowNanos) {
         entries.entrySet()
                 .removeIf(entry -> !entry.getValue().linked()
-                        && entry.getValue().mustStopRuns(nowNanos)
+                        && entry.getValue().mustStopRuns(timestampMillis, nowNanos)
                         && runs.of(entry.getKey()).isEmpty());
     }
 
--- a/core/src/main/java/org/knapweedmount/core/worker/EntryView.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/EntryView.java
@@ -12,7 +12,7 @@
 final class EntryView {
     private boolean linked;
     private long unlinkedNanos;
-    private long expiryNanos;
+    private long expiryMillis;
     private ResourceDemand demand = ResourceDemand.NONE;
     private long virtualDeadlineNanos;
     private Optional<Offer> offer = Optional.empty();
@@ -23,9 +23,8 @@
     /** Capacity that is reserved for the entry until it answers. */
     record Offer(long number, Resources resources, long untilNanos) {}
 
-    EntryView(long nowNanos) {
+    EntryView() {
         this.linked = true;
-        this.expiryNanos = nowNanos;
     }
 
     boolean linked() {
@@ -43,25 +42,19 @@
         offer = Optional.empty();
     }
 
-    /** Extends the lease from one of this agent's timestamps that the entry has echoed. */
-    void renew(long timestampNanos, long nowNanos) {
-        if (timestampNanos - nowNanos > 0) {
-            return;
-        }
-        long extendedNanos = timestampNanos + WorkerTimings.nanos(WorkerTimings.LEASE_MILLIS);
-        if (extendedNanos - expiryNanos > 0) {
-            expiryNanos = extendedNanos;
-        }
+    /** Extends the lease to a timestamp of {@link WorkerLease}, in ms. */
+    void extendLease(long untilMillis) {
+        expiryMillis = Math.max(expiryMillis, untilMillis);
     }
 
-    /** Returns when the lease of the entry's runs expires, in ns. */
-    long expiryNanos() {
-        return expiryNanos;
+    /** Returns when the lease of the entry's runs expires, as a timestamp of {@link WorkerLease} in ms. */
+    long expiryMillis() {
+        return expiryMillis;
     }
 
     /** Returns whether the entry's runs have to be stopped: its lease is about to expire or its link is lost. */
-    boolean mustStopRuns(long nowNanos) {
-        boolean leaseExpiring = expiryNanos - nowNanos <= WorkerTimings.nanos(WorkerTimings.STOP_BEFORE_EXPIRY_MILLIS);
+    boolean mustStopRuns(long timestampMillis, long nowNanos) {
+        boolean leaseExpiring = expiryMillis - timestampMillis <= WorkerTimings.STOP_BEFORE_EXPIRY_MILLIS;
         boolean linkLost =
                 !linked && nowNanos - unlinkedNanos > WorkerTimings.nanos(WorkerTimings.RECONNECT_GRACE_MILLIS);
         return leaseExpiring || linkLost;
--- a/core/src/main/java/org/knapweedmount/core/worker/RunListCalls.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunListCalls.java
@@ -29,11 +29,13 @@
     private OptionalLong inFlightSentNanos = OptionalLong.empty();
     private OptionalLong lastLostNanos = OptionalLong.empty();
     private int consecutiveLost;
+    private long lastSentNanos;
     private long lastAnswerNanos;
     private boolean unresponsive;
 
     /** Discards the state of calls to an earlier incarnation of the worker. */
     void reset(long nowNanos) {
+        lastSentNanos = nowNanos;
         lastAnswerNanos = nowNanos;
         inFlightSentNanos = OptionalLong.empty();
         consecutiveLost = 0;
@@ -48,6 +50,12 @@
     /** Records the call that waits at the worker; calls beside it are not tracked. */
     void sent(long sentNanos) {
         inFlightSentNanos = OptionalLong.of(sentNanos);
+        lastSentNanos = sentNanos;
+    }
+
+    /** Returns how long ago the last call was sent, in ns. */
+    long idleNanos(long nowNanos) {
+        return nowNanos - lastSentNanos;
     }
 
     /** Records the end of a call, successful or not. */
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.knapweedmount.api.Incarnation;
@@ -28,7 +29,6 @@
     private final WorkerOutput output;
     private final EntryTable entries;
     private final RunTable runs = new RunTable();
-    private final WorkerClock clock = new WorkerClock();
     private final WorkerLease lease = new WorkerLease();
     private final WorkerHealth health = new WorkerHealth();
     private final SlowdownEstimator slowdown = new SlowdownEstimator();
@@ -68,6 +68,7 @@
             output.logEvent(
                     "worker-draining", "worker=" + announcement.incarnation() + " draining=" + announcement.draining());
         }
+        lease.observeClock(announcement.clockMillis(), nowNanos);
         reconcile(nowNanos);
     }
 
@@ -75,13 +76,11 @@
         output.logEvent("worker-life", "worker=" + announcement.incarnation() + " runs=" + runs.size());
         // The first list raises the fencing token of the new incarnation, which rejects orders to the earlier one.
         runs.all().forEach(run -> end(run, RunOutcome.LAPSED, "", nowNanos));
-        clock.reset();
-        clock.observe(announcement.clockMillis(), nowNanos);
+        lease.begin(announcement.clockMillis(), nowNanos);
         noForeignRuns = false;
         listCalls.reset(nowNanos);
         slowdown.reset();
         acknowledgedEnd = 0;
-        lease.reset();
         fence = announcement.incarnation().startMillis() + announcement.clockMillis();
     }
 
@@ -108,8 +107,8 @@
      * @param nowNanos the current time, in ns
      */
     public void linked(Incarnation entry, long nowNanos) {
-        entries.linked(entry, runs, nowNanos);
-        output.send(entry, report(entries.of(entry, nowNanos), nowNanos));
+        entries.linked(entry, runs);
+        output.send(entry, report(entries.of(entry), nowNanos));
     }
 
     /**
@@ -119,7 +118,7 @@
      * @param nowNanos the current time, in ns
      */
     public void unlinked(Incarnation entry, long nowNanos) {
-        entries.of(entry, nowNanos).unlink(nowNanos);
+        entries.of(entry).unlink(nowNanos);
         reconcile(nowNanos);
     }
 
@@ -131,7 +130,7 @@
      * @param nowNanos the current time, in ns
      */
     public void receive(Incarnation from, Message message, long nowNanos) {
-        EntryView entryView = entries.of(from, nowNanos);
+        EntryView entryView = entries.of(from);
         if (message instanceof RunOrder order) {
             handleOrder(from, entryView, order, nowNanos);
         } else if (message instanceof ResourceDemand demand) {
@@ -139,13 +138,17 @@
         } else if (message instanceof StopRuns stop) {
             stop.runs().forEach(ref -> runs.find(ref).ifPresent(run -> stop(run, nowNanos)));
         } else if (message instanceof LeaseRenewal renewal) {
-            entryView.renew(renewal.timestampNanos(), nowNanos);
+            renew(entryView, renewal.timestampNanos(), nowNanos);
         }
         reconcile(nowNanos);
     }
 
+    private void renew(EntryView entryView, long timestampNanos, long nowNanos) {
+        lease.entryExpiryMillis(timestampNanos, nowNanos).ifPresent(entryView::extendLease);
+    }
+
     private void handleOrder(Incarnation from, EntryView entryView, RunOrder order, long nowNanos) {
-        entryView.renew(order.timestampNanos(), nowNanos);
+        renew(entryView, order.timestampNanos(), nowNanos);
         entryView.orderReceived(order.number());
         entryView.offerAnswered(order.offer(), !order.jobs().isEmpty());
         entryView.demand(order.demand(), nowNanos);
@@ -172,11 +175,13 @@
         if (order.jobs().isEmpty()) {
             return Optional.empty();
         }
-        if (nowNanos - order.timestampNanos() > WorkerTimings.nanos(WorkerTimings.MAX_ORDER_AGE_MILLIS)) {
+        OptionalLong expiryMillis = lease.entryExpiryMillis(order.timestampNanos(), nowNanos);
+        long minExpiryMillis =
+                lease.timestampMillis(nowNanos) + WorkerTimings.LEASE_MILLIS - WorkerTimings.MAX_ORDER_AGE_MILLIS;
+        if (expiryMillis.isEmpty() || expiryMillis.getAsLong() < minExpiryMillis) {
             return Optional.of("old-order");
         }
-        long remainingMillis = WorkerTimings.millis(entryView.expiryNanos() - nowNanos);
-        return lease.outlasts(clock.millis(nowNanos) + remainingMillis) ? Optional.of("lease-ahead") : Optional.empty();
+        return lease.outlasts(entryView.expiryMillis()) ? Optional.of("lease-ahead") : Optional.empty();
     }
 
     private Optional<String> refusalReason(RunRequest request, Optional<String> outdated, long nowNanos) {
@@ -197,9 +202,7 @@
 
     private void start(Incarnation from, String spec, RunRequest request, long nowNanos) {
         runs.add(new TrackedRun(from, request, nowNanos));
-        long expiryMillis = leaseExpiryMillis(nowNanos);
-        lease.granted(expiryMillis);
-        output.start(incarnation(), spec, request, fence, expiryMillis);
+        output.start(incarnation(), spec, request, fence, extendLease(nowNanos));
     }
 
     private void stop(TrackedRun run, long nowNanos) {
@@ -266,7 +269,7 @@
     }
 
     private void raiseFence(long nowNanos) {
-        fence = Math.max(fence, incarnation().startMillis() + clock.millis(nowNanos)) + 1;
+        fence = Math.max(fence, incarnation().startMillis() + lease.workerMillis(nowNanos)) + 1;
         output.logEvent("fence-raised", "worker=" + incarnation() + " fence=" + fence);
     }
 
@@ -318,7 +321,7 @@
             return;
         }
         listCalls.answered(nowNanos);
-        clock.observe(list.clockMillis(), nowNanos);
+        lease.observeClock(list.clockMillis(), nowNanos);
         Set<RunRef> listedRuns = applyRunning(list.running(), nowNanos);
         applyEnded(list.ended(), nowNanos);
         handleAbsentRuns(listedRuns, sentNanos, nowNanos);
@@ -440,16 +443,17 @@
      * @param nowNanos the current time, in ns
      */
     public void tick(long nowNanos) {
+        long timestampMillis = lease.timestampMillis(nowNanos);
         entries.byEntry().forEach((entry, entryView) -> {
             entryView.expireOffer(nowNanos);
-            if (entryView.mustStopRuns(nowNanos)) {
+            if (entryView.mustStopRuns(timestampMillis, nowNanos)) {
                 runs.of(entry).forEach(run -> stop(run, nowNanos));
             }
         });
         stopStalled(nowNanos);
         retryStops(nowNanos);
         endLapsedRuns(nowNanos);
-        entries.removeExpired(runs, nowNanos);
+        entries.removeExpired(runs, timestampMillis, nowNanos);
         reconcile(nowNanos);
     }
 
@@ -476,8 +480,7 @@
 
     /** Ends all runs of an unresponsive worker once its clock must have passed its last lease expiry. */
     private void endLapsedRuns(long nowNanos) {
-        boolean passed = clock.known() && lease.hasLapsed(clock.millis(nowNanos));
-        if (!listCalls.unresponsive() || runs.isEmpty() || !passed) {
+        if (!listCalls.unresponsive() || runs.isEmpty() || !lease.hasLapsed(nowNanos)) {
             return;
         }
         output.logEvent("worker-lapsed", "worker=" + incarnation() + " runs=" + runs.size());
@@ -497,7 +500,9 @@
         ReportRule.View view =
                 new ReportRule.View(acceptsStarts(nowNanos), free(), capacity(), slowdown.estimate(nowNanos));
         entries.report(entryView -> report(entryView, nowNanos), view, nowNanos);
-        boolean due = !runs.isEmpty() || !noForeignRuns || listCalls.unresponsive();
+        boolean clockOutdated = lease.needsReading(nowNanos)
+                && listCalls.idleNanos(nowNanos) > WorkerTimings.nanos(WorkerTimings.MAX_CLOCK_AGE_MILLIS);
+        boolean due = !runs.isEmpty() || !noForeignRuns || listCalls.unresponsive() || clockOutdated;
         if (due && !listCalls.inFlight() && worker.isPresent()) {
             listCalls.sent(nowNanos);
             list(noForeignRuns ? listCalls.waitMillis(nowNanos) : 0, nowNanos);
@@ -505,15 +510,14 @@
     }
 
     private void list(int waitMillis, long nowNanos) {
-        long expiryMillis = runs.isEmpty() ? 0 : leaseExpiryMillis(nowNanos);
-        lease.granted(expiryMillis);
+        long expiryMillis = runs.isEmpty() ? 0 : extendLease(nowNanos);
         output.list(incarnation(), fence, acknowledgedEnd, expiryMillis, nowNanos, waitMillis);
     }
 
     private WorkerReport report(EntryView entryView, long nowNanos) {
         WorkerAnnouncement known = worker.announcement();
         return new WorkerReport(
-                nowNanos,
+                lease.issueTimestampNanos(nowNanos),
                 known.service(),
                 known.incarnation().toString(),
                 known.labels(),
@@ -542,13 +546,13 @@
                 && health.admits(runs.size(), nowNanos);
     }
 
-    /** Returns the worker's lease expiry by its clock, in ms: the earliest lease expiry of entries with runs. */
-    private long leaseExpiryMillis(long nowNanos) {
-        long remaining = WorkerTimings.nanos(WorkerTimings.MAX_GRANT_MILLIS);
+    /** Extends the worker's lease to the earliest lease expiry of entries with runs; returns it by the worker's clock. */
+    private long extendLease(long nowNanos) {
+        long earliestMillis = Long.MAX_VALUE;
         for (TrackedRun run : runs.all()) {
-            remaining = Math.min(remaining, entries.of(run.entry(), nowNanos).expiryNanos() - nowNanos);
+            earliestMillis = Math.min(earliestMillis, entries.of(run.entry()).expiryMillis());
         }
-        return clock.millis(nowNanos) + Math.max(0, WorkerTimings.millis(remaining));
+        return lease.grant(earliestMillis, nowNanos);
     }
 
     private WorkerIncarnation incarnation() {
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerClock.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerClock.java
@@ -28,6 +28,11 @@
         return known;
     }
 
+    /** Returns how long ago the clock was last read, in ns. */
+    long ageNanos(long nowNanos) {
+        return nowNanos - receivedNanos;
+    }
+
     /** Returns a time that the worker's clock has reached, in ms. */
     long millis(long nowNanos) {
         return workerMillis + (long) (WorkerTimings.MIN_CLOCK_RATE * WorkerTimings.millis(nowNanos - receivedNanos));
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerLease.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerLease.java
@@ -1,26 +1,86 @@
 package org.knapweedmount.core.worker;
 
-/** The lease that the agent has granted its worker; all runs share it, and the worker never shortens it. */
+import java.util.OptionalLong;
+
+/**
+ * The leases under which runs execute, all by the clock of the worker, which ends the runs.
+ *
+ * <p>A timestamp is a lower bound of the worker's clock. Entries return timestamps, and the lease of an entry is counted
+ * from the newest one. An offset keeps the timestamps of an incarnation above all leases of earlier ones, so that none
+ * is valid beyond its incarnation. All runs share the lease granted to the worker, which never shortens.
+ */
 final class WorkerLease {
+    private final WorkerClock clock = new WorkerClock();
+    private long offsetMillis;
+    private long firstTimestampMillis;
+    private long lastTimestampMillis;
     private long latestExpiryMillis;
 
-    /** Forgets the grants to an earlier incarnation of the worker. */
-    void reset() {
+    /** Begins a new incarnation of the worker, which ends all leases of the earlier one. */
+    void begin(long clockMillis, long nowNanos) {
+        clock.reset();
+        clock.observe(clockMillis, nowNanos);
+        firstTimestampMillis = Math.max(clockMillis, lastTimestampMillis + WorkerTimings.LEASE_MILLIS + 1);
+        offsetMillis = firstTimestampMillis - clockMillis;
         latestExpiryMillis = 0;
     }
 
-    /** Records a grant, by the worker's clock in ms; the worker may receive it late or never. */
-    void granted(long expiryMillis) {
-        latestExpiryMillis = Math.max(latestExpiryMillis, expiryMillis);
+    /** Records a reading of the clock of the current incarnation, in ms. */
+    void observeClock(long clockMillis, long nowNanos) {
+        clock.observe(clockMillis, nowNanos);
+    }
+
+    /** Returns a time that the worker's clock has reached, in ms. */
+    long workerMillis(long nowNanos) {
+        return clock.millis(nowNanos);
+    }
+
+    /** Returns whether the estimate of the worker's clock lags so much that a new reading is needed. */
+    boolean needsReading(long nowNanos) {
+        return clock.known() && clock.ageNanos(nowNanos) > WorkerTimings.nanos(WorkerTimings.MAX_CLOCK_AGE_MILLIS);
+    }
+
+    /** Returns the current timestamp, in ms. */
+    long timestampMillis(long nowNanos) {
+        return clock.known() ? clock.millis(nowNanos) + offsetMillis : lastTimestampMillis;
+    }
+
+    /** Returns the current timestamp in ns, to be sent to an entry. */
+    long issueTimestampNanos(long nowNanos) {
+        lastTimestampMillis = timestampMillis(nowNanos);
+        return WorkerTimings.nanos(lastTimestampMillis);
+    }
+
+    /**
+     * Returns when the lease that begins at a timestamp expires, as a timestamp in ms; empty if the timestamp was not
+     * issued during this incarnation.
+     */
+    OptionalLong entryExpiryMillis(long timestampNanos, long nowNanos) {
+        long millis = WorkerTimings.millis(timestampNanos);
+        boolean valid = clock.known() && millis >= firstTimestampMillis && millis <= timestampMillis(nowNanos);
+        return valid ? OptionalLong.of(millis + WorkerTimings.LEASE_MILLIS) : OptionalLong.empty();
+    }
+
+    /**
+     * Extends the worker's lease as far as a lease of an entry, given as a timestamp in ms, allows.
+     *
+     * @return the expiry by the worker's clock, in ms; the worker may receive it late or never
+     */
+    long grant(long entryExpiryMillis, long nowNanos) {
+        long now = clock.millis(nowNanos);
+        long allowed = Math.min(entryExpiryMillis - offsetMillis, now + WorkerTimings.MAX_GRANT_MILLIS);
+        long expiry = Math.max(now, allowed);
+        latestExpiryMillis = Math.max(latestExpiryMillis, expiry);
+        return expiry;
     }
 
-    /** Returns whether runs may outlive a lease of their entry, by the worker's clock in ms, for longer than allowed. */
+    /** Returns whether runs may outlive a lease of their entry, given as a timestamp in ms, for longer than allowed. */
     boolean outlasts(long entryExpiryMillis) {
-        return latestExpiryMillis - entryExpiryMillis > WorkerTimings.MAX_LEASE_EXCESS_MILLIS;
+        return latestExpiryMillis + offsetMillis - entryExpiryMillis > WorkerTimings.MAX_LEASE_EXCESS_MILLIS;
     }
 
-    /** Returns whether all runs must have ended, at a time of the worker's clock in ms. */
-    boolean hasLapsed(long workerMillis) {
-        return workerMillis > latestExpiryMillis + WorkerTimings.MAX_STOP_MILLIS;
+    /** Returns whether the worker's clock shows that all runs must have ended. */
+    boolean hasLapsed(long nowNanos) {
+        return clock.known() && clock.millis(nowNanos) > latestExpiryMillis + WorkerTimings.MAX_STOP_MILLIS;
     }
 }
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerTimings.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerTimings.java
@@ -5,8 +5,8 @@
 /**
  * Timeouts, intervals and bounds that the agent of a worker and the entries have in common.
  *
- * <p>The lease of an entry runs on the agent's clock from a timestamp of the agent that the entry echoed, and the lease
- * of the worker on the worker's clock, so a delayed message cannot extend either.
+ * <p>All leases run on the worker's clock, that of an entry from a timestamp that the entry echoed, so neither a delayed
+ * message nor a suspended agent extends them.
  */
 public final class WorkerTimings {
     /** How long an echoed timestamp extends an entry's runs, in ms; the platform limits a worker's lease to 1 s. */
@@ -27,6 +27,9 @@
      */
     static final int MAX_GRANT_MILLIS = 750; // a report interval, a tick and a round trip are less than 250 ms
 
+    /** The age of a reading of the worker's clock after which an idle worker is asked for another, in ms. */
+    static final int MAX_CLOCK_AGE_MILLIS = 5_000; // the estimate lags by at most 2% of this
+
     /** The minimum rate of the worker's clock; the platform allows it to be 2% slow. */
     static final double MIN_CLOCK_RATE = 0.98;
 
@@ -39,7 +42,7 @@
      */
     static final int MIN_REPORT_INTERVAL_MILLIS = 25;
 
-    /** The maximum age of an order's timestamp on arrival, in ms; the rest of the lease has to outlast the start. */
+    /** The maximum age of an order's timestamp on arrival, by the worker's clock in ms; the rest of the lease has to outlast the start. */
     static final int MAX_ORDER_AGE_MILLIS = 500;
 
     /**
--- a/core/src/test/java/org/knapweedmount/core/worker/WorkerAgentTest.java
+++ b/core/src/test/java/org/knapweedmount/core/worker/WorkerAgentTest.java
@@ -24,9 +24,11 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 class WorkerAgentTest {
     private static final Incarnation ENTRY = new Incarnation("entry", 1);
@@ -43,26 +45,44 @@
         return TimeUnit.MILLISECONDS.toNanos(millis);
     }
 
+    /** Returns the timestamp that was issued at a time after the first list, which showed 5,000 ms at 1 ms. */
+    private static long timestampNanos(long issuedMillis) {
+        return millisToNanos(5_000 + (long) (0.98 * (issuedMillis - 1)));
+    }
+
     private static WorkerAnnouncement announcement(WorkerIncarnation incarnation, long sequence, boolean draining) {
-        return new WorkerAnnouncement(incarnation, "service", sequence, CAPACITY, List.of("a"), draining, 5_000);
+        return announcement(incarnation, sequence, draining, 5_000);
+    }
+
+    private static WorkerAnnouncement announcement(
+            WorkerIncarnation incarnation, long sequence, boolean draining, long clockMillis) {
+        return new WorkerAnnouncement(incarnation, "service", sequence, CAPACITY, List.of("a"), draining, clockMillis);
     }
 
     private static RunRef ref(String task) {
         return new RunRef(task, 1);
     }
 
-    private void order(Incarnation entry, long timestampMillis, long nowMillis, String... tasks) {
+    private void order(Incarnation entry, long issuedMillis, long nowMillis, String... tasks) {
+        orderUnder(entry, timestampNanos(issuedMillis), nowMillis, tasks);
+    }
+
+    private void orderUnder(Incarnation entry, long timestampNanos, long nowMillis, String... tasks) {
         List<RunRequest> requests = new ArrayList<>();
         for (String task : tasks) {
             requests.add(new RunRequest(ref(task), CORE, 300, ""));
         }
         orders++;
-        RunOrder order = new RunOrder(
-                orders, millisToNanos(timestampMillis), 0, List.of(new JobRuns("spec", requests)), ResourceDemand.NONE);
+        RunOrder order =
+                new RunOrder(orders, timestampNanos, 0, List.of(new JobRuns("spec", requests)), ResourceDemand.NONE);
         agent.receive(entry, order, millisToNanos(nowMillis));
     }
 
     private void list(long sentMillis, long nowMillis, String... running) {
+        listWithClock(5_000, sentMillis, nowMillis, running);
+    }
+
+    private void listWithClock(long clockMillis, long sentMillis, long nowMillis, String... running) {
         List<RunList.Running> rows = new ArrayList<>();
         for (String task : running) {
             rows.add(new RunList.Running(ref(task), "", 10));
@@ -70,7 +90,7 @@
         agent.listAnswered(
                 INCARNATION,
                 millisToNanos(sentMillis),
-                new RunList(INCARNATION.startMillis(), 5_000, rows, List.of()),
+                new RunList(INCARNATION.startMillis(), clockMillis, rows, List.of()),
                 millisToNanos(nowMillis));
     }
 
@@ -102,7 +122,7 @@
     void onlyRunsOfEntriesThatDoNotRenewTheirLeaseAreStopped() {
         order(ENTRY, 1, 2, "t1");
         order(OTHER, 1, 2, "t2");
-        agent.receive(OTHER, new LeaseRenewal(millisToNanos(500)), millisToNanos(510));
+        agent.receive(OTHER, new LeaseRenewal(timestampNanos(500)), millisToNanos(510));
 
         agent.tick(millisToNanos(700));
 
@@ -112,7 +132,7 @@
     @Test
     void renewalWithATimestampInTheFutureIsIgnored() {
         order(ENTRY, 1, 2, "t1");
-        agent.receive(ENTRY, new LeaseRenewal(millisToNanos(60_000)), millisToNanos(10));
+        agent.receive(ENTRY, new LeaseRenewal(timestampNanos(60_000)), millisToNanos(10));
 
         agent.tick(millisToNanos(700));
 
@@ -122,18 +142,72 @@
     @Test
     void runsAreExtendedOnlyToTheEarliestLeaseExpiry() {
         order(ENTRY, 1, 2, "t1");
-        agent.receive(ENTRY, new LeaseRenewal(millisToNanos(400)), millisToNanos(400));
+        agent.receive(ENTRY, new LeaseRenewal(timestampNanos(400)), millisToNanos(400));
         order(OTHER, 100, 401, "t2");
 
-        // The lease of OTHER expires at 1,000 ms, 599 ms from now; the worker's clock showed 5,000 ms 400 ms ago and
-        // may be slow.
-        assertThat(output.expiryMillis.get(1), is(5_000L + 392 + 599));
+        // The worker's clock showed 5,000 ms at 1 ms and may be slow, so the timestamp at 100 ms was 5,097 ms.
+        assertThat(output.expiryMillis.get(1), is(5_097L + 900));
+    }
+
+    @Test
+    void orderFromBeforeTheAgentStoodStillStartsNothing() {
+        listWithClock(8_000, 8, 9);
+
+        order(ENTRY, 1, 10, "t1");
+
+        assertThat(output.started, is(empty()));
+    }
+
+    @Test
+    void leaseOfAnEntryEndsByTheWorkersClockAfterTheAgentStoodStill() {
+        order(ENTRY, 1, 2, "t1");
+
+        listWithClock(8_000, 8, 9, "t1");
+        agent.tick(millisToNanos(10));
+
+        assertThat(output.stopped, contains(ref("t1")));
+        assertThat(output.listExpiryMillis, everyItem(lessThanOrEqualTo(8_000L)));
+    }
+
+    @Test
+    void timestampOfAnEarlierIncarnationStartsNothing() {
+        WorkerIncarnation later = new WorkerIncarnation("i-1", 2_000);
+        agent.announced(announcement(later, 1, false, 10), millisToNanos(100));
+        agent.listAnswered(later, millisToNanos(100), new RunList(2_000, 10, List.of(), List.of()), millisToNanos(101));
+        agent.announced(announcement(later, 2, false, 5_040), millisToNanos(5_140));
+
+        orderUnder(ENTRY, millisToNanos(5_000), 5_141, "t1");
+
+        assertThat(output.started, is(empty()));
+    }
+
+    @Test
+    void timestampsFollowTheClockInAnnouncementsWhileTheWorkerIsIdle() {
+        agent.announced(announcement(INCARNATION, 2, false, 65_000), millisToNanos(60_000));
+
+        order(ENTRY, 60_000, 60_001, "t0");
+        orderUnder(ENTRY, millisToNanos(65_000), 60_002, "t1");
+
+        assertThat(output.started, contains(ref("t1")));
+        assertThat(output.expiryMillis, contains(65_751L));
+    }
+
+    @Test
+    void clockThatIsNotAnnouncedIsReadOnceInAWhile() {
+        agent.tick(millisToNanos(4_900));
+        assertThat(output.listExpiryMillis, is(empty()));
+
+        agent.tick(millisToNanos(5_100));
+        listWithClock(5_000, 5_100, 5_101);
+        agent.tick(millisToNanos(5_140));
+
+        assertThat(output.listExpiryMillis, contains(0L));
     }
 
     @Test
     void runIsNotStartedUnderALeaseThatEndsLongBeforeThatOfTheWorker() {
         order(ENTRY, 1, 2, "t1");
-        agent.receive(ENTRY, new LeaseRenewal(millisToNanos(480)), millisToNanos(480));
+        agent.receive(ENTRY, new LeaseRenewal(timestampNanos(480)), millisToNanos(480));
         list(2, 482, "t1");
         output.clear();
 
@@ -154,7 +228,7 @@
                 millisToNanos(2),
                 new RunList(INCARNATION.startMillis(), 5_000, rest, List.of(done)),
                 millisToNanos(30));
-        agent.receive(ENTRY, new LeaseRenewal(millisToNanos(450)), millisToNanos(450));
+        agent.receive(ENTRY, new LeaseRenewal(timestampNanos(450)), millisToNanos(450));
         list(30, 460, "t1");
         output.clear();
 
@@ -166,14 +240,14 @@
     @Test
     void entryReceivesANewTimestampBeforeTheRefusalOfAnOutdatedOne() {
         order(ENTRY, 1, 2, "t1");
-        agent.receive(ENTRY, new LeaseRenewal(millisToNanos(480)), millisToNanos(480));
+        agent.receive(ENTRY, new LeaseRenewal(timestampNanos(480)), millisToNanos(480));
         list(2, 482, "t1");
         output.clear();
 
         order(OTHER, 20, 500, "t2");
         long timestampNanos = ((WorkerReport) output.sentToOther.get(0)).timestampNanos();
         assertThat(output.sentToOther.get(1), is(instanceOf(RunsEnded.class)));
-        order(OTHER, timestampNanos / millisToNanos(1), 501, "t2");
+        orderUnder(OTHER, timestampNanos, 501, "t2");
 
         assertThat(output.started, contains(ref("t2")));
     }
@@ -181,7 +255,7 @@
     @Test
     void orderOfAUsualAgeIsAcceptedRightAfterTheWorkersLeaseWasExtended() {
         order(ENTRY, 1, 2, "t1");
-        agent.receive(ENTRY, new LeaseRenewal(millisToNanos(480)), millisToNanos(480));
+        agent.receive(ENTRY, new LeaseRenewal(timestampNanos(480)), millisToNanos(480));
         list(2, 482, "t1");
         output.clear();
 
@@ -277,6 +351,7 @@
         private final List<RunRef> started = new ArrayList<>();
         private final List<RunRef> stopped = new ArrayList<>();
         private final List<Long> expiryMillis = new ArrayList<>();
+        private final List<Long> listExpiryMillis = new ArrayList<>();
         private final List<Incarnation> offers = new ArrayList<>();
         private final List<RunResult> entryResults = new ArrayList<>();
         private final List<RunResult> resultsOfOther = new ArrayList<>();
@@ -286,6 +361,7 @@
             started.clear();
             stopped.clear();
             expiryMillis.clear();
+            listExpiryMillis.clear();
             resultsOfOther.clear();
             sentToOther.clear();
         }
@@ -330,7 +406,7 @@
                 long leaseExpiryMillis,
                 long sentNanos,
                 int waitMillis) {
-            // The tests provide the answers.
+            listExpiryMillis.add(leaseExpiryMillis);
         }
 
         @Override
