End runs of a worker that leaves or restarts only on evidence

Callers may have seen a task run twice around the end of a worker. On the notice that a worker has left, and on the first announcement of a later incarnation, the agent reported all runs as lapsed, and their entries ordered them elsewhere at once. A worker that gives notice may still run for a moment; the notice has only an ID and may be a late one of an earlier incarnation, after which the live one was given up and its announcements did not bring it back. An order to an earlier incarnation may be executed by the later one under the same ID before its announcement arrives.

After a notice the agent sends no starts but goes on listing; an announcement with a higher sequence revokes the notice. Runs of an earlier incarnation stay in the table, with their capacity, until a list that carried the higher fencing token shows them, and then they are stopped, or lacks them: once the worker has seen that token it executes no order with a lower one. WorkerFence tells which lists carry it. In the usual crash that is one call after the announcement. A worker that does not answer gets no extensions of its lease any more, also while entries renew theirs, so that its runs end when its clock must have passed the last expiry and 50 ms. At the first list with a new token the lease counts as extended by 1,000 ms, the platform's maximum, since an earlier agent or such an order may have done that.

The fencing token now always rises, also if the clock of the worker's VM was set back between two incarnations; otherwise the later one would execute the old orders and refuse the new ones. WorkerHealth logs its own changes, for room in WorkerAgent.

--- a/core/src/main/java/org/knapweedmount/core/worker/CurrentWorker.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/CurrentWorker.java
@@ -12,6 +12,7 @@
 
     private Optional<WorkerAnnouncement> announcement = Optional.empty();
     private boolean ended;
+    private boolean leaving;
 
     /** Returns whether any worker has announced itself. */
     boolean known() {
@@ -44,14 +45,30 @@
         if (!isCurrent(received.incarnation())) {
             ended = false;
         }
+        leaving = false;
         announcement = Optional.of(received);
     }
 
+    /** Records a notice of leaving, which may be a late one of an earlier incarnation; an announcement revokes it. */
+    void markLeaving() {
+        leaving = true;
+    }
+
+    /** Returns whether the worker may have left. */
+    boolean leaving() {
+        return leaving;
+    }
+
     /** Records that the incarnation has ended; it gets no more orders. */
     void markEnded() {
         ended = known();
     }
 
+    /** Returns whether the worker may be sent runs. */
+    boolean acceptsStarts() {
+        return isPresent() && !leaving && !announcement().draining();
+    }
+
     /** Returns whether the worker may be sent orders. */
     boolean isPresent() {
         return known() && !ended;
--- a/core/src/main/java/org/knapweedmount/core/worker/TrackedRun.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/TrackedRun.java
@@ -14,6 +14,7 @@
 
     private final Incarnation entry;
     private final RunRequest request;
+    private WorkerIncarnation incarnation;
     private final long orderedNanos;
     private RunState state = RunState.STARTING;
     private long stateNanos;
@@ -25,8 +26,9 @@
     private boolean sampled;
     private int absences;
 
-    TrackedRun(Incarnation entry, RunRequest request, long nowNanos) {
+    TrackedRun(Incarnation entry, WorkerIncarnation incarnation, RunRequest request, long nowNanos) {
         this.entry = entry;
+        this.incarnation = incarnation;
         this.request = request;
         this.orderedNanos = nowNanos;
         this.stateNanos = nowNanos;
@@ -42,6 +44,16 @@
         return request;
     }
 
+    /** Returns whether the run was ordered from an incarnation, or found there. */
+    boolean isAt(WorkerIncarnation other) {
+        return incarnation.equals(other);
+    }
+
+    /** Records that a later incarnation has executed the order to start the run. */
+    void foundAt(WorkerIncarnation other) {
+        incarnation = other;
+    }
+
     RunRef ref() {
         return request.ref();
     }
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -3,7 +3,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 
 import org.knapweedmount.api.Incarnation;
@@ -30,13 +29,13 @@
     private final EntryTable entries;
     private final RunTable runs = new RunTable();
     private final WorkerLease lease = new WorkerLease();
-    private final WorkerHealth health = new WorkerHealth();
+    private final WorkerFence fence = new WorkerFence();
+    private final WorkerHealth health;
     private final SlowdownEstimator slowdown = new SlowdownEstimator();
     private final RunListCalls listCalls = new RunListCalls();
     private final CurrentWorker worker = new CurrentWorker();
     private boolean noForeignRuns;
     private boolean draining;
-    private long fence;
     private long acknowledgedEnd;
 
     /**
@@ -47,6 +46,7 @@
     public WorkerAgent(WorkerOutput output) {
         this.output = output;
         this.entries = new EntryTable(output);
+        this.health = new WorkerHealth(output, worker);
     }
 
     /**
@@ -74,18 +74,18 @@
 
     private void startIncarnation(WorkerAnnouncement announcement, long nowNanos) {
         output.logEvent("worker-life", "worker=" + announcement.incarnation() + " runs=" + runs.size());
-        // The first list raises the fencing token of the new incarnation, which rejects orders to the earlier one.
-        runs.all().forEach(run -> end(run, RunOutcome.LAPSED, "", nowNanos));
+        // The new incarnation may execute orders to the earlier one until a list has raised its fencing token.
         lease.begin(announcement.clockMillis(), nowNanos);
         noForeignRuns = false;
         listCalls.reset(nowNanos);
         slowdown.reset();
         acknowledgedEnd = 0;
-        fence = announcement.incarnation().startMillis() + announcement.clockMillis();
+        fence.raise(announcement.incarnation().startMillis() + announcement.clockMillis(), nowNanos);
     }
 
     /**
-     * Handles the worker's notice that it has left.
+     * Handles the worker's notice that it is leaving. Its runs end once they must have ended, as it may run on for a
+     * moment.
      *
      * @param id the worker's ID
      * @param nowNanos the current time, in ns
@@ -94,9 +94,8 @@
         if (!worker.known() || !incarnation().id().equals(id)) {
             return;
         }
-        output.logEvent("worker-left", "worker=" + incarnation());
-        worker.markEnded();
-        runs.all().forEach(run -> end(run, RunOutcome.LAPSED, "", nowNanos));
+        output.logEvent("worker-left", "worker=" + incarnation() + " runs=" + runs.size());
+        worker.markLeaving();
         reconcile(nowNanos);
     }
 
@@ -152,8 +151,8 @@
         entryView.orderReceived(order.number());
         entryView.offerAnswered(order.offer(), !order.jobs().isEmpty());
         entryView.demand(order.demand(), nowNanos);
-        Optional<String> outdated = outdatedReason(entryView, order, nowNanos);
-        if (outdated.isPresent()) {
+        Optional<String> outdated = lease.refusalReason(order.timestampNanos(), entryView.expiryMillis(), nowNanos);
+        if (outdated.isPresent() && !order.jobs().isEmpty()) {
             // The entry receives a new timestamp before the refusals, so that its next order carries it.
             output.send(from, report(entryView, nowNanos));
         }
@@ -170,20 +169,6 @@
         }
     }
 
-    /** Returns why the timestamp of an order with runs is too old to start them, empty if it is not. */
-    private Optional<String> outdatedReason(EntryView entryView, RunOrder order, long nowNanos) {
-        if (order.jobs().isEmpty()) {
-            return Optional.empty();
-        }
-        OptionalLong expiryMillis = lease.entryExpiryMillis(order.timestampNanos(), nowNanos);
-        long minExpiryMillis =
-                lease.timestampMillis(nowNanos) + WorkerTimings.LEASE_MILLIS - WorkerTimings.MAX_ORDER_AGE_MILLIS;
-        if (expiryMillis.isEmpty() || expiryMillis.getAsLong() < minExpiryMillis) {
-            return Optional.of("old-order");
-        }
-        return lease.outlasts(entryView.expiryMillis()) ? Optional.of("lease-ahead") : Optional.empty();
-    }
-
     private Optional<String> refusalReason(RunRequest request, Optional<String> outdated, long nowNanos) {
         if (!acceptsStarts(nowNanos)) {
             return Optional.of("closed");
@@ -201,16 +186,19 @@
     }
 
     private void start(Incarnation from, String spec, RunRequest request, long nowNanos) {
-        runs.add(new TrackedRun(from, request, nowNanos));
-        output.start(incarnation(), spec, request, fence, extendLease(nowNanos));
+        runs.add(new TrackedRun(from, incarnation(), request, nowNanos));
+        output.start(incarnation(), spec, request, fence.token(), extendLease(nowNanos));
     }
 
     private void stop(TrackedRun run, long nowNanos) {
-        if (run.state().ending()) {
-            return;
+        if (!run.state().ending()) {
+            sendStop(run, nowNanos);
         }
+    }
+
+    private void sendStop(TrackedRun run, long nowNanos) {
         run.transitionTo(RunState.STOPPING, nowNanos);
-        output.stop(incarnation(), run.ref(), fence);
+        output.stop(incarnation(), run.ref(), fence.token());
     }
 
     /**
@@ -248,7 +236,7 @@
         end(run, RunOutcome.REFUSED, "", nowNanos);
         switch (reply) {
             case FENCED -> raiseFence(nowNanos);
-            case UNHEALTHY -> quarantine("unhealthy", nowNanos);
+            case UNHEALTHY -> health.quarantine("unhealthy", nowNanos);
             case OTHER_LIFE -> worker.markEnded();
             case UNREACHABLE -> markUnresponsive();
             default -> {
@@ -269,8 +257,9 @@
     }
 
     private void raiseFence(long nowNanos) {
-        fence = Math.max(fence, incarnation().startMillis() + lease.workerMillis(nowNanos)) + 1;
-        output.logEvent("fence-raised", "worker=" + incarnation() + " fence=" + fence);
+        fence.raise(incarnation().startMillis() + lease.workerMillis(nowNanos) + 1, nowNanos);
+        noForeignRuns = false;
+        output.logEvent("fence-raised", "worker=" + incarnation() + " fence=" + fence.token());
     }
 
     /**
@@ -322,13 +311,16 @@
         }
         listCalls.answered(nowNanos);
         lease.observeClock(list.clockMillis(), nowNanos);
-        Set<RunRef> listedRuns = applyRunning(list.running(), nowNanos);
+        if (fence.covers(sentNanos) && fence.confirm()) {
+            lease.assumeLongest(list.clockMillis());
+        }
+        Set<RunRef> listedRuns = applyRunning(list.running(), sentNanos, nowNanos);
         applyEnded(list.ended(), nowNanos);
         handleAbsentRuns(listedRuns, sentNanos, nowNanos);
         reconcile(nowNanos);
     }
 
-    private Set<RunRef> applyRunning(List<RunList.Running> running, long nowNanos) {
+    private Set<RunRef> applyRunning(List<RunList.Running> running, long sentNanos, long nowNanos) {
         Set<RunRef> listedRuns = new HashSet<>();
         int foreign = 0;
         for (RunList.Running row : running) {
@@ -336,17 +328,22 @@
             Optional<TrackedRun> held = runs.find(row.ref());
             if (held.isEmpty()) {
                 foreign++;
-                output.stop(incarnation(), row.ref(), fence);
+                output.stop(incarnation(), row.ref(), fence.token());
                 continue;
             }
+            if (!held.get().isAt(incarnation())) {
+                held.get().foundAt(incarnation());
+                sendStop(held.get(), nowNanos);
+            }
             held.get().updateProgress(row.percent(), nowNanos).ifPresent(ratio -> slowdown.observe(ratio, nowNanos));
             if (held.get().state() == RunState.STARTING) {
                 held.get().transitionTo(RunState.RUNNING, nowNanos);
             }
         }
-        if (noForeignRuns != (foreign == 0)) {
+        boolean clean = foreign == 0 && (noForeignRuns || fence.covers(sentNanos));
+        if (noForeignRuns != clean) {
             output.logEvent("worker-clean", "worker=" + incarnation() + " foreign=" + foreign);
-            noForeignRuns = foreign == 0;
+            noForeignRuns = clean;
         }
         return listedRuns;
     }
@@ -361,42 +358,37 @@
             if (run.isEmpty()) {
                 continue;
             }
-            updateHealth(run.get(), row.outcome(), nowNanos);
+            if (row.outcome() == RunOutcome.DONE) {
+                run.get().slowdownAtEnd(nowNanos).ifPresent(ratio -> slowdown.observe(ratio, nowNanos));
+            }
+            health.recordEnd(row.outcome(), nowNanos);
             end(run.get(), row.outcome(), row.checkpoint(), nowNanos);
         }
     }
 
-    private void updateHealth(TrackedRun run, RunOutcome outcome, long nowNanos) {
-        if (outcome == RunOutcome.DONE) {
-            run.slowdownAtEnd(nowNanos).ifPresent(ratio -> slowdown.observe(ratio, nowNanos));
-            if (health.quarantined()) {
-                output.logEvent("worker-back", "worker=" + incarnation());
+    /** Ends or stops runs that a list requested after their last state change would contain if the worker had them. */
+    private void handleAbsentRuns(Set<RunRef> listedRuns, long sentNanos, long nowNanos) {
+        for (TrackedRun run : runs.matching(run -> !listedRuns.contains(run.ref()))) {
+            if (!run.isAt(incarnation())) {
+                endRunOfEarlierIncarnation(run, sentNanos, nowNanos);
+            } else if (run.stateNanos() - sentNanos <= 0) {
+                handleAbsence(run, nowNanos);
             }
-            health.recordSuccess();
-        } else if (outcome == RunOutcome.FAILED && health.recordFailure(nowNanos)) {
-            output.logEvent("worker-aside", "worker=" + incarnation() + " reason=failures");
         }
     }
 
-    private void quarantine(String reason, long nowNanos) {
-        if (health.quarantine(nowNanos)) {
-            output.logEvent("worker-aside", "worker=" + incarnation() + " reason=" + reason);
+    private void endRunOfEarlierIncarnation(TrackedRun run, long sentNanos, long nowNanos) {
+        if (fence.covers(sentNanos)) {
+            end(run, RunOutcome.LAPSED, "", nowNanos);
         }
     }
 
-    /** Ends or stops runs that a list requested after their last state change would contain if the worker had them. */
-    private void handleAbsentRuns(Set<RunRef> listedRuns, long sentNanos, long nowNanos) {
-        for (TrackedRun run : runs.all()) {
-            boolean requestedAfterChange = run.stateNanos() - sentNanos <= 0;
-            if (listedRuns.contains(run.ref()) || !requestedAfterChange) {
-                continue;
-            }
-            if (run.state() == RunState.STOPPED) {
-                end(run, RunOutcome.STOPPED, "", nowNanos);
-            } else if (run.state() == RunState.RUNNING && run.countAbsence() >= WorkerTimings.MAX_ABSENT_LISTS) {
-                output.logEvent("run-missing", describe(run.ref()) + " worker=" + incarnation());
-                stop(run, nowNanos);
-            }
+    private void handleAbsence(TrackedRun run, long nowNanos) {
+        if (run.state() == RunState.STOPPED) {
+            end(run, RunOutcome.STOPPED, "", nowNanos);
+        } else if (run.state() == RunState.RUNNING && run.countAbsence() >= WorkerTimings.MAX_ABSENT_LISTS) {
+            output.logEvent("run-missing", describe(run.ref()) + " worker=" + incarnation());
+            stop(run, nowNanos);
         }
     }
 
@@ -462,7 +454,7 @@
             if (StallRule.isStalled(run, nowNanos)) {
                 output.logEvent(
                         "run-stalled", describe(run.ref()) + " percent=" + run.percent() + " worker=" + incarnation());
-                quarantine("stalled", nowNanos);
+                health.quarantine("stalled", nowNanos);
                 stop(run, nowNanos);
             }
         }
@@ -472,15 +464,14 @@
         long dueNanos = nowNanos - WorkerTimings.nanos(WorkerTimings.STOP_RETRY_INTERVAL_MILLIS);
         for (TrackedRun run : runs.matching(run -> run.state() == RunState.STOPPING)) {
             if (run.stateNanos() - dueNanos <= 0) {
-                run.transitionTo(RunState.STOPPING, nowNanos);
-                output.stop(incarnation(), run.ref(), fence);
+                sendStop(run, nowNanos);
             }
         }
     }
 
     /** Ends all runs of an unresponsive worker once its clock must have passed its last lease expiry. */
     private void endLapsedRuns(long nowNanos) {
-        if (!listCalls.unresponsive() || runs.isEmpty() || !lease.hasLapsed(nowNanos)) {
+        if (!listCalls.unresponsive() || runs.isEmpty() || !fence.inPlace() || !lease.hasLapsed(nowNanos)) {
             return;
         }
         output.logEvent("worker-lapsed", "worker=" + incarnation() + " runs=" + runs.size());
@@ -502,7 +493,8 @@
         entries.report(entryView -> report(entryView, nowNanos), view, nowNanos);
         boolean clockOutdated = lease.needsReading(nowNanos)
                 && listCalls.idleNanos(nowNanos) > WorkerTimings.nanos(WorkerTimings.MAX_CLOCK_AGE_MILLIS);
-        boolean due = !runs.isEmpty() || !noForeignRuns || listCalls.unresponsive() || clockOutdated;
+        boolean idleCallDue = !noForeignRuns || listCalls.unresponsive() || clockOutdated;
+        boolean due = !runs.isEmpty() || (idleCallDue && !worker.leaving());
         if (due && !listCalls.inFlight() && worker.isPresent()) {
             listCalls.sent(nowNanos);
             list(noForeignRuns ? listCalls.waitMillis(nowNanos) : 0, nowNanos);
@@ -510,8 +502,9 @@
     }
 
     private void list(int waitMillis, long nowNanos) {
-        long expiryMillis = runs.isEmpty() ? 0 : extendLease(nowNanos);
-        output.list(incarnation(), fence, acknowledgedEnd, expiryMillis, nowNanos, waitMillis);
+        // The lease of a worker that does not answer must expire, so that its runs have an end.
+        long expiryMillis = runs.isEmpty() || listCalls.unresponsive() ? 0 : extendLease(nowNanos);
+        output.list(incarnation(), fence.tokenForList(nowNanos), acknowledgedEnd, expiryMillis, nowNanos, waitMillis);
     }
 
     private WorkerReport report(EntryView entryView, long nowNanos) {
@@ -538,8 +531,7 @@
     }
 
     private boolean acceptsStarts(long nowNanos) {
-        return worker.isPresent()
-                && !worker.announcement().draining()
+        return worker.acceptsStarts()
                 && noForeignRuns
                 && !listCalls.unresponsive()
                 && !draining
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerHealth.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerHealth.java
@@ -1,5 +1,7 @@
 package org.knapweedmount.core.worker;
 
+import org.knapweedmount.api.work.RunOutcome;
+
 /**
  * Quarantines a worker on which runs fail or stall, and probes it with one run at a time.
  *
@@ -17,33 +19,51 @@
 
     private static final int MAX_QUARANTINE_MILLIS = 4_000;
 
+    private final WorkerOutput output;
+    private final CurrentWorker worker;
     private int consecutiveFailures;
     private int quarantineMillis = MIN_QUARANTINE_MILLIS;
     private boolean quarantined;
     private long retryNanos;
 
-    void recordSuccess() {
+    WorkerHealth(WorkerOutput output, CurrentWorker worker) {
+        this.output = output;
+        this.worker = worker;
+    }
+
+    /** Records the end of a run. */
+    void recordEnd(RunOutcome outcome, long nowNanos) {
+        if (outcome == RunOutcome.DONE) {
+            recordSuccess();
+        } else if (outcome == RunOutcome.FAILED) {
+            recordFailure(nowNanos);
+        }
+    }
+
+    private void recordSuccess() {
+        if (quarantined) {
+            output.logEvent("worker-back", "worker=" + worker.incarnation());
+        }
         consecutiveFailures = 0;
         quarantined = false;
         quarantineMillis = MIN_QUARANTINE_MILLIS;
     }
 
-    /** Records a failed run; returns true if the worker becomes quarantined. */
-    boolean recordFailure(long nowNanos) {
+    private void recordFailure(long nowNanos) {
         consecutiveFailures++;
-        if (!quarantined && consecutiveFailures < MAX_CONSECUTIVE_FAILURES) {
-            return false;
+        if (quarantined || consecutiveFailures >= MAX_CONSECUTIVE_FAILURES) {
+            quarantine("failures", nowNanos);
         }
-        return quarantine(nowNanos);
     }
 
-    /** Quarantines the worker at once; returns true if it was not quarantined before. */
-    boolean quarantine(long nowNanos) {
-        boolean wasQuarantined = quarantined;
+    /** Quarantines the worker at once. */
+    void quarantine(String reason, long nowNanos) {
+        if (!quarantined) {
+            output.logEvent("worker-aside", "worker=" + worker.incarnation() + " reason=" + reason);
+        }
         quarantined = true;
         retryNanos = nowNanos + WorkerTimings.nanos(quarantineMillis);
         quarantineMillis = Math.min(MAX_QUARANTINE_MILLIS, 2 * quarantineMillis);
-        return !wasQuarantined;
     }
 
     /** Returns whether the worker accepts another run. */
@@ -51,8 +71,4 @@
         boolean probe = runs == 0 && nowNanos - retryNanos >= 0;
         return !quarantined || probe;
     }
-
-    boolean quarantined() {
-        return quarantined;
-    }
 }
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerLease.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerLease.java
@@ -1,5 +1,6 @@
 package org.knapweedmount.core.worker;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -61,6 +62,22 @@
         return valid ? OptionalLong.of(millis + WorkerTimings.LEASE_MILLIS) : OptionalLong.empty();
     }
 
+    /**
+     * Returns why an order starts no runs because of its timestamp, empty if it may start them.
+     *
+     * @param timestampNanos the order's timestamp
+     * @param entryExpiryMillis when the lease of the ordering entry expires, as a timestamp in ms
+     */
+    Optional<String> refusalReason(long timestampNanos, long entryExpiryMillis, long nowNanos) {
+        OptionalLong orderExpiryMillis = entryExpiryMillis(timestampNanos, nowNanos);
+        long minExpiryMillis =
+                timestampMillis(nowNanos) + WorkerTimings.LEASE_MILLIS - WorkerTimings.MAX_ORDER_AGE_MILLIS;
+        if (orderExpiryMillis.isEmpty() || orderExpiryMillis.getAsLong() < minExpiryMillis) {
+            return Optional.of("old-order");
+        }
+        return outlasts(entryExpiryMillis) ? Optional.of("lease-ahead") : Optional.empty();
+    }
+
     /**
      * Extends the worker's lease as far as a lease of an entry, given as a timestamp in ms, allows.
      *
@@ -74,8 +91,13 @@
         return expiry;
     }
 
+    /** Assumes that other processes, or orders to an earlier incarnation, have extended the lease as far as they can. */
+    void assumeLongest(long clockMillis) {
+        latestExpiryMillis = Math.max(latestExpiryMillis, clockMillis + WorkerTimings.MAX_WORKER_LEASE_MILLIS);
+    }
+
     /** Returns whether runs may outlive a lease of their entry, given as a timestamp in ms, for longer than allowed. */
-    boolean outlasts(long entryExpiryMillis) {
+    private boolean outlasts(long entryExpiryMillis) {
         return latestExpiryMillis + offsetMillis - entryExpiryMillis > WorkerTimings.MAX_LEASE_EXCESS_MILLIS;
     }
 
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerTimings.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerTimings.java
@@ -12,6 +12,9 @@
     /** How long an echoed timestamp extends an entry's runs, in ms; the platform limits a worker's lease to 1 s. */
     public static final int LEASE_MILLIS = 900;
 
+    /** The longest lease that a worker accepts, in ms, counted from the arrival of a call; guaranteed by the platform. */
+    static final int MAX_WORKER_LEASE_MILLIS = 1_000;
+
     /** The time after receipt of a timestamp by which every run ordered under it must have ended, in ms. */
     public static final int MAX_RUN_END_MILLIS = 1_100; // lease, 2% clock drift, 50 ms to stop, list and timer delays
 
