Fence late starts when the runs of a silent worker are given up

Callers may have seen a task run twice after a worker did not answer for a while. The agent gave up all runs once the worker's clock had passed the last expiry granted, and entries ordered them elsewhere. A start that was never answered may be executed seconds later, and nothing states that a late start is judged by its own expiry: the lease of the worker, extended for newer runs, applies to it.

The fencing token is now raised before the runs are given up, and no start is sent until the worker has answered a list that carried it. Until then nothing extends the worker's lease, and after it the late start is refused.

On the code before, startThatMayBeExecutedAfterItsRunHasLapsedIsFencedBeforeOthersAreSent fails with "Expected: iterable containing [<RunRef[task=t1, run=1]>] but: not matched: <RunRef[task=t2, run=1]>".

--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -475,6 +475,8 @@
             return;
         }
         output.logEvent("worker-lapsed", "worker=" + incarnation() + " runs=" + runs.size());
+        // An unanswered start may still be executed, and a later extension of the worker's lease would apply to it.
+        raiseFence(nowNanos);
         runs.all().forEach(run -> end(run, RunOutcome.LAPSED, "", nowNanos));
     }
 
--- a/core/src/test/java/org/knapweedmount/core/worker/WorkerRestartTest.java
+++ b/core/src/test/java/org/knapweedmount/core/worker/WorkerRestartTest.java
@@ -182,10 +182,27 @@
         assertThat(output.fences.isEmpty(), is(false));
     }
 
+    @Test
+    void startThatMayBeExecutedAfterItsRunHasLapsedIsFencedBeforeOthersAreSent() {
+        loseLists(FIRST, 20, 1_101);
+        assertThat(output.outcomes(), contains(RunOutcome.LAPSED));
+
+        agent.listAnswered(
+                FIRST, millisToNanos(20), new RunList(1_000, 6_000, List.of(), List.of()), millisToNanos(1_102));
+        order(OTHER_RUN, 1_103);
+        assertThat(output.started, contains(RUN));
+
+        list(FIRST, 6_100, 1_104);
+        order(OTHER_RUN, 1_106);
+        assertThat(output.started, contains(RUN, OTHER_RUN));
+        assertThat(output.startFences.get(1), greaterThan(output.startFences.get(0)));
+    }
+
     private static final class Recorder implements WorkerOutput {
         private final List<RunRef> started = new ArrayList<>();
         private final List<RunRef> stopped = new ArrayList<>();
         private final List<Long> fences = new ArrayList<>();
+        private final List<Long> startFences = new ArrayList<>();
         private final List<RunResult> results = new ArrayList<>();
         private long timestampNanos;
 
@@ -206,6 +223,7 @@
         public void start(
                 WorkerIncarnation incarnation, String spec, RunRequest request, long fence, long leaseExpiryMillis) {
             started.add(request.ref());
+            startFences.add(fence);
         }
 
         @Override
