Accept a worker that restarted while its VM's clock was set back

A worker that starts again under its ID while the clock of its VM is set back states an earlier start than its last incarnation. The agent ignored its announcements as late ones of an earlier incarnation, for good, and its entries could not use it. The same held for an incarnation that one unrelated answer had marked as ended: its own announcements did not bring it back.

The start time that a list states, in answer to a call sent after the announcement of the incarnation that the agent knows, now names the incarnation whose announcement is accepted although it seems earlier; others still count as late. Any announcement with a higher sequence revokes the mark, and starts then wait for a list, so that a late one only costs that list.

Of the new tests, laterIncarnationIsKnownByItsListIfTheClockOfItsVmWasSetBack fails on the code before with "Expected: iterable containing [<LAPSED>] but: item 0: was <REFUSED>", and announcementBringsBackAnIncarnationThatAnUnrelatedAnswerHasEnded with "Expected: iterable containing [<RunRef[task=t1, run=1]>, <RunRef[task=t2, run=1]>] but: no item was <RunRef[task=t2, run=1]>".

--- a/core/src/main/java/org/knapweedmount/core/worker/CurrentWorker.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/CurrentWorker.java
@@ -11,6 +11,7 @@
             new WorkerAnnouncement(new WorkerIncarnation("", 0), "", 0, Resources.NONE, List.of(), false, 0);
 
     private Optional<WorkerAnnouncement> announcement = Optional.empty();
+    private Optional<WorkerIncarnation> successor = Optional.empty();
     private boolean ended;
     private boolean leaving;
 
@@ -37,14 +38,16 @@
         if (isCurrent(received.incarnation())) {
             return received.sequence() <= announcement().sequence();
         }
-        return known() && received.incarnation().startMillis() <= incarnation().startMillis();
+        boolean listed = successor.isPresent() && successor.get().equals(received.incarnation());
+        return known()
+                && !listed
+                && received.incarnation().startMillis() <= incarnation().startMillis();
     }
 
-    /** Replaces the latest announcement by one that is not outdated. */
+    /** Replaces the latest announcement by one that is not outdated; it shows that the worker is there. */
     void announced(WorkerAnnouncement received) {
-        if (!isCurrent(received.incarnation())) {
-            ended = false;
-        }
+        successor = Optional.empty();
+        ended = false;
         leaving = false;
         announcement = Optional.of(received);
     }
@@ -59,11 +62,17 @@
         return leaving;
     }
 
-    /** Records that the incarnation has ended; it gets no more orders. */
+    /** Records that another worker answers; the incarnation gets no orders unless it announces itself again. */
     void markEnded() {
         ended = known();
     }
 
+    /** Records that another incarnation answers under the same ID, which may have started earlier by its VM's clock. */
+    void markReplaced(long startMillis) {
+        markEnded();
+        successor = Optional.of(new WorkerIncarnation(incarnation().id(), startMillis));
+    }
+
     /** Returns whether the worker may be sent runs. */
     boolean acceptsStarts() {
         return isPresent() && !leaving && !announcement().draining();
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -237,7 +237,7 @@
         switch (reply) {
             case FENCED -> raiseFence(nowNanos);
             case UNHEALTHY -> health.quarantine("unhealthy", nowNanos);
-            case OTHER_LIFE -> worker.markEnded();
+            case OTHER_LIFE -> markEnded();
             case UNREACHABLE -> markUnresponsive();
             default -> {
                 // The reason concerns only this run.
@@ -245,6 +245,12 @@
         }
     }
 
+    /** Accepts no more starts until the worker has announced itself and answered a list. */
+    private void markEnded() {
+        worker.markEnded();
+        noForeignRuns = false;
+    }
+
     /** Accepts no more starts until the worker has answered again. */
     private void markUnresponsive() {
         if (listCalls.markUnresponsive()) {
@@ -305,7 +311,8 @@
         listCalls.ended(sentNanos);
         if (list.startMillis() != incarnation.startMillis()) {
             output.logEvent("worker-restarted", "worker=" + incarnation + " born=" + list.startMillis());
-            worker.markEnded();
+            worker.markReplaced(list.startMillis());
+            noForeignRuns = false;
             reconcile(nowNanos);
             return;
         }
@@ -407,7 +414,7 @@
         listCalls.ended(sentNanos);
         switch (failure) {
             case FENCED -> raiseFence(nowNanos);
-            case OTHER_LIFE -> worker.markEnded();
+            case OTHER_LIFE -> markEnded();
             case UNREACHABLE -> markUnresponsive();
             default -> handleLostList(nowNanos);
         }
--- a/core/src/test/java/org/knapweedmount/core/worker/WorkerRestartTest.java
+++ b/core/src/test/java/org/knapweedmount/core/worker/WorkerRestartTest.java
@@ -182,6 +182,40 @@
         assertThat(output.fences.isEmpty(), is(false));
     }
 
+    @Test
+    void laterIncarnationIsKnownByItsListIfTheClockOfItsVmWasSetBack() {
+        WorkerIncarnation setBack = new WorkerIncarnation("i-1", 900);
+        agent.listAnswered(FIRST, millisToNanos(2), new RunList(900, 30, List.of(), List.of()), millisToNanos(50));
+
+        announce(setBack, 2, 40, 60);
+        list(setBack, 42, 60);
+        order(OTHER_RUN, 63);
+
+        assertThat(output.outcomes(), contains(RunOutcome.LAPSED));
+        assertThat(output.started, contains(RUN, OTHER_RUN));
+    }
+
+    @Test
+    void delayedAnnouncementOfAnEarlierIncarnationIsIgnoredWithoutItsList() {
+        announce(new WorkerIncarnation("i-1", 900), 99, 40, 60);
+        order(OTHER_RUN, 63);
+
+        assertThat(output.started, contains(RUN, OTHER_RUN));
+    }
+
+    @Test
+    void announcementBringsBackAnIncarnationThatAnUnrelatedAnswerHasEnded() {
+        agent.listAnswered(FIRST, millisToNanos(2), new RunList(0, 0, List.of(), List.of()), millisToNanos(50));
+
+        announce(FIRST, 2, 5_060, 60);
+        order(OTHER_RUN, 61);
+        assertThat(output.started, contains(RUN));
+
+        list(FIRST, 5_062, 62, RUN);
+        order(OTHER_RUN, 64);
+        assertThat(output.started, contains(RUN, OTHER_RUN));
+    }
+
     @Test
     void startThatMayBeExecutedAfterItsRunHasLapsedIsFencedBeforeOthersAreSent() {
         loseLists(FIRST, 20, 1_101);
