--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -28,18 +28,16 @@
     private final WorkerOutput output;
     private final EntryTable entries;
     private final RunTable runs = new RunTable();
-    private final WorkerClock clock = new WorkerClock();
-    private final WorkerHealth health = new WorkerHealth();
+    private final WorkerLease lease = new WorkerLease();
+    private final WorkerFence fence = new WorkerFence();
+    private final WorkerHealth health;
     private final SlowdownEstimator slowdown = new SlowdownEstimator();
     private final RunListCalls listCalls = new RunListCalls();
     private final RunEvents events;
-    private Optional<WorkerAnnouncement> worker = Optional.empty();
-    private Optional<WorkerIncarnation> endedIncarnation = Optional.empty();
+    private final CurrentWorker worker = new CurrentWorker();
     private boolean noForeignRuns;
     private boolean draining;
-    private long fence;
     private long acknowledgedEnd;
-    private long latestExpiryMillis;
 
     /**
      * Creates an agent without a worker.
@@ -50,6 +48,7 @@
         this.output = output;
         this.entries = new EntryTable(output);
         this.events = new RunEvents(output);
+        this.health = new WorkerHealth(output, worker);
     }
 
     /**
@@ -59,57 +58,46 @@
      * @param nowNanos the current time, in ns
      */
     public void announced(WorkerAnnouncement announcement, long nowNanos) {
-        boolean known = worker.isPresent() && worker.get().incarnation().equals(announcement.incarnation());
-        boolean outdated = known && announcement.sequence() <= worker.get().sequence();
-        if (outdated || isEarlierIncarnation(announcement.incarnation())) {
+        if (worker.isOutdated(announcement)) {
             return;
         }
-        boolean wasDraining = worker.isPresent() && worker.get().draining();
-        worker = Optional.of(announcement);
+        boolean known = worker.isCurrent(announcement.incarnation());
+        boolean wasDraining = worker.announcement().draining();
+        worker.announced(announcement);
         if (!known) {
             startIncarnation(announcement, nowNanos);
         } else if (announcement.draining() != wasDraining) {
             output.logEvent(
                     "worker-draining", "worker=" + announcement.incarnation() + " draining=" + announcement.draining());
         }
+        lease.observeClock(announcement.clockMillis(), nowNanos);
         reconcile(nowNanos);
     }
 
-    /** Returns whether an incarnation started before the current one, or at the same time. */
-    private boolean isEarlierIncarnation(WorkerIncarnation incarnation) {
-        return worker.isPresent()
-                && !incarnation.equals(worker.get().incarnation())
-                && incarnation.startMillis() <= worker.get().incarnation().startMillis();
-    }
-
     private void startIncarnation(WorkerAnnouncement announcement, long nowNanos) {
         output.logEvent("worker-life", "worker=" + announcement.incarnation() + " runs=" + runs.size());
-        // The first list raises the fencing token of the new incarnation, which rejects orders to the earlier one.
-        runs.all().forEach(run -> end(run, RunOutcome.LAPSED, RunEndEvidence.NEW_INCARNATION, "", nowNanos));
-        clock.reset();
-        clock.observe(announcement.clockMillis(), nowNanos);
-        endedIncarnation = Optional.empty();
+        // The new incarnation may execute orders to the earlier one until a list has raised its fencing token.
+        lease.begin(announcement.clockMillis(), nowNanos);
         noForeignRuns = false;
         listCalls.reset(nowNanos);
         slowdown.reset();
         acknowledgedEnd = 0;
-        latestExpiryMillis = 0;
-        fence = announcement.incarnation().startMillis() + announcement.clockMillis();
+        fence.raise(announcement.incarnation().startMillis() + announcement.clockMillis(), nowNanos);
     }
 
     /**
-     * Handles the worker's notice that it has left.
+     * Handles the worker's notice that it is leaving. Its runs end once they must have ended, as it may run on for a
+     * moment.
      *
      * @param id the worker's ID
      * @param nowNanos the current time, in ns
      */
     public void workerLeft(String id, long nowNanos) {
-        if (worker.isEmpty() || !worker.get().incarnation().id().equals(id)) {
+        if (!worker.known() || !incarnation().id().equals(id)) {
             return;
         }
-        output.logEvent("worker-left", "worker=" + worker.get().incarnation());
-        markIncarnationEnded();
-        runs.all().forEach(run -> end(run, RunOutcome.LAPSED, RunEndEvidence.WORKER_LEFT, "", nowNanos));
+        output.logEvent("worker-left", "worker=" + incarnation() + " runs=" + runs.size());
+        worker.markLeaving();
         reconcile(nowNanos);
     }
 
@@ -120,8 +108,8 @@
      * @param nowNanos the current time, in ns
      */
     public void linked(Incarnation entry, long nowNanos) {
-        entries.linked(entry, runs, nowNanos);
-        output.send(entry, report(entries.of(entry, nowNanos), nowNanos));
+        entries.linked(entry, runs);
+        output.send(entry, report(entries.of(entry), nowNanos));
     }
 
     /**
@@ -131,7 +119,7 @@
      * @param nowNanos the current time, in ns
      */
     public void unlinked(Incarnation entry, long nowNanos) {
-        entries.of(entry, nowNanos).unlink(nowNanos);
+        entries.of(entry).unlink(nowNanos);
         reconcile(nowNanos);
     }
 
@@ -143,7 +131,7 @@
      * @param nowNanos the current time, in ns
      */
     public void receive(Incarnation from, Message message, long nowNanos) {
-        EntryView entryView = entries.of(from, nowNanos);
+        EntryView entryView = entries.of(from);
         if (message instanceof RunOrder order) {
             handleOrder(from, entryView, order, nowNanos);
         } else if (message instanceof ResourceDemand demand) {
@@ -151,20 +139,28 @@
         } else if (message instanceof StopRuns stop) {
             stop.runs().forEach(ref -> runs.find(ref).ifPresent(run -> stop(run, nowNanos)));
         } else if (message instanceof LeaseRenewal renewal) {
-            entryView.renew(renewal.timestampNanos(), nowNanos);
+            renew(entryView, renewal.timestampNanos(), nowNanos);
         }
         reconcile(nowNanos);
     }
 
+    private void renew(EntryView entryView, long timestampNanos, long nowNanos) {
+        lease.entryExpiryMillis(timestampNanos, nowNanos).ifPresent(entryView::extendLease);
+    }
+
     private void handleOrder(Incarnation from, EntryView entryView, RunOrder order, long nowNanos) {
-        entryView.renew(order.timestampNanos(), nowNanos);
+        renew(entryView, order.timestampNanos(), nowNanos);
         entryView.orderReceived(order.number());
         entryView.offerAnswered(order.offer(), !order.jobs().isEmpty());
         entryView.demand(order.demand(), nowNanos);
-        boolean recent = nowNanos - order.timestampNanos() <= WorkerTimings.nanos(WorkerTimings.MAX_ORDER_AGE_MILLIS);
+        Optional<String> outdated = lease.refusalReason(order.timestampNanos(), entryView.expiryMillis(), nowNanos);
+        if (outdated.isPresent() && !order.jobs().isEmpty()) {
+            // The entry receives a new timestamp before the refusals, so that its next order carries it.
+            output.send(from, report(entryView, nowNanos));
+        }
         for (JobRuns job : order.jobs()) {
             for (RunRequest run : job.runs()) {
-                Optional<String> refusal = refusalReason(run, recent, nowNanos);
+                Optional<String> refusal = refusalReason(run, outdated, nowNanos);
                 if (refusal.isEmpty()) {
                     start(from, order.timestampNanos(), job.spec(), run, nowNanos);
                 } else {
@@ -175,12 +171,12 @@
         }
     }
 
-    private Optional<String> refusalReason(RunRequest request, boolean recent, long nowNanos) {
+    private Optional<String> refusalReason(RunRequest request, Optional<String> outdated, long nowNanos) {
         if (!acceptsStarts(nowNanos)) {
             return Optional.of("closed");
         }
-        if (!recent) {
-            return Optional.of("old-order");
+        if (outdated.isPresent()) {
+            return outdated;
         }
         if (!request.resources().fits(free())) {
             return Optional.of("no-room");
@@ -192,19 +188,22 @@
     }
 
     private void start(Incarnation from, long timestampNanos, String spec, RunRequest request, long nowNanos) {
-        runs.add(new TrackedRun(from, request, nowNanos));
-        long expiryMillis = leaseExpiryMillis(nowNanos);
-        latestExpiryMillis = Math.max(latestExpiryMillis, expiryMillis);
-        events.accepted(from, request.ref(), nowNanos - timestampNanos, expiryMillis, lease(nowNanos), nowNanos);
-        output.start(incarnation(), spec, request, fence, expiryMillis);
+        runs.add(new TrackedRun(from, incarnation(), request, nowNanos));
+        long expiryMillis = extendLease(nowNanos);
+        long ageNanos = WorkerTimings.nanos(lease.timestampMillis(nowNanos)) - timestampNanos;
+        events.accepted(from, request.ref(), ageNanos, expiryMillis, lease.describe(incarnation(), nowNanos), nowNanos);
+        output.start(incarnation(), spec, request, fence.token(), expiryMillis);
     }
 
     private void stop(TrackedRun run, long nowNanos) {
-        if (run.state().ending()) {
-            return;
+        if (!run.state().ending()) {
+            sendStop(run, nowNanos);
         }
+    }
+
+    private void sendStop(TrackedRun run, long nowNanos) {
         run.transitionTo(RunState.STOPPING, nowNanos);
-        output.stop(incarnation(), run.ref(), fence);
+        output.stop(incarnation(), run.ref(), fence.token());
     }
 
     /**
@@ -217,7 +216,7 @@
      */
     public void startAnswered(WorkerIncarnation incarnation, RunRef ref, StartReply reply, long nowNanos) {
         Optional<TrackedRun> found = runs.find(ref);
-        if (found.isEmpty() || !isCurrent(incarnation)) {
+        if (found.isEmpty() || !worker.isCurrent(incarnation)) {
             return;
         }
         TrackedRun run = found.get();
@@ -243,8 +242,8 @@
         end(run, RunOutcome.REFUSED, RunEndEvidence.START_REPLY, "", nowNanos);
         switch (reply) {
             case FENCED -> raiseFence(nowNanos);
-            case UNHEALTHY -> quarantine("unhealthy", nowNanos);
-            case OTHER_LIFE -> markIncarnationEnded();
+            case UNHEALTHY -> health.quarantine("unhealthy", nowNanos);
+            case OTHER_LIFE -> markEnded();
             case UNREACHABLE -> markUnresponsive();
             default -> {
                 // The reason concerns only this run.
@@ -252,9 +251,10 @@
         }
     }
 
-    /** Sends the worker no more orders until a later incarnation announces itself. */
-    private void markIncarnationEnded() {
-        endedIncarnation = worker.map(WorkerAnnouncement::incarnation);
+    /** Accepts no more starts until the worker has announced itself and answered a list. */
+    private void markEnded() {
+        worker.markEnded();
+        noForeignRuns = false;
     }
 
     /** Accepts no more starts until the worker has answered again. */
@@ -265,8 +265,9 @@
     }
 
     private void raiseFence(long nowNanos) {
-        fence = Math.max(fence, incarnation().startMillis() + clock.millis(nowNanos)) + 1;
-        output.logEvent("fence-raised", "worker=" + incarnation() + " fence=" + fence);
+        fence.raise(incarnation().startMillis() + lease.workerMillis(nowNanos) + 1, nowNanos);
+        noForeignRuns = false;
+        output.logEvent("fence-raised", "worker=" + incarnation() + " fence=" + fence.token());
     }
 
     /**
@@ -279,10 +280,10 @@
      */
     public void stopAnswered(WorkerIncarnation incarnation, RunRef ref, StopReply reply, long nowNanos) {
         Optional<TrackedRun> found = runs.find(ref);
-        if (reply == StopReply.FENCED && isCurrent(incarnation)) {
+        if (reply == StopReply.FENCED && worker.isCurrent(incarnation)) {
             raiseFence(nowNanos);
         }
-        if (found.isEmpty() || !isCurrent(incarnation)) {
+        if (found.isEmpty() || !worker.isCurrent(incarnation)) {
             return;
         }
         if (reply == StopReply.OTHER_LIFE) {
@@ -306,26 +307,30 @@
      * @param nowNanos the current time, in ns
      */
     public void listAnswered(WorkerIncarnation incarnation, long sentNanos, RunList list, long nowNanos) {
-        if (!isCurrent(incarnation)) {
+        if (!worker.isCurrent(incarnation)) {
             return;
         }
         listCalls.ended(sentNanos);
         if (list.startMillis() != incarnation.startMillis()) {
             output.logEvent("worker-restarted", "worker=" + incarnation + " born=" + list.startMillis());
-            markIncarnationEnded();
+            worker.markReplaced(list.startMillis());
+            noForeignRuns = false;
             reconcile(nowNanos);
             return;
         }
         listCalls.answered(nowNanos);
-        clock.observe(list.clockMillis(), nowNanos);
-        events.listed(list, acknowledgedEnd, sentNanos, lease(nowNanos), nowNanos);
-        Set<RunRef> listedRuns = applyRunning(list.running(), nowNanos);
+        lease.observeClock(list.clockMillis(), nowNanos);
+        if (fence.covers(sentNanos) && fence.confirm()) {
+            lease.assumeLongest(list.clockMillis());
+        }
+        events.listed(list, acknowledgedEnd, sentNanos, lease.describe(incarnation(), nowNanos), nowNanos);
+        Set<RunRef> listedRuns = applyRunning(list.running(), sentNanos, nowNanos);
         applyEnded(list.ended(), nowNanos);
         handleAbsentRuns(listedRuns, sentNanos, nowNanos);
         reconcile(nowNanos);
     }
 
-    private Set<RunRef> applyRunning(List<RunList.Running> running, long nowNanos) {
+    private Set<RunRef> applyRunning(List<RunList.Running> running, long sentNanos, long nowNanos) {
         Set<RunRef> listedRuns = new HashSet<>();
         int foreign = 0;
         for (RunList.Running row : running) {
@@ -333,17 +338,22 @@
             Optional<TrackedRun> held = runs.find(row.ref());
             if (held.isEmpty()) {
                 foreign++;
-                output.stop(incarnation(), row.ref(), fence);
+                output.stop(incarnation(), row.ref(), fence.token());
                 continue;
             }
+            if (!held.get().isAt(incarnation())) {
+                held.get().foundAt(incarnation());
+                sendStop(held.get(), nowNanos);
+            }
             held.get().updateProgress(row.percent(), nowNanos).ifPresent(ratio -> slowdown.observe(ratio, nowNanos));
             if (held.get().state() == RunState.STARTING) {
                 held.get().transitionTo(RunState.RUNNING, nowNanos);
             }
         }
-        if (noForeignRuns != (foreign == 0)) {
+        boolean clean = foreign == 0 && (noForeignRuns || fence.covers(sentNanos));
+        if (noForeignRuns != clean) {
             output.logEvent("worker-clean", "worker=" + incarnation() + " foreign=" + foreign);
-            noForeignRuns = foreign == 0;
+            noForeignRuns = clean;
         }
         return listedRuns;
     }
@@ -358,42 +368,37 @@
             if (run.isEmpty()) {
                 continue;
             }
-            updateHealth(run.get(), row.outcome(), nowNanos);
+            if (row.outcome() == RunOutcome.DONE) {
+                run.get().slowdownAtEnd(nowNanos).ifPresent(ratio -> slowdown.observe(ratio, nowNanos));
+            }
+            health.recordEnd(row.outcome(), nowNanos);
             end(run.get(), row.outcome(), RunEndEvidence.LISTED, row.checkpoint(), nowNanos);
         }
     }
 
-    private void updateHealth(TrackedRun run, RunOutcome outcome, long nowNanos) {
-        if (outcome == RunOutcome.DONE) {
-            run.slowdownAtEnd(nowNanos).ifPresent(ratio -> slowdown.observe(ratio, nowNanos));
-            if (health.quarantined()) {
-                output.logEvent("worker-back", "worker=" + incarnation());
+    /** Ends or stops runs that a list requested after their last state change would contain if the worker had them. */
+    private void handleAbsentRuns(Set<RunRef> listedRuns, long sentNanos, long nowNanos) {
+        for (TrackedRun run : runs.matching(run -> !listedRuns.contains(run.ref()))) {
+            if (!run.isAt(incarnation())) {
+                endRunOfEarlierIncarnation(run, sentNanos, nowNanos);
+            } else if (run.stateNanos() - sentNanos <= 0) {
+                handleAbsence(run, nowNanos);
             }
-            health.recordSuccess();
-        } else if (outcome == RunOutcome.FAILED && health.recordFailure(nowNanos)) {
-            output.logEvent("worker-aside", "worker=" + incarnation() + " reason=failures");
         }
     }
 
-    private void quarantine(String reason, long nowNanos) {
-        if (health.quarantine(nowNanos)) {
-            output.logEvent("worker-aside", "worker=" + incarnation() + " reason=" + reason);
+    private void endRunOfEarlierIncarnation(TrackedRun run, long sentNanos, long nowNanos) {
+        if (fence.covers(sentNanos)) {
+            end(run, RunOutcome.LAPSED, RunEndEvidence.NEW_INCARNATION, "", nowNanos);
         }
     }
 
-    /** Ends or stops runs that a list requested after their last state change would contain if the worker had them. */
-    private void handleAbsentRuns(Set<RunRef> listedRuns, long sentNanos, long nowNanos) {
-        for (TrackedRun run : runs.all()) {
-            boolean requestedAfterChange = run.stateNanos() - sentNanos <= 0;
-            if (listedRuns.contains(run.ref()) || !requestedAfterChange) {
-                continue;
-            }
-            if (run.state() == RunState.STOPPED) {
-                end(run, RunOutcome.STOPPED, RunEndEvidence.ABSENT, "", nowNanos);
-            } else if (run.state() == RunState.RUNNING && run.countAbsence() >= WorkerTimings.MAX_ABSENT_LISTS) {
-                output.logEvent("run-missing", RunEvents.describe(run.ref()) + " worker=" + incarnation());
-                stop(run, nowNanos);
-            }
+    private void handleAbsence(TrackedRun run, long nowNanos) {
+        if (run.state() == RunState.STOPPED) {
+            end(run, RunOutcome.STOPPED, RunEndEvidence.ABSENT, "", nowNanos);
+        } else if (run.state() == RunState.RUNNING && run.countAbsence() >= WorkerTimings.MAX_ABSENT_LISTS) {
+            output.logEvent("run-missing", RunEvents.describe(run.ref()) + " worker=" + incarnation());
+            stop(run, nowNanos);
         }
     }
 
@@ -406,13 +411,13 @@
      * @param nowNanos the current time, in ns
      */
     public void listFailed(WorkerIncarnation incarnation, long sentNanos, RunListFailure failure, long nowNanos) {
-        if (!isCurrent(incarnation)) {
+        if (!worker.isCurrent(incarnation)) {
             return;
         }
         listCalls.ended(sentNanos);
         switch (failure) {
             case FENCED -> raiseFence(nowNanos);
-            case OTHER_LIFE -> markIncarnationEnded();
+            case OTHER_LIFE -> markEnded();
             case UNREACHABLE -> markUnresponsive();
             default -> handleLostList(nowNanos);
         }
@@ -430,7 +435,7 @@
 
     private void end(TrackedRun run, RunOutcome outcome, RunEndEvidence evidence, String checkpoint, long nowNanos) {
         runs.remove(run.ref());
-        events.released(run, outcome, evidence, lease(nowNanos), nowNanos);
+        events.released(run, outcome, evidence, lease.describe(incarnation(), nowNanos), nowNanos);
         int elapsedMillis = (int) WorkerTimings.millis(nowNanos - run.orderedNanos());
         entries.addResult(run.entry(), new RunResult(run.ref(), outcome, elapsedMillis, checkpoint));
     }
@@ -441,16 +446,17 @@
      * @param nowNanos the current time, in ns
      */
     public void tick(long nowNanos) {
+        long timestampMillis = lease.timestampMillis(nowNanos);
         entries.byEntry().forEach((entry, entryView) -> {
             entryView.expireOffer(nowNanos);
-            if (entryView.mustStopRuns(nowNanos)) {
+            if (entryView.mustStopRuns(timestampMillis, nowNanos)) {
                 runs.of(entry).forEach(run -> stop(run, nowNanos));
             }
         });
         stopStalled(nowNanos);
         retryStops(nowNanos);
         endLapsedRuns(nowNanos);
-        entries.removeExpired(runs, nowNanos);
+        entries.removeExpired(runs, timestampMillis, nowNanos);
         reconcile(nowNanos);
     }
 
@@ -458,7 +464,7 @@
         for (TrackedRun run : runs.matching(run -> run.state() == RunState.RUNNING)) {
             if (StallRule.isStalled(run, nowNanos)) {
                 events.stalled(run, incarnation());
-                quarantine("stalled", nowNanos);
+                health.quarantine("stalled", nowNanos);
                 stop(run, nowNanos);
             }
         }
@@ -468,26 +474,26 @@
         long dueNanos = nowNanos - WorkerTimings.nanos(WorkerTimings.STOP_RETRY_INTERVAL_MILLIS);
         for (TrackedRun run : runs.matching(run -> run.state() == RunState.STOPPING)) {
             if (run.stateNanos() - dueNanos <= 0) {
-                run.transitionTo(RunState.STOPPING, nowNanos);
-                output.stop(incarnation(), run.ref(), fence);
+                sendStop(run, nowNanos);
             }
         }
     }
 
     /** Ends all runs of an unresponsive worker once its clock must have passed its last lease expiry. */
     private void endLapsedRuns(long nowNanos) {
-        boolean passed = clock.known() && clock.millis(nowNanos) > latestExpiryMillis + WorkerTimings.MAX_STOP_MILLIS;
-        if (!listCalls.unresponsive() || runs.isEmpty() || !passed) {
+        if (!listCalls.unresponsive() || runs.isEmpty() || !fence.inPlace() || !lease.hasLapsed(nowNanos)) {
             return;
         }
         output.logEvent("worker-lapsed", "worker=" + incarnation() + " runs=" + runs.size());
+        // An unanswered start may still be executed, and a later extension of the worker's lease would apply to it.
+        raiseFence(nowNanos);
         runs.all().forEach(run -> end(run, RunOutcome.LAPSED, RunEndEvidence.CLOCK, "", nowNanos));
     }
 
     /** Follows up any change: sends results, offers capacity, reports, and keeps a list call in flight. */
     private void reconcile(long nowNanos) {
         entries.sendResults();
-        events.flush(lease(nowNanos), nowNanos);
+        events.flush(lease.describe(incarnation(), nowNanos), nowNanos);
         if (acceptsStarts(nowNanos)) {
             entries.offerCapacity(capacity().minus(runs.usedCapacity()), nowNanos);
         }
@@ -498,23 +504,26 @@
         ReportRule.View view =
                 new ReportRule.View(acceptsStarts(nowNanos), free(), capacity(), slowdown.estimate(nowNanos));
         entries.report(entryView -> report(entryView, nowNanos), view, nowNanos);
-        boolean due = !runs.isEmpty() || !noForeignRuns || listCalls.unresponsive();
-        if (due && !listCalls.inFlight() && endedIncarnation.isEmpty() && worker.isPresent()) {
+        boolean clockOutdated = lease.needsReading(nowNanos)
+                && listCalls.idleNanos(nowNanos) > WorkerTimings.nanos(WorkerTimings.MAX_CLOCK_AGE_MILLIS);
+        boolean idleCallDue = !noForeignRuns || listCalls.unresponsive() || clockOutdated;
+        boolean due = !runs.isEmpty() || (idleCallDue && !worker.leaving());
+        if (due && !listCalls.inFlight() && worker.isPresent()) {
             listCalls.sent(nowNanos);
             list(noForeignRuns ? listCalls.waitMillis(nowNanos) : 0, nowNanos);
         }
     }
 
     private void list(int waitMillis, long nowNanos) {
-        long expiryMillis = runs.isEmpty() ? 0 : leaseExpiryMillis(nowNanos);
-        latestExpiryMillis = Math.max(latestExpiryMillis, expiryMillis);
-        output.list(incarnation(), fence, acknowledgedEnd, expiryMillis, nowNanos, waitMillis);
+        // The lease of a worker that does not answer must expire, so that its runs have an end.
+        long expiryMillis = runs.isEmpty() || listCalls.unresponsive() ? 0 : extendLease(nowNanos);
+        output.list(incarnation(), fence.tokenForList(nowNanos), acknowledgedEnd, expiryMillis, nowNanos, waitMillis);
     }
 
     private WorkerReport report(EntryView entryView, long nowNanos) {
-        WorkerAnnouncement known = worker.orElse(WorkerAnnouncement.NONE);
+        WorkerAnnouncement known = worker.announcement();
         return new WorkerReport(
-                nowNanos,
+                lease.issueTimestampNanos(nowNanos),
                 known.service(),
                 known.incarnation().toString(),
                 known.labels(),
@@ -531,38 +540,28 @@
     }
 
     private Resources capacity() {
-        return worker.map(WorkerAnnouncement::capacity).orElse(Resources.NONE);
+        return worker.announcement().capacity();
     }
 
     private boolean acceptsStarts(long nowNanos) {
-        return worker.isPresent()
-                && !worker.get().draining()
-                && endedIncarnation.isEmpty()
+        return worker.acceptsStarts()
                 && noForeignRuns
                 && !listCalls.unresponsive()
                 && !draining
                 && health.admits(runs.size(), nowNanos);
     }
 
-    /** Returns the worker's lease expiry by its clock, in ms: the earliest lease expiry of entries with runs. */
-    private long leaseExpiryMillis(long nowNanos) {
-        long remaining = WorkerTimings.nanos(WorkerTimings.LEASE_MILLIS);
+    /** Extends the worker's lease to the earliest lease expiry of entries with runs; returns it by the worker's clock. */
+    private long extendLease(long nowNanos) {
+        long earliestMillis = Long.MAX_VALUE;
         for (TrackedRun run : runs.all()) {
-            remaining = Math.min(remaining, entries.of(run.entry(), nowNanos).expiryNanos() - nowNanos);
+            earliestMillis = Math.min(earliestMillis, entries.of(run.entry()).expiryMillis());
         }
-        return clock.millis(nowNanos) + Math.max(0, WorkerTimings.millis(remaining));
+        return lease.grant(earliestMillis, nowNanos);
     }
 
     private WorkerIncarnation incarnation() {
-        return worker.orElse(WorkerAnnouncement.NONE).incarnation();
-    }
-
-    private boolean isCurrent(WorkerIncarnation incarnation) {
-        return worker.isPresent() && worker.get().incarnation().equals(incarnation);
-    }
-
-    private RunEvents.Lease lease(long nowNanos) {
-        return new RunEvents.Lease(incarnation(), latestExpiryMillis, clock.millis(nowNanos));
+        return worker.incarnation();
     }
 
     private String load() {
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerTimings.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerTimings.java
@@ -5,16 +5,37 @@
 /**
  * Timeouts, intervals and bounds that the agent of a worker and the entries have in common.
  *
- * <p>The lease of an entry runs on the agent's clock from a timestamp of the agent that the entry echoed, and the lease
- * of the worker on the worker's clock, so a delayed message cannot extend either.
+ * <p>All leases run on the worker's clock, that of an entry from a timestamp that the entry echoed, so neither a delayed
+ * message nor a suspended agent extends them.
  */
 public final class WorkerTimings {
     /** How long an echoed timestamp extends an entry's runs, in ms; the platform limits a worker's lease to 1 s. */
     public static final int LEASE_MILLIS = 900;
 
+    /** The longest lease that a worker accepts, in ms, counted from the arrival of a call; guaranteed by the platform. */
+    static final int MAX_WORKER_LEASE_MILLIS = 1_000;
+
     /** The time after receipt of a timestamp by which every run ordered under it must have ended, in ms. */
     public static final int MAX_RUN_END_MILLIS = 1_100; // lease, 2% clock drift, 50 ms to stop, list and timer delays
 
+    /**
+     * How far the worker's lease may reach beyond that of an entry whose run it starts, in ms; all runs end with the
+     * worker's lease, so (lease + excess) / {@link #MIN_CLOCK_RATE} + stop stays below {@link #MAX_RUN_END_MILLIS}.
+     */
+    static final int MAX_LEASE_EXCESS_MILLIS = 100;
+
+    /**
+     * How far the worker's lease reaches into the future, in ms; an order whose timestamp is older than lease + excess
+     * - this time may be refused.
+     */
+    static final int MAX_GRANT_MILLIS = 750; // a report interval, a tick and a round trip are less than 250 ms
+
+    /** The age of a reading of the worker's clock after which an idle worker is asked for another, in ms. */
+    static final int MAX_CLOCK_AGE_MILLIS = 5_000; // the estimate lags by at most 2% of this
+
+    /** The minimum rate of the worker's clock; the platform allows it to be 2% slow. */
+    static final double MIN_CLOCK_RATE = 0.98;
+
     /** The maximum interval between two reports of an agent, in ms; several fit into a lease. */
     public static final int MAX_REPORT_INTERVAL_MILLIS = 150;
 
@@ -24,7 +45,7 @@
      */
     static final int MIN_REPORT_INTERVAL_MILLIS = 25;
 
-    /** The maximum age of an order's timestamp on arrival, in ms; the rest of the lease has to outlast the start. */
+    /** The maximum age of an order's timestamp on arrival, by the worker's clock in ms; the rest of the lease has to outlast the start. */
     static final int MAX_ORDER_AGE_MILLIS = 500;
 
     /**
