Move the admission of jobs out of Dispatcher

The decision whether a submitted job is queued goes to JobAdmission, unchanged, so that the handling of resubmitted jobs has room.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -49,6 +49,7 @@
     private final JobLatencies latencies = new JobLatencies();
     private final Map<String, Resources> maxCapacity = new HashMap<>();
     private final DispatchEvents events;
+    private final JobAdmission admission;
     private OptionalLong drainByNanos = OptionalLong.empty();
 
     /**
@@ -59,6 +60,7 @@
     public Dispatcher(DispatchOutput output) {
         this.output = output;
         this.events = new DispatchEvents(output);
+        this.admission = new JobAdmission(output, workers, jobs, maxCapacity);
     }
 
     /**
@@ -94,41 +96,15 @@
     private void admit(JobRequest submitted, long nowNanos) {
         JobRequest request = drainByNanos.isPresent() ? submitted.dueBy(drainByNanos.getAsLong()) : submitted;
         TrackedJob job = new TrackedJob(request, durations.criticalPathMillis(request), nowNanos);
-        String service = request.queue().service();
-        if (maxCapacity.containsKey(service) && !canFit(request, service)) {
-            output.logEvent("job-hopeless", "job=" + request.id());
-            output.answer(request.id(), JobResult.failed("no worker is large enough"));
-            return;
-        }
-        jobs.recordArrival(service, request.queue().name(), nowNanos);
-        QueueShares shares = jobs.shares(service, nowNanos);
-        double cores = workers.cores(service);
-        double share = shares.share(request.queue().name());
-        double ownWork = jobs.queuedCoreMillis(service);
-        long remoteWork = workers.otherBacklogCoreMillis(service);
-        // Callers are spread over the entries, so each entry's queue holds about as much work ahead of the job.
         int entries = 1 + ownership.peers().size();
-        double ahead = jobs.coreMillisAhead(job, nowNanos) * entries / share;
-        Optional<Integer> retry = AdmissionRule.retryAfterMillis(job, ahead, ownWork + remoteWork, cores, nowNanos);
-        String inputs = "job=" + job.id() + " queue=" + request.queue().name() + " tasks="
-                + job.tasks().size() + " chain=" + (long) job.criticalPathMillis() + " ahead=" + (long) ahead
-                + " share="
-                + (long) (100 * share) + " elsewhere=" + remoteWork + " cores=" + (long) cores;
-        if (retry.isPresent()) {
-            output.logEvent("job-refused", inputs);
-            output.answer(request.id(), JobResult.notRun("overloaded", retry.get()));
+        Optional<JobResult> refusal = admission.refusal(job, entries, nowNanos);
+        if (refusal.isPresent()) {
+            output.answer(request.id(), refusal.get());
             return;
         }
-        output.logEvent("job-admitted", inputs);
-        job.history().add("admitted " + inputs, nowNanos);
         jobs.add(job);
         ownership.added(job.id());
-        place(service, nowNanos);
-    }
-
-    private boolean canFit(JobRequest request, String service) {
-        Resources capacity = maxCapacity.get(service);
-        return request.steps().stream().allMatch(step -> step.need().fits(capacity));
+        place(request.queue().service(), nowNanos);
     }
 
     /** Orders runs that fit into the estimated free capacity, and sends a demand for the rest. */
