Keep the jobs of an entry whose link is lost

Callers could see a job run twice at the same time: a request that waited for another entry to stop its earlier submission was admitted as soon as the link to that entry closed, and a later request was admitted at once, although the other entry was alive with its runs at work or being stopped. A reset of a link between two live entries was enough.

Cause: JobOwnership.unlinked forgot the jobs of the peer and returned the waiting requests.

The jobs of a lost entry are kept now until the first update on a new link, which is its full list, lacks them, or until MAX_RUN_END has passed since the loss: an entry that has stopped received the last timestamp of an agent before the loss was noticed, so its leases have ended by then. An entry that is linked again is asked again to stop the jobs that requests wait for, because the first message may be lost with the link. Several holders of a job are kept apart. Logged: jobs-kept and jobs-released, with the reason and the numbers of jobs and waiting requests.

Not covered: an entry that is cut off from this one for longer than the bound and stays in touch with its agents.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
@@ -1,7 +1,9 @@
 package org.knapweedmount.core.dispatch;
 
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
@@ -93,10 +95,13 @@
                                 .toList());
     }
 
-    /** Logs that a request waits until another entry has ended its job. */
-    void waitsForEntry(String job, Incarnation owner) {
+    /** Logs that a request waits until other entries have ended its job. */
+    void waitsForEntries(String job, Set<Incarnation> holders) {
         output.count(DispatchCounter.RESUBMISSIONS_WAITED);
-        output.logEvent("job-elsewhere", "job=" + job + " entry=" + owner);
+        output.logEvent(
+                "job-elsewhere",
+                "job=" + job + " entry="
+                        + holders.stream().map(Incarnation::toString).collect(Collectors.joining(",")));
     }
 
     /** Logs that a job of this entry was submitted again; the request waits if the job is answered. */
--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
@@ -23,5 +23,16 @@
      */
     static final long MIN_UPDATE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    /**
+     * The time after the loss of the link to an entry by which every lease of its runs must have ended if it has
+     * stopped.
+     *
+     * <p>Each lease counts from an agent's timestamp, which the entry received before it stopped and so before the loss
+     * of the link was noticed; a message that was still under way at that time cannot extend it. The time since then is
+     * bounded by {@link WorkerTimings#MAX_RUN_END_MILLIS}, which includes the drift of clocks. It does not cover an
+     * entry that stays in reach of its agents: that one has to say itself what it holds.
+     */
+    static final long LOST_ENTRY_NANOS = MAX_RUN_END_NANOS;
+
     private DispatchTimings() {}
 }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import org.knapweedmount.api.Incarnation;
@@ -44,7 +45,7 @@
     private final DispatchOutput output;
     private final DurationModel durations = new DurationModel();
     private final WorkerViews workers = new WorkerViews();
-    private final JobOwnership ownership = new JobOwnership();
+    private final JobOwnership ownership;
     private final JobTable jobs = new JobTable();
     private final JobLatencies latencies = new JobLatencies();
     private final Map<String, Resources> maxCapacity = new HashMap<>();
@@ -60,6 +61,7 @@
     public Dispatcher(DispatchOutput output) {
         this.output = output;
         this.events = new DispatchEvents(output);
+        this.ownership = new JobOwnership(output);
         this.admission = new JobAdmission(output, workers, jobs, maxCapacity);
     }
 
@@ -74,11 +76,11 @@
             handleResubmission(request);
             return;
         }
-        Optional<Incarnation> owner = ownership.owner(request.id());
-        if (owner.isPresent()) {
-            events.waitsForEntry(request.id(), owner.get());
+        Set<Incarnation> holders = ownership.holders(request.id());
+        if (!holders.isEmpty()) {
+            events.waitsForEntries(request.id(), holders);
             ownership.awaitEnd(request);
-            output.send(owner.get(), new YieldJob(request.id()));
+            holders.forEach(holder -> output.send(holder, new YieldJob(request.id())));
             return;
         }
         admit(request, nowNanos);
@@ -224,7 +226,7 @@
      */
     public void unlinked(Incarnation peer, long nowNanos) {
         workers.find(peer).ifPresent(WorkerView::unlink);
-        release(ownership.unlinked(peer), "entry-unlinked", nowNanos);
+        ownership.unlinked(peer, nowNanos);
     }
 
     /**
@@ -238,6 +240,7 @@
         if (message instanceof JobOwnershipUpdate update) {
             events.ownedByPeer(from, update, jobs);
             release(ownership.updateReceived(from, update), "ended-there", nowNanos);
+            repeatYields(from, update);
         } else if (message instanceof YieldJob request) {
             yieldJob(from, request.job(), nowNanos);
         }
@@ -264,6 +267,11 @@
         }
     }
 
+    /** Asks an entry again to stop the jobs that requests wait for: the first message may have been lost with a link. */
+    private void repeatYields(Incarnation from, JobOwnershipUpdate update) {
+        update.owned().stream().filter(ownership::isAwaited).forEach(job -> output.send(from, new YieldJob(job)));
+    }
+
     private void yieldJob(Incarnation from, String id, long nowNanos) {
         Optional<TrackedJob> job = jobs.find(id);
         output.logEvent("job-yielded", "job=" + id + " entry=" + from + " held=" + job.isPresent());
@@ -477,6 +485,7 @@
                 expire(job, nowNanos);
             }
         }
+        release(ownership.releaseLost(nowNanos), "leases-ended", nowNanos);
         for (JobRequest request : ownership.removeExpired(nowNanos)) {
             events.released(request.id(), "expired");
             output.answer(request.id(), JobResult.givenUp("held by another entry"));
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,34 +14,88 @@
 import org.knapweedmount.api.message.JobOwnershipUpdate;
 
 /**
- * Tracks which entry owns which job, so that a resubmitted job does not run twice at the same time.
+ * Tracks which entries hold which jobs, so that a resubmitted job does not run twice at the same time.
  *
- * <p>Entries exchange batched updates of which jobs they own and which have ended. The jobs of a lost entry are
- * dropped: by the time their callers resubmit them, the leases of their runs have expired.
+ * <p>Entries exchange batched updates of which jobs they hold and which have ended. A lost link says nothing about the
+ * jobs of the entry at its other end: it holds them until its full list on a new link says otherwise, or until every
+ * lease that it can have had must have ended ({@link DispatchTimings#LOST_ENTRY_NANOS}).
  */
 final class JobOwnership {
-    private final Map<String, Incarnation> owners = new HashMap<>();
+    private final DispatchOutput output;
+    private final Map<String, Set<Incarnation>> holders = new HashMap<>();
     private final Set<Incarnation> peers = new HashSet<>();
+    private final Set<Incarnation> awaitedFullLists = new HashSet<>();
+    private final Map<Incarnation, Long> lostNanos = new LinkedHashMap<>();
     private final Map<String, JobRequest> waitingRequests = new LinkedHashMap<>();
-    private List<String> added = new ArrayList<>();
-    private List<String> ended = new ArrayList<>();
+    private Set<String> added = new LinkedHashSet<>();
+    private Set<String> ended = new LinkedHashSet<>();
     private long lastUpdateNanos;
 
+    JobOwnership(DispatchOutput output) {
+        this.output = output;
+    }
+
     void linked(Incarnation peer) {
         peers.add(peer);
+        awaitedFullLists.add(peer);
+        lostNanos.remove(peer);
     }
 
-    /** Drops the jobs of a lost entry; returns the requests that were waiting for them. */
-    List<JobRequest> unlinked(Incarnation peer) {
-        peers.remove(peer);
-        List<JobRequest> released = new ArrayList<>();
-        owners.entrySet().removeIf(entry -> {
-            boolean ownedByPeer = entry.getValue().equals(peer);
-            if (ownedByPeer && waitingRequests.containsKey(entry.getKey())) {
-                released.add(waitingRequests.remove(entry.getKey()));
+    /** Keeps the jobs of an entry whose link is lost: the entry may be alive. */
+    void unlinked(Incarnation peer, long nowNanos) {
+        if (!peers.remove(peer)) {
+            return;
+        }
+        awaitedFullLists.remove(peer);
+        Set<String> held = heldBy(peer);
+        if (!held.isEmpty()) {
+            lostNanos.put(peer, nowNanos);
+            output.logEvent("jobs-kept", "entry=" + peer + " jobs=" + held.size() + " waiting=" + waiting(held));
+        }
+    }
+
+    private Set<String> heldBy(Incarnation peer) {
+        Set<String> held = new LinkedHashSet<>();
+        holders.forEach((job, entries) -> {
+            if (entries.contains(peer)) {
+                held.add(job);
             }
-            return ownedByPeer;
         });
+        return held;
+    }
+
+    private long waiting(Set<String> ids) {
+        return ids.stream().filter(waitingRequests::containsKey).count();
+    }
+
+    /** Drops the jobs of lost entries whose runs must have ended; returns the requests that were waiting for them. */
+    List<JobRequest> releaseLost(long nowNanos) {
+        List<JobRequest> released = new ArrayList<>();
+        for (Map.Entry<Incarnation, Long> lost : List.copyOf(lostNanos.entrySet())) {
+            if (nowNanos - lost.getValue() <= DispatchTimings.LOST_ENTRY_NANOS) {
+                continue;
+            }
+            lostNanos.remove(lost.getKey());
+            Set<String> held = heldBy(lost.getKey());
+            output.logEvent(
+                    "jobs-released",
+                    "entry=" + lost.getKey() + " reason=leases-ended jobs=" + held.size() + " waiting=" + waiting(held)
+                            + " millis=" + (nowNanos - lost.getValue()) / 1_000_000);
+            released.addAll(removeHolder(lost.getKey(), held));
+        }
+        return released;
+    }
+
+    private List<JobRequest> removeHolder(Incarnation peer, Set<String> ids) {
+        List<JobRequest> released = new ArrayList<>();
+        for (String job : ids) {
+            Set<Incarnation> entries = holders.getOrDefault(job, new HashSet<>());
+            entries.remove(peer);
+            if (entries.isEmpty()) {
+                holders.remove(job);
+            }
+            removeAwaiting(job).ifPresent(released::add);
+        }
         return released;
     }
 
@@ -50,20 +105,29 @@
 
     /** Applies the update of another entry; returns the requests that were waiting for jobs that have ended there. */
     List<JobRequest> updateReceived(Incarnation peer, JobOwnershipUpdate update) {
-        update.owned().forEach(job -> owners.put(job, peer));
-        List<JobRequest> released = new ArrayList<>();
-        for (String job : update.ended()) {
-            owners.remove(job, peer);
-            JobRequest request = waitingRequests.remove(job);
-            if (request != null) {
-                released.add(request);
+        if (!peers.contains(peer)) {
+            return List.of();
+        }
+        Set<String> endedThere = new LinkedHashSet<>(update.ended());
+        if (awaitedFullLists.remove(peer)) {
+            Set<String> dropped = heldBy(peer);
+            update.owned().forEach(dropped::remove);
+            if (!dropped.isEmpty()) {
+                output.logEvent(
+                        "jobs-released",
+                        "entry=" + peer + " reason=full-list jobs=" + dropped.size() + " waiting=" + waiting(dropped));
             }
+            endedThere.addAll(dropped);
         }
-        return released;
+        update.owned()
+                .forEach(job -> holders.computeIfAbsent(job, key -> new LinkedHashSet<>())
+                        .add(peer));
+        return removeHolder(peer, endedThere);
     }
 
-    Optional<Incarnation> owner(String job) {
-        return Optional.ofNullable(owners.get(job));
+    /** Returns the other entries that hold a job. */
+    Set<Incarnation> holders(String job) {
+        return Set.copyOf(holders.getOrDefault(job, Set.of()));
     }
 
     /** Holds back a request until no run of an earlier submission of its job is left. */
@@ -71,6 +135,11 @@
         waitingRequests.put(request.id(), request);
     }
 
+    /** Returns whether a request waits for the end of a job's earlier submission. */
+    boolean isAwaited(String job) {
+        return waitingRequests.containsKey(job);
+    }
+
     /** Removes and returns the request that waits for the end of a job's earlier submission. */
     Optional<JobRequest> removeAwaiting(String job) {
         return Optional.ofNullable(waitingRequests.remove(job));
@@ -100,9 +169,9 @@
             return Optional.empty();
         }
         lastUpdateNanos = nowNanos;
-        JobOwnershipUpdate update = new JobOwnershipUpdate(added, ended);
-        added = new ArrayList<>();
-        ended = new ArrayList<>();
+        JobOwnershipUpdate update = new JobOwnershipUpdate(List.copyOf(added), List.copyOf(ended));
+        added = new LinkedHashSet<>();
+        ended = new LinkedHashSet<>();
         return Optional.of(update);
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherOwnershipTest.java
@@ -0,0 +1,99 @@
+package org.knapweedmount.core.dispatch;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.knapweedmount.api.message.JobOwnershipUpdate;
+import org.knapweedmount.api.message.YieldJob;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+import static org.knapweedmount.core.dispatch.DispatcherFixture.FIRST;
+import static org.knapweedmount.core.dispatch.DispatcherFixture.JOB;
+import static org.knapweedmount.core.dispatch.DispatcherFixture.PEER;
+
+/** Which entry runs a job that its caller has submitted to more than one. */
+class DispatcherOwnershipTest {
+    private final DispatcherFixture fixture = new DispatcherFixture();
+    private final Dispatcher dispatcher = fixture.dispatcher();
+
+    private static JobOwnershipUpdate owned(String... jobs) {
+        return new JobOwnershipUpdate(List.of(jobs), List.of());
+    }
+
+    private static JobOwnershipUpdate ended(String... jobs) {
+        return new JobOwnershipUpdate(List.of(), List.of(jobs));
+    }
+
+    private void linkPeerThatHolds(String... jobs) {
+        dispatcher.entryLinked(PEER);
+        fixture.receive(PEER, owned(jobs), 0);
+    }
+
+    @Test
+    void waitingRequestIsNotAdmittedWhenTheLinkToTheHolderIsReset() {
+        linkPeerThatHolds(JOB);
+        fixture.submit(0);
+
+        fixture.unlink(PEER, 100);
+
+        assertThat(fixture.ordered(), is(empty()));
+    }
+
+    @Test
+    void jobOfAnEntryWhoseLinkWasResetIsStillHeldElsewhere() {
+        linkPeerThatHolds(JOB);
+        fixture.unlink(PEER, 100);
+
+        fixture.submit(200);
+
+        assertThat(fixture.ordered(), is(empty()));
+    }
+
+    @Test
+    void waitingRequestIsAdmittedOnceTheLeasesOfALostEntryMustHaveEnded() {
+        linkPeerThatHolds(JOB);
+        fixture.submit(0);
+        fixture.unlink(PEER, 100);
+
+        fixture.tick(1_200);
+        assertThat(fixture.ordered(), is(empty()));
+
+        fixture.report(1_201, DispatcherFixture.CAPACITY_MILLI_CORES);
+        fixture.tick(1_201);
+        assertThat(fixture.ordered(), contains(FIRST));
+    }
+
+    @Test
+    void waitingRequestIsAdmittedWhenTheFullListOfTheHolderLacksTheJob() {
+        linkPeerThatHolds(JOB);
+        fixture.submit(0);
+        fixture.unlink(PEER, 100);
+
+        dispatcher.entryLinked(PEER);
+        assertThat(fixture.ordered(), is(empty()));
+
+        fixture.receive(PEER, owned(), 200);
+        assertThat(fixture.ordered(), contains(FIRST));
+    }
+
+    @Test
+    void holderThatIsLinkedAgainIsAskedAgainToStopTheJob() {
+        linkPeerThatHolds(JOB);
+        fixture.submit(0);
+        fixture.unlink(PEER, 100);
+        dispatcher.entryLinked(PEER);
+        fixture.receive(PEER, owned(JOB), 200);
+
+        assertThat(fixture.sent(YieldJob.class).size(), is(2));
+
+        fixture.tick(1_201);
+        assertThat(fixture.ordered(), is(empty()));
+
+        fixture.report(1_202, DispatcherFixture.CAPACITY_MILLI_CORES);
+        fixture.receive(PEER, ended(JOB), 1_202);
+        assertThat(fixture.ordered(), contains(FIRST));
+    }
+}
