Report no end of a job that was submitted again since

A job that ended and was submitted again between two ownership updates was named in both lists of the next update. The receiver applies the list of ended jobs last, takes the job for ended and admits a request that waits for it, while the sender runs it.

Cause: the changes since the last update were kept as two lists without their order. The last change of a job counts now.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
@@ -155,10 +155,12 @@
     }
 
     void added(String job) {
+        ended.remove(job);
         added.add(job);
     }
 
     void ended(String job) {
+        added.remove(job);
         ended.add(job);
     }
 
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherOwnershipTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherOwnershipTest.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
 import org.knapweedmount.api.message.YieldJob;
+import org.knapweedmount.api.work.RunOutcome;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
@@ -96,4 +97,18 @@
         fixture.receive(PEER, ended(JOB), 1_202);
         assertThat(fixture.ordered(), contains(FIRST));
     }
+
+    @Test
+    void endIsNotReportedForAJobThatWasAddedAgainWithinOneUpdate() {
+        dispatcher.entryLinked(PEER);
+        fixture.submit(0);
+        fixture.tick(100);
+        dispatcher.cancel(JOB, DispatchFixture.millisToNanos(110));
+        fixture.sendResult(FIRST, RunOutcome.STOPPED, 120);
+        fixture.submit(130);
+        fixture.tick(200);
+
+        List<JobOwnershipUpdate> updates = fixture.sent(JobOwnershipUpdate.class);
+        assertThat(updates.get(updates.size() - 1).ended(), is(empty()));
+    }
 }
