Admit a waiting request only on the word of the entry that holds its job

Callers could see a job run twice at the same time: a request that waits for the runs of an earlier submission was admitted when any entry reported the job as ended, also one that did not hold it. If the request waited for runs of this very entry, the new job replaced the old one in the table and their runs lived side by side.

A request is admitted now when the last holder has ended the job (its update, the lack of the job in its full list, or the bound after a lost link) and no run of an own earlier submission is left. The two conditions are checked in one place.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -239,7 +239,7 @@
     public void receive(Incarnation from, Message message, long nowNanos) {
         if (message instanceof JobOwnershipUpdate update) {
             events.ownedByPeer(from, update, jobs);
-            release(ownership.updateReceived(from, update), "ended-there", nowNanos);
+            ownership.updateReceived(from, update).forEach(job -> resume(job, "ended-there", nowNanos));
             repeatYields(from, update);
         } else if (message instanceof YieldJob request) {
             yieldJob(from, request.job(), nowNanos);
@@ -260,10 +260,13 @@
         }
     }
 
-    private void release(List<JobRequest> requests, String reason, long nowNanos) {
-        for (JobRequest request : requests) {
-            events.released(request.id(), reason);
-            admit(request, nowNanos);
+    /** Admits the request that waits for a job once neither this entry nor another one holds the job. */
+    private void resume(String id, String reason, long nowNanos) {
+        if (jobs.find(id).isEmpty() && !ownership.isHeldElsewhere(id)) {
+            ownership.removeAwaiting(id).ifPresent(request -> {
+                events.released(id, reason);
+                admit(request, nowNanos);
+            });
         }
     }
 
@@ -447,7 +450,7 @@
     private void removeIfDone(TrackedJob job, long nowNanos) {
         if (job.isDone() && jobs.remove(job)) {
             ownership.ended(job.id());
-            release(ownership.removeAwaiting(job.id()).stream().toList(), "ended-here", nowNanos);
+            resume(job.id(), "ended-here", nowNanos);
         }
     }
 
@@ -485,7 +488,7 @@
                 expire(job, nowNanos);
             }
         }
-        release(ownership.releaseLost(nowNanos), "leases-ended", nowNanos);
+        ownership.releaseLost(nowNanos).forEach(job -> resume(job, "leases-ended", nowNanos));
         for (JobRequest request : ownership.removeExpired(nowNanos)) {
             events.released(request.id(), "expired");
             output.answer(request.id(), JobResult.givenUp("held by another entry"));
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
@@ -68,9 +68,9 @@
         return ids.stream().filter(waitingRequests::containsKey).count();
     }
 
-    /** Drops the jobs of lost entries whose runs must have ended; returns the requests that were waiting for them. */
-    List<JobRequest> releaseLost(long nowNanos) {
-        List<JobRequest> released = new ArrayList<>();
+    /** Drops the jobs of lost entries whose runs must have ended; returns those that no other entry holds any more. */
+    List<String> releaseLost(long nowNanos) {
+        List<String> freed = new ArrayList<>();
         for (Map.Entry<Incarnation, Long> lost : List.copyOf(lostNanos.entrySet())) {
             if (nowNanos - lost.getValue() <= DispatchTimings.LOST_ENTRY_NANOS) {
                 continue;
@@ -81,30 +81,30 @@
                     "jobs-released",
                     "entry=" + lost.getKey() + " reason=leases-ended jobs=" + held.size() + " waiting=" + waiting(held)
                             + " millis=" + (nowNanos - lost.getValue()) / 1_000_000);
-            released.addAll(removeHolder(lost.getKey(), held));
+            freed.addAll(removeHolder(lost.getKey(), held));
         }
-        return released;
+        return freed;
     }
 
-    private List<JobRequest> removeHolder(Incarnation peer, Set<String> ids) {
-        List<JobRequest> released = new ArrayList<>();
+    /** Removes a holder of jobs; returns those that no other entry holds any more. */
+    private List<String> removeHolder(Incarnation peer, Set<String> ids) {
+        List<String> freed = new ArrayList<>();
         for (String job : ids) {
-            Set<Incarnation> entries = holders.getOrDefault(job, new HashSet<>());
-            entries.remove(peer);
-            if (entries.isEmpty()) {
+            Set<Incarnation> entries = holders.get(job);
+            if (entries != null && entries.remove(peer) && entries.isEmpty()) {
                 holders.remove(job);
+                freed.add(job);
             }
-            removeAwaiting(job).ifPresent(released::add);
         }
-        return released;
+        return freed;
     }
 
     Set<Incarnation> peers() {
         return peers;
     }
 
-    /** Applies the update of another entry; returns the requests that were waiting for jobs that have ended there. */
-    List<JobRequest> updateReceived(Incarnation peer, JobOwnershipUpdate update) {
+    /** Applies the update of another entry; returns the jobs that no other entry holds any more. */
+    List<String> updateReceived(Incarnation peer, JobOwnershipUpdate update) {
         if (!peers.contains(peer)) {
             return List.of();
         }
@@ -130,6 +130,10 @@
         return Set.copyOf(holders.getOrDefault(job, Set.of()));
     }
 
+    boolean isHeldElsewhere(String job) {
+        return holders.containsKey(job);
+    }
+
     /** Holds back a request until no run of an earlier submission of its job is left. */
     void awaitEnd(JobRequest request) {
         waitingRequests.put(request.id(), request);
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherOwnershipTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherOwnershipTest.java
@@ -13,6 +13,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.knapweedmount.core.dispatch.DispatcherFixture.FIRST;
 import static org.knapweedmount.core.dispatch.DispatcherFixture.JOB;
+import static org.knapweedmount.core.dispatch.DispatcherFixture.OTHER_PEER;
 import static org.knapweedmount.core.dispatch.DispatcherFixture.PEER;
 
 /** Which entry runs a job that its caller has submitted to more than one. */
@@ -111,4 +112,47 @@
         List<JobOwnershipUpdate> updates = fixture.sent(JobOwnershipUpdate.class);
         assertThat(updates.get(updates.size() - 1).ended(), is(empty()));
     }
+
+    @Test
+    void requestIsNotAdmittedOnTheWordOfAnEntryThatIsNotTheHolder() {
+        linkPeerThatHolds(JOB);
+        dispatcher.entryLinked(OTHER_PEER);
+        fixture.receive(OTHER_PEER, owned(), 0);
+        fixture.submit(0);
+
+        fixture.receive(OTHER_PEER, ended(JOB), 10);
+
+        assertThat(fixture.ordered(), is(empty()));
+    }
+
+    @Test
+    void requestThatWaitsForOwnRunsIsNotAdmittedOnTheWordOfAPeer() {
+        dispatcher.entryLinked(PEER);
+        fixture.receive(PEER, owned(), 0);
+        fixture.submit(0);
+        dispatcher.cancel(JOB, DispatchFixture.millisToNanos(10));
+        fixture.submit(20);
+
+        fixture.receive(PEER, ended(JOB), 30);
+        assertThat(fixture.ordered(), contains(FIRST));
+
+        fixture.sendResult(FIRST, RunOutcome.STOPPED, 40);
+        assertThat(fixture.ordered(), contains(FIRST, FIRST));
+    }
+
+    @Test
+    void requestThatWaitsForOwnRunsAndForAPeerIsAdmittedAfterBoth() {
+        dispatcher.entryLinked(PEER);
+        fixture.receive(PEER, owned(), 0);
+        fixture.submit(0);
+        dispatcher.cancel(JOB, DispatchFixture.millisToNanos(10));
+        fixture.submit(20);
+        fixture.receive(PEER, owned(JOB), 30);
+
+        fixture.sendResult(FIRST, RunOutcome.STOPPED, 40);
+        assertThat(fixture.ordered(), contains(FIRST));
+
+        fixture.receive(PEER, ended(JOB), 50);
+        assertThat(fixture.ordered(), contains(FIRST, FIRST));
+    }
 }
