Let the older of two submissions of one job stand down

Callers could see a job run twice at the same time without end: if two entries held one job (after a cut or a stall, or because the messages about it were late), each ran it to its end. The update of the peer was recorded and had no effect on a job that was already held.

An entry reports the age of each submission with the jobs that it holds, and reports waiting requests as held. If both hold a job, the one with the older submission gives it up, stops its runs and says that the job has ended once none is left; the other one orders no run of it until then (JobTable leaves such jobs out of the queue). A request that waits gives way to a newer one at another entry. An answered job of which only runs are left counts as older than any other. A link carries the full list first, now with the next tick, since ages need the present time.

Related: a YieldJob for a job that is answered, for whose end a new request waits, answered that request and admitted it later nevertheless. Answering moved to JobAnswers, own claims to OwnClaims, for the size of Dispatcher.

Logged: job-also-held with both ages and which entry keeps the job.

Not covered: two live entries that cannot reach each other for longer than 1.1 s.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
@@ -76,11 +76,13 @@
     /** Logs the jobs that another entry owns although this entry holds them. */
     void ownedByPeer(Incarnation peer, JobOwnershipUpdate update, JobTable jobs) {
         List<TrackedJob> heldTwice =
-                update.owned().stream().flatMap(id -> jobs.find(id).stream()).toList();
+                update.owned().stream().flatMap(claim -> jobs.find(claim.job()).stream()).toList();
         if (heldTwice.isEmpty()) {
             return;
         }
-        heldTwice.forEach(job -> output.count(DispatchCounter.JOBS_HELD_TWICE));
+        heldTwice.stream()
+                .filter(job -> !job.answered())
+                .forEach(job -> output.count(DispatchCounter.JOBS_HELD_TWICE));
         output.logEvent(
                 "jobs-held-twice",
                 "entry=" + peer + " unanswered="
@@ -97,6 +99,9 @@
 
     /** Logs that a request waits until other entries have ended its job. */
     void waitsForEntries(String job, Set<Incarnation> holders) {
+        if (holders.isEmpty()) {
+            return;
+        }
         output.count(DispatchCounter.RESUBMISSIONS_WAITED);
         output.logEvent(
                 "job-elsewhere",
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -8,8 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
@@ -47,10 +45,10 @@
     private final WorkerViews workers = new WorkerViews();
     private final JobOwnership ownership;
     private final JobTable jobs = new JobTable();
-    private final JobLatencies latencies = new JobLatencies();
     private final Map<String, Resources> maxCapacity = new HashMap<>();
     private final DispatchEvents events;
     private final JobAdmission admission;
+    private final JobAnswers answers;
     private OptionalLong drainByNanos = OptionalLong.empty();
 
     /**
@@ -62,6 +60,7 @@
         this.output = output;
         this.events = new DispatchEvents(output);
         this.ownership = new JobOwnership(output);
+        this.answers = new JobAnswers(output, events);
         this.admission = new JobAdmission(output, workers, jobs, maxCapacity);
     }
 
@@ -72,46 +71,36 @@
      * @param nowNanos the current time, in ns
      */
     public void submit(JobRequest request, long nowNanos) {
-        if (jobs.find(request.id()).isPresent()) {
-            handleResubmission(request);
-            return;
-        }
-        Set<Incarnation> holders = ownership.holders(request.id());
-        if (!holders.isEmpty()) {
-            events.waitsForEntries(request.id(), holders);
-            ownership.awaitEnd(request);
-            holders.forEach(holder -> output.send(holder, new YieldJob(request.id())));
-            return;
-        }
-        admit(request, nowNanos);
-    }
-
-    /** Keeps a resubmitted job running, or waits for the runs of its earlier submission to end. */
-    private void handleResubmission(JobRequest request) {
-        TrackedJob job = jobs.find(request.id()).orElseThrow();
-        events.resubmitted(job);
-        if (job.answered()) {
-            ownership.awaitEnd(request);
+        Optional<TrackedJob> held = jobs.find(request.id());
+        held.ifPresent(events::resubmitted);
+        if (held.isPresent() && !held.get().answered()) {
+            ownership.held(request.id(), nowNanos);
+        } else if (held.isPresent() || ownership.isHeldElsewhere(request.id())) {
+            events.waitsForEntries(request.id(), ownership.holders(request.id()));
+            ownership.awaitEnd(request, nowNanos);
+        } else {
+            admit(request, nowNanos, nowNanos);
         }
     }
 
-    private void admit(JobRequest submitted, long nowNanos) {
+    private void admit(JobRequest submitted, long submittedNanos, long nowNanos) {
         JobRequest request = drainByNanos.isPresent() ? submitted.dueBy(drainByNanos.getAsLong()) : submitted;
         TrackedJob job = new TrackedJob(request, durations.criticalPathMillis(request), nowNanos);
         int entries = 1 + ownership.peers().size();
         Optional<JobResult> refusal = admission.refusal(job, entries, nowNanos);
         if (refusal.isPresent()) {
+            ownership.ended(request.id());
             output.answer(request.id(), refusal.get());
             return;
         }
         jobs.add(job);
-        ownership.added(job.id());
+        ownership.held(job.id(), submittedNanos);
         place(request.queue().service(), nowNanos);
     }
 
     /** Orders runs that fit into the estimated free capacity, and sends a demand for the rest. */
     private void place(String service, long nowNanos) {
-        List<TrackedJob> queued = jobs.queuedJobs(service, nowNanos);
+        List<TrackedJob> queued = queuedJobs(service, nowNanos);
         List<WorkerView> views = workers.forService(service);
         if (queued.isEmpty()
                 && views.stream().allMatch(view -> view.sentDemand().isEmpty())) {
@@ -174,8 +163,13 @@
         view.leaseRenewed(nowNanos);
     }
 
+    /** Returns the jobs that runs may be ordered for; none that another entry holds as well. */
+    private List<TrackedJob> queuedJobs(String service, long nowNanos) {
+        return jobs.queuedJobs(service, ownership::isHeldElsewhere, nowNanos);
+    }
+
     private ResourceDemand demandOf(String service, long nowNanos) {
-        List<TrackedJob> queued = jobs.queuedJobs(service, nowNanos);
+        List<TrackedJob> queued = queuedJobs(service, nowNanos);
         if (queued.isEmpty()) {
             return ResourceDemand.NONE;
         }
@@ -215,7 +209,6 @@
      */
     public void entryLinked(Incarnation entry) {
         ownership.linked(entry);
-        output.send(entry, new JobOwnershipUpdate(jobs.ids(), List.of()));
     }
 
     /**
@@ -239,8 +232,9 @@
     public void receive(Incarnation from, Message message, long nowNanos) {
         if (message instanceof JobOwnershipUpdate update) {
             events.ownedByPeer(from, update, jobs);
-            ownership.updateReceived(from, update).forEach(job -> resume(job, "ended-there", nowNanos));
-            repeatYields(from, update);
+            JobOwnership.Changes changes = ownership.updateReceived(from, update, nowNanos);
+            changes.surrendered().forEach(job -> surrender(job, nowNanos));
+            changes.freed().forEach(job -> resume(job, "ended-there", nowNanos));
         } else if (message instanceof YieldJob request) {
             yieldJob(from, request.job(), nowNanos);
         }
@@ -260,29 +254,50 @@
         }
     }
 
-    /** Admits the request that waits for a job once neither this entry nor another one holds the job. */
+    /** Continues with a job that no other entry holds any more, or with the request that waits for that. */
     private void resume(String id, String reason, long nowNanos) {
-        if (jobs.find(id).isEmpty() && !ownership.isHeldElsewhere(id)) {
-            ownership.removeAwaiting(id).ifPresent(request -> {
+        Optional<TrackedJob> job = jobs.find(id);
+        if (job.isEmpty() && !ownership.isHeldElsewhere(id)) {
+            ownership.removeAwaiting(id).ifPresent(waiting -> {
                 events.released(id, reason);
-                admit(request, nowNanos);
+                admit(waiting.request(), waiting.submittedNanos(), nowNanos);
             });
         }
+        job.ifPresent(held -> place(held.request().queue().service(), nowNanos));
     }
 
-    /** Asks an entry again to stop the jobs that requests wait for: the first message may have been lost with a link. */
-    private void repeatYields(Incarnation from, JobOwnershipUpdate update) {
-        update.owned().stream().filter(ownership::isAwaited).forEach(job -> output.send(from, new YieldJob(job)));
+    private void yieldJob(Incarnation from, String id, long nowNanos) {
+        output.logEvent(
+                "job-yielded",
+                "job=" + id + " entry=" + from + " held=" + jobs.find(id).isPresent());
+        surrender(id, nowNanos);
+        if (jobs.find(id).isEmpty()) {
+            ownership.denyHolding(from, id, nowNanos);
+        }
     }
 
-    private void yieldJob(Incarnation from, String id, long nowNanos) {
+    /** Gives up a job, or the request that waits for it, which its caller has submitted to another entry since. */
+    private void surrender(String id, long nowNanos) {
         Optional<TrackedJob> job = jobs.find(id);
-        output.logEvent("job-yielded", "job=" + id + " entry=" + from + " held=" + job.isPresent());
-        if (job.isEmpty()) {
-            output.send(from, new JobOwnershipUpdate(List.of(), List.of(id)));
-            return;
+        dropAwaiting(id, "sent again to another entry");
+        if (job.isPresent() && !job.get().answered()) {
+            conclude(job.get(), JobResult.givenUp("sent again to another entry"), nowNanos);
         }
-        conclude(job.get(), JobResult.givenUp("sent again to another entry"), nowNanos);
+    }
+
+    /** Gives up the request that waits for a job; returns false if there is none. */
+    private boolean dropAwaiting(String id, String reason) {
+        if (ownership.removeAwaiting(id).isEmpty()) {
+            return false;
+        }
+        if (jobs.find(id).isPresent()) {
+            ownership.ending(id);
+        } else {
+            ownership.ended(id);
+        }
+        events.released(id, reason);
+        output.answer(id, JobResult.givenUp(reason));
+        return true;
     }
 
     private void handleReport(WorkerView view, WorkerReport report, long nowNanos) {
@@ -310,7 +325,7 @@
         String service = view.report().get().service();
         QueueShares shares = jobs.shares(service, nowNanos);
         List<TrackedTask> chosen = new ArrayList<>();
-        for (TrackedJob job : jobs.queuedJobs(service, nowNanos)) {
+        for (TrackedJob job : queuedJobs(service, nowNanos)) {
             for (TrackedTask task : job.tasks()) {
                 boolean queued = task.state() == TaskState.QUEUED;
                 boolean fits = queued && shares.withHeadroom(task, capacity).fits(freeCapacity);
@@ -427,13 +442,8 @@
     /** Answers a job and stops its remaining runs. */
     private void conclude(TrackedJob job, JobResult result, long nowNanos) {
         job.markAnswered();
-        latencies.record(result.kind(), TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivalNanos()));
-        events.answered(job, result, nowNanos);
-        if (!job.metTarget(result, nowNanos)) {
-            job.history().add(result.kind() + " " + result.reason(), nowNanos);
-            output.logEvent("job-trail", "job=" + job.id() + " trail=\"" + job.history() + "\"");
-        }
-        output.answer(job.id(), result);
+        ownership.ending(job.id());
+        answers.answer(job, result, nowNanos);
         Map<Incarnation, List<RunRef>> stops = new LinkedHashMap<>();
         for (TrackedTask task : job.tasks()) {
             if (task.state() == TaskState.ORDERED) {
@@ -489,13 +499,8 @@
             }
         }
         ownership.releaseLost(nowNanos).forEach(job -> resume(job, "leases-ended", nowNanos));
-        for (JobRequest request : ownership.removeExpired(nowNanos)) {
-            events.released(request.id(), "expired");
-            output.answer(request.id(), JobResult.givenUp("held by another entry"));
-        }
-        ownership
-                .pendingUpdate(nowNanos)
-                .ifPresent(update -> ownership.peers().forEach(peer -> output.send(peer, update)));
+        ownership.expired(nowNanos).forEach(id -> dropAwaiting(id, "held by another entry"));
+        ownership.sendUpdates(nowNanos);
         for (WorkerView view : workers.all()) {
             if (view.acceptsStarts()) {
                 place(view.report().orElseThrow().service(), nowNanos);
@@ -573,7 +578,7 @@
      * @return the histogram
      */
     public JobLatencies latencies() {
-        return latencies;
+        return answers.latencies();
     }
 
     /**
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
@@ -8,28 +8,43 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
+import org.knapweedmount.api.message.YieldJob;
 
 /**
  * Tracks which entries hold which jobs, so that a resubmitted job does not run twice at the same time.
  *
- * <p>Entries exchange batched updates of which jobs they hold and which have ended. A lost link says nothing about the
- * jobs of the entry at its other end: it holds them until its full list on a new link says otherwise, or until every
- * lease that it can have had must have ended ({@link DispatchTimings#LOST_ENTRY_NANOS}).
+ * <p>Entries exchange batched updates of which jobs they hold, including those that wait for another entry, and which
+ * have ended. No run of a job is ordered while another entry holds it. Of two entries with one job the one with the
+ * older submission gives it up.
+ *
+ * <p>A lost link says nothing about the jobs of the entry at its other end: it holds them until its full list on a new
+ * link says otherwise, or until every lease that it can have had must have ended
+ * ({@link DispatchTimings#LOST_ENTRY_NANOS}).
  */
 final class JobOwnership {
     private final DispatchOutput output;
+    private final OwnClaims claims = new OwnClaims();
     private final Map<String, Set<Incarnation>> holders = new HashMap<>();
     private final Set<Incarnation> peers = new HashSet<>();
+    private final Set<Incarnation> peersWithoutFullList = new LinkedHashSet<>();
     private final Set<Incarnation> awaitedFullLists = new HashSet<>();
     private final Map<Incarnation, Long> lostNanos = new LinkedHashMap<>();
-    private final Map<String, JobRequest> waitingRequests = new LinkedHashMap<>();
-    private Set<String> added = new LinkedHashSet<>();
-    private Set<String> ended = new LinkedHashSet<>();
-    private long lastUpdateNanos;
+    private final Map<String, WaitingRequest> waitingRequests = new LinkedHashMap<>();
+
+    /**
+     * What an update of another entry leads to.
+     *
+     * @param freed the jobs that no other entry holds any more
+     * @param surrendered the jobs held here that the other entry holds by a newer submission
+     */
+    record Changes(List<String> freed, List<String> surrendered) {}
 
     JobOwnership(DispatchOutput output) {
         this.output = output;
@@ -37,6 +52,7 @@
 
     void linked(Incarnation peer) {
         peers.add(peer);
+        peersWithoutFullList.add(peer);
         awaitedFullLists.add(peer);
         lostNanos.remove(peer);
     }
@@ -46,6 +62,7 @@
         if (!peers.remove(peer)) {
             return;
         }
+        peersWithoutFullList.remove(peer);
         awaitedFullLists.remove(peer);
         Set<String> held = heldBy(peer);
         if (!held.isEmpty()) {
@@ -80,7 +97,7 @@
             output.logEvent(
                     "jobs-released",
                     "entry=" + lost.getKey() + " reason=leases-ended jobs=" + held.size() + " waiting=" + waiting(held)
-                            + " millis=" + (nowNanos - lost.getValue()) / 1_000_000);
+                            + " millis=" + TimeUnit.NANOSECONDS.toMillis(nowNanos - lost.getValue()));
             freed.addAll(removeHolder(lost.getKey(), held));
         }
         return freed;
@@ -103,15 +120,15 @@
         return peers;
     }
 
-    /** Applies the update of another entry; returns the jobs that no other entry holds any more. */
-    List<String> updateReceived(Incarnation peer, JobOwnershipUpdate update) {
+    /** Applies the update of another entry. */
+    Changes updateReceived(Incarnation peer, JobOwnershipUpdate update, long nowNanos) {
         if (!peers.contains(peer)) {
-            return List.of();
+            return new Changes(List.of(), List.of());
         }
         Set<String> endedThere = new LinkedHashSet<>(update.ended());
         if (awaitedFullLists.remove(peer)) {
             Set<String> dropped = heldBy(peer);
-            update.owned().forEach(dropped::remove);
+            update.owned().forEach(claim -> dropped.remove(claim.job()));
             if (!dropped.isEmpty()) {
                 output.logEvent(
                         "jobs-released",
@@ -119,10 +136,32 @@
             }
             endedThere.addAll(dropped);
         }
-        update.owned()
-                .forEach(job -> holders.computeIfAbsent(job, key -> new LinkedHashSet<>())
-                        .add(peer));
-        return removeHolder(peer, endedThere);
+        List<String> surrendered = new ArrayList<>();
+        for (JobClaim claim : update.owned()) {
+            holders.computeIfAbsent(claim.job(), key -> new LinkedHashSet<>()).add(peer);
+            if (isNewer(claim, peer, nowNanos)) {
+                surrendered.add(claim.job());
+            }
+        }
+        return new Changes(removeHolder(peer, endedThere), surrendered);
+    }
+
+    /** Returns whether another entry has a newer submission of a job held here; asks it to stop an older one. */
+    private boolean isNewer(JobClaim claim, Incarnation peer, long nowNanos) {
+        OptionalLong ownMillis = claims.ageMillis(claim.job(), nowNanos);
+        if (ownMillis.isEmpty()) {
+            return false;
+        }
+        boolean newer = claim.ageMillis() <= ownMillis.getAsLong();
+        output.logEvent(
+                "job-also-held",
+                "job=" + claim.job() + " entry=" + peer + " millis=" + claim.ageMillis() + " own-millis="
+                        + ownMillis.getAsLong() + " stays=" + (newer ? "there" : "here") + " waiting="
+                        + waitingRequests.containsKey(claim.job()));
+        if (!newer) {
+            output.send(peer, new YieldJob(claim.job()));
+        }
+        return newer;
     }
 
     /** Returns the other entries that hold a job. */
@@ -134,50 +173,58 @@
         return holders.containsKey(job);
     }
 
-    /** Holds back a request until no run of an earlier submission of its job is left. */
-    void awaitEnd(JobRequest request) {
-        waitingRequests.put(request.id(), request);
-    }
-
-    /** Returns whether a request waits for the end of a job's earlier submission. */
-    boolean isAwaited(String job) {
-        return waitingRequests.containsKey(job);
+    /** Holds back a request until no run of an earlier submission of its job is left, and asks for its end. */
+    void awaitEnd(JobRequest request, long nowNanos) {
+        waitingRequests.put(request.id(), new WaitingRequest(request, nowNanos));
+        claims.add(request.id(), nowNanos);
+        holders(request.id()).forEach(holder -> output.send(holder, new YieldJob(request.id())));
     }
 
     /** Removes and returns the request that waits for the end of a job's earlier submission. */
-    Optional<JobRequest> removeAwaiting(String job) {
+    Optional<WaitingRequest> removeAwaiting(String job) {
         return Optional.ofNullable(waitingRequests.remove(job));
     }
 
-    /** Removes and returns the requests whose callers no longer wait. */
-    List<JobRequest> removeExpired(long nowNanos) {
-        List<JobRequest> expired = waitingRequests.values().stream()
-                .filter(request -> nowNanos - request.deadlineNanos() > 0)
+    /** Returns the requests whose callers no longer wait. */
+    List<String> expired(long nowNanos) {
+        return waitingRequests.values().stream()
+                .filter(waiting -> nowNanos - waiting.request().deadlineNanos() > 0)
+                .map(waiting -> waiting.request().id())
                 .toList();
-        expired.forEach(request -> waitingRequests.remove(request.id()));
-        return expired;
     }
 
-    void added(String job) {
-        ended.remove(job);
-        added.add(job);
+    /** Records that a job is held here. */
+    void held(String job, long submittedNanos) {
+        claims.add(job, submittedNanos);
+    }
+
+    /** Records that a job is answered and only its runs are left. */
+    void ending(String job) {
+        claims.markEnding(job);
     }
 
+    /** Records that no run of a job is left here; a request that waits for this holds the job from then on. */
     void ended(String job) {
-        added.remove(job);
-        ended.add(job);
+        if (!waitingRequests.containsKey(job)) {
+            claims.remove(job);
+        }
+    }
+
+    /** Tells an entry that a job is not held here. */
+    void denyHolding(Incarnation peer, String job, long nowNanos) {
+        sendFullList(peer, nowNanos);
+        output.send(peer, new JobOwnershipUpdate(List.of(), List.of(job)));
+    }
+
+    /** Sends the full list on new links and the changes on all others. */
+    void sendUpdates(long nowNanos) {
+        List.copyOf(peersWithoutFullList).forEach(peer -> sendFullList(peer, nowNanos));
+        claims.pendingUpdate(nowNanos).ifPresent(update -> peers.forEach(peer -> output.send(peer, update)));
     }
 
-    /** Returns the changes since the last update; empty if there are none or the minimum interval has not passed. */
-    Optional<JobOwnershipUpdate> pendingUpdate(long nowNanos) {
-        boolean nothing = added.isEmpty() && ended.isEmpty();
-        if (nothing || nowNanos - lastUpdateNanos < DispatchTimings.MIN_UPDATE_INTERVAL_NANOS) {
-            return Optional.empty();
+    private void sendFullList(Incarnation peer, long nowNanos) {
+        if (peersWithoutFullList.remove(peer)) {
+            output.send(peer, claims.fullList(nowNanos));
         }
-        lastUpdateNanos = nowNanos;
-        JobOwnershipUpdate update = new JobOwnershipUpdate(List.copyOf(added), List.copyOf(ended));
-        added = new LinkedHashSet<>();
-        ended = new LinkedHashSet<>();
-        return Optional.of(update);
     }
 }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobTable.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobTable.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /** The jobs that an entry holds, with their queued work. */
 final class JobTable {
@@ -24,10 +25,6 @@
         return Optional.ofNullable(jobs.get(id));
     }
 
-    List<String> ids() {
-        return List.copyOf(jobs.keySet());
-    }
-
     /** Returns a copy of all jobs. */
     List<TrackedJob> all() {
         return List.copyOf(jobs.values());
@@ -52,11 +49,12 @@
         return jobs.values().stream().filter(job -> !job.answered()).count();
     }
 
-    /** Returns the jobs of a service that have queued tasks, in scheduling order. */
-    List<TrackedJob> queuedJobs(String service, long nowNanos) {
+    /** Returns the jobs of a service that have queued tasks and are not held back, in scheduling order. */
+    List<TrackedJob> queuedJobs(String service, Predicate<String> heldBack, long nowNanos) {
         List<TrackedJob> queued = new ArrayList<>();
         for (TrackedJob job : jobs.values()) {
-            if (!job.answered() && job.request().queue().service().equals(service) && job.hasQueued()) {
+            boolean waits = !job.answered() && job.hasQueued() && !heldBack.test(job.id());
+            if (waits && job.request().queue().service().equals(service)) {
                 queued.add(job);
             }
         }
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
@@ -8,6 +8,7 @@
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.message.ActiveRuns;
+import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.WorkerReport;
@@ -41,7 +42,7 @@
 
     private void ownedByPeer(String job, long millis) {
         dispatcher.receive(
-                PEER, new JobOwnershipUpdate(List.of(job), List.of()), DispatchFixture.millisToNanos(millis));
+                PEER, new JobOwnershipUpdate(List.of(new JobClaim(job, 1_000)), List.of()), DispatchFixture.millisToNanos(millis));
     }
 
     @BeforeEach
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherFixture.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherFixture.java
@@ -7,6 +7,7 @@
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.message.JobOwnershipUpdate;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.RunOrder;
 import org.knapweedmount.api.message.RunsEnded;
@@ -24,6 +25,7 @@
     static final Incarnation OTHER_PEER = new Incarnation("other-peer", 3);
     static final String JOB = "00000000000000aa";
     static final RunRef FIRST = new RunRef(JOB + ".0.0.0", 1);
+    static final RunRef SECOND = new RunRef(JOB + ".0.0.0", 2);
     static final int CAPACITY_MILLI_CORES = 4_000;
 
     /** A message and its receiver. */
@@ -107,6 +109,12 @@
                 .toList();
     }
 
+    /** Returns whether the end of a job was reported to another entry. */
+    boolean reportsEnd(String job) {
+        return sent(JobOwnershipUpdate.class).stream()
+                .anyMatch(update -> update.ended().contains(job));
+    }
+
     <T extends Message> List<T> sent(Class<T> type) {
         return sent.stream()
                 .map(Sent::message)
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherOwnershipTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherOwnershipTest.java
@@ -1,9 +1,13 @@
 package org.knapweedmount.core.dispatch;
 
 import java.util.List;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
+import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
+import org.knapweedmount.api.message.ResourceOffer;
 import org.knapweedmount.api.message.YieldJob;
 import org.knapweedmount.api.work.RunOutcome;
 
@@ -11,10 +15,12 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
+import static org.knapweedmount.core.dispatch.DispatcherFixture.AGENT;
 import static org.knapweedmount.core.dispatch.DispatcherFixture.FIRST;
 import static org.knapweedmount.core.dispatch.DispatcherFixture.JOB;
 import static org.knapweedmount.core.dispatch.DispatcherFixture.OTHER_PEER;
 import static org.knapweedmount.core.dispatch.DispatcherFixture.PEER;
+import static org.knapweedmount.core.dispatch.DispatcherFixture.SECOND;
 
 /** Which entry runs a job that its caller has submitted to more than one. */
 class DispatcherOwnershipTest {
@@ -22,7 +28,13 @@
     private final Dispatcher dispatcher = fixture.dispatcher();
 
     private static JobOwnershipUpdate owned(String... jobs) {
-        return new JobOwnershipUpdate(List.of(jobs), List.of());
+        List<JobClaim> claims =
+                Stream.of(jobs).map(job -> new JobClaim(job, 60_000)).toList();
+        return new JobOwnershipUpdate(claims, List.of());
+    }
+
+    private static JobOwnershipUpdate owned(String job, long ageMillis) {
+        return new JobOwnershipUpdate(List.of(new JobClaim(job, ageMillis)), List.of());
     }
 
     private static JobOwnershipUpdate ended(String... jobs) {
@@ -155,4 +167,95 @@
         fixture.receive(PEER, ended(JOB), 50);
         assertThat(fixture.ordered(), contains(FIRST, FIRST));
     }
+
+    @Test
+    void entryWithTheOlderSubmissionOfAJobThatTwoEntriesHoldGivesItUp() {
+        linkPeerThatHolds();
+        fixture.submit(0);
+        fixture.report(1_900, 0);
+
+        fixture.receive(PEER, owned(JOB, 500), 2_000);
+        assertThat(fixture.answers(JOB), contains(JobResult.Kind.GIVEN_UP));
+        assertThat(fixture.stopped(), contains(FIRST));
+
+        fixture.tick(2_010);
+        assertThat(fixture.reportsEnd(JOB), is(false));
+
+        fixture.sendResult(FIRST, RunOutcome.STOPPED, 2_020);
+        fixture.tick(2_200);
+        assertThat(fixture.reportsEnd(JOB), is(true));
+    }
+
+    @Test
+    void entryWithTheNewerSubmissionOrdersNoRunUntilTheOtherHasEndedTheJob() {
+        linkPeerThatHolds();
+        fixture.submit(0);
+        fixture.receive(PEER, owned(JOB, 2_000), 500);
+
+        fixture.sendResult(FIRST, RunOutcome.REFUSED, 510);
+        fixture.receive(AGENT, new ResourceOffer(1, new Resources(4_000, 1_000, 0)), 520);
+        fixture.report(530, DispatcherFixture.CAPACITY_MILLI_CORES);
+        fixture.tick(540);
+        assertThat(fixture.answers(JOB), is(empty()));
+        assertThat(fixture.sent(YieldJob.class), contains(new YieldJob(JOB)));
+        assertThat(fixture.ordered(), contains(FIRST));
+
+        fixture.receive(PEER, ended(JOB), 550);
+        assertThat(fixture.ordered(), contains(FIRST, SECOND));
+    }
+
+    @Test
+    void jobThatTwoEntriesHoldIsLeftToTheNewestOfItsSubmissions() {
+        linkPeerThatHolds();
+        fixture.submit(0);
+        fixture.submit(1_400);
+
+        fixture.receive(PEER, owned(JOB, 500), 1_450);
+
+        assertThat(fixture.answers(JOB), is(empty()));
+        assertThat(fixture.sent(YieldJob.class), contains(new YieldJob(JOB)));
+    }
+
+    @Test
+    void requestThatWaitsIsGivenUpForANewerOneAtAnotherEntry() {
+        linkPeerThatHolds(JOB);
+        fixture.submit(0);
+        fixture.tick(100);
+        dispatcher.entryLinked(OTHER_PEER);
+        fixture.receive(OTHER_PEER, owned(JOB, 10), 1_400);
+
+        fixture.receive(PEER, ended(JOB), 1_410);
+        fixture.receive(OTHER_PEER, ended(JOB), 1_420);
+
+        assertThat(fixture.answers(JOB), contains(JobResult.Kind.GIVEN_UP));
+        assertThat(fixture.ordered(), is(empty()));
+    }
+
+    @Test
+    void requestThatWaitsIsNotAnsweredTwiceWhenAnotherEntryAsksForTheJob() {
+        linkPeerThatHolds();
+        fixture.submit(0);
+        dispatcher.cancel(JOB, DispatchFixture.millisToNanos(10));
+        fixture.submit(20);
+
+        fixture.receive(PEER, new YieldJob(JOB), 30);
+        fixture.sendResult(FIRST, RunOutcome.STOPPED, 40);
+
+        assertThat(fixture.answers(JOB), contains(JobResult.Kind.GIVEN_UP, JobResult.Kind.GIVEN_UP));
+        assertThat(fixture.ordered(), contains(FIRST));
+    }
+
+    @Test
+    void answeredJobWithRunsLeftDoesNotMakeTheHolderOfALiveOneGiveItUp() {
+        fixture.submit(0);
+        dispatcher.cancel(JOB, DispatchFixture.millisToNanos(10));
+        dispatcher.entryLinked(PEER);
+        fixture.tick(100);
+
+        assertThat(
+                fixture.sent(JobOwnershipUpdate.class).get(0).owned(),
+                contains(new JobClaim(JOB, JobClaim.ENDING_AGE_MILLIS)));
+        fixture.receive(PEER, owned(JOB), 110);
+        assertThat(fixture.sent(YieldJob.class), is(empty()));
+    }
 }
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherTest.java
@@ -10,6 +10,7 @@
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.message.ActiveRuns;
+import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.ResourceOffer;
@@ -210,7 +211,7 @@
     @Test
     void jobHeldByAnotherEntryStartsAfterThatEntryHasEndedIt() {
         dispatcher.entryLinked(PEER);
-        dispatcher.receive(PEER, new JobOwnershipUpdate(List.of(JOB), List.of()), 0);
+        dispatcher.receive(PEER, new JobOwnershipUpdate(List.of(new JobClaim(JOB, 0)), List.of()), 0);
         submit(1, 1_000);
         assertThat(sent.contains(new YieldJob(JOB)), is(true));
         assertThat(ordered(), is(empty()));
--- a/wire/src/main/java/org/knapweedmount/wire/WorkMessages.java
+++ b/wire/src/main/java/org/knapweedmount/wire/WorkMessages.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import org.knapweedmount.api.message.ActiveRuns;
+import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
 import org.knapweedmount.api.message.LeaseRenewal;
 import org.knapweedmount.api.message.QueueUpdate;
@@ -200,11 +201,20 @@
     }
 
     static void writeJobOwnershipUpdate(FieldWriter out, JobOwnershipUpdate update) throws IOException, FrameException {
-        out.list(update.owned(), FieldWriter::name).list(update.ended(), FieldWriter::name);
+        out.list(update.owned(), WorkMessages::writeJobClaim).list(update.ended(), FieldWriter::name);
     }
 
     static JobOwnershipUpdate readJobOwnershipUpdate(FieldReader in) throws IOException, FrameException {
-        return new JobOwnershipUpdate(in.list(FieldReader::name), in.list(FieldReader::name));
+        return new JobOwnershipUpdate(in.list(WorkMessages::readJobClaim), in.list(FieldReader::name));
+    }
+
+    private static void writeJobClaim(FieldWriter out, JobClaim claim) throws IOException, FrameException {
+        out.arrayHeader(2).name(claim.job()).number(claim.ageMillis());
+    }
+
+    private static JobClaim readJobClaim(FieldReader in) throws IOException, FrameException {
+        in.expectArray(2);
+        return new JobClaim(in.name(), in.nonNegativeLong());
     }
 
     static void writeYieldJob(FieldWriter out, YieldJob yieldJob) throws IOException, FrameException {
--- a/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
+++ b/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
@@ -40,6 +40,7 @@
 import org.knapweedmount.api.message.Grant;
 import org.knapweedmount.api.message.Heartbeat;
 import org.knapweedmount.api.message.Hello;
+import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
 import org.knapweedmount.api.message.LeaseRenewal;
 import org.knapweedmount.api.message.LeaseScope;
@@ -133,7 +134,8 @@
             case ACTIVE_RUNS -> new ActiveRuns(list(this::runRef));
             case LEASE_RENEWAL -> new LeaseRenewal(random.nextLong());
             case QUEUE_UPDATE -> new QueueUpdate(nonNegativeLong(), list(this::workQueue));
-            case JOB_OWNERSHIP_UPDATE -> new JobOwnershipUpdate(list(this::text), list(this::text));
+            case JOB_OWNERSHIP_UPDATE ->
+                new JobOwnershipUpdate(list(() -> new JobClaim(text(), nonNegativeLong())), list(this::text));
             case YIELD_JOB -> new YieldJob(text());
         };
     }
