Order no run of a job whose caller no longer waits

After an entry stood still, tasks of a job could be started whose caller had left long ago and had submitted the job to another entry: the first events after waking may be reports and offers that were buffered, and only the next tick expires jobs.

JobTable.queuedJobs leaves out jobs whose deadline has passed, so that neither a report nor an offer orders their runs.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobTable.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobTable.java
@@ -49,11 +49,15 @@
         return jobs.values().stream().filter(job -> !job.answered()).count();
     }
 
-    /** Returns the jobs of a service that have queued tasks and are not held back, in scheduling order. */
+    /**
+     * Returns the jobs of a service that have queued tasks, whose callers still wait and which are not held back, in
+     * scheduling order.
+     */
     List<TrackedJob> queuedJobs(String service, Predicate<String> heldBack, long nowNanos) {
         List<TrackedJob> queued = new ArrayList<>();
         for (TrackedJob job : jobs.values()) {
-            boolean waits = !job.answered() && job.hasQueued() && !heldBack.test(job.id());
+            boolean callerWaits = !job.answered() && nowNanos - job.request().deadlineNanos() < 0;
+            boolean waits = callerWaits && job.hasQueued() && !heldBack.test(job.id());
             if (waits && job.request().queue().service().equals(service)) {
                 queued.add(job);
             }
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherFixture.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherFixture.java
@@ -74,12 +74,14 @@
     }
 
     void submit(long millis) {
-        submit(JOB, 300, millis);
+        submit(JOB, millis, 60_000, 300);
     }
 
-    void submit(String id, int estimateMillis, long millis) {
+    /** Submits a job whose caller waits for a time only. */
+    void submit(String id, long millis, int deadlineMillis, int estimateMillis) {
+        JobRequest request = DispatchFixture.request(id, DispatchFixture.step(1, 1_000, estimateMillis));
         dispatcher.submit(
-                DispatchFixture.request(id, DispatchFixture.step(1, 1_000, estimateMillis)),
+                request.dueBy(DispatchFixture.millisToNanos(millis + deadlineMillis)),
                 DispatchFixture.millisToNanos(millis));
     }
 
