Give up the jobs of an entry that stood still

After an entry stood still with its clock running, callers could see a job run twice at the same time: its peers had closed their links, dropped its jobs and admitted the resubmissions, while the entry went on with its queue.

Cause: nothing noticed the gap. If no tick was handled for longer than the 1.5 s after which peers close a link, all leases have ended as well (1.1 s). The first event after the gap, whatever it is, gives up all jobs and waiting requests before anything else is decided. Their callers get 504 and submit the job again, if they have not done so.

Logged: entry-stalled with the length of the gap and the numbers of jobs and waiting requests given up. The rule for expired jobs moved to ExpiryRule, for the size of Dispatcher.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
@@ -34,5 +34,8 @@
      */
     static final long LOST_ENTRY_NANOS = MAX_RUN_END_NANOS;
 
+    /** The time without a message after which the other end closes a link to this entry. */
+    static final long LINK_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
     private DispatchTimings() {}
 }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -37,14 +37,12 @@
     /** How far a run number is raised if the worker has seen a higher one; more than the attempts of a task. */
     private static final int OUTDATED_RUN_SKIP_COUNT = 10;
 
-    /** When the caller of a job that expired in the queue may retry, in ms; by then admission refuses excess jobs. */
-    private static final int RETRY_AFTER_MILLIS = 1_000;
-
     private final DispatchOutput output;
     private final DurationModel durations = new DurationModel();
     private final WorkerViews workers = new WorkerViews();
     private final JobOwnership ownership;
     private final JobTable jobs = new JobTable();
+    private final StallDetector stalls = new StallDetector();
     private final Map<String, Resources> maxCapacity = new HashMap<>();
     private final DispatchEvents events;
     private final JobAdmission admission;
@@ -71,6 +69,7 @@
      * @param nowNanos the current time, in ns
      */
     public void submit(JobRequest request, long nowNanos) {
+        stalls.eventReceived(nowNanos).ifPresent(stall -> giveUpAll(stall, nowNanos));
         Optional<TrackedJob> held = jobs.find(request.id());
         held.ifPresent(events::resubmitted);
         if (held.isPresent() && !held.get().answered()) {
@@ -199,6 +198,7 @@
      * @param nowNanos the current time, in ns
      */
     public void agentLinked(Incarnation agent, long nowNanos) {
+        stalls.eventReceived(nowNanos).ifPresent(stall -> giveUpAll(stall, nowNanos));
         workers.link(agent, nowNanos);
     }
 
@@ -218,6 +218,7 @@
      * @param nowNanos the current time, in ns
      */
     public void unlinked(Incarnation peer, long nowNanos) {
+        stalls.eventReceived(nowNanos).ifPresent(stall -> giveUpAll(stall, nowNanos));
         workers.find(peer).ifPresent(WorkerView::unlink);
         ownership.unlinked(peer, nowNanos);
     }
@@ -230,6 +231,7 @@
      * @param nowNanos the current time, in ns
      */
     public void receive(Incarnation from, Message message, long nowNanos) {
+        stalls.eventReceived(nowNanos).ifPresent(stall -> giveUpAll(stall, nowNanos));
         if (message instanceof JobOwnershipUpdate update) {
             events.ownedByPeer(from, update, jobs);
             JobOwnership.Changes changes = ownership.updateReceived(from, update, nowNanos);
@@ -444,16 +446,8 @@
         job.markAnswered();
         ownership.ending(job.id());
         answers.answer(job, result, nowNanos);
-        Map<Incarnation, List<RunRef>> stops = new LinkedHashMap<>();
-        for (TrackedTask task : job.tasks()) {
-            if (task.state() == TaskState.ORDERED) {
-                stops.computeIfAbsent(task.agent().orElseThrow(), key -> new ArrayList<>())
-                        .add(task.ref());
-            } else {
-                task.markEnded();
-            }
-        }
-        stops.forEach((agent, runs) -> output.send(agent, new StopRuns(runs)));
+        job.endTasksWithoutRun();
+        job.orderedRuns().forEach((agent, runs) -> output.send(agent, new StopRuns(runs)));
         removeIfDone(job, nowNanos);
     }
 
@@ -486,6 +480,7 @@
      * @param nowNanos the current time, in ns
      */
     public void tick(long nowNanos) {
+        stalls.ticked(nowNanos).ifPresent(stall -> giveUpAll(stall, nowNanos));
         workers.updateRelativeSlowdowns();
         events.flush(nowNanos);
         for (WorkerView view : List.copyOf(workers.all())) {
@@ -495,7 +490,7 @@
         }
         for (TrackedJob job : jobs.all()) {
             if (!job.answered()) {
-                expire(job, nowNanos);
+                ExpiryRule.result(job, nowNanos).ifPresent(result -> conclude(job, result, nowNanos));
             }
         }
         ownership.releaseLost(nowNanos).forEach(job -> resume(job, "leases-ended", nowNanos));
@@ -509,13 +504,16 @@
         }
     }
 
-    private void expire(TrackedJob job, long nowNanos) {
-        boolean deadlinePassed = nowNanos - job.request().deadlineNanos() >= 0;
-        boolean cannotFinish = job.hasQueued() && !JobOrder.canFinishBeforeExpiry(job, nowNanos);
-        if (deadlinePassed || cannotFinish) {
-            JobResult result =
-                    job.hasStarted() ? JobResult.givenUp("too late") : JobResult.notRun("too late", RETRY_AFTER_MILLIS);
-            conclude(job, result, nowNanos);
+    /** Gives up all jobs after a stall: other entries may have admitted them, and the leases of their runs have ended. */
+    private void giveUpAll(StallDetector.Stall stall, long nowNanos) {
+        List<String> waiting = ownership.awaited();
+        output.logEvent(
+                "entry-stalled", stall.description() + " jobs=" + jobs.unanswered() + " waiting=" + waiting.size());
+        waiting.forEach(id -> dropAwaiting(id, "the entry stood still"));
+        for (TrackedJob job : jobs.all()) {
+            if (!job.answered()) {
+                conclude(job, JobResult.givenUp("the entry stood still"), nowNanos);
+            }
         }
     }
 
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
@@ -185,6 +185,11 @@
         return Optional.ofNullable(waitingRequests.remove(job));
     }
 
+    /** Returns the jobs for whose end a request waits. */
+    List<String> awaited() {
+        return List.copyOf(waitingRequests.keySet());
+    }
+
     /** Returns the requests whose callers no longer wait. */
     List<String> expired(long nowNanos) {
         return waitingRequests.values().stream()
--- a/core/src/main/java/org/knapweedmount/core/dispatch/TrackedJob.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/TrackedJob.java
@@ -1,9 +1,14 @@
 package org.knapweedmount.core.dispatch;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.work.RunRef;
+
 /** Tracks the state of a job at its entry. */
 final class TrackedJob {
     /** A job expires at this multiple of its target duration; a result up to then is still useful to the caller. */
@@ -139,6 +144,27 @@
         return tasks.stream().allMatch(task -> task.state() == TaskState.ENDED);
     }
 
+    /** Ends the tasks that no run is ordered of. */
+    void endTasksWithoutRun() {
+        for (TrackedTask task : tasks) {
+            if (task.state() != TaskState.ORDERED) {
+                task.markEnded();
+            }
+        }
+    }
+
+    /** Returns the ordered runs by the agents that they were ordered from. */
+    Map<Incarnation, List<RunRef>> orderedRuns() {
+        Map<Incarnation, List<RunRef>> runs = new LinkedHashMap<>();
+        for (TrackedTask task : tasks) {
+            if (task.state() == TaskState.ORDERED) {
+                runs.computeIfAbsent(task.agent().orElseThrow(), key -> new ArrayList<>())
+                        .add(task.ref());
+            }
+        }
+        return runs;
+    }
+
     /** Returns the cores of the tasks with an ordered run. */
     double runningCores() {
         double sum = 0;
