Give up the jobs of an entry whose VM was suspended

After the VM of an entry was suspended, callers could see a job run twice at the same time. The entry's clock does not count that time, so that the entry saw neither a gap between ticks nor an expired deadline.

The timestamps of agents show it: compared with the time of their receipt they are further ahead than before. That offset falls with delays and rises by clock drift only, at most 2% of the elapsed time, unless the entry's clock lost time. StallDetector compares each report with the highest offset of the periods before, without the newest 1.5 s, since reports that were buffered during the suspension show it bit by bit. The loss and the time since the last tick together count as a gap, which is checked before the report is acted on. A report of another worker starts anew, as does another incarnation of the agent. A loss that one agent has shown is allowed for at the others, so that jobs that were submitted after it stay.

A first report that was delayed by more than the link timeout counts as a loss later: jobs are given up without need.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -231,7 +231,7 @@
      * @param nowNanos the current time, in ns
      */
     public void receive(Incarnation from, Message message, long nowNanos) {
-        stalls.eventReceived(nowNanos).ifPresent(stall -> giveUpAll(stall, nowNanos));
+        stalls.messageReceived(from, message, nowNanos).ifPresent(stall -> giveUpAll(stall, nowNanos));
         if (message instanceof JobOwnershipUpdate update) {
             events.ownedByPeer(from, update, jobs);
             JobOwnership.Changes changes = ownership.updateReceived(from, update, nowNanos);
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherFixture.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherFixture.java
@@ -51,6 +51,10 @@
     }
 
     void report(Incarnation agent, long timestampMillis, long millis, int freeMilliCores) {
+        report(agent, "w", timestampMillis, millis, freeMilliCores);
+    }
+
+    void report(Incarnation agent, String worker, long timestampMillis, long millis, int freeMilliCores) {
         Resources capacity = new Resources(CAPACITY_MILLI_CORES, 1_000, 0);
         Resources free = new Resources(freeMilliCores, 1_000, 0);
         receive(
@@ -58,7 +62,7 @@
                 new WorkerReport(
                         DispatchFixture.millisToNanos(timestampMillis),
                         "service",
-                        "w",
+                        worker,
                         List.of(),
                         capacity,
                         free,
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherStallTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherStallTest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
+import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
@@ -59,7 +60,7 @@
 
         assertThat(fixture.ordered(), is(empty()));
         assertThat(fixture.answers(JOB), contains(JobResult.Kind.GIVEN_UP));
-        assertThat(fixture.events("entry-stalled"), contains("entry-stalled missed=1501 jobs=1 waiting=0"));
+        assertThat(fixture.events("entry-stalled"), contains("entry-stalled missed=1501 lost=0 jobs=1 waiting=0"));
     }
 
     @Test
@@ -97,4 +98,95 @@
 
         assertThat(fixture.ordered(), contains(FIRST));
     }
+
+    /** Reports whose agent's clock is ahead of the entry's, as if the entry's clock had lost the difference. */
+    private void reportAhead(long millis, long aheadMillis, int freeMilliCores) {
+        fixture.report(AGENT, millis + aheadMillis, millis, freeMilliCores);
+    }
+
+    @Test
+    void jobIsGivenUpBeforeAReportThatShowsASuspensionOrdersItsRuns() {
+        fixture.report(0, 0);
+        fixture.submit(JOB, 0, 60_000, 900);
+        tickEvery(0, 100);
+
+        reportAhead(110, 1_800, CAPACITY_MILLI_CORES);
+
+        assertThat(fixture.ordered(), is(empty()));
+        assertThat(fixture.answers(JOB), contains(JobResult.Kind.GIVEN_UP));
+        assertThat(fixture.events("entry-stalled").size(), is(1));
+    }
+
+    @Test
+    void suspensionIsDetectedFromReportsThatWereBufferedMeanwhile() {
+        fixture.report(0, 0);
+        fixture.submit(JOB, 0, 60_000, 900);
+        tickEvery(0, 100);
+
+        for (long ahead = 150; ahead <= 1_800; ahead += 150) {
+            reportAhead(110, ahead, 0);
+        }
+
+        assertThat(fixture.answers(JOB), contains(JobResult.Kind.GIVEN_UP));
+    }
+
+    @Test
+    void jobSubmittedAfterASuspensionIsKeptWhenTheNextAgentShowsItAsWell() {
+        Incarnation second = new Incarnation("second-agent", 4);
+        fixture.dispatcher().agentLinked(second, 0);
+        fixture.report(second, 0, 0, 0);
+        tickEvery(0, 100);
+        reportAhead(110, 3_000, CAPACITY_MILLI_CORES);
+        fixture.submit(JOB, 120, 60_000, 300);
+
+        fixture.report(second, 3_130, 130, 0);
+
+        assertThat(fixture.answers(JOB), is(empty()));
+        assertThat(fixture.events("entry-stalled").size(), is(1));
+    }
+
+    @Test
+    void clockDriftIsNoSuspension() {
+        for (long millis = 0; millis <= 300_000; millis += 100) {
+            reportAhead(millis, millis / 50, 0);
+            fixture.tick(millis);
+        }
+
+        assertThat(fixture.events("entry-stalled"), is(empty()));
+    }
+
+    @Test
+    void suspensionIsDetectedAfterLongDriftInTheOppositeDirection() {
+        for (long millis = 0; millis <= 300_000; millis += 100) {
+            reportAhead(millis, -millis / 50, 0);
+            fixture.tick(millis);
+        }
+
+        reportAhead(300_000, -6_000 + 2_000, 0);
+
+        assertThat(fixture.events("entry-stalled").size(), is(1));
+    }
+
+    @Test
+    void delayedReportsAreNoSuspension() {
+        fixture.report(0, 0);
+        tickEvery(0, 2_000);
+
+        reportAhead(2_900, -900, 0);
+        fixture.tick(2_900);
+        reportAhead(3_000, 0, 0);
+        fixture.tick(3_000);
+
+        assertThat(fixture.events("entry-stalled"), is(empty()));
+    }
+
+    @Test
+    void clockOfANewWorkerIsNoSuspension() {
+        fixture.report(0, 0);
+        tickEvery(0, 100);
+
+        fixture.report(AGENT, "another-worker", 900_000, 110, 0);
+
+        assertThat(fixture.events("entry-stalled"), is(empty()));
+    }
 }
