Drop a waiting request when its caller leaves

A job could run without a caller, and beside its resubmission at a third entry: a request that waited for the end of an earlier submission was admitted even if its caller had disconnected meanwhile.

Cause: Dispatcher.cancel looked only at jobs that were admitted. It now drops the waiting request as well, and the other entries are told that it no longer claims the job.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -463,9 +463,12 @@
      *
      * @param id the job's ID
      * @param nowNanos the current time, in ns
-     * @return true if the job was held and unanswered
+     * @return true if the job was held and unanswered, or its request waited for an earlier submission
      */
     public boolean cancel(String id, long nowNanos) {
+        if (dropAwaiting(id, "cancelled")) {
+            return true;
+        }
         Optional<TrackedJob> job = jobs.find(id);
         if (job.isEmpty() || job.get().answered()) {
             return false;
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherOwnershipTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherOwnershipTest.java
@@ -258,4 +258,17 @@
         fixture.receive(PEER, owned(JOB), 110);
         assertThat(fixture.sent(YieldJob.class), is(empty()));
     }
+
+    @Test
+    void requestThatWaitsIsNotAdmittedOnceItsCallerHasLeft() {
+        linkPeerThatHolds(JOB);
+        fixture.submit(0);
+
+        dispatcher.cancel(JOB, DispatchFixture.millisToNanos(10));
+        fixture.receive(PEER, ended(JOB), 20);
+
+        assertThat(fixture.ordered(), is(empty()));
+        fixture.tick(100);
+        assertThat(fixture.reportsEnd(JOB), is(true));
+    }
 }
