Hold requests read right after a stall until closed connections are found

After an entry stood still, a request that had waited in its socket could start runs for a moment beside the resubmission at another entry, although its caller had closed the connection: the event loop reads the request, handles it, and reads the end of the connection in its next pass, so that the connection still counts as open when the job is submitted.

Requests that are read within 100 ms after a stall was found wait for the first tick after that, and are dropped when their connection turns out to be closed. The time comes on top of the checks of closed connections; it delays only requests that waited for a stalled entry anyway. For the size of Dispatcher the choice for an offer moved to Placement and the demand to DemandRule, both unchanged.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/DemandRule.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DemandRule.java
@@ -27,6 +27,19 @@
 
     private DemandRule() {}
 
+    /** Returns the demand of the queued jobs of a service. */
+    static ResourceDemand demand(
+            List<TrackedJob> queued, QueueShares shares, Resources capacity, long backlogCoreMillis, long nowNanos) {
+        if (queued.isEmpty()) {
+            return ResourceDemand.NONE;
+        }
+        return new ResourceDemand(
+                queued.size(),
+                virtualDeadlineMicros(queued.get(0), shares, nowNanos),
+                smallestNeed(queued, shares, capacity),
+                backlogCoreMillis);
+    }
+
     /**
      * Returns the virtual deadline of an entry's demand, relative to now, in microseconds.
      *
--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
@@ -37,5 +37,10 @@
     /** The time without a message after which the other end closes a link to this entry. */
     static final long LINK_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+    /**
+     * How long requests are held after a stall; by then the ends of connections are read that were closed meanwhile.
+     */
+    static final long STALL_SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     private DispatchTimings() {}
 }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -47,6 +47,7 @@
     private final DispatchEvents events;
     private final JobAdmission admission;
     private final JobAnswers answers;
+    private final HeldRequests heldRequests = new HeldRequests();
     private OptionalLong drainByNanos = OptionalLong.empty();
 
     /**
@@ -70,6 +71,14 @@
      */
     public void submit(JobRequest request, long nowNanos) {
         stalls.eventReceived(nowNanos).ifPresent(stall -> giveUpAll(stall, nowNanos));
+        if (heldRequests.hold(request, nowNanos)) {
+            output.logEvent("job-read-after-stall", "job=" + request.id());
+            return;
+        }
+        submitRead(request, nowNanos);
+    }
+
+    private void submitRead(JobRequest request, long nowNanos) {
         Optional<TrackedJob> held = jobs.find(request.id());
         held.ifPresent(events::resubmitted);
         if (held.isPresent() && !held.get().answered()) {
@@ -168,18 +177,12 @@
     }
 
     private ResourceDemand demandOf(String service, long nowNanos) {
-        List<TrackedJob> queued = queuedJobs(service, nowNanos);
-        if (queued.isEmpty()) {
-            return ResourceDemand.NONE;
-        }
-        TrackedJob first = queued.get(0);
-        QueueShares shares = jobs.shares(service, nowNanos);
-        Resources capacity = maxCapacity.getOrDefault(service, Resources.NONE);
-        return new ResourceDemand(
-                queued.size(),
-                DemandRule.virtualDeadlineMicros(first, shares, nowNanos),
-                DemandRule.smallestNeed(queued, shares, capacity),
-                (long) jobs.queuedCoreMillis(service));
+        return DemandRule.demand(
+                queuedJobs(service, nowNanos),
+                jobs.shares(service, nowNanos),
+                maxCapacity.getOrDefault(service, Resources.NONE),
+                (long) jobs.queuedCoreMillis(service),
+                nowNanos);
     }
 
     private void sendDemand(List<WorkerView> views, ResourceDemand demand, long nowNanos) {
@@ -322,22 +325,13 @@
         if (view.report().isEmpty()) {
             return;
         }
-        Resources freeCapacity = offer.resources();
-        Resources capacity = view.report().get().capacity();
         String service = view.report().get().service();
         QueueShares shares = jobs.shares(service, nowNanos);
         List<TrackedTask> chosen = new ArrayList<>();
-        for (TrackedJob job : queuedJobs(service, nowNanos)) {
-            for (TrackedTask task : job.tasks()) {
-                boolean queued = task.state() == TaskState.QUEUED;
-                boolean fits = queued && shares.withHeadroom(task, capacity).fits(freeCapacity);
-                if (fits && Placement.isSuitable(task, view, nowNanos)) {
-                    freeCapacity = freeCapacity.minus(task.step().need());
-                    chosen.add(task);
-                    assign(view, task);
-                }
-            }
-        }
+        Placement.fill(offer.resources(), queuedJobs(service, nowNanos), view, shares, nowNanos, task -> {
+            chosen.add(task);
+            assign(view, task);
+        });
         sendOrder(view, offer.number(), chosen, demandOf(service, nowNanos), nowNanos);
         events.flush(nowNanos);
     }
@@ -466,6 +460,10 @@
      * @return true if the job was held and unanswered, or its request waited for an earlier submission
      */
     public boolean cancel(String id, long nowNanos) {
+        if (heldRequests.remove(id)) {
+            output.answer(id, JobResult.notRun("cancelled", 0));
+            return true;
+        }
         if (dropAwaiting(id, "cancelled")) {
             return true;
         }
@@ -484,6 +482,7 @@
      */
     public void tick(long nowNanos) {
         stalls.ticked(nowNanos).ifPresent(stall -> giveUpAll(stall, nowNanos));
+        heldRequests.release(nowNanos).forEach(request -> submitRead(request, nowNanos));
         workers.updateRelativeSlowdowns();
         events.flush(nowNanos);
         for (WorkerView view : List.copyOf(workers.all())) {
@@ -509,6 +508,7 @@
 
     /** Gives up all jobs after a stall: other entries may have admitted them, and the leases of their runs have ended. */
     private void giveUpAll(StallDetector.Stall stall, long nowNanos) {
+        heldRequests.stallEnded(nowNanos);
         List<String> waiting = ownership.awaited();
         output.logEvent(
                 "entry-stalled", stall.description() + " jobs=" + jobs.unanswered() + " waiting=" + waiting.size());
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Placement.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Placement.java
@@ -2,9 +2,11 @@
 
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import org.knapweedmount.api.Resources;
 
@@ -35,6 +37,28 @@
                         .thenComparingInt(worker -> freeCapacity.get(worker).milliCores()));
     }
 
+    /** Passes on the queued tasks of jobs that fit into offered resources, each before the next one is considered. */
+    static void fill(
+            Resources offered,
+            List<TrackedJob> jobs,
+            WorkerView worker,
+            QueueShares shares,
+            long nowNanos,
+            Consumer<TrackedTask> chosen) {
+        Resources capacity = worker.report().orElseThrow().capacity();
+        Resources free = offered;
+        for (TrackedJob job : jobs) {
+            for (TrackedTask task : job.tasks()) {
+                boolean queued = task.state() == TaskState.QUEUED;
+                boolean fits = queued && shares.withHeadroom(task, capacity).fits(free);
+                if (fits && isSuitable(task, worker, nowNanos)) {
+                    free = free.minus(task.step().need());
+                    chosen.accept(task);
+                }
+            }
+        }
+    }
+
     /**
      * Returns whether a task may run on a worker and would meet its target there, or can no longer meet it anywhere.
      */
