Release the runs of earlier incarnations of an agent only

A task could run twice at the same time after an agent was replaced: a late report of the replaced incarnation released the live runs of its successor, and their tasks were ordered again.

Cause: WorkerViews.earlierIncarnations took every other incarnation of the same agent for an earlier one. The order of the first links is kept now, also for incarnations whose view was dropped, and counts.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerViews.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerViews.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,14 +15,32 @@
     /** The minimum median that slowdowns are divided by; prevents a division by zero. */
     private static final double MIN_MEDIAN_SLOWDOWN = 0.1;
 
+    /** How many incarnations of an agent are remembered; a replaced one may still send a late report. */
+    private static final int MAX_INCARNATIONS = 8;
+
     private final Map<Incarnation, WorkerView> views = new LinkedHashMap<>();
 
+    /** The incarnations of each agent in the order of their first links, also those without a view. */
+    private final Map<String, List<Incarnation>> incarnations = new HashMap<>();
+
     WorkerView link(Incarnation agent, long nowNanos) {
         WorkerView view = views.computeIfAbsent(agent, key -> new WorkerView(agent, nowNanos));
         view.link();
+        recordIncarnation(agent);
         return view;
     }
 
+    private void recordIncarnation(Incarnation agent) {
+        List<Incarnation> known = incarnations.computeIfAbsent(agent.process(), key -> new ArrayList<>());
+        if (known.contains(agent)) {
+            return;
+        }
+        known.add(agent);
+        if (known.size() > MAX_INCARNATIONS) {
+            known.remove(0);
+        }
+    }
+
     Optional<WorkerView> find(Incarnation agent) {
         return Optional.ofNullable(views.get(agent));
     }
@@ -40,11 +59,12 @@
         return found;
     }
 
-    /** Returns the views of earlier incarnations of a worker's agent. */
+    /** Returns the views of the incarnations of a worker's agent that were linked for the first time before it was. */
     List<WorkerView> earlierIncarnations(WorkerView current) {
-        return views.values().stream()
-                .filter(view -> view != current
-                        && view.agent().process().equals(current.agent().process()))
+        List<Incarnation> known = incarnations.getOrDefault(current.agent().process(), List.of());
+        int position = known.indexOf(current.agent());
+        return known.subList(0, Math.max(0, position)).stream()
+                .flatMap(agent -> find(agent).stream())
                 .toList();
     }
 
--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherAgentsTest.java
@@ -0,0 +1,57 @@
+package org.knapweedmount.core.dispatch;
+
+import org.junit.jupiter.api.Test;
+import org.knapweedmount.api.Incarnation;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.knapweedmount.core.dispatch.DispatcherFixture.AGENT;
+import static org.knapweedmount.core.dispatch.DispatcherFixture.CAPACITY_MILLI_CORES;
+import static org.knapweedmount.core.dispatch.DispatcherFixture.FIRST;
+import static org.knapweedmount.core.dispatch.DispatcherFixture.SECOND;
+
+/** What an entry does when an agent is replaced. */
+class DispatcherAgentsTest {
+    private static final Incarnation SUCCESSOR = new Incarnation(AGENT.process(), 2);
+
+    private final DispatcherFixture fixture = new DispatcherFixture();
+    private final Dispatcher dispatcher = fixture.dispatcher();
+
+    @Test
+    void lateReportOfAReplacedAgentDoesNotReleaseTheRunsOfItsSuccessor() {
+        fixture.unlink(AGENT, 10);
+        dispatcher.agentLinked(SUCCESSOR, DispatchFixture.millisToNanos(20));
+        fixture.report(SUCCESSOR, 20, 20, CAPACITY_MILLI_CORES);
+        fixture.submit(30);
+
+        dispatcher.agentLinked(AGENT, DispatchFixture.millisToNanos(40));
+        fixture.report(AGENT, 40, 40, CAPACITY_MILLI_CORES);
+
+        assertThat(fixture.ordered(), contains(FIRST));
+    }
+
+    @Test
+    void lateReportOfAReplacedAgentThatWasForgottenDoesNotReleaseTheRunsOfItsSuccessor() {
+        fixture.unlink(AGENT, 10);
+        fixture.tick(1_101);
+        dispatcher.agentLinked(SUCCESSOR, DispatchFixture.millisToNanos(1_200));
+        fixture.report(SUCCESSOR, 1_200, 1_200, CAPACITY_MILLI_CORES);
+        fixture.submit(1_210);
+
+        dispatcher.agentLinked(AGENT, DispatchFixture.millisToNanos(1_220));
+        fixture.report(AGENT, 1_220, 1_220, CAPACITY_MILLI_CORES);
+
+        assertThat(fixture.ordered(), contains(FIRST));
+    }
+
+    @Test
+    void reportOfASuccessorReleasesTheRunsOfTheReplacedAgent() {
+        fixture.submit(0);
+        fixture.unlink(AGENT, 10);
+        dispatcher.agentLinked(SUCCESSOR, DispatchFixture.millisToNanos(20));
+
+        fixture.report(SUCCESSOR, 20, 20, CAPACITY_MILLI_CORES);
+
+        assertThat(fixture.ordered(), contains(FIRST, SECOND));
+    }
+}
