Keep the jobs of a lost entry while another entry is linked to it

Callers could see a job run twice at the same time after two live entries were cut off from each other for longer than 1.1 s, both in reach of the agents: the entry that got the resubmission took the other one for stopped, while that one went on to renew its leases.

Entries already tell a new peer to which entries they are linked, so that processes find each other. They now do so at each change. The jobs of a lost entry stay with it while any linked entry reports a link to it. An entry that has stopped loses its links to all others within the same timeout, so that its jobs are released at most that much later. A request that waits for an entry that is cut off meanwhile gets 504 at its deadline; its next resubmission finds an entry that is linked to both.

Not covered: no third entry is in touch with both.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
@@ -75,14 +75,13 @@
 
     /** Logs the jobs that another entry owns although this entry holds them. */
     void ownedByPeer(Incarnation peer, JobOwnershipUpdate update, JobTable jobs) {
-        List<TrackedJob> heldTwice =
-                update.owned().stream().flatMap(claim -> jobs.find(claim.job()).stream()).toList();
+        List<TrackedJob> heldTwice = update.owned().stream()
+                .flatMap(claim -> jobs.find(claim.job()).stream())
+                .toList();
         if (heldTwice.isEmpty()) {
             return;
         }
-        heldTwice.stream()
-                .filter(job -> !job.answered())
-                .forEach(job -> output.count(DispatchCounter.JOBS_HELD_TWICE));
+        heldTwice.stream().filter(job -> !job.answered()).forEach(job -> output.count(DispatchCounter.JOBS_HELD_TWICE));
         output.logEvent(
                 "jobs-held-twice",
                 "entry=" + peer + " unanswered="
--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
@@ -30,7 +30,7 @@
      * <p>Each lease counts from an agent's timestamp, which the entry received before it stopped and so before the loss
      * of the link was noticed; a message that was still under way at that time cannot extend it. The time since then is
      * bounded by {@link WorkerTimings#MAX_RUN_END_MILLIS}, which includes the drift of clocks. It does not cover an
-     * entry that stays in reach of its agents: that one has to say itself what it holds.
+     * entry that stays in reach of its agents: {@link JobOwnership} keeps its jobs while another entry is linked to it.
      */
     static final long LOST_ENTRY_NANOS = MAX_RUN_END_NANOS;
 
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -15,6 +15,7 @@
 import org.knapweedmount.api.message.JobOwnershipUpdate;
 import org.knapweedmount.api.message.LeaseRenewal;
 import org.knapweedmount.api.message.Message;
+import org.knapweedmount.api.message.Peers;
 import org.knapweedmount.api.message.ResourceDemand;
 import org.knapweedmount.api.message.ResourceOffer;
 import org.knapweedmount.api.message.RunOrder;
@@ -240,6 +241,8 @@
             JobOwnership.Changes changes = ownership.updateReceived(from, update, nowNanos);
             changes.surrendered().forEach(job -> surrender(job, nowNanos));
             changes.freed().forEach(job -> resume(job, "ended-there", nowNanos));
+        } else if (message instanceof Peers linked) {
+            ownership.peersReported(from, linked);
         } else if (message instanceof YieldJob request) {
             yieldJob(from, request.job(), nowNanos);
         }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
@@ -11,10 +11,13 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
+import org.knapweedmount.api.message.Peers;
 import org.knapweedmount.api.message.YieldJob;
 
 /**
@@ -26,7 +29,7 @@
  *
  * <p>A lost link says nothing about the jobs of the entry at its other end: it holds them until its full list on a new
  * link says otherwise, or until every lease that it can have had must have ended
- * ({@link DispatchTimings#LOST_ENTRY_NANOS}).
+ * ({@link DispatchTimings#LOST_ENTRY_NANOS}) and no other entry is linked to it.
  */
 final class JobOwnership {
     private final DispatchOutput output;
@@ -36,6 +39,7 @@
     private final Set<Incarnation> peersWithoutFullList = new LinkedHashSet<>();
     private final Set<Incarnation> awaitedFullLists = new HashSet<>();
     private final Map<Incarnation, Long> lostNanos = new LinkedHashMap<>();
+    private final Map<Incarnation, Set<Incarnation>> linkedToPeers = new HashMap<>();
     private final Map<String, WaitingRequest> waitingRequests = new LinkedHashMap<>();
 
     /**
@@ -64,6 +68,7 @@
         }
         peersWithoutFullList.remove(peer);
         awaitedFullLists.remove(peer);
+        linkedToPeers.remove(peer);
         Set<String> held = heldBy(peer);
         if (!held.isEmpty()) {
             lostNanos.put(peer, nowNanos);
@@ -89,7 +94,7 @@
     List<String> releaseLost(long nowNanos) {
         List<String> freed = new ArrayList<>();
         for (Map.Entry<Incarnation, Long> lost : List.copyOf(lostNanos.entrySet())) {
-            if (nowNanos - lost.getValue() <= DispatchTimings.LOST_ENTRY_NANOS) {
+            if (nowNanos - lost.getValue() <= DispatchTimings.LOST_ENTRY_NANOS || isLinkedToPeer(lost.getKey())) {
                 continue;
             }
             lostNanos.remove(lost.getKey());
@@ -103,6 +108,20 @@
         return freed;
     }
 
+    /** Records which entries another entry is linked to. */
+    void peersReported(Incarnation peer, Peers linked) {
+        if (peers.contains(peer)) {
+            linkedToPeers.put(
+                    peer,
+                    linked.entries().stream().map(PeerAddress::incarnation).collect(Collectors.toSet()));
+        }
+    }
+
+    /** Returns whether another entry is linked to an entry, which is then alive although cut off from this one. */
+    private boolean isLinkedToPeer(Incarnation entry) {
+        return linkedToPeers.values().stream().anyMatch(linked -> linked.contains(entry));
+    }
+
     /** Removes a holder of jobs; returns those that no other entry holds any more. */
     private List<String> removeHolder(Incarnation peer, Set<String> ids) {
         List<String> freed = new ArrayList<>();
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
@@ -42,7 +42,9 @@
 
     private void ownedByPeer(String job, long millis) {
         dispatcher.receive(
-                PEER, new JobOwnershipUpdate(List.of(new JobClaim(job, 1_000)), List.of()), DispatchFixture.millisToNanos(millis));
+                PEER,
+                new JobOwnershipUpdate(List.of(new JobClaim(job, 1_000)), List.of()),
+                DispatchFixture.millisToNanos(millis));
     }
 
     @BeforeEach
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherOwnershipTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherOwnershipTest.java
@@ -4,9 +4,13 @@
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.Role;
 import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
+import org.knapweedmount.api.message.Peers;
 import org.knapweedmount.api.message.ResourceOffer;
 import org.knapweedmount.api.message.YieldJob;
 import org.knapweedmount.api.work.RunOutcome;
@@ -271,4 +275,40 @@
         fixture.tick(100);
         assertThat(fixture.reportsEnd(JOB), is(true));
     }
+
+    private static Peers linkedTo(Incarnation entry) {
+        return new Peers(List.of(new PeerAddress(entry, Role.ENTRY, "region", "data-centre", "127.0.0.1", 1)));
+    }
+
+    @Test
+    void waitingRequestIsNotAdmittedWhileAnotherEntryIsLinkedToTheHolder() {
+        linkPeerThatHolds(JOB);
+        dispatcher.entryLinked(OTHER_PEER);
+        fixture.receive(OTHER_PEER, linkedTo(PEER), 0);
+        fixture.submit(0);
+        fixture.unlink(PEER, 100);
+
+        fixture.tick(1_300);
+        assertThat(fixture.ordered(), is(empty()));
+
+        fixture.receive(OTHER_PEER, new Peers(List.of()), 1_400);
+        fixture.report(1_401, DispatcherFixture.CAPACITY_MILLI_CORES);
+        fixture.tick(1_402);
+        assertThat(fixture.ordered(), contains(FIRST));
+    }
+
+    @Test
+    void wordOfAnEntryThatIsLostItselfKeepsNoJob() {
+        linkPeerThatHolds(JOB);
+        dispatcher.entryLinked(OTHER_PEER);
+        fixture.receive(OTHER_PEER, linkedTo(PEER), 0);
+        fixture.submit(0);
+        fixture.unlink(PEER, 100);
+        fixture.unlink(OTHER_PEER, 200);
+
+        fixture.report(1_201, DispatcherFixture.CAPACITY_MILLI_CORES);
+        fixture.tick(1_202);
+
+        assertThat(fixture.ordered(), contains(FIRST));
+    }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchModule.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchModule.java
@@ -78,11 +78,18 @@
         entries.add(peer);
         dispatcher.entryLinked(peer.incarnation());
         queues.newest().ifPresent(newest -> output.send(peer.incarnation(), newest));
-        sendPeers(peer.incarnation());
         agents.forEach(this::sendPeers);
+        sendPeersToEntries();
     }
 
-    /** Sends the linked entries to a process, so that it finds them while the platform's store is unavailable. */
+    private void sendPeersToEntries() {
+        entries.forEach(entry -> sendPeers(entry.incarnation()));
+    }
+
+    /**
+     * Sends the linked entries to a process, so that it finds them while the platform's store is unavailable; an entry
+     * also learns that entries are alive that it is cut off from.
+     */
     private void sendPeers(Incarnation receiver) {
         output.send(
                 receiver,
@@ -94,16 +101,19 @@
     void unlinked(Incarnation peer, long nowNanos) {
         output.logEvent("unlinked", "peer=" + peer);
         agents.remove(peer);
-        entries.removeIf(entry -> entry.incarnation().equals(peer));
+        if (entries.removeIf(entry -> entry.incarnation().equals(peer))) {
+            sendPeersToEntries();
+        }
         dispatcher.unlinked(peer, nowNanos);
     }
 
     void received(Incarnation from, Message message, long nowNanos) {
         if (message instanceof QueueUpdate update) {
             apply(update, from.process());
-        } else if (message instanceof Peers peers) {
-            peers.entries().forEach(entryListener);
         } else {
+            if (message instanceof Peers peers) {
+                peers.entries().forEach(entryListener);
+            }
             dispatcher.receive(from, message, nowNanos);
         }
     }
