--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
@@ -1,7 +1,9 @@
 package org.knapweedmount.core.dispatch;
 
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
@@ -73,12 +75,13 @@
 
     /** Logs the jobs that another entry owns although this entry holds them. */
     void ownedByPeer(Incarnation peer, JobOwnershipUpdate update, JobTable jobs) {
-        List<TrackedJob> heldTwice =
-                update.owned().stream().flatMap(id -> jobs.find(id).stream()).toList();
+        List<TrackedJob> heldTwice = update.owned().stream()
+                .flatMap(claim -> jobs.find(claim.job()).stream())
+                .toList();
         if (heldTwice.isEmpty()) {
             return;
         }
-        heldTwice.forEach(job -> output.count(DispatchCounter.JOBS_HELD_TWICE));
+        heldTwice.stream().filter(job -> !job.answered()).forEach(job -> output.count(DispatchCounter.JOBS_HELD_TWICE));
         output.logEvent(
                 "jobs-held-twice",
                 "entry=" + peer + " unanswered="
@@ -93,10 +96,16 @@
                                 .toList());
     }
 
-    /** Logs that a request waits until another entry has ended its job. */
-    void waitsForEntry(String job, Incarnation owner) {
+    /** Logs that a request waits until other entries have ended its job. */
+    void waitsForEntries(String job, Set<Incarnation> holders) {
+        if (holders.isEmpty()) {
+            return;
+        }
         output.count(DispatchCounter.RESUBMISSIONS_WAITED);
-        output.logEvent("job-elsewhere", "job=" + job + " entry=" + owner);
+        output.logEvent(
+                "job-elsewhere",
+                "job=" + job + " entry="
+                        + holders.stream().map(Incarnation::toString).collect(Collectors.joining(",")));
     }
 
     /** Logs that a job of this entry was submitted again; the request waits if the job is answered. */
--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
@@ -23,5 +23,24 @@
      */
     static final long MIN_UPDATE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    /**
+     * The time after the loss of the link to an entry by which every lease of its runs must have ended if it has
+     * stopped.
+     *
+     * <p>Each lease counts from an agent's timestamp, which the entry received before it stopped and so before the loss
+     * of the link was noticed; a message that was still under way at that time cannot extend it. The time since then is
+     * bounded by {@link WorkerTimings#MAX_RUN_END_MILLIS}, which includes the drift of clocks. It does not cover an
+     * entry that stays in reach of its agents: {@link JobOwnership} keeps its jobs while another entry is linked to it.
+     */
+    static final long LOST_ENTRY_NANOS = MAX_RUN_END_NANOS;
+
+    /** The time without a message after which the other end closes a link to this entry. */
+    static final long LINK_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+    /**
+     * How long requests are held after a stall; by then the ends of connections are read that were closed meanwhile.
+     */
+    static final long STALL_SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     private DispatchTimings() {}
 }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
@@ -16,6 +15,7 @@
 import org.knapweedmount.api.message.JobOwnershipUpdate;
 import org.knapweedmount.api.message.LeaseRenewal;
 import org.knapweedmount.api.message.Message;
+import org.knapweedmount.api.message.Peers;
 import org.knapweedmount.api.message.ResourceDemand;
 import org.knapweedmount.api.message.ResourceOffer;
 import org.knapweedmount.api.message.RunOrder;
@@ -38,17 +38,17 @@
     /** How far a run number is raised if the worker has seen a higher one; more than the attempts of a task. */
     private static final int OUTDATED_RUN_SKIP_COUNT = 10;
 
-    /** When the caller of a job that expired in the queue may retry, in ms; by then admission refuses excess jobs. */
-    private static final int RETRY_AFTER_MILLIS = 1_000;
-
     private final DispatchOutput output;
     private final DurationModel durations = new DurationModel();
     private final WorkerViews workers = new WorkerViews();
-    private final JobOwnership ownership = new JobOwnership();
+    private final JobOwnership ownership;
     private final JobTable jobs = new JobTable();
-    private final JobLatencies latencies = new JobLatencies();
+    private final StallDetector stalls = new StallDetector();
     private final Map<String, Resources> maxCapacity = new HashMap<>();
     private final DispatchEvents events;
+    private final JobAdmission admission;
+    private final JobAnswers answers;
+    private final HeldRequests heldRequests = new HeldRequests();
     private OptionalLong drainByNanos = OptionalLong.empty();
 
     /**
@@ -59,6 +59,9 @@
     public Dispatcher(DispatchOutput output) {
         this.output = output;
         this.events = new DispatchEvents(output);
+        this.ownership = new JobOwnership(output);
+        this.answers = new JobAnswers(output, events);
+        this.admission = new JobAdmission(output, workers, jobs, maxCapacity);
     }
 
     /**
@@ -68,72 +71,45 @@
      * @param nowNanos the current time, in ns
      */
     public void submit(JobRequest request, long nowNanos) {
-        if (jobs.find(request.id()).isPresent()) {
-            handleResubmission(request);
-            return;
-        }
-        Optional<Incarnation> owner = ownership.owner(request.id());
-        if (owner.isPresent()) {
-            events.waitsForEntry(request.id(), owner.get());
-            ownership.awaitEnd(request);
-            output.send(owner.get(), new YieldJob(request.id()));
+        stalls.eventReceived(nowNanos).ifPresent(stall -> giveUpAll(stall, nowNanos));
+        if (heldRequests.hold(request, nowNanos)) {
+            output.logEvent("job-read-after-stall", "job=" + request.id());
             return;
         }
-        admit(request, nowNanos);
+        submitRead(request, nowNanos);
     }
 
-    /** Keeps a resubmitted job running, or waits for the runs of its earlier submission to end. */
-    private void handleResubmission(JobRequest request) {
-        TrackedJob job = jobs.find(request.id()).orElseThrow();
-        events.resubmitted(job);
-        if (job.answered()) {
-            ownership.awaitEnd(request);
+    private void submitRead(JobRequest request, long nowNanos) {
+        Optional<TrackedJob> held = jobs.find(request.id());
+        held.ifPresent(events::resubmitted);
+        if (held.isPresent() && !held.get().answered()) {
+            ownership.held(request.id(), nowNanos);
+        } else if (held.isPresent() || ownership.isHeldElsewhere(request.id())) {
+            events.waitsForEntries(request.id(), ownership.holders(request.id()));
+            ownership.awaitEnd(request, nowNanos);
+        } else {
+            admit(request, nowNanos, nowNanos);
         }
     }
 
-    private void admit(JobRequest submitted, long nowNanos) {
+    private void admit(JobRequest submitted, long submittedNanos, long nowNanos) {
         JobRequest request = drainByNanos.isPresent() ? submitted.dueBy(drainByNanos.getAsLong()) : submitted;
         TrackedJob job = new TrackedJob(request, durations.criticalPathMillis(request), nowNanos);
-        String service = request.queue().service();
-        if (maxCapacity.containsKey(service) && !canFit(request, service)) {
-            output.logEvent("job-hopeless", "job=" + request.id());
-            output.answer(request.id(), JobResult.failed("no worker is large enough"));
-            return;
-        }
-        jobs.recordArrival(service, request.queue().name(), nowNanos);
-        QueueShares shares = jobs.shares(service, nowNanos);
-        double cores = workers.cores(service);
-        double share = shares.share(request.queue().name());
-        double ownWork = jobs.queuedCoreMillis(service);
-        long remoteWork = workers.otherBacklogCoreMillis(service);
-        // Callers are spread over the entries, so each entry's queue holds about as much work ahead of the job.
         int entries = 1 + ownership.peers().size();
-        double ahead = jobs.coreMillisAhead(job, nowNanos) * entries / share;
-        Optional<Integer> retry = AdmissionRule.retryAfterMillis(job, ahead, ownWork + remoteWork, cores, nowNanos);
-        String inputs = "job=" + job.id() + " queue=" + request.queue().name() + " tasks="
-                + job.tasks().size() + " chain=" + (long) job.criticalPathMillis() + " ahead=" + (long) ahead
-                + " share="
-                + (long) (100 * share) + " elsewhere=" + remoteWork + " cores=" + (long) cores;
-        if (retry.isPresent()) {
-            output.logEvent("job-refused", inputs);
-            output.answer(request.id(), JobResult.notRun("overloaded", retry.get()));
+        Optional<JobResult> refusal = admission.refusal(job, entries, nowNanos);
+        if (refusal.isPresent()) {
+            ownership.ended(request.id());
+            output.answer(request.id(), refusal.get());
             return;
         }
-        output.logEvent("job-admitted", inputs);
-        job.history().add("admitted " + inputs, nowNanos);
         jobs.add(job);
-        ownership.added(job.id());
-        place(service, nowNanos);
-    }
-
-    private boolean canFit(JobRequest request, String service) {
-        Resources capacity = maxCapacity.get(service);
-        return request.steps().stream().allMatch(step -> step.need().fits(capacity));
+        ownership.held(job.id(), submittedNanos);
+        place(request.queue().service(), nowNanos);
     }
 
     /** Orders runs that fit into the estimated free capacity, and sends a demand for the rest. */
     private void place(String service, long nowNanos) {
-        List<TrackedJob> queued = jobs.queuedJobs(service, nowNanos);
+        List<TrackedJob> queued = queuedJobs(service, nowNanos);
         List<WorkerView> views = workers.forService(service);
         if (queued.isEmpty()
                 && views.stream().allMatch(view -> view.sentDemand().isEmpty())) {
@@ -196,19 +172,18 @@
         view.leaseRenewed(nowNanos);
     }
 
+    /** Returns the jobs that runs may be ordered for; none that another entry holds as well. */
+    private List<TrackedJob> queuedJobs(String service, long nowNanos) {
+        return jobs.queuedJobs(service, ownership::isHeldElsewhere, nowNanos);
+    }
+
     private ResourceDemand demandOf(String service, long nowNanos) {
-        List<TrackedJob> queued = jobs.queuedJobs(service, nowNanos);
-        if (queued.isEmpty()) {
-            return ResourceDemand.NONE;
-        }
-        TrackedJob first = queued.get(0);
-        QueueShares shares = jobs.shares(service, nowNanos);
-        Resources capacity = maxCapacity.getOrDefault(service, Resources.NONE);
-        return new ResourceDemand(
-                queued.size(),
-                DemandRule.virtualDeadlineMicros(first, shares, nowNanos),
-                DemandRule.smallestNeed(queued, shares, capacity),
-                (long) jobs.queuedCoreMillis(service));
+        return DemandRule.demand(
+                queuedJobs(service, nowNanos),
+                jobs.shares(service, nowNanos),
+                maxCapacity.getOrDefault(service, Resources.NONE),
+                (long) jobs.queuedCoreMillis(service),
+                nowNanos);
     }
 
     private void sendDemand(List<WorkerView> views, ResourceDemand demand, long nowNanos) {
@@ -227,6 +202,7 @@
      * @param nowNanos the current time, in ns
      */
     public void agentLinked(Incarnation agent, long nowNanos) {
+        stalls.eventReceived(nowNanos).ifPresent(stall -> giveUpAll(stall, nowNanos));
         workers.link(agent, nowNanos);
     }
 
@@ -237,7 +213,6 @@
      */
     public void entryLinked(Incarnation entry) {
         ownership.linked(entry);
-        output.send(entry, new JobOwnershipUpdate(jobs.ids(), List.of()));
     }
 
     /**
@@ -247,8 +222,9 @@
      * @param nowNanos the current time, in ns
      */
     public void unlinked(Incarnation peer, long nowNanos) {
+        stalls.eventReceived(nowNanos).ifPresent(stall -> giveUpAll(stall, nowNanos));
         workers.find(peer).ifPresent(WorkerView::unlink);
-        release(ownership.unlinked(peer), "entry-unlinked", nowNanos);
+        ownership.unlinked(peer, nowNanos);
     }
 
     /**
@@ -259,9 +235,14 @@
      * @param nowNanos the current time, in ns
      */
     public void receive(Incarnation from, Message message, long nowNanos) {
+        stalls.messageReceived(from, message, nowNanos).ifPresent(stall -> giveUpAll(stall, nowNanos));
         if (message instanceof JobOwnershipUpdate update) {
             events.ownedByPeer(from, update, jobs);
-            release(ownership.updateReceived(from, update), "ended-there", nowNanos);
+            JobOwnership.Changes changes = ownership.updateReceived(from, update, nowNanos);
+            changes.surrendered().forEach(job -> surrender(job, nowNanos));
+            changes.freed().forEach(job -> resume(job, "ended-there", nowNanos));
+        } else if (message instanceof Peers linked) {
+            ownership.peersReported(from, linked);
         } else if (message instanceof YieldJob request) {
             yieldJob(from, request.job(), nowNanos);
         }
@@ -281,21 +262,50 @@
         }
     }
 
-    private void release(List<JobRequest> requests, String reason, long nowNanos) {
-        for (JobRequest request : requests) {
-            events.released(request.id(), reason);
-            admit(request, nowNanos);
+    /** Continues with a job that no other entry holds any more, or with the request that waits for that. */
+    private void resume(String id, String reason, long nowNanos) {
+        Optional<TrackedJob> job = jobs.find(id);
+        if (job.isEmpty() && !ownership.isHeldElsewhere(id)) {
+            ownership.removeAwaiting(id).ifPresent(waiting -> {
+                events.released(id, reason);
+                admit(waiting.request(), waiting.submittedNanos(), nowNanos);
+            });
         }
+        job.ifPresent(held -> place(held.request().queue().service(), nowNanos));
     }
 
     private void yieldJob(Incarnation from, String id, long nowNanos) {
+        output.logEvent(
+                "job-yielded",
+                "job=" + id + " entry=" + from + " held=" + jobs.find(id).isPresent());
+        surrender(id, nowNanos);
+        if (jobs.find(id).isEmpty()) {
+            ownership.denyHolding(from, id, nowNanos);
+        }
+    }
+
+    /** Gives up a job, or the request that waits for it, which its caller has submitted to another entry since. */
+    private void surrender(String id, long nowNanos) {
         Optional<TrackedJob> job = jobs.find(id);
-        output.logEvent("job-yielded", "job=" + id + " entry=" + from + " held=" + job.isPresent());
-        if (job.isEmpty()) {
-            output.send(from, new JobOwnershipUpdate(List.of(), List.of(id)));
-            return;
+        dropAwaiting(id, "sent again to another entry");
+        if (job.isPresent() && !job.get().answered()) {
+            conclude(job.get(), JobResult.givenUp("sent again to another entry"), nowNanos);
         }
-        conclude(job.get(), JobResult.givenUp("sent again to another entry"), nowNanos);
+    }
+
+    /** Gives up the request that waits for a job; returns false if there is none. */
+    private boolean dropAwaiting(String id, String reason) {
+        if (ownership.removeAwaiting(id).isEmpty()) {
+            return false;
+        }
+        if (jobs.find(id).isPresent()) {
+            ownership.ending(id);
+        } else {
+            ownership.ended(id);
+        }
+        events.released(id, reason);
+        output.answer(id, JobResult.givenUp(reason));
+        return true;
     }
 
     private void handleReport(WorkerView view, WorkerReport report, long nowNanos) {
@@ -318,22 +328,13 @@
         if (view.report().isEmpty()) {
             return;
         }
-        Resources freeCapacity = offer.resources();
-        Resources capacity = view.report().get().capacity();
         String service = view.report().get().service();
         QueueShares shares = jobs.shares(service, nowNanos);
         List<TrackedTask> chosen = new ArrayList<>();
-        for (TrackedJob job : jobs.queuedJobs(service, nowNanos)) {
-            for (TrackedTask task : job.tasks()) {
-                boolean queued = task.state() == TaskState.QUEUED;
-                boolean fits = queued && shares.withHeadroom(task, capacity).fits(freeCapacity);
-                if (fits && Placement.isSuitable(task, view, nowNanos)) {
-                    freeCapacity = freeCapacity.minus(task.step().need());
-                    chosen.add(task);
-                    assign(view, task);
-                }
-            }
-        }
+        Placement.fill(offer.resources(), queuedJobs(service, nowNanos), view, shares, nowNanos, task -> {
+            chosen.add(task);
+            assign(view, task);
+        });
         sendOrder(view, offer.number(), chosen, demandOf(service, nowNanos), nowNanos);
         events.flush(nowNanos);
     }
@@ -440,30 +441,17 @@
     /** Answers a job and stops its remaining runs. */
     private void conclude(TrackedJob job, JobResult result, long nowNanos) {
         job.markAnswered();
-        latencies.record(result.kind(), TimeUnit.NANOSECONDS.toMillis(nowNanos - job.arrivalNanos()));
-        events.answered(job, result, nowNanos);
-        if (!job.metTarget(result, nowNanos)) {
-            job.history().add(result.kind() + " " + result.reason(), nowNanos);
-            output.logEvent("job-trail", "job=" + job.id() + " trail=\"" + job.history() + "\"");
-        }
-        output.answer(job.id(), result);
-        Map<Incarnation, List<RunRef>> stops = new LinkedHashMap<>();
-        for (TrackedTask task : job.tasks()) {
-            if (task.state() == TaskState.ORDERED) {
-                stops.computeIfAbsent(task.agent().orElseThrow(), key -> new ArrayList<>())
-                        .add(task.ref());
-            } else {
-                task.markEnded();
-            }
-        }
-        stops.forEach((agent, runs) -> output.send(agent, new StopRuns(runs)));
+        ownership.ending(job.id());
+        answers.answer(job, result, nowNanos);
+        job.endTasksWithoutRun();
+        job.orderedRuns().forEach((agent, runs) -> output.send(agent, new StopRuns(runs)));
         removeIfDone(job, nowNanos);
     }
 
     private void removeIfDone(TrackedJob job, long nowNanos) {
         if (job.isDone() && jobs.remove(job)) {
             ownership.ended(job.id());
-            release(ownership.removeAwaiting(job.id()).stream().toList(), "ended-here", nowNanos);
+            resume(job.id(), "ended-here", nowNanos);
         }
     }
 
@@ -472,9 +460,16 @@
      *
      * @param id the job's ID
      * @param nowNanos the current time, in ns
-     * @return true if the job was held and unanswered
+     * @return true if the job was held and unanswered, or its request waited for an earlier submission
      */
     public boolean cancel(String id, long nowNanos) {
+        if (heldRequests.remove(id)) {
+            output.answer(id, JobResult.notRun("cancelled", 0));
+            return true;
+        }
+        if (dropAwaiting(id, "cancelled")) {
+            return true;
+        }
         Optional<TrackedJob> job = jobs.find(id);
         if (job.isEmpty() || job.get().answered()) {
             return false;
@@ -489,6 +484,8 @@
      * @param nowNanos the current time, in ns
      */
     public void tick(long nowNanos) {
+        stalls.ticked(nowNanos).ifPresent(stall -> giveUpAll(stall, nowNanos));
+        heldRequests.release(nowNanos).forEach(request -> submitRead(request, nowNanos));
         workers.updateRelativeSlowdowns();
         events.flush(nowNanos);
         for (WorkerView view : List.copyOf(workers.all())) {
@@ -498,16 +495,12 @@
         }
         for (TrackedJob job : jobs.all()) {
             if (!job.answered()) {
-                expire(job, nowNanos);
+                ExpiryRule.result(job, nowNanos).ifPresent(result -> conclude(job, result, nowNanos));
             }
         }
-        for (JobRequest request : ownership.removeExpired(nowNanos)) {
-            events.released(request.id(), "expired");
-            output.answer(request.id(), JobResult.givenUp("held by another entry"));
-        }
-        ownership
-                .pendingUpdate(nowNanos)
-                .ifPresent(update -> ownership.peers().forEach(peer -> output.send(peer, update)));
+        ownership.releaseLost(nowNanos).forEach(job -> resume(job, "leases-ended", nowNanos));
+        ownership.expired(nowNanos).forEach(id -> dropAwaiting(id, "held by another entry"));
+        ownership.sendUpdates(nowNanos);
         for (WorkerView view : workers.all()) {
             if (view.acceptsStarts()) {
                 place(view.report().orElseThrow().service(), nowNanos);
@@ -516,13 +509,17 @@
         }
     }
 
-    private void expire(TrackedJob job, long nowNanos) {
-        boolean deadlinePassed = nowNanos - job.request().deadlineNanos() >= 0;
-        boolean cannotFinish = job.hasQueued() && !JobOrder.canFinishBeforeExpiry(job, nowNanos);
-        if (deadlinePassed || cannotFinish) {
-            JobResult result =
-                    job.hasStarted() ? JobResult.givenUp("too late") : JobResult.notRun("too late", RETRY_AFTER_MILLIS);
-            conclude(job, result, nowNanos);
+    /** Gives up all jobs after a stall: other entries may have admitted them, and the leases of their runs have ended. */
+    private void giveUpAll(StallDetector.Stall stall, long nowNanos) {
+        heldRequests.stallEnded(nowNanos);
+        List<String> waiting = ownership.awaited();
+        output.logEvent(
+                "entry-stalled", stall.description() + " jobs=" + jobs.unanswered() + " waiting=" + waiting.size());
+        waiting.forEach(id -> dropAwaiting(id, "the entry stood still"));
+        for (TrackedJob job : jobs.all()) {
+            if (!job.answered()) {
+                conclude(job, JobResult.givenUp("the entry stood still"), nowNanos);
+            }
         }
     }
 
@@ -585,7 +582,7 @@
      * @return the histogram
      */
     public JobLatencies latencies() {
-        return latencies;
+        return answers.latencies();
     }
 
     /**
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
@@ -4,105 +4,251 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.PeerAddress;
+import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
+import org.knapweedmount.api.message.Peers;
+import org.knapweedmount.api.message.YieldJob;
 
 /**
- * Tracks which entry owns which job, so that a resubmitted job does not run twice at the same time.
+ * Tracks which entries hold which jobs, so that a resubmitted job does not run twice at the same time.
  *
- * <p>Entries exchange batched updates of which jobs they own and which have ended. The jobs of a lost entry are
- * dropped: by the time their callers resubmit them, the leases of their runs have expired.
+ * <p>Entries exchange batched updates of which jobs they hold, including those that wait for another entry, and which
+ * have ended. No run of a job is ordered while another entry holds it. Of two entries with one job the one with the
+ * older submission gives it up.
+ *
+ * <p>A lost link says nothing about the jobs of the entry at its other end: it holds them until its full list on a new
+ * link says otherwise, or until every lease that it can have had must have ended
+ * ({@link DispatchTimings#LOST_ENTRY_NANOS}) and no other entry is linked to it.
  */
 final class JobOwnership {
-    private final Map<String, Incarnation> owners = new HashMap<>();
+    private final DispatchOutput output;
+    private final OwnClaims claims = new OwnClaims();
+    private final Map<String, Set<Incarnation>> holders = new HashMap<>();
     private final Set<Incarnation> peers = new HashSet<>();
-    private final Map<String, JobRequest> waitingRequests = new LinkedHashMap<>();
-    private List<String> added = new ArrayList<>();
-    private List<String> ended = new ArrayList<>();
-    private long lastUpdateNanos;
+    private final Set<Incarnation> peersWithoutFullList = new LinkedHashSet<>();
+    private final Set<Incarnation> awaitedFullLists = new HashSet<>();
+    private final Map<Incarnation, Long> lostNanos = new LinkedHashMap<>();
+    private final Map<Incarnation, Set<Incarnation>> linkedToPeers = new HashMap<>();
+    private final Map<String, WaitingRequest> waitingRequests = new LinkedHashMap<>();
+
+    /**
+     * What an update of another entry leads to.
+     *
+     * @param freed the jobs that no other entry holds any more
+     * @param surrendered the jobs held here that the other entry holds by a newer submission
+     */
+    record Changes(List<String> freed, List<String> surrendered) {}
+
+    JobOwnership(DispatchOutput output) {
+        this.output = output;
+    }
 
     void linked(Incarnation peer) {
         peers.add(peer);
+        peersWithoutFullList.add(peer);
+        awaitedFullLists.add(peer);
+        lostNanos.remove(peer);
     }
 
-    /** Drops the jobs of a lost entry; returns the requests that were waiting for them. */
-    List<JobRequest> unlinked(Incarnation peer) {
-        peers.remove(peer);
-        List<JobRequest> released = new ArrayList<>();
-        owners.entrySet().removeIf(entry -> {
-            boolean ownedByPeer = entry.getValue().equals(peer);
-            if (ownedByPeer && waitingRequests.containsKey(entry.getKey())) {
-                released.add(waitingRequests.remove(entry.getKey()));
+    /** Keeps the jobs of an entry whose link is lost: the entry may be alive. */
+    void unlinked(Incarnation peer, long nowNanos) {
+        if (!peers.remove(peer)) {
+            return;
+        }
+        peersWithoutFullList.remove(peer);
+        awaitedFullLists.remove(peer);
+        linkedToPeers.remove(peer);
+        Set<String> held = heldBy(peer);
+        if (!held.isEmpty()) {
+            lostNanos.put(peer, nowNanos);
+            output.logEvent("jobs-kept", "entry=" + peer + " jobs=" + held.size() + " waiting=" + waiting(held));
+        }
+    }
+
+    private Set<String> heldBy(Incarnation peer) {
+        Set<String> held = new LinkedHashSet<>();
+        holders.forEach((job, entries) -> {
+            if (entries.contains(peer)) {
+                held.add(job);
             }
-            return ownedByPeer;
         });
-        return released;
+        return held;
+    }
+
+    private long waiting(Set<String> ids) {
+        return ids.stream().filter(waitingRequests::containsKey).count();
+    }
+
+    /** Drops the jobs of lost entries whose runs must have ended; returns those that no other entry holds any more. */
+    List<String> releaseLost(long nowNanos) {
+        List<String> freed = new ArrayList<>();
+        for (Map.Entry<Incarnation, Long> lost : List.copyOf(lostNanos.entrySet())) {
+            if (nowNanos - lost.getValue() <= DispatchTimings.LOST_ENTRY_NANOS || isLinkedToPeer(lost.getKey())) {
+                continue;
+            }
+            lostNanos.remove(lost.getKey());
+            Set<String> held = heldBy(lost.getKey());
+            output.logEvent(
+                    "jobs-released",
+                    "entry=" + lost.getKey() + " reason=leases-ended jobs=" + held.size() + " waiting=" + waiting(held)
+                            + " millis=" + TimeUnit.NANOSECONDS.toMillis(nowNanos - lost.getValue()));
+            freed.addAll(removeHolder(lost.getKey(), held));
+        }
+        return freed;
+    }
+
+    /** Records which entries another entry is linked to. */
+    void peersReported(Incarnation peer, Peers linked) {
+        if (peers.contains(peer)) {
+            linkedToPeers.put(
+                    peer,
+                    linked.entries().stream().map(PeerAddress::incarnation).collect(Collectors.toSet()));
+        }
+    }
+
+    /** Returns whether another entry is linked to an entry, which is then alive although cut off from this one. */
+    private boolean isLinkedToPeer(Incarnation entry) {
+        return linkedToPeers.values().stream().anyMatch(linked -> linked.contains(entry));
+    }
+
+    /** Removes a holder of jobs; returns those that no other entry holds any more. */
+    private List<String> removeHolder(Incarnation peer, Set<String> ids) {
+        List<String> freed = new ArrayList<>();
+        for (String job : ids) {
+            Set<Incarnation> entries = holders.get(job);
+            if (entries != null && entries.remove(peer) && entries.isEmpty()) {
+                holders.remove(job);
+                freed.add(job);
+            }
+        }
+        return freed;
     }
 
     Set<Incarnation> peers() {
         return peers;
     }
 
-    /** Applies the update of another entry; returns the requests that were waiting for jobs that have ended there. */
-    List<JobRequest> updateReceived(Incarnation peer, JobOwnershipUpdate update) {
-        update.owned().forEach(job -> owners.put(job, peer));
-        List<JobRequest> released = new ArrayList<>();
-        for (String job : update.ended()) {
-            owners.remove(job, peer);
-            JobRequest request = waitingRequests.remove(job);
-            if (request != null) {
-                released.add(request);
+    /** Applies the update of another entry. */
+    Changes updateReceived(Incarnation peer, JobOwnershipUpdate update, long nowNanos) {
+        if (!peers.contains(peer)) {
+            return new Changes(List.of(), List.of());
+        }
+        Set<String> endedThere = new LinkedHashSet<>(update.ended());
+        if (awaitedFullLists.remove(peer)) {
+            Set<String> dropped = heldBy(peer);
+            update.owned().forEach(claim -> dropped.remove(claim.job()));
+            if (!dropped.isEmpty()) {
+                output.logEvent(
+                        "jobs-released",
+                        "entry=" + peer + " reason=full-list jobs=" + dropped.size() + " waiting=" + waiting(dropped));
+            }
+            endedThere.addAll(dropped);
+        }
+        List<String> surrendered = new ArrayList<>();
+        for (JobClaim claim : update.owned()) {
+            holders.computeIfAbsent(claim.job(), key -> new LinkedHashSet<>()).add(peer);
+            if (isNewer(claim, peer, nowNanos)) {
+                surrendered.add(claim.job());
             }
         }
-        return released;
+        return new Changes(removeHolder(peer, endedThere), surrendered);
+    }
+
+    /** Returns whether another entry has a newer submission of a job held here; asks it to stop an older one. */
+    private boolean isNewer(JobClaim claim, Incarnation peer, long nowNanos) {
+        OptionalLong ownMillis = claims.ageMillis(claim.job(), nowNanos);
+        if (ownMillis.isEmpty()) {
+            return false;
+        }
+        boolean newer = claim.ageMillis() <= ownMillis.getAsLong();
+        output.logEvent(
+                "job-also-held",
+                "job=" + claim.job() + " entry=" + peer + " millis=" + claim.ageMillis() + " own-millis="
+                        + ownMillis.getAsLong() + " stays=" + (newer ? "there" : "here") + " waiting="
+                        + waitingRequests.containsKey(claim.job()));
+        if (!newer) {
+            output.send(peer, new YieldJob(claim.job()));
+        }
+        return newer;
+    }
+
+    /** Returns the other entries that hold a job. */
+    Set<Incarnation> holders(String job) {
+        return Set.copyOf(holders.getOrDefault(job, Set.of()));
     }
 
-    Optional<Incarnation> owner(String job) {
-        return Optional.ofNullable(owners.get(job));
+    boolean isHeldElsewhere(String job) {
+        return holders.containsKey(job);
     }
 
-    /** Holds back a request until no run of an earlier submission of its job is left. */
-    void awaitEnd(JobRequest request) {
-        waitingRequests.put(request.id(), request);
+    /** Holds back a request until no run of an earlier submission of its job is left, and asks for its end. */
+    void awaitEnd(JobRequest request, long nowNanos) {
+        waitingRequests.put(request.id(), new WaitingRequest(request, nowNanos));
+        claims.add(request.id(), nowNanos);
+        holders(request.id()).forEach(holder -> output.send(holder, new YieldJob(request.id())));
     }
 
     /** Removes and returns the request that waits for the end of a job's earlier submission. */
-    Optional<JobRequest> removeAwaiting(String job) {
+    Optional<WaitingRequest> removeAwaiting(String job) {
         return Optional.ofNullable(waitingRequests.remove(job));
     }
 
-    /** Removes and returns the requests whose callers no longer wait. */
-    List<JobRequest> removeExpired(long nowNanos) {
-        List<JobRequest> expired = waitingRequests.values().stream()
-                .filter(request -> nowNanos - request.deadlineNanos() > 0)
+    /** Returns the jobs for whose end a request waits. */
+    List<String> awaited() {
+        return List.copyOf(waitingRequests.keySet());
+    }
+
+    /** Returns the requests whose callers no longer wait. */
+    List<String> expired(long nowNanos) {
+        return waitingRequests.values().stream()
+                .filter(waiting -> nowNanos - waiting.request().deadlineNanos() > 0)
+                .map(waiting -> waiting.request().id())
                 .toList();
-        expired.forEach(request -> waitingRequests.remove(request.id()));
-        return expired;
     }
 
-    void added(String job) {
-        added.add(job);
+    /** Records that a job is held here. */
+    void held(String job, long submittedNanos) {
+        claims.add(job, submittedNanos);
+    }
+
+    /** Records that a job is answered and only its runs are left. */
+    void ending(String job) {
+        claims.markEnding(job);
     }
 
+    /** Records that no run of a job is left here; a request that waits for this holds the job from then on. */
     void ended(String job) {
-        ended.add(job);
+        if (!waitingRequests.containsKey(job)) {
+            claims.remove(job);
+        }
+    }
+
+    /** Tells an entry that a job is not held here. */
+    void denyHolding(Incarnation peer, String job, long nowNanos) {
+        sendFullList(peer, nowNanos);
+        output.send(peer, new JobOwnershipUpdate(List.of(), List.of(job)));
+    }
+
+    /** Sends the full list on new links and the changes on all others. */
+    void sendUpdates(long nowNanos) {
+        List.copyOf(peersWithoutFullList).forEach(peer -> sendFullList(peer, nowNanos));
+        claims.pendingUpdate(nowNanos).ifPresent(update -> peers.forEach(peer -> output.send(peer, update)));
     }
 
-    /** Returns the changes since the last update; empty if there are none or the minimum interval has not passed. */
-    Optional<JobOwnershipUpdate> pendingUpdate(long nowNanos) {
-        boolean nothing = added.isEmpty() && ended.isEmpty();
-        if (nothing || nowNanos - lastUpdateNanos < DispatchTimings.MIN_UPDATE_INTERVAL_NANOS) {
-            return Optional.empty();
+    private void sendFullList(Incarnation peer, long nowNanos) {
+        if (peersWithoutFullList.remove(peer)) {
+            output.send(peer, claims.fullList(nowNanos));
         }
-        lastUpdateNanos = nowNanos;
-        JobOwnershipUpdate update = new JobOwnershipUpdate(added, ended);
-        added = new ArrayList<>();
-        ended = new ArrayList<>();
-        return Optional.of(update);
     }
 }
--- a/standins/src/main/java/org/knapweedmount/standins/audit/LoggedRun.java
+++ b/standins/src/main/java/org/knapweedmount/standins/audit/LoggedRun.java
@@ -135,7 +135,7 @@
             return leaseEnd.getAsLong() + micros(LEASE_LINE_INTERVAL_MILLIS);
         }
         return switch (evidence) {
-            case "STOP_REPLY" ->
+            case "NEW_INCARNATION", "STOP_REPLY" ->
                 confirmed.isPresent()
                         ? released.getAsLong()
                         : released.getAsLong() + micros(MAX_LEASE_MILLIS + STOP_MILLIS);
