Test resubmissions while entries lose each other and stand still

OwnershipFleetTest runs three entries in virtual time for 60 s a seed: links between them are reset and cut, and they stand still with their clock going on or not, while jobs are submitted again to other entries.

Not modelled: a caller that leaves unnoticed while its request is unread, and two entries that no third one can reach.

--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleet.java
@@ -0,0 +1,347 @@
+package org.knapweedmount.core.dispatch;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.PeerAddress;
+import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.Role;
+import org.knapweedmount.api.message.LeaseRenewal;
+import org.knapweedmount.api.message.Message;
+import org.knapweedmount.api.message.Peers;
+import org.knapweedmount.api.message.RunOrder;
+import org.knapweedmount.api.message.RunsEnded;
+import org.knapweedmount.api.message.StopRuns;
+import org.knapweedmount.api.message.WorkerReport;
+import org.knapweedmount.api.work.RunOutcome;
+import org.knapweedmount.api.work.RunRef;
+import org.knapweedmount.api.work.RunResult;
+
+/**
+ * Entries in virtual time whose links to each other are reset and cut and that stand still, and an agent that starts
+ * what it is told to and ends the runs of an entry that it has not heard.
+ */
+final class OwnershipFleet {
+    private static final Incarnation AGENT = new Incarnation("agent", 100);
+    private static final int LEASE_MILLIS = 900;
+    private static final int MAX_ORDER_AGE_MILLIS = 500;
+    private static final int LINK_TIMEOUT_MILLIS = 1_500;
+    private static final int STOP_MILLIS = 30;
+
+    private final Random random;
+    private final PriorityQueue<Event> queue = new PriorityQueue<>();
+    private final List<Entry> entries = new ArrayList<>();
+    private final Set<Set<Entry>> upLinks = new HashSet<>();
+    private final Set<Set<Entry>> cutLinks = new HashSet<>();
+    private final Map<String, Set<Entry>> liveRuns = new HashMap<>();
+    private final List<String> violations = new ArrayList<>();
+    private long millis;
+    private long lastEvent;
+    private int started;
+
+    private record Event(long atMillis, long order, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(atMillis, other.atMillis);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    /** An entry; what arrives while it stands still is handled when it wakes. */
+    private static final class Entry {
+        private final Incarnation self;
+        private final Deque<Runnable> buffered = new ArrayDeque<>();
+        private final Set<RunRef> runs = new LinkedHashSet<>();
+        private Dispatcher dispatcher;
+        private long leaseMillis;
+        private long lostMillis;
+        private boolean still;
+
+        private Entry(Incarnation self) {
+            this.self = self;
+        }
+
+        private PeerAddress address() {
+            return new PeerAddress(self, Role.ENTRY, "region", "data-centre", "127.0.0.1", 1);
+        }
+    }
+
+    OwnershipFleet(long seed, int count) {
+        random = new Random(seed);
+        for (int number = 0; number < count; number++) {
+            Entry entry = new Entry(new Incarnation("entry-" + number, number));
+            entry.dispatcher = new Dispatcher(new Port(entry));
+            entries.add(entry);
+        }
+        for (Entry entry : entries) {
+            entry.dispatcher.agentLinked(AGENT, now(entry));
+            every(25, () -> {
+                if (!entry.still) {
+                    entry.dispatcher.tick(now(entry));
+                }
+            });
+            every(100, () -> report(entry));
+            entries.stream().filter(other -> other != entry).forEach(other -> link(entry, other));
+        }
+        every(10, this::endLapsedRuns);
+    }
+
+    Random random() {
+        return random;
+    }
+
+    int started() {
+        return started;
+    }
+
+    List<String> violations() {
+        return violations;
+    }
+
+    int entryCount() {
+        return entries.size();
+    }
+
+    void run(long untilMillis) {
+        while (!queue.isEmpty() && queue.peek().atMillis() <= untilMillis) {
+            Event event = queue.remove();
+            millis = event.atMillis();
+            event.action().run();
+        }
+    }
+
+    void after(long delayMillis, Runnable action) {
+        lastEvent++;
+        queue.add(new Event(millis + delayMillis, lastEvent, action));
+    }
+
+    private void every(long intervalMillis, Runnable action) {
+        after(intervalMillis, () -> {
+            action.run();
+            every(intervalMillis, action);
+        });
+    }
+
+    /** Returns the time by an entry's clock, in ns. */
+    private long now(Entry entry) {
+        return DispatchFixture.millisToNanos(millis - entry.lostMillis);
+    }
+
+    private void handle(Entry entry, Runnable action) {
+        if (entry.still) {
+            entry.buffered.add(action);
+        } else {
+            action.run();
+        }
+    }
+
+    void submit(int number, String job, int runMillis) {
+        Entry entry = entries.get(number);
+        handle(
+                entry,
+                () -> entry.dispatcher.submit(
+                        DispatchFixture.request(job, DispatchFixture.step(2, 1_000, runMillis))
+                                .dueBy(now(entry) + DispatchFixture.millisToNanos(4_000)),
+                        now(entry)));
+    }
+
+    /**
+     * Closes the connection of a caller. The entry reads that after the request; it may not notice it, but a connection
+     * that is closed while the entry stands still is found closed when it wakes.
+     */
+    void disconnect(int number, String job, boolean noticed) {
+        Entry entry = entries.get(number);
+        if (noticed || entry.still) {
+            handle(entry, () -> after(2, () -> entry.dispatcher.cancel(job, now(entry))));
+        }
+    }
+
+    private void link(Entry one, Entry other) {
+        if (one.still || other.still || cutLinks.contains(Set.of(one, other)) || !upLinks.add(Set.of(one, other))) {
+            return;
+        }
+        one.dispatcher.entryLinked(other.self);
+        other.dispatcher.entryLinked(one.self);
+        sendPeers(one);
+        sendPeers(other);
+    }
+
+    private void unlink(Entry one, Entry other) {
+        if (upLinks.remove(Set.of(one, other))) {
+            handle(one, () -> unlinked(one, other));
+            handle(other, () -> unlinked(other, one));
+        }
+    }
+
+    private void unlinked(Entry entry, Entry peer) {
+        entry.dispatcher.unlinked(peer.self, now(entry));
+        sendPeers(entry);
+    }
+
+    private void sendPeers(Entry entry) {
+        List<Entry> linked = entries.stream()
+                .filter(other -> other != entry && upLinks.contains(Set.of(entry, other)))
+                .toList();
+        linked.forEach(peer -> sendToEntry(
+                entry,
+                peer,
+                new Peers(linked.stream()
+                        .filter(other -> other != peer)
+                        .map(Entry::address)
+                        .toList())));
+    }
+
+    void resetLink(int first, int second) {
+        unlink(entries.get(first), entries.get(second));
+        after(100, () -> link(entries.get(first), entries.get(second)));
+    }
+
+    void cutLink(int first, int second, long durationMillis) {
+        Set<Entry> ends = Set.of(entries.get(first), entries.get(second));
+        cutLinks.add(ends);
+        after(Math.min(durationMillis, LINK_TIMEOUT_MILLIS), () -> unlink(entries.get(first), entries.get(second)));
+        after(durationMillis, () -> {
+            cutLinks.remove(ends);
+            link(entries.get(first), entries.get(second));
+        });
+    }
+
+    /** Lets an entry stand still; its clock goes on, or not if its VM is suspended. */
+    void standStill(int number, long durationMillis, boolean suspended) {
+        Entry entry = entries.get(number);
+        if (entry.still) {
+            return;
+        }
+        entry.still = true;
+        if (durationMillis > LINK_TIMEOUT_MILLIS) {
+            after(
+                    LINK_TIMEOUT_MILLIS,
+                    () -> entries.stream().filter(other -> other != entry).forEach(other -> unlink(entry, other)));
+        }
+        after(durationMillis, () -> {
+            entry.lostMillis += suspended ? durationMillis : 0;
+            entry.still = false;
+            List<Runnable> waiting = List.copyOf(entry.buffered);
+            entry.buffered.clear();
+            waiting.forEach(Runnable::run);
+            after(10, () -> entries.stream().filter(other -> other != entry).forEach(other -> link(entry, other)));
+        });
+    }
+
+    private void report(Entry entry) {
+        Resources capacity = new Resources(64_000, 65_536, 0);
+        long timestampNanos = DispatchFixture.millisToNanos(millis);
+        sendFromAgent(
+                entry,
+                new WorkerReport(
+                        timestampNanos, "service", "w", List.of(), capacity, capacity, true, Long.MAX_VALUE, 0, 100));
+    }
+
+    private void sendFromAgent(Entry entry, Message message) {
+        after(1, () -> handle(entry, () -> entry.dispatcher.receive(AGENT, message, now(entry))));
+    }
+
+    private void sendToEntry(Entry from, Entry to, Message message) {
+        if (!upLinks.contains(Set.of(from, to)) || cutLinks.contains(Set.of(from, to))) {
+            return;
+        }
+        after(1, () -> {
+            if (upLinks.contains(Set.of(from, to)) && !cutLinks.contains(Set.of(from, to))) {
+                handle(to, () -> to.dispatcher.receive(from.self, message, now(to)));
+            }
+        });
+    }
+
+    private void atAgent(Entry entry, Message message) {
+        if (message instanceof LeaseRenewal renewal) {
+            renew(entry, renewal.timestampNanos());
+        } else if (message instanceof StopRuns stop) {
+            stop.runs().forEach(ref -> after(STOP_MILLIS, () -> end(entry, ref, RunOutcome.STOPPED)));
+        } else if (message instanceof RunOrder order) {
+            renew(entry, order.timestampNanos());
+            boolean recent = millis - order.timestampNanos() / 1_000_000 <= MAX_ORDER_AGE_MILLIS;
+            order.jobs()
+                    .forEach(job -> job.runs().forEach(run -> {
+                        if (recent) {
+                            start(entry, run.ref(), run.expectedMillis());
+                        } else {
+                            sendResult(entry, run.ref(), RunOutcome.REFUSED);
+                        }
+                    }));
+        }
+    }
+
+    private void renew(Entry entry, long timestampNanos) {
+        entry.leaseMillis = Math.max(entry.leaseMillis, timestampNanos / 1_000_000 + LEASE_MILLIS);
+    }
+
+    private void start(Entry entry, RunRef ref, int runMillis) {
+        started++;
+        Set<Entry> holders = liveRuns.computeIfAbsent(ref.task(), key -> new HashSet<>());
+        if (!holders.isEmpty()) {
+            violations.add(millis + "ms " + ref + " of " + entry.self + " beside a run of "
+                    + holders.iterator().next().self);
+        }
+        holders.add(entry);
+        entry.runs.add(ref);
+        after(runMillis, () -> end(entry, ref, RunOutcome.DONE));
+    }
+
+    private void end(Entry entry, RunRef ref, RunOutcome outcome) {
+        if (entry.runs.remove(ref)) {
+            liveRuns.get(ref.task()).remove(entry);
+            sendResult(entry, ref, outcome);
+        }
+    }
+
+    private void sendResult(Entry entry, RunRef ref, RunOutcome outcome) {
+        sendFromAgent(entry, new RunsEnded(List.of(new RunResult(ref, outcome, 100, ""))));
+    }
+
+    private void endLapsedRuns() {
+        for (Entry entry : entries) {
+            if (millis > entry.leaseMillis) {
+                List.copyOf(entry.runs).forEach(ref -> end(entry, ref, RunOutcome.LAPSED));
+            }
+        }
+    }
+
+    private final class Port implements DispatchOutput {
+        private final Entry entry;
+
+        private Port(Entry entry) {
+            this.entry = entry;
+        }
+
+        @Override
+        public void send(Incarnation peer, Message message) {
+            if (peer.equals(AGENT)) {
+                after(1, () -> atAgent(entry, message));
+                return;
+            }
+            entries.stream()
+                    .filter(other -> other.self.equals(peer))
+                    .forEach(other -> sendToEntry(entry, other, message));
+        }
+
+        @Override
+        public void answer(String job, JobResult result) {
+            // Answers are not checked.
+        }
+
+        @Override
+        public void logEvent(String event, String detail) {
+            // Log events are not checked.
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleetTest.java
@@ -0,0 +1,75 @@
+package org.knapweedmount.core.dispatch;
+
+import java.util.stream.LongStream;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+/** Submits jobs again to other entries while entries lose each other and stand still. */
+class OwnershipFleetTest {
+    private static final int RESEND_MILLIS = 1_300;
+    private static final int DURATION_MILLIS = 60_000;
+
+    private static LongStream seeds() {
+        return LongStream.rangeClosed(1, Long.getLong("seeds", 80));
+    }
+
+    private static int other(OwnershipFleet fleet, int entry) {
+        return (entry + 1 + fleet.random().nextInt(fleet.entryCount() - 1)) % fleet.entryCount();
+    }
+
+    /** Submits a job, mostly breaks the connection after a time, and submits it again. */
+    private static void call(OwnershipFleet fleet, String job, int attempts) {
+        int entry = fleet.random().nextInt(fleet.entryCount());
+        fleet.submit(entry, job, 100 + fleet.random().nextInt(3_000));
+        if (attempts == 1 || fleet.random().nextInt(4) == 0) {
+            return;
+        }
+        int brokenAfterMillis = fleet.random().nextInt(1_500);
+        boolean noticed = fleet.random().nextInt(3) > 0;
+        fleet.after(brokenAfterMillis, () -> {
+            fleet.disconnect(entry, job, noticed);
+            fleet.after(RESEND_MILLIS, () -> call(fleet, job, attempts - 1));
+        });
+    }
+
+    private static void load(OwnershipFleet fleet, int number) {
+        fleet.after(40 + fleet.random().nextInt(80), () -> {
+            call(fleet, "%016x".formatted(number), 4);
+            load(fleet, number + 1);
+        });
+    }
+
+    private static void faults(OwnershipFleet fleet) {
+        fleet.after(200 + fleet.random().nextInt(5_000), () -> {
+            int entry = fleet.random().nextInt(fleet.entryCount());
+            switch (fleet.random().nextInt(4)) {
+                case 0 -> fleet.resetLink(entry, other(fleet, entry));
+                case 1 ->
+                    fleet.cutLink(
+                            entry, other(fleet, entry), 200 + fleet.random().nextInt(4_000));
+                case 2 -> fleet.standStill(entry, 200 + fleet.random().nextInt(5_000), false);
+                default -> fleet.standStill(entry, 200 + fleet.random().nextInt(5_000), true);
+            }
+            faults(fleet);
+        });
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void resubmittedJobsNeverRunTwiceAtTheSameTime(long seed) {
+        OwnershipFleet fleet = new OwnershipFleet(seed, 3);
+        fleet.after(200, () -> load(fleet, 1));
+        fleet.after(1_000, () -> faults(fleet));
+
+        fleet.run(DURATION_MILLIS);
+
+        assertThat(fleet.violations(), is(empty()));
+        assertThat(fleet.started(), is(greaterThan(300)));
+    }
+}
