Add a fault soak of the real programs, with signals and faults of workers

The programs of the prepared VMs run as separate processes against stand-ins of the store, the workers and the callers. What workers and callers see is checked: no two runs of one task, capacity, true refusals, complete jobs.

--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/RunHistory.java
@@ -0,0 +1,144 @@
+package org.knapweedmount.standins.soak;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Checks the rules from what workers and callers see.
+ *
+ * <p>Times are in ms since the start of the soak. Events have to be reported in the order in which they happen.
+ *
+ * <p>Not thread-safe.
+ */
+final class RunHistory {
+    private final Map<String, Job> jobs = new HashMap<>();
+    private final Map<String, List<Run>> runsByTask = new HashMap<>();
+    private final Map<String, Integer> usedByWorker = new HashMap<>();
+    private final Map<CallerAnswer, Integer> answers = new EnumMap<>(CallerAnswer.class);
+    private final List<Violation> violations = new ArrayList<>();
+    private int starts;
+
+    private static final class Job {
+        private final int tasks;
+        private final Set<String> done = new HashSet<>();
+        private final List<String> attempts = new ArrayList<>();
+        private int unanswered;
+        private int answered;
+        private int refused;
+        private boolean started;
+        private long startMillis;
+
+        private Job(int tasks) {
+            this.tasks = tasks;
+        }
+    }
+
+    private static final class Run {
+        private final String worker;
+        private final String text;
+        private final int milliCores;
+        private String end = "";
+
+        private Run(String worker, String text, int milliCores) {
+            this.worker = worker;
+            this.text = text;
+            this.milliCores = milliCores;
+        }
+
+        @Override
+        public String toString() {
+            return end.isEmpty() ? text + " running" : text + end;
+        }
+    }
+
+    /** Records that a caller sends a job, for the first time or again. */
+    void submitted(String jobId, int tasks, String entry, long millis) {
+        Job job = jobs.computeIfAbsent(jobId, id -> new Job(tasks));
+        job.unanswered++;
+        job.attempts.add("to " + entry + " at " + millis);
+    }
+
+    /** Records the answer to the oldest attempt of a job that has none. */
+    void answered(String jobId, CallerAnswer answer, long millis) {
+        Job job = jobs.get(jobId);
+        job.unanswered--;
+        job.answered++;
+        job.refused += answer == CallerAnswer.NOT_RUN ? 1 : 0;
+        job.attempts.add(answer + " at " + millis);
+        answers.merge(answer, 1, Integer::sum);
+        if (answer == CallerAnswer.COMPLETED && job.done.size() < job.tasks) {
+            String detail = "job " + jobId + ": " + job.done.size() + " of " + job.tasks + " tasks done; ";
+            violations.add(new Violation(Violation.Rule.MIXED, millis, detail + job.attempts));
+        }
+    }
+
+    /** Records that a worker of a capacity starts a run; the worker's name contains its incarnation. */
+    void started(String worker, int capacity, String task, int number, int milliCores, long millis) {
+        starts++;
+        Job job = jobs.computeIfAbsent(jobOf(task), id -> new Job(0));
+        if (!job.started) {
+            job.started = true;
+            job.startMillis = millis;
+        }
+        List<Run> runs = runsByTask.computeIfAbsent(task, name -> new ArrayList<>());
+        boolean twice = runs.stream().anyMatch(run -> run.end.isEmpty());
+        runs.add(new Run(worker, "run " + number + " at " + worker + " from " + millis, milliCores));
+        if (twice) {
+            String detail = "task " + task + ": " + runs + "; job sent " + job.attempts;
+            violations.add(new Violation(Violation.Rule.TWICE, millis, detail));
+        }
+        int used = usedByWorker.merge(worker, milliCores, Integer::sum);
+        if (used > capacity) {
+            String detail = "worker " + worker + ": " + used + " of " + capacity + " with " + task + " run " + number;
+            violations.add(new Violation(Violation.Rule.LIMIT, millis, detail));
+        }
+    }
+
+    /** Records the end of a run that {@link #started} has recorded. */
+    void ended(String worker, String task, int number, RunEnd how, long millis) {
+        Run ended = runsByTask.get(task).stream()
+                .filter(run ->
+                        run.end.isEmpty() && run.worker.equals(worker) && run.text.startsWith("run " + number + " "))
+                .findFirst()
+                .orElseThrow(() -> new IllegalStateException("run " + number + " of " + task + " is not running"));
+        ended.end = " to " + millis + " " + how.text();
+        usedByWorker.merge(worker, -ended.milliCores, Integer::sum);
+        if (how == RunEnd.DONE) {
+            jobs.get(jobOf(task)).done.add(task);
+        }
+    }
+
+    private static String jobOf(String task) {
+        return task.substring(0, task.indexOf('.'));
+    }
+
+    /** Returns the broken rules so far, with the jobs whose answers "not run" are not true. */
+    List<Violation> violations() {
+        List<Violation> all = new ArrayList<>(violations);
+        jobs.forEach((id, job) -> {
+            boolean allRefused = job.answered > 0 && job.unanswered == 0 && job.refused == job.answered;
+            if (job.started && allRefused) {
+                String detail = "job " + id + " started at " + job.startMillis + "; " + job.attempts;
+                all.add(new Violation(Violation.Rule.REFUSED, job.startMillis, detail));
+            }
+        });
+        return all;
+    }
+
+    /** Returns the numbers of jobs, of attempts by answer, and of starts, as text. */
+    String summary() {
+        long again =
+                runsByTask.values().stream().filter(runs -> runs.size() > 1).count();
+        return jobs.size() + " jobs, attempts answered " + answers + ", " + starts + " starts of " + runsByTask.size()
+                + " tasks, " + again + " tasks started more than once";
+    }
+
+    int completedJobs() {
+        return answers.getOrDefault(CallerAnswer.COMPLETED, 0);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakProcess.java
@@ -0,0 +1,95 @@
+package org.knapweedmount.standins.soak;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.tinylog.Logger;
+
+/** One program of the prepared VMs, which is started again and again; thread-safe. */
+final class SoakProcess {
+    private static final String SETTINGS_VARIABLE = "KNAPWEEDMOUNT_NODE_FILE";
+
+    private final String name;
+    private final List<String> command;
+    private final Path root;
+    private final Path settings;
+    private final Path log;
+    private final Runnable changed;
+    private Optional<Process> process = Optional.empty();
+
+    SoakProcess(String name, List<String> command, Path root, Path settings, Path log, Runnable changed) {
+        this.name = name;
+        this.command = List.copyOf(command);
+        this.root = root;
+        this.settings = settings;
+        this.log = log;
+        this.changed = changed;
+    }
+
+    String name() {
+        return name;
+    }
+
+    /** Returns the ID of the process, empty if it does not run. */
+    synchronized Optional<Long> id() {
+        return process.filter(Process::isAlive).map(Process::pid);
+    }
+
+    /** Starts the process unless it runs. */
+    void start() throws IOException {
+        synchronized (this) {
+            if (id().isPresent()) {
+                return;
+            }
+            ProcessBuilder builder = new ProcessBuilder(command)
+                    .directory(root.toFile())
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+            builder.environment().put(SETTINGS_VARIABLE, settings.toString());
+            process = Optional.of(builder.start());
+        }
+        changed.run();
+    }
+
+    /** Sends SIGKILL and waits for the end. */
+    void kill() throws InterruptedException {
+        Optional<Process> killed = current();
+        if (killed.isPresent()) {
+            killed.get().destroyForcibly().waitFor();
+        }
+        changed.run();
+    }
+
+    /** Sends SIGTERM, then SIGKILL if the process has not ended in time. */
+    void stop(int graceMillis) throws InterruptedException {
+        Optional<Process> stopping = current();
+        if (stopping.isEmpty()) {
+            return;
+        }
+        stopping.get().destroy();
+        if (!stopping.get().waitFor(graceMillis, TimeUnit.MILLISECONDS)) {
+            Logger.info("{} has not ended within {} ms of SIGTERM", name, graceMillis);
+            stopping.get().destroyForcibly().waitFor();
+        }
+        changed.run();
+    }
+
+    private synchronized Optional<Process> current() {
+        return process.filter(Process::isAlive);
+    }
+
+    /** Sends a signal, such as STOP or CONT, if the process runs. */
+    void signal(String signal) throws IOException, InterruptedException {
+        Optional<Long> id = id();
+        if (id.isPresent()) {
+            new ProcessBuilder("kill", "-" + signal, Long.toString(id.get()))
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                    .start()
+                    .waitFor();
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakStore.java
@@ -0,0 +1,162 @@
+package org.knapweedmount.standins.soak;
+
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import org.knapweedmount.api.ParseException;
+import org.knapweedmount.standins.support.HostPort;
+import org.knapweedmount.standins.support.JsonHttp;
+
+/**
+ * Stand-in of the platform's store: rows with one version counter for all tables, conditional writes and long polls.
+ *
+ * <p>Confined to one event loop.
+ */
+final class SoakStore {
+    private static final String CONFIG_TABLE = "op";
+    private static final String CONFIG_KEY = "config";
+    private static final int OK = 200;
+    private static final int PRECONDITION_FAILED = 412;
+
+    private final Vertx vertx;
+    private final Map<String, NavigableMap<String, Row>> tables = new TreeMap<>();
+    private final List<Runnable> polls = new ArrayList<>();
+    private long version;
+
+    private record Row(String table, String key, String value, long version) {
+        private ObjectNode json() {
+            return JsonNodeFactory.instance
+                    .objectNode()
+                    .put("table", table)
+                    .put("part", "")
+                    .put("key", key)
+                    .put("value", value)
+                    .put("ver", version);
+        }
+    }
+
+    SoakStore(Vertx vertx) {
+        this.vertx = vertx;
+    }
+
+    Future<HttpServer> listen(HostPort address) {
+        return vertx.createHttpServer().requestHandler(this::handle).listen(address.port(), address.host());
+    }
+
+    /** Writes a version of the operator's configuration. */
+    void writeConfig(JsonNode config) {
+        put(
+                CONFIG_TABLE,
+                CONFIG_KEY,
+                Base64.getEncoder().encodeToString(JsonHttp.encode(config).getBytes()));
+        wakePolls();
+    }
+
+    private void put(String table, String key, String value) {
+        version++;
+        rows(table).put(key, new Row(table, key, value, version));
+    }
+
+    private NavigableMap<String, Row> rows(String table) {
+        return tables.computeIfAbsent(table, name -> new TreeMap<>());
+    }
+
+    private void wakePolls() {
+        List<Runnable> waiting = List.copyOf(polls);
+        polls.clear();
+        waiting.forEach(Runnable::run);
+    }
+
+    private void handle(HttpServerRequest request) {
+        request.body().onSuccess(body -> {
+            try {
+                switch (request.path()) {
+                    case "/api/rows-get" -> get(request);
+                    case "/api/rows-feed" -> follow(request);
+                    case "/api/rows-tx" -> transact(request, JsonHttp.parse(body));
+                    default -> JsonHttp.respond(request, 404);
+                }
+            } catch (ParseException e) {
+                JsonHttp.respond(request, 400, e.getMessage());
+            }
+        });
+    }
+
+    private void get(HttpServerRequest request) {
+        String from = request.getParam("from", "");
+        int limit = Integer.parseInt(request.getParam("limit", "500"));
+        List<Row> found = rows(request.getParam("table")).tailMap(from, true).values().stream()
+                .limit(limit)
+                .toList();
+        JsonHttp.respond(request, OK, answer(found));
+    }
+
+    private void follow(HttpServerRequest request) {
+        long after = Long.parseLong(request.getParam("after"));
+        if (changed(request, after).isEmpty()) {
+            Runnable poll = () -> JsonHttp.respond(request, OK, answer(changed(request, after)));
+            polls.add(poll);
+            vertx.setTimer(Long.parseLong(request.getParam("waitMs")), timer -> {
+                if (polls.remove(poll)) {
+                    poll.run();
+                }
+            });
+            return;
+        }
+        JsonHttp.respond(request, OK, answer(changed(request, after)));
+    }
+
+    private List<Row> changed(HttpServerRequest request, long after) {
+        return rows(request.getParam("table")).values().stream()
+                .filter(row -> row.version > after)
+                .toList();
+    }
+
+    private void transact(HttpServerRequest request, JsonNode body) {
+        List<Row> conflicts = new ArrayList<>();
+        boolean holds = true;
+        for (JsonNode condition : body.path("precondition")) {
+            Row row = rows(condition.path("table").asText())
+                    .get(condition.path("key").asText());
+            long found = row == null ? 0 : row.version;
+            if (found != condition.path("ver").asLong()) {
+                holds = false;
+                if (row != null) {
+                    conflicts.add(row);
+                }
+            }
+        }
+        if (holds) {
+            for (JsonNode write : body.path("writes")) {
+                put(
+                        write.path("table").asText(),
+                        write.path("key").asText(),
+                        write.path("value").asText());
+            }
+            for (JsonNode remove : body.path("remove")) {
+                version++;
+                rows(remove.path("table").asText()).remove(remove.path("key").asText());
+            }
+        }
+        JsonHttp.respond(request, holds ? OK : PRECONDITION_FAILED, answer(conflicts));
+    }
+
+    private ObjectNode answer(List<Row> found) {
+        ObjectNode answer = JsonNodeFactory.instance.objectNode();
+        ArrayNode array = answer.putArray("rows");
+        found.forEach(row -> array.add(row.json()));
+        return answer.put("hasMore", false).put("ver", version).put("nowMs", System.nanoTime() / 1_000_000);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/Violation.java
@@ -0,0 +1,22 @@
+package org.knapweedmount.standins.soak;
+
+/**
+ * A broken rule.
+ *
+ * @param rule the rule
+ * @param millis the time since the start of the soak, in ms
+ * @param detail the runs or answers that break it
+ */
+record Violation(Rule rule, long millis, String detail) {
+    /** The rules that hold whatever fails. */
+    enum Rule {
+        /** A task has two runs at the same time. */
+        TWICE,
+        /** The runs of a worker need more than its capacity. */
+        LIMIT,
+        /** A task runs although each attempt to submit its job was answered "not run". */
+        REFUSED,
+        /** A job is answered completed before each of its tasks has ended done. */
+        MIXED
+    }
+}
