--- a/standins/src/main/java/org/knapweedmount/standins/soak/FaultInjector.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/FaultInjector.java
@@ -18,6 +18,8 @@
     private static final double ABANDONED_SHARE = 0.3;
     private static final double BURST_FACTOR = 1.8;
     private static final int CONFIG_SERIES_MILLIS = 400;
+    private static final int MIN_DELAY_MILLIS = 10;
+    private static final int MAX_DELAY_MILLIS = 250;
 
     private final SoakSite site;
     private final SoakPrograms programs;
@@ -88,7 +90,7 @@
 
     private String target(Fault fault) {
         return switch (fault.kind()) {
-            case KILL, PLANNED_STOP, FREEZE ->
+            case KILL, PLANNED_STOP, FREEZE, LINK_RESET, LINK_CUT, LINK_SILENCE, LINK_ONE_WAY, LINK_DELAY ->
                 programs.all().get(fault.target() % programs.all().size()).name();
             case KILL_ALL, CONFIG, ABANDONED, BURST -> "all";
             default -> "worker-" + (1 + fault.target() % site.workers().size());
@@ -126,10 +128,44 @@
                 site.callers().rate(site.rate() * BURST_FACTOR);
                 later(millis, () -> site.callers().rate(site.rate()));
             }
+            case LINK_RESET, LINK_CUT, LINK_SILENCE, LINK_ONE_WAY, LINK_DELAY -> injectIntoLinks(fault);
             default -> throw new IllegalArgumentException("fault " + fault.kind() + " concerns processes");
         }
     }
 
+    /** Changes all links of a process, or those to one entry. */
+    private void injectIntoLinks(Fault fault) {
+        LinkRelays relays = site.relays();
+        int count = programs.all().size();
+        String process = programs.all().get(fault.target() % count).name();
+        int choice = fault.target() / count;
+        List<LinkConditions> all = relays.of(process);
+        boolean one = choice % 2 == 0 && !all.isEmpty();
+        List<LinkConditions> links = one ? List.of(all.get(choice / 2 % all.size())) : all;
+        int millis = fault.durationMillis();
+        switch (fault.kind()) {
+            case LINK_RESET -> relays.reset(process);
+            case LINK_CUT -> {
+                links.forEach(link -> link.refuse(true));
+                relays.reset(process);
+                later(millis, () -> links.forEach(link -> link.refuse(false)));
+            }
+            case LINK_DELAY -> {
+                links.forEach(link -> link.delay(MIN_DELAY_MILLIS + fault.target() % MAX_DELAY_MILLIS));
+                later(millis, () -> links.forEach(LinkConditions::resetDelay));
+            }
+            default -> {
+                boolean bothWays = fault.kind() == FaultKind.LINK_SILENCE;
+                boolean toEntry = choice % 4 < 2;
+                links.forEach(link -> link.hold(bothWays || toEntry, bothWays || !toEntry));
+                later(millis, () -> {
+                    links.forEach(link -> link.hold(false, false));
+                    relays.drain();
+                });
+            }
+        }
+    }
+
     private void loseAnswers(SoakWorker worker, double lost, double late, long millis) {
         worker.loseAnswers(lost, late);
         later(millis, () -> worker.loseAnswers(0, 0));
--- a/standins/src/main/java/org/knapweedmount/standins/soak/FaultKind.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/FaultKind.java
@@ -27,7 +27,17 @@
     /** Some callers disconnect early. */
     ABANDONED(4),
     /** More jobs than usual. */
-    BURST(4);
+    BURST(4),
+    /** The links of a process are reset. */
+    LINK_RESET(14),
+    /** Links of a process are reset, and new ones too until the fault's time is over. */
+    LINK_CUT(6),
+    /** The messages on links of a process are held back in both directions, and passed on late. */
+    LINK_SILENCE(6),
+    /** The messages on links of a process are held back in one direction, and passed on late. */
+    LINK_ONE_WAY(6),
+    /** The messages on links of a process take longer. */
+    LINK_DELAY(5);
 
     private final int weight;
 
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakAddresses.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakAddresses.java
@@ -53,6 +53,22 @@
         return subnet + ".1." + number;
     }
 
+    /** Returns the address under which the other programs reach an entry. */
+    String relayHost(int entry) {
+        return subnet + ".4." + entry;
+    }
+
+    /** Replaces the address of an entry by that of its relay. */
+    String relayed(String host) {
+        String entries = subnet + ".1.";
+        return host.startsWith(entries) ? subnet + ".4." + host.substring(entries.length()) : host;
+    }
+
+    /** Replaces the address of an entry in its row by that of its relay. */
+    String relayedRow(String row) {
+        return row.replace("\"" + subnet + ".1.", "\"" + subnet + ".4.");
+    }
+
     String agentHost(int number) {
         return subnet + ".2." + number;
     }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakPrograms.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakPrograms.java
@@ -65,7 +65,7 @@
                 .put("stopSeconds", GRACE_MILLIS / MILLIS_PER_SECOND);
         ArrayNode seeds = settings.putArray("seeds");
         for (int entry = 1; entry <= entryCount; entry++) {
-            seeds.add(addresses.announcements(addresses.entryHost(entry)).toString());
+            seeds.add(addresses.announcements(addresses.relayHost(entry)).toString());
         }
         return settings;
     }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakSite.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakSite.java
@@ -25,12 +25,14 @@
     private final List<SoakWorker> workers = new ArrayList<>();
     private final SoakConfig config = new SoakConfig();
     private final SoakStore store;
+    private final LinkRelays relays;
     private final SoakCallers callers;
 
     SoakSite(Vertx vertx, SoakOptions options, SoakAddresses addresses) {
         this.options = options;
         this.addresses = addresses;
-        this.store = new SoakStore(vertx);
+        this.store = new SoakStore(vertx, addresses::relayedRow);
+        this.relays = new LinkRelays(vertx, addresses);
         Random random = new Random(options.seed());
         List<HostPort> entries = new ArrayList<>();
         for (int entry = 1; entry <= options.entries(); entry++) {
@@ -51,11 +53,14 @@
         workerSite.start(vertx);
     }
 
-    /** Starts the store and the workers. */
+    /** Starts the store, the relays and the workers. */
     Future<Void> start() {
         store.writeConfig(config.next());
         List<Future<?>> servers = new ArrayList<>();
         servers.add(store.listen(addresses.store()));
+        for (int entry = 1; entry <= options.entries(); entry++) {
+            servers.add(relays.listen(entry));
+        }
         workers.forEach(worker -> servers.add(worker.listen()));
         return Future.all(servers).map(listening -> {
             workers.forEach(worker -> worker.begin(false));
@@ -75,6 +80,10 @@
         return callers;
     }
 
+    LinkRelays relays() {
+        return relays;
+    }
+
     RunHistory history() {
         return history;
     }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakStore.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakStore.java
@@ -1,11 +1,13 @@
 package org.knapweedmount.standins.soak;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.TreeMap;
+import java.util.function.UnaryOperator;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -31,6 +33,7 @@
     private static final int PRECONDITION_FAILED = 412;
 
     private final Vertx vertx;
+    private final UnaryOperator<String> writtenRow;
     private final Map<String, NavigableMap<String, Row>> tables = new TreeMap<>();
     private final List<Runnable> polls = new ArrayList<>();
     private long version;
@@ -47,8 +50,10 @@
         }
     }
 
-    SoakStore(Vertx vertx) {
+    /** Creates an empty store that changes the text of each row that a program writes by a function. */
+    SoakStore(Vertx vertx, UnaryOperator<String> writtenRow) {
         this.vertx = vertx;
+        this.writtenRow = writtenRow;
     }
 
     Future<HttpServer> listen(HostPort address) {
@@ -57,13 +62,18 @@
 
     /** Writes a version of the operator's configuration. */
     void writeConfig(JsonNode config) {
-        put(
-                CONFIG_TABLE,
-                CONFIG_KEY,
-                Base64.getEncoder().encodeToString(JsonHttp.encode(config).getBytes()));
+        put(CONFIG_TABLE, CONFIG_KEY, encode(JsonHttp.encode(config).toString()));
         wakePolls();
     }
 
+    private static String encode(String text) {
+        return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String decode(String value) {
+        return new String(Base64.getDecoder().decode(value), StandardCharsets.UTF_8);
+    }
+
     private void put(String table, String key, String value) {
         version++;
         rows(table).put(key, new Row(table, key, value, version));
@@ -143,7 +153,7 @@
                 put(
                         write.path("table").asText(),
                         write.path("key").asText(),
-                        write.path("value").asText());
+                        encode(writtenRow.apply(decode(write.path("value").asText()))));
             }
             for (JsonNode remove : body.path("remove")) {
                 version++;
