--- a/standins/src/main/java/org/knapweedmount/standins/soak/FaultInjector.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/FaultInjector.java
@@ -92,6 +92,10 @@
         return switch (fault.kind()) {
             case KILL, PLANNED_STOP, FREEZE, LINK_RESET, LINK_CUT, LINK_SILENCE, LINK_ONE_WAY, LINK_DELAY ->
                 programs.all().get(fault.target() % programs.all().size()).name();
+            case CALLERS_SILENT ->
+                programs.entries()
+                        .get(fault.target() % programs.entries().size())
+                        .name();
             case KILL_ALL, CONFIG, ABANDONED, BURST -> "all";
             default -> "worker-" + (1 + fault.target() % site.workers().size());
         };
@@ -128,6 +132,11 @@
                 site.callers().rate(site.rate() * BURST_FACTOR);
                 later(millis, () -> site.callers().rate(site.rate()));
             }
+            case CALLERS_SILENT -> {
+                int entry = 1 + fault.target() % programs.entries().size();
+                site.holdCallers(entry, true);
+                later(millis, () -> site.holdCallers(entry, false));
+            }
             case LINK_RESET, LINK_CUT, LINK_SILENCE, LINK_ONE_WAY, LINK_DELAY -> injectIntoLinks(fault);
             default -> throw new IllegalArgumentException("fault " + fault.kind() + " concerns processes");
         }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/FaultKind.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/FaultKind.java
@@ -28,6 +28,8 @@
     ABANDONED(4),
     /** More jobs than usual. */
     BURST(4),
+    /** All bytes between an entry and its callers are held back, and passed on late. */
+    CALLERS_SILENT(8),
     /** The links of a process are reset. */
     LINK_RESET(14),
     /** Links of a process are reset, and new ones too until the fault's time is over. */
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakAddresses.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakAddresses.java
@@ -77,6 +77,11 @@
         return new HostPort(entryHost(entry), CALLERS_PORT);
     }
 
+    /** Returns the address of the relay through which callers reach an entry. */
+    HostPort callerRelay(int entry) {
+        return new HostPort(subnet + ".5." + entry, CALLERS_PORT);
+    }
+
     HostPort readiness(int entry) {
         return new HostPort(entryHost(entry), READINESS_PORT);
     }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakPrograms.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakPrograms.java
@@ -113,7 +113,7 @@
     /** Ends all processes. */
     void close() throws IOException, InterruptedException {
         for (SoakProcess process : all()) {
-            process.kill();
+            process.close();
         }
         watchdog.close();
     }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakRun.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakRun.java
@@ -18,7 +18,7 @@
 import org.tinylog.Logger;
 
 /** One soak, from the start of the programs to their end. */
-final class SoakRun {
+public final class SoakRun {
     private static final int READY_TIMEOUT_SECONDS = 90;
     private static final int READY_CHECK_MILLIS = 200;
     private static final int CALM_START_MILLIS = 4_000;
@@ -39,9 +39,15 @@
      * @param completedJobs the number of answers "completed"
      * @param violations the broken rules
      */
-    record Result(Path directory, String summary, int completedJobs, List<Violation> violations) {}
+    public record Result(Path directory, String summary, int completedJobs, List<Violation> violations) {}
 
-    SoakRun(SoakOptions options) throws IOException {
+    /**
+     * Prepares a soak.
+     *
+     * @param options its size and seed
+     * @throws IOException if the folder for the logs cannot be created or no addresses are free
+     */
+    public SoakRun(SoakOptions options) throws IOException {
         this.options = options;
         this.addresses = SoakAddresses.find();
         Path root = Path.of(options.root()).toAbsolutePath().normalize();
@@ -50,8 +56,15 @@
         this.directory = Files.createTempDirectory(logs, "seed-" + options.seed() + "-");
     }
 
-    /** Runs the soak; ends all processes also if it fails. */
-    Result run() throws IOException, InterruptedException, ExecutionException {
+    /**
+     * Runs the soak; ends all processes also if it fails.
+     *
+     * @return what it found
+     * @throws IOException if a program cannot be started or is not ready in time
+     * @throws InterruptedException if the thread is interrupted
+     * @throws ExecutionException if a stand-in cannot listen on its address
+     */
+    public Result run() throws IOException, InterruptedException, ExecutionException {
         Path root = Path.of(options.root()).toAbsolutePath().normalize();
         SoakPrograms programs = new SoakPrograms(root, directory, addresses, options.entries(), options.agents());
         try {
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakSite.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakSite.java
@@ -26,6 +26,7 @@
     private final SoakConfig config = new SoakConfig();
     private final SoakStore store;
     private final LinkRelays relays;
+    private final CallerRelays callerRelays;
     private final SoakCallers callers;
 
     SoakSite(Vertx vertx, SoakOptions options, SoakAddresses addresses) {
@@ -33,10 +34,11 @@
         this.addresses = addresses;
         this.store = new SoakStore(vertx, addresses::relayedRow);
         this.relays = new LinkRelays(vertx, addresses);
+        this.callerRelays = new CallerRelays(vertx);
         Random random = new Random(options.seed());
         List<HostPort> entries = new ArrayList<>();
         for (int entry = 1; entry <= options.entries(); entry++) {
-            entries.add(addresses.callers(entry));
+            entries.add(addresses.callerRelay(entry));
         }
         this.callers = new SoakCallers(vertx, workerSite::nowMillis, history, entries, new Random(random.nextLong()));
         for (int agent = 1; agent <= options.agents(); agent++) {
@@ -60,6 +62,7 @@
         servers.add(store.listen(addresses.store()));
         for (int entry = 1; entry <= options.entries(); entry++) {
             servers.add(relays.listen(entry));
+            servers.add(callerRelays.listen(addresses.callerRelay(entry), addresses.callers(entry)));
         }
         workers.forEach(worker -> servers.add(worker.listen()));
         return Future.all(servers).map(listening -> {
@@ -84,6 +87,15 @@
         return relays;
     }
 
+    /** Holds back all bytes between an entry and its callers, or passes them on again. */
+    void holdCallers(int entry, boolean held) {
+        if (held) {
+            callerRelays.hold(addresses.callers(entry));
+        } else {
+            callerRelays.release(addresses.callers(entry));
+        }
+    }
+
     RunHistory history() {
         return history;
     }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakWorker.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakWorker.java
@@ -23,6 +23,7 @@
 import org.knapweedmount.daemon.store.Exchange;
 import org.knapweedmount.standins.support.HostPort;
 import org.knapweedmount.standins.support.JsonHttp;
+import org.tinylog.Logger;
 
 /**
  * Stand-in of the worker of one VM: takes orders, announces itself to its agent, crashes and comes back.
@@ -85,6 +86,7 @@
             return;
         }
         connections.add(connection);
+        connection.exceptionHandler(failure -> Logger.debug(failure, "connection of an agent failed"));
         connection.closeHandler(closed -> connections.remove(connection));
     }
 
--- a/standins/src/main/java/org/knapweedmount/standins/soak/Violation.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/Violation.java
@@ -7,9 +7,9 @@
  * @param millis the time since the start of the soak, in ms
  * @param detail the runs or answers that break it
  */
-record Violation(Rule rule, long millis, String detail) {
+public record Violation(Rule rule, long millis, String detail) {
     /** The rules that hold whatever fails. */
-    enum Rule {
+    public enum Rule {
         /** A task has two runs at the same time. */
         TWICE,
         /** The runs of a worker need more than its capacity. */
