Acknowledge no orders that were not sent on the current link

An entry could take a worker for emptier than it is after its link to the agent had been lost: it forgets an agent that is unlinked and silent for 1.1 s and numbers its orders from 1 again, while the agent still reported the number of the last order on an earlier link. Each report then acknowledged orders that had not arrived, so that the entry counted their capacity as free and ordered runs that were refused.

The number of the last order now starts at 0 on each link. An entry that remembers the agent has cleared its unacknowledged orders with the link and counts on.

On the code before, reportOnANewLinkAcknowledgesNoOrdersThatWereNotSentOnIt fails with "Expected: is <0L> but: was <1L>".

--- a/core/src/main/java/org/knapweedmount/core/worker/EntryView.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/EntryView.java
@@ -33,6 +33,8 @@
 
     void link() {
         linked = true;
+        // The entry may have forgotten this agent and count its orders from 1 again.
+        lastOrderNumber = 0;
     }
 
     void unlink(long nowNanos) {
@@ -107,7 +109,7 @@
         lastOrderNumber = Math.max(lastOrderNumber, number);
     }
 
-    /** Returns the number of the entry's last order. */
+    /** Returns the number of the entry's last order on the current link, 0 if there is none. */
     long lastOrderNumber() {
         return lastOrderNumber;
     }
--- a/core/src/test/java/org/knapweedmount/core/worker/WorkerAgentTest.java
+++ b/core/src/test/java/org/knapweedmount/core/worker/WorkerAgentTest.java
@@ -347,6 +347,17 @@
         assertThat(output.started.size(), is(4));
     }
 
+    @Test
+    void reportOnANewLinkAcknowledgesNoOrdersThatWereNotSentOnIt() {
+        order(OTHER, 1, 2, "t1");
+        agent.unlinked(OTHER, millisToNanos(3));
+        output.clear();
+
+        agent.linked(OTHER, millisToNanos(50));
+
+        assertThat(((WorkerReport) output.sentToOther.get(1)).lastOrderNumber(), is(0L));
+    }
+
     private static final class Recorder implements WorkerOutput {
         private final List<RunRef> started = new ArrayList<>();
         private final List<RunRef> stopped = new ArrayList<>();
