Number the runs of a later submission above those that were lost

A task could run twice at the same time if its job was submitted to one entry again after an agent stood still. The entry had given up run 1 of the first submission without its result, and numbered the runs of the second from 1 again. When the agent went on, its report came first and the entry ordered the new run 1 from it; then came the result of the old run 1, such as the refusal of its order, which had been read only now. The entry took it for that of the new run and ordered the task elsewhere, while the agent started the new run 1. The worker refuses it only if it has seen the old one.

The runs of a job are now numbered above all runs that were given up before it was admitted. The number rises only with lost runs; nothing is kept for each job.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -413,6 +413,7 @@
 
     private void handleLostRun(WorkerView view, TrackedTask task, LossCause cause, long nowNanos) {
         view.orderedTasks().remove(task.name());
+        jobs.runLost(task.ref());
         task.recordDecision("lost at " + view.agent().process(), nowNanos);
         events.lost(view, task, cause);
         if (task.job().answered()) {
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobTable.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobTable.java
@@ -7,15 +7,25 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 
+import org.knapweedmount.api.work.RunRef;
+
 /** The jobs that an entry holds, with their queued work. */
 final class JobTable {
     private final Map<String, TrackedJob> jobs = new LinkedHashMap<>();
     private final RecentQueues recentQueues = new RecentQueues();
+    private int highestLostRun;
 
+    /** Adds a job; its runs are numbered above all lost ones, whose results may still arrive. */
     void add(TrackedJob job) {
+        job.tasks().forEach(task -> task.skipRunNumbers(highestLostRun));
         jobs.put(job.id(), job);
     }
 
+    /** Records that a run was given up without its result. */
+    void runLost(RunRef run) {
+        highestLostRun = Math.max(highestLostRun, run.run());
+    }
+
     /** Removes a job; returns false if it was not present. */
     boolean remove(TrackedJob job) {
         return jobs.remove(job.id()) != null;
--- a/core/src/main/java/org/knapweedmount/core/dispatch/TrackedTask.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/TrackedTask.java
@@ -90,7 +90,7 @@
         transitionTo(TaskState.QUEUED);
     }
 
-    /** Skips run numbers, because the worker has seen a higher one from an entry that held the job before. */
+    /** Skips run numbers that runs of an earlier submission of the job may have. */
     void skipRunNumbers(int count) {
         runNumber += count;
     }
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherAgentsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherAgentsTest.java
@@ -2,12 +2,14 @@
 
 import org.junit.jupiter.api.Test;
 import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.work.RunOutcome;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.knapweedmount.core.dispatch.DispatcherFixture.AGENT;
 import static org.knapweedmount.core.dispatch.DispatcherFixture.CAPACITY_MILLI_CORES;
 import static org.knapweedmount.core.dispatch.DispatcherFixture.FIRST;
+import static org.knapweedmount.core.dispatch.DispatcherFixture.JOB;
 import static org.knapweedmount.core.dispatch.DispatcherFixture.SECOND;
 
 /** What an entry does when an agent is replaced. */
@@ -54,4 +56,18 @@
 
         assertThat(fixture.ordered(), contains(FIRST, SECOND));
     }
+
+    @Test
+    void lateResultOfALostRunDoesNotEndTheRunOfALaterSubmission() {
+        fixture.report(0, 1_000);
+        fixture.submit(0);
+        fixture.tick(1_101);
+        dispatcher.cancel(JOB, DispatchFixture.millisToNanos(1_105));
+        fixture.submit(1_110);
+        fixture.report(1_120, CAPACITY_MILLI_CORES);
+
+        fixture.sendResult(FIRST, RunOutcome.REFUSED, 1_121);
+
+        assertThat(fixture.ordered(), contains(FIRST, SECOND));
+    }
 }
