Order nothing on the report of a silent agent

Tasks lost up to 0.4 s when an agent stood still: after 1.1 s without a report the entry gave up its runs, but went on to place tasks by that last report until the link was closed after 1.5 s. Such an order carries a timestamp that is too old to start anything, and its run was given up at the next tick.

Placement now skips workers whose last report is older than the time by which every run ordered under it must have ended. Admission counts them as before.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -490,7 +490,7 @@
         workers.updateRelativeSlowdowns();
         events.flush(nowNanos);
         for (WorkerView view : List.copyOf(workers.all())) {
-            if (nowNanos - view.lastReportNanos() > DispatchTimings.MAX_RUN_END_NANOS) {
+            if (view.isSilent(nowNanos)) {
                 releaseRuns(view, LossCause.AGENT_SILENT, nowNanos);
             }
         }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Placement.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Placement.java
@@ -28,7 +28,8 @@
             QueueShares shares,
             long nowNanos) {
         return workers.stream()
-                .filter(worker -> worker.acceptsStarts() && DemandRule.mayOrderWithoutOffer(task, worker, shares))
+                .filter(worker -> worker.acceptsStarts() && !worker.isSilent(nowNanos))
+                .filter(worker -> DemandRule.mayOrderWithoutOffer(task, worker, shares))
                 .filter(worker -> shares.withHeadroom(
                                 task, worker.report().orElseThrow().capacity())
                         .fits(freeCapacity.get(worker)))
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
@@ -82,6 +82,11 @@
         return lastReportNanos;
     }
 
+    /** Returns whether the last report is so old that every run ordered under it must have ended. */
+    boolean isSilent(long nowNanos) {
+        return nowNanos - lastReportNanos > DispatchTimings.MAX_RUN_END_NANOS;
+    }
+
     boolean acceptsStarts() {
         return linked && report.isPresent() && report.get().acceptsStarts();
     }
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherAgentsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherAgentsTest.java
@@ -70,4 +70,13 @@
 
         assertThat(fixture.ordered(), contains(FIRST, SECOND));
     }
+
+    @Test
+    void runOfASilentAgentIsNotOrderedFromItAgain() {
+        fixture.submit(0);
+
+        fixture.tick(1_101);
+
+        assertThat(fixture.ordered(), contains(FIRST));
+    }
 }
