--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -413,6 +413,7 @@
 
     private void handleLostRun(WorkerView view, TrackedTask task, LossCause cause, long nowNanos) {
         view.orderedTasks().remove(task.name());
+        jobs.runLost(task.ref());
         task.recordDecision("lost at " + view.agent().process(), nowNanos);
         events.lost(view, task, cause);
         if (task.job().answered()) {
@@ -489,7 +490,7 @@
         workers.updateRelativeSlowdowns();
         events.flush(nowNanos);
         for (WorkerView view : List.copyOf(workers.all())) {
-            if (nowNanos - view.lastReportNanos() > DispatchTimings.MAX_RUN_END_NANOS) {
+            if (view.isSilent(nowNanos)) {
                 releaseRuns(view, LossCause.AGENT_SILENT, nowNanos);
             }
         }
