Count requests read after a stall from the start of the stall

A request that was read after a stall counted as the newest submission of its job, and other entries did not hear of it while it was held. If its caller had left unnoticed and had submitted the job to another entry meanwhile, that entry was asked to stop the live job, or both ran it.

Held requests are claimed at once, with the start of the stall as their submission, so that a submission during the stall counts as newer; they give way like other waiting requests.

requestReadAfterAGapGivesWayToASubmissionDuringTheGap on the code before: Expected: iterable containing [<GIVEN_UP>] but: no item was <GIVEN_UP>

--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -72,23 +72,25 @@
      */
     public void submit(JobRequest request, long nowNanos) {
         stalls.eventReceived(nowNanos).ifPresent(stall -> giveUpAll(stall, nowNanos));
-        if (heldRequests.hold(request, nowNanos)) {
+        if (heldRequests.isHolding(nowNanos)) {
             output.logEvent("job-read-after-stall", "job=" + request.id());
+            ownership.held(request.id(), heldRequests.hold(request).submittedNanos());
             return;
         }
-        submitRead(request, nowNanos);
+        submit(new WaitingRequest(request, nowNanos), nowNanos);
     }
 
-    private void submitRead(JobRequest request, long nowNanos) {
+    private void submit(WaitingRequest submitted, long nowNanos) {
+        JobRequest request = submitted.request();
         Optional<TrackedJob> held = jobs.find(request.id());
         held.ifPresent(events::resubmitted);
         if (held.isPresent() && !held.get().answered()) {
-            ownership.held(request.id(), nowNanos);
+            ownership.held(request.id(), submitted.submittedNanos());
         } else if (held.isPresent() || ownership.isHeldElsewhere(request.id())) {
             events.waitsForEntries(request.id(), ownership.holders(request.id()));
-            ownership.awaitEnd(request, nowNanos);
+            ownership.awaitEnd(submitted);
         } else {
-            admit(request, nowNanos, nowNanos);
+            admit(request, submitted.submittedNanos(), nowNanos);
         }
     }
 
@@ -295,7 +297,8 @@
 
     /** Gives up the request that waits for a job; returns false if there is none. */
     private boolean dropAwaiting(String id, String reason) {
-        if (ownership.removeAwaiting(id).isEmpty()) {
+        boolean held = heldRequests.remove(id);
+        if (ownership.removeAwaiting(id).isEmpty() && !held) {
             return false;
         }
         if (jobs.find(id).isPresent()) {
@@ -464,10 +467,6 @@
      * @return true if the job was held and unanswered, or its request waited for an earlier submission
      */
     public boolean cancel(String id, long nowNanos) {
-        if (heldRequests.remove(id)) {
-            output.answer(id, JobResult.notRun("cancelled", 0));
-            return true;
-        }
         if (dropAwaiting(id, "cancelled")) {
             return true;
         }
@@ -486,7 +485,7 @@
      */
     public void tick(long nowNanos) {
         stalls.ticked(nowNanos).ifPresent(stall -> giveUpAll(stall, nowNanos));
-        heldRequests.release(nowNanos).forEach(request -> submitRead(request, nowNanos));
+        heldRequests.release(nowNanos).forEach(request -> submit(request, nowNanos));
         workers.updateRelativeSlowdowns();
         events.flush(nowNanos);
         for (WorkerView view : List.copyOf(workers.all())) {
@@ -512,7 +511,7 @@
 
     /** Gives up all jobs after a stall: other entries may have admitted them, and the leases of their runs have ended. */
     private void giveUpAll(StallDetector.Stall stall, long nowNanos) {
-        heldRequests.stallEnded(nowNanos);
+        heldRequests.stallEnded(stall, nowNanos);
         List<String> waiting = ownership.awaited();
         output.logEvent(
                 "entry-stalled", stall.description() + " jobs=" + jobs.unanswered() + " waiting=" + waiting.size());
--- a/core/src/main/java/org/knapweedmount/core/dispatch/HeldRequests.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/HeldRequests.java
@@ -12,21 +12,25 @@
  * read after the request.
  */
 final class HeldRequests {
-    private final Map<String, JobRequest> requests = new LinkedHashMap<>();
+    private final Map<String, WaitingRequest> requests = new LinkedHashMap<>();
     private OptionalLong stallEndNanos = OptionalLong.empty();
+    private long stallStartNanos;
 
-    void stallEnded(long nowNanos) {
+    void stallEnded(StallDetector.Stall stall, long nowNanos) {
+        stallStartNanos = nowNanos - stall.missedNanos() - stall.lostNanos();
         stallEndNanos = OptionalLong.of(nowNanos);
     }
 
-    /** Holds a request if a stall has just ended; returns false if the request needs not wait. */
-    boolean hold(JobRequest request, long nowNanos) {
-        boolean justEnded =
-                stallEndNanos.isPresent() && nowNanos - stallEndNanos.getAsLong() < DispatchTimings.STALL_SETTLE_NANOS;
-        if (justEnded) {
-            requests.put(request.id(), request);
-        }
-        return justEnded;
+    /** Returns whether requests have to be held because a stall has just ended. */
+    boolean isHolding(long nowNanos) {
+        return stallEndNanos.isPresent() && nowNanos - stallEndNanos.getAsLong() < DispatchTimings.STALL_SETTLE_NANOS;
+    }
+
+    /** Holds a request; it may have been sent at any time since the stall began and counts from there. */
+    WaitingRequest hold(JobRequest request) {
+        WaitingRequest held = new WaitingRequest(request, stallStartNanos);
+        requests.put(request.id(), held);
+        return held;
     }
 
     /** Drops a request; returns false if there is none. */
@@ -35,11 +39,11 @@
     }
 
     /** Removes and returns the requests whose connections must have been found closed by now if they are. */
-    List<JobRequest> release(long nowNanos) {
-        if (requests.isEmpty() || nowNanos - stallEndNanos.orElseThrow() < DispatchTimings.STALL_SETTLE_NANOS) {
+    List<WaitingRequest> release(long nowNanos) {
+        if (requests.isEmpty() || isHolding(nowNanos)) {
             return List.of();
         }
-        List<JobRequest> released = List.copyOf(requests.values());
+        List<WaitingRequest> released = List.copyOf(requests.values());
         requests.clear();
         return released;
     }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
@@ -193,10 +193,11 @@
     }
 
     /** Holds back a request until no run of an earlier submission of its job is left, and asks for its end. */
-    void awaitEnd(JobRequest request, long nowNanos) {
-        waitingRequests.put(request.id(), new WaitingRequest(request, nowNanos));
-        claims.add(request.id(), nowNanos);
-        holders(request.id()).forEach(holder -> output.send(holder, new YieldJob(request.id())));
+    void awaitEnd(WaitingRequest waiting) {
+        String job = waiting.request().id();
+        waitingRequests.put(job, waiting);
+        claims.add(job, waiting.submittedNanos());
+        holders(job).forEach(holder -> output.send(holder, new YieldJob(job)));
     }
 
     /** Removes and returns the request that waits for the end of a job's earlier submission. */
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherStallTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherStallTest.java
@@ -8,6 +8,7 @@
 import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
 import org.knapweedmount.api.message.ResourceOffer;
+import org.knapweedmount.api.message.YieldJob;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
@@ -205,4 +206,19 @@
         assertThat(cancelled, is(true));
         assertThat(fixture.ordered(), is(empty()));
     }
+
+    @Test
+    void requestReadAfterAGapGivesWayToASubmissionDuringTheGap() {
+        fixture.dispatcher().entryLinked(PEER);
+        tickEvery(0, 100);
+        fixture.submit(JOB, 1_601, 60_000, 300);
+
+        fixture.receive(PEER, new JobOwnershipUpdate(List.of(new JobClaim(JOB, 500)), List.of()), 1_610);
+        fixture.report(1_701, CAPACITY_MILLI_CORES);
+        fixture.tick(1_702);
+
+        assertThat(fixture.answers(JOB), contains(JobResult.Kind.GIVEN_UP));
+        assertThat(fixture.sent(YieldJob.class), is(empty()));
+        assertThat(fixture.ordered(), is(empty()));
+    }
 }
--- a/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleet.java
@@ -156,14 +156,15 @@
     }
 
     /**
-     * Closes the connection of a caller. The entry reads that after the request; it may not notice it, but a connection
-     * that is closed while the entry stands still is found closed when it wakes.
+     * Closes the connection of a caller. The entry reads that after the request, if it is in reach of the caller.
      */
-    void disconnect(int number, String job, boolean noticed) {
+    void disconnect(int number, String job) {
         Entry entry = entries.get(number);
-        if (noticed || entry.still) {
-            handle(entry, () -> after(2, () -> entry.dispatcher.cancel(job, now(entry))));
-        }
+        handle(entry, () -> after(2, () -> entry.dispatcher.cancel(job, now(entry))));
+    }
+
+    boolean standsStill(int number) {
+        return entries.get(number).still;
     }
 
     private void link(Entry one, Entry other) {
--- a/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleetTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleetTest.java
@@ -23,8 +23,12 @@
         return (entry + 1 + fleet.random().nextInt(fleet.entryCount() - 1)) % fleet.entryCount();
     }
 
-    /** Submits a job, mostly breaks the connection after a time, and submits it again. */
-    private static void call(OwnershipFleet fleet, String job, int attempts) {
+    /**
+     * Submits a job, mostly breaks the connection after a time, and submits it again.
+     *
+     * @param unreadIsCutOff whether an entry that stands still may not learn that the connection was closed
+     */
+    private static void call(OwnershipFleet fleet, String job, int attempts, boolean unreadIsCutOff) {
         int entry = fleet.random().nextInt(fleet.entryCount());
         fleet.submit(entry, job, 100 + fleet.random().nextInt(3_000));
         if (attempts == 1 || fleet.random().nextInt(4) == 0) {
@@ -33,15 +37,17 @@
         int brokenAfterMillis = fleet.random().nextInt(1_500);
         boolean noticed = fleet.random().nextInt(3) > 0;
         fleet.after(brokenAfterMillis, () -> {
-            fleet.disconnect(entry, job, noticed);
-            fleet.after(RESEND_MILLIS, () -> call(fleet, job, attempts - 1));
+            if (noticed || (!unreadIsCutOff && fleet.standsStill(entry))) {
+                fleet.disconnect(entry, job);
+            }
+            fleet.after(RESEND_MILLIS, () -> call(fleet, job, attempts - 1, unreadIsCutOff));
         });
     }
 
-    private static void load(OwnershipFleet fleet, int number) {
+    private static void load(OwnershipFleet fleet, int number, boolean unreadIsCutOff) {
         fleet.after(40 + fleet.random().nextInt(80), () -> {
-            call(fleet, "%016x".formatted(number), 4);
-            load(fleet, number + 1);
+            call(fleet, "%016x".formatted(number), 4, unreadIsCutOff);
+            load(fleet, number + 1, unreadIsCutOff);
         });
     }
 
@@ -60,11 +66,9 @@
         });
     }
 
-    @ParameterizedTest
-    @MethodSource("seeds")
-    void resubmittedJobsNeverRunTwiceAtTheSameTime(long seed) {
+    private static void assertNoTaskRunsTwice(long seed, boolean unreadIsCutOff) {
         OwnershipFleet fleet = new OwnershipFleet(seed, 3);
-        fleet.after(200, () -> load(fleet, 1));
+        fleet.after(200, () -> load(fleet, 1, unreadIsCutOff));
         fleet.after(1_000, () -> faults(fleet));
 
         fleet.run(DURATION_MILLIS);
@@ -72,4 +76,16 @@
         assertThat(fleet.violations(), is(empty()));
         assertThat(fleet.started(), is(greaterThan(300)));
     }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void resubmittedJobsNeverRunTwiceAtTheSameTime(long seed) {
+        assertNoTaskRunsTwice(seed, false);
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void requestsOfCallersThatLeaveUnnoticedDuringAStallNeverRunTwiceAtTheSameTime(long seed) {
+        assertNoTaskRunsTwice(seed, true);
+    }
 }
