Keep results of runs until their entry has received them

After a link was reset, an entry could take a completed run for lost and order its task again: the work was done twice and the job late. The agent forgot results as soon as they were written to a link, also to one that was broken by then, and those that waited for a new link once they were written to it, also if the entry refused that link.

An agent now keeps results until the entry returns a timestamp that was issued after they were sent. Messages of a link arrive in order, so the entry has received the results before the report with that timestamp. On each new link the others are sent again, before the list of runs; an entry ignores a result of a run that it does not await any more.

--- a/core/src/main/java/org/knapweedmount/core/worker/EntryTable.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/EntryTable.java
@@ -41,13 +41,14 @@
         return entries;
     }
 
-    /** Sends the undelivered results and the active runs to an entry on a new link. */
-    void linked(Incarnation entry, RunTable runs) {
+    /** Sends the unconfirmed results and the active runs to an entry on a new link. */
+    void linked(Incarnation entry, RunTable runs, long timestampMillis) {
         EntryView view = of(entry);
         view.link();
-        if (!view.undeliveredResults().isEmpty()) {
-            output.send(entry, new RunsEnded(view.undeliveredResults()));
-            view.undeliveredResults().clear();
+        List<RunResult> unconfirmed = view.unconfirmedResults();
+        if (!unconfirmed.isEmpty()) {
+            output.send(entry, new RunsEnded(unconfirmed));
+            view.resultsSentAgain(timestampMillis);
         }
         output.send(
                 entry,
@@ -67,16 +68,15 @@
         pendingResults.computeIfAbsent(entry, key -> new ArrayList<>()).add(result);
     }
 
-    void sendResults() {
+    void sendResults(long timestampMillis) {
         pendingResults.forEach((entry, newResults) -> {
             EntryView view = entries.get(entry);
             if (view == null) {
                 return;
             }
+            view.resultsSent(newResults, timestampMillis);
             if (view.linked()) {
                 output.send(entry, new RunsEnded(newResults));
-            } else {
-                view.undeliveredResults().addAll(newResults);
             }
         });
         pendingResults.clear();
--- a/core/src/main/java/org/knapweedmount/core/worker/EntryView.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/EntryView.java
@@ -8,7 +8,7 @@
 import org.knapweedmount.api.message.ResourceDemand;
 import org.knapweedmount.api.work.RunResult;
 
-/** The agent's view of an entry: its lease, its demand, the capacity offered to it and results not yet delivered. */
+/** The agent's view of an entry: its lease, its demand, the capacity offered to it and unconfirmed results. */
 final class EntryView {
     private boolean linked;
     private long unlinkedNanos;
@@ -18,7 +18,10 @@
     private Optional<Offer> offer = Optional.empty();
     private boolean declined;
     private long lastOrderNumber;
-    private final List<RunResult> undeliveredResults = new ArrayList<>();
+    private final List<SentResult> unconfirmedResults = new ArrayList<>();
+
+    /** A result and the timestamp at which it was last sent, in ms. */
+    private record SentResult(RunResult result, long timestampMillis) {}
 
     /** Capacity that is reserved for the entry until it answers. */
     record Offer(long number, Resources resources, long untilNanos) {}
@@ -44,9 +47,14 @@
         offer = Optional.empty();
     }
 
-    /** Extends the lease to a timestamp of {@link WorkerLease}, in ms. */
-    void extendLease(long untilMillis) {
+    /**
+     * Extends the lease to a timestamp of {@link WorkerLease}, in ms. The entry has returned the timestamp at which the
+     * lease begins, so it has received the results that were sent before.
+     */
+    void renew(long untilMillis) {
         expiryMillis = Math.max(expiryMillis, untilMillis);
+        long returnedMillis = untilMillis - WorkerTimings.LEASE_MILLIS;
+        unconfirmedResults.removeIf(sent -> sent.timestampMillis() < returnedMillis);
     }
 
     /** Returns when the lease of the entry's runs expires, as a timestamp of {@link WorkerLease} in ms. */
@@ -114,7 +122,18 @@
         return lastOrderNumber;
     }
 
-    List<RunResult> undeliveredResults() {
-        return undeliveredResults;
+    /** Keeps results that are sent at a timestamp, or will be on the next link, until the entry has received them. */
+    void resultsSent(List<RunResult> results, long timestampMillis) {
+        results.forEach(result -> unconfirmedResults.add(new SentResult(result, timestampMillis)));
+    }
+
+    /** Returns the results that the entry may not have received. */
+    List<RunResult> unconfirmedResults() {
+        return unconfirmedResults.stream().map(SentResult::result).toList();
+    }
+
+    /** Records that all unconfirmed results are sent again. */
+    void resultsSentAgain(long timestampMillis) {
+        unconfirmedResults.replaceAll(sent -> new SentResult(sent.result(), timestampMillis));
     }
 }
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -108,7 +108,7 @@
      * @param nowNanos the current time, in ns
      */
     public void linked(Incarnation entry, long nowNanos) {
-        entries.linked(entry, runs);
+        entries.linked(entry, runs, lease.timestampMillis(nowNanos));
         output.send(entry, report(entries.of(entry), nowNanos));
     }
 
@@ -145,7 +145,7 @@
     }
 
     private void renew(EntryView entryView, long timestampNanos, long nowNanos) {
-        lease.entryExpiryMillis(timestampNanos, nowNanos).ifPresent(entryView::extendLease);
+        lease.entryExpiryMillis(timestampNanos, nowNanos).ifPresent(entryView::renew);
     }
 
     private void handleOrder(Incarnation from, EntryView entryView, RunOrder order, long nowNanos) {
@@ -492,7 +492,7 @@
 
     /** Follows up any change: sends results, offers capacity, reports, and keeps a list call in flight. */
     private void reconcile(long nowNanos) {
-        entries.sendResults();
+        entries.sendResults(lease.timestampMillis(nowNanos));
         events.flush(lease.describe(incarnation(), nowNanos), nowNanos);
         if (acceptsStarts(nowNanos)) {
             entries.offerCapacity(capacity().minus(runs.usedCapacity()), nowNanos);
