Review: a program that can't start isn't a broken rule

Cause: Java ends with 1 if it can't start, which a script passed on as a broken rule; a TERM of a script left its program. Change: the program's exit codes are 10 more and are mapped back; a TERM or INT is passed on to it.

--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -9,9 +9,17 @@
   echo "build the deploy file's build and review/build.sh first" >&2
   exit 2
 fi
-# A TERM lets the program end the processes that it started.
+# A TERM lets the program end the processes that it started; its exit codes are 10 more than those of this script.
 timeout -k 10 100 java -Xmx128m -XX:+UseSerialGC -Dsun.net.httpserver.nodelay=true -cp "$classes" "$1" \
-  "$review/.." "$folder/record.txt"
+  "$review/.." "$folder/record.txt" &
+pid=$!
+trap 'kill "$pid" 2>/dev/null' INT TERM
+wait "$pid"
 code=$?
-[ "$code" = 0 ] || [ "$code" = 1 ] || code=2
-exit "$code"
+trap - INT TERM
+wait "$pid" 2>/dev/null
+case "$code" in
+  10) exit 0 ;;
+  11) exit 1 ;;
+  *) exit 2 ;;
+esac
--- a/review/src/Case.java
+++ b/review/src/Case.java
@@ -5,6 +5,8 @@
     static final int HELD = 0;
     static final int BROKEN = 1;
     static final int NOT_RUN = 2;
+    /** Added to the exit code, so that a Java program that can't start isn't taken for a broken rule. */
+    private static final int EXIT_BASE = 10;
     /** What a check allows beyond a bound, for the time in which an end is listed and recorded. */
     static final int NOTICE_MILLIS = 100;
 
@@ -32,7 +34,7 @@
             e.printStackTrace();
             code = NOT_RUN;
         }
-        Runtime.getRuntime().halt(code);
+        Runtime.getRuntime().halt(EXIT_BASE + code);
     }
 
     /** Records the runs of a job that go on after a time; returns how many. */
