Log the stop orders that an agent receives

The logs could not tell a stop order that never arrived from one that the agent or its worker did not carry out: an entry logs job-answered, an agent only the end of the run.

An agent now logs stops-received with the entry, the runs and whether it holds them, batched like its other lines about runs. No decision changes. RunEventsTest#stopOrderTellsWhetherItsRunIsHeld does not compile before.

--- a/core/src/main/java/org/knapweedmount/core/worker/RunEvents.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunEvents.java
@@ -1,6 +1,7 @@
 package org.knapweedmount.core.worker;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 import org.knapweedmount.api.Incarnation;
@@ -21,6 +22,7 @@
     private final EventBatch accepted;
     private final EventBatch released;
     private final EventBatch foreign;
+    private final EventBatch stopped;
     private final Map<RunRef, RunTrace> traces = new HashMap<>();
     private long lastLeaseLineNanos;
 
@@ -74,6 +76,7 @@
         this.accepted = new EventBatch("runs-accepted", output::logEvent);
         this.released = new EventBatch("runs-released", output::logEvent);
         this.foreign = new EventBatch("runs-foreign", output::logEvent);
+        this.stopped = new EventBatch("stops-received", output::logEvent);
     }
 
     /** Records an accepted order, with the age of its timestamp and the expiry that the start order carries. */
@@ -115,6 +118,12 @@
         foreign.add("worker=" + lease.worker() + " state=" + state + " " + lease, "runs", name(ref), nowNanos);
     }
 
+    /** Records a stop order of an entry; runs that the agent does not hold have ended or never reached it. */
+    void stopReceived(Incarnation entry, List<RunRef> runs, long nowNanos) {
+        runs.forEach(
+                ref -> stopped.add("entry=" + entry + " held=" + traces.containsKey(ref), "runs", name(ref), nowNanos));
+    }
+
     /** Records the end of a run and the evidence for it. */
     void released(TrackedRun run, RunOutcome outcome, RunEndEvidence evidence, Lease lease, long nowNanos) {
         switch (evidence) {
@@ -138,6 +147,7 @@
         accepted.flush(nowNanos);
         released.flush(nowNanos);
         foreign.flush(nowNanos);
+        stopped.flush(nowNanos);
         if (!traces.isEmpty() && nowNanos - lastLeaseLineNanos >= WorkerTimings.nanos(LEASE_LINE_INTERVAL_MILLIS)) {
             lastLeaseLineNanos = nowNanos;
             output.logEvent("worker-lease", "worker=" + lease.worker() + " " + lease + " runs=" + traces.size());
--- a/core/src/test/java/org/knapweedmount/core/worker/RunEventsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/worker/RunEventsTest.java
@@ -11,6 +11,7 @@
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.ResourceDemand;
 import org.knapweedmount.api.message.RunOrder;
+import org.knapweedmount.api.message.StopRuns;
 import org.knapweedmount.api.work.JobRuns;
 import org.knapweedmount.api.work.RunOutcome;
 import org.knapweedmount.api.work.RunRef;
@@ -69,6 +70,16 @@
         order(5_088, 100);
     }
 
+    @Test
+    void stopOrderTellsWhetherItsRunIsHeld() {
+        agent.receive(ENTRY, new StopRuns(List.of(RUN, new RunRef("bb.0.0.0", 1))), millisToNanos(200));
+
+        assertThat(
+                output.lines("stops-received"),
+                contains("ago=0 entry=" + ENTRY + " held=true runs=[aa.0.0.0#1]; ago=0 entry=" + ENTRY
+                        + " held=false runs=[bb.0.0.0#1]"));
+    }
+
     @Test
     void acceptedRunHasAgeOfTimestampAndExpiries() {
         assertThat(
