Repeat a stop order until the end of the run is reported

Cause: an entry sent StopRuns once, as an event. A message for a link that is down is dropped and one under way is lost with a reset link. The link is back within 100 ms, before the agent's grace of 300 ms ends; Dispatcher.resynchronize then took the run for current, as an answered job keeps its tasks until their runs end, and each report was answered by a renewal of the lease.

What has to stop is now derived from the state of the jobs, in StopOrders: on a new link all runs of answered jobs are stopped, and each report of the agent is answered by the stops whose ends are missing, at most each 100 ms, before the renewal. Links keep the order of messages and end with the first one that is lost, so no renewal reaches an agent that has not read the stop.

Counter stops_repeated and event stop-repeated show how often it is needed.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchCounter.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchCounter.java
@@ -7,5 +7,7 @@
     /** Jobs that another entry owns as well. */
     JOBS_HELD_TWICE,
     /** Resubmissions that waited for the end of an earlier submission, here or at another entry. */
-    RESUBMISSIONS_WAITED
+    RESUBMISSIONS_WAITED,
+    /** Stop orders that were repeated because the end of a run had not been reported. */
+    STOPS_REPEATED
 }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
@@ -58,7 +58,7 @@
                 describe(task.ref()) + " agent=" + view.agent() + " cause=" + cause + " link=" + view.linkNumber());
     }
 
-    /** Logs the runs that the agent holds on a new link although the entry has released them. */
+    /** Logs the runs that the agent holds on a new link although the entry has released or stopped them. */
     void outdated(WorkerView view, List<RunRef> runs) {
         output.logEvent(
                 "runs-outdated",
@@ -66,6 +66,15 @@
                         + runs.stream().map(DispatchEvents::name).toList());
     }
 
+    /** Logs that an agent is told again to stop runs whose end it has not reported. */
+    void stopRepeated(WorkerView view, List<RunRef> runs) {
+        output.count(DispatchCounter.STOPS_REPEATED);
+        output.logEvent(
+                "stop-repeated",
+                "agent=" + view.agent() + " link=" + view.linkNumber() + " runs="
+                        + runs.stream().map(DispatchEvents::name).toList());
+    }
+
     void answered(TrackedJob job, JobResult result, long nowNanos) {
         output.logEvent(
                 "job-answered",
--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
@@ -9,6 +9,12 @@
     /** The interval between two renewals of a lease; several fit into one lease. */
     static final long LEASE_RENEWAL_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
+    /**
+     * The interval at which an agent is told again which runs it has to stop; several round trips and the time that a
+     * worker takes to end a run.
+     */
+    static final long STOP_REPEAT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     /** The time without a report after which every run ordered from an agent must have ended. */
     static final long MAX_RUN_END_NANOS = TimeUnit.MILLISECONDS.toNanos(WorkerTimings.MAX_RUN_END_MILLIS);
 
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -20,7 +20,6 @@
 import org.knapweedmount.api.message.ResourceOffer;
 import org.knapweedmount.api.message.RunOrder;
 import org.knapweedmount.api.message.RunsEnded;
-import org.knapweedmount.api.message.StopRuns;
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.message.YieldJob;
 import org.knapweedmount.api.work.JobRuns;
@@ -48,6 +47,7 @@
     private final DispatchEvents events;
     private final JobAdmission admission;
     private final JobAnswers answers;
+    private final StopOrders stopOrders;
     private final HeldRequests heldRequests = new HeldRequests();
     private OptionalLong drainByNanos = OptionalLong.empty();
 
@@ -61,6 +61,7 @@
         this.events = new DispatchEvents(output);
         this.ownership = new JobOwnership(output);
         this.answers = new JobAnswers(output, events);
+        this.stopOrders = new StopOrders(output, events);
         this.admission = new JobAdmission(output, workers, jobs, maxCapacity);
     }
 
@@ -320,6 +321,7 @@
             workers.earlierIncarnations(view)
                     .forEach(earlierView -> releaseRuns(earlierView, LossCause.AGENT_REPLACED, nowNanos));
         }
+        stopOrders.repeat(view, nowNanos);
         if (view.renewalDue(nowNanos)) {
             view.leaseRenewed(nowNanos);
             output.send(view.agent(), new LeaseRenewal(report.timestampNanos()));
@@ -397,16 +399,11 @@
     }
 
     /**
-     * Requeues tasks whose runs an agent does not have, and stops runs that were released meanwhile, for example while
-     * the agent's VM was suspended. An agent sends its runs first on a new link.
+     * Requeues tasks whose runs an agent does not have, and stops the runs that must not go on. An agent sends its runs
+     * first on a new link.
      */
     private void resynchronize(WorkerView view, List<RunRef> held, long nowNanos) {
-        List<RunRef> outdated =
-                held.stream().filter(ref -> !view.isCurrentRun(ref)).toList();
-        if (!outdated.isEmpty()) {
-            events.outdated(view, outdated);
-            output.send(view.agent(), new StopRuns(outdated));
-        }
+        stopOrders.linked(view, held, nowNanos);
         for (TrackedTask task : List.copyOf(view.orderedTasks().values())) {
             if (!held.contains(task.ref())) {
                 handleLostRun(view, task, LossCause.NEW_LINK, nowNanos);
@@ -430,12 +427,7 @@
     /** Releases the runs of an agent that must all have ended. */
     private void releaseRuns(WorkerView view, LossCause cause, long nowNanos) {
         List<TrackedTask> tasks = List.copyOf(view.orderedTasks().values());
-        if (!tasks.isEmpty() && view.linked()) {
-            // An agent whose VM was suspended receives this before any message that renews the lease of these runs.
-            output.send(
-                    view.agent(),
-                    new StopRuns(tasks.stream().map(TrackedTask::ref).toList()));
-        }
+        stopOrders.released(view, tasks);
         tasks.forEach(task -> handleLostRun(view, task, cause, nowNanos));
         if (!view.linked()) {
             workers.remove(view);
@@ -448,7 +440,7 @@
         ownership.ending(job.id());
         answers.answer(job, result, nowNanos);
         job.endTasksWithoutRun();
-        job.orderedRuns().forEach((agent, runs) -> output.send(agent, new StopRuns(runs)));
+        stopOrders.answered(job);
         removeIfDone(job, nowNanos);
     }
 
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -23,6 +24,7 @@
     private Optional<WorkerReport> report = Optional.empty();
     private long lastReportNanos;
     private long lastRenewalNanos;
+    private long lastStopRepeatNanos;
     private long lastOrderNumber;
     private Optional<ResourceDemand> sentDemand = Optional.empty();
     private long demandSentNanos;
@@ -35,6 +37,7 @@
     WorkerView(Incarnation agent, long nowNanos) {
         this.agent = agent;
         this.lastReportNanos = nowNanos;
+        this.lastStopRepeatNanos = nowNanos;
     }
 
     Incarnation agent() {
@@ -117,10 +120,26 @@
         return orderedTasks;
     }
 
-    /** Returns whether a run is the current one of a task that is ordered here. */
-    boolean isCurrentRun(RunRef ref) {
-        return orderedTasks.containsKey(ref.task())
-                && orderedTasks.get(ref.task()).ref().equals(ref);
+    /** Returns whether a run is the current one of a task that is ordered here, and its job is not answered. */
+    boolean mayContinue(RunRef ref) {
+        TrackedTask task = orderedTasks.get(ref.task());
+        return task != null && task.ref().equals(ref) && !task.job().answered();
+    }
+
+    /** Returns the runs that were ordered here and whose jobs are answered. */
+    List<RunRef> runsOfAnsweredJobs() {
+        return orderedTasks.values().stream()
+                .filter(task -> task.job().answered())
+                .map(TrackedTask::ref)
+                .toList();
+    }
+
+    boolean stopRepeatDue(long nowNanos) {
+        return nowNanos - lastStopRepeatNanos >= DispatchTimings.STOP_REPEAT_INTERVAL_NANOS;
+    }
+
+    void stopRepeated(long nowNanos) {
+        lastStopRepeatNanos = nowNanos;
     }
 
     /** Returns the ratio of actual to expected run times on this worker, by the last report of its agent. */
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherAgentsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherAgentsTest.java
@@ -1,11 +1,17 @@
 package org.knapweedmount.core.dispatch;
 
+import java.util.List;
+
 import org.junit.jupiter.api.Test;
 import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.message.ActiveRuns;
+import org.knapweedmount.api.message.LeaseRenewal;
+import org.knapweedmount.api.message.StopRuns;
 import org.knapweedmount.api.work.RunOutcome;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.instanceOf;
 import static org.knapweedmount.core.dispatch.DispatcherFixture.AGENT;
 import static org.knapweedmount.core.dispatch.DispatcherFixture.CAPACITY_MILLI_CORES;
 import static org.knapweedmount.core.dispatch.DispatcherFixture.FIRST;
@@ -62,7 +68,7 @@
         fixture.report(0, 1_000);
         fixture.submit(0);
         fixture.tick(1_101);
-        dispatcher.cancel(JOB, DispatchFixture.millisToNanos(1_105));
+        cancel(1_105);
         fixture.submit(1_110);
         fixture.report(1_120, CAPACITY_MILLI_CORES);
 
@@ -71,6 +77,54 @@
         assertThat(fixture.ordered(), contains(FIRST, SECOND));
     }
 
+    /** A stop order that is lost with a reset link must not leave its run under a renewed lease. */
+    @Test
+    void stopThatIsLostWithAResetLinkIsSentAgainOnTheNewLink() {
+        fixture.submit(0);
+        fixture.unlink(AGENT, 10);
+        cancel(11);
+        dispatcher.agentLinked(AGENT, DispatchFixture.millisToNanos(20));
+        fixture.sent().clear();
+
+        fixture.receive(AGENT, new ActiveRuns(List.of(FIRST)), 21);
+
+        assertThat(fixture.stopped(), contains(FIRST));
+    }
+
+    /** A run whose stop order was lost without a new list of runs must not go on under renewals. */
+    @Test
+    void stopIsRepeatedUntilTheEndOfTheRunIsReported() {
+        fixture.submit(0);
+        cancel(10);
+        fixture.sent().clear();
+
+        fixture.report(300, CAPACITY_MILLI_CORES);
+        fixture.report(350, CAPACITY_MILLI_CORES);
+        fixture.report(450, CAPACITY_MILLI_CORES);
+        assertThat(fixture.stopped(), contains(FIRST, FIRST));
+
+        fixture.sendResult(FIRST, RunOutcome.STOPPED, 460);
+        fixture.report(600, CAPACITY_MILLI_CORES);
+        assertThat(fixture.stopped(), contains(FIRST, FIRST));
+    }
+
+    @Test
+    void stopIsRepeatedBeforeTheLeaseIsRenewed() {
+        fixture.submit(0);
+        cancel(10);
+        fixture.sent().clear();
+
+        fixture.report(300, CAPACITY_MILLI_CORES);
+
+        assertThat(
+                fixture.sent().stream().map(DispatcherFixture.Sent::message).toList(),
+                contains(instanceOf(StopRuns.class), instanceOf(LeaseRenewal.class)));
+    }
+
+    private void cancel(long millis) {
+        dispatcher.cancel(JOB, DispatchFixture.millisToNanos(millis));
+    }
+
     @Test
     void runOfASilentAgentIsNotOrderedFromItAgain() {
         fixture.submit(0);
