Reset the connections of callers and links together in the soak

The soak could not find the run that goes on after its stop order was lost: it reset links or let callers leave, never both within the 100 ms in which a link is down, and its runs of at most 1.8 s ended before anybody noticed.

CONNECTIONS_RESET breaks half of an entry's connections at once, those of callers and those to other processes. Jobs of the new kind AUDIT run for 14 s on average; half of their callers without an answer leave for good. UNASKED is broken if a run goes on for more than 6,050 ms after that, the platform's bounds for the return of contact (3,000) and for a cancel (3,050).

--- a/standins/src/main/java/org/knapweedmount/standins/soak/CallerRelays.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/CallerRelays.java
@@ -28,6 +28,11 @@
     private final List<Connection> connections = new ArrayList<>();
 
     private record Connection(HostPort entry, NetSocket caller, NetSocket target) {
+        private void reset() {
+            caller.close();
+            target.close();
+        }
+
         private void hold() {
             caller.pause();
             target.pause();
@@ -79,6 +84,16 @@
         });
     }
 
+    /** Resets every second connection to an entry. */
+    void resetHalf(HostPort entry) {
+        List<Connection> toEntry = connections.stream()
+                .filter(connection -> connection.entry().equals(entry))
+                .toList();
+        for (int i = 0; i < toEntry.size(); i += 2) {
+            toEntry.get(i).reset();
+        }
+    }
+
     /** Holds back what the callers of an entry and the entry send. */
     void hold(HostPort entry) {
         held.add(entry);
--- a/standins/src/main/java/org/knapweedmount/standins/soak/FaultInjector.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/FaultInjector.java
@@ -92,7 +92,7 @@
         return switch (fault.kind()) {
             case KILL, PLANNED_STOP, FREEZE, LINK_RESET, LINK_CUT, LINK_SILENCE, LINK_ONE_WAY, LINK_DELAY ->
                 programs.all().get(fault.target() % programs.all().size()).name();
-            case CALLERS_SILENT ->
+            case CALLERS_SILENT, CONNECTIONS_RESET ->
                 programs.entries()
                         .get(fault.target() % programs.entries().size())
                         .name();
@@ -137,6 +137,11 @@
                 site.holdCallers(entry, true);
                 later(millis, () -> site.holdCallers(entry, false));
             }
+            case CONNECTIONS_RESET -> {
+                int entry = 1 + fault.target() % programs.entries().size();
+                site.relays().resetHalf("entry-" + entry);
+                site.resetHalfOfCallers(entry);
+            }
             case LINK_RESET, LINK_CUT, LINK_SILENCE, LINK_ONE_WAY, LINK_DELAY -> injectIntoLinks(fault);
             default -> throw new IllegalArgumentException("fault " + fault.kind() + " concerns processes");
         }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/FaultKind.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/FaultKind.java
@@ -30,6 +30,8 @@
     BURST(4),
     /** All bytes between an entry and its callers are held back, and passed on late. */
     CALLERS_SILENT(8),
+    /** Half of the connections of an entry are reset at once, those of callers and those to other processes. */
+    CONNECTIONS_RESET(12),
     /** The links of a process are reset. */
     LINK_RESET(14),
     /** Links of a process are reset, and new ones too until the fault's time is over. */
--- a/standins/src/main/java/org/knapweedmount/standins/soak/JobKind.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/JobKind.java
@@ -4,22 +4,30 @@
 
 /** The kinds of jobs that callers send, each with its own queue. */
 enum JobKind {
-    BALANCE("balance", 8, 86, 0, 0.24),
-    CHARGE("charge", 4, 1_286, 2, 0.05),
-    RECEIPT("receipt", 2, 286, 1, 0.71);
+    BALANCE("balance", 8, 86, 3_100, 0, 0.24),
+    CHARGE("charge", 4, 1_286, 3_100, 2, 0.05),
+    RECEIPT("receipt", 2, 286, 3_100, 1, 0.68),
+    /** Runs that last so long that those which nobody waits for are noticed. */
+    AUDIT("audit", 2, 14_000, 400, 1, 0.03);
 
     static final String HOST = "soak.example";
 
+    private static final double LEAVING_SHARE = 0.5;
+    private static final int DEADLINE_MILLIS = 1_500;
+    private static final int LONG_DEADLINE_MILLIS = 25_000;
+
     private final String queue;
     private final int tasks;
     private final int meanRunMillis;
+    private final int meanMilliCores;
     private final int priority;
     private final double share;
 
-    JobKind(String queue, int tasks, int meanRunMillis, int priority, double share) {
+    JobKind(String queue, int tasks, int meanRunMillis, int meanMilliCores, int priority, double share) {
         this.queue = queue;
         this.tasks = tasks;
         this.meanRunMillis = meanRunMillis;
+        this.meanMilliCores = meanMilliCores;
         this.priority = priority;
         this.share = share;
     }
@@ -51,6 +59,20 @@
         return meanRunMillis;
     }
 
+    int meanMilliCores() {
+        return meanMilliCores;
+    }
+
+    /** Returns how long callers wait, in ms. */
+    int deadlineMillis() {
+        return this == AUDIT ? LONG_DEADLINE_MILLIS : DEADLINE_MILLIS;
+    }
+
+    /** Returns the share of the callers without an answer that do not send their job again. */
+    double leavingShare() {
+        return this == AUDIT ? LEAVING_SHARE : 0;
+    }
+
     int priority() {
         return priority;
     }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/LinkRelays.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/LinkRelays.java
@@ -147,6 +147,16 @@
                 .forEach(this::reset);
     }
 
+    /** Resets every second link of a process. */
+    void resetHalf(String process) {
+        List<Connection> concerned = connections.stream()
+                .filter(connection -> connection.concerns(process))
+                .toList();
+        for (int i = 0; i < concerned.size(); i += 2) {
+            reset(concerned.get(i));
+        }
+    }
+
     /** Passes on what is no longer held back. */
     void drain() {
         List.copyOf(connections).forEach(connection -> connection.directions.forEach(RelayedLink::drain));
--- a/standins/src/main/java/org/knapweedmount/standins/soak/RunHistory.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/RunHistory.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -16,12 +17,19 @@
  * <p>Not thread-safe.
  */
 final class RunHistory {
+    /**
+     * How long a run may go on after its caller has left, in ms: the platform's bounds for the return of contact after a
+     * fault and for a cancel.
+     */
+    private static final int MAX_RUN_AFTER_LEAVING_MILLIS = 6_050;
+
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<String, List<Run>> runsByTask = new HashMap<>();
     private final Map<String, Integer> usedByWorker = new HashMap<>();
     private final Map<CallerAnswer, Integer> answers = new EnumMap<>(CallerAnswer.class);
     private final List<Violation> violations = new ArrayList<>();
     private int starts;
+    private long lastMillis;
 
     private static final class Job {
         private final int tasks;
@@ -32,6 +40,7 @@
         private int refused;
         private boolean started;
         private long startMillis;
+        private OptionalLong leftMillis = OptionalLong.empty();
 
         private Job(int tasks) {
             this.tasks = tasks;
@@ -42,12 +51,14 @@
         private final String worker;
         private final String text;
         private final int milliCores;
+        private final long startMillis;
         private String end = "";
 
-        private Run(String worker, String text, int milliCores) {
+        private Run(String worker, String text, int milliCores, long startMillis) {
             this.worker = worker;
             this.text = text;
             this.milliCores = milliCores;
+            this.startMillis = startMillis;
         }
 
         @Override
@@ -77,6 +88,12 @@
         }
     }
 
+    /** Records that no caller waits for a job any more. */
+    void left(String jobId, long millis) {
+        jobs.get(jobId).leftMillis = OptionalLong.of(millis);
+        lastMillis = millis;
+    }
+
     /** Records that a worker of a capacity starts a run; the worker's name contains its incarnation. */
     void started(String worker, int capacity, String task, int number, int milliCores, long millis) {
         starts++;
@@ -87,7 +104,7 @@
         }
         List<Run> runs = runsByTask.computeIfAbsent(task, name -> new ArrayList<>());
         boolean twice = runs.stream().anyMatch(run -> run.end.isEmpty());
-        runs.add(new Run(worker, "run " + number + " at " + worker + " from " + millis, milliCores));
+        runs.add(new Run(worker, "run " + number + " at " + worker + " from " + millis, milliCores, millis));
         if (twice) {
             String detail = "task " + task + ": " + runs + "; job sent " + job.attempts;
             violations.add(new Violation(Violation.Rule.TWICE, millis, detail));
@@ -108,18 +125,39 @@
                 .orElseThrow(() -> new IllegalStateException("run " + number + " of " + task + " is not running"));
         ended.end = " to " + millis + " " + how.text();
         usedByWorker.merge(worker, -ended.milliCores, Integer::sum);
+        lastMillis = millis;
+        if (runsOnUnasked(task, ended, millis)) {
+            violations.add(unasked(task, ended, millis));
+        }
         if (how == RunEnd.DONE) {
             jobs.get(jobOf(task)).done.add(task);
         }
     }
 
+    /** Returns whether a run that was active until a time had to be stopped before, as its caller had left. */
+    private boolean runsOnUnasked(String task, Run run, long untilMillis) {
+        OptionalLong left = jobs.get(jobOf(task)).leftMillis;
+        return left.isPresent()
+                && untilMillis - Math.max(left.getAsLong(), run.startMillis) > MAX_RUN_AFTER_LEAVING_MILLIS;
+    }
+
+    private Violation unasked(String task, Run run, long millis) {
+        Job job = jobs.get(jobOf(task));
+        String detail = "task " + task + ": " + run + "; caller left at " + job.leftMillis.orElseThrow() + "; job sent "
+                + job.attempts;
+        return new Violation(Violation.Rule.UNASKED, millis, detail);
+    }
+
     private static String jobOf(String task) {
         return task.substring(0, task.indexOf('.'));
     }
 
-    /** Returns the broken rules so far, with the jobs whose answers "not run" are not true. */
+    /** Returns the broken rules so far, with runs that go on and the jobs whose answers "not run" are not true. */
     List<Violation> violations() {
         List<Violation> all = new ArrayList<>(violations);
+        runsByTask.forEach((task, runs) -> runs.stream()
+                .filter(run -> run.end.isEmpty() && runsOnUnasked(task, run, lastMillis))
+                .forEach(run -> all.add(unasked(task, run, lastMillis))));
         jobs.forEach((id, job) -> {
             boolean allRefused = job.answered > 0 && job.unanswered == 0 && job.refused == job.answered;
             if (job.started && allRefused) {
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakCallers.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakCallers.java
@@ -20,17 +20,15 @@
 import org.knapweedmount.standins.support.JsonHttp;
 
 /**
- * Callers that send jobs at random times, and send a job without an answer again to any entry.
+ * Callers that send jobs at random times, and send a job without an answer again to any entry or leave for good.
  *
  * <p>They use open connections until these break. Confined to one event loop.
  */
 final class SoakCallers {
     private static final int RESEND_MILLIS = 1_300;
-    private static final int DEADLINE_MILLIS = 1_500;
     private static final int MAX_ATTEMPTS = 4;
     private static final int MAX_CONNECTIONS_PER_ENTRY = 500;
-    private static final int MIN_MILLI_CORES = 2_500;
-    private static final int MAX_MILLI_CORES = 3_700;
+    private static final double CORE_SPREAD = 0.2;
     private static final double RUN_SPREAD = 0.4;
     private static final int MEMORY_MB = 64;
 
@@ -99,8 +97,8 @@
 
     private Job draw() {
         JobKind kind = JobKind.draw(random);
-        int runMillis = (int) (kind.meanRunMillis() * spread());
-        int milliCores = random.nextInt(MIN_MILLI_CORES, MAX_MILLI_CORES);
+        int runMillis = (int) (kind.meanRunMillis() * around1(RUN_SPREAD));
+        int milliCores = (int) (kind.meanMilliCores() * around1(CORE_SPREAD));
         ObjectNode body = JsonNodeFactory.instance
                 .objectNode()
                 .put("spec", new TaskSpec(runMillis, milliCores).text())
@@ -110,23 +108,24 @@
                 .put("count", kind.tasks())
                 .put("cpu", milliCores)
                 .put("memMb", MEMORY_MB)
-                .put("estimateMs", (int) (runMillis * spread()));
+                .put("estimateMs", (int) (runMillis * around1(RUN_SPREAD)));
         return new Job(String.format("%016x", random.nextLong()), kind, JsonHttp.encode(body));
     }
 
-    private double spread() {
-        return 1 - RUN_SPREAD + 2 * RUN_SPREAD * random.nextDouble();
+    private double around1(double spread) {
+        return 1 - spread + 2 * spread * random.nextDouble();
     }
 
     private void send(Job job, int entry, int attempt) {
+        int deadlineMillis = job.kind().deadlineMillis();
         RequestOptions options = new RequestOptions()
                 .setMethod(HttpMethod.POST)
                 .setURI(job.kind().pathPrefix() + job.id())
                 .putHeader("Host", JobKind.HOST)
                 .putHeader("Content-Type", "application/json")
-                .putHeader("X-Deadline-Ms", Integer.toString(DEADLINE_MILLIS));
+                .putHeader("X-Deadline-Ms", Integer.toString(deadlineMillis));
         boolean abandoned = random.nextDouble() < abandonedShare;
-        int timeoutMillis = abandoned ? random.nextInt(1, DEADLINE_MILLIS) : DEADLINE_MILLIS;
+        int timeoutMillis = abandoned ? random.nextInt(1, deadlineMillis) : deadlineMillis;
         history.submitted(job.id(), job.kind().tasks(), "entry-" + (entry + 1), clockMillis.getAsLong());
         new Exchange(vertx)
                 .run(clients.get(entry), options, job.body(), timeoutMillis)
@@ -149,8 +148,11 @@
 
     private void answered(Job job, int entry, int attempt, CallerAnswer answer) {
         history.answered(job.id(), answer, clockMillis.getAsLong());
-        if (answer != CallerAnswer.NONE || attempt == MAX_ATTEMPTS) {
+        boolean leaves =
+                attempt == MAX_ATTEMPTS || random.nextDouble() < job.kind().leavingShare();
+        if (answer != CallerAnswer.NONE || leaves) {
             unfinishedJobs--;
+            history.left(job.id(), clockMillis.getAsLong());
             return;
         }
         int other = (entry + random.nextInt(entries.size())) % entries.size();
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakSite.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakSite.java
@@ -96,6 +96,11 @@
         }
     }
 
+    /** Resets half of the connections between an entry and its callers. */
+    void resetHalfOfCallers(int entry) {
+        callerRelays.resetHalf(addresses.callers(entry));
+    }
+
     RunHistory history() {
         return history;
     }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/Violation.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/Violation.java
@@ -14,6 +14,8 @@
         TWICE,
         /** The runs of a worker need more than its capacity. */
         LIMIT,
+        /** A task runs on long after the last caller of its job has left. */
+        UNASKED,
         /** A task runs although each attempt to submit its job was answered "not run". */
         REFUSED,
         /** A job is answered completed before each of its tasks has ended done. */
--- a/standins/src/test/java/org/knapweedmount/standins/soak/RunHistoryTest.java
+++ b/standins/src/test/java/org/knapweedmount/standins/soak/RunHistoryTest.java
@@ -57,6 +57,30 @@
         assertThat(brokenRules(), contains(Violation.Rule.TWICE));
     }
 
+    @Test
+    void runThatGoesOnAfterItsCallerHasLeftIsFound() {
+        submit();
+        start("w1", TASK, 1);
+        start("w2", OTHER_TASK, 1);
+        history.answered(JOB, CallerAnswer.NONE, 100);
+        history.left(JOB, 100);
+        history.ended("w1", TASK, 1, RunEnd.STOPPED, 6_150);
+        assertThat(brokenRules(), empty());
+
+        history.ended("w2", OTHER_TASK, 1, RunEnd.DONE, 6_151);
+        assertThat(brokenRules(), contains(Violation.Rule.UNASKED));
+    }
+
+    @Test
+    void runThatIsStillActiveAfterItsCallerHasLeftIsFound() {
+        submit();
+        start("w1", TASK, 1);
+        history.left(JOB, 100);
+        history.submitted("00000000000000a2", 1, "entry-1", 200);
+        history.left("00000000000000a2", 6_151);
+        assertThat(brokenRules(), contains(Violation.Rule.UNASKED));
+    }
+
     @Test
     void startBeyondTheCapacityIsFound() {
         submit();
