Let a stop order end only the runs of its own entry

Two entries number the runs of a job that was sent to both on their own, so that their first runs have the same name. An agent looked only for the name: the stop order of one entry, which is repeated until its run has ended, could end the run of the other one, and the caller waited for another start.

A stop order now concerns the runs that its sender has ordered. WorkerAgentTest#stopOrderOfAnEntryDoesNotEndTheRunOfAnotherOne failed before: the run of the other entry was stopped (line 139).

--- a/core/src/main/java/org/knapweedmount/core/worker/RunTable.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunTable.java
@@ -39,6 +39,11 @@
         return Optional.ofNullable(runs.get(ref));
     }
 
+    /** Returns a run that an entry has ordered. */
+    Optional<TrackedRun> find(Incarnation entry, RunRef ref) {
+        return find(ref).filter(run -> run.entry().equals(entry));
+    }
+
     /** Returns whether any run of the task is present. */
     boolean holdsTask(String task) {
         return runs.keySet().stream().anyMatch(ref -> ref.task().equals(task));
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -138,7 +138,7 @@
             entryView.demand(demand, nowNanos);
         } else if (message instanceof StopRuns stop) {
             events.stopReceived(from, stop.runs(), nowNanos);
-            stop.runs().forEach(ref -> runs.find(ref).ifPresent(run -> stop(run, nowNanos)));
+            stop.runs().forEach(ref -> runs.find(from, ref).ifPresent(run -> stop(run, nowNanos)));
         } else if (message instanceof LeaseRenewal renewal) {
             renew(entryView, renewal.timestampNanos(), nowNanos);
         }
--- a/core/src/test/java/org/knapweedmount/core/worker/WorkerAgentTest.java
+++ b/core/src/test/java/org/knapweedmount/core/worker/WorkerAgentTest.java
@@ -14,6 +14,7 @@
 import org.knapweedmount.api.message.ResourceOffer;
 import org.knapweedmount.api.message.RunOrder;
 import org.knapweedmount.api.message.RunsEnded;
+import org.knapweedmount.api.message.StopRuns;
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.work.JobRuns;
 import org.knapweedmount.api.work.RunOutcome;
@@ -129,6 +130,18 @@
         assertThat(output.stopped, contains(ref("t1")));
     }
 
+    /** Runs of two entries can have the same number, so a repeated stop order must not end the run of another entry. */
+    @Test
+    void stopOrderOfAnEntryDoesNotEndTheRunOfAnotherOne() {
+        order(ENTRY, 1, 2, "t1");
+
+        agent.receive(OTHER, new StopRuns(List.of(ref("t1"))), millisToNanos(3));
+        assertThat(output.stopped, is(empty()));
+
+        agent.receive(ENTRY, new StopRuns(List.of(ref("t1"))), millisToNanos(4));
+        assertThat(output.stopped, contains(ref("t1")));
+    }
+
     @Test
     void renewalWithATimestampInTheFutureIsIgnored() {
         order(ENTRY, 1, 2, "t1");
