--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchStatus.java
@@ -0,0 +1,61 @@
+package org.knapweedmount.core.dispatch;
+
+/** What an entry tells about its jobs and workers; always the present state of its {@link Dispatcher}. */
+public final class DispatchStatus {
+    private final JobTable jobs;
+    private final WorkerViews workers;
+    private final JobAnswers answers;
+
+    DispatchStatus(JobTable jobs, WorkerViews workers, JobAnswers answers) {
+        this.jobs = jobs;
+        this.workers = workers;
+        this.answers = answers;
+    }
+
+    /**
+     * Returns whether a job is held and not answered.
+     *
+     * @param id the job's ID
+     * @return true if it is queued or running
+     */
+    public boolean holds(String id) {
+        return jobs.find(id).filter(job -> !job.answered()).isPresent();
+    }
+
+    /**
+     * Returns the number of jobs of a queue that have not started.
+     *
+     * @param queue the queue's name
+     * @return the number of jobs
+     */
+    public long pending(String queue) {
+        return jobs.pending(queue);
+    }
+
+    /**
+     * Returns the number of unanswered jobs.
+     *
+     * @return the number of jobs
+     */
+    public long unanswered() {
+        return jobs.unanswered();
+    }
+
+    /**
+     * Returns the latencies of answered jobs, without those refused on arrival; any thread may call this.
+     *
+     * @return the histogram
+     */
+    public JobLatencies latencies() {
+        return answers.latencies();
+    }
+
+    /**
+     * Returns whether any worker accepts starts.
+     *
+     * @return true if one does
+     */
+    public boolean hasWorkers() {
+        return workers.all().stream().anyMatch(WorkerView::acceptsStarts);
+    }
+}
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -48,6 +48,7 @@
     private final JobAdmission admission;
     private final JobAnswers answers;
     private final StopOrders stopOrders;
+    private final DispatchStatus status;
     private final HeldRequests heldRequests = new HeldRequests();
     private OptionalLong drainByNanos = OptionalLong.empty();
 
@@ -62,6 +63,7 @@
         this.ownership = new JobOwnership(output);
         this.answers = new JobAnswers(output, events);
         this.stopOrders = new StopOrders(output, events);
+        this.status = new DispatchStatus(jobs, workers, answers);
         this.admission = new JobAdmission(output, workers, jobs, maxCapacity);
     }
 
@@ -540,49 +542,11 @@
     }
 
     /**
-     * Returns whether a job is held and not answered.
+     * Returns what this entry tells about its jobs and workers.
      *
-     * @param id the job's ID
-     * @return true if it is queued or running
-     */
-    public boolean holds(String id) {
-        return jobs.find(id).filter(job -> !job.answered()).isPresent();
-    }
-
-    /**
-     * Returns the number of jobs of a queue that have not started.
-     *
-     * @param queue the queue's name
-     * @return the number of jobs
-     */
-    public long pending(String queue) {
-        return jobs.pending(queue);
-    }
-
-    /**
-     * Returns the number of unanswered jobs.
-     *
-     * @return the number of jobs
-     */
-    public long unanswered() {
-        return jobs.unanswered();
-    }
-
-    /**
-     * Returns the latencies of answered jobs, without those refused on arrival; any thread may call this.
-     *
-     * @return the histogram
-     */
-    public JobLatencies latencies() {
-        return answers.latencies();
-    }
-
-    /**
-     * Returns whether any worker accepts starts.
-     *
-     * @return true if one does
+     * @return the present status, which changes with the dispatcher
      */
-    public boolean hasWorkers() {
-        return workers.all().stream().anyMatch(WorkerView::acceptsStarts);
+    public DispatchStatus status() {
+        return status;
     }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -88,7 +88,7 @@
         this.links = new LinkTable<>(vertx, options, self, appliedVersion::get, clock, decisions, new Handler());
         this.dispatchModule = new DispatchModule(new Output(answerHandler), appliedVersion, links::addKnownEntry);
         this.metrics = new LazyProcessMetrics(log, links, process -> {
-            process.jobs(dispatchModule.dispatcher().latencies());
+            process.jobs(dispatchModule.dispatcher().status().latencies());
             process.counters("dispatch", DispatchCounter.class, counters);
         });
     }
@@ -120,7 +120,7 @@
 
     private void tick(DispatchModule module, long nowNanos) {
         module.dispatcher().tick(nowNanos);
-        ready = module.queues().version() > 0 && module.dispatcher().hasWorkers();
+        ready = module.queues().version() > 0 && module.dispatcher().status().hasWorkers();
     }
 
     /**
@@ -194,7 +194,7 @@
         TimeUnit.MILLISECONDS.sleep(balancerGraceMillis);
         IdleWait.await(
                 decisions,
-                module -> module.dispatcher().unanswered() == 0,
+                module -> module.dispatcher().status().unanswered() == 0,
                 clock,
                 drainLimitMillis - balancerGraceMillis);
         // Refuses all requests from here on, so that every request that is read gets an answer.
