Ask an entry behind a cut for a job before it is admitted again

A caller that an entry did not see leave had its job run twice at the same time: that entry had admitted it while it was cut off from another one, which admitted the resubmission.

Cause: what an entry knew of the jobs of another one ended with the link between them. Nobody told it of jobs that were admitted during a cut, and 1.1 s after the loss of the link it took the other entry for ended if no third one was linked to it; if one was, for ended as soon as that link was lost too.

Entries now learn from agents and entries which others are alive. A job that is submitted while a live entry has no link waits until that entry has said, by way of an agent, that it does not hold the job. Requests are repeated until they are answered and numbered, so that a lost, late or doubled one does no harm. The 1.1 s count from the last word that an entry is alive.

Changed tests. OwnershipFleet's agent passes on messages, as agents do. waitingRequestIsNotAdmittedWhileAnotherEntryIsLinkedToTheHolder and wordOfAnEntryThatIsLostItselfKeepsNoJob admitted the request as soon as the third entry's word ended, although the leases of an entry that was alive until then last longer; they now demand that it waits for them to the millisecond. gapShorterThanTheLossOfALinkKeepsJobs expected an order at once; it expects the job to be kept and ordered after the wait. DispatchEventsTest sends the full list that each entry sends on a new link.

--- a/api/src/main/java/org/knapweedmount/api/message/Message.java
+++ b/api/src/main/java/org/knapweedmount/api/message/Message.java
@@ -41,4 +41,7 @@
                 LeaseRenewal,
                 QueueUpdate,
                 JobOwnershipUpdate,
-                YieldJob {}
+                YieldJob,
+                LinkedEntries,
+                RelayedYield,
+                RelayedEnd {}
--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
@@ -15,6 +15,9 @@
      */
     static final long STOP_REPEAT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    /** The interval at which an entry without a link is asked again for a job; several round trips by way of an agent. */
+    static final long YIELD_REPEAT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
     /** The time without a report after which every run ordered from an agent must have ended. */
     static final long MAX_RUN_END_NANOS = TimeUnit.MILLISECONDS.toNanos(WorkerTimings.MAX_RUN_END_MILLIS);
 
@@ -36,13 +39,22 @@
      * <p>Each lease counts from an agent's timestamp, which the entry received before it stopped and so before the loss
      * of the link was noticed; a message that was still under way at that time cannot extend it. The time since then is
      * bounded by {@link WorkerTimings#MAX_RUN_END_MILLIS}, which includes the drift of clocks. It does not cover an
-     * entry that stays in reach of its agents: {@link JobOwnership} keeps its jobs while another entry is linked to it.
+     * entry that stays in reach of its agents: {@link LostEntries} counts from the last word that it is alive.
      */
     static final long LOST_ENTRY_NANOS = MAX_RUN_END_NANOS;
 
+    /** The time in which a new entry is linked; well below the 1.3 s after which callers resubmit a job. */
+    static final long NEW_ENTRY_LINK_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     /** The time without a message after which the other end closes a link to this entry. */
     static final long LINK_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+    /**
+     * The delay from which a request may be read when its job has been submitted to another entry, which happens 1.3 s
+     * later at the earliest; the rest is left for the exchange of ownership updates.
+     */
+    static final long LATE_READ_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     /**
      * How long requests are held after a stall; by then the ends of connections are read that were closed meanwhile.
      */
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -14,8 +14,11 @@
 import org.knapweedmount.api.message.ActiveRuns;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
 import org.knapweedmount.api.message.LeaseRenewal;
+import org.knapweedmount.api.message.LinkedEntries;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.Peers;
+import org.knapweedmount.api.message.RelayedEnd;
+import org.knapweedmount.api.message.RelayedYield;
 import org.knapweedmount.api.message.ResourceDemand;
 import org.knapweedmount.api.message.ResourceOffer;
 import org.knapweedmount.api.message.RunOrder;
@@ -74,7 +77,7 @@
      * @param nowNanos the current time, in ns
      */
     public void submit(JobRequest request, long nowNanos) {
-        stalls.eventReceived(nowNanos).ifPresent(stall -> giveUpAll(stall, nowNanos));
+        stalls.eventReceived(nowNanos).ifPresent(stall -> recover(stall, nowNanos));
         if (heldRequests.isHolding(nowNanos)) {
             output.logEvent("job-read-after-stall", "job=" + request.id());
             ownership.held(request.id(), heldRequests.hold(request).submittedNanos());
@@ -89,9 +92,9 @@
         held.ifPresent(events::resubmitted);
         if (held.isPresent() && !held.get().answered()) {
             ownership.held(request.id(), submitted.submittedNanos());
-        } else if (held.isPresent() || ownership.isHeldElsewhere(request.id())) {
+        } else if (held.isPresent() || ownership.mayBeHeldElsewhere(request.id(), nowNanos)) {
             events.waitsForEntries(request.id(), ownership.holders(request.id()));
-            ownership.awaitEnd(submitted);
+            ownership.awaitEnd(submitted, nowNanos);
         } else {
             admit(request, submitted.submittedNanos(), nowNanos);
         }
@@ -177,8 +180,11 @@
         view.leaseRenewed(nowNanos);
     }
 
-    /** Returns the jobs that runs may be ordered for; none that another entry holds as well. */
+    /** Returns the jobs that runs may be ordered for; none that another entry holds as well, or may after a stall. */
     private List<TrackedJob> queuedJobs(String service, long nowNanos) {
+        if (heldRequests.isHolding(nowNanos)) {
+            return List.of();
+        }
         return jobs.queuedJobs(service, ownership::isHeldElsewhere, nowNanos);
     }
 
@@ -207,7 +213,7 @@
      * @param nowNanos the current time, in ns
      */
     public void agentLinked(Incarnation agent, long nowNanos) {
-        stalls.eventReceived(nowNanos).ifPresent(stall -> giveUpAll(stall, nowNanos));
+        stalls.eventReceived(nowNanos).ifPresent(stall -> recover(stall, nowNanos));
         workers.link(agent, nowNanos);
     }
 
@@ -227,7 +233,7 @@
      * @param nowNanos the current time, in ns
      */
     public void unlinked(Incarnation peer, long nowNanos) {
-        stalls.eventReceived(nowNanos).ifPresent(stall -> giveUpAll(stall, nowNanos));
+        stalls.eventReceived(nowNanos).ifPresent(stall -> recover(stall, nowNanos));
         workers.find(peer).ifPresent(WorkerView::unlink);
         ownership.unlinked(peer, nowNanos);
     }
@@ -240,16 +246,22 @@
      * @param nowNanos the current time, in ns
      */
     public void receive(Incarnation from, Message message, long nowNanos) {
-        stalls.messageReceived(from, message, nowNanos).ifPresent(stall -> giveUpAll(stall, nowNanos));
+        stalls.messageReceived(from, message, nowNanos).ifPresent(stall -> recover(stall, nowNanos));
         if (message instanceof JobOwnershipUpdate update) {
             events.ownedByPeer(from, update, jobs);
             JobOwnership.Changes changes = ownership.updateReceived(from, update, nowNanos);
             changes.surrendered().forEach(job -> surrender(job, nowNanos));
             changes.freed().forEach(job -> resume(job, "ended-there", nowNanos));
         } else if (message instanceof Peers linked) {
-            ownership.peersReported(from, linked);
+            ownership.peersReported(from, linked, nowNanos);
+        } else if (message instanceof LinkedEntries linked) {
+            ownership.linkedEntriesReported(from, linked, nowNanos);
         } else if (message instanceof YieldJob request) {
             yieldJob(from, request.job(), nowNanos);
+        } else if (message instanceof RelayedYield request) {
+            yieldJobByWayOf(from, request, nowNanos);
+        } else if (message instanceof RelayedEnd end && ownership.relayedEndReceived(end)) {
+            resume(end.job(), "ended-there", nowNanos);
         }
         Optional<WorkerView> view = workers.find(from);
         if (view.isEmpty()) {
@@ -289,6 +301,19 @@
         }
     }
 
+    /** Gives up a job for an entry that is cut off from this one; an agent passes on the answer. */
+    private void yieldJobByWayOf(Incarnation agent, RelayedYield request, long nowNanos) {
+        String id = request.job();
+        output.logEvent(
+                "job-yielded",
+                "job=" + id + " entry=" + request.peer() + " by=" + agent + " held="
+                        + jobs.find(id).isPresent());
+        surrender(id, nowNanos);
+        if (jobs.find(id).isEmpty()) {
+            output.send(agent, new RelayedEnd(request.peer(), id, request.number()));
+        }
+    }
+
     /** Gives up a job, or the request that waits for it, which its caller has submitted to another entry since. */
     private void surrender(String id, long nowNanos) {
         Optional<TrackedJob> job = jobs.find(id);
@@ -478,7 +503,7 @@
      * @param nowNanos the current time, in ns
      */
     public void tick(long nowNanos) {
-        stalls.ticked(nowNanos).ifPresent(stall -> giveUpAll(stall, nowNanos));
+        stalls.ticked(nowNanos).ifPresent(stall -> recover(stall, nowNanos));
         heldRequests.release(nowNanos).forEach(request -> submit(request, nowNanos));
         workers.updateRelativeSlowdowns();
         events.flush(nowNanos);
@@ -503,9 +528,16 @@
         }
     }
 
-    /** Gives up all jobs after a stall: other entries may have admitted them, and the leases of their runs have ended. */
-    private void giveUpAll(StallDetector.Stall stall, long nowNanos) {
+    /**
+     * Holds requests and orders after a stall, because other entries may have admitted the jobs; gives up all jobs if the
+     * leases of their runs have ended.
+     */
+    private void recover(StallDetector.Stall stall, long nowNanos) {
         heldRequests.stallEnded(stall, nowNanos);
+        if (!stall.endedLinks()) {
+            output.logEvent("entry-paused", stall.description() + " jobs=" + jobs.unanswered());
+            return;
+        }
         List<String> waiting = ownership.awaited();
         output.logEvent(
                 "entry-stalled", stall.description() + " jobs=" + jobs.unanswered() + " waiting=" + waiting.size());
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
@@ -17,7 +17,9 @@
 import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
+import org.knapweedmount.api.message.LinkedEntries;
 import org.knapweedmount.api.message.Peers;
+import org.knapweedmount.api.message.RelayedEnd;
 import org.knapweedmount.api.message.YieldJob;
 
 /**
@@ -28,8 +30,8 @@
  * older submission gives it up.
  *
  * <p>A lost link says nothing about the jobs of the entry at its other end: it holds them until its full list on a new
- * link says otherwise, or until every lease that it can have had must have ended
- * ({@link DispatchTimings#LOST_ENTRY_NANOS}) and no other entry is linked to it.
+ * link says otherwise, or until every lease that it can have had must have ended ({@link LostEntries}). An entry that is
+ * cut off but alive is asked by way of agents for each job that is submitted here meanwhile.
  */
 final class JobOwnership {
     private final DispatchOutput output;
@@ -38,9 +40,9 @@
     private final Set<Incarnation> peers = new HashSet<>();
     private final Set<Incarnation> peersWithoutFullList = new LinkedHashSet<>();
     private final Set<Incarnation> awaitedFullLists = new HashSet<>();
-    private final Map<Incarnation, Long> lostNanos = new LinkedHashMap<>();
-    private final Map<Incarnation, Set<Incarnation>> linkedToPeers = new HashMap<>();
+    private final LostEntries lostEntries = new LostEntries();
     private final Map<String, WaitingRequest> waitingRequests = new LinkedHashMap<>();
+    private final RelayedYields relayedYields;
 
     /**
      * What an update of another entry leads to.
@@ -52,26 +54,27 @@
 
     JobOwnership(DispatchOutput output) {
         this.output = output;
+        this.relayedYields = new RelayedYields(output, lostEntries);
     }
 
     void linked(Incarnation peer) {
         peers.add(peer);
         peersWithoutFullList.add(peer);
         awaitedFullLists.add(peer);
-        lostNanos.remove(peer);
+        lostEntries.linked(peer);
     }
 
     /** Keeps the jobs of an entry whose link is lost: the entry may be alive. */
     void unlinked(Incarnation peer, long nowNanos) {
+        lostEntries.reporterLost(peer, nowNanos);
         if (!peers.remove(peer)) {
             return;
         }
         peersWithoutFullList.remove(peer);
         awaitedFullLists.remove(peer);
-        linkedToPeers.remove(peer);
+        lostEntries.lost(peer, nowNanos);
         Set<String> held = heldBy(peer);
         if (!held.isEmpty()) {
-            lostNanos.put(peer, nowNanos);
             output.logEvent("jobs-kept", "entry=" + peer + " jobs=" + held.size() + " waiting=" + waiting(held));
         }
     }
@@ -93,33 +96,29 @@
     /** Drops the jobs of lost entries whose runs must have ended; returns those that no other entry holds any more. */
     List<String> releaseLost(long nowNanos) {
         List<String> freed = new ArrayList<>();
-        for (Map.Entry<Incarnation, Long> lost : List.copyOf(lostNanos.entrySet())) {
-            if (nowNanos - lost.getValue() <= DispatchTimings.LOST_ENTRY_NANOS || isLinkedToPeer(lost.getKey())) {
-                continue;
-            }
-            lostNanos.remove(lost.getKey());
-            Set<String> held = heldBy(lost.getKey());
+        lostEntries.removeEnded(nowNanos).forEach((entry, nanos) -> {
+            Set<String> held = heldBy(entry);
             output.logEvent(
                     "jobs-released",
-                    "entry=" + lost.getKey() + " reason=leases-ended jobs=" + held.size() + " waiting=" + waiting(held)
-                            + " millis=" + TimeUnit.NANOSECONDS.toMillis(nowNanos - lost.getValue()));
-            freed.addAll(removeHolder(lost.getKey(), held));
-        }
+                    "entry=" + entry + " reason=leases-ended jobs=" + held.size() + " waiting=" + waiting(held)
+                            + " millis=" + TimeUnit.NANOSECONDS.toMillis(nanos));
+            freed.addAll(removeHolder(entry, held));
+        });
         return freed;
     }
 
     /** Records which entries another entry is linked to. */
-    void peersReported(Incarnation peer, Peers linked) {
+    void peersReported(Incarnation peer, Peers linked, long nowNanos) {
         if (peers.contains(peer)) {
-            linkedToPeers.put(
-                    peer,
-                    linked.entries().stream().map(PeerAddress::incarnation).collect(Collectors.toSet()));
+            Set<Incarnation> entries =
+                    linked.entries().stream().map(PeerAddress::incarnation).collect(Collectors.toSet());
+            lostEntries.reportedByPeer(peer, entries, nowNanos);
         }
     }
 
-    /** Returns whether another entry is linked to an entry, which is then alive although cut off from this one. */
-    private boolean isLinkedToPeer(Incarnation entry) {
-        return linkedToPeers.values().stream().anyMatch(linked -> linked.contains(entry));
+    /** Records which entries an agent is linked to. */
+    void linkedEntriesReported(Incarnation agent, LinkedEntries linked, long nowNanos) {
+        lostEntries.reportedByAgent(agent, Set.copyOf(linked.entries()), nowNanos);
     }
 
     /** Removes a holder of jobs; returns those that no other entry holds any more. */
@@ -192,16 +191,44 @@
         return holders.containsKey(job);
     }
 
+    /**
+     * Returns whether a job that is submitted now may be held elsewhere. An entry that is cut off from this one but alive,
+     * or that has not sent its full list on a new link, counts as its holder until it says otherwise, as it may have
+     * admitted the job since.
+     */
+    boolean mayBeHeldElsewhere(String job, long nowNanos) {
+        Set<Incarnation> unknown = new LinkedHashSet<>(lostEntries.cutOff(nowNanos));
+        unknown.addAll(awaitedFullLists);
+        if (!unknown.isEmpty()) {
+            holders.computeIfAbsent(job, key -> new LinkedHashSet<>()).addAll(unknown);
+        }
+        return isHeldElsewhere(job);
+    }
+
     /** Holds back a request until no run of an earlier submission of its job is left, and asks for its end. */
-    void awaitEnd(WaitingRequest waiting) {
+    void awaitEnd(WaitingRequest waiting, long nowNanos) {
         String job = waiting.request().id();
         waitingRequests.put(job, waiting);
         claims.add(job, waiting.submittedNanos());
         holders(job).forEach(holder -> output.send(holder, new YieldJob(job)));
+        relayedYields.begin(job, unlinkedHolders(job), nowNanos);
+    }
+
+    private Set<Incarnation> unlinkedHolders(String job) {
+        Set<Incarnation> unlinked = new LinkedHashSet<>(holders(job));
+        unlinked.removeAll(peers);
+        return unlinked;
+    }
+
+    /** Applies the answer of an entry without a link; returns true if no other entry holds the job any more. */
+    boolean relayedEndReceived(RelayedEnd end) {
+        return relayedYields.isCurrent(end)
+                && !removeHolder(end.peer(), Set.of(end.job())).isEmpty();
     }
 
     /** Removes and returns the request that waits for the end of a job's earlier submission. */
     Optional<WaitingRequest> removeAwaiting(String job) {
+        relayedYields.end(job);
         return Optional.ofNullable(waitingRequests.remove(job));
     }
 
@@ -241,8 +268,9 @@
         output.send(peer, new JobOwnershipUpdate(List.of(), List.of(job)));
     }
 
-    /** Sends the full list on new links and the changes on all others. */
+    /** Sends the full list on new links and the changes on all others, and repeats requests to unlinked entries. */
     void sendUpdates(long nowNanos) {
+        waitingRequests.keySet().forEach(job -> relayedYields.repeat(job, unlinkedHolders(job), nowNanos));
         List.copyOf(peersWithoutFullList).forEach(peer -> sendFullList(peer, nowNanos));
         claims.pendingUpdate(nowNanos).ifPresent(update -> peers.forEach(peer -> output.send(peer, update)));
     }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/StallDetector.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/StallDetector.java
@@ -12,8 +12,8 @@
 import org.knapweedmount.api.message.WorkerReport;
 
 /**
- * Detects that this entry stood still for so long that its peers have closed their links to it and its leases have
- * ended.
+ * Detects that this entry stood still: for so long that its peers have closed their links to it and its leases have
+ * ended, or that requests which it reads then may have been submitted to another entry in the meantime.
  *
  * <p>If the entry's clock went on, ticks are missing. If its VM was suspended, the clock lost that time, and the
  * timestamps of agents are further ahead of it than before. The difference between a timestamp and the time of its
@@ -26,8 +26,12 @@
     /** How long an agent that sends no reports is remembered, in ns; longer than the loss of a link. */
     private static final long AGENT_EXPIRY_NANOS = TimeUnit.SECONDS.toNanos(60);
 
+    /** For how long the reports of agents show a loss of the clock. */
+    private static final long LOSS_VISIBLE_NANOS = AgentClock.PERIODS * DispatchTimings.LINK_TIMEOUT_NANOS;
+
     private final Map<Incarnation, AgentClock> agentClocks = new HashMap<>();
     private OptionalLong lastActiveNanos = OptionalLong.empty();
+    private OptionalLong lossNanos = OptionalLong.empty();
 
     /**
      * A time for which the entry stood still.
@@ -36,6 +40,11 @@
      * @param lostNanos the time that the entry's clock lost at least, in ns
      */
     record Stall(long missedNanos, long lostNanos) {
+        /** Returns whether peers have closed their links to this entry and its leases have ended. */
+        boolean endedLinks() {
+            return missedNanos + lostNanos > DispatchTimings.LINK_TIMEOUT_NANOS;
+        }
+
         /** Returns the times in ms for the log. */
         String description() {
             return "missed=" + TimeUnit.NANOSECONDS.toMillis(missedNanos) + " lost="
@@ -74,12 +83,26 @@
 
     private Optional<Stall> check(long lostNanos, long nowNanos) {
         long missedNanos = nowNanos - lastActiveNanos.orElse(nowNanos);
-        if (missedNanos + lostNanos <= DispatchTimings.LINK_TIMEOUT_NANOS) {
-            return Optional.empty();
+        Stall stall = new Stall(missedNanos, lostNanos);
+        if (stall.endedLinks()) {
+            lastActiveNanos = OptionalLong.of(nowNanos);
+            agentClocks.values().forEach(clock -> clock.lossHandled(lostNanos));
+            return Optional.of(stall);
         }
-        lastActiveNanos = OptionalLong.of(nowNanos);
-        agentClocks.values().forEach(clock -> clock.lossHandled(lostNanos));
-        return Optional.of(new Stall(missedNanos, lostNanos));
+        if (missedNanos > DispatchTimings.LATE_READ_NANOS) {
+            lastActiveNanos = OptionalLong.of(nowNanos);
+            return Optional.of(stall);
+        }
+        if (lostNanos > DispatchTimings.LATE_READ_NANOS && !isKnownLoss(nowNanos)) {
+            lossNanos = OptionalLong.of(nowNanos);
+            return Optional.of(stall);
+        }
+        return Optional.empty();
+    }
+
+    /** Returns whether a loss of the clock was found a short time ago, which the reports of all agents show for a while. */
+    private boolean isKnownLoss(long nowNanos) {
+        return lossNanos.isPresent() && nowNanos - lossNanos.getAsLong() < LOSS_VISIBLE_NANOS;
     }
 
     /**
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
@@ -52,6 +52,7 @@
         dispatcher.agentLinked(AGENT, 0);
         report(0);
         dispatcher.entryLinked(PEER);
+        dispatcher.receive(PEER, new JobOwnershipUpdate(List.of(), List.of()), 0);
     }
 
     @Test
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherOwnershipTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherOwnershipTest.java
@@ -10,7 +10,10 @@
 import org.knapweedmount.api.Role;
 import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
+import org.knapweedmount.api.message.LinkedEntries;
 import org.knapweedmount.api.message.Peers;
+import org.knapweedmount.api.message.RelayedEnd;
+import org.knapweedmount.api.message.RelayedYield;
 import org.knapweedmount.api.message.ResourceOffer;
 import org.knapweedmount.api.message.YieldJob;
 import org.knapweedmount.api.work.RunOutcome;
@@ -284,6 +287,7 @@
     void waitingRequestIsNotAdmittedWhileAnotherEntryIsLinkedToTheHolder() {
         linkPeerThatHolds(JOB);
         dispatcher.entryLinked(OTHER_PEER);
+        fixture.receive(OTHER_PEER, owned(), 0);
         fixture.receive(OTHER_PEER, linkedTo(PEER), 0);
         fixture.submit(0);
         fixture.unlink(PEER, 100);
@@ -292,8 +296,12 @@
         assertThat(fixture.ordered(), is(empty()));
 
         fixture.receive(OTHER_PEER, new Peers(List.of()), 1_400);
-        fixture.report(1_401, DispatcherFixture.CAPACITY_MILLI_CORES);
-        fixture.tick(1_402);
+        fixture.tick(2_000);
+        fixture.report(2_499, DispatcherFixture.CAPACITY_MILLI_CORES);
+        fixture.tick(2_500);
+        assertThat(fixture.ordered(), is(empty()));
+
+        fixture.tick(2_501);
         assertThat(fixture.ordered(), contains(FIRST));
     }
 
@@ -306,8 +314,83 @@
         fixture.unlink(PEER, 100);
         fixture.unlink(OTHER_PEER, 200);
 
-        fixture.report(1_201, DispatcherFixture.CAPACITY_MILLI_CORES);
-        fixture.tick(1_202);
+        fixture.report(1_299, DispatcherFixture.CAPACITY_MILLI_CORES);
+        fixture.tick(1_300);
+        assertThat(fixture.ordered(), is(empty()));
+
+        fixture.tick(1_301);
+        assertThat(fixture.ordered(), contains(FIRST));
+    }
+
+    private void cutOffPeerThatAnAgentIsLinkedTo() {
+        dispatcher.entryLinked(PEER);
+        fixture.receive(PEER, owned(), 0);
+        fixture.receive(AGENT, new LinkedEntries(List.of(PEER)), 0);
+        fixture.unlink(PEER, 100);
+    }
+
+    /** A job that another entry has admitted while it is cut off must not run here as well. */
+    @Test
+    void jobThatIsSubmittedDuringACutRunsOnlyOnceTheEntryBehindItHasEndedIt() {
+        cutOffPeerThatAnAgentIsLinkedTo();
+        fixture.submit(200);
+        RelayedYield request = new RelayedYield(PEER, JOB, 1);
+        assertThat(fixture.ordered(), is(empty()));
+        assertThat(fixture.sent(RelayedYield.class), contains(request));
+
+        fixture.tick(250);
+        assertThat(fixture.sent(RelayedYield.class), contains(request, request));
+
+        fixture.receive(AGENT, new RelayedEnd(PEER, JOB, 1), 260);
+        assertThat(fixture.ordered(), contains(FIRST));
+    }
+
+    /** Between a new link and the full list the jobs of the other entry are unknown. */
+    @Test
+    void jobThatIsSubmittedOnANewLinkRunsOnlyAfterTheFullList() {
+        dispatcher.entryLinked(PEER);
+        fixture.submit(0);
+        assertThat(fixture.ordered(), is(empty()));
+
+        fixture.receive(PEER, owned(), 10);
+        assertThat(fixture.ordered(), contains(FIRST));
+    }
+
+    @Test
+    void lateAnswerToAnEarlierRequestDuringACutAdmitsNothing() {
+        cutOffPeerThatAnAgentIsLinkedTo();
+        fixture.submit(200);
+        dispatcher.cancel(JOB, DispatchFixture.millisToNanos(210));
+        fixture.submit(220);
+
+        fixture.receive(AGENT, new RelayedEnd(PEER, JOB, 1), 230);
+        assertThat(fixture.ordered(), is(empty()));
+
+        fixture.receive(AGENT, new RelayedEnd(PEER, JOB, 2), 240);
+        assertThat(fixture.ordered(), contains(FIRST));
+    }
+
+    @Test
+    void entryThatIsAskedDuringACutAnswersOnlyOnceNoRunOfTheJobIsLeft() {
+        fixture.submit(0);
+        RelayedYield request = new RelayedYield(PEER, JOB, 7);
+
+        fixture.receive(AGENT, request, 10);
+        assertThat(fixture.answers(JOB), contains(JobResult.Kind.GIVEN_UP));
+        assertThat(fixture.stopped(), contains(FIRST));
+        assertThat(fixture.sent(RelayedEnd.class), is(empty()));
+
+        fixture.sendResult(FIRST, RunOutcome.STOPPED, 20);
+        fixture.receive(AGENT, request, 60);
+        assertThat(fixture.sent(RelayedEnd.class), contains(new RelayedEnd(PEER, JOB, 7)));
+    }
+
+    @Test
+    void jobIsAdmittedAtOnceIfNoProcessIsLinkedToTheLostEntry() {
+        cutOffPeerThatAnAgentIsLinkedTo();
+        fixture.receive(AGENT, new LinkedEntries(List.of()), 150);
+
+        fixture.submit(200);
 
         assertThat(fixture.ordered(), contains(FIRST));
     }
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherStallTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherStallTest.java
@@ -98,10 +98,43 @@
         tickEvery(0, 100);
 
         fixture.report(1_600, CAPACITY_MILLI_CORES);
+        fixture.tick(1_700);
+
+        assertThat(fixture.answers(JOB), is(empty()));
+        assertThat(fixture.ordered(), contains(FIRST));
+    }
+
+    /** The job may have been submitted to another entry during the gap, which tells so within 100 ms. */
+    @Test
+    void runsAreOrderedAfterAGapOnlyOnceOtherEntriesHaveToldTheirJobs() {
+        fixture.report(0, 0);
+        fixture.submit(JOB, 0, 60_000, 900);
+        tickEvery(0, 100);
+
+        fixture.report(1_101, CAPACITY_MILLI_CORES);
+        assertThat(fixture.ordered(), is(empty()));
+        assertThat(fixture.events("entry-paused"), contains("entry-paused missed=1001 lost=0 jobs=1"));
 
+        fixture.tick(1_200);
+        assertThat(fixture.ordered(), is(empty()));
+        fixture.tick(1_201);
         assertThat(fixture.ordered(), contains(FIRST));
     }
 
+    @Test
+    void requestThatIsReadAfterAGapWaitsForTheJobsOfOtherEntries() {
+        fixture.dispatcher().entryLinked(PEER);
+        fixture.receive(PEER, new JobOwnershipUpdate(List.of(), List.of()), 0);
+        tickEvery(0, 100);
+
+        fixture.submit(1_101);
+        fixture.receive(PEER, new JobOwnershipUpdate(List.of(new JobClaim(JOB, 10)), List.of()), 1_150);
+        fixture.tick(1_201);
+
+        assertThat(fixture.ordered(), is(empty()));
+        assertThat(fixture.answers(JOB), contains(JobResult.Kind.GIVEN_UP));
+    }
+
     /** Reports whose agent's clock is ahead of the entry's, as if the entry's clock had lost the difference. */
     private void reportAhead(long millis, long aheadMillis, int freeMilliCores) {
         fixture.report(AGENT, millis + aheadMillis, millis, freeMilliCores);
--- a/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleet.java
@@ -17,8 +17,10 @@
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.Role;
 import org.knapweedmount.api.message.LeaseRenewal;
+import org.knapweedmount.api.message.LinkedEntries;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.Peers;
+import org.knapweedmount.api.message.RelayedMessage;
 import org.knapweedmount.api.message.RunOrder;
 import org.knapweedmount.api.message.RunsEnded;
 import org.knapweedmount.api.message.StopRuns;
@@ -29,7 +31,7 @@
 
 /**
  * Entries in virtual time whose links to each other are reset and cut and that stand still, and an agent that starts
- * what it is told to and ends the runs of an entry that it has not heard.
+ * what it is told to, passes on messages between entries without a link, and ends the runs of an entry that it has not heard.
  */
 final class OwnershipFleet {
     private static final Incarnation AGENT = new Incarnation("agent", 100);
@@ -43,6 +45,7 @@
     private final List<Entry> entries = new ArrayList<>();
     private final Set<Set<Entry>> upLinks = new HashSet<>();
     private final Set<Set<Entry>> cutLinks = new HashSet<>();
+    private final Set<Entry> linkedToAgent = new LinkedHashSet<>();
     private final Map<String, Set<Entry>> liveRuns = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
     private long millis;
@@ -93,6 +96,8 @@
             every(100, () -> report(entry));
             entries.stream().filter(other -> other != entry).forEach(other -> link(entry, other));
         }
+        linkedToAgent.addAll(entries);
+        sendLinkedEntries();
         every(10, this::endLapsedRuns);
     }
 
@@ -225,9 +230,11 @@
         }
         entry.still = true;
         if (durationMillis > LINK_TIMEOUT_MILLIS) {
-            after(
-                    LINK_TIMEOUT_MILLIS,
-                    () -> entries.stream().filter(other -> other != entry).forEach(other -> unlink(entry, other)));
+            after(LINK_TIMEOUT_MILLIS, () -> {
+                entries.stream().filter(other -> other != entry).forEach(other -> unlink(entry, other));
+                linkedToAgent.remove(entry);
+                sendLinkedEntries();
+            });
         }
         after(durationMillis, () -> {
             entry.lostMillis += suspended ? durationMillis : 0;
@@ -235,6 +242,8 @@
             List<Runnable> waiting = List.copyOf(entry.buffered);
             entry.buffered.clear();
             waiting.forEach(Runnable::run);
+            linkedToAgent.add(entry);
+            sendLinkedEntries();
             after(10, () -> entries.stream().filter(other -> other != entry).forEach(other -> link(entry, other)));
         });
     }
@@ -248,6 +257,15 @@
                         timestampNanos, "service", "w", List.of(), capacity, capacity, true, Long.MAX_VALUE, 0, 100));
     }
 
+    private void sendLinkedEntries() {
+        linkedToAgent.forEach(entry -> sendFromAgent(
+                entry,
+                new LinkedEntries(linkedToAgent.stream()
+                        .filter(other -> other != entry)
+                        .map(other -> other.self)
+                        .toList())));
+    }
+
     private void sendFromAgent(Entry entry, Message message) {
         after(1, () -> handle(entry, () -> entry.dispatcher.receive(AGENT, message, now(entry))));
     }
@@ -266,6 +284,10 @@
     private void atAgent(Entry entry, Message message) {
         if (message instanceof LeaseRenewal renewal) {
             renew(entry, renewal.timestampNanos());
+        } else if (message instanceof RelayedMessage relayed) {
+            linkedToAgent.stream()
+                    .filter(other -> other.self.equals(relayed.peer()))
+                    .forEach(other -> sendFromAgent(other, relayed.from(entry.self)));
         } else if (message instanceof StopRuns stop) {
             stop.runs().forEach(ref -> after(STOP_MILLIS, () -> end(entry, ref, RunOutcome.STOPPED)));
         } else if (message instanceof RunOrder order) {
--- a/wire/src/main/java/org/knapweedmount/wire/MessageType.java
+++ b/wire/src/main/java/org/knapweedmount/wire/MessageType.java
@@ -17,6 +17,7 @@
 import org.knapweedmount.api.message.JobOwnershipUpdate;
 import org.knapweedmount.api.message.LeaseRenewal;
 import org.knapweedmount.api.message.Leaving;
+import org.knapweedmount.api.message.LinkedEntries;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.NotStarted;
 import org.knapweedmount.api.message.Peers;
@@ -24,6 +25,8 @@
 import org.knapweedmount.api.message.Recall;
 import org.knapweedmount.api.message.RelayAnswer;
 import org.knapweedmount.api.message.RelayRequest;
+import org.knapweedmount.api.message.RelayedEnd;
+import org.knapweedmount.api.message.RelayedYield;
 import org.knapweedmount.api.message.Release;
 import org.knapweedmount.api.message.ResourceDemand;
 import org.knapweedmount.api.message.ResourceOffer;
@@ -117,7 +120,13 @@
             WorkMessages::writeJobOwnershipUpdate,
             WorkMessages::readJobOwnershipUpdate),
     /** A request to stop a job that the sender has also received. */
-    YIELD_JOB(35, 1, YieldJob.class, WorkMessages::writeYieldJob, WorkMessages::readYieldJob);
+    YIELD_JOB(35, 1, YieldJob.class, WorkMessages::writeYieldJob, WorkMessages::readYieldJob),
+    /** The entries that an agent is linked to. */
+    LINKED_ENTRIES(36, 1, LinkedEntries.class, WorkMessages::writeLinkedEntries, WorkMessages::readLinkedEntries),
+    /** A request to stop a job, passed on by an agent. */
+    RELAYED_YIELD(37, 3, RelayedYield.class, WorkMessages::writeRelayedYield, WorkMessages::readRelayedYield),
+    /** The answer to {@link #RELAYED_YIELD}. */
+    RELAYED_END(38, 3, RelayedEnd.class, WorkMessages::writeRelayedEnd, WorkMessages::readRelayedEnd);
 
     private static final Map<Class<? extends Message>, MessageType> BY_CLASS = new HashMap<>();
     private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
--- a/wire/src/main/java/org/knapweedmount/wire/WorkMessages.java
+++ b/wire/src/main/java/org/knapweedmount/wire/WorkMessages.java
@@ -7,7 +7,10 @@
 import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
 import org.knapweedmount.api.message.LeaseRenewal;
+import org.knapweedmount.api.message.LinkedEntries;
 import org.knapweedmount.api.message.QueueUpdate;
+import org.knapweedmount.api.message.RelayedEnd;
+import org.knapweedmount.api.message.RelayedYield;
 import org.knapweedmount.api.message.ResourceDemand;
 import org.knapweedmount.api.message.ResourceOffer;
 import org.knapweedmount.api.message.RunOrder;
@@ -224,4 +227,28 @@
     static YieldJob readYieldJob(FieldReader in) throws IOException, FrameException {
         return new YieldJob(in.name());
     }
+
+    static void writeLinkedEntries(FieldWriter out, LinkedEntries linked) throws IOException, FrameException {
+        out.list(linked.entries(), FieldWriter::incarnation);
+    }
+
+    static LinkedEntries readLinkedEntries(FieldReader in) throws IOException, FrameException {
+        return new LinkedEntries(in.list(FieldReader::incarnation));
+    }
+
+    static void writeRelayedYield(FieldWriter out, RelayedYield yield) throws IOException, FrameException {
+        out.incarnation(yield.peer()).name(yield.job()).number(yield.number());
+    }
+
+    static RelayedYield readRelayedYield(FieldReader in) throws IOException, FrameException {
+        return new RelayedYield(in.incarnation(), in.name(), in.nonNegativeLong());
+    }
+
+    static void writeRelayedEnd(FieldWriter out, RelayedEnd end) throws IOException, FrameException {
+        out.incarnation(end.peer()).name(end.job()).number(end.number());
+    }
+
+    static RelayedEnd readRelayedEnd(FieldReader in) throws IOException, FrameException {
+        return new RelayedEnd(in.incarnation(), in.name(), in.nonNegativeLong());
+    }
 }
--- a/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
+++ b/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
@@ -45,6 +45,7 @@
 import org.knapweedmount.api.message.LeaseRenewal;
 import org.knapweedmount.api.message.LeaseScope;
 import org.knapweedmount.api.message.Leaving;
+import org.knapweedmount.api.message.LinkedEntries;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.NotStarted;
 import org.knapweedmount.api.message.Peers;
@@ -52,6 +53,8 @@
 import org.knapweedmount.api.message.Recall;
 import org.knapweedmount.api.message.RelayAnswer;
 import org.knapweedmount.api.message.RelayRequest;
+import org.knapweedmount.api.message.RelayedEnd;
+import org.knapweedmount.api.message.RelayedYield;
 import org.knapweedmount.api.message.Release;
 import org.knapweedmount.api.message.ResourceDemand;
 import org.knapweedmount.api.message.ResourceOffer;
@@ -137,6 +140,9 @@
             case JOB_OWNERSHIP_UPDATE ->
                 new JobOwnershipUpdate(list(() -> new JobClaim(text(), nonNegativeLong())), list(this::text));
             case YIELD_JOB -> new YieldJob(text());
+            case LINKED_ENTRIES -> new LinkedEntries(list(this::incarnation));
+            case RELAYED_YIELD -> new RelayedYield(incarnation(), text(), nonNegativeLong());
+            case RELAYED_END -> new RelayedEnd(incarnation(), text(), nonNegativeLong());
         };
     }
 
