Let callers of the soak send no job again that they have cancelled

A caller that has cancelled a job sent it again if the cancel was not confirmed, so that a run of the second submission could be reported as unasked. Seen on reading the diff; no soak had reported it.

--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakCallers.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakCallers.java
@@ -175,8 +175,9 @@
 
     private void answered(Job job, int entry, int attempt, CallerAnswer answer) {
         history.answered(job.id(), answer, clockMillis.getAsLong());
-        boolean leaves =
-                attempt == MAX_ATTEMPTS || random.nextDouble() < job.kind().leavingShare();
+        boolean leaves = attempt == MAX_ATTEMPTS
+                || cancelledJobs.contains(job.id())
+                || random.nextDouble() < job.kind().leavingShare();
         if (answer != CallerAnswer.NONE || leaves) {
             unfinishedJobs--;
             history.left(job.id(), clockMillis.getAsLong());
