Hold a cancelled job until its runs have ended when it is sent again

A job that was cancelled and sent again while a run of it was still being stopped was told to other entries as ended. Found on reading the diff; entries that know of the cancel do not run it, but one that is not linked would have.

The check for a cancelled ID comes before a request is held after a pause now, so that no claim has to be taken back. DispatcherCancelTest# cancelledJobThatIsSubmittedAgainIsHeldUntilItsRunsHaveEnded failed before (line 141: the end was told with a run left).

--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -77,6 +77,10 @@
      */
     public void submit(JobRequest request, long nowNanos) {
         stalls.eventReceived(nowNanos).ifPresent(stall -> recover(stall, nowNanos));
+        if (cancels.isCancelled(request.id())) {
+            output.answer(request.id(), JobResult.cancelled());
+            return;
+        }
         if (heldRequests.isHolding(nowNanos)) {
             output.logEvent("job-read-after-stall", "job=" + request.id());
             ownership.held(request.id(), heldRequests.hold(request).submittedNanos());
@@ -87,11 +91,6 @@
 
     private void submit(WaitingRequest submitted, long nowNanos) {
         JobRequest request = submitted.request();
-        if (cancels.isCancelled(request.id())) {
-            ownership.ended(request.id());
-            output.answer(request.id(), JobResult.cancelled());
-            return;
-        }
         Optional<TrackedJob> held = jobs.find(request.id());
         held.ifPresent(events::resubmitted);
         if (held.isPresent() && !held.get().answered()) {
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherCancelTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherCancelTest.java
@@ -128,6 +128,23 @@
         assertThat(fixture.answers(JOB), contains(JobResult.Kind.CANCELLED, JobResult.Kind.CANCELLED));
     }
 
+    /** The end of a cancelled job must not be told to other entries while a run of it is left. */
+    @Test
+    void cancelledJobThatIsSubmittedAgainIsHeldUntilItsRunsHaveEnded() {
+        link();
+        fixture.submit(0);
+        fixture.tick(100);
+        cancel(110);
+
+        fixture.submit(120);
+        fixture.tick(300);
+        assertThat(fixture.reportsEnd(JOB), is(false));
+
+        fixture.sendResult(FIRST, RunOutcome.STOPPED, 310);
+        fixture.tick(400);
+        assertThat(fixture.reportsEnd(JOB), is(true));
+    }
+
     @Test
     void jobThatIsSubmittedToAnotherEntryAfterItsCancelIsNotRun() {
         link();
