Count a run as unasked from the first time that its caller has left

The soak took the last time, and a caller that had cancelled between two attempts sent its job again. The check is stricter now: the first answer to a cancel counts. Names and the description of the callers are reworded.

--- a/standins/src/main/java/org/knapweedmount/standins/soak/RunHistory.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/RunHistory.java
@@ -91,7 +91,8 @@
 
     /** Records that no caller waits for a job any more. */
     void left(String jobId, long millis) {
-        jobs.get(jobId).leftMillis = OptionalLong.of(millis);
+        Job job = jobs.get(jobId);
+        job.leftMillis = job.leftMillis.isPresent() ? job.leftMillis : OptionalLong.of(millis);
         lastMillis = millis;
     }
 
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakCallers.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakCallers.java
@@ -22,8 +22,8 @@
 import org.knapweedmount.standins.support.JsonHttp;
 
 /**
- * Callers that send jobs at random times, and send a job without an answer again to any entry leave for good
- * or cancel it.
+ * Callers that send jobs at random times. A caller without an answer sends its job again to any entry or leaves for good;
+ * some cancel their jobs.
  *
  * <p>They use open connections until these break. Confined to one event loop.
  */
@@ -105,8 +105,8 @@
 
     private Job draw() {
         JobKind kind = JobKind.draw(random);
-        int runMillis = (int) (kind.meanRunMillis() * around1(RUN_SPREAD));
-        int milliCores = (int) (kind.meanMilliCores() * around1(CORE_SPREAD));
+        int runMillis = (int) (kind.meanRunMillis() * spreadFactor(RUN_SPREAD));
+        int milliCores = (int) (kind.meanMilliCores() * spreadFactor(CORE_SPREAD));
         ObjectNode body = JsonNodeFactory.instance
                 .objectNode()
                 .put("spec", new TaskSpec(runMillis, milliCores).text())
@@ -116,11 +116,11 @@
                 .put("count", kind.tasks())
                 .put("cpu", milliCores)
                 .put("memMb", MEMORY_MB)
-                .put("estimateMs", (int) (runMillis * around1(RUN_SPREAD)));
+                .put("estimateMs", (int) (runMillis * spreadFactor(RUN_SPREAD)));
         return new Job(String.format("%016x", random.nextLong()), kind, JsonHttp.encode(body));
     }
 
-    private double around1(double spread) {
+    private double spreadFactor(double spread) {
         return 1 - spread + 2 * spread * random.nextDouble();
     }
 
@@ -143,6 +143,14 @@
                 .onSuccess(result -> answered(job, entry, attempt, answer(result)));
     }
 
+    private void sendAgain(Job job, int entry, int attempt) {
+        if (cancelledJobs.contains(job.id())) {
+            unfinishedJobs--;
+            return;
+        }
+        send(job, entry, attempt);
+    }
+
     /** Cancels a job at any entry; the caller does not send it again. */
     private void cancel(Job job) {
         cancelledJobs.add(job.id());
@@ -184,6 +192,6 @@
             return;
         }
         int other = (entry + random.nextInt(entries.size())) % entries.size();
-        vertx.setTimer(RESEND_MILLIS, timer -> send(job, other, attempt + 1));
+        vertx.setTimer(RESEND_MILLIS, timer -> sendAgain(job, other, attempt + 1));
     }
 }
