Reproduce two runs after an entry has started again in virtual time

OwnershipFleet had entries that stand still or lose each other, but none that ends. They are now killed and start again as new incarnations after 100 to 1,600 ms, linked to the agent at once and to each other entry after up to 300 ms, and links are silent for less than their timeout.

--- a/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleet.java
@@ -39,12 +39,15 @@
     private static final int MAX_ORDER_AGE_MILLIS = 500;
     private static final int LINK_TIMEOUT_MILLIS = 1_500;
     private static final int STOP_MILLIS = 30;
+    private static final int RECONNECT_GRACE_MILLIS = 300;
+    private static final int MAX_LINK_DELAY_MILLIS = 300;
 
     private final Random random;
     private final PriorityQueue<Event> queue = new PriorityQueue<>();
     private final List<Entry> entries = new ArrayList<>();
     private final Set<Set<Entry>> upLinks = new HashSet<>();
     private final Set<Set<Entry>> cutLinks = new HashSet<>();
+    private final Map<Set<Entry>, Deque<Runnable>> heldLinks = new HashMap<>();
     private final Set<Entry> linkedToAgent = new LinkedHashSet<>();
     private final Map<String, Set<Entry>> liveRuns = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
@@ -69,6 +72,7 @@
         private long leaseMillis;
         private long lostMillis;
         private boolean still;
+        private boolean ended;
 
         private Entry(Incarnation self) {
             this.self = self;
@@ -82,18 +86,9 @@
     OwnershipFleet(long seed, int count) {
         random = new Random(seed);
         for (int number = 0; number < count; number++) {
-            Entry entry = new Entry(new Incarnation("entry-" + number, number));
-            entry.dispatcher = new Dispatcher(new Port(entry));
-            entries.add(entry);
+            entries.add(start(number, number));
         }
         for (Entry entry : entries) {
-            entry.dispatcher.agentLinked(AGENT, now(entry));
-            every(25, () -> {
-                if (!entry.still) {
-                    entry.dispatcher.tick(now(entry));
-                }
-            });
-            every(100, () -> report(entry));
             entries.stream().filter(other -> other != entry).forEach(other -> link(entry, other));
         }
         linkedToAgent.addAll(entries);
@@ -101,6 +96,19 @@
         every(10, this::endLapsedRuns);
     }
 
+    private Entry start(int number, long nonce) {
+        Entry entry = new Entry(new Incarnation("entry-" + number, nonce));
+        entry.dispatcher = new Dispatcher(new Port(entry));
+        entry.dispatcher.agentLinked(AGENT, now(entry));
+        every(entry, 25, () -> {
+            if (!entry.still) {
+                entry.dispatcher.tick(now(entry));
+            }
+        });
+        every(entry, 100, () -> report(entry));
+        return entry;
+    }
+
     Random random() {
         return random;
     }
@@ -130,6 +138,15 @@
         queue.add(new Event(millis + delayMillis, lastEvent, action));
     }
 
+    private void every(Entry entry, long intervalMillis, Runnable action) {
+        after(intervalMillis, () -> {
+            if (!entry.ended) {
+                action.run();
+                every(entry, intervalMillis, action);
+            }
+        });
+    }
+
     private void every(long intervalMillis, Runnable action) {
         after(intervalMillis, () -> {
             action.run();
@@ -143,6 +160,9 @@
     }
 
     private void handle(Entry entry, Runnable action) {
+        if (entry.ended) {
+            return;
+        }
         if (entry.still) {
             entry.buffered.add(action);
         } else {
@@ -165,7 +185,7 @@
      */
     void disconnect(int number, String job) {
         Entry entry = entries.get(number);
-        handle(entry, () -> after(2, () -> entry.dispatcher.callerLeft(job, now(entry))));
+        handle(entry, () -> after(2, () -> handle(entry, () -> entry.dispatcher.callerLeft(job, now(entry)))));
     }
 
     boolean standsStill(int number) {
@@ -173,7 +193,12 @@
     }
 
     private void link(Entry one, Entry other) {
-        if (one.still || other.still || cutLinks.contains(Set.of(one, other)) || !upLinks.add(Set.of(one, other))) {
+        if (one.ended
+                || other.ended
+                || one.still
+                || other.still
+                || cutLinks.contains(Set.of(one, other))
+                || !upLinks.add(Set.of(one, other))) {
             return;
         }
         one.dispatcher.entryLinked(other.self);
@@ -183,6 +208,7 @@
     }
 
     private void unlink(Entry one, Entry other) {
+        heldLinks.remove(Set.of(one, other));
         if (upLinks.remove(Set.of(one, other))) {
             handle(one, () -> unlinked(one, other));
             handle(other, () -> unlinked(other, one));
@@ -222,21 +248,68 @@
         });
     }
 
+    /** Holds back the messages between two entries for less than the timeout of their link. */
+    void holdLink(int first, int second, long durationMillis) {
+        Set<Entry> ends = Set.of(entries.get(first), entries.get(second));
+        if (heldLinks.putIfAbsent(ends, new ArrayDeque<>()) == null) {
+            after(durationMillis, () -> {
+                Deque<Runnable> held = heldLinks.remove(ends);
+                if (held != null) {
+                    held.forEach(Runnable::run);
+                }
+            });
+        }
+    }
+
+    /** Kills an entry, whose links are reset at once, and starts another incarnation of it after a time. */
+    void restart(int number, long downMillis) {
+        Entry killed = entries.get(number);
+        if (killed.ended) {
+            return;
+        }
+        entries.stream().filter(other -> other != killed).forEach(other -> unlink(killed, other));
+        killed.ended = true;
+        killed.buffered.clear();
+        linkedToAgent.remove(killed);
+        sendLinkedEntries();
+        after(
+                RECONNECT_GRACE_MILLIS,
+                () -> List.copyOf(killed.runs)
+                        .forEach(ref -> after(STOP_MILLIS, () -> end(killed, ref, RunOutcome.STOPPED))));
+        after(downMillis, () -> {
+            Entry started = start(number, millis);
+            entries.set(number, started);
+            linkedToAgent.add(started);
+            sendLinkedEntries();
+            for (Entry other : List.copyOf(entries)) {
+                if (other != started) {
+                    after(random.nextInt(MAX_LINK_DELAY_MILLIS), () -> link(started, other));
+                }
+            }
+        });
+    }
+
     /** Lets an entry stand still; its clock goes on, or not if its VM is suspended. */
     void standStill(int number, long durationMillis, boolean suspended) {
         Entry entry = entries.get(number);
-        if (entry.still) {
+        if (entry.still || entry.ended) {
             return;
         }
         entry.still = true;
         if (durationMillis > LINK_TIMEOUT_MILLIS) {
             after(LINK_TIMEOUT_MILLIS, () -> {
+                if (entry.ended) {
+                    return;
+                }
                 entries.stream().filter(other -> other != entry).forEach(other -> unlink(entry, other));
                 linkedToAgent.remove(entry);
                 sendLinkedEntries();
             });
         }
         after(durationMillis, () -> {
+            if (entry.ended) {
+                return;
+            }
             entry.lostMillis += suspended ? durationMillis : 0;
             entry.still = false;
             List<Runnable> waiting = List.copyOf(entry.buffered);
@@ -274,11 +347,17 @@
         if (!upLinks.contains(Set.of(from, to)) || cutLinks.contains(Set.of(from, to))) {
             return;
         }
-        after(1, () -> {
+        Runnable delivery = () -> {
             if (upLinks.contains(Set.of(from, to)) && !cutLinks.contains(Set.of(from, to))) {
                 handle(to, () -> to.dispatcher.receive(from.self, message, now(to)));
             }
-        });
+        };
+        Deque<Runnable> held = heldLinks.get(Set.of(from, to));
+        if (held != null) {
+            held.add(() -> after(1, delivery));
+        } else {
+            after(1, delivery);
+        }
     }
 
     private void atAgent(Entry entry, Message message) {
--- a/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleetTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleetTest.java
@@ -66,11 +66,31 @@
         });
     }
 
+    /** Restarts entries, while others are cut off from each other, stand still or have silent links. */
+    private static void restarts(OwnershipFleet fleet) {
+        fleet.after(200 + fleet.random().nextInt(3_000), () -> {
+            int entry = fleet.random().nextInt(fleet.entryCount());
+            switch (fleet.random().nextInt(3)) {
+                case 0 -> fleet.restart(entry, 100 + fleet.random().nextInt(1_500));
+                case 1 ->
+                    fleet.holdLink(
+                            entry, other(fleet, entry), 200 + fleet.random().nextInt(1_200));
+                default -> {
+                    // No fault beside those of the other series.
+                }
+            }
+            restarts(fleet);
+        });
+    }
+
     private static void assertNoTaskRunsTwice(long seed, boolean unreadIsCutOff) {
         OwnershipFleet fleet = new OwnershipFleet(seed, 3);
         fleet.after(200, () -> load(fleet, 1, unreadIsCutOff));
         fleet.after(1_000, () -> faults(fleet));
+        assertNoTaskRunsTwice(fleet);
+    }
 
+    private static void assertNoTaskRunsTwice(OwnershipFleet fleet) {
         fleet.run(DURATION_MILLIS);
 
         assertThat(fleet.violations(), is(empty()));
@@ -88,4 +108,15 @@
     void requestsOfCallersThatLeaveUnnoticedDuringAStallNeverRunTwiceAtTheSameTime(long seed) {
         assertNoTaskRunsTwice(seed, true);
     }
+
+    // An entry that had just started admitted jobs that others ran, before it was linked to them.
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void jobsThatOtherEntriesRunAreNotAdmittedByOneThatHasJustStarted(long seed) {
+        OwnershipFleet fleet = new OwnershipFleet(seed, 3);
+        fleet.after(200, () -> load(fleet, 1, true));
+        fleet.after(1_000, () -> faults(fleet));
+        fleet.after(1_000, () -> restarts(fleet));
+        assertNoTaskRunsTwice(fleet);
+    }
 }
