--- a/api/src/main/java/org/knapweedmount/api/message/Message.java
+++ b/api/src/main/java/org/knapweedmount/api/message/Message.java
@@ -42,6 +42,8 @@
                 QueueUpdate,
                 JobOwnershipUpdate,
                 YieldJob,
+                OwnershipProbe,
+                OwnershipProbeReply,
                 LinkedEntries,
                 RelayedYield,
                 RelayedEnd,
--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
@@ -105,16 +105,17 @@
                                 .toList());
     }
 
-    /** Logs that a request waits until other entries have ended its job. */
-    void waitsForEntries(String job, Set<Incarnation> holders) {
-        if (holders.isEmpty()) {
+    /** Logs that a request waits until other entries have ended its job, or are known not to hold it. */
+    void waitsForEntries(String job, Set<Incarnation> holders, Set<Incarnation> unconfirmed) {
+        if (holders.isEmpty() && unconfirmed.isEmpty()) {
             return;
         }
         output.count(DispatchCounter.RESUBMISSIONS_WAITED);
-        output.logEvent(
-                "job-elsewhere",
-                "job=" + job + " entry="
-                        + holders.stream().map(Incarnation::toString).collect(Collectors.joining(",")));
+        output.logEvent("job-elsewhere", "job=" + job + " entry=" + join(holders) + " unknown=" + join(unconfirmed));
+    }
+
+    private static String join(Set<Incarnation> entries) {
+        return entries.stream().map(Incarnation::toString).collect(Collectors.joining(","));
     }
 
     /** Logs that a job of this entry was submitted again; the request waits if the job is answered. */
--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
@@ -49,8 +49,22 @@
     /** How long a cancelled ID is remembered; several times what callers wait for a job and its resubmissions. */
     static final long CANCEL_REMEMBERED_NANOS = TimeUnit.SECONDS.toNanos(60);
 
-    /** The time in which a new entry is linked; well below the 1.3 s after which callers resubmit a job. */
-    static final long NEW_ENTRY_LINK_NANOS = TimeUnit.SECONDS.toNanos(1);
+    /**
+     * The maximum age of the knowledge of the jobs of a linked entry when a request is admitted.
+     *
+     * <p>A caller submits a job again 1.3 s after it has lost the earlier request, so the entry that has read that one
+     * did so at least 1.3 s ago, less the time for which it may stand still unnoticed ({@link #PAUSE_NANOS}).
+     */
+    static final long MAX_KNOWLEDGE_AGE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** The interval between two probes of a linked entry; several fit into the maximum age of what is known. */
+    static final long PROBE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    /**
+     * The time without a tick from which requests are taken to be read late, so that other entries have to be asked for
+     * them; the rest of the 1.3 s after which callers resubmit a job.
+     */
+    static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
     /** The time without a message after which the other end closes a link to this entry. */
     static final long LINK_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -15,6 +15,8 @@
 import org.knapweedmount.api.message.LeaseRenewal;
 import org.knapweedmount.api.message.LinkedEntries;
 import org.knapweedmount.api.message.Message;
+import org.knapweedmount.api.message.OwnershipProbe;
+import org.knapweedmount.api.message.OwnershipProbeReply;
 import org.knapweedmount.api.message.Peers;
 import org.knapweedmount.api.message.RelayedEnd;
 import org.knapweedmount.api.message.RelayedYield;
@@ -50,6 +52,7 @@
     private final JobCancels cancels;
     private final TaskPlacer placer;
     private final HeldRequests heldRequests = new HeldRequests();
+    private final StartupEntries startupEntries = new StartupEntries();
     private OptionalLong drainByNanos = OptionalLong.empty();
 
     /**
@@ -81,12 +84,57 @@
             output.answer(request.id(), JobResult.cancelled());
             return;
         }
-        if (heldRequests.isHolding(nowNanos)) {
-            output.logEvent("job-read-after-stall", "job=" + request.id());
-            ownership.held(request.id(), heldRequests.hold(request).submittedNanos());
+        WaitingRequest read = heldRequests.read(request, nowNanos);
+        if (isHoldingRequests(nowNanos)) {
+            output.logEvent(
+                    heldRequests.isHolding(nowNanos) ? "job-read-after-stall" : "job-read-after-start",
+                    "job=" + request.id());
+            heldRequests.hold(read);
+            ownership.requestHeld(read, nowNanos);
             return;
         }
-        submit(new WaitingRequest(request, nowNanos), nowNanos);
+        submit(read, nowNanos);
+    }
+
+    private boolean isHoldingRequests(long nowNanos) {
+        return heldRequests.isHolding(nowNanos) || isStarting(nowNanos);
+    }
+
+    /**
+     * Returns whether the jobs of other entries are not known yet after the start of this entry.
+     *
+     * @param nowNanos the current time, in ns
+     * @return true if requests are held for that reason
+     */
+    public boolean isStarting(long nowNanos) {
+        return startupEntries.isAwaiting(ownership::areJobsKnown, nowNanos);
+    }
+
+    /**
+     * Holds requests until the jobs of the other entries are known, which an earlier incarnation of this one may have run
+     * as well.
+     *
+     * @param nowNanos the current time, in ns
+     */
+    public void started(long nowNanos) {
+        startupEntries.started(nowNanos);
+    }
+
+    /**
+     * Handles a list of the other entries, from the platform's store or from one of them.
+     *
+     * @param processes the names of their processes
+     * @param nowNanos the current time, in ns
+     */
+    public void entriesListed(List<String> processes, long nowNanos) {
+        startupEntries.listed(processes);
+        releaseHeld(nowNanos);
+    }
+
+    private void releaseHeld(long nowNanos) {
+        if (!heldRequests.isEmpty() && !isHoldingRequests(nowNanos)) {
+            heldRequests.release().forEach(request -> submit(request, nowNanos));
+        }
     }
 
     private void submit(WaitingRequest submitted, long nowNanos) {
@@ -95,8 +143,9 @@
         held.ifPresent(events::resubmitted);
         if (held.isPresent() && !held.get().answered()) {
             ownership.held(request.id(), submitted.submittedNanos());
-        } else if (held.isPresent() || ownership.mayBeHeldElsewhere(request.id(), nowNanos)) {
-            events.waitsForEntries(request.id(), ownership.holders(request.id()));
+        } else if (held.isPresent() || ownership.mayBeHeldElsewhereAtSubmission(request.id(), submitted.required())) {
+            events.waitsForEntries(
+                    request.id(), ownership.holders(request.id()), ownership.unconfirmedHolders(request.id()));
             ownership.awaitEnd(submitted, nowNanos);
         } else {
             admit(request, submitted.submittedNanos(), nowNanos);
@@ -138,10 +187,30 @@
      * Handles a new link to another entry.
      *
      * @param entry the entry
+     * @param nowNanos the current time, in ns
      */
-    public void entryLinked(Incarnation entry) {
-        ownership.linked(entry);
+    public void entryLinked(Incarnation entry, long nowNanos) {
+        stalls.eventReceived(nowNanos).ifPresent(stall -> recover(stall, nowNanos));
+        ownership.linked(entry, nowNanos);
         cancels.linked(entry);
+        confirmQueuedJobs(nowNanos);
+    }
+
+    /** Asks for the jobs that have no run yet, as an entry has become known that may run them. */
+    private void confirmQueuedJobs(long nowNanos) {
+        for (TrackedJob job : jobs.all()) {
+            if (!job.answered() && !job.hasStarted() && !ownership.isHeldElsewhere(job.id())) {
+                RequiredKnowledge required = RequiredKnowledge.ofRequest(job.arrivalNanos());
+                if (ownership.mayBeHeldElsewhere(job.id(), required)) {
+                    ownership.ask(job.id(), required, nowNanos);
+                }
+            }
+        }
+    }
+
+    private void resumeConfirmed(long nowNanos) {
+        ownership.confirmed().forEach(job -> resume(job, "known-not-held", nowNanos));
+        releaseHeld(nowNanos);
     }
 
     /**
@@ -155,6 +224,7 @@
         workers.find(peer).ifPresent(WorkerView::unlink);
         ownership.unlinked(peer, nowNanos);
         cancels.unlinked(peer);
+        resumeConfirmed(nowNanos);
     }
 
     /**
@@ -171,10 +241,22 @@
             JobOwnership.Changes changes = ownership.updateReceived(from, update, nowNanos);
             changes.surrendered().forEach(job -> surrender(job, nowNanos));
             changes.freed().forEach(job -> resume(job, "ended-there", nowNanos));
+        } else if (message instanceof OwnershipProbe probe) {
+            ownership.probeReceived(from, probe, nowNanos);
+        } else if (message instanceof OwnershipProbeReply reply) {
+            ownership.probeAnswered(from, reply);
+            resumeConfirmed(nowNanos);
         } else if (message instanceof Peers linked) {
             ownership.peersReported(from, linked, nowNanos);
+            startupEntries.listed(linked.entries().stream()
+                    .map(entry -> entry.incarnation().process())
+                    .toList());
+            confirmQueuedJobs(nowNanos);
+            resumeConfirmed(nowNanos);
         } else if (message instanceof LinkedEntries linked) {
             ownership.linkedEntriesReported(from, linked, nowNanos);
+            confirmQueuedJobs(nowNanos);
+            resumeConfirmed(nowNanos);
         } else if (message instanceof CancelJob request) {
             cancels.toldByPeer(from, request.job(), end(request.job(), JobResult.cancelled(), nowNanos), nowNanos);
         } else if (message instanceof CancelReply reply) {
@@ -206,14 +288,23 @@
     private void resume(String id, String reason, long nowNanos) {
         Optional<TrackedJob> job = jobs.find(id);
         if (job.isEmpty() && !ownership.isHeldElsewhere(id)) {
-            ownership.removeAwaiting(id).ifPresent(waiting -> {
-                events.released(id, reason);
-                admit(waiting.request(), waiting.submittedNanos(), nowNanos);
-            });
+            ownership.removeAwaiting(id).ifPresent(waiting -> admitWaiting(waiting, reason, nowNanos));
         }
         job.ifPresent(held -> placer.place(held.request().queue().service(), nowNanos));
     }
 
+    /** Admits a request that has waited, unless an entry has become known meanwhile that may hold its job. */
+    private void admitWaiting(WaitingRequest waiting, String reason, long nowNanos) {
+        String id = waiting.request().id();
+        if (ownership.mayBeHeldElsewhere(id, waiting.required())) {
+            ownership.awaitEnd(waiting, nowNanos);
+            return;
+        }
+        ownership.confirmationEnded(id);
+        events.released(id, reason);
+        admit(waiting.request(), waiting.submittedNanos(), nowNanos);
+    }
+
     private void yieldJob(Incarnation from, String id, long nowNanos) {
         output.logEvent(
                 "job-yielded",
@@ -256,6 +347,7 @@
         if (ownership.removeAwaiting(id).isEmpty() && !held) {
             return false;
         }
+        ownership.confirmationEnded(id);
         if (jobs.find(id).isPresent()) {
             ownership.ending(id);
         } else {
@@ -377,6 +469,7 @@
     private void conclude(TrackedJob job, JobResult result, long nowNanos) {
         job.markAnswered();
         ownership.ending(job.id());
+        ownership.confirmationEnded(job.id());
         answers.answer(job, result, nowNanos);
         job.endTasksWithoutRun();
         stopOrders.answered(job);
@@ -385,7 +478,9 @@
 
     private void removeIfDone(TrackedJob job, long nowNanos) {
         if (job.isDone() && jobs.remove(job)) {
-            ownership.ended(job.id());
+            if (!heldRequests.contains(job.id())) {
+                ownership.ended(job.id());
+            }
             resume(job.id(), "ended-here", nowNanos);
         }
     }
@@ -410,7 +505,7 @@
      */
     public void cancel(String id, long nowNanos) {
         boolean held = end(id, JobResult.cancelled(), nowNanos);
-        cancels.cancelled(id, held, ownership.peers(), ownership.hasCutOffEntries(nowNanos), nowNanos);
+        cancels.cancelled(id, held, ownership.peers(), ownership.hasCutOffEntries(), nowNanos);
     }
 
     /** Ends a job or the request that waits for it; returns false if neither is held. */
@@ -430,7 +525,7 @@
      */
     public void tick(long nowNanos) {
         stalls.ticked(nowNanos).ifPresent(stall -> recover(stall, nowNanos));
-        heldRequests.release(nowNanos).forEach(request -> submit(request, nowNanos));
+        releaseHeld(nowNanos);
         workers.updateRelativeSlowdowns();
         events.flush(nowNanos);
         for (WorkerView view : List.copyOf(workers.all())) {
@@ -445,6 +540,7 @@
         }
         cancels.tick(nowNanos);
         ownership.releaseLost(nowNanos).forEach(job -> resume(job, "leases-ended", nowNanos));
+        resumeConfirmed(nowNanos);
         ownership.expired(nowNanos).forEach(id -> dropAwaiting(id, "held by another entry"));
         ownership.sendUpdates(nowNanos);
         for (WorkerView view : workers.all()) {
@@ -461,6 +557,10 @@
      */
     private void recover(StallDetector.Stall stall, long nowNanos) {
         heldRequests.stallEnded(stall, nowNanos);
+        ownership.stallEnded(stall, nowNanos);
+        if (!stall.isLong()) {
+            return;
+        }
         if (!stall.endedLinks()) {
             output.logEvent("entry-paused", stall.description() + " jobs=" + jobs.unanswered());
             return;
--- a/core/src/main/java/org/knapweedmount/core/dispatch/HeldRequests.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/HeldRequests.java
@@ -6,31 +6,51 @@
 import java.util.OptionalLong;
 
 /**
- * The requests that were read right after a stall.
+ * The requests that were read right after a start or a stall.
  *
- * <p>Their callers may have closed the connections meanwhile and submitted the jobs elsewhere; the end of a connection is
- * read after the request.
+ * <p>The callers of those that were read after a stall may have closed the connections meanwhile and submitted the jobs
+ * elsewhere; the end of a connection is read after the request.
  */
 final class HeldRequests {
     private final Map<String, WaitingRequest> requests = new LinkedHashMap<>();
     private OptionalLong stallEndNanos = OptionalLong.empty();
+    private boolean wasLong;
     private long stallStartNanos;
 
     void stallEnded(StallDetector.Stall stall, long nowNanos) {
-        stallStartNanos = nowNanos - stall.missedNanos() - stall.lostNanos();
+        boolean settling = isSettling(nowNanos);
+        wasLong = stall.isLong() || (settling && wasLong);
+        stallStartNanos = settling ? stallStartNanos : nowNanos - stall.missedNanos() - stall.lostNanos();
         stallEndNanos = OptionalLong.of(nowNanos);
     }
 
-    /** Returns whether requests have to be held because a stall has just ended. */
-    boolean isHolding(long nowNanos) {
+    private boolean isSettling(long nowNanos) {
         return stallEndNanos.isPresent() && nowNanos - stallEndNanos.getAsLong() < DispatchTimings.STALL_SETTLE_NANOS;
     }
 
-    /** Holds a request; it may have been sent at any time since the stall began and counts from there. */
-    WaitingRequest hold(JobRequest request) {
-        WaitingRequest held = new WaitingRequest(request, stallStartNanos);
-        requests.put(request.id(), held);
-        return held;
+    /** Returns whether requests have to be held because a long stall has just ended. */
+    boolean isHolding(long nowNanos) {
+        return wasLong && isSettling(nowNanos);
+    }
+
+    /** Returns a request that is read now; right after a stall it may have been sent at any time since that began. */
+    WaitingRequest read(JobRequest request, long nowNanos) {
+        return isSettling(nowNanos)
+                ? new WaitingRequest(request, stallStartNanos, RequiredKnowledge.ofLateRequest(nowNanos))
+                : new WaitingRequest(request, nowNanos, RequiredKnowledge.ofRequest(nowNanos));
+    }
+
+    /** Holds a request. */
+    void hold(WaitingRequest request) {
+        requests.put(request.request().id(), request);
+    }
+
+    boolean contains(String job) {
+        return requests.containsKey(job);
+    }
+
+    boolean isEmpty() {
+        return requests.isEmpty();
     }
 
     /** Drops a request; returns false if there is none. */
@@ -38,11 +58,8 @@
         return requests.remove(job) != null;
     }
 
-    /** Removes and returns the requests whose connections must have been found closed by now if they are. */
-    List<WaitingRequest> release(long nowNanos) {
-        if (requests.isEmpty() || isHolding(nowNanos)) {
-            return List.of();
-        }
+    /** Removes and returns all requests. */
+    List<WaitingRequest> release() {
         List<WaitingRequest> released = List.copyOf(requests.values());
         requests.clear();
         return released;
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
@@ -18,6 +18,8 @@
 import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
 import org.knapweedmount.api.message.LinkedEntries;
+import org.knapweedmount.api.message.OwnershipProbe;
+import org.knapweedmount.api.message.OwnershipProbeReply;
 import org.knapweedmount.api.message.Peers;
 import org.knapweedmount.api.message.RelayedEnd;
 import org.knapweedmount.api.message.YieldJob;
@@ -29,9 +31,12 @@
  * have ended. No run of a job is ordered while another entry holds it. Of two entries with one job the one with the
  * older submission gives it up.
  *
+ * <p>A job that is submitted here is admitted only once each other entry that may run it is known not to hold it: by
+ * knowledge of its jobs that is recent enough ({@link PeerKnowledge}), by its answer for this job, which agents pass on if
+ * it is cut off, or because no process is linked to it and no agent has runs of it any more.
+ *
  * <p>A lost link says nothing about the jobs of the entry at its other end: it holds them until its full list on a new
- * link says otherwise, or until every lease that it can have had must have ended ({@link LostEntries}). An entry that is
- * cut off but alive is asked by way of agents for each job that is submitted here meanwhile.
+ * link says otherwise, or until every lease that it can have had must have ended ({@link LostEntries}).
  */
 final class JobOwnership {
     private final DispatchOutput output;
@@ -42,6 +47,8 @@
     private final Set<Incarnation> awaitedFullLists = new HashSet<>();
     private final LostEntries lostEntries = new LostEntries();
     private final Map<String, WaitingRequest> waitingRequests = new LinkedHashMap<>();
+    private final UnconfirmedJobs unconfirmedJobs = new UnconfirmedJobs();
+    private final PeerKnowledge knowledge;
     private final RelayedYields relayedYields;
 
     /**
@@ -54,14 +61,17 @@
 
     JobOwnership(DispatchOutput output) {
         this.output = output;
+        this.knowledge = new PeerKnowledge(output);
         this.relayedYields = new RelayedYields(output, lostEntries);
     }
 
-    void linked(Incarnation peer) {
+    void linked(Incarnation peer, long nowNanos) {
         peers.add(peer);
         peersWithoutFullList.add(peer);
         awaitedFullLists.add(peer);
         lostEntries.linked(peer);
+        sendFullList(peer, nowNanos);
+        knowledge.probeUnlessSentSince(peer, nowNanos, nowNanos);
     }
 
     /** Keeps the jobs of an entry whose link is lost: the entry may be alive. */
@@ -72,6 +82,7 @@
         }
         peersWithoutFullList.remove(peer);
         awaitedFullLists.remove(peer);
+        knowledge.unlinked(peer);
         lostEntries.lost(peer, nowNanos);
         Set<String> held = heldBy(peer);
         if (!held.isEmpty()) {
@@ -116,9 +127,10 @@
         }
     }
 
-    /** Records which entries an agent is linked to. */
+    /** Records which entries an agent is linked to, and which others have runs there. */
     void linkedEntriesReported(Incarnation agent, LinkedEntries linked, long nowNanos) {
-        lostEntries.reportedByAgent(agent, Set.copyOf(linked.entries()), nowNanos);
+        lostEntries.reportedByAgent(
+                agent, Set.copyOf(linked.entries()), Set.copyOf(linked.unlinkedWithRuns()), nowNanos);
     }
 
     /** Removes a holder of jobs; returns those that no other entry holds any more. */
@@ -126,8 +138,12 @@
         List<String> freed = new ArrayList<>();
         for (String job : ids) {
             Set<Incarnation> entries = holders.get(job);
-            if (entries != null && entries.remove(peer) && entries.isEmpty()) {
+            boolean held = entries != null && entries.remove(peer);
+            if (held && entries.isEmpty()) {
                 holders.remove(job);
+            }
+            boolean unconfirmed = unconfirmedJobs.deny(job, peer);
+            if ((held || unconfirmed) && !isHeldElsewhere(job)) {
                 freed.add(job);
             }
         }
@@ -187,27 +203,57 @@
         return Set.copyOf(holders.getOrDefault(job, Set.of()));
     }
 
+    /** Returns whether another entry holds a job, or may hold it as far as is known here. */
     boolean isHeldElsewhere(String job) {
-        return holders.containsKey(job);
+        return holders.containsKey(job) || unconfirmedJobs.contains(job);
     }
 
-    /**
-     * Returns whether a job that is submitted now may be held elsewhere. An entry that is cut off from this one but alive,
-     * or that has not sent its full list on a new link, counts as its holder until it says otherwise, as it may have
-     * admitted the job since.
-     */
-    boolean mayBeHeldElsewhere(String job, long nowNanos) {
-        Set<Incarnation> unknown = new LinkedHashSet<>(lostEntries.cutOff(nowNanos));
-        unknown.addAll(awaitedFullLists);
-        if (!unknown.isEmpty()) {
-            holders.computeIfAbsent(job, key -> new LinkedHashSet<>()).addAll(unknown);
-        }
+    /** Returns the other entries that may hold a job, which is not known as it has to be. */
+    Set<Incarnation> unconfirmedHolders(String job) {
+        return unconfirmedJobs.entries(job);
+    }
+
+    /** Returns whether another entry may hold a job that is submitted; what was answered before does not count. */
+    boolean mayBeHeldElsewhereAtSubmission(String job, RequiredKnowledge required) {
+        unconfirmedJobs.remove(job);
+        return mayBeHeldElsewhere(job, required);
+    }
+
+    /** Checks whether the jobs of all other entries are known as required, and returns whether one may hold a job. */
+    boolean mayBeHeldElsewhere(String job, RequiredKnowledge required) {
+        Set<Incarnation> unknown = new LinkedHashSet<>(peers);
+        unknown.addAll(lostEntries.cutOff());
+        unknown.addAll(lostEntries.withRuns());
+        unknown.removeIf(entry -> isConfirmed(entry, required));
+        unconfirmedJobs.put(job, required, unknown);
         return isHeldElsewhere(job);
     }
 
+    private boolean isConfirmed(Incarnation entry, RequiredKnowledge required) {
+        if (peers.contains(entry)) {
+            return knowledge.isKnownAsOf(entry, required.ofLinkedNanos());
+        }
+        if (lostEntries.cutOff().contains(entry)) {
+            return knowledge.isKnownAsOf(entry, required.ofCutOffNanos());
+        }
+        return !lostEntries.withRuns().contains(entry) || knowledge.isKnownAsOf(entry, required.ofLinkedNanos());
+    }
+
+    /** Returns the jobs that no other entry may hold any more, by what has become known since. */
+    List<String> confirmed() {
+        return unconfirmedJobs.removeConfirmed(this::isConfirmed).stream()
+                .filter(job -> !isHeldElsewhere(job))
+                .toList();
+    }
+
+    /** Returns whether the jobs of an entry of a process are known, of whichever incarnation. */
+    boolean areJobsKnown(String process) {
+        return peers.stream().anyMatch(peer -> peer.process().equals(process) && knowledge.isKnown(peer));
+    }
+
     /** Returns whether an entry is alive that has no link to this one. */
-    boolean hasCutOffEntries(long nowNanos) {
-        return !lostEntries.cutOff(nowNanos).isEmpty();
+    boolean hasCutOffEntries() {
+        return !lostEntries.cutOff().isEmpty();
     }
 
     /** Holds back a request until no run of an earlier submission of its job is left, and asks for its end. */
@@ -216,15 +262,62 @@
         waitingRequests.put(job, waiting);
         claims.add(job, waiting.submittedNanos());
         holders(job).forEach(holder -> output.send(holder, new YieldJob(job)));
+        ask(job, waiting.required(), nowNanos);
+    }
+
+    /** Asks the entries that may hold a job: the linked ones for their present jobs, the others by way of agents. */
+    void ask(String job, RequiredKnowledge required, long nowNanos) {
+        Set<Incarnation> linked = unconfirmedHolders(job);
+        if (linked.stream().anyMatch(peers::contains)) {
+            // An entry that has answered the probe knows from then on that the job is held here.
+            sendChanges(claims.update(nowNanos));
+            linked.stream()
+                    .filter(peers::contains)
+                    .forEach(peer -> knowledge.probeUnlessSentSince(peer, required.ofLinkedNanos(), nowNanos));
+        }
         relayedYields.begin(job, unlinkedHolders(job), nowNanos);
     }
 
     private Set<Incarnation> unlinkedHolders(String job) {
         Set<Incarnation> unlinked = new LinkedHashSet<>(holders(job));
+        unlinked.addAll(unconfirmedHolders(job));
         unlinked.removeAll(peers);
         return unlinked;
     }
 
+    /** Answers a probe of another entry, after all jobs that are held here now. */
+    void probeReceived(Incarnation peer, OwnershipProbe probe, long nowNanos) {
+        sendFullList(peer, nowNanos);
+        sendChanges(claims.update(nowNanos));
+        output.send(peer, new OwnershipProbeReply(probe.number()));
+    }
+
+    /** Records that the jobs of another entry are known as of the time of a probe. */
+    void probeAnswered(Incarnation peer, OwnershipProbeReply reply) {
+        if (peers.contains(peer) && !awaitedFullLists.contains(peer)) {
+            knowledge.probeAnswered(peer, reply.number());
+        }
+    }
+
+    /** Asks all linked entries for their present jobs, as this entry has held up requests or its clock stood still. */
+    void stallEnded(StallDetector.Stall stall, long nowNanos) {
+        if (stall.lostNanos() > 0) {
+            knowledge.clockLost();
+        }
+        probe(nowNanos, nowNanos);
+    }
+
+    /** Records that a request is held here, and asks for what has to be known before it can be admitted. */
+    void requestHeld(WaitingRequest request, long nowNanos) {
+        held(request.request().id(), request.submittedNanos());
+        sendChanges(claims.update(nowNanos));
+        probe(request.required().ofLinkedNanos(), nowNanos);
+    }
+
+    private void probe(long sinceNanos, long nowNanos) {
+        peers.forEach(peer -> knowledge.probeUnlessSentSince(peer, sinceNanos, nowNanos));
+    }
+
     /** Applies the answer of an entry without a link; returns true if no other entry holds the job any more. */
     boolean relayedEndReceived(RelayedEnd end) {
         return relayedYields.isCurrent(end)
@@ -260,6 +353,14 @@
         claims.markEnding(job);
     }
 
+    /** Records that it no longer matters which other entries may hold a job. */
+    void confirmationEnded(String job) {
+        if (!waitingRequests.containsKey(job)) {
+            relayedYields.end(job);
+            unconfirmedJobs.remove(job);
+        }
+    }
+
     /** Records that no run of a job is left here; a request that waits for this holds the job from then on. */
     void ended(String job) {
         if (!waitingRequests.containsKey(job)) {
@@ -275,9 +376,16 @@
 
     /** Sends the full list on new links and the changes on all others, and repeats requests to unlinked entries. */
     void sendUpdates(long nowNanos) {
-        waitingRequests.keySet().forEach(job -> relayedYields.repeat(job, unlinkedHolders(job), nowNanos));
+        Set<String> unanswered = new LinkedHashSet<>(waitingRequests.keySet());
+        unanswered.addAll(unconfirmedJobs.all());
+        unanswered.forEach(job -> relayedYields.repeat(job, unlinkedHolders(job), nowNanos));
         List.copyOf(peersWithoutFullList).forEach(peer -> sendFullList(peer, nowNanos));
-        claims.pendingUpdate(nowNanos).ifPresent(update -> peers.forEach(peer -> output.send(peer, update)));
+        sendChanges(claims.pendingUpdate(nowNanos));
+        probe(nowNanos - DispatchTimings.PROBE_INTERVAL_NANOS, nowNanos);
+    }
+
+    private void sendChanges(Optional<JobOwnershipUpdate> changes) {
+        changes.ifPresent(update -> peers.forEach(peer -> output.send(peer, update)));
     }
 
     private void sendFullList(Incarnation peer, long nowNanos) {
--- a/core/src/main/java/org/knapweedmount/core/dispatch/LostEntries.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/LostEntries.java
@@ -1,8 +1,10 @@
 package org.knapweedmount.core.dispatch;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -10,40 +12,46 @@
 import org.knapweedmount.api.Incarnation;
 
 /**
- * The entries that have no link to this one, and which of them other processes are linked to.
+ * The entries that have no link to this one, and which of them other processes are linked to or hold runs of.
  *
  * <p>An entry that another process is linked to is alive although it is cut off from this one. Its leases are taken for
- * ended only when {@link DispatchTimings#LOST_ENTRY_NANOS} have passed since the last such word.
+ * ended only when {@link DispatchTimings#LOST_ENTRY_NANOS} have passed since the last such word and no agent has runs of it.
  */
 final class LostEntries {
-    /** How many entries without a link are remembered, so that one that is alive again is known to be cut off. */
-    private static final int MAX_REMEMBERED = 256;
-
     private final Set<Incarnation> linked = new HashSet<>();
-    private final Map<Incarnation, Long> cutOffFromNanos = new LinkedHashMap<>();
     private final Map<Incarnation, Long> lastAliveNanos = new LinkedHashMap<>();
     private final Map<Incarnation, Set<Incarnation>> linkedToPeers = new HashMap<>();
     private final Map<Incarnation, Set<Incarnation>> linkedToAgents = new LinkedHashMap<>();
+    private final Map<Incarnation, Set<Incarnation>> runningAtAgents = new HashMap<>();
+    private Set<Incarnation> cutOff = Set.of();
+    private Set<Incarnation> withRuns = Set.of();
 
     /** Records a link to an entry. */
     void linked(Incarnation entry) {
         linked.add(entry);
-        cutOffFromNanos.remove(entry);
         lastAliveNanos.remove(entry);
+        update();
     }
 
     /** Records the loss of the link to an entry. */
     void lost(Incarnation entry, long nowNanos) {
         linked.remove(entry);
         lastAliveNanos.put(entry, nowNanos);
-        rememberCutOff(entry, nowNanos);
+        update();
     }
 
-    private void rememberCutOff(Incarnation entry, long fromNanos) {
-        cutOffFromNanos.putIfAbsent(entry, fromNanos);
-        if (cutOffFromNanos.size() > MAX_REMEMBERED) {
-            cutOffFromNanos.remove(cutOffFromNanos.keySet().iterator().next());
-        }
+    private void update() {
+        cutOff = unlinked(linkedToPeers, linkedToAgents);
+        withRuns = unlinked(runningAtAgents, Map.of());
+    }
+
+    private Set<Incarnation> unlinked(
+            Map<Incarnation, Set<Incarnation>> reports, Map<Incarnation, Set<Incarnation>> moreReports) {
+        Set<Incarnation> entries = new LinkedHashSet<>();
+        reports.values().forEach(entries::addAll);
+        moreReports.values().forEach(entries::addAll);
+        entries.removeAll(linked);
+        return Collections.unmodifiableSet(entries);
     }
 
     /** Records which entries another entry is linked to. */
@@ -51,8 +59,9 @@
         reported(linkedToPeers, peer, entries, nowNanos);
     }
 
-    /** Records which entries an agent is linked to. */
-    void reportedByAgent(Incarnation agent, Set<Incarnation> entries, long nowNanos) {
+    /** Records which entries an agent is linked to, and which others have runs there. */
+    void reportedByAgent(Incarnation agent, Set<Incarnation> entries, Set<Incarnation> running, long nowNanos) {
+        runningAtAgents.put(agent, running);
         reported(linkedToAgents, agent, entries, nowNanos);
     }
 
@@ -61,6 +70,7 @@
         Set<Incarnation> before = reports.put(reporter, entries);
         seenAlive(before == null ? Set.of() : before, nowNanos);
         seenAlive(entries, nowNanos);
+        update();
     }
 
     /** Forgets what a process has reported, as its link is lost. */
@@ -69,35 +79,23 @@
         seenAlive(linkedToAgents.getOrDefault(reporter, Set.of()), nowNanos);
         linkedToPeers.remove(reporter);
         linkedToAgents.remove(reporter);
+        runningAtAgents.remove(reporter);
+        update();
     }
 
     /** Counts the leases of entries without a link from now. */
     private void seenAlive(Set<Incarnation> entries, long nowNanos) {
-        for (Incarnation entry : entries) {
-            if (!linked.contains(entry)) {
-                lastAliveNanos.put(entry, nowNanos);
-                rememberCutOff(entry, nowNanos + DispatchTimings.NEW_ENTRY_LINK_NANOS);
-            }
-        }
+        entries.stream().filter(entry -> !linked.contains(entry)).forEach(entry -> lastAliveNanos.put(entry, nowNanos));
     }
 
-    private Set<Incarnation> reported() {
-        Set<Incarnation> reported = new HashSet<>();
-        linkedToPeers.values().forEach(reported::addAll);
-        linkedToAgents.values().forEach(reported::addAll);
-        return reported;
+    /** Returns the entries that are alive but cut off. */
+    Set<Incarnation> cutOff() {
+        return cutOff;
     }
 
-    /** Returns the entries that are alive but cut off; none that has just started and will be linked. */
-    List<Incarnation> cutOff(long nowNanos) {
-        if (cutOffFromNanos.isEmpty()) {
-            return List.of();
-        }
-        Set<Incarnation> reported = reported();
-        return cutOffFromNanos.entrySet().stream()
-                .filter(entry -> nowNanos - entry.getValue() >= 0 && reported.contains(entry.getKey()))
-                .map(Map.Entry::getKey)
-                .toList();
+    /** Returns the entries without a link whose runs have not all ended, by the word of agents. */
+    Set<Incarnation> withRuns() {
+        return withRuns;
     }
 
     /** Returns agents that are linked to an entry, at most as many as a limit. */
@@ -115,9 +113,9 @@
         if (lastAliveNanos.isEmpty()) {
             return ended;
         }
-        Set<Incarnation> alive = reported();
         lastAliveNanos.forEach((entry, seenNanos) -> {
-            if (!alive.contains(entry) && nowNanos - seenNanos > DispatchTimings.LOST_ENTRY_NANOS) {
+            boolean mayRun = cutOff.contains(entry) || withRuns.contains(entry);
+            if (!mayRun && nowNanos - seenNanos > DispatchTimings.LOST_ENTRY_NANOS) {
                 ended.put(entry, nowNanos - seenNanos);
             }
         });
--- a/core/src/main/java/org/knapweedmount/core/dispatch/OwnClaims.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/OwnClaims.java
@@ -62,8 +62,14 @@
 
     /** Returns the changes since the last update; empty if there are none or the minimum interval has not passed. */
     Optional<JobOwnershipUpdate> pendingUpdate(long nowNanos) {
-        boolean nothing = added.isEmpty() && ended.isEmpty();
-        if (nothing || nowNanos - lastUpdateNanos < DispatchTimings.MIN_UPDATE_INTERVAL_NANOS) {
+        return nowNanos - lastUpdateNanos < DispatchTimings.MIN_UPDATE_INTERVAL_NANOS
+                ? Optional.empty()
+                : update(nowNanos);
+    }
+
+    /** Returns the changes since the last update; empty if there are none. */
+    Optional<JobOwnershipUpdate> update(long nowNanos) {
+        if (added.isEmpty() && ended.isEmpty()) {
             return Optional.empty();
         }
         lastUpdateNanos = nowNanos;
--- a/core/src/main/java/org/knapweedmount/core/dispatch/RelayedYields.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/RelayedYields.java
@@ -39,7 +39,9 @@
     /** Asks the holders of a job again if they have not answered for a while. */
     void repeat(String job, Set<Incarnation> holders, long nowNanos) {
         Request request = requests.get(job);
-        if (nowNanos - request.sentNanos() >= DispatchTimings.YIELD_REPEAT_INTERVAL_NANOS) {
+        if (request == null) {
+            begin(job, holders, nowNanos);
+        } else if (nowNanos - request.sentNanos() >= DispatchTimings.YIELD_REPEAT_INTERVAL_NANOS) {
             send(job, holders, request.number(), nowNanos);
         }
     }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/StallDetector.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/StallDetector.java
@@ -45,6 +45,11 @@
             return missedNanos + lostNanos > DispatchTimings.LINK_TIMEOUT_NANOS;
         }
 
+        /** Returns whether requests that are read now may have been submitted to another entry meanwhile. */
+        boolean isLong() {
+            return missedNanos + lostNanos > DispatchTimings.LATE_READ_NANOS;
+        }
+
         /** Returns the times in ms for the log. */
         String description() {
             return "missed=" + TimeUnit.NANOSECONDS.toMillis(missedNanos) + " lost="
@@ -89,7 +94,7 @@
             agentClocks.values().forEach(clock -> clock.lossHandled(lostNanos));
             return Optional.of(stall);
         }
-        if (missedNanos > DispatchTimings.LATE_READ_NANOS) {
+        if (missedNanos > DispatchTimings.PAUSE_NANOS) {
             lastActiveNanos = OptionalLong.of(nowNanos);
             return Optional.of(stall);
         }
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/StartupEntries.java
@@ -0,0 +1,46 @@
+package org.knapweedmount.core.dispatch;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/**
+ * The other entries whose jobs this entry has to know before it admits any after its start.
+ *
+ * <p>They are known once the platform's store or another entry has listed them. The wait ends when the jobs of each are
+ * known, or when the runs of all that had ended before the start must have ended as well; one that is alive is reported
+ * by the agents from then on.
+ */
+final class StartupEntries {
+    private OptionalLong startNanos = OptionalLong.empty();
+    private Optional<Set<String>> processes = Optional.empty();
+
+    void started(long nowNanos) {
+        startNanos = OptionalLong.of(nowNanos);
+    }
+
+    /** Adds the process names of entries that were listed. */
+    void listed(Collection<String> names) {
+        if (startNanos.isPresent()) {
+            Set<String> known = new HashSet<>(processes.orElse(Set.of()));
+            known.addAll(names);
+            processes = Optional.of(known);
+        }
+    }
+
+    /** Returns whether the jobs of other entries have to be awaited. */
+    boolean isAwaiting(Predicate<String> areJobsKnown, long nowNanos) {
+        if (startNanos.isEmpty()) {
+            return false;
+        }
+        boolean leasesEnded = nowNanos - startNanos.getAsLong() > DispatchTimings.LOST_ENTRY_NANOS;
+        boolean allKnown = processes.isPresent() && processes.get().stream().allMatch(areJobsKnown);
+        if (leasesEnded || allKnown) {
+            startNanos = OptionalLong.empty();
+        }
+        return startNanos.isPresent();
+    }
+}
--- a/core/src/main/java/org/knapweedmount/core/worker/EntryTable.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/EntryTable.java
@@ -11,6 +11,7 @@
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.message.ActiveRuns;
+import org.knapweedmount.api.message.LinkedEntries;
 import org.knapweedmount.api.message.ResourceOffer;
 import org.knapweedmount.api.message.RunsEnded;
 import org.knapweedmount.api.message.WorkerReport;
@@ -21,6 +22,7 @@
     private final WorkerOutput output;
     private final Map<Incarnation, EntryView> entries = new LinkedHashMap<>();
     private final Map<Incarnation, List<RunResult>> pendingResults = new LinkedHashMap<>();
+    private LinkedEntries lastTold = new LinkedEntries(List.of(), List.of());
     private ReportRule.View lastReported = ReportRule.View.NONE;
     private long lastReportNanos;
     private long lastOfferNumber;
@@ -45,6 +47,9 @@
     void linked(Incarnation entry, RunTable runs, long timestampMillis) {
         EntryView view = of(entry);
         view.link();
+        lastTold = linkedEntries(runs);
+        // An entry orders nothing here before it knows which others may have runs here.
+        entries.keySet().forEach(other -> tellLinkedEntries(other, lastTold));
         List<RunResult> unconfirmed = view.unconfirmedResults();
         if (!unconfirmed.isEmpty()) {
             output.send(entry, new RunsEnded(unconfirmed));
@@ -55,6 +60,37 @@
                 new ActiveRuns(runs.of(entry).stream().map(TrackedRun::ref).toList()));
     }
 
+    /** Tells all linked entries which others may have runs here, if that has changed. */
+    void tellLinkedEntries(RunTable runs) {
+        LinkedEntries present = linkedEntries(runs);
+        if (!present.equals(lastTold)) {
+            lastTold = present;
+            entries.keySet().forEach(entry -> tellLinkedEntries(entry, present));
+        }
+    }
+
+    private void tellLinkedEntries(Incarnation receiver, LinkedEntries present) {
+        if (of(receiver).linked()) {
+            List<Incarnation> others = present.entries().stream()
+                    .filter(entry -> !entry.equals(receiver))
+                    .toList();
+            output.send(receiver, new LinkedEntries(others, present.unlinkedWithRuns()));
+        }
+    }
+
+    private LinkedEntries linkedEntries(RunTable runs) {
+        List<Incarnation> linked = new ArrayList<>();
+        List<Incarnation> unlinkedWithRuns = new ArrayList<>();
+        entries.forEach((entry, view) -> {
+            if (view.linked()) {
+                linked.add(entry);
+            } else if (!runs.of(entry).isEmpty()) {
+                unlinkedWithRuns.add(entry);
+            }
+        });
+        return new LinkedEntries(linked, unlinkedWithRuns);
+    }
+
     /** Removes entries with neither a link nor runs, once their lease or time for reconnecting ends. */
     void removeExpired(RunTable runs, long timestampMillis, long nowNanos) {
         entries.entrySet()
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -120,6 +120,7 @@
      */
     public void unlinked(Incarnation entry, long nowNanos) {
         entries.of(entry).unlink(nowNanos);
+        entries.tellLinkedEntries(runs);
         reconcile(nowNanos);
     }
 
@@ -458,6 +459,7 @@
         retryStops(nowNanos);
         endLapsedRuns(nowNanos);
         entries.removeExpired(runs, timestampMillis, nowNanos);
+        entries.tellLinkedEntries(runs);
         reconcile(nowNanos);
     }
 
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
@@ -11,6 +11,7 @@
 import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
 import org.knapweedmount.api.message.Message;
+import org.knapweedmount.api.message.OwnershipProbeReply;
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.work.RunRef;
 
@@ -51,8 +52,9 @@
     void openWorker() {
         dispatcher.agentLinked(AGENT, 0);
         report(0);
-        dispatcher.entryLinked(PEER);
+        dispatcher.entryLinked(PEER, 0);
         dispatcher.receive(PEER, new JobOwnershipUpdate(List.of(), List.of()), 0);
+        dispatcher.receive(PEER, new OwnershipProbeReply(1), 0);
     }
 
     @Test
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherCancelTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherCancelTest.java
@@ -29,7 +29,7 @@
     }
 
     private void link() {
-        dispatcher.entryLinked(PEER);
+        dispatcher.entryLinked(PEER, 0);
         fixture.receive(PEER, new JobOwnershipUpdate(List.of(), List.of()), 0);
     }
 
@@ -72,7 +72,7 @@
     @Test
     void jobThatNobodyHoldsIsSaidSoOnceAllEntriesHaveAnswered() {
         link();
-        dispatcher.entryLinked(OTHER_PEER);
+        dispatcher.entryLinked(OTHER_PEER, 0);
 
         cancel(10);
         fixture.receive(PEER, new CancelReply(JOB, false), 20);
@@ -107,7 +107,7 @@
     @Test
     void cancelIsNotConfirmedWhileAnEntryThatMayHoldTheJobIsCutOff() {
         link();
-        fixture.receive(AGENT, new LinkedEntries(List.of(PEER)), 0);
+        fixture.receive(AGENT, new LinkedEntries(List.of(PEER), List.of()), 0);
         fixture.unlink(PEER, 5);
 
         cancel(10);
@@ -160,7 +160,7 @@
     void entryOnANewLinkIsToldOfTheCancelledJobs() {
         cancel(10);
 
-        dispatcher.entryLinked(PEER);
+        dispatcher.entryLinked(PEER, 0);
 
         assertThat(fixture.sent(CancelJob.class), contains(new CancelJob(JOB)));
     }
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherFixture.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherFixture.java
@@ -9,6 +9,8 @@
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
 import org.knapweedmount.api.message.Message;
+import org.knapweedmount.api.message.OwnershipProbe;
+import org.knapweedmount.api.message.OwnershipProbeReply;
 import org.knapweedmount.api.message.RunOrder;
 import org.knapweedmount.api.message.RunsEnded;
 import org.knapweedmount.api.message.StopRuns;
@@ -74,8 +76,24 @@
                 millis);
     }
 
+    /** Delivers a message; an update of a peer's jobs is followed by the answers to the probes that it has received. */
     void receive(Incarnation from, Message message, long millis) {
         dispatcher.receive(from, message, DispatchFixture.millisToNanos(millis));
+        if (message instanceof JobOwnershipUpdate) {
+            answerProbes(from, millis);
+        }
+    }
+
+    /** Answers the probes that were sent to a peer. */
+    void answerProbes(Incarnation peer, long millis) {
+        List<OwnershipProbe> probes = sent.stream()
+                .filter(message -> message.receiver().equals(peer))
+                .map(Sent::message)
+                .filter(OwnershipProbe.class::isInstance)
+                .map(OwnershipProbe.class::cast)
+                .toList();
+        probes.forEach(probe -> dispatcher.receive(
+                peer, new OwnershipProbeReply(probe.number()), DispatchFixture.millisToNanos(millis)));
     }
 
     void submit(long millis) {
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherOwnershipTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherOwnershipTest.java
@@ -49,7 +49,7 @@
     }
 
     private void linkPeerThatHolds(String... jobs) {
-        dispatcher.entryLinked(PEER);
+        dispatcher.entryLinked(PEER, 0);
         fixture.receive(PEER, owned(jobs), 0);
     }
 
@@ -93,7 +93,7 @@
         fixture.submit(0);
         fixture.unlink(PEER, 100);
 
-        dispatcher.entryLinked(PEER);
+        dispatcher.entryLinked(PEER, 0);
         assertThat(fixture.ordered(), is(empty()));
 
         fixture.receive(PEER, owned(), 200);
@@ -105,7 +105,7 @@
         linkPeerThatHolds(JOB);
         fixture.submit(0);
         fixture.unlink(PEER, 100);
-        dispatcher.entryLinked(PEER);
+        dispatcher.entryLinked(PEER, 0);
         fixture.receive(PEER, owned(JOB), 200);
 
         assertThat(fixture.sent(YieldJob.class).size(), is(2));
@@ -120,7 +120,7 @@
 
     @Test
     void endIsNotReportedForAJobThatWasAddedAgainWithinOneUpdate() {
-        dispatcher.entryLinked(PEER);
+        dispatcher.entryLinked(PEER, 0);
         fixture.submit(0);
         fixture.tick(100);
         dispatcher.callerLeft(JOB, DispatchFixture.millisToNanos(110));
@@ -135,7 +135,7 @@
     @Test
     void requestIsNotAdmittedOnTheWordOfAnEntryThatIsNotTheHolder() {
         linkPeerThatHolds(JOB);
-        dispatcher.entryLinked(OTHER_PEER);
+        dispatcher.entryLinked(OTHER_PEER, 0);
         fixture.receive(OTHER_PEER, owned(), 0);
         fixture.submit(0);
 
@@ -146,7 +146,7 @@
 
     @Test
     void requestThatWaitsForOwnRunsIsNotAdmittedOnTheWordOfAPeer() {
-        dispatcher.entryLinked(PEER);
+        dispatcher.entryLinked(PEER, 0);
         fixture.receive(PEER, owned(), 0);
         fixture.submit(0);
         dispatcher.callerLeft(JOB, DispatchFixture.millisToNanos(10));
@@ -161,7 +161,7 @@
 
     @Test
     void requestThatWaitsForOwnRunsAndForAPeerIsAdmittedAfterBoth() {
-        dispatcher.entryLinked(PEER);
+        dispatcher.entryLinked(PEER, 0);
         fixture.receive(PEER, owned(), 0);
         fixture.submit(0);
         dispatcher.callerLeft(JOB, DispatchFixture.millisToNanos(10));
@@ -228,7 +228,7 @@
         linkPeerThatHolds(JOB);
         fixture.submit(0);
         fixture.tick(100);
-        dispatcher.entryLinked(OTHER_PEER);
+        dispatcher.entryLinked(OTHER_PEER, 0);
         fixture.receive(OTHER_PEER, owned(JOB, 10), 1_400);
 
         fixture.receive(PEER, ended(JOB), 1_410);
@@ -256,7 +256,7 @@
     void answeredJobWithRunsLeftDoesNotMakeTheHolderOfALiveOneGiveItUp() {
         fixture.submit(0);
         dispatcher.callerLeft(JOB, DispatchFixture.millisToNanos(10));
-        dispatcher.entryLinked(PEER);
+        dispatcher.entryLinked(PEER, 0);
         fixture.tick(100);
 
         assertThat(
@@ -286,7 +286,7 @@
     @Test
     void waitingRequestIsNotAdmittedWhileAnotherEntryIsLinkedToTheHolder() {
         linkPeerThatHolds(JOB);
-        dispatcher.entryLinked(OTHER_PEER);
+        dispatcher.entryLinked(OTHER_PEER, 0);
         fixture.receive(OTHER_PEER, owned(), 0);
         fixture.receive(OTHER_PEER, linkedTo(PEER), 0);
         fixture.submit(0);
@@ -308,7 +308,7 @@
     @Test
     void wordOfAnEntryThatIsLostItselfKeepsNoJob() {
         linkPeerThatHolds(JOB);
-        dispatcher.entryLinked(OTHER_PEER);
+        dispatcher.entryLinked(OTHER_PEER, 0);
         fixture.receive(OTHER_PEER, linkedTo(PEER), 0);
         fixture.submit(0);
         fixture.unlink(PEER, 100);
@@ -323,9 +323,9 @@
     }
 
     private void cutOffPeerThatAnAgentIsLinkedTo() {
-        dispatcher.entryLinked(PEER);
+        dispatcher.entryLinked(PEER, 0);
         fixture.receive(PEER, owned(), 0);
-        fixture.receive(AGENT, new LinkedEntries(List.of(PEER)), 0);
+        fixture.receive(AGENT, new LinkedEntries(List.of(PEER), List.of()), 0);
         fixture.unlink(PEER, 100);
     }
 
@@ -348,7 +348,7 @@
     /** Between a new link and the full list the jobs of the other entry are unknown. */
     @Test
     void jobThatIsSubmittedOnANewLinkRunsOnlyAfterTheFullList() {
-        dispatcher.entryLinked(PEER);
+        dispatcher.entryLinked(PEER, 0);
         fixture.submit(0);
         assertThat(fixture.ordered(), is(empty()));
 
@@ -388,7 +388,7 @@
     @Test
     void jobIsAdmittedAtOnceIfNoProcessIsLinkedToTheLostEntry() {
         cutOffPeerThatAnAgentIsLinkedTo();
-        fixture.receive(AGENT, new LinkedEntries(List.of()), 150);
+        fixture.receive(AGENT, new LinkedEntries(List.of(), List.of()), 150);
 
         fixture.submit(200);
 
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherStallTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherStallTest.java
@@ -66,7 +66,7 @@
 
     @Test
     void requestThatWaitsIsGivenUpAfterAGapBetweenTicks() {
-        fixture.dispatcher().entryLinked(PEER);
+        fixture.dispatcher().entryLinked(PEER, 0);
         fixture.receive(PEER, new JobOwnershipUpdate(List.of(new JobClaim(JOB, 100)), List.of()), 0);
         fixture.submit(0);
         tickEvery(0, 100);
@@ -123,7 +123,7 @@
 
     @Test
     void requestThatIsReadAfterAGapWaitsForTheJobsOfOtherEntries() {
-        fixture.dispatcher().entryLinked(PEER);
+        fixture.dispatcher().entryLinked(PEER, 0);
         fixture.receive(PEER, new JobOwnershipUpdate(List.of(), List.of()), 0);
         tickEvery(0, 100);
 
@@ -242,7 +242,7 @@
 
     @Test
     void requestReadAfterAGapGivesWayToASubmissionDuringTheGap() {
-        fixture.dispatcher().entryLinked(PEER);
+        fixture.dispatcher().entryLinked(PEER, 0);
         tickEvery(0, 100);
         fixture.submit(JOB, 1_601, 60_000, 300);
 
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherTest.java
@@ -13,6 +13,7 @@
 import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
 import org.knapweedmount.api.message.Message;
+import org.knapweedmount.api.message.OwnershipProbeReply;
 import org.knapweedmount.api.message.ResourceOffer;
 import org.knapweedmount.api.message.RunOrder;
 import org.knapweedmount.api.message.RunsEnded;
@@ -210,8 +211,9 @@
 
     @Test
     void jobHeldByAnotherEntryStartsAfterThatEntryHasEndedIt() {
-        dispatcher.entryLinked(PEER);
+        dispatcher.entryLinked(PEER, 0);
         dispatcher.receive(PEER, new JobOwnershipUpdate(List.of(new JobClaim(JOB, 0)), List.of()), 0);
+        dispatcher.receive(PEER, new OwnershipProbeReply(1), 0);
         submit(1, 1_000);
         assertThat(sent.contains(new YieldJob(JOB)), is(true));
         assertThat(ordered(), is(empty()));
--- a/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleet.java
@@ -49,6 +49,7 @@
     private final Set<Set<Entry>> cutLinks = new HashSet<>();
     private final Map<Set<Entry>, Deque<Runnable>> heldLinks = new HashMap<>();
     private final Set<Entry> linkedToAgent = new LinkedHashSet<>();
+    private final Set<Entry> withRuns = new LinkedHashSet<>();
     private final Map<String, Set<Entry>> liveRuns = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
     private long millis;
@@ -201,8 +202,8 @@
                 || !upLinks.add(Set.of(one, other))) {
             return;
         }
-        one.dispatcher.entryLinked(other.self);
-        other.dispatcher.entryLinked(one.self);
+        one.dispatcher.entryLinked(other.self, now(one));
+        other.dispatcher.entryLinked(one.self, now(other));
         sendPeers(one);
         sendPeers(other);
     }
@@ -278,6 +279,20 @@
                         .forEach(ref -> after(STOP_MILLIS, () -> end(killed, ref, RunOutcome.STOPPED))));
         after(downMillis, () -> {
             Entry started = start(number, millis);
+            started.dispatcher.started(now(started));
+            boolean storeIsAway = random.nextInt(4) == 0;
+            if (!storeIsAway) {
+                after(
+                        1 + random.nextInt(50),
+                        () -> handle(
+                                started,
+                                () -> started.dispatcher.entriesListed(
+                                        entries.stream()
+                                                .filter(other -> other != started)
+                                                .map(other -> other.self.process())
+                                                .toList(),
+                                        now(started))));
+            }
             entries.set(number, started);
             linkedToAgent.add(started);
             sendLinkedEntries();
@@ -333,10 +348,15 @@
     private void sendLinkedEntries() {
         linkedToAgent.forEach(entry -> sendFromAgent(
                 entry,
-                new LinkedEntries(linkedToAgent.stream()
-                        .filter(other -> other != entry)
-                        .map(other -> other.self)
-                        .toList())));
+                new LinkedEntries(
+                        linkedToAgent.stream()
+                                .filter(other -> other != entry)
+                                .map(other -> other.self)
+                                .toList(),
+                        withRuns.stream()
+                                .filter(other -> !linkedToAgent.contains(other))
+                                .map(other -> other.self)
+                                .toList())));
     }
 
     private void sendFromAgent(Entry entry, Message message) {
@@ -396,6 +416,7 @@
         }
         holders.add(entry);
         entry.runs.add(ref);
+        withRuns.add(entry);
         after(runMillis, () -> end(entry, ref, RunOutcome.DONE));
     }
 
@@ -403,6 +424,9 @@
         if (entry.runs.remove(ref)) {
             liveRuns.get(ref.task()).remove(entry);
             sendResult(entry, ref, outcome);
+            if (entry.runs.isEmpty() && withRuns.remove(entry) && !linkedToAgent.contains(entry)) {
+                sendLinkedEntries();
+            }
         }
     }
 
--- a/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
@@ -142,6 +142,8 @@
         Dispatcher dispatcher = new Dispatcher(new EntryPort(self));
         List<Incarnation> others = entries();
         entries.put(self, dispatcher);
+        dispatcher.started(time.nowNanos());
+        dispatcher.entriesListed(others.stream().map(Incarnation::process).toList(), time.nowNanos());
         others.forEach(other -> linkEntries(self, other));
         agents.keySet().forEach(agent -> link(self, agent));
         time.every(10, () -> {
@@ -178,8 +180,8 @@
         lastLink++;
         openEnd(one, other, lastLink);
         openEnd(other, one, lastLink);
-        entries.get(one).entryLinked(other);
-        entries.get(other).entryLinked(one);
+        entries.get(one).entryLinked(other, time.nowNanos());
+        entries.get(other).entryLinked(one, time.nowNanos());
     }
 
     private void openEnd(Incarnation process, Incarnation peer, long number) {
--- a/core/src/test/java/org/knapweedmount/core/worker/WorkerAgentTest.java
+++ b/core/src/test/java/org/knapweedmount/core/worker/WorkerAgentTest.java
@@ -368,7 +368,12 @@
 
         agent.linked(OTHER, millisToNanos(50));
 
-        assertThat(((WorkerReport) output.sentToOther.get(1)).lastOrderNumber(), is(0L));
+        assertThat(
+                output.sentToOther.stream()
+                        .filter(WorkerReport.class::isInstance)
+                        .map(message -> ((WorkerReport) message).lastOrderNumber())
+                        .toList(),
+                contains(0L));
     }
 
     private static final class Recorder implements WorkerOutput {
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -34,6 +34,7 @@
 import org.knapweedmount.daemon.store.EntryAnnouncement;
 import org.knapweedmount.daemon.store.EntryDirectory;
 import org.knapweedmount.daemon.store.EntryRow;
+import org.knapweedmount.daemon.store.KnownEntries;
 import org.knapweedmount.daemon.store.TableService;
 
 /** An entry that dispatches jobs to workers: its links, its decision queue and its row in the table service. */
@@ -102,6 +103,7 @@
      */
     public Future<Void> start(TableService tables) {
         decisions.start(dispatchModule);
+        decisions.offer((module, nowNanos) -> module.dispatcher().started(nowNanos));
         Ticker.start(vertx, TICK_INTERVAL_MILLIS, decisions, this::tick);
         settings.seeds().forEach(links::dial);
         return links.listen(settings.host(), settings.linkPort(), OptionalInt.empty())
@@ -113,7 +115,7 @@
                                     tables,
                                     EntryRow.rowId(self.incarnation()),
                                     clock::nanos,
-                                    known -> known.recent().forEach(links::addKnownEntry))
+                                    this::entriesListed)
                             .start();
                     return null;
                 });
@@ -121,7 +123,14 @@
 
     private void tick(DispatchModule module, long nowNanos) {
         module.dispatcher().tick(nowNanos);
-        ready = module.queues().version() > 0 && module.dispatcher().status().hasWorkers();
+        ready = module.queues().version() > 0
+                && module.dispatcher().status().hasWorkers()
+                && !module.dispatcher().isStarting(nowNanos);
+    }
+
+    private void entriesListed(KnownEntries known) {
+        known.recent().forEach(links::addKnownEntry);
+        decisions.offer((module, nowNanos) -> module.entriesListed(known.recent(), settings.name(), nowNanos));
     }
 
     /**
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchModule.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchModule.java
@@ -1,6 +1,7 @@
 package org.knapweedmount.daemon.dispatch;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -67,6 +68,16 @@
         entries.forEach(entry -> output.send(entry.incarnation(), update));
     }
 
+    /** Handles a list of the entries in the platform's store; those of this entry's own process name are left out. */
+    void entriesListed(List<PeerAddress> listed, String ownProcess, long nowNanos) {
+        dispatcher.entriesListed(
+                listed.stream()
+                        .map(entry -> entry.incarnation().process())
+                        .filter(process -> !process.equals(ownProcess))
+                        .toList(),
+                nowNanos);
+    }
+
     void linked(PeerAddress peer, long nowNanos) {
         output.logEvent("linked", "peer=" + peer.incarnation());
         if (peer.role() == Role.AGENT) {
@@ -76,7 +87,7 @@
             return;
         }
         entries.add(peer);
-        dispatcher.entryLinked(peer.incarnation());
+        dispatcher.entryLinked(peer.incarnation(), nowNanos);
         queues.newest().ifPresent(newest -> output.send(peer.incarnation(), newest));
         agents.forEach(this::sendPeers);
         sendPeersToEntries();
--- a/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
@@ -1,6 +1,5 @@
 package org.knapweedmount.daemon.worker;
 
-import java.util.List;
 import java.util.Random;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -9,7 +8,6 @@
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.Role;
-import org.knapweedmount.api.message.LinkedEntries;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.Peers;
 import org.knapweedmount.api.message.RelayedMessage;
@@ -146,25 +144,12 @@
         public void linked(WorkerAgent agent, PeerAddress peer, long nowNanos) {
             log.logEvent("linked", "peer=" + peer.incarnation(), nowNanos);
             agent.linked(peer.incarnation(), nowNanos);
-            sendLinkedEntries();
         }
 
         @Override
         public void unlinked(WorkerAgent agent, Incarnation peer, long nowNanos) {
             log.logEvent("unlinked", "peer=" + peer, nowNanos);
             agent.unlinked(peer, nowNanos);
-            sendLinkedEntries();
-        }
-
-        /** Tells all entries which others are linked, so that those that are cut off from each other know. */
-        private void sendLinkedEntries() {
-            List<Incarnation> entries =
-                    links.peers().stream().map(PeerAddress::incarnation).toList();
-            entries.forEach(entry -> links.send(
-                    entry,
-                    new LinkedEntries(entries.stream()
-                            .filter(other -> !other.equals(entry))
-                            .toList())));
         }
 
         @Override
--- a/wire/src/main/java/org/knapweedmount/wire/MessageType.java
+++ b/wire/src/main/java/org/knapweedmount/wire/MessageType.java
@@ -22,6 +22,8 @@
 import org.knapweedmount.api.message.LinkedEntries;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.NotStarted;
+import org.knapweedmount.api.message.OwnershipProbe;
+import org.knapweedmount.api.message.OwnershipProbeReply;
 import org.knapweedmount.api.message.Peers;
 import org.knapweedmount.api.message.QueueUpdate;
 import org.knapweedmount.api.message.Recall;
@@ -123,8 +125,8 @@
             WorkMessages::readJobOwnershipUpdate),
     /** A request to stop a job that the sender has also received. */
     YIELD_JOB(35, 1, YieldJob.class, WorkMessages::writeYieldJob, WorkMessages::readYieldJob),
-    /** The entries that an agent is linked to. */
-    LINKED_ENTRIES(36, 1, LinkedEntries.class, WorkMessages::writeLinkedEntries, WorkMessages::readLinkedEntries),
+    /** The entries that an agent serves. */
+    LINKED_ENTRIES(36, 2, LinkedEntries.class, WorkMessages::writeLinkedEntries, WorkMessages::readLinkedEntries),
     /** A request to stop a job, passed on by an agent. */
     RELAYED_YIELD(37, 3, RelayedYield.class, WorkMessages::writeRelayedYield, WorkMessages::readRelayedYield),
     /** The answer to {@link #RELAYED_YIELD}. */
@@ -132,7 +134,16 @@
     /** The cancellation of a job by its caller. */
     CANCEL_JOB(39, 1, CancelJob.class, WorkMessages::writeCancelJob, WorkMessages::readCancelJob),
     /** The answer to {@link #CANCEL_JOB}. */
-    CANCEL_REPLY(40, 2, CancelReply.class, WorkMessages::writeCancelReply, WorkMessages::readCancelReply);
+    CANCEL_REPLY(40, 2, CancelReply.class, WorkMessages::writeCancelReply, WorkMessages::readCancelReply),
+    /** A question for how recent the knowledge of an entry's jobs is. */
+    OWNERSHIP_PROBE(41, 1, OwnershipProbe.class, WorkMessages::writeOwnershipProbe, WorkMessages::readOwnershipProbe),
+    /** The answer to {@link #OWNERSHIP_PROBE}. */
+    OWNERSHIP_PROBE_REPLY(
+            42,
+            1,
+            OwnershipProbeReply.class,
+            WorkMessages::writeOwnershipProbeReply,
+            WorkMessages::readOwnershipProbeReply);
 
     private static final Map<Class<? extends Message>, MessageType> BY_CLASS = new HashMap<>();
     private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
--- a/wire/src/main/java/org/knapweedmount/wire/WorkMessages.java
+++ b/wire/src/main/java/org/knapweedmount/wire/WorkMessages.java
@@ -10,6 +10,8 @@
 import org.knapweedmount.api.message.JobOwnershipUpdate;
 import org.knapweedmount.api.message.LeaseRenewal;
 import org.knapweedmount.api.message.LinkedEntries;
+import org.knapweedmount.api.message.OwnershipProbe;
+import org.knapweedmount.api.message.OwnershipProbeReply;
 import org.knapweedmount.api.message.QueueUpdate;
 import org.knapweedmount.api.message.RelayedEnd;
 import org.knapweedmount.api.message.RelayedYield;
@@ -230,6 +232,23 @@
         return new YieldJob(in.name());
     }
 
+    static void writeOwnershipProbe(FieldWriter out, OwnershipProbe probe) throws IOException, FrameException {
+        out.number(probe.number());
+    }
+
+    static OwnershipProbe readOwnershipProbe(FieldReader in) throws IOException, FrameException {
+        return new OwnershipProbe(in.nonNegativeLong());
+    }
+
+    static void writeOwnershipProbeReply(FieldWriter out, OwnershipProbeReply reply)
+            throws IOException, FrameException {
+        out.number(reply.number());
+    }
+
+    static OwnershipProbeReply readOwnershipProbeReply(FieldReader in) throws IOException, FrameException {
+        return new OwnershipProbeReply(in.nonNegativeLong());
+    }
+
     static void writeCancelJob(FieldWriter out, CancelJob cancel) throws IOException, FrameException {
         out.name(cancel.job());
     }
@@ -247,11 +266,11 @@
     }
 
     static void writeLinkedEntries(FieldWriter out, LinkedEntries linked) throws IOException, FrameException {
-        out.list(linked.entries(), FieldWriter::incarnation);
+        out.list(linked.entries(), FieldWriter::incarnation).list(linked.unlinkedWithRuns(), FieldWriter::incarnation);
     }
 
     static LinkedEntries readLinkedEntries(FieldReader in) throws IOException, FrameException {
-        return new LinkedEntries(in.list(FieldReader::incarnation));
+        return new LinkedEntries(in.list(FieldReader::incarnation), in.list(FieldReader::incarnation));
     }
 
     static void writeRelayedYield(FieldWriter out, RelayedYield yield) throws IOException, FrameException {
