Log each admission of a job under load, with what the entry knew of others

Cause: the decision log keeps 40 lines a second of an event, so that jobs of a busy second had no line of their admission, their wait or the loss of their runs.

Change: jobs-admitted lists each admitted job with the entry's uptime, the number of linked entries, the entries that others are linked to and it is not, the age of the submission and the last wait. It is batched as runs-ordered is; run-lost, job-elsewhere, job-again, job-released and job-read-after-stall become batches under their names, with lists in place of job=, task= and run=. The end of a wait tells its reason and length. entries-known and first-agent-linked tell changes of what an entry knows. job-admitted, with the inputs of the decision, stays as it is and limited. Nothing else in the repository reads the changed lines.

A batch writes a line at most each 30 ms, from the times of decisions that follow one another, so that it has at most 35 lines in a second of the log's limit. Only a log that cannot be written until 2,048 lines wait drops one.

DispatchEventsTest covers the contents; its lines of run-lost and job-released are the same facts in the form of a batch.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
@@ -16,10 +16,30 @@
 final class DispatchEvents {
     private final DispatchOutput output;
     private final EventBatch ordered;
+    private final EventBatch lost;
+    private final EventBatch admitted;
+    private final EventBatch elsewhere;
+    private final EventBatch again;
+    private final EventBatch released;
+    private final EventBatch readAfterStall;
+    private final EntryView entries;
+    private final AdmissionWaits waits = new AdmissionWaits();
 
     DispatchEvents(DispatchOutput output) {
         this.output = output;
         this.ordered = new EventBatch("runs-ordered", output::logEvent);
+        this.lost = new EventBatch("run-lost", output::logEvent);
+        this.admitted = new EventBatch("jobs-admitted", output::logEvent);
+        this.elsewhere = new EventBatch("job-elsewhere", output::logEvent);
+        this.again = new EventBatch("job-again", output::logEvent);
+        this.released = new EventBatch("job-released", output::logEvent);
+        this.readAfterStall = new EventBatch("job-read-after-stall", output::logEvent);
+        this.entries = new EntryView(output);
+    }
+
+    /** Returns what this entry knows of the other entries. */
+    EntryView entries() {
+        return entries;
     }
 
     /** Logs an order, with the number of the link and the ms since the receipt of the report that it is based on. */
@@ -33,9 +53,17 @@
         tasks.forEach(task -> ordered.add(detail, "tasks", name(task.ref()), nowNanos));
     }
 
-    /** Writes the collected orders; called at the end of each event and periodically. */
+    /** Writes the collected lines; called at the end of each event and periodically. */
     void flush(long nowNanos) {
+        entries.started(nowNanos);
+        // In the order of the decisions, as far as batches of several events can tell it.
+        readAfterStall.flush(nowNanos);
+        again.flush(nowNanos);
+        elsewhere.flush(nowNanos);
+        released.flush(nowNanos);
+        admitted.flush(nowNanos);
         ordered.flush(nowNanos);
+        lost.flush(nowNanos);
     }
 
     /** Logs the end of a run that was not done. */
@@ -49,13 +77,12 @@
                         + view.agent());
     }
 
-    void lost(WorkerView view, TrackedTask task, LossCause cause) {
+    void lost(WorkerView view, TrackedTask task, LossCause cause, long nowNanos) {
         if (cause == LossCause.NEW_LINK) {
             output.count(DispatchCounter.RUNS_LOST_ON_NEW_LINK);
         }
-        output.logEvent(
-                "run-lost",
-                describe(task.ref()) + " agent=" + view.agent() + " cause=" + cause + " link=" + view.linkNumber());
+        String detail = "agent=" + view.agent() + " cause=" + cause + " link=" + view.linkNumber();
+        lost.add(detail, "runs", name(task.ref()), nowNanos);
     }
 
     /** Logs the runs that the agent holds on a new link although the entry has released or stopped them. */
@@ -105,29 +132,63 @@
                                 .toList());
     }
 
+    /** Logs that a request is held because this entry stood still. */
+    void heldAfterStall(String job, long nowNanos) {
+        waits.begin(job, WaitReason.STALL, nowNanos);
+        readAfterStall.add("reason=" + WaitReason.STALL, "jobs", job, nowNanos);
+    }
+
+    /** Logs that a request is no longer held because this entry stood still. */
+    void submitted(String job, long nowNanos) {
+        waits.end(job, WaitReason.STALL, nowNanos).ifPresent(wait -> addReleased(wait, "settled", nowNanos));
+    }
+
     /** Logs that a request waits until other entries have ended its job. */
-    void waitsForEntries(String job, Set<Incarnation> holders) {
+    void waitsForEntries(String job, Set<Incarnation> holders, long nowNanos) {
         if (holders.isEmpty()) {
             return;
         }
+        boolean allLinked = holders.stream().allMatch(entries::isLinked);
+        waits.begin(job, allLinked ? WaitReason.LINKED_ENTRY : WaitReason.UNLINKED_ENTRY, nowNanos);
         output.count(DispatchCounter.RESUBMISSIONS_WAITED);
-        output.logEvent(
-                "job-elsewhere",
-                "job=" + job + " entry="
-                        + holders.stream().map(Incarnation::toString).collect(Collectors.joining(",")));
+        String names = holders.stream().sorted().map(Incarnation::toString).collect(Collectors.joining(","));
+        elsewhere.add("entry=" + names, "jobs", job, nowNanos);
     }
 
     /** Logs that a job of this entry was submitted again; the request waits if the job is answered. */
-    void resubmitted(TrackedJob job) {
+    void resubmitted(TrackedJob job, long nowNanos) {
         if (job.answered()) {
+            waits.begin(job.id(), WaitReason.EARLIER_RUNS, nowNanos);
             output.count(DispatchCounter.RESUBMISSIONS_WAITED);
         }
-        output.logEvent("job-again", "job=" + job.id() + " answered=" + job.answered());
+        again.add("answered=" + job.answered(), "jobs", job.id(), nowNanos);
     }
 
     /** Logs that a request no longer waits for the end of an earlier submission of its job. */
-    void released(String job, String reason) {
-        output.logEvent("job-released", "job=" + job + " reason=" + reason);
+    void released(String job, String reason, long nowNanos) {
+        waits.end(job, nowNanos)
+                .ifPresentOrElse(
+                        wait -> addReleased(wait, reason, nowNanos),
+                        () -> released.add("reason=" + quote(reason), "jobs", job, nowNanos));
+    }
+
+    private void addReleased(AdmissionWaits.Ended wait, String reason, long nowNanos) {
+        String detail = "reason=" + quote(reason) + " waited-for=" + wait.reason() + " millis=" + wait.millis();
+        released.add(detail, "jobs", wait.job(), nowNanos);
+    }
+
+    /** Logs that a job is admitted, with all that this entry knew of other entries and what its request waited for. */
+    void admitted(String job, long submittedNanos, long nowNanos) {
+        String waited = waits.removeLastEnded(job)
+                .map(wait -> wait.reason() + " waited=" + wait.millis())
+                .orElse("NOTHING waited=0");
+        String detail = "up=" + entries.uptimeMillis(nowNanos) + " " + entries.summary() + " submitted="
+                + TimeUnit.NANOSECONDS.toMillis(nowNanos - submittedNanos) + " waited-for=" + waited;
+        admitted.add(detail, "jobs", job, nowNanos);
+    }
+
+    private static String quote(String text) {
+        return text.indexOf(' ') < 0 ? text : "\"" + text + "\"";
     }
 
     private static String describe(RunRef ref) {
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -82,7 +82,7 @@
             return;
         }
         if (heldRequests.isHolding(nowNanos)) {
-            output.logEvent("job-read-after-stall", "job=" + request.id());
+            events.heldAfterStall(request.id(), nowNanos);
             ownership.held(request.id(), heldRequests.hold(request).submittedNanos());
             return;
         }
@@ -92,11 +92,12 @@
     private void submit(WaitingRequest submitted, long nowNanos) {
         JobRequest request = submitted.request();
         Optional<TrackedJob> held = jobs.find(request.id());
-        held.ifPresent(events::resubmitted);
+        events.submitted(request.id(), nowNanos);
+        held.ifPresent(job -> events.resubmitted(job, nowNanos));
         if (held.isPresent() && !held.get().answered()) {
             ownership.held(request.id(), submitted.submittedNanos());
         } else if (held.isPresent() || ownership.mayBeHeldElsewhere(request.id(), nowNanos)) {
-            events.waitsForEntries(request.id(), ownership.holders(request.id()));
+            events.waitsForEntries(request.id(), ownership.holders(request.id()), nowNanos);
             ownership.awaitEnd(submitted, nowNanos);
         } else {
             admit(request, submitted.submittedNanos(), nowNanos);
@@ -115,6 +116,7 @@
         }
         jobs.add(job);
         ownership.held(job.id(), submittedNanos);
+        events.admitted(job.id(), submittedNanos, nowNanos);
         placer.place(request.queue().service(), nowNanos);
     }
 
@@ -132,6 +134,7 @@
     public void agentLinked(Incarnation agent, long nowNanos) {
         stalls.eventReceived(nowNanos).ifPresent(stall -> recover(stall, nowNanos));
         workers.link(agent, nowNanos);
+        events.entries().agentLinked(agent, nowNanos);
     }
 
     /**
@@ -141,6 +144,7 @@
      */
     public void entryLinked(Incarnation entry) {
         ownership.linked(entry);
+        events.entries().entryLinked(entry);
         cancels.linked(entry);
     }
 
@@ -154,6 +158,7 @@
         stalls.eventReceived(nowNanos).ifPresent(stall -> recover(stall, nowNanos));
         workers.find(peer).ifPresent(WorkerView::unlink);
         ownership.unlinked(peer, nowNanos);
+        events.entries().unlinked(peer);
         cancels.unlinked(peer);
     }
 
@@ -166,6 +171,7 @@
      */
     public void receive(Incarnation from, Message message, long nowNanos) {
         stalls.messageReceived(from, message, nowNanos).ifPresent(stall -> recover(stall, nowNanos));
+        events.entries().received(from, message);
         if (message instanceof JobOwnershipUpdate update) {
             events.ownedByPeer(from, update, jobs);
             JobOwnership.Changes changes = ownership.updateReceived(from, update, nowNanos);
@@ -207,7 +213,7 @@
         Optional<TrackedJob> job = jobs.find(id);
         if (job.isEmpty() && !ownership.isHeldElsewhere(id)) {
             ownership.removeAwaiting(id).ifPresent(waiting -> {
-                events.released(id, reason);
+                events.released(id, reason, nowNanos);
                 admit(waiting.request(), waiting.submittedNanos(), nowNanos);
             });
         }
@@ -240,18 +246,18 @@
     /** Gives up a job, or the request that waits for it, which its caller has submitted to another entry since. */
     private void surrender(String id, long nowNanos) {
         Optional<TrackedJob> job = jobs.find(id);
-        dropAwaiting(id, "sent again to another entry");
+        dropAwaiting(id, "sent again to another entry", nowNanos);
         if (job.isPresent() && !job.get().answered()) {
             conclude(job.get(), JobResult.givenUp("sent again to another entry"), nowNanos);
         }
     }
 
     /** Gives up the request that waits for a job; returns false if there is none. */
-    private boolean dropAwaiting(String id, String reason) {
-        return dropAwaiting(id, JobResult.givenUp(reason));
+    private boolean dropAwaiting(String id, String reason, long nowNanos) {
+        return dropAwaiting(id, JobResult.givenUp(reason), nowNanos);
     }
 
-    private boolean dropAwaiting(String id, JobResult result) {
+    private boolean dropAwaiting(String id, JobResult result, long nowNanos) {
         boolean held = heldRequests.remove(id);
         if (ownership.removeAwaiting(id).isEmpty() && !held) {
             return false;
@@ -261,7 +267,7 @@
         } else {
             ownership.ended(id);
         }
-        events.released(id, result.reason());
+        events.released(id, result.reason(), nowNanos);
         output.answer(id, result);
         return true;
     }
@@ -354,7 +360,7 @@
         view.orderedTasks().remove(task.name());
         jobs.runLost(task.ref());
         task.recordDecision("lost at " + view.agent().process(), nowNanos);
-        events.lost(view, task, cause);
+        events.lost(view, task, cause, nowNanos);
         if (task.job().answered()) {
             task.markEnded();
             removeIfDone(task.job(), nowNanos);
@@ -415,7 +421,7 @@
 
     /** Ends a job or the request that waits for it; returns false if neither is held. */
     private boolean end(String id, JobResult result, long nowNanos) {
-        if (dropAwaiting(id, result)) {
+        if (dropAwaiting(id, result, nowNanos)) {
             return true;
         }
         Optional<TrackedJob> job = jobs.find(id).filter(held -> !held.answered());
@@ -445,7 +451,7 @@
         }
         cancels.tick(nowNanos);
         ownership.releaseLost(nowNanos).forEach(job -> resume(job, "leases-ended", nowNanos));
-        ownership.expired(nowNanos).forEach(id -> dropAwaiting(id, "held by another entry"));
+        ownership.expired(nowNanos).forEach(id -> dropAwaiting(id, "held by another entry", nowNanos));
         ownership.sendUpdates(nowNanos);
         for (WorkerView view : workers.all()) {
             if (view.acceptsStarts()) {
@@ -468,7 +474,7 @@
         List<String> waiting = ownership.awaited();
         output.logEvent(
                 "entry-stalled", stall.description() + " jobs=" + jobs.unanswered() + " waiting=" + waiting.size());
-        waiting.forEach(id -> dropAwaiting(id, "the entry stood still"));
+        waiting.forEach(id -> dropAwaiting(id, "the entry stood still", nowNanos));
         for (TrackedJob job : jobs.all()) {
             if (!job.answered()) {
                 conclude(job, JobResult.givenUp("the entry stood still"), nowNanos);
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WaitReason.java
@@ -0,0 +1,13 @@
+package org.knapweedmount.core.dispatch;
+
+/** Why a request waits before its job is admitted. */
+public enum WaitReason {
+    /** The entry stood still, and the caller may have left meanwhile. */
+    STALL,
+    /** Runs of an earlier submission to this entry have not ended. */
+    EARLIER_RUNS,
+    /** An entry with a link to this one holds the job or has not sent its full list. */
+    LINKED_ENTRY,
+    /** An entry without a link to this one holds the job or may hold it. */
+    UNLINKED_ENTRY
+}
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
@@ -10,6 +10,7 @@
 import org.knapweedmount.api.message.ActiveRuns;
 import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
+import org.knapweedmount.api.message.LinkedEntries;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.work.RunRef;
@@ -72,11 +73,12 @@
         submit(JOB, 10);
         dispatcher.agentLinked(AGENT, DispatchFixture.millisToNanos(20));
         dispatcher.receive(AGENT, new ActiveRuns(List.of(new RunRef("x", 7))), DispatchFixture.millisToNanos(30));
+        dispatcher.tick(DispatchFixture.millisToNanos(35));
 
         assertThat(output.lines("runs-outdated"), contains("agent=" + AGENT + " link=2 runs=[x#7]"));
         assertThat(
                 output.lines("run-lost"),
-                contains("task=" + JOB + ".0.0.0 run=1 agent=" + AGENT + " cause=NEW_LINK link=2"));
+                contains("ago=5 agent=" + AGENT + " cause=NEW_LINK link=2 runs=[" + JOB + ".0.0.0#1]"));
         assertThat(output.counted, contains(DispatchCounter.RUNS_LOST_ON_NEW_LINK));
     }
 
@@ -87,7 +89,7 @@
 
         assertThat(
                 output.lines("run-lost"),
-                contains("task=" + JOB + ".0.0.0 run=1 agent=" + AGENT + " cause=AGENT_SILENT link=1"));
+                contains("ago=0 agent=" + AGENT + " cause=AGENT_SILENT link=1 runs=[" + JOB + ".0.0.0#1]"));
         assertThat(output.counted.isEmpty(), is(true));
     }
 
@@ -114,11 +116,76 @@
 
         assertThat(
                 output.lines("job-released"),
-                contains("job=" + JOB + " reason=ended-there", "job=" + other + " reason=leases-ended"));
+                contains(
+                        "ago=0 reason=ended-there waited-for=LINKED_ENTRY millis=30 jobs=[" + JOB + "]",
+                        "ago=0 reason=leases-ended waited-for=LINKED_ENTRY millis=1111 jobs=[" + other + "]"));
+        assertThat(
+                output.lines("job-elsewhere"),
+                contains(
+                        "ago=30 entry=" + PEER + " jobs=[" + JOB + "]",
+                        "ago=1111 entry=" + PEER + " jobs=[" + other + "]"));
         assertThat(
                 output.counted, contains(DispatchCounter.RESUBMISSIONS_WAITED, DispatchCounter.RESUBMISSIONS_WAITED));
     }
 
+    // Without what the entry knew of the others, the log can't tell why it admitted a job that another one held.
+    @Test
+    void admissionTellsWhatTheEntryKnewAndWaitedFor() {
+        Incarnation unlinked = new Incarnation("unlinked", 3);
+        dispatcher.tick(DispatchFixture.millisToNanos(0));
+        dispatcher.receive(AGENT, new LinkedEntries(List.of(PEER, unlinked)), DispatchFixture.millisToNanos(1));
+        submit(JOB, 10);
+        String other = "00000000000000bb";
+        ownedByPeer(other, 50);
+        submit(other, 60);
+        dispatcher.receive(PEER, new JobOwnershipUpdate(List.of(), List.of(other)), DispatchFixture.millisToNanos(90));
+
+        String known = " entries=1 unlinked=[" + unlinked + "] ";
+        assertThat(
+                output.lines("jobs-admitted"),
+                contains(
+                        "ago=0 up=10" + known + "submitted=0 waited-for=NOTHING waited=0 jobs=[" + JOB + "]",
+                        "ago=0 up=90" + known + "submitted=30 waited-for=LINKED_ENTRY waited=30 jobs=[" + other + "]"));
+    }
+
+    // A wait for an entry without a link ends when its leases must have ended, not when it says so.
+    @Test
+    void waitForAnEntryWithoutALinkIsToldApart() {
+        ownedByPeer(JOB, 5);
+        dispatcher.unlinked(PEER, DispatchFixture.millisToNanos(7));
+        submit(JOB, 10);
+        report(1_000);
+        dispatcher.tick(DispatchFixture.millisToNanos(1_108));
+
+        assertThat(
+                output.lines("jobs-admitted"),
+                contains("ago=0 up=1108 entries=0 unlinked=[] submitted=1098 waited-for=UNLINKED_ENTRY waited=1098"
+                        + " jobs=[" + JOB + "]"));
+    }
+
+    // The first links and the reports of agents tell what an entry could know when it admitted a job.
+    @Test
+    void changesOfTheKnownEntriesAreLoggedOnce() {
+        Incarnation unlinked = new Incarnation("unlinked", 3);
+        for (int millis = 1; millis < 4; millis++) {
+            dispatcher.receive(
+                    AGENT, new LinkedEntries(List.of(PEER, unlinked)), DispatchFixture.millisToNanos(millis));
+        }
+        dispatcher.entryLinked(unlinked);
+        dispatcher.unlinked(PEER, DispatchFixture.millisToNanos(5));
+        dispatcher.unlinked(AGENT, DispatchFixture.millisToNanos(6));
+
+        assertThat(output.lines("first-agent-linked"), contains("agent=" + AGENT + " up=0"));
+        assertThat(
+                output.lines("entries-known"),
+                contains(
+                        "change=linked by=" + PEER + " linked=[" + PEER + "] unlinked=[]",
+                        "change=reported by=" + AGENT + " linked=[" + PEER + "] unlinked=[" + unlinked + "]",
+                        "change=linked by=" + unlinked + " linked=[" + PEER + ", " + unlinked + "] unlinked=[]",
+                        "change=unlinked by=" + PEER + " linked=[" + unlinked + "] unlinked=[" + PEER + "]",
+                        "change=unlinked by=" + AGENT + " linked=[" + unlinked + "] unlinked=[]"));
+    }
+
     private static final class Recorder implements DispatchOutput {
         private final List<String> events = new ArrayList<>();
         private final List<DispatchCounter> counted = new ArrayList<>();
