--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -86,9 +86,8 @@
         }
         WaitingRequest read = heldRequests.read(request, nowNanos);
         if (isHoldingRequests(nowNanos)) {
-            output.logEvent(
-                    heldRequests.isHolding(nowNanos) ? "job-read-after-stall" : "job-read-after-start",
-                    "job=" + request.id());
+            events.held(
+                    request.id(), heldRequests.isHolding(nowNanos) ? WaitReason.STALL : WaitReason.START, nowNanos);
             heldRequests.hold(read);
             ownership.requestHeld(read, nowNanos);
             return;
@@ -140,12 +139,16 @@
     private void submit(WaitingRequest submitted, long nowNanos) {
         JobRequest request = submitted.request();
         Optional<TrackedJob> held = jobs.find(request.id());
-        held.ifPresent(events::resubmitted);
+        events.submitted(request.id(), nowNanos);
+        held.ifPresent(job -> events.resubmitted(job, nowNanos));
         if (held.isPresent() && !held.get().answered()) {
             ownership.held(request.id(), submitted.submittedNanos());
         } else if (held.isPresent() || ownership.mayBeHeldElsewhereAtSubmission(request.id(), submitted.required())) {
             events.waitsForEntries(
-                    request.id(), ownership.holders(request.id()), ownership.unconfirmedHolders(request.id()));
+                    request.id(),
+                    ownership.holders(request.id()),
+                    ownership.unconfirmedHolders(request.id()),
+                    nowNanos);
             ownership.awaitEnd(submitted, nowNanos);
         } else {
             admit(request, submitted.submittedNanos(), nowNanos);
@@ -164,6 +167,7 @@
         }
         jobs.add(job);
         ownership.held(job.id(), submittedNanos);
+        events.admitted(job.id(), submittedNanos, nowNanos);
         placer.place(request.queue().service(), nowNanos);
     }
 
@@ -181,6 +185,7 @@
     public void agentLinked(Incarnation agent, long nowNanos) {
         stalls.eventReceived(nowNanos).ifPresent(stall -> recover(stall, nowNanos));
         workers.link(agent, nowNanos);
+        events.entries().agentLinked(agent, nowNanos);
     }
 
     /**
@@ -192,6 +197,7 @@
     public void entryLinked(Incarnation entry, long nowNanos) {
         stalls.eventReceived(nowNanos).ifPresent(stall -> recover(stall, nowNanos));
         ownership.linked(entry, nowNanos);
+        events.entries().entryLinked(entry);
         cancels.linked(entry);
         confirmQueuedJobs(nowNanos);
     }
@@ -223,6 +229,7 @@
         stalls.eventReceived(nowNanos).ifPresent(stall -> recover(stall, nowNanos));
         workers.find(peer).ifPresent(WorkerView::unlink);
         ownership.unlinked(peer, nowNanos);
+        events.entries().unlinked(peer);
         cancels.unlinked(peer);
         resumeConfirmed(nowNanos);
     }
@@ -236,6 +243,7 @@
      */
     public void receive(Incarnation from, Message message, long nowNanos) {
         stalls.messageReceived(from, message, nowNanos).ifPresent(stall -> recover(stall, nowNanos));
+        events.entries().received(from, message);
         if (message instanceof JobOwnershipUpdate update) {
             events.ownedByPeer(from, update, jobs);
             JobOwnership.Changes changes = ownership.updateReceived(from, update, nowNanos);
@@ -301,7 +309,7 @@
             return;
         }
         ownership.confirmationEnded(id);
-        events.released(id, reason);
+        events.released(id, reason, nowNanos);
         admit(waiting.request(), waiting.submittedNanos(), nowNanos);
     }
 
@@ -331,18 +339,18 @@
     /** Gives up a job, or the request that waits for it, which its caller has submitted to another entry since. */
     private void surrender(String id, long nowNanos) {
         Optional<TrackedJob> job = jobs.find(id);
-        dropAwaiting(id, "sent again to another entry");
+        dropAwaiting(id, "sent again to another entry", nowNanos);
         if (job.isPresent() && !job.get().answered()) {
             conclude(job.get(), JobResult.givenUp("sent again to another entry"), nowNanos);
         }
     }
 
     /** Gives up the request that waits for a job; returns false if there is none. */
-    private boolean dropAwaiting(String id, String reason) {
-        return dropAwaiting(id, JobResult.givenUp(reason));
+    private boolean dropAwaiting(String id, String reason, long nowNanos) {
+        return dropAwaiting(id, JobResult.givenUp(reason), nowNanos);
     }
 
-    private boolean dropAwaiting(String id, JobResult result) {
+    private boolean dropAwaiting(String id, JobResult result, long nowNanos) {
         boolean held = heldRequests.remove(id);
         if (ownership.removeAwaiting(id).isEmpty() && !held) {
             return false;
@@ -353,7 +361,7 @@
         } else {
             ownership.ended(id);
         }
-        events.released(id, result.reason());
+        events.released(id, result.reason(), nowNanos);
         output.answer(id, result);
         return true;
     }
@@ -446,7 +454,7 @@
         view.orderedTasks().remove(task.name());
         jobs.runLost(task.ref());
         task.recordDecision("lost at " + view.agent().process(), nowNanos);
-        events.lost(view, task, cause);
+        events.lost(view, task, cause, nowNanos);
         if (task.job().answered()) {
             task.markEnded();
             removeIfDone(task.job(), nowNanos);
@@ -510,7 +518,7 @@
 
     /** Ends a job or the request that waits for it; returns false if neither is held. */
     private boolean end(String id, JobResult result, long nowNanos) {
-        if (dropAwaiting(id, result)) {
+        if (dropAwaiting(id, result, nowNanos)) {
             return true;
         }
         Optional<TrackedJob> job = jobs.find(id).filter(held -> !held.answered());
@@ -541,7 +549,7 @@
         cancels.tick(nowNanos);
         ownership.releaseLost(nowNanos).forEach(job -> resume(job, "leases-ended", nowNanos));
         resumeConfirmed(nowNanos);
-        ownership.expired(nowNanos).forEach(id -> dropAwaiting(id, "held by another entry"));
+        ownership.expired(nowNanos).forEach(id -> dropAwaiting(id, "held by another entry", nowNanos));
         ownership.sendUpdates(nowNanos);
         for (WorkerView view : workers.all()) {
             if (view.acceptsStarts()) {
@@ -568,7 +576,7 @@
         List<String> waiting = ownership.awaited();
         output.logEvent(
                 "entry-stalled", stall.description() + " jobs=" + jobs.unanswered() + " waiting=" + waiting.size());
-        waiting.forEach(id -> dropAwaiting(id, "the entry stood still"));
+        waiting.forEach(id -> dropAwaiting(id, "the entry stood still", nowNanos));
         for (TrackedJob job : jobs.all()) {
             if (!job.answered()) {
                 conclude(job, JobResult.givenUp("the entry stood still"), nowNanos);
