Keep runs of a replaced worker until it shows their end or its lease is over

What callers saw: two runs of a task at a time. In the users' record the second run begins 172 ms after the first, by another agent, and the agent of the first run has never read its end. That this is what happened there is not shown.

Cause: when a worker with another ID announced itself, the agent ended all runs of the earlier one (LAPSED, NEW_INCARNATION) on the first list of the new one, which says nothing about another process: a replacement may start first while the old worker drains. A 421 to a stop order was taken for an end in the same way. A new agent whose first worker was the newer one reported that it accepts starts after one clean list, and entries released all runs of its predecessor.

Change: runs at a worker with another ID end only by what that worker lists or answers itself, or once its clock must have passed its last lease and the time to stop. The agent goes on asking it for lists, without extending its lease. A worker that starts again under its ID holds nothing of before, so its list is still evidence. A new agent whose first worker is younger than 5 s accepts starts 1,072 ms after its own start ((1,000 + 50) / 0.98), the longest that runs of its predecessor can last; an older worker has announced itself at least twice to any predecessor that gave orders after the runs of before must have ended. The same wait holds if a worker is replaced before the agent has seen it clean.

What the wait adds: runs at a replaced worker that does not answer are ordered elsewhere up to 1,072 ms later than before; their room on the new worker stays charged for that time. An agent that starts beside a worker younger than 5 s accepts starts up to 1,072 ms after its own start. In WorkFleet agents and workers start together, so load begins after 1,200 instead of 50 ms; no check of its tests is changed.

--- a/core/src/main/java/org/knapweedmount/core/worker/CurrentWorker.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/CurrentWorker.java
@@ -73,6 +73,11 @@
         successor = Optional.of(new WorkerIncarnation(incarnation().id(), startMillis));
     }
 
+    /** Returns whether a worker with another ID answers instead, which does not show that this one has ended. */
+    boolean displaced() {
+        return ended && successor.isEmpty();
+    }
+
     /** Returns whether the worker may be sent runs. */
     boolean acceptsStarts() {
         return isPresent() && !leaving && !announcement().draining();
--- a/core/src/main/java/org/knapweedmount/core/worker/RunEndEvidence.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunEndEvidence.java
@@ -6,12 +6,10 @@
     LISTED,
     /** The worker confirmed the stop order, and a list requested after that does not contain the run. */
     ABSENT,
-    /** The worker's clock has passed the latest lease expiry; the worker is unresponsive or has left. */
+    /** The worker's clock has passed the latest lease expiry; the worker is unresponsive, replaced or has left. */
     CLOCK,
-    /** A list of a later incarnation, requested with a higher fencing token, does not contain the run. */
+    /** A list of a later incarnation with the same ID, requested with a higher fencing token, does not contain the run. */
     NEW_INCARNATION,
     /** The reply to the start order says that nothing was done. */
-    START_REPLY,
-    /** The reply to the stop order says that the incarnation has ended. */
-    STOP_REPLY
+    START_REPLY
 }
--- a/core/src/main/java/org/knapweedmount/core/worker/RunTable.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunTable.java
@@ -49,6 +49,11 @@
         return runs.keySet().stream().anyMatch(ref -> ref.task().equals(task));
     }
 
+    /** Returns whether any run meets a condition. */
+    boolean any(Predicate<TrackedRun> condition) {
+        return runs.values().stream().anyMatch(condition);
+    }
+
     /** Returns a copy of the runs that meet a condition. */
     List<TrackedRun> matching(Predicate<TrackedRun> condition) {
         List<TrackedRun> found = new ArrayList<>();
--- a/core/src/main/java/org/knapweedmount/core/worker/TrackedRun.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/TrackedRun.java
@@ -49,6 +49,16 @@
         return incarnation.equals(other);
     }
 
+    /** Returns whether the run was ordered from a worker with another ID, which may still work. */
+    boolean isAtOtherWorker(WorkerIncarnation other) {
+        return !incarnation.id().equals(other.id());
+    }
+
+    /** Returns the incarnation that the run was ordered from, or found at. */
+    WorkerIncarnation incarnation() {
+        return incarnation;
+    }
+
     /** Records that a later incarnation has executed the order to start the run. */
     void foundAt(WorkerIncarnation other) {
         incarnation = other;
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -35,6 +35,8 @@
     private final RunListCalls listCalls = new RunListCalls();
     private final RunEvents events;
     private final CurrentWorker worker = new CurrentWorker();
+    private final RunControl control;
+    private final EarlierWorkers earlierWorkers;
     private boolean noForeignRuns;
     private boolean draining;
     private long acknowledgedEnd;
@@ -49,6 +51,8 @@
         this.entries = new EntryTable(output);
         this.events = new RunEvents(output);
         this.health = new WorkerHealth(output, worker);
+        this.control = new RunControl(output, runs, entries, worker, lease, fence, events);
+        this.earlierWorkers = new EarlierWorkers(output, runs, control, fence);
     }
 
     /**
@@ -63,6 +67,9 @@
         }
         boolean known = worker.isCurrent(announcement.incarnation());
         boolean wasDraining = worker.announcement().draining();
+        if (!known) {
+            replaceWorker(announcement, nowNanos);
+        }
         worker.announced(announcement);
         if (!known) {
             startIncarnation(announcement, nowNanos);
@@ -74,6 +81,16 @@
         reconcile(nowNanos);
     }
 
+    private void replaceWorker(WorkerAnnouncement announcement, long nowNanos) {
+        if (!worker.known()) {
+            earlierWorkers.firstWorker(announcement.clockMillis(), nowNanos);
+        } else if (announcement.incarnation().id().equals(incarnation().id())) {
+            earlierWorkers.sameWorker();
+        } else {
+            earlierWorkers.otherWorker(lease.lapseNanos(), nowNanos);
+        }
+    }
+
     private void startIncarnation(WorkerAnnouncement announcement, long nowNanos) {
         output.logEvent("worker-life", "worker=" + announcement.incarnation() + " runs=" + runs.size());
         // The new incarnation may execute orders to the earlier one until a list has raised its fencing token.
@@ -138,7 +155,7 @@
             entryView.demand(demand, nowNanos);
         } else if (message instanceof StopRuns stop) {
             events.stopReceived(from, stop.runs(), nowNanos);
-            stop.runs().forEach(ref -> runs.find(from, ref).ifPresent(run -> stop(run, nowNanos)));
+            stop.runs().forEach(ref -> runs.find(from, ref).ifPresent(run -> control.stop(run, nowNanos)));
         } else if (message instanceof LeaseRenewal renewal) {
             renew(entryView, renewal.timestampNanos(), nowNanos);
         }
@@ -190,23 +207,12 @@
 
     private void start(Incarnation from, long timestampNanos, String spec, RunRequest request, long nowNanos) {
         runs.add(new TrackedRun(from, incarnation(), request, nowNanos));
-        long expiryMillis = extendLease(nowNanos);
+        long expiryMillis = control.extendLease(nowNanos);
         long ageNanos = WorkerTimings.nanos(lease.timestampMillis(nowNanos)) - timestampNanos;
         events.accepted(from, request.ref(), ageNanos, expiryMillis, lease.describe(incarnation(), nowNanos), nowNanos);
         output.start(incarnation(), spec, request, fence.token(), expiryMillis);
     }
 
-    private void stop(TrackedRun run, long nowNanos) {
-        if (!run.state().ending()) {
-            sendStop(run, nowNanos);
-        }
-    }
-
-    private void sendStop(TrackedRun run, long nowNanos) {
-        run.transitionTo(RunState.STOPPING, nowNanos);
-        output.stop(incarnation(), run.ref(), fence.token());
-    }
-
     /**
      * Handles the reply to a start order.
      *
@@ -217,10 +223,15 @@
      */
     public void startAnswered(WorkerIncarnation incarnation, RunRef ref, StartReply reply, long nowNanos) {
         Optional<TrackedRun> found = runs.find(ref);
-        if (found.isEmpty() || !worker.isCurrent(incarnation)) {
+        if (found.isEmpty() || !concerns(incarnation, found.get())) {
             return;
         }
         TrackedRun run = found.get();
+        if (!worker.isCurrent(incarnation)) {
+            earlierWorkers.startAnswered(run, reply, nowNanos);
+            reconcile(nowNanos);
+            return;
+        }
         switch (reply) {
             case STARTED -> {
                 events.confirmed(ref, nowNanos);
@@ -230,19 +241,25 @@
             }
             case UNANSWERED -> {
                 output.logEvent("start-unanswered", RunEvents.describe(ref) + " worker=" + incarnation);
-                stop(run, nowNanos);
+                control.stop(run, nowNanos);
             }
-            case OUTDATED -> end(run, RunOutcome.OUTDATED, RunEndEvidence.START_REPLY, "", nowNanos);
+            case OUTDATED -> control.end(run, RunOutcome.OUTDATED, RunEndEvidence.START_REPLY, "", nowNanos);
             default -> handleRefusal(run, reply, nowNanos);
         }
         reconcile(nowNanos);
     }
 
+    /** Returns whether a reply concerns a run: it is of the current worker, or of the earlier one that the run is at. */
+    private boolean concerns(WorkerIncarnation replying, TrackedRun run) {
+        boolean elsewhere = run.isAtOtherWorker(incarnation());
+        return worker.isCurrent(replying) ? !elsewhere : elsewhere && run.isAt(replying);
+    }
+
     private void handleRefusal(TrackedRun run, StartReply reply, long nowNanos) {
         events.startRefused(run.ref(), reply, incarnation());
-        end(run, RunOutcome.REFUSED, RunEndEvidence.START_REPLY, "", nowNanos);
+        control.end(run, RunOutcome.REFUSED, RunEndEvidence.START_REPLY, "", nowNanos);
         switch (reply) {
-            case FENCED -> raiseFence(nowNanos);
+            case FENCED -> handleFenced(nowNanos);
             case UNHEALTHY -> health.quarantine("unhealthy", nowNanos);
             case OTHER_LIFE -> markEnded();
             case UNREACHABLE -> markUnresponsive();
@@ -265,6 +282,11 @@
         }
     }
 
+    private void handleFenced(long nowNanos) {
+        earlierWorkers.othersGaveOrders();
+        raiseFence(nowNanos);
+    }
+
     private void raiseFence(long nowNanos) {
         fence.raise(incarnation().startMillis() + lease.workerMillis(nowNanos) + 1, nowNanos);
         noForeignRuns = false;
@@ -281,18 +303,19 @@
      */
     public void stopAnswered(WorkerIncarnation incarnation, RunRef ref, StopReply reply, long nowNanos) {
         Optional<TrackedRun> found = runs.find(ref);
-        if (reply == StopReply.FENCED && worker.isCurrent(incarnation)) {
-            raiseFence(nowNanos);
+        boolean current = worker.isCurrent(incarnation);
+        if (reply == StopReply.FENCED && current) {
+            handleFenced(nowNanos);
         }
-        if (found.isEmpty() || !worker.isCurrent(incarnation)) {
-            return;
+        if (reply == StopReply.OTHER_LIFE && current) {
+            markEnded();
         }
-        if (reply == StopReply.OTHER_LIFE) {
-            end(found.get(), RunOutcome.LAPSED, RunEndEvidence.STOP_REPLY, "", nowNanos);
+        if (found.isEmpty() || !concerns(incarnation, found.get())) {
+            return;
         }
         if (reply == StopReply.CONFIRMED) {
             found.get().transitionTo(RunState.STOPPED, nowNanos);
-            if (!found.get().wasListed()) {
+            if (current && !found.get().wasListed()) {
                 list(0, nowNanos);
             }
         }
@@ -309,6 +332,8 @@
      */
     public void listAnswered(WorkerIncarnation incarnation, long sentNanos, RunList list, long nowNanos) {
         if (!worker.isCurrent(incarnation)) {
+            earlierWorkers.listAnswered(incarnation(), incarnation, sentNanos, list, nowNanos);
+            reconcile(nowNanos);
             return;
         }
         listCalls.ended(sentNanos);
@@ -327,16 +352,21 @@
         events.listed(list, acknowledgedEnd, sentNanos, lease.describe(incarnation(), nowNanos), nowNanos);
         Set<RunRef> listedRuns = applyRunning(list.running(), sentNanos, nowNanos);
         applyEnded(list.ended(), nowNanos);
-        handleAbsentRuns(listedRuns, sentNanos, nowNanos);
+        control.endAbsentRuns(listedRuns, sentNanos, nowNanos);
         reconcile(nowNanos);
     }
 
+    /** Returns a run that is not at an earlier worker; those of two workers can have the same number. */
+    private Optional<TrackedRun> findHere(RunRef ref) {
+        return runs.find(ref).filter(run -> !run.isAtOtherWorker(incarnation()));
+    }
+
     private Set<RunRef> applyRunning(List<RunList.Running> running, long sentNanos, long nowNanos) {
         Set<RunRef> listedRuns = new HashSet<>();
         int foreign = 0;
         for (RunList.Running row : running) {
             listedRuns.add(row.ref());
-            Optional<TrackedRun> held = runs.find(row.ref());
+            Optional<TrackedRun> held = findHere(row.ref());
             if (held.isEmpty()) {
                 foreign++;
                 output.stop(incarnation(), row.ref(), fence.token());
@@ -344,7 +374,7 @@
             }
             if (!held.get().isAt(incarnation())) {
                 held.get().foundAt(incarnation());
-                sendStop(held.get(), nowNanos);
+                control.sendStop(held.get(), nowNanos);
             }
             held.get().updateProgress(row.percent(), nowNanos).ifPresent(ratio -> slowdown.observe(ratio, nowNanos));
             if (held.get().state() == RunState.STARTING) {
@@ -356,6 +386,9 @@
             output.logEvent("worker-clean", "worker=" + incarnation() + " foreign=" + foreign);
             noForeignRuns = clean;
         }
+        if (clean) {
+            earlierWorkers.currentIsClean();
+        }
         return listedRuns;
     }
 
@@ -365,7 +398,7 @@
                 continue;
             }
             acknowledgedEnd = row.number();
-            Optional<TrackedRun> run = runs.find(row.ref());
+            Optional<TrackedRun> run = findHere(row.ref());
             if (run.isEmpty()) {
                 continue;
             }
@@ -373,33 +406,7 @@
                 run.get().slowdownAtEnd(nowNanos).ifPresent(ratio -> slowdown.observe(ratio, nowNanos));
             }
             health.recordEnd(row.outcome(), nowNanos);
-            end(run.get(), row.outcome(), RunEndEvidence.LISTED, row.checkpoint(), nowNanos);
-        }
-    }
-
-    /** Ends or stops runs that a list requested after their last state change would contain if the worker had them. */
-    private void handleAbsentRuns(Set<RunRef> listedRuns, long sentNanos, long nowNanos) {
-        for (TrackedRun run : runs.matching(run -> !listedRuns.contains(run.ref()))) {
-            if (!run.isAt(incarnation())) {
-                endRunOfEarlierIncarnation(run, sentNanos, nowNanos);
-            } else if (run.stateNanos() - sentNanos <= 0) {
-                handleAbsence(run, nowNanos);
-            }
-        }
-    }
-
-    private void endRunOfEarlierIncarnation(TrackedRun run, long sentNanos, long nowNanos) {
-        if (fence.covers(sentNanos)) {
-            end(run, RunOutcome.LAPSED, RunEndEvidence.NEW_INCARNATION, "", nowNanos);
-        }
-    }
-
-    private void handleAbsence(TrackedRun run, long nowNanos) {
-        if (run.state() == RunState.STOPPED) {
-            end(run, RunOutcome.STOPPED, RunEndEvidence.ABSENT, "", nowNanos);
-        } else if (run.state() == RunState.RUNNING && run.countAbsence() >= WorkerTimings.MAX_ABSENT_LISTS) {
-            output.logEvent("run-missing", RunEvents.describe(run.ref()) + " worker=" + incarnation());
-            stop(run, nowNanos);
+            control.end(run.get(), row.outcome(), RunEndEvidence.LISTED, row.checkpoint(), nowNanos);
         }
     }
 
@@ -417,7 +424,7 @@
         }
         listCalls.ended(sentNanos);
         switch (failure) {
-            case FENCED -> raiseFence(nowNanos);
+            case FENCED -> handleFenced(nowNanos);
             case OTHER_LIFE -> markEnded();
             case UNREACHABLE -> markUnresponsive();
             default -> handleLostList(nowNanos);
@@ -434,61 +441,49 @@
         }
     }
 
-    private void end(TrackedRun run, RunOutcome outcome, RunEndEvidence evidence, String checkpoint, long nowNanos) {
-        runs.remove(run.ref());
-        events.released(run, outcome, evidence, lease.describe(incarnation(), nowNanos), nowNanos);
-        int elapsedMillis = (int) WorkerTimings.millis(nowNanos - run.orderedNanos());
-        entries.addResult(run.entry(), new RunResult(run.ref(), outcome, elapsedMillis, checkpoint));
-    }
-
     /**
      * Stops expired and stalled runs, retries stop orders and reports to entries; call this periodically.
      *
      * @param nowNanos the current time, in ns
      */
     public void tick(long nowNanos) {
+        earlierWorkers.agentAlive(nowNanos);
         long timestampMillis = lease.timestampMillis(nowNanos);
         entries.byEntry().forEach((entry, entryView) -> {
             entryView.expireOffer(nowNanos);
             if (entryView.mustStopRuns(timestampMillis, nowNanos)) {
-                runs.of(entry).forEach(run -> stop(run, nowNanos));
+                runs.of(entry).forEach(run -> control.stop(run, nowNanos));
             }
         });
         stopStalled(nowNanos);
-        retryStops(nowNanos);
+        control.retryStops(nowNanos);
         endLapsedRuns(nowNanos);
+        earlierWorkers.tick(incarnation(), nowNanos);
         entries.removeExpired(runs, timestampMillis, nowNanos);
         reconcile(nowNanos);
     }
 
     private void stopStalled(long nowNanos) {
-        for (TrackedRun run : runs.matching(run -> run.state() == RunState.RUNNING)) {
+        for (TrackedRun run : runs.matching(run -> run.state() == RunState.RUNNING && run.isAt(incarnation()))) {
             if (StallRule.isStalled(run, nowNanos)) {
                 events.stalled(run, incarnation());
                 health.quarantine("stalled", nowNanos);
-                stop(run, nowNanos);
+                control.stop(run, nowNanos);
             }
         }
     }
 
-    private void retryStops(long nowNanos) {
-        long dueNanos = nowNanos - WorkerTimings.nanos(WorkerTimings.STOP_RETRY_INTERVAL_MILLIS);
-        for (TrackedRun run : runs.matching(run -> run.state() == RunState.STOPPING)) {
-            if (run.stateNanos() - dueNanos <= 0) {
-                sendStop(run, nowNanos);
-            }
-        }
-    }
-
-    /** Ends all runs of an unresponsive worker once its clock must have passed its last lease expiry. */
+    /** Ends all runs of a worker that does not answer once its clock must have passed its last lease expiry. */
     private void endLapsedRuns(long nowNanos) {
-        if (!listCalls.unresponsive() || runs.isEmpty() || !fence.inPlace() || !lease.hasLapsed(nowNanos)) {
+        List<TrackedRun> left = runs.matching(run -> !run.isAtOtherWorker(incarnation()));
+        boolean silent = listCalls.unresponsive() || worker.displaced();
+        if (!silent || left.isEmpty() || !fence.inPlace() || !lease.hasLapsed(nowNanos)) {
             return;
         }
         output.logEvent("worker-lapsed", "worker=" + incarnation() + " runs=" + runs.size());
         // An unanswered start may still be executed, and a later extension of the worker's lease would apply to it.
         raiseFence(nowNanos);
-        runs.all().forEach(run -> end(run, RunOutcome.LAPSED, RunEndEvidence.CLOCK, "", nowNanos));
+        left.forEach(run -> control.end(run, RunOutcome.LAPSED, RunEndEvidence.CLOCK, "", nowNanos));
     }
 
     /** Follows up any change: sends results, offers capacity, reports, and keeps a list call in flight. */
@@ -517,7 +512,8 @@
 
     private void list(int waitMillis, long nowNanos) {
         // The lease of a worker that does not answer must expire, so that its runs have an end.
-        long expiryMillis = runs.isEmpty() || listCalls.unresponsive() ? 0 : extendLease(nowNanos);
+        boolean extend = control.hasRunsAtCurrentWorker() && !listCalls.unresponsive();
+        long expiryMillis = !extend ? 0 : control.extendLease(nowNanos);
         output.list(incarnation(), fence.tokenForList(nowNanos), acknowledgedEnd, expiryMillis, nowNanos, waitMillis);
     }
 
@@ -547,20 +543,12 @@
     private boolean acceptsStarts(long nowNanos) {
         return worker.acceptsStarts()
                 && noForeignRuns
+                && earlierWorkers.foreignRunsEnded(nowNanos)
                 && !listCalls.unresponsive()
                 && !draining
                 && health.admits(runs.size(), nowNanos);
     }
 
-    /** Extends the worker's lease to the earliest lease expiry of entries with runs; returns it by the worker's clock. */
-    private long extendLease(long nowNanos) {
-        long earliestMillis = Long.MAX_VALUE;
-        for (TrackedRun run : runs.all()) {
-            earliestMillis = Math.min(earliestMillis, entries.of(run.entry()).expiryMillis());
-        }
-        return lease.grant(earliestMillis, nowNanos);
-    }
-
     private WorkerIncarnation incarnation() {
         return worker.incarnation();
     }
@@ -585,7 +573,7 @@
      * @param nowNanos the current time, in ns
      */
     public void stopAll(long nowNanos) {
-        runs.all().forEach(run -> stop(run, nowNanos));
+        runs.all().forEach(run -> control.stop(run, nowNanos));
     }
 
     /**
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerClock.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerClock.java
@@ -37,4 +37,10 @@
     long millis(long nowNanos) {
         return workerMillis + (long) (WorkerTimings.MIN_CLOCK_RATE * WorkerTimings.millis(nowNanos - receivedNanos));
     }
+
+    /** Returns when the worker's clock must have reached a time, by the clock of the agent, in ns. */
+    long reachedNanos(long millis) {
+        double restMillis = Math.max(0, millis - workerMillis) / WorkerTimings.MIN_CLOCK_RATE;
+        return receivedNanos + WorkerTimings.nanos((long) Math.ceil(restMillis));
+    }
 }
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerLease.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerLease.java
@@ -110,4 +110,9 @@
     boolean hasLapsed(long nowNanos) {
         return clock.known() && clock.millis(nowNanos) > latestExpiryMillis + WorkerTimings.MAX_STOP_MILLIS;
     }
+
+    /** Returns when the worker's clock must show that all runs have ended, by the clock of the agent, in ns. */
+    long lapseNanos() {
+        return clock.reachedNanos(latestExpiryMillis + WorkerTimings.MAX_STOP_MILLIS + 1);
+    }
 }
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerTimings.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerTimings.java
@@ -80,6 +80,16 @@
     /** The maximum time that a worker takes to end a run, in ms; guaranteed by the platform. */
     static final int MAX_STOP_MILLIS = 50;
 
+    /** The time after the last order to a worker by which all its runs must have ended, also if its clock is slow, in ms. */
+    static final int MAX_WORKER_RUN_END_MILLIS =
+            (int) Math.ceil((MAX_WORKER_LEASE_MILLIS + MAX_STOP_MILLIS) / MIN_CLOCK_RATE);
+
+    /**
+     * The age from which a worker has announced itself to any agent that was alive after its start, and all runs from
+     * before its start have ended, in ms; it exceeds {@link #MAX_WORKER_RUN_END_MILLIS} and two announcements.
+     */
+    static final int MIN_ESTABLISHED_AGE_MILLIS = 5_000;
+
     /** The number of consecutive lists without a confirmed run after which the run counts as lost. */
     static final int MAX_ABSENT_LISTS = 2;
 
--- a/core/src/test/java/org/knapweedmount/core/work/FakeWorker.java
+++ b/core/src/test/java/org/knapweedmount/core/work/FakeWorker.java
@@ -28,6 +28,10 @@
  */
 final class FakeWorker {
     private static final double ONE_WAY_MILLIS = 0.3;
+
+    /** The rate of the worker's clock; the platform allows it to be 2% slow. */
+    private static final double CLOCK_RATE = 0.985;
+
     private static final double CALL_TIMEOUT_MILLIS = WorkerTimings.CALL_TIMEOUT_MILLIS;
 
     private final VirtualTime time;
@@ -38,12 +42,14 @@
     private final Map<RunRef, Running> running = new LinkedHashMap<>();
     private final Map<String, Integer> highestRunNumbers = new HashMap<>();
     private final List<RunList.Ended> ended = new ArrayList<>();
+    private String id;
     private long startMillis;
     private long fence;
     private long expiryMillis;
     private long lastEndNumber;
     private long sequence;
     private int starts;
+    private int replacements;
     private boolean up = true;
     private boolean draining;
     private double slowdown = 1;
@@ -61,6 +67,7 @@
         this.time = time;
         this.random = random;
         this.name = name;
+        this.id = name;
         this.capacity = capacity;
         this.invariants = invariants;
         this.startMillis = time.nowMillis();
@@ -128,23 +135,46 @@
         }
         up = false;
         running.clear();
-        invariants.workerCrashed(name);
-        time.after(downMillis, () -> {
-            highestRunNumbers.clear();
-            ended.clear();
-            lastEndNumber = 0;
-            fence = 0;
-            expiryMillis = 0;
-            sequence = 0;
-            startMillis = time.nowMillis();
-            up = true;
-            atStart.run();
+        invariants.workerCrashed(id);
+        time.after(downMillis, this::begin);
+    }
+
+    /**
+     * Starts another worker under a new ID at the same address. The earlier one answers nobody any more and works until
+     * its runs are done or its lease expires.
+     */
+    void replaceWhileRunsGoOn() {
+        if (!up) {
+            return;
+        }
+        String earlier = id;
+        double leaseLeftMillis = Math.max(0, startMillis + expiryMillis / CLOCK_RATE - time.nowMillis());
+        running.forEach((ref, run) -> {
+            double workLeftMillis = Math.max(0, run.endsMillis() - time.nowMillis());
+            time.after(
+                    Math.min(workLeftMillis, leaseLeftMillis), () -> invariants.ended(earlier, ref, RunOutcome.DONE));
         });
+        running.clear();
+        replacements++;
+        id = name + "-" + replacements;
+        begin();
     }
 
-    /** Returns the worker's clock, in ms since its start; it runs 1.5% slow, and the platform allows 2%. */
+    private void begin() {
+        highestRunNumbers.clear();
+        ended.clear();
+        lastEndNumber = 0;
+        fence = 0;
+        expiryMillis = 0;
+        sequence = 0;
+        startMillis = time.nowMillis();
+        up = true;
+        atStart.run();
+    }
+
+    /** Returns the worker's clock, in ms since its start. */
     private long clockMillis() {
-        return (long) (0.985 * (time.nowMillis() - startMillis));
+        return (long) (CLOCK_RATE * (time.nowMillis() - startMillis));
     }
 
     Optional<WorkerAnnouncement> announcement() {
@@ -153,7 +183,7 @@
         }
         sequence++;
         return Optional.of(new WorkerAnnouncement(
-                new WorkerIncarnation(name, startMillis),
+                new WorkerIncarnation(id, startMillis),
                 "service",
                 sequence,
                 capacity,
@@ -183,7 +213,7 @@
 
     private StartReply start(WorkerIncarnation incarnation, RunRequest request, long token, long leaseExpiryMillis) {
         boolean listed = fence > 0 || acceptsStaleOrders;
-        if (!up || !listed || !incarnation.id().equals(name)) {
+        if (!up || !listed || !incarnation.id().equals(id)) {
             return StartReply.OTHER_LIFE;
         }
         if (token < fence) {
@@ -205,7 +235,7 @@
         starts++;
         running.put(
                 request.ref(), new Running(request, time.nowMillis() + slowdown * runMillis.applyAsDouble(request)));
-        invariants.started(name, request, usedCapacity(), capacity);
+        invariants.started(id, request, usedCapacity(), capacity);
         return StartReply.STARTED;
     }
 
@@ -227,6 +257,10 @@
                 time.after(CALL_TIMEOUT_MILLIS, () -> answer.accept(StopReply.UNANSWERED));
                 return;
             }
+            if (!incarnation.id().equals(id)) {
+                time.after(ONE_WAY_MILLIS, () -> answer.accept(StopReply.OTHER_LIFE));
+                return;
+            }
             boolean fenced = token < fence;
             if (!fenced) {
                 fence = token;
@@ -238,13 +272,18 @@
     }
 
     void list(
-            long token, long acknowledged, long leaseExpiryMillis, int waitMillis, Consumer<Optional<RunList>> answer) {
+            WorkerIncarnation incarnation,
+            long token,
+            long acknowledged,
+            long leaseExpiryMillis,
+            int waitMillis,
+            Consumer<Optional<RunList>> answer) {
         time.after(ONE_WAY_MILLIS, () -> {
             if (!up || random.nextDouble() < lostListRate) {
                 time.after(waitMillis + WorkerTimings.LIST_TIMEOUT_MILLIS, () -> answer.accept(Optional.empty()));
                 return;
             }
-            if (token < fence) {
+            if (token < fence || !incarnation.id().equals(id)) {
                 answer.accept(Optional.empty());
                 return;
             }
@@ -293,6 +332,6 @@
         }
         lastEndNumber++;
         ended.add(new RunList.Ended(lastEndNumber, ref, outcome, ""));
-        invariants.ended(name, ref, outcome);
+        invariants.ended(id, ref, outcome);
     }
 }
--- a/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
@@ -69,7 +69,7 @@
         for (int i = 0; i < entryCount; i++) {
             fleet.startEntry("e" + i);
         }
-        fleet.time.run(50);
+        fleet.time.run(1_200); // agents open workers that have just started only after 1,072 ms
         return fleet;
     }
 
@@ -373,6 +373,7 @@
                 long sentNanos,
                 int waitMillis) {
             worker.list(
+                    incarnation,
                     fence,
                     acknowledged,
                     leaseExpiryMillis,
--- a/core/src/test/java/org/knapweedmount/core/work/WorkFleetTest.java
+++ b/core/src/test/java/org/knapweedmount/core/work/WorkFleetTest.java
@@ -92,6 +92,36 @@
         }
     }
 
+    /** A replacement may start first while the earlier worker drains, also while their agent is away. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void workersThatGoOnAfterTheirReplacementHasStartedViolateNoInvariant(long seed) {
+        WorkFleet fleet = WorkFleet.of(seed, 3, 8, 16_000);
+        load(fleet, 80);
+        replacements(fleet);
+
+        fleet.time().run(20_000);
+
+        assertThat(fleet.invariants().violations(), is(empty()));
+        assertThat(completed(fleet), greaterThan(300L));
+    }
+
+    private static void replacements(WorkFleet fleet) {
+        fleet.time().after(fleet.random().nextInt(100, 900), () -> {
+            List<Incarnation> agents = fleet.agents();
+            if (agents.size() > 4 && fleet.random().nextBoolean()) {
+                FakeWorker worker = fleet.killAgent(agents.get(fleet.random().nextInt(agents.size())));
+                fleet.time().after(fleet.random().nextInt(10, 300), worker::replaceWhileRunsGoOn);
+                fleet.time().after(fleet.random().nextInt(300, 600), () -> fleet.startAgent(worker));
+            } else {
+                fleet.workers()
+                        .get(fleet.random().nextInt(fleet.workers().size()))
+                        .replaceWhileRunsGoOn();
+            }
+            replacements(fleet);
+        });
+    }
+
     /** An order that an entry sends on a new link crosses the agent's list of runs, which does not contain it. */
     @ParameterizedTest
     @MethodSource("seeds")
