--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -86,8 +86,7 @@
         }
         WaitingRequest read = heldRequests.read(request, nowNanos);
         if (isHoldingRequests(nowNanos)) {
-            events.held(
-                    request.id(), heldRequests.isHolding(nowNanos) ? WaitReason.STALL : WaitReason.START, nowNanos);
+            events.held(request.id(), heldRequests.isHolding(nowNanos) ? WaitReason.STALL : WaitReason.START, nowNanos);
             heldRequests.hold(read);
             ownership.requestHeld(read, nowNanos);
             return;
