Tell which entries ordered overlapping runs, and what the second one knew

Cause: bin/check-overlaps printed both runs of an overlap, and the search for the cause, one entry that gave up a run or two entries with one job, was left to the reader.

Change: after each pair it prints the cause: for one entry its line about the loss or end of the first run and the admission; for two entries, or two incarnations of one, both admissions and what the second entry logged of the job, its links to entries and its pauses in the 3 s before its admission. Lines that are missing are named. Orders are matched by entry too, as entries number their runs independently.

Evidence: OverlapCauseTest has a log with one case of each, with a restarted entry, a second admission, lines of earlier programs and missing lines. It was not run on logs of real processes.

--- a/standins/src/main/java/org/knapweedmount/standins/audit/AuditResult.java
+++ b/standins/src/main/java/org/knapweedmount/standins/audit/AuditResult.java
@@ -61,7 +61,8 @@
     /** Describes the result in lines of text. */
     String describe() {
         StringBuilder text = new StringBuilder();
-        overlaps.forEach(overlap -> text.append(overlap.describe()));
+        OverlapCause cause = new OverlapCause(history.entries());
+        overlaps.forEach(overlap -> text.append(overlap.describe()).append(cause.describe(overlap)));
         long certain = overlaps.stream().filter(Overlap::certain).count();
         long refused = history.runs().stream().filter(LoggedRun::neverStarted).count();
         text.append(String.format(
--- a/standins/src/main/java/org/knapweedmount/standins/audit/LoggedRun.java
+++ b/standins/src/main/java/org/knapweedmount/standins/audit/LoggedRun.java
@@ -22,6 +22,9 @@
     /** The longest time between an unlogged extension of the lease and the last line that tells the lease, in ms. */
     private static final long LEASE_LINE_INTERVAL_MILLIS = 240;
 
+    /** How many numbers follow the job's ID in the name of a task. */
+    private static final int TASK_NAME_NUMBERS = 3;
+
     private final String agent;
     private final String ref;
     private final LogGroup start;
@@ -60,6 +63,25 @@
         return ref.substring(0, ref.indexOf('#'));
     }
 
+    /** Returns the job's ID: the name of a task ends with three numbers. */
+    String job() {
+        String job = task();
+        for (int part = 0; part < TASK_NAME_NUMBERS; part++) {
+            job = job.substring(0, Math.max(0, job.lastIndexOf('.')));
+        }
+        return job;
+    }
+
+    /** Returns the incarnation of the entry that ordered the run, a question mark if no line tells it. */
+    String entry() {
+        return start.text("entry");
+    }
+
+    /** Returns the process name of the entry that ordered the run. */
+    String entryProcess() {
+        return entry().split("~", 2)[0];
+    }
+
     long orderedMicros() {
         return start.micros();
     }
@@ -170,7 +192,7 @@
 
     /** Describes the run in one line. */
     String describe() {
-        return ref + " at agent " + agent + ", worker " + worker() + ", entry " + start.text("entry")
+        return ref + " at agent " + agent + ", worker " + worker() + ", entry " + entry()
                 + ": accepted " + LogLine.format(orderedMicros()) + " (timestamp age " + start.text("age")
                 + " ms, expiry of the start " + start.text("expiry") + ", latest granted " + start.text("granted")
                 + " at worker clock " + start.text("clock") + "), alive " + format(confirmed) + " to "
--- a/standins/src/main/java/org/knapweedmount/standins/audit/RunHistory.java
+++ b/standins/src/main/java/org/knapweedmount/standins/audit/RunHistory.java
@@ -14,6 +14,7 @@
     private final Map<String, List<LoggedRun>> heldRuns = new HashMap<>();
     private final Map<String, String> orders = new HashMap<>();
     private final Map<String, Long> droppedLines = new TreeMap<>();
+    private final EntryTrace entries = new EntryTrace();
     private int accepted;
     private int released;
     private int withoutStart;
@@ -26,7 +27,7 @@
         RunHistory history = new RunHistory();
         groups.forEach(history::add);
         for (LoggedRun run : history.runs) {
-            String order = history.orders.get(key(run.agent(), run.ref()));
+            String order = history.orders.get(key(run.entryProcess(), run.agent(), run.ref()));
             if (order != null) {
                 run.orderedBy(order);
             }
@@ -38,7 +39,12 @@
         return agent + " " + ref;
     }
 
+    private static String key(String entry, String agent, String ref) {
+        return entry + " " + key(agent, ref);
+    }
+
     private void add(LogGroup group) {
+        entries.add(group);
         String process = group.line().process();
         switch (group.line().event()) {
             case "runs-ordered" -> addOrder(process, group);
@@ -58,7 +64,7 @@
         String agent = group.text("agent").split("~", 2)[0];
         String order = "by " + entry + " at " + LogLine.format(group.micros()) + ", link " + group.text("link") + " to "
                 + group.text("agent") + ", report received " + group.text("report") + " ms before";
-        group.list("tasks").forEach(ref -> orders.put(key(agent, ref), order));
+        group.list("tasks").forEach(ref -> orders.put(key(entry, agent, ref), order));
     }
 
     private LoggedRun start(String agent, String ref, LogGroup group) {
@@ -118,6 +124,11 @@
                 .forEach((event, count) -> droppedLines.merge(event, Long.parseLong(count), Long::sum));
     }
 
+    /** Returns what the entries logged. */
+    EntryTrace entries() {
+        return entries;
+    }
+
     List<LoggedRun> runs() {
         return runs;
     }
