Measure how long requests wait before their jobs are admitted, by reason

Cause: requests wait for other entries, for earlier runs and after a stall, and nothing measured what this adds, so that its price for callers was unknown.

Change: knapweedmount_waits_within_millis_total{reason,le} on the metrics address, in the form of the latencies of jobs; both use MillisHistogram.

Evidence: DispatchEventsTest and ProcessMetricsTest; the new tests did not compile before. No scrape of a running process was made.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/AdmissionWaits.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/AdmissionWaits.java
@@ -1,15 +1,23 @@
 package org.knapweedmount.core.dispatch;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
+import org.knapweedmount.core.metric.MillisHistogram;
+
 /** The waits of requests before their jobs are admitted, for the log and the metrics; decides nothing. */
 final class AdmissionWaits {
     /** How many waits are followed; beyond that the oldest one is forgotten. */
     private static final int MAX_FOLLOWED_WAITS = 16_384;
 
+    /** The upper bounds of the buckets, in ms; from a message between entries to the longest leases of one that is lost. */
+    private static final List<Integer> BOUNDS_MILLIS =
+            List.of(5, 10, 25, 50, 75, 100, 150, 200, 300, 500, 800, 1_200, 1_600, 3_200);
+
+    private final MillisHistogram<WaitReason> latencies = new MillisHistogram<>(WaitReason.class, BOUNDS_MILLIS);
     private final Map<String, Begun> begun = new LinkedHashMap<>();
     private Optional<Ended> lastEnded = Optional.empty();
 
@@ -24,6 +32,11 @@
      */
     record Ended(String job, WaitReason reason, long millis) {}
 
+    /** Returns how long requests waited whose jobs were admitted; any thread may read it. */
+    MillisHistogram<WaitReason> latencies() {
+        return latencies;
+    }
+
     /** Records that a request waits; a wait that has begun goes on. */
     void begin(String job, WaitReason reason, long nowNanos) {
         begun.putIfAbsent(job, new Begun(reason, nowNanos));
@@ -40,16 +53,23 @@
         return ended;
     }
 
-    /** Ends the wait of a request if it is for a reason. */
-    Optional<Ended> end(String job, WaitReason reason, long nowNanos) {
+    /** Ends the wait of a request if it is for a stall; the request goes on to its admission or to another wait. */
+    Optional<Ended> endStall(String job, long nowNanos) {
         Begun wait = begun.get(job);
-        return wait != null && wait.reason() == reason ? end(job, nowNanos) : Optional.empty();
+        if (wait == null || wait.reason() != WaitReason.STALL) {
+            return Optional.empty();
+        }
+        Optional<Ended> ended = end(job, nowNanos);
+        ended.ifPresent(stall -> latencies.record(stall.reason(), stall.millis()));
+        return ended;
     }
 
-    /** Removes and returns the wait that has ended last, if it was the one of a job that is admitted now. */
-    Optional<Ended> removeLastEnded(String job) {
+    /** Records the wait that has ended last, if it was the one of a job that is admitted now, and returns it. */
+    Optional<Ended> admitted(String job) {
         Optional<Ended> ended = lastEnded.filter(wait -> wait.job().equals(job));
         lastEnded = Optional.empty();
+        ended.filter(wait -> wait.reason() != WaitReason.STALL)
+                .ifPresent(wait -> latencies.record(wait.reason(), wait.millis()));
         return ended;
     }
 }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
@@ -11,6 +11,7 @@
 import org.knapweedmount.api.work.RunRef;
 import org.knapweedmount.api.work.RunResult;
 import org.knapweedmount.core.metric.EventBatch;
+import org.knapweedmount.core.metric.MillisHistogram;
 
 /** Logs and counts the decisions of an entry about runs and about jobs that are submitted again. */
 final class DispatchEvents {
@@ -53,6 +54,11 @@
         tasks.forEach(task -> ordered.add(detail, "tasks", name(task.ref()), nowNanos));
     }
 
+    /** Returns how long requests waited before their jobs were admitted; any thread may read it. */
+    MillisHistogram<WaitReason> waitLatencies() {
+        return waits.latencies();
+    }
+
     /** Writes the collected lines; called at the end of each event and periodically. */
     void flush(long nowNanos) {
         entries.started(nowNanos);
@@ -140,7 +146,7 @@
 
     /** Logs that a request is no longer held because this entry stood still. */
     void submitted(String job, long nowNanos) {
-        waits.end(job, WaitReason.STALL, nowNanos).ifPresent(wait -> addReleased(wait, "settled", nowNanos));
+        waits.endStall(job, nowNanos).ifPresent(wait -> addReleased(wait, "settled", nowNanos));
     }
 
     /** Logs that a request waits until other entries have ended its job. */
@@ -179,7 +185,7 @@
 
     /** Logs that a job is admitted, with all that this entry knew of other entries and what its request waited for. */
     void admitted(String job, long submittedNanos, long nowNanos) {
-        String waited = waits.removeLastEnded(job)
+        String waited = waits.admitted(job)
                 .map(wait -> wait.reason() + " waited=" + wait.millis())
                 .orElse("NOTHING waited=0");
         String detail = "up=" + entries.uptimeMillis(nowNanos) + " " + entries.summary() + " submitted="
--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchStatus.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchStatus.java
@@ -3,17 +3,20 @@
 import java.util.Optional;
 
 import org.knapweedmount.api.work.WorkQueue;
+import org.knapweedmount.core.metric.MillisHistogram;
 
 /** What an entry tells about its jobs and workers; always the present state of its {@link Dispatcher}. */
 public final class DispatchStatus {
     private final JobTable jobs;
     private final WorkerViews workers;
     private final JobAnswers answers;
+    private final MillisHistogram<WaitReason> waits;
 
-    DispatchStatus(JobTable jobs, WorkerViews workers, JobAnswers answers) {
+    DispatchStatus(JobTable jobs, WorkerViews workers, JobAnswers answers, MillisHistogram<WaitReason> waits) {
         this.jobs = jobs;
         this.workers = workers;
         this.answers = answers;
+        this.waits = waits;
     }
 
     /**
@@ -74,4 +77,14 @@
     public boolean hasWorkers() {
         return workers.all().stream().anyMatch(WorkerView::acceptsStarts);
     }
+
+    /**
+     * Returns how long requests waited for other entries, for earlier runs or after a stall before their jobs were
+     * admitted.
+     *
+     * @return the waits by reason; any thread may read them
+     */
+    public MillisHistogram<WaitReason> waits() {
+        return waits;
+    }
 }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -63,7 +63,7 @@
         this.ownership = new JobOwnership(output);
         this.answers = new JobAnswers(output, events);
         this.stopOrders = new StopOrders(output, events);
-        this.status = new DispatchStatus(jobs, workers, answers);
+        this.status = new DispatchStatus(jobs, workers, answers, events.waitLatencies());
         this.cancels = new JobCancels(output);
         this.placer = new TaskPlacer(output, jobs, workers, maxCapacity, durations, events, this::isHeldBack);
         this.admission = new JobAdmission(output, workers, jobs, maxCapacity);
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobLatencies.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobLatencies.java
@@ -1,30 +1,33 @@
 package org.knapweedmount.core.dispatch;
 
-import java.util.EnumMap;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.atomic.AtomicLongArray;
+
+import org.knapweedmount.core.metric.MillisHistogram;
 
 /** Latency histogram of answered jobs by kind of result; any thread may read it. */
 public final class JobLatencies {
     /** The upper bounds of the buckets, in ms; from an immediate refusal to longer than any caller waits. */
     public static final List<Integer> BOUNDS_MILLIS = List.of(10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400);
 
-    private final Map<JobResult.Kind, AtomicLongArray> counts = new EnumMap<>(JobResult.Kind.class);
+    private final MillisHistogram<JobResult.Kind> histogram =
+            new MillisHistogram<>(JobResult.Kind.class, BOUNDS_MILLIS);
 
     /** Creates an empty histogram. */
     public JobLatencies() {
-        for (JobResult.Kind kind : JobResult.Kind.values()) {
-            counts.put(kind, new AtomicLongArray(BOUNDS_MILLIS.size() + 1));
-        }
+        // Nothing to set up.
     }
 
     void record(JobResult.Kind kind, long millis) {
-        int index = 0;
-        while (index < BOUNDS_MILLIS.size() && millis > BOUNDS_MILLIS.get(index)) {
-            index++;
-        }
-        counts.get(kind).incrementAndGet(index);
+        histogram.record(kind, millis);
+    }
+
+    /**
+     * Returns the histogram.
+     *
+     * @return the number of jobs by kind of result and latency
+     */
+    public MillisHistogram<JobResult.Kind> histogram() {
+        return histogram;
     }
 
     /**
@@ -35,10 +38,6 @@
      * @return the number of jobs
      */
     public long cumulativeCount(JobResult.Kind kind, int buckets) {
-        long sum = 0;
-        for (int index = 0; index < buckets; index++) {
-            sum += counts.get(kind).get(index);
-        }
-        return sum;
+        return histogram.cumulativeCount(kind, buckets);
     }
 }
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
@@ -14,6 +14,7 @@
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.work.RunRef;
+import org.knapweedmount.core.metric.MillisHistogram;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
@@ -163,6 +164,31 @@
                         + " jobs=[" + JOB + "]"));
     }
 
+    // An entry that stood still holds requests, and may wait for other entries after that.
+    @Test
+    void waitAfterAStallIsToldApartFromTheWaitForEntries() {
+        dispatcher.tick(DispatchFixture.millisToNanos(10));
+        ownedByPeer(JOB, 15);
+        dispatcher.tick(DispatchFixture.millisToNanos(1_200));
+        submit(JOB, 1_210);
+        for (int millis = 1_225; millis <= 1_325; millis += 25) {
+            dispatcher.tick(DispatchFixture.millisToNanos(millis));
+        }
+        dispatcher.receive(PEER, new JobOwnershipUpdate(List.of(), List.of(JOB)), DispatchFixture.millisToNanos(1_345));
+        dispatcher.tick(DispatchFixture.millisToNanos(1_375));
+
+        assertThat(output.lines("job-read-after-stall"), contains("ago=15 reason=STALL jobs=[" + JOB + "]"));
+        assertThat(
+                output.lines("job-released"),
+                contains(
+                        "ago=0 reason=settled waited-for=STALL millis=90 jobs=[" + JOB + "]",
+                        "ago=0 reason=ended-there waited-for=LINKED_ENTRY millis=45 jobs=[" + JOB + "]"));
+        MillisHistogram<WaitReason> waits = dispatcher.status().waits();
+        int buckets = waits.boundsMillis().size() + 1;
+        assertThat(waits.cumulativeCount(WaitReason.STALL, buckets), is(1L));
+        assertThat(waits.cumulativeCount(WaitReason.LINKED_ENTRY, buckets), is(1L));
+    }
+
     // The first links and the reports of agents tell what an entry could know when it admitted a job.
     @Test
     void changesOfTheKnownEntriesAreLoggedOnce() {
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -90,6 +90,7 @@
         this.dispatchModule = new DispatchModule(new Output(answerHandler), appliedVersion, links::addKnownEntry);
         this.metrics = new LazyProcessMetrics(log, links, process -> {
             process.jobs(dispatchModule.dispatcher().status().latencies());
+            process.waits(dispatchModule.dispatcher().status().waits());
             process.counters("dispatch", DispatchCounter.class, counters);
         });
     }
--- a/daemon/src/main/java/org/knapweedmount/daemon/metrics/ProcessMetrics.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/metrics/ProcessMetrics.java
@@ -12,9 +12,10 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import org.knapweedmount.core.dispatch.JobLatencies;
-import org.knapweedmount.core.dispatch.JobResult;
+import org.knapweedmount.core.dispatch.WaitReason;
 import org.knapweedmount.core.metric.Counters;
 import org.knapweedmount.core.metric.Invariants;
+import org.knapweedmount.core.metric.MillisHistogram;
 import org.knapweedmount.daemon.link.LinkCounter;
 import org.knapweedmount.daemon.link.LinkTable;
 import org.knapweedmount.daemon.runtime.DecisionLog;
@@ -125,18 +126,30 @@
      * @param latencies the latency counts
      */
     public void jobs(JobLatencies latencies) {
-        for (JobResult.Kind kind : JobResult.Kind.values()) {
-            for (int bucketCount = 1; bucketCount <= JobLatencies.BOUNDS_MILLIS.size() + 1; bucketCount++) {
-                boolean last = bucketCount > JobLatencies.BOUNDS_MILLIS.size();
-                String bound = last
-                        ? "+Inf"
-                        : JobLatencies.BOUNDS_MILLIS.get(bucketCount - 1).toString();
+        histogram("jobs.within.millis", "kind", latencies.histogram());
+    }
+
+    /**
+     * Adds a cumulative histogram of the waits of requests before their jobs are admitted: for each reason and each upper
+     * bound {@code le}, in ms, the number of requests that waited no longer.
+     *
+     * @param waits the counts of waits
+     */
+    public void waits(MillisHistogram<WaitReason> waits) {
+        histogram("waits.within.millis", "reason", waits);
+    }
+
+    private <E extends Enum<E>> void histogram(String name, String kindTag, MillisHistogram<E> histogram) {
+        List<Integer> bounds = histogram.boundsMillis();
+        for (E kind : histogram.kinds()) {
+            for (int bucketCount = 1; bucketCount <= bounds.size() + 1; bucketCount++) {
+                boolean last = bucketCount > bounds.size();
                 int countedBuckets = bucketCount;
-                LongSupplier value = () -> latencies.cumulativeCount(kind, countedBuckets);
+                LongSupplier value = () -> histogram.cumulativeCount(kind, countedBuckets);
                 sources.add(value);
-                FunctionCounter.builder(PREFIX + "jobs.within.millis", value, LongSupplier::getAsLong)
-                        .tag("kind", kind.name().toLowerCase(Locale.ROOT))
-                        .tag("le", bound)
+                FunctionCounter.builder(PREFIX + name, value, LongSupplier::getAsLong)
+                        .tag(kindTag, kind.name().toLowerCase(Locale.ROOT))
+                        .tag("le", last ? "+Inf" : bounds.get(bucketCount - 1).toString())
                         .register(registry);
             }
         }
--- a/daemon/src/test/java/org/knapweedmount/daemon/metrics/ProcessMetricsTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/metrics/ProcessMetricsTest.java
@@ -1,10 +1,14 @@
 package org.knapweedmount.daemon.metrics;
 
+import java.util.List;
+
 import org.junit.jupiter.api.Test;
 import org.knapweedmount.core.agent.AgentCounter;
 import org.knapweedmount.core.dispatch.JobLatencies;
+import org.knapweedmount.core.dispatch.WaitReason;
 import org.knapweedmount.core.metric.Counters;
 import org.knapweedmount.core.metric.Invariants;
+import org.knapweedmount.core.metric.MillisHistogram;
 import org.knapweedmount.daemon.runtime.DecisionLoop;
 import org.knapweedmount.daemon.runtime.NanoClock;
 
@@ -51,6 +55,24 @@
                 containsString("\nknapweedmount_jobs_within_millis_total{kind=\"completed\",le=\"200\"} 0.0\n"));
     }
 
+    // Without the reason and the length of waits, nobody could tell what the wait for other entries adds.
+    @Test
+    void waitsAreShownByReasonAndLength() {
+        MillisHistogram<WaitReason> waits = new MillisHistogram<>(WaitReason.class, List.of(50, 100));
+        metrics.waits(waits);
+
+        waits.record(WaitReason.UNLINKED_ENTRY, 50);
+        waits.record(WaitReason.UNLINKED_ENTRY, 51);
+        waits.record(WaitReason.UNLINKED_ENTRY, 101);
+
+        String scraped = metrics.scrape();
+        String prefix = "\nknapweedmount_waits_within_millis_total{le=";
+        assertThat(scraped, containsString(prefix + "\"50\",reason=\"unlinked_entry\"} 1.0\n"));
+        assertThat(scraped, containsString(prefix + "\"100\",reason=\"unlinked_entry\"} 2.0\n"));
+        assertThat(scraped, containsString(prefix + "\"+Inf\",reason=\"unlinked_entry\"} 3.0\n"));
+        assertThat(scraped, containsString(prefix + "\"+Inf\",reason=\"linked_entry\"} 0.0\n"));
+    }
+
     @Test
     void memoryIsShown() {
         assertThat(metrics.scrape(), containsString("\nknapweedmount_memory_direct_bytes "));
