Do not count the wait of a request that was given up for a later one

Cause: the wait that ended last was kept until the next admission. If its request was given up and the job submitted once more, jobs-admitted and the histogram counted it for the new request, which had not waited. Found by the test of the histogram.

Change: a submission forgets the wait that ended before it.

Evidence: onlyWaitsOfAdmittedJobsAreCounted failed with 2 waits in place of 1, and passes.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/AdmissionWaits.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/AdmissionWaits.java
@@ -53,8 +53,12 @@
         return ended;
     }
 
-    /** Ends the wait of a request if it is for a stall; the request goes on to its admission or to another wait. */
-    Optional<Ended> endStall(String job, long nowNanos) {
+    /**
+     * Records that a request is examined: its wait for a stall ends, and a wait that ended before belongs to an earlier
+     * request.
+     */
+    Optional<Ended> submitted(String job, long nowNanos) {
+        lastEnded = Optional.empty();
         Begun wait = begun.get(job);
         if (wait == null || wait.reason() != WaitReason.STALL) {
             return Optional.empty();
--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
@@ -146,7 +146,7 @@
 
     /** Logs that a request is no longer held because this entry stood still. */
     void submitted(String job, long nowNanos) {
-        waits.endStall(job, nowNanos).ifPresent(wait -> addReleased(wait, "settled", nowNanos));
+        waits.submitted(job, nowNanos).ifPresent(wait -> addReleased(wait, "settled", nowNanos));
     }
 
     /** Logs that a request waits until other entries have ended its job. */
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
@@ -18,6 +18,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 
 class DispatchEventsTest {
@@ -164,6 +165,36 @@
                         + " jobs=[" + JOB + "]"));
     }
 
+    // A wait that ends without an admission adds nothing to the latency of an admitted job.
+    @Test
+    void onlyWaitsOfAdmittedJobsAreCounted() {
+        ownedByPeer(JOB, 5);
+        submit(JOB, 10);
+        dispatcher.receive(PEER, new JobOwnershipUpdate(List.of(), List.of(JOB)), DispatchFixture.millisToNanos(40));
+        String other = "00000000000000bb";
+        ownedByPeer(other, 50);
+        submit(other, 60);
+        dispatcher.callerLeft(other, DispatchFixture.millisToNanos(70));
+        dispatcher.receive(PEER, new JobOwnershipUpdate(List.of(), List.of(other)), DispatchFixture.millisToNanos(75));
+        submit(other, 80);
+        dispatcher.tick(DispatchFixture.millisToNanos(110));
+
+        assertThat(
+                output.lines("jobs-admitted"),
+                contains(containsString("waited-for=LINKED_ENTRY waited=30"), containsString("waited-for=NOTHING")));
+        MillisHistogram<WaitReason> waits = dispatcher.status().waits();
+        int buckets = waits.boundsMillis().size() + 1;
+        assertThat(waits.cumulativeCount(WaitReason.LINKED_ENTRY, buckets), is(1L));
+        assertThat(
+                waits.cumulativeCount(
+                        WaitReason.LINKED_ENTRY, waits.boundsMillis().indexOf(25) + 1),
+                is(0L));
+        assertThat(
+                waits.cumulativeCount(
+                        WaitReason.LINKED_ENTRY, waits.boundsMillis().indexOf(50) + 1),
+                is(1L));
+    }
+
     // An entry that stood still holds requests, and may wait for other entries after that.
     @Test
     void waitAfterAStallIsToldApartFromTheWaitForEntries() {
