--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
@@ -16,9 +16,11 @@
 import org.knapweedmount.api.message.RelayedEnd;
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.work.RunRef;
+import org.knapweedmount.core.metric.MillisHistogram;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 
 class DispatchEventsTest {
@@ -170,6 +172,61 @@
                         + " jobs=[" + JOB + "]"));
     }
 
+    // A wait that ends without an admission adds nothing to the latency of an admitted job.
+    @Test
+    void onlyWaitsOfAdmittedJobsAreCounted() {
+        ownedByPeer(JOB, 5);
+        submit(JOB, 10);
+        dispatcher.receive(PEER, new JobOwnershipUpdate(List.of(), List.of(JOB)), DispatchFixture.millisToNanos(40));
+        String other = "00000000000000bb";
+        ownedByPeer(other, 50);
+        submit(other, 60);
+        dispatcher.callerLeft(other, DispatchFixture.millisToNanos(70));
+        dispatcher.receive(PEER, new JobOwnershipUpdate(List.of(), List.of(other)), DispatchFixture.millisToNanos(75));
+        submit(other, 80);
+        dispatcher.tick(DispatchFixture.millisToNanos(110));
+
+        assertThat(
+                output.lines("jobs-admitted"),
+                contains(containsString("waited-for=LINKED_ENTRY waited=30"), containsString("waited-for=NOTHING")));
+        MillisHistogram<WaitReason> waits = dispatcher.status().waits();
+        int buckets = waits.boundsMillis().size() + 1;
+        assertThat(waits.cumulativeCount(WaitReason.LINKED_ENTRY, buckets), is(1L));
+        assertThat(
+                waits.cumulativeCount(
+                        WaitReason.LINKED_ENTRY, waits.boundsMillis().indexOf(25) + 1),
+                is(0L));
+        assertThat(
+                waits.cumulativeCount(
+                        WaitReason.LINKED_ENTRY, waits.boundsMillis().indexOf(50) + 1),
+                is(1L));
+    }
+
+    // An entry that stood still holds requests, and may wait for other entries after that.
+    @Test
+    void waitAfterAStallIsToldApartFromTheWaitForEntries() {
+        dispatcher.tick(DispatchFixture.millisToNanos(10));
+        ownedByPeer(JOB, 15);
+        dispatcher.tick(DispatchFixture.millisToNanos(1_200));
+        submit(JOB, 1_210);
+        for (int millis = 1_225; millis <= 1_325; millis += 25) {
+            dispatcher.tick(DispatchFixture.millisToNanos(millis));
+        }
+        dispatcher.receive(PEER, new JobOwnershipUpdate(List.of(), List.of(JOB)), DispatchFixture.millisToNanos(1_345));
+        dispatcher.tick(DispatchFixture.millisToNanos(1_375));
+
+        assertThat(output.lines("job-read-after-stall"), contains("ago=15 reason=STALL jobs=[" + JOB + "]"));
+        assertThat(
+                output.lines("job-released"),
+                contains(
+                        "ago=0 reason=settled waited-for=STALL millis=90 jobs=[" + JOB + "]",
+                        "ago=0 reason=ended-there waited-for=LINKED_ENTRY millis=45 jobs=[" + JOB + "]"));
+        MillisHistogram<WaitReason> waits = dispatcher.status().waits();
+        int buckets = waits.boundsMillis().size() + 1;
+        assertThat(waits.cumulativeCount(WaitReason.STALL, buckets), is(1L));
+        assertThat(waits.cumulativeCount(WaitReason.LINKED_ENTRY, buckets), is(1L));
+    }
+
     // The first links and the reports of agents tell what an entry could know when it admitted a job.
     @Test
     void changesOfTheKnownEntriesAreLoggedOnce() {
--- a/daemon/src/test/java/org/knapweedmount/daemon/runtime/AdmissionTraceTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/runtime/AdmissionTraceTest.java
@@ -18,6 +18,8 @@
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
 import org.knapweedmount.api.message.Message;
+import org.knapweedmount.api.message.OwnershipProbe;
+import org.knapweedmount.api.message.OwnershipProbeReply;
 import org.knapweedmount.api.message.RunOrder;
 import org.knapweedmount.api.message.RunsEnded;
 import org.knapweedmount.api.message.WorkerReport;
@@ -71,11 +73,14 @@
             LoggingOutput output = new LoggingOutput(log);
             Dispatcher dispatcher = new Dispatcher(output);
             dispatcher.agentLinked(AGENT, 0);
-            dispatcher.entryLinked(PEER);
+            dispatcher.entryLinked(PEER, 0);
             dispatcher.receive(PEER, new JobOwnershipUpdate(List.of(), List.of()), 0);
             int submitted = 0;
             for (int millis = 0; millis < SECONDS * 1_000; millis++) {
                 output.nowNanos = TimeUnit.MILLISECONDS.toNanos(millis);
+                for (OwnershipProbe probe : output.takeProbes()) {
+                    dispatcher.receive(PEER, new OwnershipProbeReply(probe.number()), output.nowNanos);
+                }
                 if (millis % REPORT_MILLIS == 0) {
                     RunsEnded ended = new RunsEnded(output.ends);
                     output.ends.clear();
@@ -153,14 +158,24 @@
     private static final class LoggingOutput implements DispatchOutput {
         private final DecisionLog log;
         private final List<RunResult> ends = new ArrayList<>();
+        private final List<OwnershipProbe> probes = new ArrayList<>();
         private long nowNanos;
 
         private LoggingOutput(DecisionLog log) {
             this.log = log;
         }
 
+        private List<OwnershipProbe> takeProbes() {
+            List<OwnershipProbe> taken = List.copyOf(probes);
+            probes.clear();
+            return taken;
+        }
+
         @Override
         public void send(Incarnation peer, Message message) {
+            if (message instanceof OwnershipProbe probe) {
+                probes.add(probe);
+            }
             if (message instanceof RunOrder order) {
                 order.jobs().stream()
                         .flatMap(runs -> runs.runs().stream())
