Take no lost report, old end or answered task for word that nobody runs a job

An entry that had been cut off ordered its lost runs again on its first link to an agent. Now each job with a queued task is confirmed, by knowledge from after the entry became known. - An end that was told before the other entry read the job again counted as its denial. Linked entries are now confirmed by answers to probes only. - A queued job that was held back was answered "not run" when it expired or the entry stopped, although another entry might run it; requests that waited at the end of a drain were not answered. - Runs of an entry without a link that an agent can't get rid of held up all requests; they now do so only until their lease must have ended.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
@@ -43,6 +43,9 @@
      */
     static final long LOST_ENTRY_NANOS = MAX_RUN_END_NANOS;
 
+    /** How long an agent is remembered whose link was lost; longer than any lease of a run there. */
+    static final long LOST_AGENT_REMEMBERED_NANOS = TimeUnit.SECONDS.toNanos(60);
+
     /** How long a cancellation waits for the answers of other entries; several round trips of a slow link. */
     static final long CANCEL_REPLY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -1,5 +1,6 @@
 package org.knapweedmount.core.dispatch;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -52,7 +53,8 @@
     private final JobCancels cancels;
     private final TaskPlacer placer;
     private final HeldRequests heldRequests = new HeldRequests();
-    private final StartupEntries startupEntries = new StartupEntries();
+    private final StartupEntries startupEntries;
+    private final QueuedJobCheck queuedJobCheck;
     private OptionalLong drainByNanos = OptionalLong.empty();
 
     /**
@@ -64,6 +66,8 @@
         this.output = output;
         this.events = new DispatchEvents(output);
         this.ownership = new JobOwnership(output);
+        this.startupEntries = new StartupEntries(ownership::areJobsKnown);
+        this.queuedJobCheck = new QueuedJobCheck(jobs, ownership);
         this.answers = new JobAnswers(output, events);
         this.stopOrders = new StopOrders(output, events);
         this.status = new DispatchStatus(jobs, workers, answers, events.waitLatencies());
@@ -95,38 +99,16 @@
     }
 
     private boolean isHoldingRequests(long nowNanos) {
-        return heldRequests.isHolding(nowNanos) || isStarting(nowNanos);
+        return heldRequests.isHolding(nowNanos) || startupEntries.isAwaiting(nowNanos);
     }
 
     /**
-     * Returns whether the jobs of other entries are not known yet after the start of this entry.
+     * Returns the entries whose jobs have to be known before requests are admitted after the start.
      *
-     * @param nowNanos the current time, in ns
-     * @return true if requests are held for that reason
+     * @return the entries, which are to be told of the start and of each list of entries
      */
-    public boolean isStarting(long nowNanos) {
-        return startupEntries.isAwaiting(ownership::areJobsKnown, nowNanos);
-    }
-
-    /**
-     * Holds requests until the jobs of the other entries are known, which an earlier incarnation of this one may have run
-     * as well.
-     *
-     * @param nowNanos the current time, in ns
-     */
-    public void started(long nowNanos) {
-        startupEntries.started(nowNanos);
-    }
-
-    /**
-     * Handles a list of the other entries, from the platform's store or from one of them.
-     *
-     * @param processes the names of their processes
-     * @param nowNanos the current time, in ns
-     */
-    public void entriesListed(List<String> processes, long nowNanos) {
-        startupEntries.listed(processes);
-        releaseHeld(nowNanos);
+    public StartupEntries startupEntries() {
+        return startupEntries;
     }
 
     private void releaseHeld(long nowNanos) {
@@ -142,7 +124,8 @@
         held.ifPresent(job -> events.resubmitted(job, nowNanos));
         if (held.isPresent() && !held.get().answered()) {
             ownership.held(request.id(), submitted.submittedNanos());
-        } else if (held.isPresent() || ownership.mayBeHeldElsewhereAtSubmission(request.id(), submitted.required())) {
+        } else if (held.isPresent()
+                || ownership.mayBeHeldElsewhereAtSubmission(request.id(), submitted.required(), nowNanos)) {
             events.waitsForEntries(
                     request.id(),
                     ownership.holders(request.id()),
@@ -198,23 +181,11 @@
         ownership.linked(entry, nowNanos);
         events.entries().entryLinked(entry);
         cancels.linked(entry);
-        confirmQueuedJobs(nowNanos);
-    }
-
-    /** Asks for the jobs that have no run yet, as an entry has become known that may run them. */
-    private void confirmQueuedJobs(long nowNanos) {
-        for (TrackedJob job : jobs.all()) {
-            if (!job.answered() && !job.hasStarted() && !ownership.isHeldElsewhere(job.id())) {
-                RequiredKnowledge required = RequiredKnowledge.ofRequest(job.arrivalNanos());
-                if (ownership.mayBeHeldElsewhere(job.id(), required)) {
-                    ownership.ask(job.id(), required, nowNanos);
-                }
-            }
-        }
+        queuedJobCheck.run(nowNanos);
     }
 
     private void resumeConfirmed(long nowNanos) {
-        ownership.confirmed().forEach(job -> resume(job, "known-not-held", nowNanos));
+        ownership.confirmed(nowNanos).forEach(job -> resume(job, "known-not-held", nowNanos));
         releaseHeld(nowNanos);
     }
 
@@ -254,15 +225,13 @@
             ownership.probeAnswered(from, reply);
             resumeConfirmed(nowNanos);
         } else if (message instanceof Peers linked) {
-            ownership.peersReported(from, linked, nowNanos);
             startupEntries.listed(linked.entries().stream()
                     .map(entry -> entry.incarnation().process())
                     .toList());
-            confirmQueuedJobs(nowNanos);
+            queuedJobCheck.entriesReported(() -> ownership.peersReported(from, linked, nowNanos), nowNanos);
             resumeConfirmed(nowNanos);
         } else if (message instanceof LinkedEntries linked) {
-            ownership.linkedEntriesReported(from, linked, nowNanos);
-            confirmQueuedJobs(nowNanos);
+            queuedJobCheck.entriesReported(() -> ownership.linkedEntriesReported(from, linked, nowNanos), nowNanos);
             resumeConfirmed(nowNanos);
         } else if (message instanceof CancelJob request) {
             cancels.toldByPeer(from, request.job(), end(request.job(), JobResult.cancelled(), nowNanos), nowNanos);
@@ -303,7 +272,7 @@
     /** Admits a request that has waited, unless an entry has become known meanwhile that may hold its job. */
     private void admitWaiting(WaitingRequest waiting, String reason, long nowNanos) {
         String id = waiting.request().id();
-        if (ownership.mayBeHeldElsewhere(id, waiting.required())) {
+        if (ownership.mayBeHeldElsewhere(id, waiting.required(), nowNanos)) {
             ownership.awaitEnd(waiting, nowNanos);
             return;
         }
@@ -542,7 +511,9 @@
         }
         for (TrackedJob job : jobs.all()) {
             if (!job.answered()) {
-                ExpiryRule.result(job, nowNanos).ifPresent(result -> conclude(job, result, nowNanos));
+                ExpiryRule.result(job, nowNanos)
+                        .map(result -> ownership.notRunOnlyIfKnown(job.id(), result))
+                        .ifPresent(result -> conclude(job, result, nowNanos));
             }
         }
         cancels.tick(nowNanos);
@@ -558,6 +529,13 @@
         }
     }
 
+    /** Returns the jobs whose requests are held or wait for other entries. */
+    private List<String> waitingRequests() {
+        List<String> waiting = new ArrayList<>(ownership.awaited());
+        waiting.addAll(heldRequests.jobs());
+        return waiting;
+    }
+
     /**
      * Holds requests and orders after a stall, because other entries may have admitted the jobs; gives up all jobs if the
      * leases of their runs have ended.
@@ -572,7 +550,7 @@
             output.logEvent("entry-paused", stall.description() + " jobs=" + jobs.unanswered());
             return;
         }
-        List<String> waiting = ownership.awaited();
+        List<String> waiting = waitingRequests();
         output.logEvent(
                 "entry-stalled", stall.description() + " jobs=" + jobs.unanswered() + " waiting=" + waiting.size());
         waiting.forEach(id -> dropAwaiting(id, "the entry stood still", nowNanos));
@@ -601,10 +579,11 @@
         beginDrain(nowNanos);
         for (TrackedJob job : jobs.all()) {
             if (!job.answered()) {
-                boolean started = job.hasStarted();
-                conclude(job, started ? JobResult.givenUp("leaving") : JobResult.notRun("leaving", 0), nowNanos);
+                JobResult result = job.hasStarted() ? JobResult.givenUp("leaving") : JobResult.notRun("leaving", 0);
+                conclude(job, ownership.notRunOnlyIfKnown(job.id(), result), nowNanos);
             }
         }
+        waitingRequests().forEach(id -> dropAwaiting(id, "leaving", nowNanos));
     }
 
     /**
--- a/core/src/main/java/org/knapweedmount/core/dispatch/HeldRequests.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/HeldRequests.java
@@ -49,6 +49,10 @@
         return requests.containsKey(job);
     }
 
+    List<String> jobs() {
+        return List.copyOf(requests.keySet());
+    }
+
     boolean isEmpty() {
         return requests.isEmpty();
     }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
@@ -133,6 +133,11 @@
                 agent, Set.copyOf(linked.entries()), Set.copyOf(linked.unlinkedWithRuns()), nowNanos);
     }
 
+    /** Returns the entries without a link that may run jobs. */
+    Set<Incarnation> unlinkedEntries(long nowNanos) {
+        return lostEntries.running(nowNanos);
+    }
+
     /** Removes a holder of jobs; returns those that no other entry holds any more. */
     private List<String> removeHolder(Incarnation peer, Set<String> ids) {
         List<String> freed = new ArrayList<>();
@@ -142,8 +147,7 @@
             if (held && entries.isEmpty()) {
                 holders.remove(job);
             }
-            boolean unconfirmed = unconfirmedJobs.deny(job, peer);
-            if ((held || unconfirmed) && !isHeldElsewhere(job)) {
+            if (held && !isHeldElsewhere(job)) {
                 freed.add(job);
             }
         }
@@ -208,40 +212,44 @@
         return holders.containsKey(job) || unconfirmedJobs.contains(job);
     }
 
+    /** Returns the answer to a job; one that another entry may run is not said not to have run. */
+    JobResult notRunOnlyIfKnown(String job, JobResult result) {
+        return isHeldElsewhere(job) ? JobResult.givenUp(result.reason()) : result;
+    }
+
     /** Returns the other entries that may hold a job, which is not known as it has to be. */
     Set<Incarnation> unconfirmedHolders(String job) {
         return unconfirmedJobs.entries(job);
     }
 
     /** Returns whether another entry may hold a job that is submitted; what was answered before does not count. */
-    boolean mayBeHeldElsewhereAtSubmission(String job, RequiredKnowledge required) {
+    boolean mayBeHeldElsewhereAtSubmission(String job, RequiredKnowledge required, long nowNanos) {
         unconfirmedJobs.remove(job);
-        return mayBeHeldElsewhere(job, required);
+        return mayBeHeldElsewhere(job, required, nowNanos);
     }
 
     /** Checks whether the jobs of all other entries are known as required, and returns whether one may hold a job. */
-    boolean mayBeHeldElsewhere(String job, RequiredKnowledge required) {
+    boolean mayBeHeldElsewhere(String job, RequiredKnowledge required, long nowNanos) {
         Set<Incarnation> unknown = new LinkedHashSet<>(peers);
-        unknown.addAll(lostEntries.cutOff());
-        unknown.addAll(lostEntries.withRuns());
-        unknown.removeIf(entry -> isConfirmed(entry, required));
+        unknown.addAll(lostEntries.running(nowNanos));
+        unknown.removeIf(entry -> isConfirmed(entry, required, nowNanos));
         unconfirmedJobs.put(job, required, unknown);
         return isHeldElsewhere(job);
     }
 
-    private boolean isConfirmed(Incarnation entry, RequiredKnowledge required) {
+    private boolean isConfirmed(Incarnation entry, RequiredKnowledge required, long nowNanos) {
         if (peers.contains(entry)) {
             return knowledge.isKnownAsOf(entry, required.ofLinkedNanos());
         }
-        if (lostEntries.cutOff().contains(entry)) {
+        if (lostEntries.isCutOff(entry)) {
             return knowledge.isKnownAsOf(entry, required.ofCutOffNanos());
         }
-        return !lostEntries.withRuns().contains(entry) || knowledge.isKnownAsOf(entry, required.ofLinkedNanos());
+        return !lostEntries.mayHaveRuns(entry, nowNanos) || knowledge.isKnownAsOf(entry, required.ofEndedNanos());
     }
 
     /** Returns the jobs that no other entry may hold any more, by what has become known since. */
-    List<String> confirmed() {
-        return unconfirmedJobs.removeConfirmed(this::isConfirmed).stream()
+    List<String> confirmed(long nowNanos) {
+        return unconfirmedJobs.removeConfirmed((entry, required) -> isConfirmed(entry, required, nowNanos)).stream()
                 .filter(job -> !isHeldElsewhere(job))
                 .toList();
     }
@@ -320,8 +328,12 @@
 
     /** Applies the answer of an entry without a link; returns true if no other entry holds the job any more. */
     boolean relayedEndReceived(RelayedEnd end) {
-        return relayedYields.isCurrent(end)
-                && !removeHolder(end.peer(), Set.of(end.job())).isEmpty();
+        if (!relayedYields.isCurrent(end)) {
+            return false;
+        }
+        boolean denied = unconfirmedJobs.deny(end.job(), end.peer());
+        boolean freed = !removeHolder(end.peer(), Set.of(end.job())).isEmpty();
+        return freed || (denied && !isHeldElsewhere(end.job()));
     }
 
     /** Removes and returns the request that waits for the end of a job's earlier submission. */
--- a/core/src/main/java/org/knapweedmount/core/dispatch/StartupEntries.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/StartupEntries.java
@@ -8,22 +8,42 @@
 import java.util.function.Predicate;
 
 /**
- * The other entries whose jobs this entry has to know before it admits any after its start.
+ * The other entries whose jobs an entry has to know before it admits any after its start, because they or an earlier
+ * incarnation of this one may run them.
  *
  * <p>They are known once the platform's store or another entry has listed them. The wait ends when the jobs of each are
  * known, or when the runs of all that had ended before the start must have ended as well; one that is alive is reported
  * by the agents from then on.
  */
-final class StartupEntries {
+public final class StartupEntries {
+    private final Predicate<String> areJobsKnown;
     private OptionalLong startNanos = OptionalLong.empty();
     private Optional<Set<String>> processes = Optional.empty();
 
-    void started(long nowNanos) {
+    /**
+     * Creates an object for an entry that has not started.
+     *
+     * @param areJobsKnown returns whether the jobs are known of an entry that is named by its process
+     */
+    StartupEntries(Predicate<String> areJobsKnown) {
+        this.areJobsKnown = areJobsKnown;
+    }
+
+    /**
+     * Begins to wait.
+     *
+     * @param nowNanos the current time, in ns
+     */
+    public void started(long nowNanos) {
         startNanos = OptionalLong.of(nowNanos);
     }
 
-    /** Adds the process names of entries that were listed. */
-    void listed(Collection<String> names) {
+    /**
+     * Adds other entries that were listed.
+     *
+     * @param names the names of their processes
+     */
+    public void listed(Collection<String> names) {
         if (startNanos.isPresent()) {
             Set<String> known = new HashSet<>(processes.orElse(Set.of()));
             known.addAll(names);
@@ -31,8 +51,13 @@
         }
     }
 
-    /** Returns whether the jobs of other entries have to be awaited. */
-    boolean isAwaiting(Predicate<String> areJobsKnown, long nowNanos) {
+    /**
+     * Returns whether the jobs of other entries have to be awaited.
+     *
+     * @param nowNanos the current time, in ns
+     * @return true if no request may be admitted
+     */
+    public boolean isAwaiting(long nowNanos) {
         if (startNanos.isEmpty()) {
             return false;
         }
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
@@ -212,6 +212,9 @@
         for (int millis = 1_225; millis <= 1_325; millis += 25) {
             dispatcher.tick(DispatchFixture.millisToNanos(millis));
         }
+        for (int number = 1; number <= 9; number++) {
+            dispatcher.receive(PEER, new OwnershipProbeReply(number), DispatchFixture.millisToNanos(1_340));
+        }
         dispatcher.receive(PEER, new JobOwnershipUpdate(List.of(), List.of(JOB)), DispatchFixture.millisToNanos(1_345));
         dispatcher.tick(DispatchFixture.millisToNanos(1_375));
 
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherStartTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherStartTest.java
@@ -3,6 +3,8 @@
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
+import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.message.ActiveRuns;
 import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
 import org.knapweedmount.api.message.LinkedEntries;
@@ -27,12 +29,14 @@
 class DispatcherStartTest {
     private static final JobOwnershipUpdate NOTHING = new JobOwnershipUpdate(List.of(), List.of());
 
+    private static final Incarnation FAR_AGENT = new Incarnation("far-agent", 5);
+
     private final DispatcherFixture fixture = new DispatcherFixture();
     private final Dispatcher dispatcher = fixture.dispatcher();
 
     private void start() {
-        dispatcher.started(0);
-        dispatcher.entriesListed(List.of(PEER.process()), 0);
+        dispatcher.startupEntries().started(0);
+        dispatcher.startupEntries().listed(List.of(PEER.process()));
     }
 
     private void link(long millis) {
@@ -70,18 +74,19 @@
         fixture.receive(PEER, NOTHING, 201);
 
         assertThat(fixture.ordered(), contains(FIRST));
-        assertThat(dispatcher.isStarting(DispatchFixture.millisToNanos(202)), is(false));
+        assertThat(dispatcher.startupEntries().isAwaiting(DispatchFixture.millisToNanos(202)), is(false));
     }
 
     /** Without a list of entries nothing is known of what others run. */
     @Test
     void requestReadRightAfterAStartWaitsForAListOfTheEntries() {
-        dispatcher.started(0);
+        dispatcher.startupEntries().started(0);
         fixture.submit(10);
         fixture.tick(100);
         assertThat(fixture.ordered(), is(empty()));
 
-        dispatcher.entriesListed(List.of(), DispatchFixture.millisToNanos(110));
+        dispatcher.startupEntries().listed(List.of());
+        fixture.tick(125);
         assertThat(fixture.ordered(), contains(FIRST));
     }
 
@@ -173,7 +178,9 @@
     @Test
     void probeIsAnsweredAfterTheClaimsOfAllJobsThatAreHeld() {
         link(0);
+        fixture.receive(PEER, NOTHING, 0);
         fixture.submit(0);
+        assertThat(fixture.ordered(), contains(FIRST));
 
         fixture.receive(PEER, new OwnershipProbe(7), 1);
 
@@ -183,7 +190,7 @@
                 .toList();
         Object last = toPeer.get(toPeer.size() - 1);
         assertThat(last, is(new OwnershipProbeReply(7)));
-        assertThat(toPeer, hasItem(is(new JobOwnershipUpdate(List.of(new JobClaim(JOB, 0)), List.of()))));
+        assertThat(toPeer, hasItem(is(new JobOwnershipUpdate(List.of(new JobClaim(JOB, 1)), List.of()))));
     }
 
     @Test
@@ -192,6 +199,7 @@
         fixture.unlink(PEER, 1);
         link(2);
 
+        dispatcher.receive(PEER, NOTHING, DispatchFixture.millisToNanos(3));
         fixture.receive(PEER, new OwnershipProbeReply(1), 3);
         fixture.submit(4);
 
@@ -213,4 +221,136 @@
 
         assertThat(fixture.reportsEnd(JOB), is(false));
     }
+
+    private void tickAndReport(long fromMillis, long toMillis) {
+        for (long millis = fromMillis; millis <= toMillis; millis += 50) {
+            fixture.tick(millis);
+            fixture.report(millis, CAPACITY_MILLI_CORES);
+        }
+    }
+
+    private void linkPeerAndItsAgent() {
+        link(0);
+        fixture.receive(PEER, NOTHING, 0);
+        dispatcher.agentLinked(FAR_AGENT, 0);
+        fixture.receive(FAR_AGENT, new LinkedEntries(List.of(PEER), List.of()), 0);
+    }
+
+    /** The loss of the links to an entry and to its agents was taken for the end of its runs. */
+    @Test
+    void requestIsNotAdmittedRightAfterTheLossOfAnEntryAndOfAgentsThatMayRunItsJob() {
+        linkPeerAndItsAgent();
+        tickAndReport(0, 1_300);
+        fixture.submit(1_310);
+        tickAndReport(1_350, 1_500);
+        fixture.unlink(PEER, 1_501);
+        fixture.unlink(FAR_AGENT, 1_510);
+        tickAndReport(1_550, 2_600);
+        assertThat(fixture.ordered(), is(empty()));
+
+        tickAndReport(2_650, 2_700);
+        assertThat(fixture.ordered(), contains(FIRST));
+    }
+
+    @Test
+    void requestIsNotAdmittedWhenTheOnlyAgentIsLostThatReportedACutOffEntry() {
+        dispatcher.agentLinked(FAR_AGENT, 0);
+        fixture.receive(FAR_AGENT, new LinkedEntries(List.of(PEER), List.of()), 0);
+        fixture.submit(1);
+
+        fixture.unlink(FAR_AGENT, 10);
+        fixture.report(11, CAPACITY_MILLI_CORES);
+
+        assertThat(fixture.ordered(), is(empty()));
+    }
+
+    /** With all agents in reach nothing is waited for that only they could tell. */
+    @Test
+    void requestIsAdmittedWhenAnEntryIsLostThatNoAgentIsLinkedTo() {
+        linkPeerAndItsAgent();
+        tickAndReport(0, 1_300);
+        fixture.submit(1_310);
+        assertThat(fixture.ordered(), is(empty()));
+
+        fixture.unlink(PEER, 1_501);
+        fixture.receive(FAR_AGENT, new LinkedEntries(List.of(), List.of()), 1_520);
+
+        assertThat(fixture.ordered(), contains(FIRST));
+    }
+
+    /** An entry that had been cut off ordered its lost runs again before it knew what the others had admitted. */
+    @Test
+    void lostRunsAreNotOrderedAgainAfterACutBeforeTheJobsOfOtherEntriesAreKnown() {
+        link(0);
+        fixture.receive(PEER, NOTHING, 0);
+        fixture.submit(JOB, 2, 60_000, 3_000);
+        assertThat(fixture.ordered(), contains(FIRST));
+        for (long millis = 50; millis <= 4_000; millis += 50) {
+            if (millis == 1_500) {
+                fixture.unlink(AGENT, millis);
+                fixture.unlink(PEER, millis);
+            }
+            fixture.tick(millis);
+        }
+
+        dispatcher.agentLinked(AGENT, DispatchFixture.millisToNanos(4_010));
+        fixture.receive(AGENT, new LinkedEntries(List.of(PEER), List.of()), 4_011);
+        fixture.receive(AGENT, new ActiveRuns(List.of()), 4_011);
+        fixture.report(4_012, CAPACITY_MILLI_CORES);
+
+        assertThat(fixture.ordered(), contains(FIRST));
+    }
+
+    /** The end of an earlier submission that was under way for long was taken for a word about the present one. */
+    @Test
+    void endThatWasToldBeforeTheOtherEntryReadTheJobAgainAdmitsNothing() {
+        link(0);
+        dispatcher.receive(PEER, owned(), 0);
+        fixture.answerProbes(PEER, 0);
+        tickAndReport(0, 1_300);
+        fixture.submit(1_330);
+
+        dispatcher.receive(PEER, ended(), DispatchFixture.millisToNanos(1_350));
+        fixture.report(1_350, CAPACITY_MILLI_CORES);
+        assertThat(fixture.ordered(), is(empty()));
+
+        fixture.answerProbes(PEER, 1_351);
+        assertThat(fixture.ordered(), contains(FIRST));
+    }
+
+    /** A job that another entry might run was said not to have run. */
+    @Test
+    void jobThatAnotherEntryMayRunIsNotSaidNotToHaveRunWhenItExpires() {
+        fixture.report(0, 0);
+        fixture.submit(JOB, 0, 500, 300);
+        fixture.receive(AGENT, new LinkedEntries(List.of(PEER), List.of()), 10);
+        for (long millis = 25; millis <= 600; millis += 25) {
+            fixture.tick(millis);
+        }
+
+        assertThat(fixture.answers(JOB), contains(JobResult.Kind.GIVEN_UP));
+    }
+
+    @Test
+    void requestsThatWaitForOtherEntriesAreAnsweredAtTheEndOfADrain() {
+        start();
+        fixture.submit(10);
+
+        dispatcher.finishDrain(DispatchFixture.millisToNanos(20));
+
+        assertThat(fixture.answers(JOB), contains(JobResult.Kind.GIVEN_UP));
+    }
+
+    /** A run that an agent can't get rid of held up all requests; the lease of an entry without a link has an end. */
+    @Test
+    void runsThatAnAgentReportsForLongerThanTheirLeaseHoldUpNothing() {
+        fixture.receive(AGENT, new LinkedEntries(List.of(), List.of(PEER)), 0);
+        fixture.tick(0);
+        fixture.submit(10);
+        tickAndReport(50, 1_100);
+        assertThat(fixture.ordered(), is(empty()));
+
+        tickAndReport(1_150, 1_150);
+        assertThat(fixture.ordered(), contains(FIRST));
+    }
 }
--- a/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleet.java
@@ -279,19 +279,19 @@
                         .forEach(ref -> after(STOP_MILLIS, () -> end(killed, ref, RunOutcome.STOPPED))));
         after(downMillis, () -> {
             Entry started = start(number, millis);
-            started.dispatcher.started(now(started));
+            started.dispatcher.startupEntries().started(now(started));
             boolean storeIsAway = random.nextInt(4) == 0;
             if (!storeIsAway) {
                 after(
                         1 + random.nextInt(50),
                         () -> handle(
                                 started,
-                                () -> started.dispatcher.entriesListed(
-                                        entries.stream()
+                                () -> started.dispatcher
+                                        .startupEntries()
+                                        .listed(entries.stream()
                                                 .filter(other -> other != started)
                                                 .map(other -> other.self.process())
-                                                .toList(),
-                                        now(started))));
+                                                .toList())));
             }
             entries.set(number, started);
             linkedToAgent.add(started);
--- a/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
@@ -142,8 +142,10 @@
         Dispatcher dispatcher = new Dispatcher(new EntryPort(self));
         List<Incarnation> others = entries();
         entries.put(self, dispatcher);
-        dispatcher.started(time.nowNanos());
-        dispatcher.entriesListed(others.stream().map(Incarnation::process).toList(), time.nowNanos());
+        dispatcher.startupEntries().started(time.nowNanos());
+        dispatcher
+                .startupEntries()
+                .listed(others.stream().map(Incarnation::process).toList());
         others.forEach(other -> linkEntries(self, other));
         agents.keySet().forEach(agent -> link(self, agent));
         time.every(10, () -> {
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -104,7 +104,8 @@
      */
     public Future<Void> start(TableService tables) {
         decisions.start(dispatchModule);
-        decisions.offer((module, nowNanos) -> module.dispatcher().started(nowNanos));
+        decisions.offer(
+                (module, nowNanos) -> module.dispatcher().startupEntries().started(nowNanos));
         Ticker.start(vertx, TICK_INTERVAL_MILLIS, decisions, this::tick);
         settings.seeds().forEach(links::dial);
         return links.listen(settings.host(), settings.linkPort(), OptionalInt.empty())
@@ -126,12 +127,12 @@
         module.dispatcher().tick(nowNanos);
         ready = module.queues().version() > 0
                 && module.dispatcher().status().hasWorkers()
-                && !module.dispatcher().isStarting(nowNanos);
+                && !module.dispatcher().startupEntries().isAwaiting(nowNanos);
     }
 
     private void entriesListed(KnownEntries known) {
         known.recent().forEach(links::addKnownEntry);
-        decisions.offer((module, nowNanos) -> module.entriesListed(known.recent(), settings.name(), nowNanos));
+        decisions.offer((module, nowNanos) -> module.entriesListed(known.recent(), settings.name()));
     }
 
     /**
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchModule.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchModule.java
@@ -69,13 +69,13 @@
     }
 
     /** Handles a list of the entries in the platform's store; those of this entry's own process name are left out. */
-    void entriesListed(List<PeerAddress> listed, String ownProcess, long nowNanos) {
-        dispatcher.entriesListed(
-                listed.stream()
+    void entriesListed(List<PeerAddress> listed, String ownProcess) {
+        dispatcher
+                .startupEntries()
+                .listed(listed.stream()
                         .map(entry -> entry.incarnation().process())
                         .filter(process -> !process.equals(ownProcess))
-                        .toList(),
-                nowNanos);
+                        .toList());
     }
 
     void linked(PeerAddress peer, long nowNanos) {
