Let agents of the simulated fleet stand still within an event

A process may be stopped between reading the time of an event and writing the calls that the event decides, for example a start whose lease was computed from that time. WorkFleet had no agents that stand still. Now one in an event keeps its calls and messages for 20 to 3,000 ms, reads what has arrived meanwhile in order, and its entries close their links after 1,500 ms of silence. Messages are bound to the link that was open when they were sent, and the agent's end of a link opens and closes in the order of its events, as in LinkTable.

--- a/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
@@ -1,6 +1,8 @@
 package org.knapweedmount.core.work;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -8,9 +10,11 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
@@ -35,6 +39,7 @@
     static final WorkQueue HOLDS = queue("holds", 1);
 
     private static final double LINK_MILLIS = 0.5;
+    private static final double LINK_TIMEOUT_MILLIS = 1_500;
 
     private final VirtualTime time = new VirtualTime();
     private final InvariantChecker invariants = new InvariantChecker();
@@ -51,7 +56,27 @@
     private long lastLink;
     private long lastJobNumber;
 
-    private record Agent(WorkerAgent workerAgent, FakeWorker worker) {}
+    private record Agent(WorkerAgent workerAgent, FakeWorker worker, Pause pause) {
+        private Agent(WorkerAgent workerAgent, FakeWorker worker) {
+            this(workerAgent, worker, new Pause());
+        }
+    }
+
+    /** What an agent that stands still does when it goes on: first what is left of an event, then what has arrived. */
+    private static final class Pause {
+        private final Deque<Runnable> held = new ArrayDeque<>();
+        private boolean paused;
+        private OptionalDouble dueMillis = OptionalDouble.empty();
+
+        /** Runs an action now, or when the pause is over. */
+        private void run(Runnable action) {
+            if (paused) {
+                held.add(action);
+            } else {
+                action.run();
+            }
+        }
+    }
 
     WorkFleet(long seed) {
         this.random = new Random(seed);
@@ -118,22 +143,54 @@
         WorkerAgent workerAgent = new WorkerAgent(new AgentPort(self, worker));
         agents.put(self, new Agent(workerAgent, worker));
         entries.keySet().forEach(entry -> link(entry, self));
-        time.every(20, () -> {
-            if (agents.containsKey(self)) {
-                workerAgent.tick(time.nowNanos());
-            }
-        });
+        time.every(20, () -> onAgent(self, agent -> agent.tick(time.nowNanos())));
         worker.atStart(() -> announce(self, worker));
         announce(self, worker);
         time.every(1_500, () -> announce(self, worker));
     }
 
     private void announce(Incarnation self, FakeWorker worker) {
+        worker.announcement()
+                .ifPresent(announcement -> onAgent(self, agent -> agent.announced(announcement, time.nowNanos())));
+    }
+
+    /** Lets an agent handle an event; one that is to stand still does so before its outputs leave it. */
+    private void onAgent(Incarnation self, Consumer<WorkerAgent> event) {
         Agent agent = agents.get(self);
-        if (agent != null) {
-            worker.announcement()
-                    .ifPresent(announcement -> agent.workerAgent().announced(announcement, time.nowNanos()));
+        if (agent == null) {
+            return;
+        }
+        if (agent.pause().dueMillis.isPresent() && !agent.pause().paused) {
+            double millis = agent.pause().dueMillis.getAsDouble();
+            agent.pause().dueMillis = OptionalDouble.empty();
+            event.accept(beginPause(agent, self, millis));
+            return;
         }
+        agent.pause().run(() -> event.accept(agent.workerAgent()));
+    }
+
+    private WorkerAgent beginPause(Agent agent, Incarnation self, double millis) {
+        agent.pause().paused = true;
+        boolean silent = millis > LINK_TIMEOUT_MILLIS;
+        if (silent) {
+            time.after(LINK_TIMEOUT_MILLIS, () -> entries().forEach(entry -> closeEnd(entry, self)));
+        }
+        time.after(millis, () -> {
+            agent.pause().paused = false;
+            while (agents.containsKey(self) && !agent.pause().held.isEmpty()) {
+                agent.pause().held.remove().run();
+            }
+            if (silent) {
+                entries().forEach(entry -> closeEnd(self, entry));
+                entries().forEach(entry -> link(entry, self));
+            }
+        });
+        return agent.workerAgent();
+    }
+
+    /** Lets an agent stand still from within its next event on, after the time of the event was read. */
+    void pauseAgent(Incarnation agent, double millis) {
+        agents.get(agent).pause().dueMillis = OptionalDouble.of(millis);
     }
 
     Incarnation startEntry(String name) {
@@ -162,15 +219,19 @@
         openEnd(entry, agent, number);
         entries.get(entry).agentLinked(agent, time.nowNanos());
         time.after(LINK_MILLIS, () -> {
-            boolean closed = !Objects.equals(openEnd(entry, agent), number);
-            if (closed || !agents.containsKey(agent) || cutLinks.contains(Set.of(entry, agent))) {
-                return;
+            if (!cutLinks.contains(Set.of(entry, agent))) {
+                onAgent(agent, workerAgent -> openAgentEnd(workerAgent, entry, agent, number));
             }
-            openEnd(agent, entry, number);
-            agents.get(agent).workerAgent().linked(entry, time.nowNanos());
         });
     }
 
+    private void openAgentEnd(WorkerAgent workerAgent, Incarnation entry, Incarnation agent, long number) {
+        if (Objects.equals(openEnd(entry, agent), number)) {
+            openEnd(agent, entry, number);
+            workerAgent.linked(entry, time.nowNanos());
+        }
+    }
+
     private void linkEntries(Incarnation one, Incarnation other) {
         if (!entries.containsKey(one) || !entries.containsKey(other)) {
             return;
@@ -193,26 +254,38 @@
 
     /** Closes a process's end of a link, if the process lives and the end is open. */
     private void closeEnd(Incarnation process, Incarnation peer) {
-        boolean open = openLinks.getOrDefault(process, new HashMap<>()).remove(peer) != null;
-        if (open && entries.containsKey(process)) {
+        onAgent(process, agent -> {
+            if (removeEnd(process, peer)) {
+                agent.unlinked(peer, time.nowNanos());
+            }
+        });
+        if (entries.containsKey(process) && removeEnd(process, peer)) {
             entries.get(process).unlinked(peer, time.nowNanos());
-        } else if (open && agents.containsKey(process)) {
-            agents.get(process).workerAgent().unlinked(peer, time.nowNanos());
         }
     }
 
+    private boolean removeEnd(Incarnation process, Incarnation peer) {
+        return openLinks.getOrDefault(process, new HashMap<>()).remove(peer) != null;
+    }
+
     private void closeLinksTo(Incarnation lost) {
         openLinks.remove(lost);
         List.copyOf(openLinks.keySet()).forEach(process -> closeEnd(process, lost));
     }
 
     /** Delivers a message unless its link is cut or closed by the time of its arrival. */
-    private void deliver(Incarnation from, Incarnation to, Runnable receipt) {
-        Long number = openEnd(from, to);
+    private void deliver(Incarnation from, Incarnation to, Long number, Message message) {
         boolean lost = number == null || cutLinks.contains(Set.of(from, to));
         time.after(LINK_MILLIS, () -> {
-            if (!lost && !cutLinks.contains(Set.of(from, to)) && number.equals(openEnd(to, from))) {
-                receipt.run();
+            if (!lost && !cutLinks.contains(Set.of(from, to))) {
+                onAgent(to, agent -> {
+                    if (number.equals(openEnd(to, from))) {
+                        agent.receive(from, message, time.nowNanos());
+                    }
+                });
+                if (entries.containsKey(to) && number.equals(openEnd(to, from))) {
+                    entries.get(to).receive(from, message, time.nowNanos());
+                }
             }
         });
     }
@@ -299,13 +372,7 @@
 
         @Override
         public void send(Incarnation peer, Message message) {
-            deliver(self, peer, () -> {
-                if (agents.containsKey(peer)) {
-                    agents.get(peer).workerAgent().receive(self, message, time.nowNanos());
-                } else if (entries.containsKey(peer)) {
-                    entries.get(peer).receive(self, message, time.nowNanos());
-                }
-            });
+            deliver(self, peer, openEnd(self, peer), message);
         }
 
         @Override
@@ -333,35 +400,40 @@
             this.worker = worker;
         }
 
-        private void onAgent(java.util.function.Consumer<WorkerAgent> action) {
-            if (agents.containsKey(self)) {
-                action.accept(agents.get(self).workerAgent());
-            }
+        private void onAgent(Consumer<WorkerAgent> event) {
+            WorkFleet.this.onAgent(self, event);
+        }
+
+        /** Performs an output unless the agent stands still; the first outputs precede its registration. */
+        private void output(Runnable action) {
+            Optional.ofNullable(agents.get(self)).map(Agent::pause).ifPresentOrElse(pause -> pause.run(action), action);
         }
 
         @Override
         public void send(Incarnation entry, Message message) {
-            deliver(self, entry, () -> entries.get(entry).receive(self, message, time.nowNanos()));
+            Long number = openEnd(self, entry);
+            output(() -> deliver(self, entry, number, message));
         }
 
         @Override
         public void start(
                 WorkerIncarnation incarnation, String spec, RunRequest request, long fence, long leaseExpiryMillis) {
-            worker.start(
+            output(() -> worker.start(
                     incarnation,
                     request,
                     fence,
                     leaseExpiryMillis,
-                    reply -> onAgent(agent -> agent.startAnswered(incarnation, request.ref(), reply, time.nowNanos())));
+                    reply ->
+                            onAgent(agent -> agent.startAnswered(incarnation, request.ref(), reply, time.nowNanos()))));
         }
 
         @Override
         public void stop(WorkerIncarnation incarnation, RunRef run, long fence) {
-            worker.stop(
+            output(() -> worker.stop(
                     incarnation,
                     run,
                     fence,
-                    reply -> onAgent(agent -> agent.stopAnswered(incarnation, run, reply, time.nowNanos())));
+                    reply -> onAgent(agent -> agent.stopAnswered(incarnation, run, reply, time.nowNanos()))));
         }
 
         @Override
@@ -372,7 +444,7 @@
                 long leaseExpiryMillis,
                 long sentNanos,
                 int waitMillis) {
-            worker.list(
+            output(() -> worker.list(
                     incarnation,
                     fence,
                     acknowledged,
@@ -384,7 +456,7 @@
                         } else {
                             agent.listFailed(incarnation, sentNanos, RunListFailure.UNANSWERED, time.nowNanos());
                         }
-                    }));
+                    })));
         }
 
         @Override
--- a/core/src/test/java/org/knapweedmount/core/work/WorkFleetTest.java
+++ b/core/src/test/java/org/knapweedmount/core/work/WorkFleetTest.java
@@ -122,6 +122,36 @@
         });
     }
 
+    /** A start may be written long after the time that its lease was computed from. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void agentsThatStandStillWithinAnEventViolateNoInvariant(long seed) {
+        WorkFleet fleet = WorkFleet.of(seed, 3, 8, 16_000);
+        load(fleet, 80);
+        pauses(fleet);
+
+        fleet.time().run(20_000);
+
+        assertThat(fleet.invariants().violations(), is(empty()));
+        assertThat(completed(fleet), greaterThan(300L));
+    }
+
+    private static void pauses(WorkFleet fleet) {
+        fleet.time().after(fleet.random().nextInt(50, 400), () -> {
+            List<Incarnation> agents = fleet.agents();
+            fleet.pauseAgent(
+                    agents.get(fleet.random().nextInt(agents.size())),
+                    fleet.random().nextInt(20, 3_000));
+            FakeWorker worker =
+                    fleet.workers().get(fleet.random().nextInt(fleet.workers().size()));
+            if (fleet.random().nextInt(4) == 0) {
+                worker.delayOrders(0.3);
+                fleet.time().after(1_000, () -> worker.delayOrders(0));
+            }
+            pauses(fleet);
+        });
+    }
+
     /** An order that an entry sends on a new link crosses the agent's list of runs, which does not contain it. */
     @ParameterizedTest
     @MethodSource("seeds")
