--- a/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleet.java
@@ -278,27 +278,28 @@
                 () -> List.copyOf(killed.runs)
                         .forEach(ref -> after(STOP_MILLIS, () -> end(killed, ref, RunOutcome.STOPPED))));
         after(downMillis, () -> {
-            Entry started = start(number, millis);
-            started.dispatcher.startupEntries().started(now(started));
+            Entry successor = start(number, millis);
+            successor.dispatcher.startupEntries().started(now(successor));
             boolean storeIsAway = random.nextInt(4) == 0;
             if (!storeIsAway) {
                 after(
                         1 + random.nextInt(50),
                         () -> handle(
-                                started,
-                                () -> started.dispatcher
+                                successor,
+                                () -> successor
+                                        .dispatcher
                                         .startupEntries()
                                         .listed(entries.stream()
-                                                .filter(other -> other != started)
+                                                .filter(other -> other != successor)
                                                 .map(other -> other.self.process())
                                                 .toList())));
             }
-            entries.set(number, started);
-            linkedToAgent.add(started);
+            entries.set(number, successor);
+            linkedToAgent.add(successor);
             sendLinkedEntries();
             for (Entry other : List.copyOf(entries)) {
-                if (other != started) {
-                    after(random.nextInt(MAX_LINK_DELAY_MILLIS), () -> link(started, other));
+                if (other != successor) {
+                    after(random.nextInt(MAX_LINK_DELAY_MILLIS), () -> link(successor, other));
                 }
             }
         });
