Do not take a listed end for a sign of life in the overlap check

Cause: an agent that was killed finds the ends of its earlier runs in the list of the worker and logs them as runs-foreign with their outcome. The check took the time of that line as a sign of life, so that a run that had lapsed seconds before overlapped certainly with the next one.

Change: only state=RUNNING is a sign of life. With another state the run may have lived until the list at the latest, as before, and the overlap is possible until other lines show more. A run that was done or failed still existed.

The new test failed on the code before with a certain overlap, and the same run listed as RUNNING still is one.

--- a/standins/src/main/java/org/knapweedmount/standins/audit/LoggedRun.java
+++ b/standins/src/main/java/org/knapweedmount/standins/audit/LoggedRun.java
@@ -25,6 +25,9 @@
     /** How many numbers follow the job's ID in the name of a task. */
     private static final int TASK_NAME_NUMBERS = 3;
 
+    /** The evidence of a run that the agent no longer held when the worker listed its end. */
+    private static final String FOREIGN = "FOREIGN";
+
     private final String agent;
     private final String ref;
     private final LogGroup start;
@@ -136,6 +139,15 @@
         lastAlive = lastForeign;
     }
 
+    /** Records that the worker listed the end of the run although the agent did not hold it; the run may have ended before. */
+    void seenEnded(long micros, String state) {
+        lastForeign = OptionalLong.of(micros);
+        if (released.isEmpty()) {
+            evidence = FOREIGN;
+            outcome = state;
+        }
+    }
+
     /** Returns whether the worker certainly did not start the run. */
     boolean neverStarted() {
         return lastForeign.isEmpty() && evidence.equals("START_REPLY");
@@ -144,7 +156,7 @@
     /** Returns whether the run certainly existed. */
     boolean existed() {
         boolean endedItself = outcome.equals("DONE") || outcome.equals("FAILED");
-        return confirmed.isPresent() || (evidence.equals("LISTED") && endedItself);
+        return confirmed.isPresent() || ((evidence.equals("LISTED") || evidence.equals(FOREIGN)) && endedItself);
     }
 
     /** Returns the last moment at which the run can have lived. */
--- a/standins/src/main/java/org/knapweedmount/standins/audit/RunHistory.java
+++ b/standins/src/main/java/org/knapweedmount/standins/audit/RunHistory.java
@@ -106,7 +106,12 @@
                 withoutStart++;
                 run = start(agent, ref, group);
             }
-            run.seenForeign(group.micros());
+            String state = group.text("state");
+            if (state.equals("RUNNING")) {
+                run.seenForeign(group.micros());
+            } else {
+                run.seenEnded(group.micros(), state);
+            }
         }
     }
 
--- a/standins/src/test/java/org/knapweedmount/standins/audit/AuditResultTest.java
+++ b/standins/src/test/java/org/knapweedmount/standins/audit/AuditResultTest.java
@@ -1,5 +1,6 @@
 package org.knapweedmount.standins.audit;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
@@ -170,6 +171,39 @@
         assertThat(result.history().withoutStart(), is(0));
     }
 
+    // An agent that was killed finds the ends of its earlier runs in the list of the worker seconds later.
+    @Test
+    void endThatIsListedAfterAnAgentWasKilledIsNoSignOfLife() {
+        String[] runs = {
+            accepted(1.000, "a", "e~1", "aa.0.0.0#1"),
+            accepted(2.200, "b", "e~1", "aa.0.0.0#2"),
+            released(4.000, "b", "LISTED", "STOPPED", "aa.0.0.0#2/1800/1798/10")
+        };
+        List<String> ended = new ArrayList<>(List.of(runs));
+        ended.add(line(3, "a", "runs-foreign", "ago=0 worker=w-a@1 state=LAPSED " + LEASE + " runs=[aa.0.0.0#1]"));
+        List<String> running = new ArrayList<>(List.of(runs));
+        running.add(line(3, "a", "runs-foreign", "ago=0 worker=w-a@1 state=RUNNING " + LEASE + " runs=[aa.0.0.0#1]"));
+
+        assertThat(AuditResult.of(ended).verdict(), is(AuditResult.Verdict.POSSIBLE_OVERLAP));
+        assertThat(AuditResult.of(running).verdict(), is(AuditResult.Verdict.OVERLAP));
+    }
+
+    // A run that ended by itself existed, also if only the list of a later time tells it.
+    @Test
+    void foreignRunThatWasDoneWithinALongerOneOverlapsCertainly() {
+        AuditResult result = audit(
+                accepted(1.000, "a", "e~1", "aa.0.0.0#1"),
+                accepted(1.100, "b", "e~1", "aa.0.0.0#2"),
+                line(
+                        1.200,
+                        "b",
+                        "runs-foreign",
+                        "ago=0 worker=w-b@1 state=DONE granted=5000 clock=5000 runs=[aa.0.0.0#2]"),
+                released(9.000, "a", "LISTED", "DONE", "aa.0.0.0#1/8000/7998/10"));
+
+        assertThat(result.verdict(), is(AuditResult.Verdict.OVERLAP));
+    }
+
     @Test
     void leftOutLinesOfRunsMakeTheResultIncomplete() {
         String start = accepted(1.000, "a", "e~1", "aa.0.0.0#1");
