Log each end of a run that was not done under load

Change: it becomes a batch under its name, as run-lost, with runs=[TASK#RUN] in place of task= and run=.

Evidence: endsOfRunsShareALine failed with a line for each run, and passes; OverlapCauseTest reads the batch.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
@@ -17,6 +17,7 @@
 final class DispatchEvents {
     private final DispatchOutput output;
     private final EventBatch ordered;
+    private final EventBatch ended;
     private final EventBatch lost;
     private final EventBatch admitted;
     private final EventBatch elsewhere;
@@ -29,6 +30,7 @@
     DispatchEvents(DispatchOutput output) {
         this.output = output;
         this.ordered = new EventBatch("runs-ordered", output::logEvent);
+        this.ended = new EventBatch("run-ended", output::logEvent);
         this.lost = new EventBatch("run-lost", output::logEvent);
         this.admitted = new EventBatch("jobs-admitted", output::logEvent);
         this.elsewhere = new EventBatch("job-elsewhere", output::logEvent);
@@ -69,18 +71,17 @@
         released.flush(nowNanos);
         admitted.flush(nowNanos);
         ordered.flush(nowNanos);
+        ended.flush(nowNanos);
         lost.flush(nowNanos);
     }
 
     /** Logs the end of a run that was not done. */
-    void ended(WorkerView view, RunResult result) {
+    void ended(WorkerView view, RunResult result, long nowNanos) {
         if (result.outcome() == RunOutcome.DONE) {
             return;
         }
-        output.logEvent(
-                "run-ended",
-                describe(result.ref()) + " how=" + result.outcome() + " millis=" + result.elapsedMillis() + " agent="
-                        + view.agent());
+        String detail = "how=" + result.outcome() + " millis=" + result.elapsedMillis() + " agent=" + view.agent();
+        ended.add(detail, "runs", name(result.ref()), nowNanos);
     }
 
     void lost(WorkerView view, TrackedTask task, LossCause cause, long nowNanos) {
@@ -197,10 +198,6 @@
         return text.indexOf(' ') < 0 ? text : "\"" + text + "\"";
     }
 
-    private static String describe(RunRef ref) {
-        return "task=" + ref.task() + " run=" + ref.run();
-    }
-
     private static String name(RunRef ref) {
         return ref.task() + "#" + ref.run();
     }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -297,7 +297,7 @@
         view.orderedTasks().remove(task.name());
         task.updateCheckpoint(result.checkpoint());
         task.recordDecision(result.outcome() + " after " + result.elapsedMillis() + "ms", nowNanos);
-        events.ended(view, result);
+        events.ended(view, result, nowNanos);
         if (!result.outcome().mayHaveRun()) {
             task.job().runRefused();
         }
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -12,8 +13,11 @@
 import org.knapweedmount.api.message.JobOwnershipUpdate;
 import org.knapweedmount.api.message.LinkedEntries;
 import org.knapweedmount.api.message.Message;
+import org.knapweedmount.api.message.RunsEnded;
 import org.knapweedmount.api.message.WorkerReport;
+import org.knapweedmount.api.work.RunOutcome;
 import org.knapweedmount.api.work.RunRef;
+import org.knapweedmount.api.work.RunResult;
 import org.knapweedmount.core.metric.MillisHistogram;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -84,6 +88,25 @@
         assertThat(output.counted, contains(DispatchCounter.RUNS_LOST_ON_NEW_LINK));
     }
 
+    // After a recovery agents refuse hundreds of runs in a second, and the log kept the lines of 40 of them.
+    @Test
+    void endsOfRunsShareALine() {
+        submit(JOB, 10);
+        String other = "00000000000000bb";
+        submit(other, 10);
+        List<RunResult> refused = Stream.of(JOB, other)
+                .map(job -> new RunResult(new RunRef(job + ".0.0.0", 1), RunOutcome.REFUSED, 0, ""))
+                .toList();
+        dispatcher.receive(AGENT, new RunsEnded(refused), DispatchFixture.millisToNanos(20));
+        dispatcher.tick(DispatchFixture.millisToNanos(50));
+
+        assertThat(
+                output.lines("run-ended").get(0),
+                containsString(
+                        " how=REFUSED millis=0 agent=" + AGENT + " runs=[" + JOB + ".0.0.0#1, " + other + ".0.0.0#1]"));
+        assertThat(output.lines("run-ended").size(), is(1));
+    }
+
     @Test
     void silentAgentIsTheCauseOfALostRun() {
         submit(JOB, 10);
--- a/standins/src/test/java/org/knapweedmount/standins/audit/OverlapCauseTest.java
+++ b/standins/src/test/java/org/knapweedmount/standins/audit/OverlapCauseTest.java
@@ -172,6 +172,18 @@
                         "for aa.0.0.0#2 at e1~1: 10.105 s jobs-admitted up=9105"));
     }
 
+    // A refused run that lived on is not lost, but ended as far as its entry knows.
+    @Test
+    void runThatEndedForItsEntryHasTheOutcome() {
+        logRun(10.001, "a", "e1~1", "aa.0.0.0#1");
+        log(10.1, "e1", "run-ended", "ago=5 how=REFUSED millis=0 agent=a~0a runs=[bb.0.0.0#1, aa.0.0.0#1]");
+        logRun(10.11, "b", "e1~1", "aa.0.0.0#2");
+
+        assertThat(
+                describe(),
+                containsString("aa.0.0.0#1 given up before the other was accepted: 10.095 s run-ended how=REFUSED"));
+    }
+
     // Missing lines must not look like a cause.
     @Test
     void missingLinesAreNamed() {
