Hold back the lost runs of an entry that was cut off until others are asked

What callers saw: two runs of a task at the same time; found by the fleet with entries that are cut off from everything for a while.

Cause: an entry that was linked to an agent again checked its jobs before it read the agent's list of runs. The tasks that the list then showed as lost had been taken for ordered, so that their jobs were not checked; and a report counted as new only if nothing at all was known of the entry that it names, although a lease that had not ended yet says nothing about what the entry has admitted since.

Change: when a report names an entry of which no process had told, further runs of all jobs are held back until that entry is known not to hold them; those that wait for a run are asked for, also later, when a run is lost or fails.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -181,7 +181,7 @@
         ownership.linked(entry, nowNanos);
         events.entries().entryLinked(entry);
         cancels.linked(entry);
-        queuedJobCheck.run(nowNanos);
+        queuedJobCheck.entriesReported(true, nowNanos);
     }
 
     private void resumeConfirmed(long nowNanos) {
@@ -223,15 +223,13 @@
             ownership.probeReceived(from, probe, nowNanos);
         } else if (message instanceof OwnershipProbeReply reply) {
             ownership.probeAnswered(from, reply);
-            resumeConfirmed(nowNanos);
         } else if (message instanceof Peers linked) {
             startupEntries.listed(linked.entries().stream()
                     .map(entry -> entry.incarnation().process())
                     .toList());
-            queuedJobCheck.entriesReported(() -> ownership.peersReported(from, linked, nowNanos), nowNanos);
-            resumeConfirmed(nowNanos);
+            queuedJobCheck.entriesReported(ownership.peersReported(from, linked, nowNanos), nowNanos);
         } else if (message instanceof LinkedEntries linked) {
-            queuedJobCheck.entriesReported(() -> ownership.linkedEntriesReported(from, linked, nowNanos), nowNanos);
+            queuedJobCheck.entriesReported(ownership.linkedEntriesReported(from, linked, nowNanos), nowNanos);
             resumeConfirmed(nowNanos);
         } else if (message instanceof CancelJob request) {
             cancels.toldByPeer(from, request.job(), end(request.job(), JobResult.cancelled(), nowNanos), nowNanos);
@@ -246,6 +244,7 @@
         }
         Optional<WorkerView> view = workers.find(from);
         if (view.isEmpty()) {
+            resumeConfirmed(nowNanos);
             return;
         }
         if (message instanceof WorkerReport report) {
@@ -520,6 +519,7 @@
         ownership.releaseLost(nowNanos).forEach(job -> resume(job, "leases-ended", nowNanos));
         resumeConfirmed(nowNanos);
         ownership.expired(nowNanos).forEach(id -> dropAwaiting(id, "held by another entry", nowNanos));
+        queuedJobCheck.tick(nowNanos);
         ownership.sendUpdates(nowNanos);
         for (WorkerView view : workers.all()) {
             if (view.acceptsStarts()) {
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
@@ -118,26 +118,25 @@
         return freed;
     }
 
-    /** Records which entries another entry is linked to. */
-    void peersReported(Incarnation peer, Peers linked, long nowNanos) {
-        if (peers.contains(peer)) {
-            Set<Incarnation> entries =
-                    linked.entries().stream().map(PeerAddress::incarnation).collect(Collectors.toSet());
-            lostEntries.reportedByPeer(peer, entries, nowNanos);
+    /** Records which entries another entry is linked to; returns true if nothing was known of one of them. */
+    boolean peersReported(Incarnation peer, Peers linked, long nowNanos) {
+        if (!peers.contains(peer)) {
+            return false;
         }
+        Set<Incarnation> entries =
+                linked.entries().stream().map(PeerAddress::incarnation).collect(Collectors.toSet());
+        return lostEntries.reportedByPeer(peer, entries, nowNanos);
     }
 
-    /** Records which entries an agent is linked to, and which others have runs there. */
-    void linkedEntriesReported(Incarnation agent, LinkedEntries linked, long nowNanos) {
-        lostEntries.reportedByAgent(
+    /**
+     * Records which entries an agent is linked to, and which others have runs there; returns true if nothing was known of
+     * one of them or of its runs.
+     */
+    boolean linkedEntriesReported(Incarnation agent, LinkedEntries linked, long nowNanos) {
+        return lostEntries.reportedByAgent(
                 agent, Set.copyOf(linked.entries()), Set.copyOf(linked.unlinkedWithRuns()), nowNanos);
     }
 
-    /** Returns the entries without a link that may run jobs. */
-    Set<Incarnation> unlinkedEntries(long nowNanos) {
-        return lostEntries.running(nowNanos);
-    }
-
     /** Removes a holder of jobs; returns those that no other entry holds any more. */
     private List<String> removeHolder(Incarnation peer, Set<String> ids) {
         List<String> freed = new ArrayList<>();
@@ -228,6 +227,13 @@
         return mayBeHeldElsewhere(job, required, nowNanos);
     }
 
+    /** Returns the jobs that other entries may hold and that have not been asked for. */
+    List<String> unaskedJobs() {
+        return unconfirmedJobs.all().stream()
+                .filter(job -> !relayedYields.isAsking(job))
+                .toList();
+    }
+
     /** Checks whether the jobs of all other entries are known as required, and returns whether one may hold a job. */
     boolean mayBeHeldElsewhere(String job, RequiredKnowledge required, long nowNanos) {
         Set<Incarnation> unknown = new LinkedHashSet<>(peers);
--- a/core/src/main/java/org/knapweedmount/core/dispatch/LostEntries.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/LostEntries.java
@@ -38,13 +38,20 @@
         lastAliveNanos.put(entry, nowNanos);
     }
 
-    /** Records which entries another entry is linked to. */
-    void reportedByPeer(Incarnation peer, Set<Incarnation> entries, long nowNanos) {
+    /** Records which entries another entry is linked to; returns true if nothing was known of one of them. */
+    boolean reportedByPeer(Incarnation peer, Set<Incarnation> entries, long nowNanos) {
+        boolean unknown = entries.stream().anyMatch(entry -> !linked.contains(entry) && !isCutOff(entry));
         reported(linkedToPeers, peer, entries, nowNanos);
+        return unknown;
     }
 
-    /** Records which entries an agent is linked to, and which others have runs there. */
-    void reportedByAgent(Incarnation agent, Set<Incarnation> entries, Set<Incarnation> withRuns, long nowNanos) {
+    /**
+     * Records which entries an agent is linked to, and which others have runs there; returns true if nothing was known of
+     * one of them or of its runs.
+     */
+    boolean reportedByAgent(Incarnation agent, Set<Incarnation> entries, Set<Incarnation> withRuns, long nowNanos) {
+        boolean unknown = entries.stream().anyMatch(entry -> !linked.contains(entry) && !isCutOff(entry))
+                || withRuns.stream().anyMatch(entry -> !linked.contains(entry) && !runningAtAgents.contains(entry));
         lostAgentNanos.remove(agent.process());
         Set<Incarnation> before = runningAtAgents.reportOf(agent);
         withRuns.stream()
@@ -53,6 +60,7 @@
         runningAtAgents.put(agent, withRuns);
         runningSinceNanos.keySet().removeIf(entry -> !runningAtAgents.contains(entry));
         reported(linkedToAgents, agent, entries, nowNanos);
+        return unknown;
     }
 
     private void reported(ReportedEntries reports, Incarnation reporter, Set<Incarnation> entries, long nowNanos) {
--- a/core/src/main/java/org/knapweedmount/core/dispatch/QueuedJobCheck.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/QueuedJobCheck.java
@@ -1,10 +1,9 @@
 package org.knapweedmount.core.dispatch;
 
-import java.util.Set;
-
-import org.knapweedmount.api.Incarnation;
-
-/** Asks for the jobs that wait for a run, when an entry becomes known that may have admitted them meanwhile. */
+/**
+ * Holds back further runs of all jobs when an entry becomes known that may have admitted them meanwhile, and asks for those
+ * that wait for a run.
+ */
 final class QueuedJobCheck {
     private final JobTable jobs;
     private final JobOwnership ownership;
@@ -14,21 +13,25 @@
         this.ownership = ownership;
     }
 
-    /** Applies what a process tells of other entries, and asks for queued jobs if it names one that was not known. */
-    void entriesReported(Runnable report, long nowNanos) {
-        Set<Incarnation> before = ownership.unlinkedEntries(nowNanos);
-        report.run();
-        if (!before.containsAll(ownership.unlinkedEntries(nowNanos))) {
-            run(nowNanos);
+    /** Handles a report of other entries that may name one of which nothing was known. */
+    void entriesReported(boolean unknown, long nowNanos) {
+        if (!unknown) {
+            return;
         }
-    }
-
-    void run(long nowNanos) {
         RequiredKnowledge required = RequiredKnowledge.ofQueuedJob(nowNanos);
         for (TrackedJob job : jobs.all()) {
-            boolean queued = !job.answered() && job.hasQueued() && !ownership.isHeldElsewhere(job.id());
-            if (queued && ownership.mayBeHeldElsewhere(job.id(), required, nowNanos)) {
-                ownership.ask(job.id(), required, nowNanos);
+            if (!job.answered()) {
+                ownership.mayBeHeldElsewhere(job.id(), required, nowNanos);
+            }
+        }
+        tick(nowNanos);
+    }
+
+    /** Asks for the jobs that wait for a run by now and have not been asked for. */
+    void tick(long nowNanos) {
+        for (String id : ownership.unaskedJobs()) {
+            if (jobs.find(id).filter(TrackedJob::hasQueued).isPresent()) {
+                ownership.ask(id, RequiredKnowledge.ofQueuedJob(nowNanos), nowNanos);
             }
         }
     }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/RelayedYields.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/RelayedYields.java
@@ -39,9 +39,7 @@
     /** Asks the holders of a job again if they have not answered for a while. */
     void repeat(String job, Set<Incarnation> holders, long nowNanos) {
         Request request = requests.get(job);
-        if (request == null) {
-            begin(job, holders, nowNanos);
-        } else if (nowNanos - request.sentNanos() >= DispatchTimings.YIELD_REPEAT_INTERVAL_NANOS) {
+        if (request != null && nowNanos - request.sentNanos() >= DispatchTimings.YIELD_REPEAT_INTERVAL_NANOS) {
             send(job, holders, request.number(), nowNanos);
         }
     }
@@ -55,6 +53,11 @@
         }
     }
 
+    /** Returns whether the holders of a job have been asked. */
+    boolean isAsking(String job) {
+        return requests.containsKey(job);
+    }
+
     /** Returns whether an answer is that to the present request for its job. */
     boolean isCurrent(RelayedEnd end) {
         Request request = requests.get(end.job());
--- a/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleet.java
@@ -16,6 +16,7 @@
 import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.Role;
+import org.knapweedmount.api.message.ActiveRuns;
 import org.knapweedmount.api.message.LeaseRenewal;
 import org.knapweedmount.api.message.LinkedEntries;
 import org.knapweedmount.api.message.Message;
@@ -48,6 +49,7 @@
     private final Set<Set<Entry>> upLinks = new HashSet<>();
     private final Set<Set<Entry>> cutLinks = new HashSet<>();
     private final Map<Set<Entry>, Deque<Runnable>> heldLinks = new HashMap<>();
+    private final Set<Entry> isolated = new HashSet<>();
     private final Set<Entry> linkedToAgent = new LinkedHashSet<>();
     private final Set<Entry> withRuns = new LinkedHashSet<>();
     private final Map<String, Set<Entry>> liveRuns = new HashMap<>();
@@ -173,6 +175,9 @@
 
     void submit(int number, String job, int runMillis) {
         Entry entry = entries.get(number);
+        if (isolated.contains(entry)) {
+            return;
+        }
         handle(
                 entry,
                 () -> entry.dispatcher.submit(
@@ -186,6 +191,9 @@
      */
     void disconnect(int number, String job) {
         Entry entry = entries.get(number);
+        if (isolated.contains(entry)) {
+            return;
+        }
         handle(entry, () -> after(2, () -> handle(entry, () -> entry.dispatcher.callerLeft(job, now(entry)))));
     }
 
@@ -194,6 +202,9 @@
     }
 
     private void link(Entry one, Entry other) {
+        if (isolated.contains(one) || isolated.contains(other)) {
+            return;
+        }
         if (one.ended
                 || other.ended
                 || one.still
@@ -262,6 +273,34 @@
         }
     }
 
+    /** Cuts an entry off from all processes and callers; afterwards it is linked to the agent before the other entries. */
+    void isolate(int number, long durationMillis) {
+        Entry entry = entries.get(number);
+        if (entry.still || entry.ended || !isolated.add(entry)) {
+            return;
+        }
+        after(Math.min(durationMillis, LINK_TIMEOUT_MILLIS), () -> {
+            if (!entry.ended) {
+                entries.stream().filter(other -> other != entry).forEach(other -> unlink(entry, other));
+                linkedToAgent.remove(entry);
+                sendLinkedEntries();
+                handle(entry, () -> entry.dispatcher.unlinked(AGENT, now(entry)));
+            }
+        });
+        after(durationMillis, () -> {
+            isolated.remove(entry);
+            if (!entry.ended) {
+                handle(entry, () -> entry.dispatcher.agentLinked(AGENT, now(entry)));
+                linkedToAgent.add(entry);
+                sendLinkedEntries();
+                sendFromAgent(entry, new ActiveRuns(List.copyOf(entry.runs)));
+                entries.stream()
+                        .filter(other -> other != entry)
+                        .forEach(other -> after(10 + random.nextInt(MAX_LINK_DELAY_MILLIS), () -> link(entry, other)));
+            }
+        });
+    }
+
     /** Kills an entry, whose links are reset at once, and starts another incarnation of it after a time. */
     void restart(int number, long downMillis) {
         Entry killed = entries.get(number);
@@ -308,7 +347,7 @@
     /** Lets an entry stand still; its clock goes on, or not if its VM is suspended. */
     void standStill(int number, long durationMillis, boolean suspended) {
         Entry entry = entries.get(number);
-        if (entry.still || entry.ended) {
+        if (entry.still || entry.ended || isolated.contains(entry)) {
             return;
         }
         entry.still = true;
@@ -361,11 +400,21 @@
     }
 
     private void sendFromAgent(Entry entry, Message message) {
-        after(1, () -> handle(entry, () -> entry.dispatcher.receive(AGENT, message, now(entry))));
+        if (isolated.contains(entry)) {
+            return;
+        }
+        after(1, () -> {
+            if (!isolated.contains(entry)) {
+                handle(entry, () -> entry.dispatcher.receive(AGENT, message, now(entry)));
+            }
+        });
     }
 
     private void sendToEntry(Entry from, Entry to, Message message) {
-        if (!upLinks.contains(Set.of(from, to)) || cutLinks.contains(Set.of(from, to))) {
+        if (!upLinks.contains(Set.of(from, to))
+                || cutLinks.contains(Set.of(from, to))
+                || isolated.contains(from)
+                || isolated.contains(to)) {
             return;
         }
         Runnable delivery = () -> {
@@ -453,7 +502,11 @@
         @Override
         public void send(Incarnation peer, Message message) {
             if (peer.equals(AGENT)) {
-                after(1, () -> atAgent(entry, message));
+                after(1, () -> {
+                    if (!isolated.contains(entry)) {
+                        atAgent(entry, message);
+                    }
+                });
                 return;
             }
             entries.stream()
--- a/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleetTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleetTest.java
@@ -119,4 +119,24 @@
         fleet.after(1_000, () -> restarts(fleet));
         assertNoTaskRunsTwice(fleet);
     }
+
+    private static void isolations(OwnershipFleet fleet) {
+        fleet.after(500 + fleet.random().nextInt(4_000), () -> {
+            fleet.isolate(
+                    fleet.random().nextInt(fleet.entryCount()),
+                    300 + fleet.random().nextInt(5_000));
+            isolations(fleet);
+        });
+    }
+
+    // An entry that was cut off from all others ordered its lost runs again before it was linked to them.
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void jobsOfAnEntryThatWasCutOffAreNotRunAgainBesideThoseOfOthers(long seed) {
+        OwnershipFleet fleet = new OwnershipFleet(seed, 3);
+        fleet.after(200, () -> load(fleet, 1, true));
+        fleet.after(1_000, () -> isolations(fleet));
+        fleet.after(1_000, () -> faults(fleet));
+        assertNoTaskRunsTwice(fleet);
+    }
 }
