Aim series of faults at one place in the soak

An entry notices the end of its callers' connections up to 3.5 s late. A part of the jobs last longer than the pause after which callers send them again, and the workers have room for second runs. Soaks without a series draw the faults that they drew.

--- a/standins/src/main/java/org/knapweedmount/standins/soak/CallerRelays.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/CallerRelays.java
@@ -84,11 +84,26 @@
         });
     }
 
-    /** Resets every second connection to an entry. */
-    void resetHalf(HostPort entry) {
-        List<Connection> toEntry = connections.stream()
+    private List<Connection> to(HostPort entry) {
+        return connections.stream()
                 .filter(connection -> connection.entry().equals(entry))
                 .toList();
+    }
+
+    /** Resets all connections to an entry at once for the callers, and after some time for the entry. */
+    void reset(HostPort entry, int millis) {
+        for (Connection connection : to(entry)) {
+            connections.remove(connection);
+            connection.hold();
+            connection.caller().closeHandler(closed -> Logger.debug("connection of a caller reset"));
+            connection.caller().close();
+            vertx.setTimer(Math.max(1, millis), timer -> connection.target().close());
+        }
+    }
+
+    /** Resets every second connection to an entry. */
+    void resetHalf(HostPort entry) {
+        List<Connection> toEntry = to(entry);
         for (int i = 0; i < toEntry.size(); i += 2) {
             toEntry.get(i).reset();
         }
@@ -97,16 +112,12 @@
     /** Holds back what the callers of an entry and the entry send. */
     void hold(HostPort entry) {
         held.add(entry);
-        connections.stream()
-                .filter(connection -> connection.entry().equals(entry))
-                .forEach(Connection::hold);
+        to(entry).forEach(Connection::hold);
     }
 
     /** Passes on what was held back. */
     void release(HostPort entry) {
         held.remove(entry);
-        List.copyOf(connections).stream()
-                .filter(connection -> connection.entry().equals(entry))
-                .forEach(Connection::release);
+        to(entry).forEach(Connection::release);
     }
 }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/FaultInjector.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/FaultInjector.java
@@ -62,127 +62,216 @@
     }
 
     private void inject(Fault fault) throws IOException, InterruptedException {
-        List<SoakProcess> all = programs.all();
-        SoakProcess process = all.get(fault.target() % all.size());
-        Logger.info("{} ms: {} {} {} ms", site.nowMillis(), fault.kind(), target(fault), fault.durationMillis());
-        switch (fault.kind()) {
-            case KILL -> {
-                process.kill();
-                after(fault.durationMillis(), process::start);
-            }
-            case PLANNED_STOP -> {
-                process.stop(SoakPrograms.GRACE_MILLIS);
-                after(fault.durationMillis(), process::start);
-            }
-            case FREEZE -> {
-                process.signal("STOP");
-                after(fault.durationMillis(), () -> process.signal("CONT"));
-            }
-            case KILL_ALL -> {
-                for (SoakProcess killed : all) {
-                    killed.kill();
-                    after(fault.durationMillis(), killed::start);
-                }
-            }
-            default -> context.runOnContext(ignored -> injectOnContext(fault));
-        }
+        String target = fault.kind().target().name(fault.target(), programs);
+        Logger.info("{} ms: {} {} {} ms", site.nowMillis(), fault.kind(), target, fault.durationMillis());
+        fault.kind().inject(this, fault);
     }
 
-    private String target(Fault fault) {
-        return switch (fault.kind()) {
-            case KILL, PLANNED_STOP, FREEZE, LINK_RESET, LINK_CUT, LINK_SILENCE, LINK_ONE_WAY, LINK_DELAY ->
-                programs.all().get(fault.target() % programs.all().size()).name();
-            case CALLERS_SILENT, CONNECTIONS_RESET ->
-                programs.entries()
-                        .get(fault.target() % programs.entries().size())
-                        .name();
-            case KILL_ALL, CONFIG, ABANDONED, BURST -> "all";
-            default -> "worker-" + (1 + fault.target() % site.workers().size());
-        };
-    }
-
-    private void injectOnContext(Fault fault) {
-        SoakWorker worker = site.workers().get(fault.target() % site.workers().size());
-        int millis = fault.durationMillis();
-        switch (fault.kind()) {
-            case CONFIG -> {
-                site.writeConfig();
-                later(CONFIG_SERIES_MILLIS, site::writeConfig);
-            }
-            case WORKER_CRASH_SAME_ID, WORKER_CRASH_NEW_ID -> {
-                worker.crash();
-                boolean sameId = fault.kind() == FaultKind.WORKER_CRASH_SAME_ID;
-                later(millis / (sameId ? 2 : 1), () -> worker.begin(sameId));
-            }
-            case WORKER_LEAVE -> {
-                worker.leave(DRAIN_MILLIS, millis / 2);
-                later(DRAIN_MILLIS + 2L * millis, () -> worker.begin(false));
-            }
-            case WORKER_SLOW -> {
-                worker.slowDown(SLOW_FACTOR);
-                later(millis, () -> worker.slowDown(1));
-            }
-            case LATE_ORDERS -> loseAnswers(worker, 0, LATE_SHARE, millis);
-            case LOST_ANSWERS -> loseAnswers(worker, LOST_SHARE, 0, millis);
-            case ABANDONED -> {
-                site.callers().abandon(ABANDONED_SHARE);
-                later(millis, () -> site.callers().abandon(0));
-            }
-            case BURST -> {
-                site.callers().rate(site.rate() * BURST_FACTOR);
-                later(millis, () -> site.callers().rate(site.rate()));
-            }
-            case CALLERS_SILENT -> {
-                int entry = 1 + fault.target() % programs.entries().size();
-                site.holdCallers(entry, true);
-                later(millis, () -> site.holdCallers(entry, false));
-            }
-            case CONNECTIONS_RESET -> {
-                int entry = 1 + fault.target() % programs.entries().size();
-                site.relays().resetHalf("entry-" + entry);
-                site.resetHalfOfCallers(entry);
-            }
-            case LINK_RESET, LINK_CUT, LINK_SILENCE, LINK_ONE_WAY, LINK_DELAY -> injectIntoLinks(fault);
-            default -> throw new IllegalArgumentException("fault " + fault.kind() + " concerns processes");
+    private SoakProcess process(Fault fault) {
+        return programs.all().get(fault.target() % programs.all().size());
+    }
+
+    private SoakProcess agent(Fault fault) {
+        return programs.agents().get(fault.target() % programs.agents().size());
+    }
+
+    private WorkerPlace place(Fault fault) {
+        return site.places().get(fault.target() % site.places().size());
+    }
+
+    private int entry(Fault fault) {
+        return 1 + fault.target() % programs.entries().size();
+    }
+
+    private void onContext(Runnable step) {
+        context.runOnContext(ignored -> step.run());
+    }
+
+    void kill(Fault fault) throws InterruptedException {
+        kill(process(fault), fault.durationMillis());
+    }
+
+    private void kill(SoakProcess process, int millis) throws InterruptedException {
+        process.kill();
+        after(millis, process::start);
+    }
+
+    void plannedStop(Fault fault) throws InterruptedException {
+        SoakProcess process = process(fault);
+        process.stop(SoakPrograms.GRACE_MILLIS);
+        after(fault.durationMillis(), process::start);
+    }
+
+    void freeze(Fault fault) throws IOException, InterruptedException {
+        freeze(process(fault), fault.durationMillis());
+    }
+
+    private void freeze(SoakProcess process, int millis) throws IOException, InterruptedException {
+        process.signal("STOP");
+        after(millis, () -> process.signal("CONT"));
+    }
+
+    void killAll(Fault fault) throws InterruptedException {
+        for (SoakProcess killed : programs.all()) {
+            kill(killed, fault.durationMillis());
         }
     }
 
-    /** Changes all links of a process, or those to one entry. */
-    private void injectIntoLinks(Fault fault) {
-        LinkRelays relays = site.relays();
-        int count = programs.all().size();
-        String process = programs.all().get(fault.target() % count).name();
-        int choice = fault.target() / count;
-        List<LinkConditions> all = relays.of(process);
+    void killAfterOrder(Fault fault) {
+        afterNextOrder(fault, () -> kill(agent(fault), fault.durationMillis()));
+    }
+
+    void freezeAfterOrder(Fault fault) {
+        afterNextOrder(fault, () -> freeze(agent(fault), fault.durationMillis()));
+    }
+
+    private void afterNextOrder(Fault fault, Step step) {
+        onContext(() -> place(fault).worker().onNextStart(() -> after(0, step)));
+    }
+
+    void writeConfigs(Fault fault) {
+        onContext(() -> {
+            site.writeConfig();
+            later(CONFIG_SERIES_MILLIS, site::writeConfig);
+        });
+    }
+
+    void crashWorker(Fault fault, boolean sameId) {
+        onContext(() -> {
+            SoakWorker worker = place(fault).worker();
+            worker.crash();
+            later(fault.durationMillis() / (sameId ? 2 : 1), () -> worker.begin(sameId));
+        });
+    }
+
+    void leave(Fault fault) {
+        onContext(() -> {
+            SoakWorker worker = place(fault).worker();
+            worker.leave(DRAIN_MILLIS, fault.durationMillis() / 2);
+            later(DRAIN_MILLIS + 2L * fault.durationMillis(), () -> worker.begin(false));
+        });
+    }
+
+    void replaceWorker(Fault fault) {
+        onContext(() -> place(fault).replace(fault.durationMillis()));
+    }
+
+    void slowDown(Fault fault) {
+        onContext(() -> {
+            SoakWorker worker = place(fault).worker();
+            worker.slowDown(SLOW_FACTOR);
+            later(fault.durationMillis(), () -> worker.slowDown(1));
+        });
+    }
+
+    void executeLate(Fault fault) {
+        loseAnswers(fault, 0, LATE_SHARE);
+    }
+
+    void loseAnswers(Fault fault) {
+        loseAnswers(fault, LOST_SHARE, 0);
+    }
+
+    private void loseAnswers(Fault fault, double lost, double late) {
+        onContext(() -> {
+            SoakWorker worker = place(fault).worker();
+            worker.loseAnswers(lost, late);
+            later(fault.durationMillis(), () -> worker.loseAnswers(0, 0));
+        });
+    }
+
+    void abandon(Fault fault) {
+        onContext(() -> {
+            site.callers().abandon(ABANDONED_SHARE);
+            later(fault.durationMillis(), () -> site.callers().abandon(0));
+        });
+    }
+
+    void burst(Fault fault) {
+        onContext(() -> {
+            site.callers().rate(site.rate() * BURST_FACTOR);
+            later(fault.durationMillis(), () -> site.callers().rate(site.rate()));
+        });
+    }
+
+    void silenceCallers(Fault fault) {
+        onContext(() -> {
+            site.holdCallers(entry(fault), true);
+            later(fault.durationMillis(), () -> site.holdCallers(entry(fault), false));
+        });
+    }
+
+    void resetConnections(Fault fault) {
+        onContext(() -> {
+            site.relays().resetHalf("entry-" + entry(fault));
+            site.resetHalfOfCallers(entry(fault));
+        });
+    }
+
+    void resetCallers(Fault fault) {
+        onContext(() -> site.resetCallers(entry(fault), fault.durationMillis()));
+    }
+
+    /** Returns the conditions of all links of a process, or of those to one entry. */
+    private List<LinkConditions> links(Fault fault) {
+        List<LinkConditions> all = site.relays().of(process(fault).name());
+        int choice = choice(fault);
         boolean one = choice % 2 == 0 && !all.isEmpty();
-        List<LinkConditions> links = one ? List.of(all.get(choice / 2 % all.size())) : all;
-        int millis = fault.durationMillis();
-        switch (fault.kind()) {
-            case LINK_RESET -> relays.reset(process);
-            case LINK_CUT -> {
-                links.forEach(link -> link.refuse(true));
-                relays.reset(process);
-                later(millis, () -> links.forEach(link -> link.refuse(false)));
-            }
-            case LINK_DELAY -> {
-                links.forEach(link -> link.delay(MIN_DELAY_MILLIS + fault.target() % MAX_DELAY_MILLIS));
-                later(millis, () -> links.forEach(LinkConditions::resetDelay));
-            }
-            default -> {
-                boolean bothWays = fault.kind() == FaultKind.LINK_SILENCE;
-                boolean toEntry = choice % 4 < 2;
-                links.forEach(link -> link.hold(bothWays || toEntry, bothWays || !toEntry));
-                later(millis, () -> {
-                    links.forEach(link -> link.hold(false, false));
-                    relays.drain();
-                });
-            }
-        }
+        return one ? List.of(all.get(choice / 2 % all.size())) : all;
+    }
+
+    private int choice(Fault fault) {
+        return fault.target() / programs.all().size();
+    }
+
+    void resetLinks(Fault fault) {
+        onContext(() -> site.relays().reset(process(fault).name()));
+    }
+
+    void cutLinks(Fault fault) {
+        onContext(() -> {
+            refuse(links(fault), fault.durationMillis());
+            site.relays().reset(process(fault).name());
+        });
+    }
+
+    void cutEntries(Fault fault) {
+        onContext(() -> {
+            EntryLinks links = EntryLinks.of(fault.target(), programs.entries().size());
+            refuse(links.conditions(site.relays()), fault.durationMillis());
+            links.reset(site.relays());
+        });
+    }
+
+    private void refuse(List<LinkConditions> links, int millis) {
+        links.forEach(link -> link.refuse(true));
+        later(millis, () -> links.forEach(link -> link.refuse(false)));
+    }
+
+    void delayLinks(Fault fault) {
+        onContext(() -> {
+            List<LinkConditions> links = links(fault);
+            links.forEach(link -> link.delay(MIN_DELAY_MILLIS + fault.target() % MAX_DELAY_MILLIS));
+            later(fault.durationMillis(), () -> links.forEach(LinkConditions::resetDelay));
+        });
+    }
+
+    void silenceLinks(Fault fault, boolean bothWays) {
+        boolean toEntry = choice(fault) % 4 < 2;
+        onContext(() -> hold(links(fault), bothWays || toEntry, bothWays || !toEntry, fault.durationMillis()));
     }
 
-    private void loseAnswers(SoakWorker worker, double lost, double late, long millis) {
-        worker.loseAnswers(lost, late);
-        later(millis, () -> worker.loseAnswers(0, 0));
+    void silenceEntries(Fault fault) {
+        EntryLinks links = EntryLinks.of(fault.target(), programs.entries().size());
+        onContext(() -> hold(links.conditions(site.relays()), true, true, fault.durationMillis()));
+    }
+
+    private void hold(List<LinkConditions> links, boolean toEntry, boolean fromEntry, int millis) {
+        links.forEach(link -> link.hold(toEntry, fromEntry));
+        later(millis, () -> {
+            links.forEach(link -> link.hold(false, false));
+            site.relays().drain();
+        });
     }
 
     private void later(long millis, Runnable step) {
--- a/standins/src/main/java/org/knapweedmount/standins/soak/JobKind.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/JobKind.java
@@ -8,7 +8,9 @@
     CHARGE("charge", 4, 1_286, 3_100, 2, 0.05),
     RECEIPT("receipt", 2, 286, 3_100, 1, 0.68),
     /** Runs that last so long that those which nobody waits for are noticed. */
-    AUDIT("audit", 2, 14_000, 400, 1, 0.03);
+    AUDIT("audit", 2, 14_000, 400, 1, 0.03),
+    /** Jobs whose callers wait so long that they send them again while the first runs go on; only beside aimed series. */
+    REPORT("report", 2, 4_000, 100, 1, 0);
 
     static final String HOST = "soak.example";
 
@@ -16,6 +18,8 @@
     private static final double CANCELLED_SHARE = 0.4;
     private static final int DEADLINE_MILLIS = 1_500;
     private static final int LONG_DEADLINE_MILLIS = 25_000;
+    private static final int REPORT_DEADLINE_MILLIS = 12_000;
+    private static final double REPORT_SHARE = 0.15;
 
     private final String queue;
     private final int tasks;
@@ -33,7 +37,11 @@
         this.share = share;
     }
 
-    static JobKind draw(Random random) {
+    /** Draws the kind of a job; beside aimed series, some jobs are reports. */
+    static JobKind draw(Random random, FaultSeries series) {
+        if (series != FaultSeries.NONE && random.nextDouble() < REPORT_SHARE) {
+            return REPORT;
+        }
         double drawn = random.nextDouble();
         for (JobKind kind : values()) {
             drawn -= kind.share;
@@ -66,7 +74,11 @@
 
     /** Returns how long callers wait, in ms. */
     int deadlineMillis() {
-        return this == AUDIT ? LONG_DEADLINE_MILLIS : DEADLINE_MILLIS;
+        return switch (this) {
+            case AUDIT -> LONG_DEADLINE_MILLIS;
+            case REPORT -> REPORT_DEADLINE_MILLIS;
+            default -> DEADLINE_MILLIS;
+        };
     }
 
     /** Returns the share of the callers without an answer that do not send their job again. */
--- a/standins/src/main/java/org/knapweedmount/standins/soak/LinkRelays.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/LinkRelays.java
@@ -147,6 +147,13 @@
                 .forEach(this::reset);
     }
 
+    /** Resets the links between two processes. */
+    void reset(String process, String other) {
+        List.copyOf(connections).stream()
+                .filter(connection -> connection.concerns(process) && connection.concerns(other))
+                .forEach(this::reset);
+    }
+
     /** Resets every second link of a process. */
     void resetHalf(String process) {
         List<Connection> concerned = connections.stream()
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakCallers.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakCallers.java
@@ -43,6 +43,7 @@
     private final LongSupplier clockMillis;
     private final RunHistory history;
     private final Random random;
+    private final FaultSeries series;
     private final List<HostPort> entries;
     private final List<HttpClient> clients = new ArrayList<>();
     private double jobsPerSecond;
@@ -53,10 +54,17 @@
 
     private record Job(String id, JobKind kind, Buffer body) {}
 
-    SoakCallers(Vertx vertx, LongSupplier clockMillis, RunHistory history, List<HostPort> entries, Random random) {
+    SoakCallers(
+            Vertx vertx,
+            LongSupplier clockMillis,
+            RunHistory history,
+            FaultSeries series,
+            List<HostPort> entries,
+            Random random) {
         this.vertx = vertx;
         this.clockMillis = clockMillis;
         this.history = history;
+        this.series = series;
         this.entries = List.copyOf(entries);
         this.random = random;
         for (HostPort entry : entries) {
@@ -104,7 +112,7 @@
     }
 
     private Job draw() {
-        JobKind kind = JobKind.draw(random);
+        JobKind kind = JobKind.draw(random, series);
         int runMillis = (int) (kind.meanRunMillis() * spreadFactor(RUN_SPREAD));
         int milliCores = (int) (kind.meanMilliCores() * spreadFactor(CORE_SPREAD));
         ObjectNode body = JsonNodeFactory.instance
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakOptions.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakOptions.java
@@ -20,9 +20,16 @@
     @Parameter(names = "--agents", description = "Number of agents, each with a worker")
     private int agents = 6;
 
-    @Parameter(names = "--rate", description = "Jobs per second, 0 for 60% of the workers' capacity")
+    @Parameter(
+            names = "--rate",
+            description = "Jobs per second, 0 for 60% of the workers' capacity, beside aimed series for 35%")
     private int rate;
 
+    @Parameter(
+            names = "--series",
+            description = "Aimed series of faults, beside a fourth of the faults that are drawn alone")
+    private FaultSeries series = FaultSeries.NONE;
+
     @Parameter(names = "--root", description = "Folder of the repository, with the built programs")
     private String root = ".";
 
@@ -46,6 +53,17 @@
         return options;
     }
 
+    /**
+     * Sets the aimed series.
+     *
+     * @param name its name in lower or upper case
+     * @return these options
+     */
+    public SoakOptions series(String name) {
+        series = FaultSeries.valueOf(name);
+        return this;
+    }
+
     @Override
     protected void validate() {
         if (seconds < 1 || entries < 1 || agents < 1 || rate < 0 || entries + agents > MAX_PROCESSES) {
@@ -75,6 +93,10 @@
         return rate;
     }
 
+    FaultSeries series() {
+        return series;
+    }
+
     String root() {
         return root;
     }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakProcess.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakProcess.java
@@ -51,6 +51,7 @@
                     .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
             builder.environment().put(SETTINGS_VARIABLE, settings.toString());
             process = Optional.of(builder.start());
+            Logger.info("{} started as process {}", name, process.get().pid());
         }
         changed.run();
     }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakRun.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakRun.java
@@ -87,7 +87,7 @@
             return site;
         });
         TimeUnit.MILLISECONDS.sleep(CALM_START_MILLIS);
-        List<Fault> faults = Fault.draw(options.seed(), TimeUnit.SECONDS.toMillis(options.seconds()));
+        List<Fault> faults = SoakPlan.draw(options);
         FaultInjector injector = new FaultInjector(site, programs, context);
         injector.schedule(faults);
         TimeUnit.SECONDS.sleep(options.seconds());
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakSite.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakSite.java
@@ -15,6 +15,9 @@
  */
 final class SoakSite {
     private static final double USED_SHARE = 0.6;
+    /** Beside aimed series, workers need room for second runs, as a full site refuses them. */
+    private static final double AIMED_USED_SHARE = 0.35;
+
     private static final double MEAN_JOB_CORE_SECONDS = 2.5;
     private static final double MILLI = 1_000;
 
@@ -22,7 +25,7 @@
     private final SoakAddresses addresses;
     private final RunHistory history = new RunHistory();
     private final WorkerSite workerSite = new WorkerSite(history);
-    private final List<SoakWorker> workers = new ArrayList<>();
+    private final List<WorkerPlace> places = new ArrayList<>();
     private final SoakConfig config = new SoakConfig();
     private final SoakStore store;
     private final LinkRelays relays;
@@ -40,21 +43,27 @@
         for (int entry = 1; entry <= options.entries(); entry++) {
             entries.add(addresses.callerRelay(entry));
         }
-        this.callers = new SoakCallers(vertx, workerSite::nowMillis, history, entries, new Random(random.nextLong()));
+        this.callers = new SoakCallers(
+                vertx, workerSite::nowMillis, history, options.series(), entries, new Random(random.nextLong()));
         for (int agent = 1; agent <= options.agents(); agent++) {
-            SoakWorker worker = new SoakWorker(
-                    vertx,
-                    workerSite,
-                    addresses.worker(agent),
-                    addresses.announcements(addresses.agentHost(agent)),
-                    SoakConfig.SERVICE,
-                    new Random(random.nextLong()));
-            workers.add(worker);
-            workerSite.add(worker);
+            Random ofWorkers = new Random(random.nextLong());
+            places.add(new WorkerPlace(worker(vertx, agent, 0, ofWorkers), worker(vertx, agent, 1, ofWorkers)));
         }
         workerSite.start(vertx);
     }
 
+    private SoakWorker worker(Vertx vertx, int agent, int number, Random ofWorkers) {
+        SoakWorker worker = new SoakWorker(
+                vertx,
+                workerSite,
+                addresses.worker(agent, number),
+                addresses.announcements(addresses.agentHost(agent)),
+                SoakConfig.SERVICE,
+                ofWorkers);
+        workerSite.add(worker);
+        return worker;
+    }
+
     /** Starts the store, the relays and the workers. */
     Future<Void> start() {
         store.writeConfig(config.next());
@@ -64,9 +73,9 @@
             servers.add(relays.listen(entry));
             servers.add(callerRelays.listen(addresses.callerRelay(entry), addresses.callers(entry)));
         }
-        workers.forEach(worker -> servers.add(worker.listen()));
+        places.forEach(place -> servers.add(place.listen()));
         return Future.all(servers).map(listening -> {
-            workers.forEach(worker -> worker.begin(false));
+            places.forEach(place -> place.worker().begin(false));
             return null;
         });
     }
@@ -75,8 +84,8 @@
         return workerSite.nowMillis();
     }
 
-    List<SoakWorker> workers() {
-        return workers;
+    List<WorkerPlace> places() {
+        return places;
     }
 
     SoakCallers callers() {
@@ -96,6 +105,11 @@
         }
     }
 
+    /** Resets all connections between an entry and its callers; the entry notices it after some time. */
+    void resetCallers(int entry, int millis) {
+        callerRelays.reset(addresses.callers(entry), millis);
+    }
+
     /** Resets half of the connections between an entry and its callers. */
     void resetHalfOfCallers(int entry) {
         callerRelays.resetHalf(addresses.callers(entry));
@@ -111,7 +125,8 @@
 
     /** Returns the jobs per second without a burst. */
     double rate() {
+        double usedShare = options.series() == FaultSeries.NONE ? USED_SHARE : AIMED_USED_SHARE;
         double cores = options.agents() * WorkerLife.CAPACITY_MILLI_CORES / MILLI;
-        return options.rate() > 0 ? options.rate() : USED_SHARE * cores / MEAN_JOB_CORE_SECONDS;
+        return options.rate() > 0 ? options.rate() : usedShare * cores / MEAN_JOB_CORE_SECONDS;
     }
 }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakWorker.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakWorker.java
@@ -57,6 +57,7 @@
     private long sequence;
     private long announcementTimer;
     private boolean draining;
+    private Optional<Runnable> nextStart = Optional.empty();
     private double slowdown = 1;
     private double lostShare;
     private double lateShare;
@@ -97,7 +98,7 @@
         }
         lives++;
         if (!sameId || lastId.isEmpty()) {
-            lastId = "i-" + address.host().replace('.', '-') + "-" + lives;
+            lastId = "i-" + address.toString().replace('.', '-').replace(':', '-') + "-" + lives;
         }
         sequence = 0;
         draining = false;
@@ -105,6 +106,16 @@
         announce();
     }
 
+    /** Runs an action once, after the next start that is executed. */
+    void onNextStart(Runnable action) {
+        nextStart = Optional.of(action);
+    }
+
+    /** Returns whether a life has begun and not ended. */
+    boolean isAlive() {
+        return life.isPresent();
+    }
+
     /** Ends the life without a word. */
     void crash() {
         vertx.cancelTimer(announcementTimer);
@@ -231,6 +242,11 @@
                         site.nowMillis());
         boolean started = result == WorkerLife.StartResult.STARTED;
         respond(request, started ? OK : CONFLICT, result.reason(), answered);
+        if (started) {
+            Optional<Runnable> action = nextStart;
+            nextStart = Optional.empty();
+            action.ifPresent(Runnable::run);
+        }
     }
 
     private void stop(HttpServerRequest request, JsonNode call, boolean answered) {
