--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -15,6 +15,8 @@
 import org.knapweedmount.api.message.LeaseRenewal;
 import org.knapweedmount.api.message.LinkedEntries;
 import org.knapweedmount.api.message.Message;
+import org.knapweedmount.api.message.OwnershipProbe;
+import org.knapweedmount.api.message.OwnershipProbeReply;
 import org.knapweedmount.api.message.Peers;
 import org.knapweedmount.api.message.RelayedEnd;
 import org.knapweedmount.api.message.RelayedYield;
@@ -50,6 +52,7 @@
     private final JobCancels cancels;
     private final TaskPlacer placer;
     private final HeldRequests heldRequests = new HeldRequests();
+    private final StartupEntries startupEntries = new StartupEntries();
     private OptionalLong drainByNanos = OptionalLong.empty();
 
     /**
@@ -63,7 +66,7 @@
         this.ownership = new JobOwnership(output);
         this.answers = new JobAnswers(output, events);
         this.stopOrders = new StopOrders(output, events);
-        this.status = new DispatchStatus(jobs, workers, answers);
+        this.status = new DispatchStatus(jobs, workers, answers, events.waitLatencies());
         this.cancels = new JobCancels(output);
         this.placer = new TaskPlacer(output, jobs, workers, maxCapacity, durations, events, this::isHeldBack);
         this.admission = new JobAdmission(output, workers, jobs, maxCapacity);
@@ -81,22 +84,70 @@
             output.answer(request.id(), JobResult.cancelled());
             return;
         }
-        if (heldRequests.isHolding(nowNanos)) {
-            output.logEvent("job-read-after-stall", "job=" + request.id());
-            ownership.held(request.id(), heldRequests.hold(request).submittedNanos());
+        WaitingRequest read = heldRequests.read(request, nowNanos);
+        if (isHoldingRequests(nowNanos)) {
+            events.held(request.id(), heldRequests.isHolding(nowNanos) ? WaitReason.STALL : WaitReason.START, nowNanos);
+            heldRequests.hold(read);
+            ownership.requestHeld(read, nowNanos);
             return;
         }
-        submit(new WaitingRequest(request, nowNanos), nowNanos);
+        submit(read, nowNanos);
+    }
+
+    private boolean isHoldingRequests(long nowNanos) {
+        return heldRequests.isHolding(nowNanos) || isStarting(nowNanos);
+    }
+
+    /**
+     * Returns whether the jobs of other entries are not known yet after the start of this entry.
+     *
+     * @param nowNanos the current time, in ns
+     * @return true if requests are held for that reason
+     */
+    public boolean isStarting(long nowNanos) {
+        return startupEntries.isAwaiting(ownership::areJobsKnown, nowNanos);
+    }
+
+    /**
+     * Holds requests until the jobs of the other entries are known, which an earlier incarnation of this one may have run
+     * as well.
+     *
+     * @param nowNanos the current time, in ns
+     */
+    public void started(long nowNanos) {
+        startupEntries.started(nowNanos);
+    }
+
+    /**
+     * Handles a list of the other entries, from the platform's store or from one of them.
+     *
+     * @param processes the names of their processes
+     * @param nowNanos the current time, in ns
+     */
+    public void entriesListed(List<String> processes, long nowNanos) {
+        startupEntries.listed(processes);
+        releaseHeld(nowNanos);
+    }
+
+    private void releaseHeld(long nowNanos) {
+        if (!heldRequests.isEmpty() && !isHoldingRequests(nowNanos)) {
+            heldRequests.release().forEach(request -> submit(request, nowNanos));
+        }
     }
 
     private void submit(WaitingRequest submitted, long nowNanos) {
         JobRequest request = submitted.request();
         Optional<TrackedJob> held = jobs.find(request.id());
-        held.ifPresent(events::resubmitted);
+        events.submitted(request.id(), nowNanos);
+        held.ifPresent(job -> events.resubmitted(job, nowNanos));
         if (held.isPresent() && !held.get().answered()) {
             ownership.held(request.id(), submitted.submittedNanos());
-        } else if (held.isPresent() || ownership.mayBeHeldElsewhere(request.id(), nowNanos)) {
-            events.waitsForEntries(request.id(), ownership.holders(request.id()));
+        } else if (held.isPresent() || ownership.mayBeHeldElsewhereAtSubmission(request.id(), submitted.required())) {
+            events.waitsForEntries(
+                    request.id(),
+                    ownership.holders(request.id()),
+                    ownership.unconfirmedHolders(request.id()),
+                    nowNanos);
             ownership.awaitEnd(submitted, nowNanos);
         } else {
             admit(request, submitted.submittedNanos(), nowNanos);
@@ -115,6 +166,7 @@
         }
         jobs.add(job);
         ownership.held(job.id(), submittedNanos);
+        events.admitted(job.id(), submittedNanos, nowNanos);
         placer.place(request.queue().service(), nowNanos);
     }
 
@@ -132,16 +184,38 @@
     public void agentLinked(Incarnation agent, long nowNanos) {
         stalls.eventReceived(nowNanos).ifPresent(stall -> recover(stall, nowNanos));
         workers.link(agent, nowNanos);
+        events.entries().agentLinked(agent, nowNanos);
     }
 
     /**
      * Handles a new link to another entry.
      *
      * @param entry the entry
+     * @param nowNanos the current time, in ns
      */
-    public void entryLinked(Incarnation entry) {
-        ownership.linked(entry);
+    public void entryLinked(Incarnation entry, long nowNanos) {
+        stalls.eventReceived(nowNanos).ifPresent(stall -> recover(stall, nowNanos));
+        ownership.linked(entry, nowNanos);
+        events.entries().entryLinked(entry);
         cancels.linked(entry);
+        confirmQueuedJobs(nowNanos);
+    }
+
+    /** Asks for the jobs that have no run yet, as an entry has become known that may run them. */
+    private void confirmQueuedJobs(long nowNanos) {
+        for (TrackedJob job : jobs.all()) {
+            if (!job.answered() && !job.hasStarted() && !ownership.isHeldElsewhere(job.id())) {
+                RequiredKnowledge required = RequiredKnowledge.ofRequest(job.arrivalNanos());
+                if (ownership.mayBeHeldElsewhere(job.id(), required)) {
+                    ownership.ask(job.id(), required, nowNanos);
+                }
+            }
+        }
+    }
+
+    private void resumeConfirmed(long nowNanos) {
+        ownership.confirmed().forEach(job -> resume(job, "known-not-held", nowNanos));
+        releaseHeld(nowNanos);
     }
 
     /**
@@ -154,7 +228,9 @@
         stalls.eventReceived(nowNanos).ifPresent(stall -> recover(stall, nowNanos));
         workers.find(peer).ifPresent(WorkerView::unlink);
         ownership.unlinked(peer, nowNanos);
+        events.entries().unlinked(peer);
         cancels.unlinked(peer);
+        resumeConfirmed(nowNanos);
     }
 
     /**
@@ -166,15 +242,28 @@
      */
     public void receive(Incarnation from, Message message, long nowNanos) {
         stalls.messageReceived(from, message, nowNanos).ifPresent(stall -> recover(stall, nowNanos));
+        events.entries().received(from, message);
         if (message instanceof JobOwnershipUpdate update) {
             events.ownedByPeer(from, update, jobs);
             JobOwnership.Changes changes = ownership.updateReceived(from, update, nowNanos);
             changes.surrendered().forEach(job -> surrender(job, nowNanos));
             changes.freed().forEach(job -> resume(job, "ended-there", nowNanos));
+        } else if (message instanceof OwnershipProbe probe) {
+            ownership.probeReceived(from, probe, nowNanos);
+        } else if (message instanceof OwnershipProbeReply reply) {
+            ownership.probeAnswered(from, reply);
+            resumeConfirmed(nowNanos);
         } else if (message instanceof Peers linked) {
             ownership.peersReported(from, linked, nowNanos);
+            startupEntries.listed(linked.entries().stream()
+                    .map(entry -> entry.incarnation().process())
+                    .toList());
+            confirmQueuedJobs(nowNanos);
+            resumeConfirmed(nowNanos);
         } else if (message instanceof LinkedEntries linked) {
             ownership.linkedEntriesReported(from, linked, nowNanos);
+            confirmQueuedJobs(nowNanos);
+            resumeConfirmed(nowNanos);
         } else if (message instanceof CancelJob request) {
             cancels.toldByPeer(from, request.job(), end(request.job(), JobResult.cancelled(), nowNanos), nowNanos);
         } else if (message instanceof CancelReply reply) {
@@ -206,14 +295,23 @@
     private void resume(String id, String reason, long nowNanos) {
         Optional<TrackedJob> job = jobs.find(id);
         if (job.isEmpty() && !ownership.isHeldElsewhere(id)) {
-            ownership.removeAwaiting(id).ifPresent(waiting -> {
-                events.released(id, reason);
-                admit(waiting.request(), waiting.submittedNanos(), nowNanos);
-            });
+            ownership.removeAwaiting(id).ifPresent(waiting -> admitWaiting(waiting, reason, nowNanos));
         }
         job.ifPresent(held -> placer.place(held.request().queue().service(), nowNanos));
     }
 
+    /** Admits a request that has waited, unless an entry has become known meanwhile that may hold its job. */
+    private void admitWaiting(WaitingRequest waiting, String reason, long nowNanos) {
+        String id = waiting.request().id();
+        if (ownership.mayBeHeldElsewhere(id, waiting.required())) {
+            ownership.awaitEnd(waiting, nowNanos);
+            return;
+        }
+        ownership.confirmationEnded(id);
+        events.released(id, reason, nowNanos);
+        admit(waiting.request(), waiting.submittedNanos(), nowNanos);
+    }
+
     private void yieldJob(Incarnation from, String id, long nowNanos) {
         output.logEvent(
                 "job-yielded",
@@ -240,28 +338,29 @@
     /** Gives up a job, or the request that waits for it, which its caller has submitted to another entry since. */
     private void surrender(String id, long nowNanos) {
         Optional<TrackedJob> job = jobs.find(id);
-        dropAwaiting(id, "sent again to another entry");
+        dropAwaiting(id, "sent again to another entry", nowNanos);
         if (job.isPresent() && !job.get().answered()) {
             conclude(job.get(), JobResult.givenUp("sent again to another entry"), nowNanos);
         }
     }
 
     /** Gives up the request that waits for a job; returns false if there is none. */
-    private boolean dropAwaiting(String id, String reason) {
-        return dropAwaiting(id, JobResult.givenUp(reason));
+    private boolean dropAwaiting(String id, String reason, long nowNanos) {
+        return dropAwaiting(id, JobResult.givenUp(reason), nowNanos);
     }
 
-    private boolean dropAwaiting(String id, JobResult result) {
+    private boolean dropAwaiting(String id, JobResult result, long nowNanos) {
         boolean held = heldRequests.remove(id);
         if (ownership.removeAwaiting(id).isEmpty() && !held) {
             return false;
         }
+        ownership.confirmationEnded(id);
         if (jobs.find(id).isPresent()) {
             ownership.ending(id);
         } else {
             ownership.ended(id);
         }
-        events.released(id, result.reason());
+        events.released(id, result.reason(), nowNanos);
         output.answer(id, result);
         return true;
     }
@@ -354,7 +453,7 @@
         view.orderedTasks().remove(task.name());
         jobs.runLost(task.ref());
         task.recordDecision("lost at " + view.agent().process(), nowNanos);
-        events.lost(view, task, cause);
+        events.lost(view, task, cause, nowNanos);
         if (task.job().answered()) {
             task.markEnded();
             removeIfDone(task.job(), nowNanos);
@@ -377,6 +476,7 @@
     private void conclude(TrackedJob job, JobResult result, long nowNanos) {
         job.markAnswered();
         ownership.ending(job.id());
+        ownership.confirmationEnded(job.id());
         answers.answer(job, result, nowNanos);
         job.endTasksWithoutRun();
         stopOrders.answered(job);
@@ -385,7 +485,9 @@
 
     private void removeIfDone(TrackedJob job, long nowNanos) {
         if (job.isDone() && jobs.remove(job)) {
-            ownership.ended(job.id());
+            if (!heldRequests.contains(job.id())) {
+                ownership.ended(job.id());
+            }
             resume(job.id(), "ended-here", nowNanos);
         }
     }
@@ -410,12 +512,12 @@
      */
     public void cancel(String id, long nowNanos) {
         boolean held = end(id, JobResult.cancelled(), nowNanos);
-        cancels.cancelled(id, held, ownership.peers(), ownership.hasCutOffEntries(nowNanos), nowNanos);
+        cancels.cancelled(id, held, ownership.peers(), ownership.hasCutOffEntries(), nowNanos);
     }
 
     /** Ends a job or the request that waits for it; returns false if neither is held. */
     private boolean end(String id, JobResult result, long nowNanos) {
-        if (dropAwaiting(id, result)) {
+        if (dropAwaiting(id, result, nowNanos)) {
             return true;
         }
         Optional<TrackedJob> job = jobs.find(id).filter(held -> !held.answered());
@@ -430,7 +532,7 @@
      */
     public void tick(long nowNanos) {
         stalls.ticked(nowNanos).ifPresent(stall -> recover(stall, nowNanos));
-        heldRequests.release(nowNanos).forEach(request -> submit(request, nowNanos));
+        releaseHeld(nowNanos);
         workers.updateRelativeSlowdowns();
         events.flush(nowNanos);
         for (WorkerView view : List.copyOf(workers.all())) {
@@ -445,7 +547,8 @@
         }
         cancels.tick(nowNanos);
         ownership.releaseLost(nowNanos).forEach(job -> resume(job, "leases-ended", nowNanos));
-        ownership.expired(nowNanos).forEach(id -> dropAwaiting(id, "held by another entry"));
+        resumeConfirmed(nowNanos);
+        ownership.expired(nowNanos).forEach(id -> dropAwaiting(id, "held by another entry", nowNanos));
         ownership.sendUpdates(nowNanos);
         for (WorkerView view : workers.all()) {
             if (view.acceptsStarts()) {
@@ -461,6 +564,10 @@
      */
     private void recover(StallDetector.Stall stall, long nowNanos) {
         heldRequests.stallEnded(stall, nowNanos);
+        ownership.stallEnded(stall, nowNanos);
+        if (!stall.isLong()) {
+            return;
+        }
         if (!stall.endedLinks()) {
             output.logEvent("entry-paused", stall.description() + " jobs=" + jobs.unanswered());
             return;
@@ -468,7 +575,7 @@
         List<String> waiting = ownership.awaited();
         output.logEvent(
                 "entry-stalled", stall.description() + " jobs=" + jobs.unanswered() + " waiting=" + waiting.size());
-        waiting.forEach(id -> dropAwaiting(id, "the entry stood still"));
+        waiting.forEach(id -> dropAwaiting(id, "the entry stood still", nowNanos));
         for (TrackedJob job : jobs.all()) {
             if (!job.answered()) {
                 conclude(job, JobResult.givenUp("the entry stood still"), nowNanos);
