Rename a variable of a test that hides a field

Cause: Checkstyle (HiddenField) stops mvn verify at OwnershipFleet, since the field 'started' counts runs. Change: the local variable is named restarted; nothing else changes.

--- a/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleet.java
@@ -278,27 +278,28 @@
                 () -> List.copyOf(killed.runs)
                         .forEach(ref -> after(STOP_MILLIS, () -> end(killed, ref, RunOutcome.STOPPED))));
         after(downMillis, () -> {
-            Entry started = start(number, millis);
-            started.dispatcher.startupEntries().started(now(started));
+            Entry restarted = start(number, millis);
+            restarted.dispatcher.startupEntries().started(now(restarted));
             boolean storeIsAway = random.nextInt(4) == 0;
             if (!storeIsAway) {
                 after(
                         1 + random.nextInt(50),
                         () -> handle(
-                                started,
-                                () -> started.dispatcher
+                                restarted,
+                                () -> restarted
+                                        .dispatcher
                                         .startupEntries()
                                         .listed(entries.stream()
-                                                .filter(other -> other != started)
+                                                .filter(other -> other != restarted)
                                                 .map(other -> other.self.process())
                                                 .toList())));
             }
-            entries.set(number, started);
-            linkedToAgent.add(started);
+            entries.set(number, restarted);
+            linkedToAgent.add(restarted);
             sendLinkedEntries();
             for (Entry other : List.copyOf(entries)) {
-                if (other != started) {
-                    after(random.nextInt(MAX_LINK_DELAY_MILLIS), () -> link(started, other));
+                if (other != restarted) {
+                    after(random.nextInt(MAX_LINK_DELAY_MILLIS), () -> link(restarted, other));
                 }
             }
         });
