--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
@@ -24,7 +24,7 @@
     private final EventBatch again;
     private final EventBatch released;
     private final EventBatch readAfterStall;
-    private final EntryView entries;
+    private final MembershipLog entries;
     private final AdmissionWaits waits = new AdmissionWaits();
 
     DispatchEvents(DispatchOutput output) {
@@ -37,11 +37,11 @@
         this.again = new EventBatch("job-again", output::logEvent);
         this.released = new EventBatch("job-released", output::logEvent);
         this.readAfterStall = new EventBatch("job-read-after-stall", output::logEvent);
-        this.entries = new EntryView(output);
+        this.entries = new MembershipLog(output);
     }
 
     /** Returns what this entry knows of the other entries. */
-    EntryView entries() {
+    MembershipLog entries() {
         return entries;
     }
 
--- a/core/src/main/java/org/knapweedmount/core/dispatch/EntryView.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/MembershipLog.java
@@ -17,7 +17,7 @@
 import org.knapweedmount.api.message.Peers;
 
 /** What an entry knows of the other entries, and since when it runs, for the log; decides nothing. */
-final class EntryView {
+final class MembershipLog {
     private final DispatchOutput output;
     private final Set<Incarnation> agents = new HashSet<>();
     private final Set<Incarnation> linked = new TreeSet<>();
@@ -25,7 +25,7 @@
     private Set<Incarnation> unlinked = Set.of();
     private OptionalLong startNanos = OptionalLong.empty();
 
-    EntryView(DispatchOutput output) {
+    MembershipLog(DispatchOutput output) {
         this.output = output;
     }
 
