Log why a fencing token is raised, and when one is in place

The lines named neither the call that was refused nor the token, none was written for the token of a new worker or for a token in place, and they crowded out others. Now each raise has its reason and the token before, the first raise is logged and then ever fewer, and a token in place is logged. What is decided does not change.

RunEventsTest has the lines; 300 refusals write 9 of them.

--- a/core/src/main/java/org/knapweedmount/core/worker/RunEvents.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunEvents.java
@@ -154,6 +154,26 @@
         }
     }
 
+    /**
+     * Logs that the fencing token was raised, for the first raise and then ever more rarely until a token is in place.
+     *
+     * @param earlierToken the token before, which the worker has refused if the reason is a refusal
+     */
+    void fenceRaised(WorkerIncarnation worker, String reason, long earlierToken, WorkerFence fence) {
+        boolean powerOfTwo = Integer.bitCount(fence.raises()) == 1;
+        if (powerOfTwo) {
+            output.logEvent(
+                    "fence-raised",
+                    "worker=" + worker + " reason=" + reason + " earlier=" + earlierToken + " fence=" + fence.token()
+                            + " raises=" + fence.raises());
+        }
+    }
+
+    /** Logs that the worker has accepted the fencing token. */
+    void fenceInPlace(WorkerIncarnation worker, WorkerFence fence) {
+        output.logEvent("fence-in-place", "worker=" + worker + " fence=" + fence.token() + " raises=" + fence.raises());
+    }
+
     /** Logs that the agent refuses an ordered run. */
     void orderRefused(RunRef ref, String reason, String load) {
         output.logEvent("run-refused", describe(ref) + " reason=" + reason + " " + load);
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -99,7 +99,9 @@
         listCalls.reset(nowNanos);
         slowdown.reset();
         acknowledgedEnd = 0;
+        long earlierToken = fence.token();
         fence.raise(announcement.incarnation().startMillis() + announcement.clockMillis(), nowNanos);
+        events.fenceRaised(announcement.incarnation(), "new-worker", earlierToken, fence);
     }
 
     /**
@@ -260,7 +262,7 @@
         events.startRefused(run.ref(), reply, incarnation());
         control.end(run, RunOutcome.REFUSED, RunEndEvidence.START_REPLY, "", nowNanos);
         switch (reply) {
-            case FENCED -> handleFenced(nowNanos);
+            case FENCED -> handleFenced("start-refused", nowNanos);
             case UNHEALTHY -> health.quarantine("unhealthy", nowNanos);
             case OTHER_LIFE -> markEnded();
             case UNREACHABLE -> markUnresponsive();
@@ -283,15 +285,16 @@
         }
     }
 
-    private void handleFenced(long nowNanos) {
+    private void handleFenced(String reason, long nowNanos) {
         earlierWorkers.othersGaveOrders();
-        raiseFence(nowNanos);
+        raiseFence(reason, nowNanos);
     }
 
-    private void raiseFence(long nowNanos) {
+    private void raiseFence(String reason, long nowNanos) {
+        long earlierToken = fence.token();
         fence.raise(incarnation().startMillis() + lease.workerMillis(nowNanos) + 1, nowNanos);
         noForeignRuns = false;
-        output.logEvent("fence-raised", "worker=" + incarnation() + " fence=" + fence.token());
+        events.fenceRaised(incarnation(), reason, earlierToken, fence);
     }
 
     /**
@@ -306,7 +309,7 @@
         Optional<TrackedRun> found = runs.find(ref);
         boolean current = worker.isCurrent(incarnation);
         if (reply == StopReply.FENCED && current) {
-            handleFenced(nowNanos);
+            handleFenced("stop-refused", nowNanos);
         }
         if (reply == StopReply.OTHER_LIFE && current) {
             markEnded();
@@ -349,6 +352,7 @@
         lease.observeClock(list.clockMillis(), nowNanos);
         if (fence.covers(sentNanos) && fence.confirm()) {
             lease.assumeLongest(list.clockMillis());
+            events.fenceInPlace(incarnation, fence);
         }
         events.listed(list, acknowledgedEnd, sentNanos, lease.describe(incarnation(), nowNanos), nowNanos);
         Set<RunRef> listedRuns = applyRunning(list.running(), sentNanos, nowNanos);
@@ -425,7 +429,7 @@
         }
         listCalls.ended(sentNanos);
         switch (failure) {
-            case FENCED -> handleFenced(nowNanos);
+            case FENCED -> handleFenced("list-refused", nowNanos);
             case OTHER_LIFE -> markEnded();
             case UNREACHABLE -> markUnresponsive();
             default -> handleLostList(nowNanos);
@@ -484,7 +488,7 @@
         }
         output.logEvent("worker-lapsed", "worker=" + incarnation() + " runs=" + runs.size());
         // An unanswered start may still be executed, and a later extension of the worker's lease would apply to it.
-        raiseFence(nowNanos);
+        raiseFence("runs-lapsed", nowNanos);
         left.forEach(run -> control.end(run, RunOutcome.LAPSED, RunEndEvidence.CLOCK, "", nowNanos));
     }
 
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerFence.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerFence.java
@@ -11,10 +11,12 @@
     private OptionalLong lastListNanos = OptionalLong.empty();
     private long raisedNanos;
     private boolean inPlace;
+    private int raises;
 
     /** Raises the token to at least a minimum; until it is in place, orders with lower ones may be executed. */
     void raise(long minToken, long nowNanos) {
         token = Math.max(token + 1, minToken);
+        raises = inPlace ? 1 : raises + 1;
         inPlace = false;
         // A list that was sent at the same time may still carry the lower token.
         boolean listSentNow = lastListNanos.isPresent() && lastListNanos.getAsLong() == nowNanos;
@@ -25,6 +27,11 @@
         return token;
     }
 
+    /** Returns how often the token has been raised since an earlier one was in place. */
+    int raises() {
+        return raises;
+    }
+
     /** Returns the token for a list that is sent now. */
     long tokenForList(long nowNanos) {
         lastListNanos = OptionalLong.of(nowNanos);
--- a/core/src/test/java/org/knapweedmount/core/worker/RunEventsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/worker/RunEventsTest.java
@@ -70,6 +70,25 @@
         order(5_088, 100);
     }
 
+    /** A token that is refused again and again is logged with the reason, and ever more rarely. */
+    @Test
+    void refusalsOfTheTokenAreLoggedWithTheReasonAndNotEach() {
+        output.events.clear();
+        for (int millis = 200; millis < 500; millis++) {
+            agent.listFailed(WORKER, millisToNanos(millis), RunListFailure.FENCED, millisToNanos(millis));
+        }
+
+        assertThat(
+                output.lines("fence-raised").get(0),
+                is("worker=i-1@1000 reason=list-refused earlier=6000 fence=6197 raises=1"));
+        assertThat(output.lines("fence-raised").size(), is(9));
+    }
+
+    @Test
+    void tokenThatTheWorkerHasAcceptedIsLogged() {
+        assertThat(output.lines("fence-in-place"), contains("worker=i-1@1000 fence=6000 raises=1"));
+    }
+
     @Test
     void stopOrderTellsWhetherItsRunIsHeld() {
         agent.receive(ENTRY, new StopRuns(List.of(RUN, new RunRef("bb.0.0.0", 1))), millisToNanos(200));
