Show by tests that a successor is locked out by the token of its predecessor

An agent keeps the larger of its own token + 1 and the birth + clock of its worker, also from one worker to the next, and clocks of workers begin at any value. Its successor starts at the birth + clock of the present worker and raises the token by what time has passed, so that it is refused until the clocks are level.

FakeWorker follows the protocol now: the clock of each incarnation begins at any value, and a refused token or another worker is answered as such and not as a lost call. The draws of the clocks are apart from all others.

--- a/core/src/test/java/org/knapweedmount/core/work/FakeWorker.java
+++ b/core/src/test/java/org/knapweedmount/core/work/FakeWorker.java
@@ -15,6 +15,7 @@
 import org.knapweedmount.api.work.RunRef;
 import org.knapweedmount.api.work.RunRequest;
 import org.knapweedmount.core.worker.RunList;
+import org.knapweedmount.core.worker.RunListFailure;
 import org.knapweedmount.core.worker.StartReply;
 import org.knapweedmount.core.worker.StopReply;
 import org.knapweedmount.core.worker.WorkerAnnouncement;
@@ -24,7 +25,7 @@
 /**
  * A worker as specified by the platform: it starts every run it is ordered to, whether or not it fits, extends all runs
  * by one lease on its own clock, and lists run ends until they are acknowledged. An incarnation accepts orders only
- * after its first list.
+ * after its first list, and its clock begins at any value, so that it says nothing about the age of the worker.
  */
 final class FakeWorker {
     private static final double ONE_WAY_MILLIS = 0.3;
@@ -32,10 +33,14 @@
     /** The rate of the worker's clock; the platform allows it to be 2% slow. */
     private static final double CLOCK_RATE = 0.985;
 
+    /** The bound of the values at which the clock of an incarnation begins, in ms. */
+    private static final int MAX_FIRST_CLOCK_MILLIS = 10_000_000;
+
     private static final double CALL_TIMEOUT_MILLIS = WorkerTimings.CALL_TIMEOUT_MILLIS;
 
     private final VirtualTime time;
     private final Random random;
+    private final Random firstClocks;
     private final String name;
     private final Resources capacity;
     private final InvariantChecker invariants;
@@ -44,6 +49,7 @@
     private final List<RunList.Ended> ended = new ArrayList<>();
     private String id;
     private long startMillis;
+    private long firstClockMillis;
     private long fence;
     private long expiryMillis;
     private long lastEndNumber;
@@ -63,14 +69,27 @@
 
     private record Running(RunRequest request, double endsMillis) {}
 
-    FakeWorker(VirtualTime time, Random random, String name, Resources capacity, InvariantChecker invariants) {
+    /**
+     * Creates a worker that starts now.
+     *
+     * @param firstClocks the values at which the clocks of its incarnations begin, apart from all other random draws
+     */
+    FakeWorker(
+            VirtualTime time,
+            Random random,
+            Random firstClocks,
+            String name,
+            Resources capacity,
+            InvariantChecker invariants) {
         this.time = time;
         this.random = random;
+        this.firstClocks = firstClocks;
         this.name = name;
         this.id = name;
         this.capacity = capacity;
         this.invariants = invariants;
         this.startMillis = time.nowMillis();
+        this.firstClockMillis = firstClocks.nextInt(MAX_FIRST_CLOCK_MILLIS);
         time.every(5, this::endDueRuns);
     }
 
@@ -148,7 +167,7 @@
             return;
         }
         String earlier = id;
-        double leaseLeftMillis = Math.max(0, startMillis + expiryMillis / CLOCK_RATE - time.nowMillis());
+        double leaseLeftMillis = Math.max(0, (expiryMillis - clockMillis()) / CLOCK_RATE);
         running.forEach((ref, run) -> {
             double workLeftMillis = Math.max(0, run.endsMillis() - time.nowMillis());
             time.after(
@@ -168,13 +187,14 @@
         expiryMillis = 0;
         sequence = 0;
         startMillis = time.nowMillis();
+        firstClockMillis = firstClocks.nextInt(MAX_FIRST_CLOCK_MILLIS);
         up = true;
         atStart.run();
     }
 
-    /** Returns the worker's clock, in ms since its start. */
+    /** Returns the worker's clock, in ms. */
     private long clockMillis() {
-        return (long) (CLOCK_RATE * (time.nowMillis() - startMillis));
+        return firstClockMillis + (long) (CLOCK_RATE * (time.nowMillis() - startMillis));
     }
 
     Optional<WorkerAnnouncement> announcement() {
@@ -277,14 +297,18 @@
             long acknowledged,
             long leaseExpiryMillis,
             int waitMillis,
-            Consumer<Optional<RunList>> answer) {
+            Consumer<RunList> answer,
+            Consumer<RunListFailure> failure) {
         time.after(ONE_WAY_MILLIS, () -> {
             if (!up || random.nextDouble() < lostListRate) {
-                time.after(waitMillis + WorkerTimings.LIST_TIMEOUT_MILLIS, () -> answer.accept(Optional.empty()));
+                time.after(
+                        waitMillis + WorkerTimings.LIST_TIMEOUT_MILLIS,
+                        () -> failure.accept(RunListFailure.UNANSWERED));
                 return;
             }
             if (token < fence || !incarnation.id().equals(id)) {
-                answer.accept(Optional.empty());
+                RunListFailure reason = incarnation.id().equals(id) ? RunListFailure.FENCED : RunListFailure.OTHER_LIFE;
+                time.after(ONE_WAY_MILLIS, () -> failure.accept(reason));
                 return;
             }
             fence = token;
@@ -296,7 +320,7 @@
         });
     }
 
-    private void answerList(long untilTime, Consumer<Optional<RunList>> answer) {
+    private void answerList(long untilTime, Consumer<RunList> answer) {
         if (ended.isEmpty() && time.nowMillis() < untilTime) {
             time.after(1, () -> answerList(untilTime, answer));
             return;
@@ -304,7 +328,7 @@
         List<RunList.Running> rows = new ArrayList<>();
         running.forEach((ref, run) -> rows.add(new RunList.Running(ref, "", percent(run))));
         RunList list = new RunList(startMillis, clockMillis(), rows, ended);
-        time.after(ONE_WAY_MILLIS, () -> answer.accept(Optional.of(list)));
+        time.after(ONE_WAY_MILLIS, () -> answer.accept(list));
     }
 
     private int percent(Running run) {
--- a/core/src/test/java/org/knapweedmount/core/work/LoadGenerator.java
+++ b/core/src/test/java/org/knapweedmount/core/work/LoadGenerator.java
@@ -73,6 +73,16 @@
         return complete && fleet.responseMillis(job) <= 1.6 * targetRunMillis.applyAsDouble(job) + 60;
     }
 
+    /** Returns the fraction of all jobs that completed, late ones included. */
+    double completedFraction() {
+        List<String> jobs = submitted.values().stream().flatMap(List::stream).toList();
+        long completed = jobs.stream()
+                .map(fleet.results()::get)
+                .filter(result -> result != null && result.kind() == JobResult.Kind.COMPLETED)
+                .count();
+        return (double) completed / jobs.size();
+    }
+
     /** Counts the jobs of a queue by result, for the message of a failed assertion. */
     Map<String, Integer> outcomes(WorkQueue queue) {
         Map<String, Integer> counts = new TreeMap<>();
--- a/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
@@ -27,7 +27,6 @@
 import org.knapweedmount.core.dispatch.JobRequest;
 import org.knapweedmount.core.dispatch.JobResult;
 import org.knapweedmount.core.dispatch.JobStep;
-import org.knapweedmount.core.worker.RunListFailure;
 import org.knapweedmount.core.worker.WorkerAgent;
 import org.knapweedmount.core.worker.WorkerIncarnation;
 import org.knapweedmount.core.worker.WorkerOutput;
@@ -43,6 +42,7 @@
 
     private final VirtualTime time = new VirtualTime();
     private final InvariantChecker invariants = new InvariantChecker();
+    private final long seed;
     private final Random random;
     private final Map<Incarnation, Dispatcher> entries = new LinkedHashMap<>();
     private final Map<Incarnation, Agent> agents = new LinkedHashMap<>();
@@ -79,6 +79,7 @@
     }
 
     WorkFleet(long seed) {
+        this.seed = seed;
         this.random = new Random(seed);
     }
 
@@ -131,7 +132,9 @@
     }
 
     private void addWorker(String name, int milliCores) {
-        FakeWorker worker = new FakeWorker(time, random, name, new Resources(milliCores, 65_536, 0), invariants);
+        Random firstClocks = new Random(31 * seed + name.hashCode());
+        FakeWorker worker =
+                new FakeWorker(time, random, firstClocks, name, new Resources(milliCores, 65_536, 0), invariants);
         workers.add(worker);
         startAgent(worker);
     }
@@ -454,13 +457,8 @@
                     acknowledged,
                     leaseExpiryMillis,
                     waitMillis,
-                    list -> onAgent(agent -> {
-                        if (list.isPresent()) {
-                            agent.listAnswered(incarnation, sentNanos, list.get(), time.nowNanos());
-                        } else {
-                            agent.listFailed(incarnation, sentNanos, RunListFailure.UNANSWERED, time.nowNanos());
-                        }
-                    })));
+                    list -> onAgent(agent -> agent.listAnswered(incarnation, sentNanos, list, time.nowNanos())),
+                    failure -> onAgent(agent -> agent.listFailed(incarnation, sentNanos, failure, time.nowNanos()))));
         }
 
         @Override
