Let an agent pass any fencing token that an earlier one has left

Cause: an agent computes its token from its worker's birth and clock, and kept the highest one that it ever had, also from one worker to the next. Clocks of workers begin at any value. After some replacements the token is that of the worker whose clock was furthest ahead; a new agent starts at the time of the present worker, is refused, and rose with the time that passes: for as long as the two clocks differ, minutes to hours.

Evidence: after the restart 10 of 11 agents wrote fence-raised some 40 times a second, for ever; the one that did not had the worker with the latest clock.

Fix: a token belongs to one worker ID; earlier workers keep theirs, as they may still have runs. Within an ID it rises as before. A refused start or stop no longer raises the token, because it may have carried an earlier one: the next list shows it.

--- a/core/src/main/java/org/knapweedmount/core/worker/EarlierWorkers.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/EarlierWorkers.java
@@ -95,7 +95,7 @@
         Set<WorkerIncarnation> asked = new HashSet<>();
         for (TrackedRun run : left) {
             if (asked.add(run.incarnation())) {
-                output.list(run.incarnation(), fence.token(), 0, 0, nowNanos, 0);
+                output.list(run.incarnation(), fence.token(run.incarnation()), 0, 0, nowNanos, 0);
             }
         }
     }
--- a/core/src/main/java/org/knapweedmount/core/worker/RunControl.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunControl.java
@@ -44,7 +44,8 @@
     void sendStop(TrackedRun run, long nowNanos) {
         run.transitionTo(RunState.STOPPING, nowNanos);
         WorkerIncarnation current = worker.incarnation();
-        output.stop(run.isAtOtherWorker(current) ? run.incarnation() : current, run.ref(), fence.token());
+        WorkerIncarnation target = run.isAtOtherWorker(current) ? run.incarnation() : current;
+        output.stop(target, run.ref(), fence.token(target));
     }
 
     /** Repeats the stop orders that have not been confirmed for some time. */
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -100,9 +100,10 @@
         listCalls.reset(nowNanos);
         slowdown.reset();
         acknowledgedEnd = 0;
-        long earlierToken = fence.token();
-        fence.raise(announcement.incarnation().startMillis() + announcement.clockMillis(), nowNanos);
-        events.fenceRaised(announcement.incarnation(), "new-worker", earlierToken, fence);
+        WorkerIncarnation incarnation = announcement.incarnation();
+        long earlierToken = fence.token(incarnation);
+        fence.begin(incarnation.id(), incarnation.startMillis() + announcement.clockMillis(), nowNanos);
+        events.fenceRaised(incarnation, "new-worker", earlierToken, fence);
     }
 
     /**
@@ -263,7 +264,7 @@
         events.startRefused(run.ref(), reply, incarnation());
         control.end(run, RunOutcome.REFUSED, RunEndEvidence.START_REPLY, "", nowNanos);
         switch (reply) {
-            case FENCED -> handleFenced("start-refused", nowNanos);
+            case FENCED -> suspectFence("start-refused", nowNanos);
             case UNHEALTHY -> health.quarantine("unhealthy", nowNanos);
             case OTHER_LIFE -> markEnded();
             case UNREACHABLE -> markUnresponsive();
@@ -286,16 +287,32 @@
         }
     }
 
-    private void handleFenced(String reason, long nowNanos) {
+    /** Lets the next list show whether the worker has seen a higher token than that of the refused call. */
+    private void suspectFence(String reason, long nowNanos) {
+        if (!fence.inPlace()) {
+            return;
+        }
+        output.logEvent("fence-suspected", "worker=" + incarnation() + " reason=" + reason + " fence=" + fence.token());
         earlierWorkers.othersGaveOrders();
-        raiseFence(reason, nowNanos);
+        fence.suspect(nowNanos);
+        noForeignRuns = false;
     }
 
-    private void raiseFence(String reason, long nowNanos) {
-        long earlierToken = fence.token();
-        fence.raise(incarnation().startMillis() + lease.workerMillis(nowNanos) + 1, nowNanos);
+    /** Raises the token if the refused list carried the present one. */
+    private void handleFencedList(long sentNanos, long nowNanos) {
+        if (!fence.covers(sentNanos)) {
+            return;
+        }
+        earlierWorkers.othersGaveOrders();
+        long refusedToken = fence.token();
+        fence.raiseAfterRefusal(workerTimeMillis(nowNanos), nowNanos);
         noForeignRuns = false;
-        events.fenceRaised(incarnation(), reason, earlierToken, fence);
+        events.fenceRaised(incarnation(), "list-refused", refusedToken, fence);
+    }
+
+    /** Returns the worker's time, from which its fencing tokens are taken, in ms. */
+    private long workerTimeMillis(long nowNanos) {
+        return incarnation().startMillis() + lease.workerMillis(nowNanos) + 1;
     }
 
     /**
@@ -310,7 +327,7 @@
         Optional<TrackedRun> found = runs.find(ref);
         boolean current = worker.isCurrent(incarnation);
         if (reply == StopReply.FENCED && current) {
-            handleFenced("stop-refused", nowNanos);
+            suspectFence("stop-refused", nowNanos);
         }
         if (reply == StopReply.OTHER_LIFE && current) {
             markEnded();
@@ -430,7 +447,7 @@
         }
         listCalls.ended(sentNanos);
         switch (failure) {
-            case FENCED -> handleFenced("list-refused", nowNanos);
+            case FENCED -> handleFencedList(sentNanos, nowNanos);
             case OTHER_LIFE -> markEnded();
             case UNREACHABLE -> markUnresponsive();
             default -> handleLostList(nowNanos);
@@ -488,7 +505,10 @@
         }
         output.logEvent("worker-lapsed", "worker=" + incarnation() + " runs=" + runs.size());
         // An unanswered start may still be executed, and a later extension of the worker's lease would apply to it.
-        raiseFence("runs-lapsed", nowNanos);
+        long earlierToken = fence.token();
+        fence.raise(workerTimeMillis(nowNanos), nowNanos);
+        noForeignRuns = false;
+        events.fenceRaised(incarnation(), "runs-lapsed", earlierToken, fence);
         left.forEach(run -> control.end(run, RunOutcome.LAPSED, RunEndEvidence.CLOCK, "", nowNanos));
     }
 
