Accept a worker that seems to be older than the one that is gone

What callers see: a worker that gets no work for its whole life.

Cause: an announcement of a worker with another ID was taken for a late one of an earlier worker if its birth is before that of the current one.

Fix: such an announcement makes the agent ask the current worker for a list. If another one answers (421), the birth of the next one that announces itself is not compared any more.

--- a/core/src/main/java/org/knapweedmount/core/worker/CurrentWorker.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/CurrentWorker.java
@@ -33,7 +33,10 @@
         return known() && incarnation().equals(incarnation);
     }
 
-    /** Returns whether an announcement is older than the latest one, or comes from an earlier incarnation. */
+    /**
+     * Returns whether an announcement is older than the latest one, or comes from an earlier incarnation as far as is
+     * known. The times at which two workers started say nothing once another one answers in place of the current one.
+     */
     boolean isOutdated(WorkerAnnouncement received) {
         if (isCurrent(received.incarnation())) {
             return received.sequence() <= announcement().sequence();
@@ -41,6 +44,7 @@
         boolean listed = successor.isPresent() && successor.get().equals(received.incarnation());
         return known()
                 && !listed
+                && !displaced()
                 && received.incarnation().startMillis() <= incarnation().startMillis();
     }
 
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -38,6 +38,7 @@
     private final RunControl control;
     private final EarlierWorkers earlierWorkers;
     private boolean noForeignRuns;
+    private boolean currentWorkerDoubted;
     private boolean draining;
     private long acknowledgedEnd;
 
@@ -64,6 +65,7 @@
      */
     public void announced(WorkerAnnouncement announcement, long nowNanos) {
         if (worker.isOutdated(announcement)) {
+            checkCurrentWorker(announcement, nowNanos);
             return;
         }
         boolean known = worker.isCurrent(announcement.incarnation());
@@ -82,6 +84,14 @@
         reconcile(nowNanos);
     }
 
+    /** Asks the current worker for a list if another one announces itself that started earlier by its VM's clock. */
+    private void checkCurrentWorker(WorkerAnnouncement announcement, long nowNanos) {
+        if (!announcement.incarnation().id().equals(incarnation().id())) {
+            currentWorkerDoubted = true;
+            reconcile(nowNanos);
+        }
+    }
+
     private void replaceWorker(WorkerAnnouncement announcement, long nowNanos) {
         if (!worker.known()) {
             earlierWorkers.firstWorker();
@@ -528,10 +538,11 @@
         entries.report(entryView -> report(entryView, nowNanos), view, nowNanos);
         boolean clockOutdated = lease.needsReading(nowNanos)
                 && listCalls.idleNanos(nowNanos) > WorkerTimings.nanos(WorkerTimings.MAX_CLOCK_AGE_MILLIS);
-        boolean idleCallDue = !noForeignRuns || listCalls.unresponsive() || clockOutdated;
+        boolean idleCallDue = !noForeignRuns || listCalls.unresponsive() || clockOutdated || currentWorkerDoubted;
         boolean due = !runs.isEmpty() || (idleCallDue && !worker.leaving());
         if (due && !listCalls.inFlight() && worker.isPresent()) {
             listCalls.sent(nowNanos);
+            currentWorkerDoubted = false;
             list(noForeignRuns ? listCalls.waitMillis(nowNanos) : 0, nowNanos);
         }
     }
--- a/core/src/test/java/org/knapweedmount/core/worker/WorkerReplacementTest.java
+++ b/core/src/test/java/org/knapweedmount/core/worker/WorkerReplacementTest.java
@@ -56,6 +56,13 @@
                 millisToNanos(nowMillis));
     }
 
+    private void announceAgain(WorkerIncarnation incarnation, long clockMillis, long nowMillis) {
+        Resources capacity = new Resources(4_000, 1_000, 0);
+        agent.announced(
+                new WorkerAnnouncement(incarnation, "service", 2, capacity, List.of(), false, clockMillis),
+                millisToNanos(nowMillis));
+    }
+
     /** Orders a run under the newest timestamp. */
     private void order(RunRef run, long nowMillis) {
         orders++;
@@ -246,6 +253,23 @@
         assertThat(output.started, contains(RUN));
     }
 
+    /** The clock of its VM was set back before the worker started, so that it seems to be older than the one before. */
+    @Test
+    void workerThatSeemsToHaveStartedEarlierTakesOverOnceTheOneBeforeDoesNotAnswer() {
+        announce(NEW, 0, 0);
+        list(NEW, 1, 1);
+        announce(OLD, 100, 100);
+        assertThat(output.listed, hasItem(NEW));
+
+        agent.listFailed(NEW, millisToNanos(100), RunListFailure.OTHER_LIFE, millisToNanos(110));
+        announceAgain(OLD, 1_600, 1_600);
+        list(OLD, 1_601, 1_601);
+        agent.tick(millisToNanos(2_700));
+        order(RUN, 2_701);
+
+        assertThat(output.started, contains(RUN));
+    }
+
     /** The runs of a replaced agent may be on a worker that is replaced before it has listed them. */
     @Test
     void workerThatReplacesAnUnlistedOneIsNotOpenedWhileThatOneMayStillWork() {
