Pass the run numbers of an earlier entry within some orders

What callers see: a job that is sent again after the loss of its entry is refused run after run and answered 504.

Cause: an entry numbers runs above all that it has lost, so that numbers rise for as long as it lives. Another entry that takes over a job begins at 1, and after each refusal as outdated it skipped 10 numbers.

Fix: the number is doubled after such a refusal.

Evidence: runNumberOfAnEarlierEntryIsPassedWithinTenOrders failed before (100 at the tenth order, the test wants over 2,000), and passes.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -35,9 +35,6 @@
  * <p>Not thread-safe. Each method takes the current time of a monotonic clock.
  */
 public final class Dispatcher {
-    /** How far a run number is raised if the worker has seen a higher one; more than the attempts of a task. */
-    private static final int OUTDATED_RUN_SKIP_COUNT = 10;
-
     private final DispatchOutput output;
     private final DurationModel durations = new DurationModel();
     private final WorkerViews workers = new WorkerViews();
@@ -370,7 +367,7 @@
         switch (result.outcome()) {
             case DONE -> completeTask(view, task, result, nowNanos);
             case FAILED -> recordFailure(task, nowNanos);
-            case OUTDATED -> task.skipRunNumbers(OUTDATED_RUN_SKIP_COUNT);
+            case OUTDATED -> task.skipOutdatedRunNumbers();
             default -> {
                 // The outcome says nothing about the task.
             }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/TrackedTask.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/TrackedTask.java
@@ -7,6 +7,9 @@
 
 /** Tracks the state of one task of a job at its entry. */
 final class TrackedTask {
+    /** How many run numbers are skipped at least if the worker has seen a higher one; more than the attempts of a task. */
+    private static final int MIN_OUTDATED_SKIP_COUNT = 10;
+
     private static final int PERCENT = 100;
 
     private final TrackedJob job;
@@ -95,6 +98,14 @@
         runNumber += count;
     }
 
+    /**
+     * Skips run numbers after the worker has seen a higher one. An entry before this one may have reached any number, which
+     * doubling passes within some orders.
+     */
+    void skipOutdatedRunNumbers() {
+        skipRunNumbers(Math.max(MIN_OUTDATED_SKIP_COUNT, runNumber));
+    }
+
     void recordFailure() {
         failures++;
     }
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherAgentsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherAgentsTest.java
@@ -8,10 +8,13 @@
 import org.knapweedmount.api.message.LeaseRenewal;
 import org.knapweedmount.api.message.StopRuns;
 import org.knapweedmount.api.work.RunOutcome;
+import org.knapweedmount.api.work.RunRef;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
 import static org.knapweedmount.core.dispatch.DispatcherFixture.AGENT;
 import static org.knapweedmount.core.dispatch.DispatcherFixture.CAPACITY_MILLI_CORES;
 import static org.knapweedmount.core.dispatch.DispatcherFixture.FIRST;
@@ -52,6 +55,19 @@
         assertThat(fixture.ordered(), contains(FIRST));
     }
 
+    /** An entry that has lost many runs has counted far, and one that takes over its callers counts from 1. */
+    @Test
+    void runNumberOfAnEarlierEntryIsPassedWithinTenOrders() {
+        fixture.submit(0);
+        for (int order = 1; order < 10; order++) {
+            RunRef last = fixture.ordered().get(order - 1);
+            fixture.sendResult(last, RunOutcome.OUTDATED, order);
+            fixture.report(order, CAPACITY_MILLI_CORES);
+        }
+
+        assertThat(fixture.ordered().get(9).run(), is(greaterThan(2_000)));
+    }
+
     @Test
     void reportOfASuccessorReleasesTheRunsOfTheReplacedAgent() {
         fixture.submit(0);
