--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchStatus.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchStatus.java
@@ -1,6 +1,8 @@
 package org.knapweedmount.core.dispatch;
 
+import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 import org.knapweedmount.api.work.WorkQueue;
 import org.knapweedmount.core.metric.MillisHistogram;
@@ -11,12 +13,19 @@
     private final WorkerViews workers;
     private final JobAnswers answers;
     private final MillisHistogram<WaitReason> waits;
+    private final Supplier<List<String>> waitingRequests;
 
-    DispatchStatus(JobTable jobs, WorkerViews workers, JobAnswers answers, MillisHistogram<WaitReason> waits) {
+    DispatchStatus(
+            JobTable jobs,
+            WorkerViews workers,
+            JobAnswers answers,
+            MillisHistogram<WaitReason> waits,
+            Supplier<List<String>> waitingRequests) {
         this.jobs = jobs;
         this.workers = workers;
         this.answers = answers;
         this.waits = waits;
+        this.waitingRequests = waitingRequests;
     }
 
     /**
@@ -60,6 +69,16 @@
         return jobs.unanswered();
     }
 
+    /**
+     * Returns the number of requests that wait for other entries, for earlier runs or after a start or stall; they are not
+     * among the unanswered jobs.
+     *
+     * @return the number of requests
+     */
+    public int waitingRequests() {
+        return waitingRequests.get().size();
+    }
+
     /**
      * Returns the latencies of answered jobs, without those refused on arrival; any thread may call this.
      *
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -70,7 +70,7 @@
         this.queuedJobCheck = new QueuedJobCheck(jobs, ownership);
         this.answers = new JobAnswers(output, events);
         this.stopOrders = new StopOrders(output, events);
-        this.status = new DispatchStatus(jobs, workers, answers, events.waitLatencies());
+        this.status = new DispatchStatus(jobs, workers, answers, events.waitLatencies(), this::waitingRequests);
         this.cancels = new JobCancels(output);
         this.placer = new TaskPlacer(output, jobs, workers, maxCapacity, durations, events, this::isHeldBack);
         this.admission = new JobAdmission(output, workers, jobs, maxCapacity);
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -210,7 +210,8 @@
                 clock,
                 drainLimitMillis - balancerGraceMillis);
         // Refuses all requests from here on, so that every request that is read gets an answer.
-        decisions.offer((module, nowNanos) -> module.dispatcher().finishDrain(nowNanos));
+        long offeredNanos = clock.nanos();
+        decisions.offer((module, nowNanos) -> finishDrain(module, offeredNanos, nowNanos));
         if (announcement != null) {
             announcement.stop();
         }
@@ -218,6 +219,16 @@
         log.close();
     }
 
+    private void finishDrain(DispatchModule module, long offeredNanos, long nowNanos) {
+        log.logEvent(
+                "drain-ended",
+                "unanswered=" + module.dispatcher().status().unanswered() + " waiting="
+                        + module.dispatcher().status().waitingRequests() + " lag-millis="
+                        + TimeUnit.NANOSECONDS.toMillis(nowNanos - offeredNanos),
+                nowNanos);
+        module.dispatcher().finishDrain(nowNanos);
+    }
+
     private static final class Handler implements LinkHandler<DispatchModule> {
         @Override
         public void linked(DispatchModule module, PeerAddress peer, long nowNanos) {
