--- a/standins/src/main/java/org/knapweedmount/standins/soak/FaultInjector.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/FaultInjector.java
@@ -19,6 +19,8 @@
     private static final double BURST_FACTOR = 1.8;
     private static final int CONFIG_SERIES_MILLIS = 400;
     private static final int MIN_DELAY_MILLIS = 10;
+    private static final int THROTTLE_PAUSE_MILLIS = 60;
+    private static final int THROTTLE_RUN_MILLIS = 40;
     private static final int MAX_DELAY_MILLIS = 250;
 
     private final SoakSite site;
@@ -98,8 +100,16 @@
 
     void plannedStop(Fault fault) throws InterruptedException {
         SoakProcess process = process(fault);
+        onContext(() -> site.stops().signalled(process.name(), site.nowMillis()));
         process.stop(SoakPrograms.GRACE_MILLIS);
-        after(fault.durationMillis(), process::start);
+        after(fault.durationMillis(), () -> {
+            onContext(() -> site.stops().started(process.name()));
+            process.start();
+        });
+    }
+
+    void throttle(Fault fault) throws IOException, InterruptedException {
+        process(fault).throttle(THROTTLE_PAUSE_MILLIS, THROTTLE_RUN_MILLIS, fault.durationMillis());
     }
 
     void freeze(Fault fault) throws IOException, InterruptedException {
--- a/standins/src/main/java/org/knapweedmount/standins/soak/FaultKind.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/FaultKind.java
@@ -50,6 +50,8 @@
     ENTRIES_CUT(0, FaultTarget.ENTRY_LINKS, FaultInjector::cutEntries),
     /** The messages on links between entries are held back in both directions, and passed on late. */
     ENTRIES_SILENT(0, FaultTarget.ENTRY_LINKS, FaultInjector::silenceEntries),
+    /** One entry or agent gets two fifths of a core, in parts of 40 ms, for the fault's time. */
+    THROTTLED(0, FaultTarget.PROCESS, FaultInjector::throttle),
     /** SIGKILL of an agent as soon as its worker has executed an order; started again after the fault's time. */
     KILL_AFTER_ORDER(0, FaultTarget.WORKER, FaultInjector::killAfterOrder),
     /** SIGSTOP of an agent as soon as its worker has executed an order, and SIGCONT after the fault's time. */
--- a/standins/src/main/java/org/knapweedmount/standins/soak/FaultSeries.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/FaultSeries.java
@@ -1,6 +1,7 @@
 package org.knapweedmount.standins.soak;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Random;
 import java.util.stream.IntStream;
@@ -89,11 +90,81 @@
             }
             return faults;
         }
+    },
+    /**
+     * All entries are stopped as planned, one shortly after another, so that callers use entries that are stopping; some
+     * have little processor time, some pause near the end of their stop.
+     */
+    STOPS_IN_SERIES {
+        @Override
+        List<Fault> draw(Draw draw) {
+            List<Fault> faults = new ArrayList<>();
+            int gapMillis = draw.between(300, 1_500);
+            int millis = 0;
+            for (int entry : draw.allEntries()) {
+                faults.add(draw.fault(millis, FaultKind.PLANNED_STOP, entry - 1, draw.between(1, 500)));
+                if (draw.isLikely(0.5)) {
+                    faults.add(draw.fault(millis, FaultKind.THROTTLED, entry - 1, STOP_MILLIS));
+                }
+                if (draw.isLikely(0.8)) {
+                    int pauseMillis = draw.between(200, 450);
+                    int endMillis = millis
+                            + (draw.isLikely(0.6) ? STOP_MILLIS : draw.between(2_500, STOP_MILLIS))
+                            + draw.between(-100, 100);
+                    faults.add(draw.fault(endMillis - pauseMillis, FaultKind.FREEZE, entry - 1, pauseMillis));
+                }
+                millis += gapMillis;
+            }
+            return faults;
+        }
+
+        @Override
+        int maxPauseMillis() {
+            return STOP_SERIES_MILLIS;
+        }
+
+        @Override
+        int minPauseMillis() {
+            return STOP_SERIES_MILLIS;
+        }
+
+        @Override
+        boolean isAmongOtherFaults() {
+            return false;
+        }
+
+        @Override
+        boolean needsRoomForSecondRuns() {
+            return false;
+        }
     };
 
+    private static final int STOP_MILLIS = 5_300;
+    private static final int STOP_SERIES_MILLIS = 15_000;
+
     /** Draws the faults of one series. */
     abstract List<Fault> draw(Draw draw);
 
+    /** Returns the shortest time from one series to the next, in ms. */
+    int minPauseMillis() {
+        return 2_500;
+    }
+
+    /** Returns the time from one series to the next that is not reached, in ms. */
+    int maxPauseMillis() {
+        return 5_500;
+    }
+
+    /** Returns whether other faults that are drawn alone overlap the series. */
+    boolean isAmongOtherFaults() {
+        return true;
+    }
+
+    /** Returns whether workers have to be free enough for second runs, as a full site refuses them. */
+    boolean needsRoomForSecondRuns() {
+        return this != NONE;
+    }
+
     /**
      * Draws numbers for one series.
      *
@@ -111,6 +182,14 @@
             return 1 + random.nextInt(entries);
         }
 
+        /** Draws the order of all entries. */
+        private List<Integer> allEntries() {
+            List<Integer> all =
+                    new ArrayList<>(IntStream.rangeClosed(1, entries).boxed().toList());
+            Collections.shuffle(all, random);
+            return all;
+        }
+
         private List<Integer> otherEntries(int entry) {
             return IntStream.rangeClosed(1, entries)
                     .filter(other -> other != entry)
--- a/standins/src/main/java/org/knapweedmount/standins/soak/RunHistory.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/RunHistory.java
@@ -89,6 +89,11 @@
         }
     }
 
+    /** Adds a broken rule that was found elsewhere. */
+    void add(Violation violation) {
+        violations.add(violation);
+    }
+
     /** Records that no caller waits for a job any more. */
     void left(String jobId, long millis) {
         Job job = jobs.get(jobId);
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakCallers.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakCallers.java
@@ -3,12 +3,14 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.LongSupplier;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -46,6 +48,7 @@
     private final FaultSeries series;
     private final List<HostPort> entries;
     private final List<HttpClient> clients = new ArrayList<>();
+    private final Optional<JobSender> keptConnections;
     private double jobsPerSecond;
     private double abandonedShare;
     private int unfinishedJobs;
@@ -60,12 +63,14 @@
             RunHistory history,
             FaultSeries series,
             List<HostPort> entries,
+            Optional<JobSender> keptConnections,
             Random random) {
         this.vertx = vertx;
         this.clockMillis = clockMillis;
         this.history = history;
         this.series = series;
         this.entries = List.copyOf(entries);
+        this.keptConnections = keptConnections;
         this.random = random;
         for (HostPort entry : entries) {
             clients.add(vertx.createHttpClient(
@@ -145,12 +150,19 @@
         }
         boolean abandoned = random.nextDouble() < abandonedShare;
         int timeoutMillis = abandoned ? random.nextInt(1, deadlineMillis) : deadlineMillis;
-        history.submitted(job.id(), job.kind().tasks(), "entry-" + (entry + 1), clockMillis.getAsLong());
-        new Exchange(vertx)
-                .run(clients.get(entry), options, job.body(), timeoutMillis)
+        String target = keptConnections.isPresent() ? "an entry" : "entry-" + (entry + 1);
+        history.submitted(job.id(), job.kind().tasks(), target, clockMillis.getAsLong());
+        keptConnections
+                .orElse(this::sendToAnyConnection)
+                .send(entry, job.id(), options, job.body(), timeoutMillis)
                 .onSuccess(result -> answered(job, entry, attempt, answer(result)));
     }
 
+    private Future<Exchange.Result> sendToAnyConnection(
+            int entry, String job, RequestOptions options, Buffer body, int timeoutMillis) {
+        return new Exchange(vertx).run(clients.get(entry), options, body, timeoutMillis);
+    }
+
     private void sendAgain(Job job, int entry, int attempt) {
         if (cancelledJobs.contains(job.id())) {
             unfinishedJobs--;
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakPlan.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakPlan.java
@@ -8,8 +8,6 @@
 
 /** The faults of a soak, in the order in which they begin. */
 final class SoakPlan {
-    private static final int MIN_PAUSE_MILLIS = 2_500;
-    private static final int MAX_PAUSE_MILLIS = 5_500;
     private static final int ALONE_SHARE = 4;
 
     private SoakPlan() {}
@@ -22,15 +20,20 @@
             return alone;
         }
         List<Fault> faults = new ArrayList<>();
-        for (int i = 0; i < alone.size(); i += ALONE_SHARE) {
+        for (int i = 0; options.series().isAmongOtherFaults() && i < alone.size(); i += ALONE_SHARE) {
             faults.add(alone.get(i));
         }
         Random random = new Random(options.seed());
-        for (long millis = 0; millis < totalMillis; millis += random.nextInt(MIN_PAUSE_MILLIS, MAX_PAUSE_MILLIS)) {
+        for (long millis = 0; millis < totalMillis; millis += pauseMillis(options.series(), random)) {
             faults.addAll(
                     options.series().draw(new FaultSeries.Draw(random, millis, options.entries(), options.agents())));
         }
         faults.sort(Comparator.comparingLong(Fault::millis));
         return faults;
     }
+
+    private static int pauseMillis(FaultSeries series, Random random) {
+        boolean fixed = series.minPauseMillis() == series.maxPauseMillis();
+        return fixed ? series.minPauseMillis() : random.nextInt(series.minPauseMillis(), series.maxPauseMillis());
+    }
 }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakProcess.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakProcess.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -10,6 +11,7 @@
 
 /** One program of the prepared VMs, which is started again and again; thread-safe. */
 final class SoakProcess {
+    private static final double MILLIS_PER_SECOND = 1_000;
     private static final String SETTINGS_VARIABLE = "KNAPWEEDMOUNT_NODE_FILE";
 
     private final String name;
@@ -87,6 +89,32 @@
         changed.run();
     }
 
+    /** Lets the process run for a part of the time only, by SIGSTOP and SIGCONT in turn; it runs on after that. */
+    void throttle(int pauseMillis, int runMillis, int totalMillis) throws IOException, InterruptedException {
+        Optional<Long> id = id();
+        if (id.isEmpty()) {
+            return;
+        }
+        String loop =
+                "i=0; while [ $i -lt $1 ] && kill -STOP $0; do sleep $2; kill -CONT $0; sleep $3; i=$((i + 1)); done";
+        new ProcessBuilder(
+                        "sh",
+                        "-c",
+                        loop,
+                        Long.toString(id.get()),
+                        Integer.toString(totalMillis / (pauseMillis + runMillis)),
+                        seconds(pauseMillis),
+                        seconds(runMillis))
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .start()
+                .waitFor();
+    }
+
+    private static String seconds(int millis) {
+        return String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND);
+    }
+
     private synchronized Optional<Process> current() {
         return process.filter(Process::isAlive);
     }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakSite.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakSite.java
@@ -2,7 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
+import java.util.function.IntFunction;
+import java.util.stream.IntStream;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -30,6 +33,8 @@
     private final SoakStore store;
     private final LinkRelays relays;
     private final CallerRelays callerRelays;
+    private final PlannedStops stops = new PlannedStops();
+    private final ReadinessProbes probes;
     private final SoakCallers callers;
 
     SoakSite(Vertx vertx, SoakOptions options, SoakAddresses addresses) {
@@ -39,12 +44,14 @@
         this.relays = new LinkRelays(vertx, addresses);
         this.callerRelays = new CallerRelays(vertx);
         Random random = new Random(options.seed());
-        List<HostPort> entries = new ArrayList<>();
-        for (int entry = 1; entry <= options.entries(); entry++) {
-            entries.add(addresses.callerRelay(entry));
-        }
+        List<HostPort> entries = addresses(addresses::callerRelay);
+        Random ofCallers = new Random(random.nextLong());
+        this.probes = new ReadinessProbes(vertx, addresses(addresses::readiness));
+        Optional<JobSender> keptConnections = options.series() == FaultSeries.STOPS_IN_SERIES
+                ? Optional.of(keptConnections(vertx, new Random(ofCallers.nextLong())))
+                : Optional.empty();
         this.callers = new SoakCallers(
-                vertx, workerSite::nowMillis, history, options.series(), entries, new Random(random.nextLong()));
+                vertx, workerSite::nowMillis, history, options.series(), entries, keptConnections, ofCallers);
         for (int agent = 1; agent <= options.agents(); agent++) {
             Random ofWorkers = new Random(random.nextLong());
             places.add(new WorkerPlace(worker(vertx, agent, 0, ofWorkers), worker(vertx, agent, 1, ofWorkers)));
@@ -52,6 +59,15 @@
         workerSite.start(vertx);
     }
 
+    private List<HostPort> addresses(IntFunction<HostPort> address) {
+        return IntStream.rangeClosed(1, options.entries()).mapToObj(address).toList();
+    }
+
+    private JobSender keptConnections(Vertx vertx, Random random) {
+        return new KeptConnections(
+                vertx, workerSite::nowMillis, history, stops, addresses(addresses::callers), probes, random);
+    }
+
     private SoakWorker worker(Vertx vertx, int agent, int number, Random ofWorkers) {
         SoakWorker worker = new SoakWorker(
                 vertx,
@@ -75,6 +91,7 @@
         }
         places.forEach(place -> servers.add(place.listen()));
         return Future.all(servers).map(listening -> {
+            probes.start();
             places.forEach(place -> place.worker().begin(false));
             return null;
         });
@@ -92,6 +109,10 @@
         return callers;
     }
 
+    PlannedStops stops() {
+        return stops;
+    }
+
     LinkRelays relays() {
         return relays;
     }
@@ -125,7 +146,7 @@
 
     /** Returns the jobs per second without a burst. */
     double rate() {
-        double usedShare = options.series() == FaultSeries.NONE ? USED_SHARE : AIMED_USED_SHARE;
+        double usedShare = options.series().needsRoomForSecondRuns() ? AIMED_USED_SHARE : USED_SHARE;
         double cores = options.agents() * WorkerLife.CAPACITY_MILLI_CORES / MILLI;
         return options.rate() > 0 ? options.rate() : usedShare * cores / MEAN_JOB_CORE_SECONDS;
     }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/Violation.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/Violation.java
@@ -19,6 +19,11 @@
         /** A task runs although each attempt to submit its job was answered "not run". */
         REFUSED,
         /** A job is answered completed before each of its tasks has ended done. */
-        MIXED
+        MIXED,
+        /**
+         * A request that was wholly sent ends without a whole answer because its entry stops as planned, or is given up
+         * although it was sent long after the stop began.
+         */
+        LOST
     }
 }
