--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -26,8 +26,6 @@
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.message.YieldJob;
 import org.knapweedmount.api.work.RunRef;
-import org.knapweedmount.api.work.RunResult;
-import org.knapweedmount.api.work.WorkQueue;
 
 /**
  * Schedules the jobs of the callers of one entry onto workers.
@@ -49,6 +47,7 @@
     private final DispatchStatus status;
     private final JobCancels cancels;
     private final TaskPlacer placer;
+    private final RunResults runResults;
     private final HeldRequests heldRequests = new HeldRequests();
     private final StartupEntries startupEntries;
     private final QueuedJobCheck queuedJobCheck;
@@ -70,6 +69,7 @@
         this.status = new DispatchStatus(jobs, workers, answers, events.waitLatencies(), this::waitingRequests);
         this.cancels = new JobCancels(output);
         this.placer = new TaskPlacer(output, jobs, workers, maxCapacity, durations, events, this::isHeldBack);
+        this.runResults = new RunResults(workers, durations, events, this::conclude, this::removeIfDone);
         this.admission = new JobAdmission(output, workers, jobs, maxCapacity);
     }
 
@@ -249,7 +249,7 @@
         } else if (message instanceof ResourceOffer offer) {
             placer.fillOffer(view.get(), offer, nowNanos);
         } else if (message instanceof RunsEnded ended) {
-            ended.results().forEach(result -> handleResult(view.get(), result, nowNanos));
+            ended.results().forEach(result -> runResults.apply(view.get(), result, nowNanos));
             view.get().report().ifPresent(report -> placer.place(report.service(), nowNanos));
         } else if (message instanceof ActiveRuns runs) {
             resynchronize(view.get(), runs.runs(), nowNanos);
@@ -347,60 +347,6 @@
         placer.place(report.service(), nowNanos);
     }
 
-    private void handleResult(WorkerView view, RunResult result, long nowNanos) {
-        TrackedTask task = view.orderedTasks().get(result.ref().task());
-        if (task == null || !task.ref().equals(result.ref())) {
-            return;
-        }
-        view.orderedTasks().remove(task.name());
-        task.updateCheckpoint(result.checkpoint());
-        task.recordDecision(result.outcome() + " after " + result.elapsedMillis() + "ms", nowNanos);
-        events.ended(view, result, nowNanos);
-        if (!result.outcome().mayHaveRun()) {
-            task.job().runRefused();
-        }
-        if (task.job().answered()) {
-            task.markEnded();
-            removeIfDone(task.job(), nowNanos);
-            return;
-        }
-        switch (result.outcome()) {
-            case DONE -> completeTask(view, task, result, nowNanos);
-            case FAILED -> recordFailure(task, nowNanos);
-            case OUTDATED -> task.skipOutdatedRunNumbers();
-            default -> {
-                // The outcome says nothing about the task.
-            }
-        }
-        if (task.state() == TaskState.ORDERED) {
-            String service = task.job().request().queue().service();
-            if (result.outcome().mayHaveRun() && workers.hasOtherAcceptingStarts(view, service)) {
-                task.avoidCurrentAgent();
-            }
-            task.markQueued();
-        }
-    }
-
-    private void completeTask(WorkerView view, TrackedTask task, RunResult result, long nowNanos) {
-        String queue = task.job().request().queue().name();
-        int estimate = task.step().estimateMillis();
-        durations.observe(queue, estimate, result.elapsedMillis() / view.relativeSlowdown());
-        task.markEnded();
-        task.job().queueUnblockedTasks();
-        if (task.job().isDone()) {
-            conclude(task.job(), JobResult.completed(), nowNanos);
-        }
-    }
-
-    private void recordFailure(TrackedTask task, long nowNanos) {
-        task.recordFailure();
-        WorkQueue queue = task.job().request().queue();
-        if (task.failures() >= queue.maxAttempts()) {
-            task.markEnded();
-            conclude(task.job(), JobResult.failed("a task failed " + task.failures() + " times"), nowNanos);
-        }
-    }
-
     /**
      * Requeues tasks whose runs an agent does not have, and stops the runs that must not go on. An agent sends its runs
      * first on a new link.
