Answer each request that an entry reads after its drain

Cause, the part in the dispatcher: finishDrain answers the requests that wait at that time. One that is read later was asked for stalls, the start and other entries first, and waited for an entry that had just started until the process ended; the same for cancels. Besides, a job was admitted if its estimate just fitted into what was left, and was given up if it took longer.

Fix: after the drain each request and cancel is answered at once, "not run" only if no other entry may run the job. During the drain a job is admitted only if it is over by its own rules (three times its target, or its deadline) before the drain ends; else it is refused at once. Requests and cancels that wait count as work that is left.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchStatus.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchStatus.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 
 import org.knapweedmount.api.work.WorkQueue;
@@ -14,18 +15,21 @@
     private final JobAnswers answers;
     private final MillisHistogram<WaitReason> waits;
     private final Supplier<List<String>> waitingRequests;
+    private final IntSupplier waitingCancels;
 
     DispatchStatus(
             JobTable jobs,
             WorkerViews workers,
             JobAnswers answers,
             MillisHistogram<WaitReason> waits,
-            Supplier<List<String>> waitingRequests) {
+            Supplier<List<String>> waitingRequests,
+            IntSupplier waitingCancels) {
         this.jobs = jobs;
         this.workers = workers;
         this.answers = answers;
         this.waits = waits;
         this.waitingRequests = waitingRequests;
+        this.waitingCancels = waitingCancels;
     }
 
     /**
@@ -79,6 +83,15 @@
         return waitingRequests.get().size();
     }
 
+    /**
+     * Returns whether no caller waits for an answer of this entry.
+     *
+     * @return true if no job is unanswered and no request or cancellation waits
+     */
+    public boolean owesNothing() {
+        return unanswered() == 0 && waitingRequests() == 0 && waitingCancels.getAsInt() == 0;
+    }
+
     /**
      * Returns the latencies of answered jobs, without those refused on arrival; any thread may call this.
      *
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
@@ -51,7 +50,7 @@
     private final HeldRequests heldRequests = new HeldRequests();
     private final StartupEntries startupEntries;
     private final QueuedJobCheck queuedJobCheck;
-    private OptionalLong drainByNanos = OptionalLong.empty();
+    private final Drain drain = new Drain();
 
     /**
      * Creates a dispatcher without jobs and workers.
@@ -66,8 +65,9 @@
         this.queuedJobCheck = new QueuedJobCheck(jobs, ownership);
         this.answers = new JobAnswers(output, events);
         this.stopOrders = new StopOrders(output, events);
-        this.status = new DispatchStatus(jobs, workers, answers, events.waitLatencies(), this::waitingRequests);
         this.cancels = new JobCancels(output);
+        this.status = new DispatchStatus(
+                jobs, workers, answers, events.waitLatencies(), this::waitingRequests, cancels::waiting);
         this.placer = new TaskPlacer(output, jobs, workers, maxCapacity, durations, events, this::isHeldBack);
         this.runResults = new RunResults(workers, durations, events, this::conclude, this::removeIfDone);
         this.admission = new JobAdmission(output, workers, jobs, maxCapacity);
@@ -86,6 +86,10 @@
             return;
         }
         WaitingRequest read = heldRequests.read(request, nowNanos);
+        if (drain.hasEnded()) {
+            refuseLeaving(read, nowNanos);
+            return;
+        }
         if (isHoldingRequests(nowNanos)) {
             events.held(request.id(), heldRequests.isHolding(nowNanos) ? WaitReason.STALL : WaitReason.START, nowNanos);
             heldRequests.hold(read);
@@ -95,6 +99,15 @@
         submit(read, nowNanos);
     }
 
+    /** Answers a request that is read after the drain; a job that may run somewhere is not said not to have run. */
+    private void refuseLeaving(WaitingRequest read, long nowNanos) {
+        String id = read.request().id();
+        boolean mayRun = jobs.find(id).isPresent()
+                || startupEntries.isAwaiting(nowNanos)
+                || ownership.mayBeHeldElsewhereAtSubmission(id, read.required(), nowNanos);
+        output.answer(id, mayRun ? JobResult.givenUp("leaving") : Drain.notRun());
+    }
+
     private boolean isHoldingRequests(long nowNanos) {
         return heldRequests.isHolding(nowNanos) || startupEntries.isAwaiting(nowNanos);
     }
@@ -134,11 +147,10 @@
         }
     }
 
-    private void admit(JobRequest submitted, long submittedNanos, long nowNanos) {
-        JobRequest request = drainByNanos.isPresent() ? submitted.dueBy(drainByNanos.getAsLong()) : submitted;
+    private void admit(JobRequest request, long submittedNanos, long nowNanos) {
         TrackedJob job = new TrackedJob(request, durations.criticalPathMillis(request), nowNanos);
         int entries = 1 + ownership.peers().size();
-        Optional<JobResult> refusal = admission.refusal(job, entries, nowNanos);
+        Optional<JobResult> refusal = drain.refusal(job).or(() -> admission.refusal(job, entries, nowNanos));
         if (refusal.isPresent()) {
             ownership.ended(request.id());
             output.answer(request.id(), refusal.get());
@@ -505,28 +517,29 @@
     }
 
     /**
-     * Starts the drain before a planned stop: admits only jobs that can be done before it ends.
+     * Starts the drain before a planned stop: admits only jobs that are over before it ends.
      *
-     * @param deadlineNanos when the last answer has to be given, in ns
+     * @param endNanos when the drain will end, in ns
      */
-    public void beginDrain(long deadlineNanos) {
-        drainByNanos = OptionalLong.of(deadlineNanos);
+    public void beginDrain(long endNanos) {
+        drain.begin(endNanos);
     }
 
     /**
-     * Ends the drain: answers all remaining jobs and refuses new ones.
+     * Ends the drain: answers all remaining requests, and from now on each new one at once.
      *
      * @param nowNanos the current time, in ns
      */
     public void finishDrain(long nowNanos) {
-        beginDrain(nowNanos);
+        drain.end();
         for (TrackedJob job : jobs.all()) {
             if (!job.answered()) {
-                JobResult result = job.hasStarted() ? JobResult.givenUp("leaving") : JobResult.notRun("leaving", 0);
+                JobResult result = job.hasStarted() ? JobResult.givenUp("leaving") : Drain.notRun();
                 conclude(job, ownership.notRunOnlyIfKnown(job.id(), result), nowNanos);
             }
         }
         waitingRequests().forEach(id -> dropAwaiting(id, "leaving", nowNanos));
+        cancels.finish();
     }
 
     /**
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobCancels.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobCancels.java
@@ -25,6 +25,7 @@
     private final DispatchOutput output;
     private final Map<String, Remembered> remembered = new LinkedHashMap<>();
     private final Map<String, Inquiry> inquiries = new LinkedHashMap<>();
+    private boolean finished;
 
     /** A cancelled ID; confirmed once an entry has ended its job. */
     private record Remembered(long nanos, boolean confirmed) {}
@@ -73,6 +74,26 @@
         inquiries.put(job, inquiry);
         peers.forEach(peer -> output.send(peer, new CancelJob(job)));
         answerIfComplete(job, inquiry);
+        if (finished) {
+            answerUnconfirmed();
+        }
+    }
+
+    /** Answers all cancellations before a planned stop, and from now on each new one at once. */
+    void finish() {
+        finished = true;
+        answerUnconfirmed();
+    }
+
+    private void answerUnconfirmed() {
+        List<String> waiting = List.copyOf(inquiries.keySet());
+        inquiries.clear();
+        waiting.forEach(job -> answer(job, CancelResult.UNCONFIRMED));
+    }
+
+    /** Returns the number of cancellations that wait for other entries. */
+    int waiting() {
+        return inquiries.size();
     }
 
     private void remember(String job, boolean confirmed, long nowNanos) {
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherTest.java
@@ -253,14 +253,25 @@
         assertThat(answers.get("00000000000000bb").kind(), is(JobResult.Kind.NOT_RUN));
     }
 
+    /** A job of 300 ms with a target of 540 ms is given up after 1,620 ms at the latest. */
     @Test
-    void drainingEntryServesJobsThatItCanFinish() {
-        dispatcher.beginDrain(DispatchFixture.millisToNanos(300));
+    void drainingEntryServesJobsThatAreOverBeforeTheDrainEnds() {
+        dispatcher.beginDrain(DispatchFixture.millisToNanos(1_620));
         submit(1, 1_000);
 
         assertThat(ordered(), contains(FIRST));
     }
 
+    /** Such a job was given up at the end of the stop if it took longer than expected. */
+    @Test
+    void drainingEntryRefusesJobsThatMayOutlastTheDrain() {
+        dispatcher.beginDrain(DispatchFixture.millisToNanos(1_619));
+        submit(1, 1_000);
+
+        assertThat(answers.get(JOB).kind(), is(JobResult.Kind.NOT_RUN));
+        assertThat(ordered(), is(empty()));
+    }
+
     private final class Recorder implements DispatchOutput {
         @Override
         public void send(Incarnation peer, Message message) {
