--- a/core/src/main/java/org/knapweedmount/core/worker/RunTable.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunTable.java
@@ -85,4 +85,15 @@
     Resources usedCapacity() {
         return usedCapacity;
     }
+
+    /** Returns the runs of a worker that make no progress. */
+    List<TrackedRun> stalled(WorkerIncarnation worker, long nowNanos) {
+        return matching(
+                run -> run.state() == RunState.RUNNING && run.isAt(worker) && StallRule.isStalled(run, nowNanos));
+    }
+
+    /** Describes the load of the worker for the log. */
+    String describeLoad(Resources free) {
+        return "free=" + free.milliCores() + " runs=" + size();
+    }
 }
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -37,6 +37,7 @@
     private final CurrentWorker worker = new CurrentWorker();
     private final RunControl control;
     private final EarlierWorkers earlierWorkers;
+    private final FenceControl fenceControl;
     private boolean noForeignRuns;
     private boolean currentWorkerDoubted;
     private boolean draining;
@@ -55,6 +56,7 @@
         this.health = new WorkerHealth(output, worker);
         this.control = new RunControl(output, runs, entries, worker, lease, fence, events);
         this.earlierWorkers = new EarlierWorkers(output, runs, control, fence, startNanos);
+        this.fenceControl = new FenceControl(output, fence, worker, lease, earlierWorkers, events);
     }
 
     /**
@@ -110,10 +112,7 @@
         listCalls.reset(nowNanos);
         slowdown.reset();
         acknowledgedEnd = 0;
-        WorkerIncarnation incarnation = announcement.incarnation();
-        long earlierToken = fence.token(incarnation);
-        fence.begin(incarnation.id(), incarnation.startMillis() + announcement.clockMillis(), nowNanos);
-        events.fenceRaised(incarnation, "new-worker", earlierToken, fence);
+        fenceControl.begin(announcement, nowNanos);
     }
 
     /**
@@ -197,7 +196,7 @@
                 if (refusal.isEmpty()) {
                     start(from, order.timestampNanos(), job.spec(), run, nowNanos);
                 } else {
-                    events.orderRefused(run.ref(), refusal.get(), load());
+                    events.orderRefused(run.ref(), refusal.get(), runs.describeLoad(free()));
                     entries.addResult(from, new RunResult(run.ref(), RunOutcome.REFUSED, 0, ""));
                 }
             }
@@ -297,34 +296,11 @@
         }
     }
 
-    /** Lets the next list show whether the worker has seen a higher token than that of the refused call. */
     private void suspectFence(String reason, long nowNanos) {
-        if (!fence.inPlace()) {
-            return;
-        }
-        output.logEvent("fence-suspected", "worker=" + incarnation() + " reason=" + reason + " fence=" + fence.token());
-        earlierWorkers.othersGaveOrders();
-        fence.suspect(nowNanos);
+        fenceControl.suspect(reason, nowNanos);
         noForeignRuns = false;
     }
 
-    /** Raises the token if the refused list carried the present one. */
-    private void handleFencedList(long sentNanos, long nowNanos) {
-        if (!fence.covers(sentNanos)) {
-            return;
-        }
-        earlierWorkers.othersGaveOrders();
-        long refusedToken = fence.token();
-        fence.raiseAfterRefusal(workerTimeMillis(nowNanos), nowNanos);
-        noForeignRuns = false;
-        events.fenceRaised(incarnation(), "list-refused", refusedToken, fence);
-    }
-
-    /** Returns the worker's time, from which its fencing tokens are taken, in ms. */
-    private long workerTimeMillis(long nowNanos) {
-        return incarnation().startMillis() + lease.workerMillis(nowNanos) + 1;
-    }
-
     /**
      * Handles the reply to a stop order.
      *
@@ -464,6 +440,11 @@
         }
     }
 
+    private void handleFencedList(long sentNanos, long nowNanos) {
+        fenceControl.listRefused(sentNanos, nowNanos);
+        noForeignRuns = false;
+    }
+
     private void handleLostList(long nowNanos) {
         if (listCalls.lost(nowNanos)) {
             events.workerSilent(incarnation());
@@ -497,12 +478,10 @@
     }
 
     private void stopStalled(long nowNanos) {
-        for (TrackedRun run : runs.matching(run -> run.state() == RunState.RUNNING && run.isAt(incarnation()))) {
-            if (StallRule.isStalled(run, nowNanos)) {
-                events.stalled(run, incarnation());
-                health.quarantine("stalled", nowNanos);
-                control.stop(run, nowNanos);
-            }
+        for (TrackedRun run : runs.stalled(incarnation(), nowNanos)) {
+            events.stalled(run, incarnation());
+            health.quarantine("stalled", nowNanos);
+            control.stop(run, nowNanos);
         }
     }
 
@@ -515,10 +494,8 @@
         }
         output.logEvent("worker-lapsed", "worker=" + incarnation() + " runs=" + runs.size());
         // An unanswered start may still be executed, and a later extension of the worker's lease would apply to it.
-        long earlierToken = fence.token();
-        fence.raise(workerTimeMillis(nowNanos), nowNanos);
+        fenceControl.raise("runs-lapsed", nowNanos);
         noForeignRuns = false;
-        events.fenceRaised(incarnation(), "runs-lapsed", earlierToken, fence);
         left.forEach(run -> control.end(run, RunOutcome.LAPSED, RunEndEvidence.CLOCK, "", nowNanos));
     }
 
@@ -531,7 +508,9 @@
         }
         if (slowdown.hasChanged(nowNanos)) {
             output.logEvent(
-                    "worker-pace", "worker=" + incarnation() + " percent=" + slowdown.percent(nowNanos) + " " + load());
+                    "worker-pace",
+                    "worker=" + incarnation() + " percent=" + slowdown.percent(nowNanos) + " "
+                            + runs.describeLoad(free()));
         }
         ReportRule.View view =
                 new ReportRule.View(acceptsStarts(nowNanos), free(), capacity(), slowdown.estimate(nowNanos));
@@ -590,10 +569,6 @@
         return worker.incarnation();
     }
 
-    private String load() {
-        return "free=" + free().milliCores() + " runs=" + runs.size();
-    }
-
     /**
      * Starts the drain before a planned stop: accepts no more starts.
      *
