End the planned stop of an entry by what is left, not by time

All entries were being stopped one shortly after another.

Cause: a stop was two sleeps (2.5 s for the balancer, 0.3 s for the last answers) around a question that takes one turn of the event loop. An event loop that is behind has requests in its sockets of which it knows nothing, and had not written the answers when the process ended.

Fix: the entry leaves when the balancer has got two negative answers to its probes and nothing is owed: no job, waiting request, cancel or unwritten answer. Then connections are closed right after a short turn of the event loop, in which all that had arrived was read, and the process ends after another one with nothing left to write (GracefulShutdown). All of it is within the 5.3 s of before: the drain ends after 4.7 s, what is left of the time is for the last answers. The last messages of entries and agents to each other are written before their processes end. The question whether anything is left takes no longer than the limit of the wait.

--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -2,9 +2,12 @@
 
 import java.util.OptionalInt;
 import java.util.Random;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.vertx.core.Future;
@@ -29,6 +32,7 @@
 import org.knapweedmount.daemon.runtime.IdleWait;
 import org.knapweedmount.daemon.runtime.NanoClock;
 import org.knapweedmount.daemon.runtime.NodeSettings;
+import org.knapweedmount.daemon.runtime.RetryingQueue;
 import org.knapweedmount.daemon.runtime.RunningProcess;
 import org.knapweedmount.daemon.runtime.Ticker;
 import org.knapweedmount.daemon.store.EntryAnnouncement;
@@ -43,10 +47,17 @@
     private static final int TICK_INTERVAL_MILLIS = 25; // short compared with the 60 ms that short jobs may wait
     private static final int HEARTBEAT_INTERVAL_MILLIS = 150; // a link without traffic is closed after ten intervals
 
-    /** How long the balancer may still send requests, in ms; it probes each second and stops after two failures. */
+    /** The number of probes in a row that tell the balancer to send no more connections. */
+    private static final int NEGATIVE_PROBES = 2;
+
+    /** How long the balancer may still send connections if it does not probe, in ms. */
     private static final int MAX_BALANCER_GRACE_MILLIS = 2_500;
 
-    private static final int FINAL_REFUSALS_MILLIS = 300; // to send the last answers and to refuse late requests
+    /** The time that is left after the drain to answer what was read and to close connections, in ms. */
+    private static final int CLOSE_MILLIS = 600;
+
+    /** The time for the last messages to agents and other entries, in ms. */
+    private static final int LINK_CLOSE_LIMIT_MILLIS = 100;
 
     private final NodeSettings settings;
     private final Vertx vertx;
@@ -58,7 +69,10 @@
     private final Counters<DispatchCounter> counters = new Counters<>(DispatchCounter.class);
     private final DispatchModule dispatchModule;
     private final PeerAddress self;
+    private final RetryingQueue<DispatchModule> retryingQueue;
+    private final JobAnswerHandler callers;
     private final AtomicBoolean stopping = new AtomicBoolean();
+    private final AtomicInteger negativeProbes = new AtomicInteger();
     private volatile boolean ready;
     private volatile EntryAnnouncement announcement;
 
@@ -86,6 +100,8 @@
                 settings.host(),
                 settings.linkPort());
         this.decisions = new EventLoopDecisionQueue<>(vertx.getOrCreateContext(), MAX_WAITING_EVENTS, clock);
+        this.retryingQueue = new RetryingQueue<>(vertx, decisions);
+        this.callers = answerHandler;
         LinkOptions options = LinkOptions.entry(HEARTBEAT_INTERVAL_MILLIS, random.nextLong());
         this.links = new LinkTable<>(vertx, options, self, appliedVersion::get, clock, decisions, new Handler());
         this.dispatchModule = new DispatchModule(new Output(answerHandler), appliedVersion, links::addKnownEntry);
@@ -145,12 +161,16 @@
     }
 
     /**
-     * Returns whether the balancer should send callers to this entry.
+     * Answers a probe of the balancer, which is told by the negative answers to send no more callers.
      *
      * @return true if the entry has queues and workers and is not stopping
      */
-    public boolean isReady() {
-        return ready && !stopping.get();
+    public boolean answerProbe() {
+        if (stopping.get()) {
+            negativeProbes.incrementAndGet();
+            return false;
+        }
+        return ready;
     }
 
     /**
@@ -198,27 +218,40 @@
         if (!stopping.compareAndSet(false, true)) {
             return;
         }
-        int drainLimitMillis = Math.max(0, settings.drainMillis() - FINAL_REFUSALS_MILLIS);
-        long drainLimitNanos = TimeUnit.MILLISECONDS.toNanos(drainLimitMillis);
-        decisions.offer((module, nowNanos) -> module.dispatcher().beginDrain(nowNanos + drainLimitNanos));
-        // The balancer and callers with open connections send requests until they notice that the entry is stopping.
-        int balancerGraceMillis = Math.min(MAX_BALANCER_GRACE_MILLIS, drainLimitMillis);
-        TimeUnit.MILLISECONDS.sleep(balancerGraceMillis);
-        IdleWait.await(
-                decisions,
-                module -> module.dispatcher().status().unanswered() == 0,
-                clock,
-                drainLimitMillis - balancerGraceMillis);
-        // Refuses all requests from here on, so that every request that is read gets an answer.
+        long startNanos = clock.nanos();
+        int drainLimitMillis = Math.max(0, settings.drainMillis() - CLOSE_MILLIS);
+        long drainEndNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(drainLimitMillis);
+        retryingQueue.add((module, nowNanos) -> module.dispatcher().beginDrain(drainEndNanos));
+        // A request that follows the last one of these questions is answered while the connections are closed.
+        IdleWait.await(decisions, module -> mayLeave(module, startNanos), clock, drainLimitMillis);
         long offeredNanos = clock.nanos();
-        decisions.offer((module, nowNanos) -> finishDrain(module, offeredNanos, nowNanos));
+        retryingQueue.add((module, nowNanos) -> finishDrain(module, offeredNanos, nowNanos));
         if (announcement != null) {
             announcement.stop();
         }
-        TimeUnit.MILLISECONDS.sleep(FINAL_REFUSALS_MILLIS);
+        int elapsedMillis = (int) TimeUnit.NANOSECONDS.toMillis(clock.nanos() - startNanos);
+        int closeLimitMillis = Math.max(0, settings.drainMillis() - elapsedMillis - LINK_CLOSE_LIMIT_MILLIS);
+        await("the connections of callers", callers.shutdown(closeLimitMillis), closeLimitMillis);
+        await("the links", links.close(), LINK_CLOSE_LIMIT_MILLIS);
         log.close();
     }
 
+    /** Returns whether the balancer sends no more callers, as far as can be known, and none waits for an answer. */
+    private boolean mayLeave(DispatchModule module, long startNanos) {
+        long elapsedNanos = clock.nanos() - startNanos;
+        boolean balancerTold = negativeProbes.get() >= NEGATIVE_PROBES
+                || elapsedNanos > TimeUnit.MILLISECONDS.toNanos(MAX_BALANCER_GRACE_MILLIS);
+        return balancerTold && module.dispatcher().status().owesNothing() && callers.unanswered() == 0;
+    }
+
+    private void await(String what, Future<Void> closed, int limitMillis) throws InterruptedException {
+        try {
+            closed.toCompletionStage().toCompletableFuture().get(limitMillis, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            log.logEvent("stop-incomplete", "left=\"" + what + "\" cause=" + e, clock.nanos());
+        }
+    }
+
     private void finishDrain(DispatchModule module, long offeredNanos, long nowNanos) {
         log.logEvent(
                 "drain-ended",
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/JobAnswerHandler.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/JobAnswerHandler.java
@@ -1,9 +1,10 @@
 package org.knapweedmount.daemon.dispatch;
 
+import io.vertx.core.Future;
 import org.knapweedmount.core.dispatch.CancelResult;
 import org.knapweedmount.core.dispatch.JobResult;
 
-/** Receives the answers to jobs and sends them to the callers; called on the decision thread. */
+/** The connections to callers: receives the answers to jobs and sends them; called on the decision thread. */
 public interface JobAnswerHandler {
     /**
      * Answers all callers that wait for a job.
@@ -20,4 +21,19 @@
      * @param result what they are told
      */
     void answerCancel(String job, CancelResult result);
+
+    /**
+     * Counts the requests of callers that were read and whose answers are not written yet.
+     *
+     * @return the number of requests
+     */
+    int unanswered();
+
+    /**
+     * Accepts no more connections, and closes each one when it has no request.
+     *
+     * @param limitMillis the time after which connections are closed anyway, in ms
+     * @return completes when each request that was read is answered
+     */
+    Future<Void> shutdown(int limitMillis);
 }
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/GracefulShutdown.java
@@ -0,0 +1,83 @@
+package org.knapweedmount.daemon.http;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import org.knapweedmount.daemon.runtime.NanoClock;
+
+/**
+ * Closes an HTTP server so that each request that callers have sent is answered first.
+ *
+ * <p>A request is lost if its connection is closed, or the process ends, while it waits in the socket. An event loop that
+ * is behind has such requests although it knows of none. So both steps are taken right after a turn of the event loop that
+ * was short: it has read all that had arrived before the turn.
+ *
+ * <p>Confined to the event loop of the server.
+ */
+public final class GracefulShutdown {
+    /** The maximum duration of a turn, in ms; what is sent during one may be lost, and its caller has hardly waited. */
+    private static final int MAX_TURN_MILLIS = 50;
+
+    /** The delay of a timer that is due in the next turn, after the sockets are read. */
+    private static final int NEXT_TURN_MILLIS = 1;
+
+    private final Vertx vertx;
+    private final NanoClock clock;
+    private final HttpServer server;
+    private final IntSupplier unanswered;
+    private final Promise<Void> ended = Promise.promise();
+
+    /**
+     * Creates a shutdown that has not begun.
+     *
+     * @param vertx provides the timers
+     * @param clock the clock by which turns of the event loop are measured
+     * @param server the server
+     * @param unanswered returns the number of requests that were read and whose answers are not written yet
+     */
+    public GracefulShutdown(Vertx vertx, NanoClock clock, HttpServer server, IntSupplier unanswered) {
+        this.vertx = vertx;
+        this.clock = clock;
+        this.server = server;
+        this.unanswered = unanswered;
+    }
+
+    /**
+     * Accepts no more connections, and closes each one when it has no request.
+     *
+     * @param limitMillis the time after which connections are closed anyway, in ms
+     * @return completes when each request that was read is answered
+     */
+    public Future<Void> begin(int limitMillis) {
+        afterShortTurn(() -> {
+            server.shutdown(limitMillis, TimeUnit.MILLISECONDS);
+            endWhenAnswered();
+        });
+        return ended.future();
+    }
+
+    private void endWhenAnswered() {
+        afterShortTurn(() -> {
+            if (unanswered.getAsInt() == 0) {
+                ended.complete();
+            } else {
+                endWhenAnswered();
+            }
+        });
+    }
+
+    private void afterShortTurn(Runnable step) {
+        long startNanos = clock.nanos();
+        vertx.setTimer(NEXT_TURN_MILLIS, timer -> {
+            if (clock.nanos() - startNanos <= TimeUnit.MILLISECONDS.toNanos(MAX_TURN_MILLIS)) {
+                step.run();
+            } else {
+                afterShortTurn(step);
+            }
+        });
+    }
+}
--- a/daemon/src/main/java/org/knapweedmount/daemon/runtime/IdleWait.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/runtime/IdleWait.java
@@ -8,7 +8,6 @@
 /** Waits during a planned stop until the work in flight has ended. */
 public final class IdleWait {
     private static final int CHECK_INTERVAL_MILLIS = 20;
-    private static final long ANSWER_TIMEOUT_SECONDS = 5;
 
     private IdleWait() {}
 
@@ -27,8 +26,9 @@
             throws InterruptedException {
         long startNanos = clock.nanos();
         long limitNanos = TimeUnit.MILLISECONDS.toNanos(limitMillis);
-        while (!isIdle(queue, idle)) {
-            if (clock.nanos() - startNanos >= limitNanos) {
+        for (long leftNanos = limitNanos; !isIdle(queue, idle, leftNanos); ) {
+            leftNanos = limitNanos - (clock.nanos() - startNanos);
+            if (leftNanos <= 0) {
                 return false;
             }
             TimeUnit.MILLISECONDS.sleep(CHECK_INTERVAL_MILLIS);
@@ -36,13 +36,14 @@
         return true;
     }
 
-    private static <T> boolean isIdle(DecisionQueue<T> queue, Predicate<T> idle) throws InterruptedException {
+    private static <T> boolean isIdle(DecisionQueue<T> queue, Predicate<T> idle, long timeoutNanos)
+            throws InterruptedException {
         AtomicBoolean result = new AtomicBoolean();
         CountDownLatch answered = new CountDownLatch(1);
         boolean offered = queue.offer((core, nowNanos) -> {
             result.set(idle.test(core));
             answered.countDown();
         });
-        return offered && answered.await(ANSWER_TIMEOUT_SECONDS, TimeUnit.SECONDS) && result.get();
+        return offered && answered.await(timeoutNanos, TimeUnit.NANOSECONDS) && result.get();
     }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
@@ -1,7 +1,10 @@
 package org.knapweedmount.daemon.worker;
 
 import java.util.Random;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.vertx.core.Vertx;
@@ -39,6 +42,7 @@
     private static final int MAX_WAITING_EVENTS = 4 * 1024; // one second of events at the highest rate
     private static final int TICK_INTERVAL_MILLIS = 40; // six ticks fit between the early stop and the end of a lease
     private static final int HEARTBEAT_INTERVAL_MILLIS = 150; // a link without traffic is closed after ten intervals
+    private static final int LINK_CLOSE_LIMIT_MILLIS = 100; // for the last messages to the entries
     private static final int FORCED_STOP_MILLIS = 700; // to stop the remaining runs and report them to their entries
 
     private final NodeSettings settings;
@@ -143,7 +147,11 @@
             retryingQueue.add((agent, nowNanos) -> agent.stopAll(nowNanos));
             IdleWait.await(decisions, agent -> agent.runCount() == 0, clock, FORCED_STOP_MILLIS);
         }
-        links.close();
+        try {
+            links.close().toCompletionStage().toCompletableFuture().get(LINK_CLOSE_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            log.logEvent("stop-incomplete", "left=\"the links\" cause=" + e, clock.nanos());
+        }
         log.close();
     }
 
