Log the processor time of a process and its messages by type

Each second a process now writes process-load, with the processor time and the messages by type since the last line; /metrics has the sums. No decision depends on them.

--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -23,6 +23,7 @@
 import org.knapweedmount.daemon.link.LinkOptions;
 import org.knapweedmount.daemon.link.LinkTable;
 import org.knapweedmount.daemon.metrics.LazyProcessMetrics;
+import org.knapweedmount.daemon.metrics.ProcessLoadLog;
 import org.knapweedmount.daemon.runtime.DecisionLog;
 import org.knapweedmount.daemon.runtime.DecisionQueue;
 import org.knapweedmount.daemon.runtime.EventLoopDecisionQueue;
@@ -107,6 +108,8 @@
         decisions.offer(
                 (module, nowNanos) -> module.dispatcher().startupEntries().started(nowNanos));
         Ticker.start(vertx, TICK_INTERVAL_MILLIS, decisions, this::tick);
+        ProcessLoadLog loadLog = new ProcessLoadLog(log, links);
+        Ticker.start(vertx, ProcessLoadLog.INTERVAL_MILLIS, decisions, (module, nowNanos) -> loadLog.write(nowNanos));
         settings.seeds().forEach(links::dial);
         return links.listen(settings.host(), settings.linkPort(), OptionalInt.empty())
                 .map(advertised -> {
--- a/daemon/src/main/java/org/knapweedmount/daemon/link/ConnectionManager.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/link/ConnectionManager.java
@@ -54,6 +54,8 @@
     private final NanoClock clock;
     private final LongSupplier configNumber;
     private final Counters<LinkCounter> counters;
+    private final MessageCounts sentMessages = new MessageCounts();
+    private final MessageCounts receivedMessages = new MessageCounts();
     private final Listener listener;
     private final Dialler dialler;
     private final LinkInspector inspector;
@@ -195,6 +197,7 @@
         }
         Message message = decoder.decode(bytes, offset, length, link.receiving());
         counters.increment(LinkCounter.RECEIVED_MESSAGES);
+        receivedMessages.add(message);
         if (link.peer().isEmpty()) {
             handleHello(link, message);
             return;
@@ -274,6 +277,7 @@
         try {
             byte[] frame = encoder.encode(message, link.sending());
             counters.increment(LinkCounter.SENT_MESSAGES);
+            sentMessages.add(message);
             markUsed(link, message);
             counters.add(LinkCounter.SENT_BYTES, frame.length);
             if (link.append(frame, clock.nanos())) {
@@ -366,6 +370,16 @@
         }
     }
 
+    /** Returns the number of sent messages; any thread may read it. */
+    MessageCounts sentMessages() {
+        return sentMessages;
+    }
+
+    /** Returns the number of received messages; any thread may read it. */
+    MessageCounts receivedMessages() {
+        return receivedMessages;
+    }
+
     /** Sends pending messages and closes all connections and the server. */
     Future<Void> close() {
         closed = true;
--- a/daemon/src/main/java/org/knapweedmount/daemon/link/LinkTable.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/link/LinkTable.java
@@ -149,6 +149,24 @@
         return counters;
     }
 
+    /**
+     * Counts the messages that were sent.
+     *
+     * @return the numbers by type
+     */
+    public MessageCounts sentMessages() {
+        return connectionManager.sentMessages();
+    }
+
+    /**
+     * Counts the messages that were received.
+     *
+     * @return the numbers by type
+     */
+    public MessageCounts receivedMessages() {
+        return connectionManager.receivedMessages();
+    }
+
     /**
      * Counts the established links.
      *
--- a/daemon/src/main/java/org/knapweedmount/daemon/metrics/LazyProcessMetrics.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/metrics/LazyProcessMetrics.java
@@ -40,6 +40,8 @@
             otherRegistrations.accept(metrics);
         }
         metrics.events(log);
+        metrics.messages("sent", links.sentMessages());
+        metrics.messages("received", links.receivedMessages());
         return metrics.scrape();
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/metrics/ProcessLoadLog.java
@@ -0,0 +1,68 @@
+package org.knapweedmount.daemon.metrics;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.knapweedmount.daemon.link.LinkTable;
+import org.knapweedmount.daemon.runtime.DecisionLog;
+
+/** Logs at intervals how much processor time the process has used and which messages it has exchanged since the last line. */
+public final class ProcessLoadLog {
+    /** The interval between two lines, in ms. */
+    public static final int INTERVAL_MILLIS = 1_000;
+
+    private final DecisionLog log;
+    private final LinkTable<?> links;
+    private Load last = new Load(0, Map.of(), Map.of());
+
+    /**
+     * What a process has done since its start.
+     *
+     * @param processorMillis its processor time, in ms
+     * @param sent the messages that it has sent, by type
+     * @param received the messages that it has received, by type
+     */
+    record Load(long processorMillis, Map<String, Long> sent, Map<String, Long> received) {
+        /** Returns what was done since an earlier load, for the log. */
+        String describeSince(Load earlier) {
+            return "processor-millis=" + (processorMillis - earlier.processorMillis) + " sent="
+                    + increase(earlier.sent, sent) + " received=" + increase(earlier.received, received);
+        }
+
+        private static Map<String, Long> increase(Map<String, Long> from, Map<String, Long> to) {
+            Map<String, Long> increase = new TreeMap<>();
+            to.forEach((type, count) -> {
+                long added = count - from.getOrDefault(type, 0L);
+                if (added > 0) {
+                    increase.put(type, added);
+                }
+            });
+            return increase;
+        }
+    }
+
+    /**
+     * Creates a log without lines.
+     *
+     * @param log the decision log that receives the lines
+     * @param links the links whose messages are counted
+     */
+    public ProcessLoadLog(DecisionLog log, LinkTable<?> links) {
+        this.log = log;
+        this.links = links;
+    }
+
+    /**
+     * Writes a line; called on the decision thread.
+     *
+     * @param nowNanos the current time, in ns
+     */
+    public void write(long nowNanos) {
+        Load present = new Load(
+                ProcessorTime.millis(),
+                links.sentMessages().byType(),
+                links.receivedMessages().byType());
+        log.logEvent("process-load", present.describeSince(last), nowNanos);
+        last = present;
+    }
+}
--- a/daemon/src/main/java/org/knapweedmount/daemon/metrics/ProcessMetrics.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/metrics/ProcessMetrics.java
@@ -18,6 +18,7 @@
 import org.knapweedmount.core.metric.MillisHistogram;
 import org.knapweedmount.daemon.link.LinkCounter;
 import org.knapweedmount.daemon.link.LinkTable;
+import org.knapweedmount.daemon.link.MessageCounts;
 import org.knapweedmount.daemon.runtime.DecisionLog;
 import org.knapweedmount.daemon.runtime.DecisionLoop;
 
@@ -34,6 +35,7 @@
     private final List<LongSupplier> sources = new ArrayList<>();
 
     private final Set<String> events = new HashSet<>();
+    private final Set<String> messages = new HashSet<>();
 
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
@@ -44,6 +46,7 @@
         gauge("memory.heap.max.bytes", "The largest heap", runtime::maxMemory);
         gauge("memory.resident.bytes", "Memory of the process that is resident", ProcessMemory::residentBytes);
         gauge("memory.direct.bytes", "Memory of network buffers", ProcessMemory::directBytes);
+        counter("processor.millis", ProcessorTime::millis);
     }
 
     /**
@@ -119,6 +122,24 @@
         }
     }
 
+    /**
+     * Adds a counter for each type of message that has no counter yet.
+     *
+     * @param direction {@code sent} or {@code received}
+     * @param counts the numbers of messages by type
+     */
+    public void messages(String direction, MessageCounts counts) {
+        for (String type : counts.byType().keySet()) {
+            if (messages.add(direction + type)) {
+                LongSupplier value = () -> counts.byType().getOrDefault(type, 0L);
+                sources.add(value);
+                FunctionCounter.builder(PREFIX + "messages." + direction, value, LongSupplier::getAsLong)
+                        .tag("type", type)
+                        .register(registry);
+            }
+        }
+    }
+
     /**
      * Adds a cumulative histogram of the latency of answered jobs: for each kind of answer and each upper bound
      * {@code le}, in ms, the number of jobs answered within the bound.
--- a/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
@@ -24,6 +24,7 @@
 import org.knapweedmount.daemon.link.LinkOptions;
 import org.knapweedmount.daemon.link.LinkTable;
 import org.knapweedmount.daemon.metrics.LazyProcessMetrics;
+import org.knapweedmount.daemon.metrics.ProcessLoadLog;
 import org.knapweedmount.daemon.runtime.DecisionLog;
 import org.knapweedmount.daemon.runtime.EventLoopDecisionQueue;
 import org.knapweedmount.daemon.runtime.IdleWait;
@@ -92,6 +93,8 @@
     public void start() {
         decisions.start(new WorkerAgent(new Output()));
         Ticker.start(vertx, TICK_INTERVAL_MILLIS, decisions, WorkerAgent::tick);
+        ProcessLoadLog loadLog = new ProcessLoadLog(log, links);
+        Ticker.start(vertx, ProcessLoadLog.INTERVAL_MILLIS, decisions, (module, nowNanos) -> loadLog.write(nowNanos));
         settings.seeds().forEach(links::dial);
         finder.start();
     }
--- a/daemon/src/test/java/org/knapweedmount/daemon/link/LinkTableTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/link/LinkTableTest.java
@@ -45,6 +45,8 @@
             assertThat(nextMessage(agent), is("entry-1 " + new ConfigApplied(i)));
             assertThat(nextMessage(entry), is("agent-1 " + new ConfigApplied(-1L + i)));
         }
+        assertThat(agent.links.receivedMessages().byType().get("ConfigApplied"), is(50L));
+        assertThat(agent.links.sentMessages().byType().get("ConfigApplied"), is(50L));
     }
 
     private static String nextMessage(TestProcess process) throws InterruptedException {
--- a/daemon/src/test/java/org/knapweedmount/daemon/metrics/ProcessMetricsTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/metrics/ProcessMetricsTest.java
@@ -74,7 +74,8 @@
     }
 
     @Test
-    void memoryIsShown() {
+    void memoryAndProcessorTimeAreShown() {
+        assertThat(metrics.scrape(), containsString("\nknapweedmount_processor_millis_total "));
         assertThat(metrics.scrape(), containsString("\nknapweedmount_memory_direct_bytes "));
         assertThat(metrics.scrape(), containsString("\nknapweedmount_memory_resident_bytes "));
         assertThat(metrics.scrape(), containsString("\nknapweedmount_memory_heap_used_bytes "));
