--- /dev/null
+++ b/core/src/test/java/org/knapweedmount/core/work/SimulatedProcessor.java
@@ -0,0 +1,53 @@
+package org.knapweedmount.core.work;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** The processor of a simulated process: events wait for their turn, and each takes time at the process's share of a core. */
+final class SimulatedProcessor {
+    private final VirtualTime time;
+    private final double cores;
+    private final Deque<Event> waiting = new ArrayDeque<>();
+    private boolean busy;
+    private double eventMillis;
+
+    private record Event(double millis, Runnable action) {}
+
+    /**
+     * Creates an idle processor.
+     *
+     * @param cores the share of a core; infinite if events take no time
+     */
+    SimulatedProcessor(VirtualTime time, double cores) {
+        this.time = time;
+        this.cores = cores;
+    }
+
+    /** Runs an event after those that wait; its outputs leave at its beginning. */
+    void run(double millis, Runnable action) {
+        if (Double.isInfinite(cores)) {
+            action.run();
+            return;
+        }
+        waiting.add(new Event(millis, action));
+        if (!busy) {
+            runNext();
+        }
+    }
+
+    /** Adds processor time to the event that runs, in ms. */
+    void use(double millis) {
+        eventMillis += millis;
+    }
+
+    private void runNext() {
+        busy = !waiting.isEmpty();
+        if (!busy) {
+            return;
+        }
+        Event event = waiting.remove();
+        eventMillis = event.millis();
+        event.action().run();
+        time.after(eventMillis / cores, this::runNext);
+    }
+}
