Tell a few agents of a queue at first, and more only while it stays

Cause, the part that grows with entries times agents: an entry with anything queued told all agents every 20 ms, and all again when the queue was gone; each word renewed the agents' offers, of which half were declined. In a model of the site with 9 entries, 54 agents and processors of their size a burst took 34,342 demands and 5,261 offers a second, and outlasted the burst: entries were busy with refusals and orders until the end.

Fix: eight agents are told at first, others for each queue, and twice as many after each 20 ms for which it stays. A demand is told again after 200 ms, as agents age it themselves, and a change at most each 20 ms.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/DemandRule.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DemandRule.java
@@ -10,8 +10,8 @@
  * Decides when an entry sends its demand to an agent.
  *
  * <p>Load pattern: while a queue exists, every start changes the demand. Agents age a demand themselves, so an update
- * is sent only when a demand appears or disappears, when its smallest task shrinks or its deadline moves forward, and
- * otherwise periodically.
+ * is sent only when a demand appears or disappears, when its smallest task shrinks or its deadline moves forward, which
+ * is told at a limited rate, and otherwise from time to time.
  */
 final class DemandRule {
     /**
@@ -81,8 +81,9 @@
                 demand.smallestTask().milliCores() < lastSent.smallestTask().milliCores();
         boolean earlierDeadline =
                 demand.virtualDeadlineMicros() + MIN_DEADLINE_ADVANCE_MICROS < lastSent.virtualDeadlineMicros();
-        return smallerTask
-                || earlierDeadline
-                || nowNanos - view.demandSentNanos() >= DispatchTimings.DEMAND_RESEND_INTERVAL_NANOS;
+        long intervalNanos = smallerTask || earlierDeadline
+                ? DispatchTimings.DEMAND_CHANGE_INTERVAL_NANOS
+                : DispatchTimings.DEMAND_RESEND_INTERVAL_NANOS;
+        return nowNanos - view.demandSentNanos() >= intervalNanos;
     }
 }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
@@ -21,11 +21,14 @@
     /** The time without a report after which every run ordered from an agent must have ended. */
     static final long MAX_RUN_END_NANOS = TimeUnit.MILLISECONDS.toNanos(WorkerTimings.MAX_RUN_END_MILLIS);
 
-    /**
-     * The interval after which a demand is sent again even without a significant change; longer than a round trip
-     * between data centres.
-     */
-    static final long DEMAND_RESEND_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    /** The interval after which a demand is sent again even without a significant change; agents age it themselves. */
+    static final long DEMAND_RESEND_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+    /** The minimum interval between two demands to an agent that differ by a change; several round trips. */
+    static final long DEMAND_CHANGE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+    /** The interval after which twice as many agents are told of queued tasks; short compared with the 60 ms that short jobs may wait. */
+    static final long DEMAND_WIDENING_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
     /**
      * The minimum interval between two job ownership updates; well below the 1.3 s after which callers resubmit a job.
--- a/core/src/main/java/org/knapweedmount/core/dispatch/TaskPlacer.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/TaskPlacer.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.message.ResourceDemand;
@@ -21,6 +23,7 @@
     private final DurationModel durations;
     private final DispatchEvents events;
     private final HeldBack heldBack;
+    private final DemandTargets demandTargets = new DemandTargets();
 
     /** Tells which jobs are held back. */
     @FunctionalInterface
@@ -67,7 +70,7 @@
         ResourceDemand demand =
                 chosen.isEmpty() ? demandOf(service, queued, shares, nowNanos) : demandOf(service, nowNanos);
         chosen.forEach((view, tasks) -> sendOrder(view, 0, tasks, demand, nowNanos));
-        sendDemand(views, demand, nowNanos);
+        sendDemand(service, views, demand, nowNanos);
         events.flush(nowNanos);
     }
 
@@ -144,12 +147,21 @@
                 nowNanos);
     }
 
-    private void sendDemand(List<WorkerView> views, ResourceDemand demand, long nowNanos) {
-        for (WorkerView view : views) {
-            if (view.acceptsStarts() && DemandRule.shouldSend(view, demand, nowNanos)) {
-                output.send(view.agent(), demand);
-                view.recordDemand(demand, nowNanos);
-            }
+    private void sendDemand(String service, List<WorkerView> views, ResourceDemand demand, long nowNanos) {
+        if (demand.queuedTasks() == 0) {
+            demandTargets.queueEmptied(service);
+            views.forEach(view -> sendDemand(view, demand, nowNanos));
+            return;
+        }
+        Set<WorkerView> told = new LinkedHashSet<>(demandTargets.choose(service, views, nowNanos));
+        views.stream().filter(view -> view.sentDemand().isPresent()).forEach(told::add);
+        told.forEach(view -> sendDemand(view, demand, nowNanos));
+    }
+
+    private void sendDemand(WorkerView view, ResourceDemand demand, long nowNanos) {
+        if (view.acceptsStarts() && DemandRule.shouldSend(view, demand, nowNanos)) {
+            output.send(view.agent(), demand);
+            view.recordDemand(demand, nowNanos);
         }
     }
 }
