Let a stopping entry stay while callers use it

While all entries are stopping, the balancer uses stopping ones as there are no others: the second of three left 2.6 s after its signal, 1.5 s before the first one was back, and the third one had all callers.

Fix: it leaves only once no request has been read for 500 ms, which shows that its callers have gone elsewhere.

Evidence: LeaveRuleTest#entryStaysWhileCallersUseIt holds for the rule, and did not for the condition before (owes nothing, told twice).

--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -48,12 +48,6 @@
     private static final int TICK_INTERVAL_MILLIS = 25; // short compared with the 60 ms that short jobs may wait
     private static final int HEARTBEAT_INTERVAL_MILLIS = 150; // a link without traffic is closed after ten intervals
 
-    /** The number of probes in a row that tell the balancer to send no more connections. */
-    private static final int NEGATIVE_PROBES = 2;
-
-    /** How long the balancer may still send connections if it does not probe, in ms. */
-    private static final int MAX_BALANCER_GRACE_MILLIS = 2_500;
-
     /** The time that is left after the drain to answer what was read and to close connections, in ms. */
     private static final int CLOSE_MILLIS = 600;
 
@@ -239,12 +233,11 @@
         log.close();
     }
 
-    /** Returns whether the balancer sends no more callers, as far as can be known, and none waits for an answer. */
     private boolean mayLeave(DispatchModule module, long startNanos) {
-        long elapsedNanos = clock.nanos() - startNanos;
-        boolean balancerTold = negativeProbes.get() >= NEGATIVE_PROBES
-                || elapsedNanos > TimeUnit.MILLISECONDS.toNanos(MAX_BALANCER_GRACE_MILLIS);
-        return balancerTold && module.dispatcher().status().owesNothing() && callers.unanswered() == 0;
+        long nowNanos = clock.nanos();
+        boolean owesNothing = module.dispatcher().status().owesNothing() && callers.unanswered() == 0;
+        return LeaveRule.mayLeave(
+                negativeProbes.get(), nowNanos - startNanos, owesNothing, nowNanos - callers.lastRequestNanos());
     }
 
     private void await(String what, Future<Void> closed, int limitMillis) throws InterruptedException {
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/JobAnswerHandler.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/JobAnswerHandler.java
@@ -29,6 +29,13 @@
      */
     int unanswered();
 
+    /**
+     * Returns when a request of a caller was read last.
+     *
+     * @return the time by the clock of the process, in ns; that of the start if none was read
+     */
+    long lastRequestNanos();
+
     /**
      * Accepts no more connections, and closes each one when it has no request.
      *
