Pass over placement while nothing is queued

Cause, a part of it: each report, result and tick of 54 agents made an entry list its workers and queued jobs, also with nothing queued; for each task and worker the runs there were counted, also without a limit per worker; slowdowns were compared 40 times a second.

Fix: placement ends at once if no task is queued and no agent has been told of one. Runs are counted only if the limit of a step is below its tasks. Slowdowns are compared each 100 ms.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
@@ -21,6 +21,9 @@
     /** The time without a report after which every run ordered from an agent must have ended. */
     static final long MAX_RUN_END_NANOS = TimeUnit.MILLISECONDS.toNanos(WorkerTimings.MAX_RUN_END_MILLIS);
 
+    /** The interval at which the slowdowns of workers are compared; agents report them less often. */
+    static final long SLOWDOWN_UPDATE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     /** The interval after which a demand is sent again even without a significant change; agents age it themselves. */
     static final long DEMAND_RESEND_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -456,7 +456,7 @@
     public void tick(long nowNanos) {
         stalls.ticked(nowNanos).ifPresent(stall -> recover(stall, nowNanos));
         releaseHeld(nowNanos);
-        workers.updateRelativeSlowdowns();
+        workers.updateRelativeSlowdowns(nowNanos);
         events.flush(nowNanos);
         for (WorkerView view : List.copyOf(workers.all())) {
             if (view.isSilent(nowNanos)) {
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobTable.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobTable.java
@@ -59,6 +59,16 @@
         return jobs.values().stream().filter(job -> !job.answered()).count();
     }
 
+    /** Returns whether any job of a service has queued tasks. */
+    boolean hasQueued(String service) {
+        for (TrackedJob job : jobs.values()) {
+            if (job.hasQueued() && job.request().queue().service().equals(service)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * Returns the jobs of a service that have queued tasks, whose callers still wait and which are not held back, in
      * scheduling order.
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Placement.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Placement.java
@@ -66,7 +66,8 @@
                 step.requires().isEmpty() || worker.hasLabel(step.requires().get());
         boolean servesQueue = worker.serves(task.job().request().queue().service());
         boolean avoided = task.avoidedAgent().equals(Optional.of(worker.agent()));
-        boolean atStepLimit = worker.countOrdered(task.job(), task.stepNumber()) >= step.maxPerWorker();
+        boolean atStepLimit = step.maxPerWorker() < step.count()
+                && worker.countOrdered(task.job(), task.stepNumber()) >= step.maxPerWorker();
         return hasRequiredLabel
                 && servesQueue
                 && !avoided
--- a/core/src/main/java/org/knapweedmount/core/dispatch/TaskPlacer.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/TaskPlacer.java
@@ -1,6 +1,7 @@
 package org.knapweedmount.core.dispatch;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -25,6 +26,9 @@
     private final HeldBack heldBack;
     private final DemandTargets demandTargets = new DemandTargets();
 
+    /** The services of which agents may have been told of queued tasks. */
+    private final Set<String> demandedServices = new HashSet<>();
+
     /** Tells which jobs are held back. */
     @FunctionalInterface
     interface HeldBack {
@@ -51,12 +55,12 @@
 
     /** Orders runs that fit into the estimated free capacity, and sends a demand for the rest. */
     void place(String service, long nowNanos) {
-        List<TrackedJob> queued = queuedJobs(service, nowNanos);
-        List<WorkerView> views = workers.forService(service);
-        if (queued.isEmpty()
-                && views.stream().allMatch(view -> view.sentDemand().isEmpty())) {
+        boolean queueExists = jobs.hasQueued(service);
+        if (!queueExists && !demandedServices.contains(service)) {
             return;
         }
+        List<TrackedJob> queued = queueExists ? queuedJobs(service, nowNanos) : List.of();
+        List<WorkerView> views = workers.forService(service);
         Map<WorkerView, List<TrackedTask>> chosen = new LinkedHashMap<>();
         FreeCapacities freeCapacities = new FreeCapacities(views, nowNanos);
         QueueShares shares = jobs.shares(service, nowNanos);
@@ -126,6 +130,9 @@
         long timestampNanos = view.report().orElseThrow().timestampNanos();
         output.send(view.agent(), new RunOrder(view.registerOrder(need), timestampNanos, offer, runs, demand));
         view.recordDemand(demand, nowNanos);
+        if (demand.queuedTasks() > 0) {
+            demandedServices.add(view.report().orElseThrow().service());
+        }
         view.leaseRenewed(nowNanos);
     }
 
@@ -151,8 +158,12 @@
         if (demand.queuedTasks() == 0) {
             demandTargets.queueEmptied(service);
             views.forEach(view -> sendDemand(view, demand, nowNanos));
+            if (views.stream().allMatch(view -> view.sentDemand().isEmpty())) {
+                demandedServices.remove(service);
+            }
             return;
         }
+        demandedServices.add(service);
         Set<WorkerView> told = new LinkedHashSet<>(demandTargets.choose(service, views, nowNanos));
         views.stream().filter(view -> view.sentDemand().isPresent()).forEach(told::add);
         told.forEach(view -> sendDemand(view, demand, nowNanos));
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerViews.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerViews.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.knapweedmount.api.Incarnation;
 
@@ -19,6 +20,7 @@
     private static final int MAX_INCARNATIONS = 8;
 
     private final Map<Incarnation, WorkerView> views = new LinkedHashMap<>();
+    private OptionalLong slowdownsUpdatedNanos = OptionalLong.empty();
 
     /** The incarnations of each agent in the order of their first links, also those without a view. */
     private final Map<String, List<Incarnation>> incarnations = new HashMap<>();
@@ -78,12 +80,18 @@
     }
 
     /**
-     * Updates the relative slowdown of each worker against the median of its service.
+     * Updates the relative slowdown of each worker against the median of its service, from time to time.
      *
      * <p>A slowdown that all workers share is learnt as the duration of tasks by {@link DurationModel}, not as the
      * slowdown of a worker.
      */
-    void updateRelativeSlowdowns() {
+    void updateRelativeSlowdowns(long nowNanos) {
+        boolean recent = slowdownsUpdatedNanos.isPresent()
+                && nowNanos - slowdownsUpdatedNanos.getAsLong() < DispatchTimings.SLOWDOWN_UPDATE_INTERVAL_NANOS;
+        if (recent) {
+            return;
+        }
+        slowdownsUpdatedNanos = OptionalLong.of(nowNanos);
         Map<String, List<WorkerView>> services = new LinkedHashMap<>();
         for (WorkerView view : views.values()) {
             if (view.acceptsStarts()) {
--- a/core/src/test/java/org/knapweedmount/core/dispatch/WorkerViewsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/WorkerViewsTest.java
@@ -38,7 +38,7 @@
         workers.add(worker("b", second));
         workers.add(worker("c", third));
 
-        views.updateRelativeSlowdowns();
+        views.updateRelativeSlowdowns(0);
 
         assertThat(workers.get(2).relativeSlowdown(), is(slowdown));
     }
