Do not take the empty list of an entry that has just started for knowledge

Callers could see a task run twice: an entry that starts holds requests until it knows all entries that may run their jobs. A peer that has just started too lists no entries, and the holding entry took that for the list of all.

Why it works: only a list with entries, or the rows of the store, begins the wait for them; the bounded wait at a start remains. Before: requestIsHeldAfterTheStartThoughAPeerThatHasJustStartedKnowsOfNoOtherEntry fails, as the job is ordered.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -233,7 +233,7 @@
         } else if (message instanceof OwnershipProbeReply reply) {
             ownership.probeAnswered(from, reply);
         } else if (message instanceof Peers linked) {
-            startupEntries.listed(linked.entries().stream()
+            startupEntries.listedByPeer(linked.entries().stream()
                     .map(entry -> entry.incarnation().process())
                     .toList());
             queuedJobCheck.entriesReported(ownership.peersReported(from, linked, nowNanos), nowNanos);
--- a/core/src/main/java/org/knapweedmount/core/dispatch/StartupEntries.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/StartupEntries.java
@@ -39,7 +39,7 @@
     }
 
     /**
-     * Adds other entries that were listed.
+     * Adds other entries that the platform's store has listed.
      *
      * @param names the names of their processes
      */
@@ -51,6 +51,17 @@
         }
     }
 
+    /**
+     * Adds other entries that an entry has listed. One that lists none may have just started itself, and knows nothing.
+     *
+     * @param names the names of their processes
+     */
+    void listedByPeer(Collection<String> names) {
+        if (!names.isEmpty()) {
+            listed(names);
+        }
+    }
+
     /**
      * Returns whether the jobs of other entries have to be awaited.
      *
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherStartTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherStartTest.java
@@ -10,6 +10,7 @@
 import org.knapweedmount.api.message.LinkedEntries;
 import org.knapweedmount.api.message.OwnershipProbe;
 import org.knapweedmount.api.message.OwnershipProbeReply;
+import org.knapweedmount.api.message.Peers;
 import org.knapweedmount.api.message.RelayedEnd;
 import org.knapweedmount.api.message.RelayedYield;
 import org.knapweedmount.api.work.RunOutcome;
@@ -353,4 +354,17 @@
         tickAndReport(1_150, 1_150);
         assertThat(fixture.ordered(), contains(FIRST));
     }
+
+    /** A peer that is linked to nobody else lists no entries, which says nothing about those that this one must know. */
+    @Test
+    void requestIsHeldAfterTheStartThoughAPeerThatHasJustStartedKnowsOfNoOtherEntry() {
+        dispatcher.startupEntries().started(0);
+        link(10);
+        fixture.receive(PEER, NOTHING, 11);
+        fixture.receive(PEER, new Peers(List.of()), 12);
+
+        fixture.submit(20);
+
+        assertThat(fixture.ordered(), is(empty()));
+    }
 }
