Answer a request that waits for other entries while its caller still waits

Callers got no answer in time if their requests waited for an entry that answers nothing while an agent is still linked to it: only the deadline ended the wait, and the answer was decided after it.

Cause: a wait for safety that ends with the deadline ends too late for the caller. What a request waits for need not come at all, as entries that start, stop or lack processor time answer late or never. Why it works: a request waits only for as long as its job can still be of use: until its expiry less the length of its critical path, whatever it waits for. Held requests end by the same rule. Before: requestThatWaitsForAnEntryThatAnswersNothingIsAnsweredWhileItsCallerWaits fails with neither an order nor an answer.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
@@ -473,7 +474,8 @@
         cancels.tick(nowNanos);
         ownership.releaseLost(nowNanos).forEach(job -> resume(job, "leases-ended", nowNanos));
         resumeConfirmed(nowNanos);
-        ownership.expired(nowNanos).forEach(id -> dropAwaiting(id, "held by another entry", nowNanos));
+        waitingRequests(waiting -> hasWaitedTooLong(waiting, nowNanos))
+                .forEach(id -> dropAwaiting(id, "waited too long", nowNanos));
         queuedJobCheck.tick(nowNanos);
         ownership.sendUpdates(nowNanos);
         for (WorkerView view : workers.all()) {
@@ -484,10 +486,18 @@
         }
     }
 
+    private boolean hasWaitedTooLong(WaitingRequest waiting, long nowNanos) {
+        return ExpiryRule.hasWaitedTooLong(waiting, durations.criticalPathMillis(waiting.request()), nowNanos);
+    }
+
     /** Returns the jobs whose requests are held or wait for other entries. */
     private List<String> waitingRequests() {
-        List<String> waiting = new ArrayList<>(ownership.awaited());
-        waiting.addAll(heldRequests.jobs());
+        return waitingRequests(waiting -> true);
+    }
+
+    private List<String> waitingRequests(Predicate<WaitingRequest> condition) {
+        List<String> waiting = new ArrayList<>(ownership.awaited(condition));
+        waiting.addAll(heldRequests.matching(condition));
         return waiting;
     }
 
--- a/core/src/main/java/org/knapweedmount/core/dispatch/HeldRequests.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/HeldRequests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.function.Predicate;
 
 /**
  * The requests that were read right after a start or a stall.
@@ -36,8 +37,8 @@
     /** Returns a request that is read now; right after a stall it may have been sent at any time since that began. */
     WaitingRequest read(JobRequest request, long nowNanos) {
         return isSettling(nowNanos)
-                ? new WaitingRequest(request, stallStartNanos, RequiredKnowledge.ofLateRequest(nowNanos))
-                : new WaitingRequest(request, nowNanos, RequiredKnowledge.ofRequest(nowNanos));
+                ? new WaitingRequest(request, nowNanos, stallStartNanos, RequiredKnowledge.ofLateRequest(nowNanos))
+                : new WaitingRequest(request, nowNanos, nowNanos, RequiredKnowledge.ofRequest(nowNanos));
     }
 
     /** Holds a request. */
@@ -53,6 +54,14 @@
         return List.copyOf(requests.keySet());
     }
 
+    /** Returns the jobs of the requests that meet a condition. */
+    List<String> matching(Predicate<WaitingRequest> condition) {
+        return requests.values().stream()
+                .filter(condition)
+                .map(waiting -> waiting.request().id())
+                .toList();
+    }
+
     boolean isEmpty() {
         return requests.isEmpty();
     }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
@@ -11,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 import org.knapweedmount.api.Incarnation;
@@ -353,10 +354,10 @@
         return List.copyOf(waitingRequests.keySet());
     }
 
-    /** Returns the requests whose callers no longer wait. */
-    List<String> expired(long nowNanos) {
+    /** Returns the jobs whose requests wait and meet a condition. */
+    List<String> awaited(Predicate<WaitingRequest> condition) {
         return waitingRequests.values().stream()
-                .filter(waiting -> nowNanos - waiting.request().deadlineNanos() > 0)
+                .filter(condition)
                 .map(waiting -> waiting.request().id())
                 .toList();
     }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/TrackedJob.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/TrackedJob.java
@@ -88,15 +88,21 @@
 
     /** Returns the target completion time, in ns. */
     long targetNanos() {
-        return arrivalNanos + targetDurationNanos(1);
+        return arrivalNanos + targetDurationNanos(request, criticalPathMillis, 1);
     }
 
     /** Returns the time after which a result is no longer useful to the caller, in ns. */
     long expiryNanos() {
-        return Math.min(arrivalNanos + targetDurationNanos(EXPIRY_TARGET_FACTOR), request.deadlineNanos());
+        return expiryNanos(request, criticalPathMillis, arrivalNanos);
     }
 
-    private long targetDurationNanos(int factor) {
+    /** Returns the time after which the result of a request that was read at a time is no longer useful, in ns. */
+    static long expiryNanos(JobRequest request, double criticalPathMillis, long readNanos) {
+        long lastNanos = readNanos + targetDurationNanos(request, criticalPathMillis, EXPIRY_TARGET_FACTOR);
+        return lastNanos - request.deadlineNanos() < 0 ? lastNanos : request.deadlineNanos();
+    }
+
+    private static long targetDurationNanos(JobRequest request, double criticalPathMillis, int factor) {
         double millis = factor
                 * (request.queue().stretch() * criticalPathMillis
                         + request.queue().targetLatencyMillis());
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherStartTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherStartTest.java
@@ -355,6 +355,29 @@
         assertThat(fixture.ordered(), contains(FIRST));
     }
 
+    /**
+     * An entry that answers nothing, while an agent is still linked to it, holds up the requests of the others: until the link
+     * times out, and then for as long as the agent reports it. Only the caller's deadline ends the wait, and the answer is
+     * decided after that.
+     */
+    @Test
+    void requestThatWaitsForAnEntryThatAnswersNothingIsAnsweredWhileItsCallerWaits() {
+        link(0);
+        fixture.receive(PEER, NOTHING, 0);
+        dispatcher.agentLinked(FAR_AGENT, 0);
+        fixture.receive(FAR_AGENT, new LinkedEntries(List.of(PEER), List.of()), 0);
+        tickAndReport(0, 1_050);
+        fixture.submit(JOB, 1_060, 1_500, 300);
+        tickAndReport(1_100, 1_500);
+        fixture.unlink(PEER, 1_501);
+        tickAndReport(1_550, 2_550);
+
+        assertThat(
+                "ordered or answered",
+                fixture.ordered().size() + fixture.answers(JOB).size(),
+                is(1));
+    }
+
     /** A peer that is linked to nobody else lists no entries, which says nothing about those that this one must know. */
     @Test
     void requestIsHeldAfterTheStartThoughAPeerThatHasJustStartedKnowsOfNoOtherEntry() {
