Take fencing tokens from the time of day at which the agent started

A task could run twice at a time (TWICE): a worker starts again under its ID with a clock that begins at a lower value, together with its agent. The new token, the birth plus the clock of the worker, is then below that of a late call of the earlier agent, which the worker executes although the new agent has opened it.

Why it works: all agents of a VM share its time of day, which rises from one process to the next, whatever the clocks of workers say.

--- a/core/src/main/java/org/knapweedmount/core/worker/FenceControl.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/FenceControl.java
@@ -5,7 +5,7 @@
     private final WorkerOutput output;
     private final WorkerFence fence;
     private final CurrentWorker worker;
-    private final WorkerLease lease;
+    private final ProcessStart start;
     private final EarlierWorkers earlierWorkers;
     private final RunEvents events;
 
@@ -13,13 +13,13 @@
             WorkerOutput output,
             WorkerFence fence,
             CurrentWorker worker,
-            WorkerLease lease,
+            ProcessStart start,
             EarlierWorkers earlierWorkers,
             RunEvents events) {
         this.output = output;
         this.fence = fence;
         this.worker = worker;
-        this.lease = lease;
+        this.start = start;
         this.earlierWorkers = earlierWorkers;
         this.events = events;
     }
@@ -28,14 +28,14 @@
     void begin(WorkerAnnouncement announcement, long nowNanos) {
         WorkerIncarnation incarnation = announcement.incarnation();
         long earlierToken = fence.token(incarnation);
-        fence.begin(incarnation.id(), incarnation.startMillis() + announcement.clockMillis(), nowNanos);
+        fence.begin(incarnation.id(), timeMillis(incarnation, nowNanos), nowNanos);
         events.fenceRaised(incarnation, "new-worker", earlierToken, fence);
     }
 
     /** Raises the token, so that no earlier order can be executed once the worker has answered a list. */
     void raise(String reason, long nowNanos) {
         long earlierToken = fence.token();
-        fence.raise(workerTimeMillis(nowNanos), nowNanos);
+        fence.raise(timeMillis(worker.incarnation(), nowNanos), nowNanos);
         events.fenceRaised(worker.incarnation(), reason, earlierToken, fence);
     }
 
@@ -60,12 +60,11 @@
         }
         earlierWorkers.othersGaveOrders();
         long refusedToken = fence.token();
-        fence.raiseAfterRefusal(workerTimeMillis(nowNanos), nowNanos);
+        fence.raiseAfterRefusal(timeMillis(worker.incarnation(), nowNanos), nowNanos);
         events.fenceRaised(worker.incarnation(), "list-refused", refusedToken, fence);
     }
 
-    /** Returns the worker's time, from which its fencing tokens are taken, in ms. */
-    private long workerTimeMillis(long nowNanos) {
-        return worker.incarnation().startMillis() + lease.workerMillis(nowNanos) + 1;
+    private long timeMillis(WorkerIncarnation incarnation, long nowNanos) {
+        return Math.max(incarnation.startMillis(), start.millisAt(nowNanos));
     }
 }
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -47,16 +47,16 @@
      * Creates an agent without a worker.
      *
      * @param output the receiver of decisions
-     * @param startNanos when the agent's process started, by which its predecessors had ended, in ns
+     * @param start when the agent's process started
      */
-    public WorkerAgent(WorkerOutput output, long startNanos) {
+    public WorkerAgent(WorkerOutput output, ProcessStart start) {
         this.output = output;
         this.entries = new EntryTable(output);
         this.events = new RunEvents(output);
         this.health = new WorkerHealth(output, worker);
         this.control = new RunControl(output, runs, entries, worker, lease, fence, events);
-        this.earlierWorkers = new EarlierWorkers(output, runs, control, fence, startNanos);
-        this.fenceControl = new FenceControl(output, fence, worker, lease, earlierWorkers, events);
+        this.earlierWorkers = new EarlierWorkers(output, runs, control, fence, start.nanos());
+        this.fenceControl = new FenceControl(output, fence, worker, start, earlierWorkers, events);
     }
 
     /**
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerFence.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerFence.java
@@ -8,11 +8,11 @@
  * The fencing tokens of the agent's orders. Once the worker has answered a list with the current token, no order with a
  * lower one can be executed any more.
  *
- * <p>A token belongs to one worker, which is named by its ID: it is the worker's own time, its birth and its clock, and so
- * rises from one agent of the worker to the next without being stored. Where the worker has seen a higher one, for example
- * from a late order to its earlier incarnation, each refusal multiplies the lead of the token over the worker's time, so
- * that any token is reached within some calls. The lead that one agent has found is enough for the next one, as the
- * worker's time has risen meanwhile.
+ * <p>A token is the time of day at which the agent's process started, carried on by its monotonic clock, and at least the
+ * birth of the worker. So it rises from one agent to the next, and from one incarnation of a worker to the next, without
+ * being stored. Where the worker has seen a higher one all the same, because the time of day was set back, each refusal
+ * multiplies the lead of the token over the time, so that any token is reached within some calls. The lead that one agent
+ * has found is enough for the next one, as time has passed meanwhile; it belongs to one worker, named by its ID.
  */
 final class WorkerFence {
     /** The greatest token: the greatest whole number that every JSON decoder reads exactly. */
@@ -38,9 +38,9 @@
      * orders may still be executed late.
      *
      * @param id the worker's ID
-     * @param workerMillis the worker's time, its birth plus its clock, in ms
+     * @param timeMillis the time from which tokens are taken, at least the birth of the incarnation, in ms
      */
-    void begin(String id, long workerMillis, long nowNanos) {
+    void begin(String id, long timeMillis, long nowNanos) {
         if (!id.equals(workerId)) {
             earlierTokens.put(workerId, token);
             if (earlierTokens.size() > MAX_EARLIER_WORKERS) {
@@ -51,20 +51,20 @@
             leadMillis = 0;
             raises = 0;
         }
-        raise(workerMillis, nowNanos);
+        raise(timeMillis, nowNanos);
     }
 
     /** Raises the token; until it is in place, orders with lower ones may be executed. */
-    void raise(long workerMillis, long nowNanos) {
-        token = Math.min(MAX_TOKEN, Math.max(token + 1, workerMillis + leadMillis));
+    void raise(long timeMillis, long nowNanos) {
+        token = Math.min(MAX_TOKEN, Math.max(token + 1, timeMillis + leadMillis));
         raises = inPlace ? 1 : raises + 1;
         suspect(nowNanos);
     }
 
     /** Raises the token after the worker has refused a list that carried it. */
-    void raiseAfterRefusal(long workerMillis, long nowNanos) {
+    void raiseAfterRefusal(long timeMillis, long nowNanos) {
         leadMillis = leadMillis == 0 ? FIRST_LEAD_MILLIS : Math.min(MAX_TOKEN, LEAD_FACTOR * leadMillis);
-        raise(workerMillis, nowNanos);
+        raise(timeMillis, nowNanos);
     }
 
     /** Records that the worker may have seen a higher token; a list that is sent from now on shows it. */
--- a/core/src/test/java/org/knapweedmount/core/work/WorkFleetTest.java
+++ b/core/src/test/java/org/knapweedmount/core/work/WorkFleetTest.java
@@ -122,6 +122,34 @@
         });
     }
 
+    /**
+     * Clocks of workers begin at any value, so that the token of a new agent may be below those of the agent before it if the
+     * worker has started again under its ID meanwhile; a late call of that one is executed although the new agent has opened
+     * the worker.
+     */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void lateOrdersToWorkersThatStartAgainTogetherWithTheirAgentsViolateNoInvariant(long seed) {
+        WorkFleet fleet = WorkFleet.of(seed, 3, 8, 16_000);
+        load(fleet, 80);
+        fleet.workers().forEach(worker -> worker.delayOrders(0.2));
+        restartsOfWorkersAndAgents(fleet);
+
+        fleet.time().run(20_000);
+
+        assertThat(fleet.invariants().violations(), is(empty()));
+    }
+
+    private static void restartsOfWorkersAndAgents(WorkFleet fleet) {
+        fleet.time().after(fleet.random().nextInt(500, 1_500), () -> {
+            List<Incarnation> agents = fleet.agents();
+            FakeWorker worker = fleet.killAgent(agents.get(fleet.random().nextInt(agents.size())));
+            worker.crash(fleet.random().nextInt(50, 200));
+            fleet.time().after(fleet.random().nextInt(250, 500), () -> fleet.startAgent(worker));
+            restartsOfWorkersAndAgents(fleet);
+        });
+    }
+
     /** A start may be written long after the time that its lease was computed from. */
     @ParameterizedTest
     @MethodSource("seeds")
--- a/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
@@ -17,6 +17,7 @@
 import org.knapweedmount.api.work.RunRef;
 import org.knapweedmount.api.work.RunRequest;
 import org.knapweedmount.core.metric.Counters;
+import org.knapweedmount.core.worker.ProcessStart;
 import org.knapweedmount.core.worker.RunCounter;
 import org.knapweedmount.core.worker.WorkerAgent;
 import org.knapweedmount.core.worker.WorkerAnnouncement;
@@ -49,7 +50,7 @@
     private final NodeSettings settings;
     private final Vertx vertx;
     private final NanoClock clock;
-    private final long startNanos;
+    private final ProcessStart start;
     private final EventLoopDecisionQueue<WorkerAgent> decisions;
     private final RetryingQueue<WorkerAgent> retryingQueue;
     private final LinkTable<WorkerAgent> links;
@@ -68,7 +69,7 @@
      * @param clock the monotonic clock
      * @param client the client of the worker
      * @param tables the table service, which holds the rows of the entries
-     * @param startNanos when the process started, by the clock in ns
+     * @param start when the process started, by the clock and by the time of day
      */
     public WorkerAgentProcess(
             NodeSettings settings,
@@ -76,9 +77,9 @@
             NanoClock clock,
             WorkerClient client,
             TableService tables,
-            long startNanos) {
+            ProcessStart start) {
         this.settings = settings;
-        this.startNanos = startNanos;
+        this.start = start;
         this.vertx = vertx;
         this.clock = clock;
         this.client = client;
@@ -103,7 +104,7 @@
 
     /** Starts the decision queue and the discovery of entries. */
     public void start() {
-        decisions.start(new WorkerAgent(new Output(), startNanos));
+        decisions.start(new WorkerAgent(new Output(), start));
         Ticker.start(vertx, TICK_INTERVAL_MILLIS, decisions, WorkerAgent::tick);
         ProcessLoadLog loadLog = new ProcessLoadLog(log, links);
         Ticker.start(vertx, ProcessLoadLog.INTERVAL_MILLIS, decisions, (module, nowNanos) -> loadLog.write(nowNanos));
