Let any worker follow one that has left

Callers saw a VM without service after its worker had left and the time of day was set back: the announcements of the next worker were taken for those of an earlier incarnation, for as long as the agent lived.

Cause: births of two workers are compared although the one that is known has said that it leaves and has no runs left. Why it works: what the departed worker has stated, and the list of its runs, decide; no clock does. Before: DepartedWorkerTest fails, as the agent never accepts starts.

--- a/core/src/main/java/org/knapweedmount/core/worker/CurrentWorker.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/CurrentWorker.java
@@ -35,9 +35,12 @@
 
     /**
      * Returns whether an announcement is older than the latest one, or comes from an earlier incarnation as far as is
-     * known. The times at which two workers started say nothing once another one answers in place of the current one.
+     * known. The times at which two workers started say nothing once the current one has gone: another one answers in its
+     * place, or it has said that it leaves.
+     *
+     * @param hasRuns whether the current worker has runs
      */
-    boolean isOutdated(WorkerAnnouncement received) {
+    boolean isOutdated(WorkerAnnouncement received, boolean hasRuns) {
         if (isCurrent(received.incarnation())) {
             return received.sequence() <= announcement().sequence();
         }
@@ -45,6 +48,7 @@
         return known()
                 && !listed
                 && !displaced()
+                && !(leaving && !hasRuns)
                 && received.incarnation().startMillis() <= incarnation().startMillis();
     }
 
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -66,7 +66,7 @@
      * @param nowNanos the current time, in ns
      */
     public void announced(WorkerAnnouncement announcement, long nowNanos) {
-        if (worker.isOutdated(announcement)) {
+        if (worker.isOutdated(announcement, control.hasRunsAtCurrentWorker())) {
             checkCurrentWorker(announcement, nowNanos);
             return;
         }
