Do not set a new worker aside for the failures of an earlier one

Callers saw a VM without service for seconds after its worker was replaced: the new worker was kept in quarantine for the failures of the one before it.

Cause: the record of failures belongs to one worker and was carried over to the next. Before: newWorkerIsNotSetAsideForTheFailuresOfAnEarlierOne fails, as no run is started.

--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -86,9 +86,9 @@
         reconcile(nowNanos);
     }
 
-    /** Asks the current worker for a list if another one announces itself that started earlier by its VM's clock. */
+    /** Asks the current worker for a list if another life announces itself that started earlier by its VM's clock. */
     private void checkCurrentWorker(WorkerAnnouncement announcement, long nowNanos) {
-        if (!announcement.incarnation().id().equals(incarnation().id())) {
+        if (!worker.isCurrent(announcement.incarnation())) {
             currentWorkerDoubted = true;
             reconcile(nowNanos);
         }
@@ -101,6 +101,7 @@
             earlierWorkers.sameWorker();
         } else {
             earlierWorkers.otherWorker(lease.lapseNanos(), nowNanos);
+            health.reset();
         }
     }
 
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerHealth.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerHealth.java
@@ -31,6 +31,13 @@
         this.worker = worker;
     }
 
+    /** Begins with another worker, of which nothing is known. */
+    void reset() {
+        consecutiveFailures = 0;
+        quarantined = false;
+        quarantineMillis = MIN_QUARANTINE_MILLIS;
+    }
+
     /** Records the end of a run. */
     void recordEnd(RunOutcome outcome, long nowNanos) {
         if (outcome == RunOutcome.DONE) {
@@ -44,9 +51,7 @@
         if (quarantined) {
             output.logEvent("worker-back", "worker=" + worker.incarnation());
         }
-        consecutiveFailures = 0;
-        quarantined = false;
-        quarantineMillis = MIN_QUARANTINE_MILLIS;
+        reset();
     }
 
     private void recordFailure(long nowNanos) {
--- a/core/src/test/java/org/knapweedmount/core/worker/WorkerReplacementTest.java
+++ b/core/src/test/java/org/knapweedmount/core/worker/WorkerReplacementTest.java
@@ -214,6 +214,24 @@
         assertThat(output.expiryMillis.get(1), is(5_753L));
     }
 
+    /** A worker was kept closed for seconds because the one before it had failed. */
+    @Test
+    void newWorkerIsNotSetAsideForTheFailuresOfAnEarlierOne() {
+        startRun();
+        List<RunList.Ended> failures = new ArrayList<>();
+        for (int number = 1; number <= 3; number++) {
+            failures.add(new RunList.Ended(number, RUN, RunOutcome.FAILED, ""));
+            list(OLD, 6_110 + number, 110 + number, List.copyOf(failures));
+            order(RUN, 120 + number);
+        }
+        announce(NEW, 0, 200);
+        list(NEW, 2, 202);
+
+        order(OTHER_RUN, 204);
+
+        assertThat(output.started, hasItem(OTHER_RUN));
+    }
+
     /** Entries release the runs of a replaced agent when its successor accepts starts. */
     @Test
     void newAgentAcceptsNoStartsWhileAWorkerBeforeItsFirstMayStillWork() {
