--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.PeerAddress;
@@ -222,17 +223,26 @@
         // A request that follows the last one of these questions is answered while the connections are closed.
         IdleWait.await(decisions, module -> mayLeave(module, startNanos), clock, drainLimitMillis);
         long offeredNanos = clock.nanos();
-        retryingQueue.add((module, nowNanos) -> finishDrain(module, offeredNanos, nowNanos));
+        Promise<Void> drained = Promise.promise();
+        retryingQueue.add((module, nowNanos) -> {
+            finishDrain(module, offeredNanos, nowNanos);
+            drained.complete();
+        });
         if (announcement != null) {
             announcement.stop();
         }
-        int elapsedMillis = (int) TimeUnit.NANOSECONDS.toMillis(clock.nanos() - startNanos);
-        int closeLimitMillis = Math.max(0, settings.drainMillis() - elapsedMillis - LINK_CLOSE_LIMIT_MILLIS);
-        await("the connections of callers", callers.shutdown(closeLimitMillis), closeLimitMillis);
+        int closeLimitMillis = settings.drainMillis() - LINK_CLOSE_LIMIT_MILLIS;
+        await("the drain", drained.future(), millisLeft(closeLimitMillis, startNanos));
+        int callersLimitMillis = millisLeft(closeLimitMillis, startNanos);
+        await("the connections of callers", callers.shutdown(callersLimitMillis), callersLimitMillis);
         await("the links", links.close(), LINK_CLOSE_LIMIT_MILLIS);
         log.close();
     }
 
+    private int millisLeft(int limitMillis, long startNanos) {
+        return (int) Math.max(0, limitMillis - TimeUnit.NANOSECONDS.toMillis(clock.nanos() - startNanos));
+    }
+
     private boolean mayLeave(DispatchModule module, long startNanos) {
         long nowNanos = clock.nanos();
         boolean owesNothing = module.dispatcher().status().owesNothing() && callers.unanswered() == 0;
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/GracefulShutdown.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/GracefulShutdown.java
@@ -19,7 +19,7 @@
  * <p>Confined to the event loop of the server.
  */
 public final class GracefulShutdown {
-    /** The maximum duration of a turn, in ms; what is sent during one may be lost, and its caller has hardly waited. */
+    /** The maximum duration of a turn, in ms; a request that is sent during one may be lost, after that time at most. */
     private static final int MAX_TURN_MILLIS = 50;
 
     /** The delay of a timer that is due in the next turn, after the sockets are read. */
