Tell only the entry that probes which jobs have changed

Why it works: the changes that each entry has not been told are kept by entry. An entry that probes, or is probed, is told its changes before the answer or the probe, as before; the others are told theirs at the next interval. What a probe shows stays the same. The set of links without a full list was always empty after a link began, and is removed.

Before: probeOfOneEntryLeadsToNoMessagesToOthers fails with an update to the other entry.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -296,7 +296,7 @@
                 "job=" + id + " entry=" + from + " held=" + jobs.find(id).isPresent());
         surrender(id, nowNanos);
         if (jobs.find(id).isEmpty()) {
-            ownership.denyHolding(from, id, nowNanos);
+            ownership.denyHolding(from, id);
         }
     }
 
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
@@ -44,7 +44,6 @@
     private final OwnClaims claims = new OwnClaims();
     private final Map<String, Set<Incarnation>> holders = new HashMap<>();
     private final Set<Incarnation> peers = new HashSet<>();
-    private final Set<Incarnation> peersWithoutFullList = new LinkedHashSet<>();
     private final Set<Incarnation> awaitedFullLists = new HashSet<>();
     private final LostEntries lostEntries = new LostEntries();
     private final Map<String, WaitingRequest> waitingRequests = new LinkedHashMap<>();
@@ -68,10 +67,9 @@
 
     void linked(Incarnation peer, long nowNanos) {
         peers.add(peer);
-        peersWithoutFullList.add(peer);
         awaitedFullLists.add(peer);
         lostEntries.linked(peer);
-        sendFullList(peer, nowNanos);
+        output.send(peer, claims.fullList(peer, nowNanos));
         knowledge.probeUnlessSentSince(peer, nowNanos, nowNanos);
     }
 
@@ -81,7 +79,7 @@
         if (!peers.remove(peer)) {
             return;
         }
-        peersWithoutFullList.remove(peer);
+        claims.unlinked(peer);
         awaitedFullLists.remove(peer);
         knowledge.unlinked(peer);
         lostEntries.lost(peer, nowNanos);
@@ -282,14 +280,11 @@
 
     /** Asks the entries that may hold a job: the linked ones for their present jobs, the others by way of agents. */
     void ask(String job, RequiredKnowledge required, long nowNanos) {
-        Set<Incarnation> linked = unconfirmedHolders(job);
-        if (linked.stream().anyMatch(peers::contains)) {
+        unconfirmedHolders(job).stream().filter(peers::contains).forEach(peer -> {
             // An entry that has answered the probe knows from then on that the job is held here.
-            sendChanges(claims.update(nowNanos));
-            linked.stream()
-                    .filter(peers::contains)
-                    .forEach(peer -> knowledge.probeUnlessSentSince(peer, required.ofLinkedNanos(), nowNanos));
-        }
+            sendChanges(peer, nowNanos);
+            knowledge.probeUnlessSentSince(peer, required.ofLinkedNanos(), nowNanos);
+        });
         relayedYields.begin(job, unlinkedHolders(job), nowNanos);
     }
 
@@ -302,8 +297,7 @@
 
     /** Answers a probe of another entry, after all jobs that are held here now. */
     void probeReceived(Incarnation peer, OwnershipProbe probe, long nowNanos) {
-        sendFullList(peer, nowNanos);
-        sendChanges(claims.update(nowNanos));
+        sendChanges(peer, nowNanos);
         output.send(peer, new OwnershipProbeReply(probe.number()));
     }
 
@@ -325,7 +319,7 @@
     /** Records that a request is held here, and asks for what has to be known before it can be admitted. */
     void requestHeld(WaitingRequest request, long nowNanos) {
         held(request.request().id(), request.submittedNanos());
-        sendChanges(claims.update(nowNanos));
+        peers.forEach(peer -> sendChanges(peer, nowNanos));
         probe(request.required().ofLinkedNanos(), nowNanos);
     }
 
@@ -388,28 +382,20 @@
     }
 
     /** Tells an entry that a job is not held here. */
-    void denyHolding(Incarnation peer, String job, long nowNanos) {
-        sendFullList(peer, nowNanos);
+    void denyHolding(Incarnation peer, String job) {
         output.send(peer, new JobOwnershipUpdate(List.of(), List.of(job)));
     }
 
-    /** Sends the full list on new links and the changes on all others, and repeats requests to unlinked entries. */
+    /** Sends each linked entry the changes that it has not been told, and repeats requests to unlinked entries. */
     void sendUpdates(long nowNanos) {
         Set<String> unanswered = new LinkedHashSet<>(waitingRequests.keySet());
         unanswered.addAll(unconfirmedJobs.all());
         unanswered.forEach(job -> relayedYields.repeat(job, unlinkedHolders(job), nowNanos));
-        List.copyOf(peersWithoutFullList).forEach(peer -> sendFullList(peer, nowNanos));
-        sendChanges(claims.pendingUpdate(nowNanos));
+        peers.forEach(peer -> claims.pendingUpdate(peer, nowNanos).ifPresent(update -> output.send(peer, update)));
         probe(nowNanos - DispatchTimings.PROBE_INTERVAL_NANOS, nowNanos);
     }
 
-    private void sendChanges(Optional<JobOwnershipUpdate> changes) {
-        changes.ifPresent(update -> peers.forEach(peer -> output.send(peer, update)));
-    }
-
-    private void sendFullList(Incarnation peer, long nowNanos) {
-        if (peersWithoutFullList.remove(peer)) {
-            output.send(peer, claims.fullList(nowNanos));
-        }
+    private void sendChanges(Incarnation peer, long nowNanos) {
+        claims.update(peer, nowNanos).ifPresent(update -> output.send(peer, update));
     }
 }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/OwnClaims.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/OwnClaims.java
@@ -1,6 +1,8 @@
 package org.knapweedmount.core.dispatch;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -10,24 +12,39 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
 
-/** The jobs that this entry holds and the changes that other entries have not been told. */
+/**
+ * The jobs that this entry holds, and which changes each other entry has not been told.
+ *
+ * <p>Load pattern: each entry probes each other one some times a second and is first told the changes that it does not know.
+ * Only the entry that asks is told, so the messages grow with the number of entries and not with its square.
+ */
 final class OwnClaims {
     /** The submission of a job; empty once the job is answered and only its runs are left. */
     private final Map<String, OptionalLong> submittedNanos = new LinkedHashMap<>();
 
-    private Set<String> added = new LinkedHashSet<>();
-    private Set<String> ended = new LinkedHashSet<>();
-    private long lastUpdateNanos;
+    /** The jobs that were added or removed and the number of the latest change of each, in ascending order. */
+    private final Map<String, Long> changes = new LinkedHashMap<>();
+
+    private final Map<Incarnation, Told> told = new HashMap<>();
+    private long lastChange;
+
+    /**
+     * What an entry has been told.
+     *
+     * @param lastChange the number of the latest change that it was told
+     * @param nanos when it was last told anything, in ns
+     */
+    private record Told(long lastChange, long nanos) {}
 
     /** Records the submission of a job, also one that has to wait. */
     void add(String job, long nanos) {
         OptionalLong submission = OptionalLong.of(nanos);
         if (!submission.equals(submittedNanos.put(job, submission))) {
-            ended.remove(job);
-            added.add(job);
+            recordChange(job);
         }
     }
 
@@ -38,11 +55,17 @@
 
     void remove(String job) {
         if (submittedNanos.remove(job) != null) {
-            added.remove(job);
-            ended.add(job);
+            recordChange(job);
         }
     }
 
+    private void recordChange(String job) {
+        lastChange++;
+        changes.remove(job);
+        changes.put(job, lastChange);
+        dropChangesToldToAll();
+    }
+
     /** Returns the age of a job's submission, in ms; empty if the job is not held. */
     OptionalLong ageMillis(String job, long nowNanos) {
         OptionalLong submission = submittedNanos.get(job);
@@ -55,31 +78,55 @@
                         : TimeUnit.NANOSECONDS.toMillis(Math.max(0, nowNanos - submission.getAsLong())));
     }
 
-    /** Returns all jobs that are held. */
-    JobOwnershipUpdate fullList(long nowNanos) {
+    /** Returns all jobs that are held, which an entry is told on a new link. */
+    JobOwnershipUpdate fullList(Incarnation peer, long nowNanos) {
+        recordTold(peer, nowNanos);
         return new JobOwnershipUpdate(claims(submittedNanos.keySet(), nowNanos), List.of());
     }
 
-    /** Returns the changes since the last update; empty if there are none or the minimum interval has not passed. */
-    Optional<JobOwnershipUpdate> pendingUpdate(long nowNanos) {
-        return nowNanos - lastUpdateNanos < DispatchTimings.MIN_UPDATE_INTERVAL_NANOS
+    /** Forgets what an entry was told, as its link is lost. */
+    void unlinked(Incarnation peer) {
+        told.remove(peer);
+        dropChangesToldToAll();
+    }
+
+    /** Returns the changes that a linked entry has not been told; empty if there are none or it was told others just now. */
+    Optional<JobOwnershipUpdate> pendingUpdate(Incarnation peer, long nowNanos) {
+        Told last = told.get(peer);
+        return last == null || nowNanos - last.nanos() < DispatchTimings.MIN_UPDATE_INTERVAL_NANOS
                 ? Optional.empty()
-                : update(nowNanos);
+                : update(peer, nowNanos);
     }
 
-    /** Returns the changes since the last update; empty if there are none. */
-    Optional<JobOwnershipUpdate> update(long nowNanos) {
-        if (added.isEmpty() && ended.isEmpty()) {
+    /** Returns the changes that a linked entry has not been told; empty if there are none. */
+    Optional<JobOwnershipUpdate> update(Incarnation peer, long nowNanos) {
+        Told last = told.get(peer);
+        if (last == null || last.lastChange() == lastChange) {
             return Optional.empty();
         }
-        lastUpdateNanos = nowNanos;
-        JobOwnershipUpdate update = new JobOwnershipUpdate(claims(added, nowNanos), List.copyOf(ended));
-        added = new LinkedHashSet<>();
-        ended = new LinkedHashSet<>();
-        return Optional.of(update);
+        Set<String> added = new LinkedHashSet<>();
+        List<String> ended = new ArrayList<>();
+        changes.forEach((job, number) -> {
+            if (number > last.lastChange()) {
+                (submittedNanos.containsKey(job) ? added : ended).add(job);
+            }
+        });
+        recordTold(peer, nowNanos);
+        return Optional.of(new JobOwnershipUpdate(claims(added, nowNanos), ended));
+    }
+
+    private void recordTold(Incarnation peer, long nowNanos) {
+        told.put(peer, new Told(lastChange, nowNanos));
+        dropChangesToldToAll();
+    }
+
+    private void dropChangesToldToAll() {
+        long toldToAll =
+                told.values().stream().mapToLong(Told::lastChange).min().orElse(lastChange);
+        changes.values().removeIf(number -> number <= toldToAll);
     }
 
-    private List<JobClaim> claims(Set<String> ids, long nowNanos) {
+    private List<JobClaim> claims(Collection<String> ids, long nowNanos) {
         List<JobClaim> claims = new ArrayList<>();
         for (String job : ids) {
             ageMillis(job, nowNanos).ifPresent(age -> claims.add(new JobClaim(job, age)));
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherStartTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherStartTest.java
@@ -24,6 +24,7 @@
 import static org.knapweedmount.core.dispatch.DispatcherFixture.CAPACITY_MILLI_CORES;
 import static org.knapweedmount.core.dispatch.DispatcherFixture.FIRST;
 import static org.knapweedmount.core.dispatch.DispatcherFixture.JOB;
+import static org.knapweedmount.core.dispatch.DispatcherFixture.OTHER_PEER;
 import static org.knapweedmount.core.dispatch.DispatcherFixture.PEER;
 
 /** What an entry has to know of other entries before it admits a job. */
@@ -194,6 +195,25 @@
         assertThat(toPeer, hasItem(is(new JobOwnershipUpdate(List.of(new JobClaim(JOB, 1)), List.of()))));
     }
 
+    /** Each probe of each entry led to messages to all others. */
+    @Test
+    void probeOfOneEntryLeadsToNoMessagesToOthers() {
+        link(0);
+        dispatcher.entryLinked(OTHER_PEER, 0);
+        fixture.receive(PEER, NOTHING, 0);
+        fixture.receive(OTHER_PEER, NOTHING, 0);
+        fixture.submit(0);
+        fixture.sent().clear();
+
+        fixture.receive(PEER, new OwnershipProbe(7), 1);
+
+        assertThat(
+                fixture.sent().stream()
+                        .filter(sent -> sent.receiver().equals(OTHER_PEER))
+                        .toList(),
+                is(empty()));
+    }
+
     @Test
     void answerToAProbeOfAnEarlierLinkConfirmsNothing() {
         link(0);
