Answer what is in the sockets before an entry's server is closed

Callers of the product's own interface got no answer if their request arrived while the event loop was behind at the end of a planned stop: the server closed connections that it took for idle.

Why it works: CallerApi uses GracefulShutdown on each event loop, which closes connections right after a short turn and ends once nothing is pending. Before: requestsThatArrivedWhileTheEventLoopsWereBlockedAreAnsweredBeforeTheServerIsClosed fails with a closed connection.

--- a/daemon/src/main/java/org/knapweedmount/daemon/http/CallerApi.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/CallerApi.java
@@ -5,13 +5,13 @@
 import java.util.OptionalLong;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.LongFunction;
 import java.util.function.UnaryOperator;
 
 import io.vertx.core.DeploymentOptions;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.VerticleBase;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -29,6 +29,7 @@
 import org.knapweedmount.core.metric.Counters;
 import org.knapweedmount.daemon.runtime.Decision;
 import org.knapweedmount.daemon.runtime.DecisionQueue;
+import org.knapweedmount.daemon.runtime.NanoClock;
 
 /** The HTTP server for callers: parses requests, passes them to the decision thread and sends the answers. */
 public final class CallerApi {
@@ -37,7 +38,7 @@
     private static final int SHARED_FREE_PORT = -1;
 
     private static final String METRICS_MEDIA_TYPE = "text/plain; version=0.0.4; charset=utf-8";
-    private static final long SHUTDOWN_SECONDS = 2;
+    private static final int SHUTDOWN_MILLIS = 2_000;
     private static final int RETRY_AFTER_MILLIS = 1_000;
 
     private final Vertx vertx;
@@ -50,7 +51,7 @@
     private final JobReader jobReader;
     private final BodyReader bodyReader;
     private final ConnectionLimit connections;
-    private final Queue<HttpServer> servers = new ConcurrentLinkedQueue<>();
+    private final Queue<Listener> listeners = new ConcurrentLinkedQueue<>();
 
     /**
      * Creates the server without starting it.
@@ -96,7 +97,7 @@
         DeploymentOptions options = new DeploymentOptions().setInstances(instances);
         return vertx.deployVerticle(() -> new Listener(host, sharedPort), options)
                 .map(ignored -> {
-                    return servers.peek().actualPort();
+                    return listeners.peek().server.actualPort();
                 });
     }
 
@@ -104,6 +105,7 @@
     private final class Listener extends VerticleBase {
         private final String host;
         private final int port;
+        private HttpServer server;
 
         Listener(String host, int port) {
             this.host = host;
@@ -112,24 +114,29 @@
 
         @Override
         public Future<?> start() {
-            HttpServer server = vertx.createHttpServer(ServerOptions.of(limits));
+            server = vertx.createHttpServer(ServerOptions.of(limits));
             server.connectionHandler(connections);
             server.requestHandler(CallerApi.this::handle);
-            servers.add(server);
+            listeners.add(this);
             return server.listen(port, host);
         }
+
+        Future<Void> shutdown() {
+            Promise<Void> ended = Promise.promise();
+            context.runOnContext(ignored -> new GracefulShutdown(vertx, NanoClock.SYSTEM, server, pending::size)
+                    .begin(SHUTDOWN_MILLIS)
+                    .onComplete(ended));
+            return ended.future();
+        }
     }
 
     /**
-     * Stops listening, waits up to 2 s for responses in progress and closes the connections.
+     * Stops listening, and closes each connection once its requests are answered, which may take up to 2 s.
      *
-     * @return a future that completes when all connections are closed
+     * @return completes when each request that was read is answered; fails if some are not in time
      */
     public Future<Void> close() {
-        return Future.join(servers.stream()
-                        .map(server -> server.shutdown(SHUTDOWN_SECONDS, TimeUnit.SECONDS))
-                        .toList())
-                .mapEmpty();
+        return Future.join(listeners.stream().map(Listener::shutdown).toList()).mapEmpty();
     }
 
     private void handle(HttpServerRequest request) {
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/GracefulShutdown.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/GracefulShutdown.java
@@ -1,6 +1,7 @@
 package org.knapweedmount.daemon.http;
 
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.IntSupplier;
 
 import io.vertx.core.Future;
@@ -50,9 +51,13 @@
      * Accepts no more connections, and closes each one when it has no request.
      *
      * @param limitMillis the time after which connections are closed anyway, in ms
-     * @return completes when each request that was read is answered
+     * @return completes when each request that was read is answered; fails with a {@link TimeoutException} after the limit
      */
     public Future<Void> begin(int limitMillis) {
+        vertx.setTimer(
+                Math.max(1, limitMillis),
+                timer -> ended.tryFail(new TimeoutException(
+                        unanswered.getAsInt() + " requests were not answered within " + limitMillis + " ms")));
         afterShortTurn(() -> {
             server.shutdown(limitMillis, TimeUnit.MILLISECONDS);
             endWhenAnswered();
@@ -63,8 +68,8 @@
     private void endWhenAnswered() {
         afterShortTurn(() -> {
             if (unanswered.getAsInt() == 0) {
-                ended.complete();
-            } else {
+                ended.tryComplete();
+            } else if (!ended.future().isComplete()) {
                 endWhenAnswered();
             }
         });
--- a/daemon/src/test/java/org/knapweedmount/daemon/http/CallerApiTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/http/CallerApiTest.java
@@ -1,11 +1,17 @@
 package org.knapweedmount.daemon.http;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -43,6 +49,14 @@
     private static final SubmissionId ID = new SubmissionId(new Incarnation("entry-1", 255), 17, 3);
     private static final int MAX_PENDING = 2;
     private static final int EVENT_LOOPS = 2;
+    private static final int KEPT_CONNECTIONS = 8;
+    private static final int BLOCKED_MILLIS = 200;
+    private static final int STATUS_LENGTH = "HTTP/1.1 200".length();
+    private static final byte[] HEALTH_REQUEST =
+            "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] SUBMIT_REQUEST =
+            "POST /v1/services/stock/a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+                    .getBytes(StandardCharsets.US_ASCII);
 
     private record Submitted(long number, SubmissionRequest request) {}
 
@@ -55,7 +69,9 @@
     private final Set<Thread> threads = ConcurrentHashMap.newKeySet();
     private final List<String> calls = new ArrayList<>();
     private volatile boolean queueFull;
+    private volatile Optional<CountDownLatch> blockedUntil = Optional.empty();
     private volatile String notReady = "";
+    private CallerApi api;
     private int port;
     private HttpClientAgent client;
 
@@ -64,7 +80,7 @@
         HttpLimits limits = new HttpLimits(1_000, 16_384, 10, 10, MAX_PENDING, 2_000, 5, 60_000);
         KeyLookup keys = (team, key) ->
                 Future.succeededFuture(key.equals("used") ? KeyLookupResult.found(ID) : KeyLookupResult.UNUSED);
-        CallerApi api = new CallerApi(vertx, limits, this::offer, pending, keys, new FakeHealth(), counters);
+        api = new CallerApi(vertx, limits, this::offer, pending, keys, new FakeHealth(), counters);
         port = await(api.listen("127.0.0.1", 0, EVENT_LOOPS));
         client = vertx.createHttpClient();
     }
@@ -104,6 +120,48 @@
         assertThat(threads.size(), is(EVENT_LOOPS));
     }
 
+    /** Connections were closed while their requests waited in the sockets of a blocked event loop. */
+    @Test
+    void requestsThatArrivedWhileTheEventLoopsWereBlockedAreAnsweredBeforeTheServerIsClosed() throws Exception {
+        List<Socket> connections = new ArrayList<>();
+        for (int i = 0; i < KEPT_CONNECTIONS; i++) {
+            connections.add(new Socket(InetAddress.getLoopbackAddress(), port));
+            assertThat(exchange(connections.get(i), HEALTH_REQUEST), is("HTTP/1.1 200"));
+        }
+        CountDownLatch release = new CountDownLatch(1);
+        blockedUntil = Optional.of(release);
+        for (int i = 0; i < EVENT_LOOPS; i++) {
+            connections.get(i).getOutputStream().write(SUBMIT_REQUEST);
+        }
+        Polling.until(() -> threads.size() == EVENT_LOOPS);
+        for (Socket connection : connections.subList(EVENT_LOOPS, KEPT_CONNECTIONS)) {
+            connection.getOutputStream().write(HEALTH_REQUEST);
+        }
+        Future<Void> closed = api.close();
+        TimeUnit.MILLISECONDS.sleep(BLOCKED_MILLIS);
+        release.countDown();
+
+        for (Socket connection : connections.subList(EVENT_LOOPS, KEPT_CONNECTIONS)) {
+            assertThat(statusLine(connection), is("HTTP/1.1 200"));
+        }
+        for (int i = 0; i < EVENT_LOOPS; i++) {
+            pending.answer(submitted.take().number, complete("late"));
+        }
+        await(closed);
+    }
+
+    private static String exchange(Socket connection, byte[] request) throws IOException {
+        connection.getOutputStream().write(request);
+        return statusLine(connection);
+    }
+
+    /** Reads one answer; returns the version and the status, or less if the connection is closed before. */
+    private static String statusLine(Socket connection) throws IOException {
+        byte[] answer = new byte[4_096];
+        int length = connection.getInputStream().read(answer);
+        return new String(answer, 0, Math.max(0, Math.min(length, STATUS_LENGTH)), StandardCharsets.US_ASCII);
+    }
+
     @Test
     void absoluteUrlInTheRequestLineIsAccepted() throws Exception {
         assertThat(await(request(HttpMethod.GET, "http://127.0.0.1:1/healthz", "")).status, is(200));
@@ -204,10 +262,19 @@
             return false;
         }
         threads.add(Thread.currentThread());
+        blockedUntil.ifPresent(CallerApiTest::awaitUninterruptibly);
         decision.decide(new RecordingHandler(), 0);
         return true;
     }
 
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private Future<Response> request(HttpMethod method, String uri, String body) {
         return client.request(options(method, uri))
                 .compose(request -> request.send(Buffer.buffer(body)).compose(CallerApiTest::toResponse));
