Answer requests that a stopping entry will refuse within 100 ms

The request was read 97 ms before the end of the drain, had to wait for an entry that had just started (waited-for=UNLINKED_ENTRY), and was given up at the end, 129 ms after it was sent; the answer of that entry, which did not hold the job, came 20 ms before. Its deadline was after the end of the drain, so that it could not have been admitted any more.

Cause: such a request waited like one that may still be admitted, for as long as its job could be of use or until the drain ended. Why it works: a request that will be refused anyway waits only for what lets it be said not to have run, for 100 ms at most.

An entry that does not know whether another one runs the job must not say that it was not run, and nothing was taken and given up; the trace shows that the case is allowed.

Before: requestThatWillBeRefusedDoesNotWaitUntilTheEndOfTheDrain fails without an answer.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
@@ -18,6 +18,12 @@
     /** The interval at which an entry without a link is asked again for a job; several round trips by way of an agent. */
     static final long YIELD_REPEAT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
+    /**
+     * How long a request that is refused anyway waits for the answers of other entries, so that it can be said not to have
+     * run; several round trips by way of an agent.
+     */
+    static final long MAX_REFUSAL_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     /** The time without a report after which every run ordered from an agent must have ended. */
     static final long MAX_RUN_END_NANOS = TimeUnit.MILLISECONDS.toNanos(WorkerTimings.MAX_RUN_END_MILLIS);
 
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -487,7 +487,8 @@
     }
 
     private boolean hasWaitedTooLong(WaitingRequest waiting, long nowNanos) {
-        return ExpiryRule.hasWaitedTooLong(waiting, durations.criticalPathMillis(waiting.request()), nowNanos);
+        return drain.hasWaitedTooLong(waiting, nowNanos)
+                || ExpiryRule.hasWaitedTooLong(waiting, durations.criticalPathMillis(waiting.request()), nowNanos);
     }
 
     /** Returns the jobs whose requests are held or wait for other entries. */
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Drain.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Drain.java
@@ -37,6 +37,12 @@
         return outlasts ? Optional.of(notRun()) : Optional.empty();
     }
 
+    /** Returns whether a request that will be refused has waited long enough for what lets it be said not to have run. */
+    boolean hasWaitedTooLong(WaitingRequest waiting, long nowNanos) {
+        return refusal(waiting.request()).isPresent()
+                && nowNanos - waiting.readNanos() > DispatchTimings.MAX_REFUSAL_WAIT_NANOS;
+    }
+
     /** Returns the answer to a request of which no run was ordered anywhere. */
     static JobResult notRun() {
         return JobResult.notRun("leaving", RETRY_AFTER_MILLIS);
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherDrainTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherDrainTest.java
@@ -144,6 +144,33 @@
         assertThat(fixture.ordered(), hasSize(0));
     }
 
+    /** A request that could not be admitted any more waited until the end of the stop, and was given up then. */
+    @Test
+    void requestThatWillBeRefusedDoesNotWaitUntilTheEndOfTheDrain() {
+        dispatcher.entryLinked(PEER, 0);
+        dispatcher.beginDrain(DispatchFixture.millisToNanos(1_000));
+        fixture.submit(JOB, 10, 1_500, 300);
+
+        for (long millis = 25; millis <= 150; millis += 15) {
+            fixture.tick(millis);
+        }
+
+        assertThat(fixture.answers(JOB), contains(JobResult.Kind.GIVEN_UP));
+    }
+
+    @Test
+    void requestThatWillBeRefusedIsSaidNotToHaveRunOnceThatIsKnown() {
+        dispatcher.entryLinked(PEER, 0);
+        dispatcher.beginDrain(DispatchFixture.millisToNanos(1_000));
+        fixture.submit(JOB, 10, 1_500, 300);
+
+        fixture.receive(PEER, new JobOwnershipUpdate(List.of(), List.of()), 50);
+        fixture.answerProbes(PEER, 50);
+        fixture.tick(51);
+
+        assertThat(fixture.answers(JOB), contains(JobResult.Kind.NOT_RUN));
+    }
+
     @Test
     void jobThatIsAdmittedDuringTheDrainIsOverBeforeItEndsAlsoIfItsWorkerIsSlow() {
         dispatcher.beginDrain(DispatchFixture.millisToNanos(1_510));
--- a/standins/src/test/java/org/knapweedmount/standins/soak/PlannedStopsTest.java
+++ b/standins/src/test/java/org/knapweedmount/standins/soak/PlannedStopsTest.java
@@ -38,6 +38,15 @@
         assertThat(isLost(4_001, new PlannedStops.End.Answered(503), 6_000), is(false));
     }
 
+    /** An entry that does not know yet whether another one runs the job cannot say that it was not run. */
+    @Test
+    void aRequestThatIsNotTakenAtOnceIsNoLossThoughItsJobMayRunElsewhere() {
+        stops.signalled(ENTRY, 1_000);
+
+        assertThat(isLost(5_663, GIVEN_UP, 5_863), is(false));
+        assertThat(isLost(5_663, GIVEN_UP, 5_864), is(true));
+    }
+
     @Test
     void nothingIsLostByAnEntryThatIsNotStopping() {
         assertThat(isLost(0, CLOSED, 5_000), is(false));
