Let any worker follow one that answers nothing

Callers saw a VM without service for ever: a worker ended without a notice that arrived, its address was taken by nobody, and the next worker had an earlier birth, as the time of day was set back. The announcements of the next one were taken for late ones.

Why it works: an announcement of another life makes the agent ask the current worker for a list. If calls are not answered and its runs have ended by the evidence that releases them, any worker may follow; runs that it may still have are awaited as at each replacement. Before: workerThatSeemsToHaveStartedEarlierTakesOverFromOneThatAnswersNothing fails, as the agent does not open within 10 s.

--- a/core/src/main/java/org/knapweedmount/core/worker/CurrentWorker.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/CurrentWorker.java
@@ -35,12 +35,11 @@
 
     /**
      * Returns whether an announcement is older than the latest one, or comes from an earlier incarnation as far as is
-     * known. The times at which two workers started say nothing once the current one has gone: another one answers in its
-     * place, or it has said that it leaves.
+     * known. The times at which two workers started say nothing once the current one has gone.
      *
-     * @param hasRuns whether the current worker has runs
+     * @param gone whether the current worker has said that it leaves or answers no calls, and has no runs
      */
-    boolean isOutdated(WorkerAnnouncement received, boolean hasRuns) {
+    boolean isOutdated(WorkerAnnouncement received, boolean gone) {
         if (isCurrent(received.incarnation())) {
             return received.sequence() <= announcement().sequence();
         }
@@ -48,7 +47,7 @@
         return known()
                 && !listed
                 && !displaced()
-                && !(leaving && !hasRuns)
+                && !gone
                 && received.incarnation().startMillis() <= incarnation().startMillis();
     }
 
