Let the clocks of the soak's workers begin anywhere and their births go back

No soak showed it.

Cause in the soak: the clock of each life of a worker began at 0, so that birth + clock was the time of day, and births only rose. The platform promises neither: a worker's clock may begin at any value, and its birth is the time of day on its VM, which may jump by seconds, forward or back.

What is drawn comes from a source of its own: recorded seeds keep their faults and jobs. The checks of runs are unchanged; they use the soak's own monotonic time.

--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakSite.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakSite.java
@@ -52,9 +52,13 @@
                 : Optional.empty();
         this.callers = new SoakCallers(
                 vertx, workerSite::nowMillis, history, options.series(), entries, keptConnections, ofCallers);
+        // Recorded seeds keep what is drawn from the seed itself.
+        Random ofClocks = new Random(~options.seed());
         for (int agent = 1; agent <= options.agents(); agent++) {
             Random ofWorkers = new Random(random.nextLong());
-            places.add(new WorkerPlace(worker(vertx, agent, 0, ofWorkers), worker(vertx, agent, 1, ofWorkers)));
+            VmClock clock = new VmClock(new Random(ofClocks.nextLong()));
+            places.add(new WorkerPlace(
+                    worker(vertx, agent, 0, clock, ofWorkers), worker(vertx, agent, 1, clock, ofWorkers)));
         }
         workerSite.start(vertx);
     }
@@ -68,13 +72,14 @@
                 vertx, workerSite::nowMillis, history, stops, addresses(addresses::callers), probes, random);
     }
 
-    private SoakWorker worker(Vertx vertx, int agent, int number, Random ofWorkers) {
+    private SoakWorker worker(Vertx vertx, int agent, int number, VmClock clock, Random ofWorkers) {
         SoakWorker worker = new SoakWorker(
                 vertx,
                 workerSite,
                 addresses.worker(agent, number),
                 addresses.announcements(addresses.agentHost(agent)),
                 SoakConfig.SERVICE,
+                clock,
                 ofWorkers);
         workerSite.add(worker);
         return worker;
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakWorker.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakWorker.java
@@ -47,6 +47,7 @@
     private final HostPort address;
     private final HostPort agent;
     private final String service;
+    private final VmClock clock;
     private final Random random;
     private final HttpClient client;
     private final List<HttpConnection> connections = new ArrayList<>();
@@ -64,12 +65,20 @@
 
     private record Hold(HttpServerRequest request, WorkerLife life) {}
 
-    SoakWorker(Vertx vertx, WorkerSite site, HostPort address, HostPort agent, String service, Random random) {
+    SoakWorker(
+            Vertx vertx,
+            WorkerSite site,
+            HostPort address,
+            HostPort agent,
+            String service,
+            VmClock clock,
+            Random random) {
         this.vertx = vertx;
         this.site = site;
         this.address = address;
         this.agent = agent;
         this.service = service;
+        this.clock = clock;
         this.random = random;
         this.client = vertx.createHttpClient();
     }
@@ -102,7 +111,7 @@
         }
         sequence = 0;
         draining = false;
-        life = Optional.of(site.createLife(lastId, SLOWEST_CLOCK + (1 - SLOWEST_CLOCK) * random.nextDouble()));
+        life = Optional.of(site.createLife(lastId, clock, SLOWEST_CLOCK + (1 - SLOWEST_CLOCK) * random.nextDouble()));
         announce();
     }
 
--- a/standins/src/main/java/org/knapweedmount/standins/soak/WorkerLife.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/WorkerLife.java
@@ -12,7 +12,8 @@
 /**
  * One incarnation of a worker: its runs, the lease that all of them share, its fencing token and the ends that it lists.
  *
- * <p>Times are in ms since the start of the soak; the lease is measured on the worker's own clock, which may be slow.
+ * <p>Times are in ms since the start of the soak; the lease is measured on the worker's own clock, which begins at any value
+ * and may be slow.
  */
 final class WorkerLife {
     static final int CAPACITY_MILLI_CORES = 32_000;
@@ -23,6 +24,7 @@
     private final String id;
     private final long startUnixMillis;
     private final long startMillis;
+    private final long firstClockMillis;
     private final double clockRate;
     private final RunHistory history;
     private final Map<String, Run> runs = new LinkedHashMap<>();
@@ -80,10 +82,17 @@
     /** An end that is listed until it is acknowledged. */
     record End(long number, String task, int run, RunEnd how) {}
 
-    WorkerLife(String id, long startUnixMillis, long startMillis, double clockRate, RunHistory history) {
+    WorkerLife(
+            String id,
+            long startUnixMillis,
+            long startMillis,
+            long firstClockMillis,
+            double clockRate,
+            RunHistory history) {
         this.id = id;
         this.startUnixMillis = startUnixMillis;
         this.startMillis = startMillis;
+        this.firstClockMillis = firstClockMillis;
         this.clockRate = clockRate;
         this.history = history;
     }
@@ -105,12 +114,12 @@
     }
 
     long clockMillis(long nowMillis) {
-        return (long) ((nowMillis - startMillis) * clockRate);
+        return firstClockMillis + (long) ((nowMillis - startMillis) * clockRate);
     }
 
     /** Ends what has ended by now, in the order of the ends. */
     void advance(long nowMillis) {
-        long lapseMillis = startMillis + (long) Math.ceil(leaseExpiryMillis / clockRate);
+        long lapseMillis = startMillis + (long) Math.ceil((leaseExpiryMillis - firstClockMillis) / clockRate);
         for (Optional<Run> next = nextToEnd(); next.isPresent(); next = nextToEnd()) {
             Run run = next.get();
             long endMillis = Math.min(run.endMillis(), Math.max(lapseMillis, run.startMillis));
--- a/standins/src/main/java/org/knapweedmount/standins/soak/WorkerSite.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/WorkerSite.java
@@ -20,7 +20,6 @@
     private final RunHistory history;
     private final long startNanos = System.nanoTime();
     private final List<SoakWorker> workers = new ArrayList<>();
-    private long lastUnixMillis;
 
     WorkerSite(RunHistory history) {
         this.history = history;
@@ -45,9 +44,9 @@
         workers.forEach(SoakWorker::answerHolds);
     }
 
-    /** Creates a life whose start, in ms since 1970, is later than that of all others. */
-    WorkerLife createLife(String id, double clockRate) {
-        lastUnixMillis = Math.max(lastUnixMillis + 1, System.currentTimeMillis());
-        return new WorkerLife(id, lastUnixMillis, nowMillis(), clockRate, history);
+    /** Creates a life that starts now, with the time of day and the clock that its VM gives it. */
+    WorkerLife createLife(String id, VmClock clock, double clockRate) {
+        long startUnixMillis = clock.birthMillis(System.currentTimeMillis());
+        return new WorkerLife(id, startUnixMillis, nowMillis(), clock.firstClockMillis(), clockRate, history);
     }
 }
--- a/standins/src/test/java/org/knapweedmount/standins/soak/WorkerLifeTest.java
+++ b/standins/src/test/java/org/knapweedmount/standins/soak/WorkerLifeTest.java
@@ -15,7 +15,7 @@
     private static final TaskSpec SPEC = new TaskSpec(500, 1_000);
 
     private final RunHistory history = new RunHistory();
-    private final WorkerLife life = new WorkerLife("i-1", 1, 0, 1, history);
+    private final WorkerLife life = new WorkerLife("i-1", 1, 0, 0, 1, history);
 
     private WorkerLife.StartResult start(String task, int run, long untilMillis, long fence, long nowMillis) {
         life.advance(nowMillis);
@@ -46,7 +46,7 @@
 
     @Test
     void leaseIsLimitedAndMeasuredOnTheWorkersClock() {
-        WorkerLife slow = new WorkerLife("i-1", 1, 100, 0.5, history);
+        WorkerLife slow = new WorkerLife("i-1", 1, 100, 0, 0.5, history);
         slow.start(TASK, 1, new TaskSpec(10_000, 1_000), 90_000, 1, 1, 100);
         slow.advance(2_099);
         assertThat(slow.runs(), hasSize(1));
@@ -54,6 +54,20 @@
         assertThat(slow.runs(), empty());
     }
 
+    /** A lease that is counted from the start of the worker would last for hours if its clock begins there. */
+    @Test
+    void leaseIsMeasuredFromWhereTheClockBegins() {
+        WorkerLife late = new WorkerLife("i-1", 1, 100, 9_000_000, 0.5, history);
+        assertThat(late.clockMillis(100), is(9_000_000L));
+        TaskSpec spec = new TaskSpec(10_000, 1_000);
+        assertThat(late.start(TASK, 1, spec, 9_000_000, 1, 1, 100), is(WorkerLife.StartResult.LATE));
+        assertThat(late.start(TASK, 1, spec, 9_000_400, 1, 1, 100), is(WorkerLife.StartResult.STARTED));
+        late.advance(899);
+        assertThat(late.runs(), hasSize(1));
+        late.advance(900);
+        assertThat(late.ends().stream().map(WorkerLife.End::how).toList(), is(List.of(RunEnd.LAPSED)));
+    }
+
     @Test
     void stoppedRunIsRejectedLater() {
         life.stop(TASK, 2, 1, 50, 0);
