Let the announcement of a worker wait for an answer at the address again

On the prepared VMs an agent calls one fixed address, at which the next worker answers under its own ID; the current one is then known to be gone, whatever the births are.

--- a/core/src/main/java/org/knapweedmount/core/worker/CurrentWorker.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/CurrentWorker.java
@@ -35,11 +35,12 @@
 
     /**
      * Returns whether an announcement is older than the latest one, or comes from an earlier incarnation as far as is
-     * known. The times at which two workers started say nothing once the current one has gone.
+     * known. The times at which two workers started say nothing once the current one has gone: another one answers in its
+     * place, or it has said that it leaves.
      *
-     * @param gone whether the current worker has said that it leaves or answers no calls, and has no runs
+     * @param hasRuns whether the current worker has runs
      */
-    boolean isOutdated(WorkerAnnouncement received, boolean gone) {
+    boolean isOutdated(WorkerAnnouncement received, boolean hasRuns) {
         if (isCurrent(received.incarnation())) {
             return received.sequence() <= announcement().sequence();
         }
@@ -47,7 +48,7 @@
         return known()
                 && !listed
                 && !displaced()
-                && !gone
+                && !(leaving && !hasRuns)
                 && received.incarnation().startMillis() <= incarnation().startMillis();
     }
 
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -66,7 +66,7 @@
      * @param nowNanos the current time, in ns
      */
     public void announced(WorkerAnnouncement announcement, long nowNanos) {
-        if (worker.isOutdated(announcement, hasCurrentWorkerGone())) {
+        if (worker.isOutdated(announcement, control.hasRunsAtCurrentWorker())) {
             checkCurrentWorker(announcement, nowNanos);
             return;
         }
@@ -86,10 +86,6 @@
         reconcile(nowNanos);
     }
 
-    private boolean hasCurrentWorkerGone() {
-        return (worker.leaving() || listCalls.unresponsive()) && !control.hasRunsAtCurrentWorker();
-    }
-
     /** Asks the current worker for a list if another life announces itself that started earlier by its VM's clock. */
     private void checkCurrentWorker(WorkerAnnouncement announcement, long nowNanos) {
         if (!worker.isCurrent(announcement.incarnation())) {
