Give each replacement of a worker in the soak the address that its agent calls

Cause, a fault of the soak: it gave each second worker of a VM an address of its own (port 8175). The platform has one address for the worker of a VM, which is in the agent's settings; no agent calls the other one. So the worker that began with an odd-numbered replacement got no orders until it was itself replaced or started again.

Change: a VM has one address. By turns it passes to the replacement once the old worker has ended, as if the old one kept the port, and at once. An agent may so still get answers of the old worker under another ID, or runs go on where no call arrives; the soak had both before. The checks of runs are unchanged.

--- a/standins/src/main/java/org/knapweedmount/standins/soak/FaultKind.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/FaultKind.java
@@ -56,7 +56,7 @@
     KILL_AFTER_ORDER(0, FaultTarget.WORKER, FaultInjector::killAfterOrder),
     /** SIGSTOP of an agent as soon as its worker has executed an order, and SIGCONT after the fault's time. */
     FREEZE_AFTER_ORDER(0, FaultTarget.WORKER, FaultInjector::freezeAfterOrder),
-    /** A worker with another ID and address begins on a VM; the old one drains from then on, for the fault's time. */
+    /** A worker with another ID begins on a VM; the old one drains from then on, for the fault's time. */
     WORKER_REPLACED(0, FaultTarget.WORKER, FaultInjector::replaceWorker);
 
     private final int weight;
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakAddresses.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakAddresses.java
@@ -17,7 +17,6 @@
     private static final int SUBNETS = 230;
     private static final int CALLERS_PORT = 8161;
     private static final int WORKER_PORT = 8165;
-    private static final int REPLACEMENT_PORT = 8175;
     private static final int ANNOUNCEMENTS_PORT = 8166;
     private static final int READINESS_PORT = 8167;
     private static final int STORE_PORT = 8169;
@@ -91,9 +90,9 @@
         return new HostPort(host, ANNOUNCEMENTS_PORT);
     }
 
-    /** Returns the address of one of the workers on the VM of an agent; 0 is that of the settings. */
-    HostPort worker(int agent, int number) {
-        return new HostPort(agentHost(agent), number == 0 ? WORKER_PORT : REPLACEMENT_PORT);
+    /** Returns the address of the settings at which an agent calls the worker on its VM. */
+    HostPort worker(int agent) {
+        return new HostPort(agentHost(agent), WORKER_PORT);
     }
 
     int linkPort() {
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakPrograms.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakPrograms.java
@@ -46,7 +46,7 @@
         }
         for (int agent = 1; agent <= agentCount; agent++) {
             ObjectNode settings = settings("agent-" + agent, addresses.agentHost(agent))
-                    .put("worker", addresses.worker(agent, 0).toString());
+                    .put("worker", addresses.worker(agent).toString());
             agents.add(program("agent", "agent-" + agent, settings));
         }
     }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakSite.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakSite.java
@@ -58,7 +58,10 @@
             Random ofWorkers = new Random(random.nextLong());
             VmClock clock = new VmClock(new Random(ofClocks.nextLong()));
             places.add(new WorkerPlace(
-                    worker(vertx, agent, 0, clock, ofWorkers), worker(vertx, agent, 1, clock, ofWorkers)));
+                    vertx,
+                    addresses.worker(agent),
+                    worker(vertx, agent, "a", clock, ofWorkers),
+                    worker(vertx, agent, "b", clock, ofWorkers)));
         }
         workerSite.start(vertx);
     }
@@ -72,13 +75,13 @@
                 vertx, workerSite::nowMillis, history, stops, addresses(addresses::callers), probes, random);
     }
 
-    private SoakWorker worker(Vertx vertx, int agent, int number, VmClock clock, Random ofWorkers) {
+    private SoakWorker worker(Vertx vertx, int agent, String name, VmClock clock, Random ofWorkers) {
         SoakWorker worker = new SoakWorker(
                 vertx,
                 workerSite,
-                addresses.worker(agent, number),
+                addresses.worker(agent),
                 addresses.announcements(addresses.agentHost(agent)),
-                SoakConfig.SERVICE,
+                addresses.agentHost(agent).replace('.', '-') + "-" + name,
                 clock,
                 ofWorkers);
         workerSite.add(worker);
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakWorker.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakWorker.java
@@ -10,13 +10,11 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.RequestOptions;
 import org.knapweedmount.api.ParseException;
@@ -46,7 +44,7 @@
     private final WorkerSite site;
     private final HostPort address;
     private final HostPort agent;
-    private final String service;
+    private final String name;
     private final VmClock clock;
     private final Random random;
     private final HttpClient client;
@@ -66,31 +64,19 @@
     private record Hold(HttpServerRequest request, WorkerLife life) {}
 
     SoakWorker(
-            Vertx vertx,
-            WorkerSite site,
-            HostPort address,
-            HostPort agent,
-            String service,
-            VmClock clock,
-            Random random) {
+            Vertx vertx, WorkerSite site, HostPort address, HostPort agent, String name, VmClock clock, Random random) {
         this.vertx = vertx;
         this.site = site;
         this.address = address;
         this.agent = agent;
-        this.service = service;
+        this.name = name;
         this.clock = clock;
         this.random = random;
         this.client = vertx.createHttpClient();
     }
 
-    Future<HttpServer> listen() {
-        return vertx.createHttpServer()
-                .connectionHandler(this::connected)
-                .requestHandler(this::handle)
-                .listen(address.port(), address.host());
-    }
-
-    private void connected(HttpConnection connection) {
+    /** Takes a new connection of the agent, or closes it if there is no life. */
+    void connected(HttpConnection connection) {
         if (life.isEmpty()) {
             connection.close();
             return;
@@ -107,7 +93,7 @@
         }
         lives++;
         if (!sameId || lastId.isEmpty()) {
-            lastId = "i-" + address.toString().replace('.', '-').replace(':', '-') + "-" + lives;
+            lastId = "i-" + name + "-" + lives;
         }
         sequence = 0;
         draining = false;
@@ -131,6 +117,11 @@
         life.ifPresent(ended -> ended.crash(site.nowMillis()));
         life = Optional.empty();
         holds.clear();
+        closeConnections();
+    }
+
+    /** Closes all connections of the agent. */
+    void closeConnections() {
         List.copyOf(connections).forEach(HttpConnection::close);
     }
 
@@ -172,7 +163,7 @@
         WorkerLife announced = life.orElseThrow();
         sequence++;
         ObjectNode body = JsonNodeFactory.instance.objectNode();
-        body.put("service", service)
+        body.put("service", SoakConfig.SERVICE)
                 .put("address", address.toString())
                 .put("zone", "a")
                 .put("state", draining ? "draining" : "ready")
@@ -204,7 +195,8 @@
                 .onSuccess(result -> status.accept(result.status()));
     }
 
-    private void handle(HttpServerRequest request) {
+    /** Executes a call of the agent. */
+    void handle(HttpServerRequest request) {
         String expected = request.getHeader("X-Expect-Instance");
         request.body().onSuccess(body -> {
             double drawn = random.nextDouble();
