--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -47,7 +47,8 @@
 public final class DispatchEntry implements RunningProcess {
     private static final int MAX_WAITING_EVENTS = 8 * 1024; // one second of events at the highest rate
     private static final int TICK_INTERVAL_MILLIS = 25; // short compared with the 60 ms that short jobs may wait
-    private static final int HEARTBEAT_INTERVAL_MILLIS = 150; // a link without traffic is closed after ten intervals
+    private static final int HEARTBEAT_INTERVAL_MILLIS = 300; // links with other messages need none
+    private static final int RECEIVE_TIMEOUT_MILLIS = 1_500; // leases have ended before
 
     /** The time that is left after the drain to answer what was read and to close connections, in ms. */
     private static final int CLOSE_MILLIS = 600;
@@ -98,7 +99,8 @@
         this.decisions = new EventLoopDecisionQueue<>(vertx.getOrCreateContext(), MAX_WAITING_EVENTS, clock);
         this.retryingQueue = new RetryingQueue<>(vertx, decisions);
         this.callers = answerHandler;
-        LinkOptions options = LinkOptions.entry(HEARTBEAT_INTERVAL_MILLIS, random.nextLong());
+        LinkOptions options = LinkOptions.entry(HEARTBEAT_INTERVAL_MILLIS, random.nextLong())
+                .withReceiveTimeout(RECEIVE_TIMEOUT_MILLIS);
         this.links = new LinkTable<>(vertx, options, self, appliedVersion::get, clock, decisions, new Handler());
         this.dispatchModule = new DispatchModule(new Output(answerHandler), appliedVersion, links::addKnownEntry);
         this.metrics = new LazyProcessMetrics(log, links, process -> {
--- a/daemon/src/main/java/org/knapweedmount/daemon/link/LinkInspector.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/link/LinkInspector.java
@@ -9,7 +9,6 @@
 final class LinkInspector {
     private static final long HELLO_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(5);
     private static final long STALL_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(2);
-    private static final int RECEIVE_TIMEOUT_HEARTBEATS = 10;
 
     private final PeerAddress self;
     private final int maxQueuedBytes;
@@ -25,8 +24,7 @@
     LinkInspector(PeerAddress self, LinkOptions options) {
         this.self = self;
         this.maxQueuedBytes = options.maxQueuedBytes();
-        this.receiveTimeoutNanos =
-                RECEIVE_TIMEOUT_HEARTBEATS * TimeUnit.MILLISECONDS.toNanos(options.heartbeatMillis());
+        this.receiveTimeoutNanos = TimeUnit.MILLISECONDS.toNanos(options.receiveTimeoutMillis());
         this.idleTimeoutNanos = TimeUnit.MILLISECONDS.toNanos(options.idleTimeoutMillis());
     }
 
--- a/daemon/src/main/java/org/knapweedmount/daemon/link/LinkOptions.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/link/LinkOptions.java
@@ -7,6 +7,7 @@
  *
  * @param heartbeatMillis the time without another message after which a heartbeat is sent, in ms; must be the same in
  *     all processes
+ * @param receiveTimeoutMillis the time without any message after which a link is closed, in ms; several heartbeats
  * @param maxLinks the largest number of open connections
  * @param maxFrameBytes the largest accepted frame, in bytes
  * @param maxQueuedBytes the size of the send queue of one link that must not be exceeded for longer than a stall
@@ -17,12 +18,14 @@
  */
 public record LinkOptions(
         int heartbeatMillis,
+        int receiveTimeoutMillis,
         int maxLinks,
         int maxFrameBytes,
         int maxQueuedBytes,
         int outboxRingSize,
         int idleTimeoutMillis,
         long seed) {
+    private static final int RECEIVE_TIMEOUT_HEARTBEATS = 10;
     private static final int IDLE_TIMEOUT_MILLIS = 60_000;
     private static final int ENTRY_MAX_LINKS = 20_000;
     private static final int ENTRY_MAX_QUEUED_BYTES = 16 * 1024 * 1024;
@@ -42,6 +45,7 @@
     public static LinkOptions entry(int heartbeatMillis, long seed) {
         return new LinkOptions(
                 heartbeatMillis,
+                RECEIVE_TIMEOUT_HEARTBEATS * heartbeatMillis,
                 ENTRY_MAX_LINKS,
                 WireLimits.MAX_FRAME_BYTES,
                 ENTRY_MAX_QUEUED_BYTES,
@@ -60,6 +64,7 @@
     public static LinkOptions agent(int heartbeatMillis, long seed) {
         return new LinkOptions(
                 heartbeatMillis,
+                RECEIVE_TIMEOUT_HEARTBEATS * heartbeatMillis,
                 AGENT_MAX_LINKS,
                 AGENT_MAX_FRAME_BYTES,
                 AGENT_MAX_QUEUED_BYTES,
@@ -67,4 +72,22 @@
                 IDLE_TIMEOUT_MILLIS,
                 seed);
     }
+
+    /**
+     * Returns these options with another receive timeout.
+     *
+     * @param millis the time without any message after which a link is closed, in ms
+     * @return the changed copy
+     */
+    public LinkOptions withReceiveTimeout(int millis) {
+        return new LinkOptions(
+                heartbeatMillis,
+                millis,
+                maxLinks,
+                maxFrameBytes,
+                maxQueuedBytes,
+                outboxRingSize,
+                idleTimeoutMillis,
+                seed);
+    }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
@@ -43,7 +43,8 @@
 public final class WorkerAgentProcess implements RunningProcess {
     private static final int MAX_WAITING_EVENTS = 4 * 1024; // one second of events at the highest rate
     private static final int TICK_INTERVAL_MILLIS = 40; // six ticks fit between the early stop and the end of a lease
-    private static final int HEARTBEAT_INTERVAL_MILLIS = 150; // a link without traffic is closed after ten intervals
+    private static final int HEARTBEAT_INTERVAL_MILLIS = 300; // links with other messages need none
+    private static final int RECEIVE_TIMEOUT_MILLIS = 1_500; // leases have ended before
     private static final int LINK_CLOSE_LIMIT_MILLIS = 100; // for the last messages to the entries
     private static final int FORCED_STOP_MILLIS = 700; // to stop the remaining runs and report them to their entries
 
@@ -95,7 +96,8 @@
                 settings.dataCentre(),
                 settings.host(),
                 0);
-        LinkOptions options = LinkOptions.agent(HEARTBEAT_INTERVAL_MILLIS, random.nextLong());
+        LinkOptions options = LinkOptions.agent(HEARTBEAT_INTERVAL_MILLIS, random.nextLong())
+                .withReceiveTimeout(RECEIVE_TIMEOUT_MILLIS);
         this.links = new LinkTable<>(vertx, options, self, () -> 0, clock, decisions, new Handler());
         this.metrics =
                 new LazyProcessMetrics(log, links, process -> process.counters("worker", RunCounter.class, counters));
--- a/daemon/src/test/java/org/knapweedmount/daemon/link/LinkClosingTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/link/LinkClosingTest.java
@@ -79,6 +79,27 @@
         assertThat(entry.links.counters().value(LinkCounter.CLOSED_SILENT), is(1L));
     }
 
+    // Heartbeats each 150 ms, ten within the timeout of a link, were most of the messages that an idle entry sent.
+    @Test
+    void aSilentLinkIsClosedAfterTheSameTimeWithFewerHeartbeats() throws Exception {
+        LinkOptions options = LinkOptions.entry(HEARTBEAT_MILLIS, 1).withReceiveTimeout(3 * HEARTBEAT_MILLIS);
+        TestProcess entry = processes.register(TestProcess.entry(processes.vertx(), "entry-1", options, now::get));
+        try (RawPeer peer = new RawPeer(entry)) {
+            peer.send(RawPeer.agentHello("agent-1"));
+            entry.awaitEvent("linked agent-1~0000000000000001");
+            peer.awaitFrame();
+            for (int i = 0; i < 3; i++) {
+                now.addAndGet(HEARTBEAT_NANOS);
+                peer.awaitFrame();
+            }
+            assertThat(entry.links.counters().value(LinkCounter.CLOSED_SILENT), is(0L));
+            now.addAndGet(HEARTBEAT_NANOS);
+            peer.awaitClose();
+        }
+
+        assertThat(entry.links.counters().value(LinkCounter.CLOSED_SILENT), is(1L));
+    }
+
     private static List<Message> badHellos() {
         return List.of(
                 RawPeer.hello("agent-1", Role.AGENT, Hello.PROTOCOL_VERSION + 1),
@@ -147,7 +168,8 @@
 
     @Test
     void linkToAPeerThatDoesNotReadIsClosed() throws Exception {
-        TestProcess entry = processes.entry("entry-1", new LinkOptions(5_000, 10, 1_000_000, 100_000, 1024, 60_000, 1));
+        TestProcess entry =
+                processes.entry("entry-1", new LinkOptions(5_000, 50_000, 10, 1_000_000, 100_000, 1024, 60_000, 1));
         Message large = new Leaving("x".repeat(10_000));
         PeerAddress notReading = RawPeer.agentHello("agent-1").sender();
         try (RawPeer peer = new RawPeer(entry)) {
@@ -166,7 +188,7 @@
     void fullOutboxClosesTheLinkInsteadOfDroppingAMessage() throws Exception {
         int ringSize = 4;
         TestProcess entry =
-                processes.entry("entry-1", new LinkOptions(20, 10, 1_000_000, 100_000, ringSize, 60_000, 1));
+                processes.entry("entry-1", new LinkOptions(20, 200, 10, 1_000_000, 100_000, ringSize, 60_000, 1));
         TestProcess agent = processes.agentLinkedTo(entry);
 
         entry.loop.offer((core, nowNanos) -> {
@@ -181,7 +203,8 @@
 
     @Test
     void connectionsOverTheLimitAreClosed() throws Exception {
-        TestProcess entry = processes.entry("entry-1", new LinkOptions(5_000, 1, 1_000_000, 100_000, 16, 60_000, 1));
+        TestProcess entry =
+                processes.entry("entry-1", new LinkOptions(5_000, 50_000, 1, 1_000_000, 100_000, 16, 60_000, 1));
         try (RawPeer first = new RawPeer(entry)) {
             first.send(RawPeer.agentHello("agent-1"));
             entry.awaitEvent("linked agent-1~0000000000000001");
--- a/daemon/src/test/java/org/knapweedmount/daemon/link/LinkTableTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/link/LinkTableTest.java
@@ -150,7 +150,8 @@
     @ParameterizedTest
     @ValueSource(strings = {"entry-1", "entry-3"})
     void linkToAnotherRegionIsOpenedOnDemandFromEitherSideAndClosedWhenIdle(String name) throws InterruptedException {
-        TestProcess entry = processes.entry("entry-2", new LinkOptions(100, 10, 1_000_000, 100_000, 1024, 400, 1));
+        TestProcess entry =
+                processes.entry("entry-2", new LinkOptions(100, 1_000, 10, 1_000_000, 100_000, 1024, 400, 1));
         TestProcess remote = remote(Role.ENTRY, name);
         entry.links.addKnownEntry(remote.self);
         remote.links.addKnownEntry(entry.self);
