Start a program of the soak again that was in its planned stop as the faults ended

Cause, a fault of the soak: at the end of the faults all programs are started that do not run. One that has been told to end still ran, and the thread that would have started it again had been interrupted.

Change: a program that has been told to end is waited for, and then started.

--- a/standins/src/main/java/org/knapweedmount/standins/soak/FaultInjector.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/FaultInjector.java
@@ -295,8 +295,7 @@
             Logger.warn("a fault is still being injected");
         }
         for (SoakProcess process : programs.all()) {
-            process.signal("CONT");
-            process.start();
+            process.heal(SoakPrograms.GRACE_MILLIS);
         }
     }
 }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakProcess.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakProcess.java
@@ -21,6 +21,7 @@
     private final Path log;
     private final Runnable changed;
     private Optional<Process> process = Optional.empty();
+    private Optional<Process> ending = Optional.empty();
     private boolean closed;
 
     SoakProcess(String name, List<String> command, Path root, Path settings, Path log, Runnable changed) {
@@ -60,7 +61,7 @@
 
     /** Sends SIGKILL and waits for the end. */
     void kill() throws InterruptedException {
-        Optional<Process> killed = current();
+        Optional<Process> killed = end();
         if (killed.isPresent()) {
             killed.get().destroyForcibly().waitFor();
         }
@@ -77,15 +78,12 @@
 
     /** Sends SIGTERM, then SIGKILL if the process has not ended in time. */
     void stop(int graceMillis) throws InterruptedException {
-        Optional<Process> stopping = current();
+        Optional<Process> stopping = end();
         if (stopping.isEmpty()) {
             return;
         }
         stopping.get().destroy();
-        if (!stopping.get().waitFor(graceMillis, TimeUnit.MILLISECONDS)) {
-            Logger.info("{} has not ended within {} ms of SIGTERM", name, graceMillis);
-            stopping.get().destroyForcibly().waitFor();
-        }
+        awaitEnd(stopping.get(), graceMillis);
         changed.run();
     }
 
@@ -119,6 +117,33 @@
         return process.filter(Process::isAlive);
     }
 
+    /** Returns the process that runs, if any, and notes that it has been told to end. */
+    private synchronized Optional<Process> end() {
+        ending = current();
+        return ending;
+    }
+
+    private synchronized Optional<Process> ending() {
+        return ending.filter(Process::isAlive);
+    }
+
+    /** Continues the process, and starts it again if it has ended or has been told to; such a one gets time to end. */
+    void heal(int graceMillis) throws IOException, InterruptedException {
+        signal("CONT");
+        Optional<Process> told = ending();
+        if (told.isPresent()) {
+            awaitEnd(told.get(), graceMillis);
+        }
+        start();
+    }
+
+    private void awaitEnd(Process stopping, int graceMillis) throws InterruptedException {
+        if (!stopping.waitFor(graceMillis, TimeUnit.MILLISECONDS)) {
+            Logger.info("{} has not ended within {} ms of SIGTERM", name, graceMillis);
+            stopping.destroyForcibly().waitFor();
+        }
+    }
+
     /** Sends a signal, such as STOP or CONT, if the process runs. */
     void signal(String signal) throws IOException, InterruptedException {
         Optional<Long> id = id();
