Let the soak find workers that no call of their agent reaches

Change: the soak has a rule CLOSED. It is broken if a worker refuses all calls for more than 12 s, the users' bound for the return of service, or if a worker that is ready and began before the faults ended has accepted no call within 12 s after them. Callers go on meanwhile. Soaks so last 12 s longer.

Tests: WorkerLifeTest; they do not compile on the code before.

--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakRun.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakRun.java
@@ -92,7 +92,10 @@
         injector.schedule(faults);
         TimeUnit.SECONDS.sleep(options.seconds());
         injector.close();
+        long faultsEndMillis = site.nowMillis();
+        TimeUnit.MILLISECONDS.sleep(WorkerLife.MAX_CLOSED_MILLIS);
         onContext(() -> {
+            site.checkWorkersAreOpen(faultsEndMillis);
             site.callers().stop();
             return site;
         });
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakSite.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakSite.java
@@ -144,6 +144,19 @@
         callerRelays.resetHalf(addresses.callers(entry));
     }
 
+    /** Checks that each worker that had begun when the faults ended, and is ready, has accepted a call since then. */
+    void checkWorkersAreOpen(long faultsEndMillis) {
+        for (WorkerPlace place : places) {
+            place.worker()
+                    .closedSince(faultsEndMillis)
+                    .map(worker -> new Violation(
+                            Violation.Rule.CLOSED,
+                            nowMillis(),
+                            "worker " + worker + " has accepted no call since " + faultsEndMillis))
+                    .ifPresent(history::add);
+        }
+    }
+
     RunHistory history() {
         return history;
     }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakWorker.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakWorker.java
@@ -111,6 +111,12 @@
         return life.isPresent();
     }
 
+    /** Returns the name of a life that had begun by a time, is ready and has accepted no call since then. */
+    Optional<String> closedSince(long millis) {
+        return life.filter(current -> !draining && current.isClosedSince(millis))
+                .map(WorkerLife::name);
+    }
+
     /** Ends the life without a word. */
     void crash() {
         vertx.cancelTimer(announcementTimer);
--- a/standins/src/main/java/org/knapweedmount/standins/soak/Violation.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/Violation.java
@@ -24,6 +24,8 @@
          * A request that was wholly sent ends without a whole answer because its entry stops as planned, or is given up
          * although it was sent long after the stop began.
          */
-        LOST
+        LOST,
+        /** A worker refuses each call of its agent for long, or is ready and has accepted none for as long after the faults. */
+        CLOSED
     }
 }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/WorkerLife.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/WorkerLife.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * One incarnation of a worker: its runs, the lease that all of them share, its fencing token and the ends that it lists.
@@ -18,6 +19,9 @@
 final class WorkerLife {
     static final int CAPACITY_MILLI_CORES = 32_000;
 
+    /** How long a worker may be without a call that it accepts: the users' bound for the return of service, in ms. */
+    static final int MAX_CLOSED_MILLIS = 12_000;
+
     private static final int MAX_LEASE_MILLIS = 1_000;
     private static final int MAX_STOP_MILLIS = 50;
 
@@ -31,6 +35,9 @@
     private final Map<String, Integer> highestEnded = new HashMap<>();
     private final List<End> ends = new ArrayList<>();
     private long fence;
+    private OptionalLong lastAcceptedMillis = OptionalLong.empty();
+    private OptionalLong refusingSinceMillis = OptionalLong.empty();
+    private boolean refusedTooLong;
     private long leaseExpiryMillis;
     private long lastEndNumber;
 
@@ -109,7 +116,7 @@
         return task + "#" + number;
     }
 
-    private String name() {
+    String name() {
         return id + "@" + startUnixMillis;
     }
 
@@ -145,14 +152,28 @@
         history.ended(name(), run.task, run.number, how, millis);
     }
 
-    private boolean accepts(long token) {
+    private boolean accepts(long token, long nowMillis) {
         if (token < fence) {
+            refused(token, nowMillis);
             return false;
         }
         fence = token;
+        refusingSinceMillis = OptionalLong.empty();
+        lastAcceptedMillis = OptionalLong.of(nowMillis);
         return true;
     }
 
+    private void refused(long token, long nowMillis) {
+        long sinceMillis = refusingSinceMillis.orElse(nowMillis);
+        refusingSinceMillis = OptionalLong.of(sinceMillis);
+        if (!refusedTooLong && nowMillis - sinceMillis > MAX_CLOSED_MILLIS) {
+            refusedTooLong = true;
+            String detail = "worker " + name() + " has refused all calls since " + sinceMillis + "; token " + token
+                    + ", seen " + fence;
+            history.add(new Violation(Violation.Rule.CLOSED, nowMillis, detail));
+        }
+    }
+
     private void extendLease(long untilMillis, long nowMillis) {
         long limit = clockMillis(nowMillis) + MAX_LEASE_MILLIS;
         leaseExpiryMillis = Math.max(leaseExpiryMillis, Math.min(untilMillis, limit));
@@ -160,7 +181,7 @@
 
     StartResult start(
             String task, int number, TaskSpec spec, long untilMillis, long token, double slowdown, long nowMillis) {
-        if (!accepts(token)) {
+        if (!accepts(token, nowMillis)) {
             return StartResult.FENCE;
         }
         if (untilMillis <= clockMillis(nowMillis)) {
@@ -180,7 +201,7 @@
 
     /** Orders the stop of a run, which takes the given time; a run that is not there yet will be rejected. */
     boolean stop(String task, int number, long token, int stopMillis, long nowMillis) {
-        if (!accepts(token)) {
+        if (!accepts(token, nowMillis)) {
             return false;
         }
         highestEnded.merge(task, number, Math::max);
@@ -193,7 +214,7 @@
 
     /** Extends the lease and forgets acknowledged ends. */
     boolean hold(long untilMillis, long acknowledgedEnd, long token, long nowMillis) {
-        if (!accepts(token)) {
+        if (!accepts(token, nowMillis)) {
             return false;
         }
         extendLease(untilMillis, nowMillis);
@@ -201,6 +222,11 @@
         return true;
     }
 
+    /** Returns whether this life had begun by a time and has accepted no call since then. */
+    boolean isClosedSince(long millis) {
+        return startMillis <= millis && (lastAcceptedMillis.isEmpty() || lastAcceptedMillis.getAsLong() < millis);
+    }
+
     List<Run> runs() {
         return List.copyOf(runs.values());
     }
--- a/standins/src/test/java/org/knapweedmount/standins/soak/WorkerLifeTest.java
+++ b/standins/src/test/java/org/knapweedmount/standins/soak/WorkerLifeTest.java
@@ -82,6 +82,38 @@
         assertThat(start(TASK, 1, 9, 7, 10), is(WorkerLife.StartResult.LATE));
     }
 
+    /** An agent that could not reach the token of its predecessor never got an order through, and no rule was broken. */
+    @Test
+    void aWorkerThatRefusesAllCallsIsClosed() {
+        life.hold(0, 0, 7, 10);
+        assertThat(life.isClosedSince(10), is(false));
+        life.hold(0, 0, 6, 20);
+        assertThat(life.isClosedSince(11), is(true));
+        life.hold(0, 0, 7, 30);
+        assertThat(life.isClosedSince(11), is(false));
+    }
+
+    @Test
+    void aWorkerThatRefusesAllCallsForLongBreaksARule() {
+        life.hold(0, 0, 7, 0);
+        life.hold(0, 0, 6, 10);
+        life.hold(0, 0, 6, 12_010);
+        assertThat(history.violations(), empty());
+        life.hold(0, 0, 7, 12_011);
+        life.hold(0, 0, 6, 12_012);
+        assertThat(history.violations(), empty());
+        life.hold(0, 0, 6, 24_013);
+        life.hold(0, 0, 6, 24_014);
+        assertThat(history.violations().stream().map(Violation::rule).toList(), is(List.of(Violation.Rule.CLOSED)));
+    }
+
+    @Test
+    void aWorkerThatBeginsAfterATimeWasNotClosedByThen() {
+        WorkerLife later = new WorkerLife("i-1", 1, 100, 0, 1, history);
+        assertThat(later.isClosedSince(99), is(false));
+        assertThat(later.isClosedSince(100), is(true));
+    }
+
     @Test
     void acknowledgedEndsAreForgotten() {
         start(TASK, 1, 900, 1, 0);
