Do not count the time of a suspended entry as the wait for its answer in the soak

Trace: entry-2 was suspended by the soak from 4,667 to 5,096 ms after its SIGTERM; the requests were sent 4,717 to 4,762 ms after it, read when the entry went on, and answered within 56 ms. The check is narrowed by less than that: the time of a suspension does not count, all other time does, and pauses of throttled processes count as before.

--- a/standins/src/main/java/org/knapweedmount/standins/soak/FaultInjector.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/FaultInjector.java
@@ -117,8 +117,12 @@
     }
 
     private void freeze(SoakProcess process, int millis) throws IOException, InterruptedException {
+        onContext(() -> site.stops().paused(process.name(), site.nowMillis()));
         process.signal("STOP");
-        after(millis, () -> process.signal("CONT"));
+        after(millis, () -> {
+            process.signal("CONT");
+            onContext(() -> site.stops().resumed(process.name(), site.nowMillis()));
+        });
     }
 
     void killAll(Fault fault) throws InterruptedException {
--- a/standins/src/test/java/org/knapweedmount/standins/soak/PlannedStopsTest.java
+++ b/standins/src/test/java/org/knapweedmount/standins/soak/PlannedStopsTest.java
@@ -47,6 +47,20 @@
         assertThat(isLost(5_663, GIVEN_UP, 5_864), is(true));
     }
 
+    /** A suspended process can answer nothing; it has the same time for its answer when it goes on. */
+    @Test
+    void theTimeDuringWhichAnEntryIsSuspendedDoesNotCount() {
+        stops.signalled(ENTRY, 1_000);
+        stops.paused(ENTRY, 5_000);
+        stops.resumed(ENTRY, 5_429);
+
+        assertThat(isLost(5_050, GIVEN_UP, 5_629), is(false));
+        assertThat(isLost(5_050, GIVEN_UP, 5_630), is(true));
+        assertThat(isLost(4_990, CLOSED, 5_619), is(false));
+        assertThat(isLost(4_990, CLOSED, 5_620), is(true));
+        assertThat(isLost(5_430, CLOSED, 5_631), is(true));
+    }
+
     @Test
     void nothingIsLostByAnEntryThatIsNotStopping() {
         assertThat(isLost(0, CLOSED, 5_000), is(false));
