Spread the runs of many entries over samples of the workers

Cause: each entry chose the worker with the most free capacity by reports that are some ms old, so that 9 entries chose the same few of 54 workers at the same time. A refused run costs its entry and its agent two messages, and is ordered again the same way. Ruled out: rarer reports (more refusals in the model), old orders (14% of the refusals).

Why it works: where many entries order from the same workers, each run is offered a sample of the workers first, which differs from run to run.

The tests of placement, dispatch and the fleets pass but for the known red ones. The new test of PlacementTest does not compile on the code before.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -69,7 +69,8 @@
         this.cancels = new JobCancels(output);
         this.status = new DispatchStatus(
                 jobs, workers, answers, events.waitLatencies(), this::waitingRequests, cancels::waiting);
-        this.placer = new TaskPlacer(output, jobs, workers, maxCapacity, durations, events, this::isHeldBack);
+        this.placer = new TaskPlacer(
+                output, jobs, workers, maxCapacity, durations, events, this::isHeldBack, this::entryCount);
         this.runResults = new RunResults(workers, durations, events, this::conclude, this::removeIfDone);
         this.admission = new JobAdmission(output, workers, jobs, maxCapacity);
     }
@@ -150,8 +151,7 @@
 
     private void admit(JobRequest request, long submittedNanos, long nowNanos) {
         TrackedJob job = new TrackedJob(request, durations.criticalPathMillis(request), nowNanos);
-        int entries = 1 + ownership.peers().size();
-        Optional<JobResult> refusal = drain.refusal(request).or(() -> admission.refusal(job, entries, nowNanos));
+        Optional<JobResult> refusal = drain.refusal(request).or(() -> admission.refusal(job, entryCount(), nowNanos));
         if (refusal.isPresent()) {
             ownership.ended(request.id());
             output.answer(request.id(), refusal.get());
@@ -163,6 +163,10 @@
         placer.place(request.queue().service(), nowNanos);
     }
 
+    private int entryCount() {
+        return 1 + ownership.peers().size();
+    }
+
     /** Returns whether no run may be ordered of a job: another entry holds it as well, or may after a stall. */
     private boolean isHeldBack(String job, long nowNanos) {
         return heldRequests.isHolding(nowNanos) || ownership.isHeldElsewhere(job);
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Placement.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Placement.java
@@ -14,17 +14,33 @@
  * <p>Load pattern: workers differ in speed, and some slow down for seconds. A worker on which the task would miss its
  * target is skipped while a worker of median speed could still meet it. Among the remaining workers the one with the
  * most free capacity is chosen, which keeps entries that decide at the same time from picking the same nearly full
- * worker.
+ * worker. Where many entries order from many workers, they would all pick the same few ones with the most free capacity,
+ * which refuse most of the runs; there, each task is offered a sample of the workers first, another one for each task.
  */
 final class Placement {
     private Placement() {}
 
+    /**
+     * Selects a worker.
+     *
+     * @param entries the number of entries that order runs from the same workers
+     */
     static Optional<WorkerView> choose(
-            TrackedTask task, FreeCapacities freeCapacities, QueueShares shares, long nowNanos) {
+            TrackedTask task, FreeCapacities freeCapacities, QueueShares shares, int entries, long nowNanos) {
         if (!freeCapacities.hasCoresFor(task.step().need())) {
             return Optional.empty();
         }
+        WorkerSample sample = WorkerSample.of(task, entries);
+        Optional<WorkerView> sampled = choose(task, freeCapacities, shares, sample, nowNanos);
+        return sampled.isPresent() || sample.hasAll()
+                ? sampled
+                : choose(task, freeCapacities, shares, WorkerSample.ALL, nowNanos);
+    }
+
+    private static Optional<WorkerView> choose(
+            TrackedTask task, FreeCapacities freeCapacities, QueueShares shares, WorkerSample sample, long nowNanos) {
         return freeCapacities.workers().stream()
+                .filter(worker -> sample.contains(worker.agent()))
                 .filter(worker -> task.step().need().fits(freeCapacities.of(worker)))
                 .filter(worker -> DemandRule.mayOrderWithoutOffer(task, worker, shares))
                 .filter(worker -> shares.withHeadroom(
--- a/core/src/main/java/org/knapweedmount/core/dispatch/TaskPlacer.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/TaskPlacer.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.IntSupplier;
 
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.message.ResourceDemand;
@@ -24,6 +25,7 @@
     private final DurationModel durations;
     private final DispatchEvents events;
     private final HeldBack heldBack;
+    private final IntSupplier entries;
     private final DemandTargets demandTargets = new DemandTargets();
 
     /** The services of which agents may have been told of queued tasks. */
@@ -43,7 +45,8 @@
             Map<String, Resources> maxCapacity,
             DurationModel durations,
             DispatchEvents events,
-            HeldBack heldBack) {
+            HeldBack heldBack,
+            IntSupplier entries) {
         this.output = output;
         this.jobs = jobs;
         this.workers = workers;
@@ -51,6 +54,7 @@
         this.durations = durations;
         this.events = events;
         this.heldBack = heldBack;
+        this.entries = entries;
     }
 
     /** Orders runs that fit into the estimated free capacity, and sends a demand for the rest. */
@@ -100,11 +104,12 @@
             QueueShares shares,
             Map<WorkerView, List<TrackedTask>> chosen,
             long nowNanos) {
-        Placement.choose(task, freeCapacities, shares, nowNanos).ifPresent(view -> {
-            freeCapacities.take(view, task.step().need());
-            chosen.computeIfAbsent(view, key -> new ArrayList<>()).add(task);
-            assign(view, task);
-        });
+        Placement.choose(task, freeCapacities, shares, entries.getAsInt(), nowNanos)
+                .ifPresent(view -> {
+                    freeCapacities.take(view, task.step().need());
+                    chosen.computeIfAbsent(view, key -> new ArrayList<>()).add(task);
+                    assign(view, task);
+                });
     }
 
     private void assign(WorkerView view, TrackedTask task) {
--- a/core/src/test/java/org/knapweedmount/core/dispatch/PlacementTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/PlacementTest.java
@@ -1,19 +1,28 @@
 package org.knapweedmount.core.dispatch;
 
 import java.util.List;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 
 class PlacementTest {
+    private static final int AGENTS = 54;
+
     private static String choose(TrackedJob job, long nowMillis, WorkerView... workers) {
+        return choose(job, nowMillis, 1, workers);
+    }
+
+    private static String choose(TrackedJob job, long nowMillis, int entries, WorkerView... workers) {
         QueueShares shares = QueueShares.of(List.of(job), "service", List.of());
         return Placement.choose(
                         job.tasks().get(0),
                         new FreeCapacities(List.of(workers), DispatchFixture.millisToNanos(nowMillis)),
                         shares,
+                        entries,
                         DispatchFixture.millisToNanos(nowMillis))
                 .map(worker -> worker.agent().process())
                 .orElse("none");
@@ -27,6 +36,31 @@
         assertThat(choose(DispatchFixture.job("j", 0, 86), 0, full, empty), is("empty"));
     }
 
+    /** All entries chose the same few workers with the most free capacity, which refused most of the runs. */
+    @Test
+    void entriesThatDecideOnTheSameReportsChooseDifferentWorkers() {
+        int entries = 9;
+        WorkerView[] workers = IntStream.range(0, AGENTS)
+                .mapToObj(agent -> DispatchFixture.worker("agent-" + agent, 8_000 + 100 * agent, 1))
+                .toArray(WorkerView[]::new);
+
+        long chosen = IntStream.range(0, entries)
+                .mapToObj(entry -> choose(DispatchFixture.job("job-" + entry, 0, 86), 0, entries, workers))
+                .distinct()
+                .count();
+
+        assertThat(chosen, is(greaterThan(entries / 2L)));
+    }
+
+    @Test
+    void workerWithFreeCapacityIsFoundAmongManyFullOnes() {
+        WorkerView[] workers = IntStream.range(0, AGENTS)
+                .mapToObj(agent -> DispatchFixture.worker("agent-" + agent, agent == 7 ? 16_000 : 900, 1))
+                .toArray(WorkerView[]::new);
+
+        assertThat(choose(DispatchFixture.job("j", 0, 86), 0, 9, workers), is("agent-7"));
+    }
+
     @Test
     void workerOnWhichTheTaskWouldMissItsTargetIsSkipped() {
         WorkerView slow = DispatchFixture.worker("slow", 16_000, 6);
