--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -69,8 +69,7 @@
         this.cancels = new JobCancels(output);
         this.status = new DispatchStatus(
                 jobs, workers, answers, events.waitLatencies(), this::waitingRequests, cancels::waiting);
-        this.placer = new TaskPlacer(
-                output, jobs, workers, maxCapacity, durations, events, this::isHeldBack, this::entryCount);
+        this.placer = new TaskPlacer(output, jobs, workers, maxCapacity, durations, events, new OtherEntries());
         this.runResults = new RunResults(workers, durations, events, this::conclude, this::removeIfDone);
         this.admission = new JobAdmission(output, workers, jobs, maxCapacity);
     }
@@ -151,7 +150,8 @@
 
     private void admit(JobRequest request, long submittedNanos, long nowNanos) {
         TrackedJob job = new TrackedJob(request, durations.criticalPathMillis(request), nowNanos);
-        Optional<JobResult> refusal = drain.refusal(request).or(() -> admission.refusal(job, entryCount(), nowNanos));
+        int entries = 1 + ownership.peers().size();
+        Optional<JobResult> refusal = drain.refusal(request).or(() -> admission.refusal(job, entries, nowNanos));
         if (refusal.isPresent()) {
             ownership.ended(request.id());
             output.answer(request.id(), refusal.get());
@@ -163,15 +163,6 @@
         placer.place(request.queue().service(), nowNanos);
     }
 
-    private int entryCount() {
-        return 1 + ownership.peers().size();
-    }
-
-    /** Returns whether no run may be ordered of a job: another entry holds it as well, or may after a stall. */
-    private boolean isHeldBack(String job, long nowNanos) {
-        return heldRequests.isHolding(nowNanos) || ownership.isHeldElsewhere(job);
-    }
-
     /**
      * Handles a new link to an agent.
      *
@@ -565,4 +556,16 @@
     public DispatchStatus status() {
         return status;
     }
+
+    private final class OtherEntries implements TaskPlacer.OtherEntries {
+        @Override
+        public boolean holdBack(String job, long nowNanos) {
+            return heldRequests.isHolding(nowNanos) || ownership.isHeldElsewhere(job);
+        }
+
+        @Override
+        public int count() {
+            return ownership.peers().size();
+        }
+    }
 }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/TaskPlacer.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/TaskPlacer.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.IntSupplier;
 
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.message.ResourceDemand;
@@ -24,18 +23,19 @@
     private final Map<String, Resources> maxCapacity;
     private final DurationModel durations;
     private final DispatchEvents events;
-    private final HeldBack heldBack;
-    private final IntSupplier entries;
+    private final OtherEntries otherEntries;
     private final DemandTargets demandTargets = new DemandTargets();
 
     /** The services of which agents may have been told of queued tasks. */
     private final Set<String> demandedServices = new HashSet<>();
 
-    /** Tells which jobs are held back. */
-    @FunctionalInterface
-    interface HeldBack {
-        /** Returns whether no run of a job may be ordered now. */
-        boolean test(String job, long nowNanos);
+    /** What is known of the other entries that order runs from the same agents. */
+    interface OtherEntries {
+        /** Returns whether no run of a job may be ordered now, as another entry may run it. */
+        boolean holdBack(String job, long nowNanos);
+
+        /** Returns the number of linked ones. */
+        int count();
     }
 
     TaskPlacer(
@@ -45,16 +45,14 @@
             Map<String, Resources> maxCapacity,
             DurationModel durations,
             DispatchEvents events,
-            HeldBack heldBack,
-            IntSupplier entries) {
+            OtherEntries otherEntries) {
         this.output = output;
         this.jobs = jobs;
         this.workers = workers;
         this.maxCapacity = maxCapacity;
         this.durations = durations;
         this.events = events;
-        this.heldBack = heldBack;
-        this.entries = entries;
+        this.otherEntries = otherEntries;
     }
 
     /** Orders runs that fit into the estimated free capacity, and sends a demand for the rest. */
@@ -104,7 +102,7 @@
             QueueShares shares,
             Map<WorkerView, List<TrackedTask>> chosen,
             long nowNanos) {
-        Placement.choose(task, freeCapacities, shares, entries.getAsInt(), nowNanos)
+        Placement.choose(task, freeCapacities, shares, 1 + otherEntries.count(), nowNanos)
                 .ifPresent(view -> {
                     freeCapacities.take(view, task.step().need());
                     chosen.computeIfAbsent(view, key -> new ArrayList<>()).add(task);
@@ -143,7 +141,7 @@
 
     /** Returns the jobs that runs may be ordered for. */
     private List<TrackedJob> queuedJobs(String service, long nowNanos) {
-        return jobs.queuedJobs(service, job -> heldBack.test(job, nowNanos), nowNanos);
+        return jobs.queuedJobs(service, job -> otherEntries.holdBack(job, nowNanos), nowNanos);
     }
 
     private ResourceDemand demandOf(String service, long nowNanos) {
