Do not look at all changes of jobs when one is recorded

No failure was seen. Each job that is added or ended made an entry look at what each other entry was told and at all changes that some were not told, and each message to an entry at all of these changes. Changes are in ascending order, so that the first one that is still needed ends the search; recording one needs no search. Decisions are unchanged: OwnClaimsTest and the tests of ownership, start and drain pass as before. No time was measured.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/HeldRequests.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/HeldRequests.java
@@ -50,10 +50,6 @@
         return requests.containsKey(job);
     }
 
-    List<String> jobs() {
-        return List.copyOf(requests.keySet());
-    }
-
     /** Returns the jobs of the requests that meet a condition. */
     List<String> matching(Predicate<WaitingRequest> condition) {
         return requests.values().stream()
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
@@ -343,11 +343,6 @@
         return Optional.ofNullable(waitingRequests.remove(job));
     }
 
-    /** Returns the jobs for whose end a request waits. */
-    List<String> awaited() {
-        return List.copyOf(waitingRequests.keySet());
-    }
-
     /** Returns the jobs whose requests wait and meet a condition. */
     List<String> awaited(Predicate<WaitingRequest> condition) {
         return waitingRequests.values().stream()
--- a/core/src/main/java/org/knapweedmount/core/dispatch/OwnClaims.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/OwnClaims.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -20,7 +21,7 @@
  * The jobs that this entry holds, and which changes each other entry has not been told.
  *
  * <p>Load pattern: each entry probes each other one some times a second and is first told the changes that it does not know.
- * Only the entry that asks is told, so the messages grow with the number of entries and not with its square.
+ * Only the entry that asks is told, so that the messages of one entry grow with the number of entries and not with its square.
  */
 final class OwnClaims {
     /** The submission of a job; empty once the job is answered and only its runs are left. */
@@ -62,8 +63,9 @@
     private void recordChange(String job) {
         lastChange++;
         changes.remove(job);
-        changes.put(job, lastChange);
-        dropChangesToldToAll();
+        if (!told.isEmpty()) {
+            changes.put(job, lastChange);
+        }
     }
 
     /** Returns the age of a job's submission, in ms; empty if the job is not held. */
@@ -90,7 +92,7 @@
         dropChangesToldToAll();
     }
 
-    /** Returns the changes that a linked entry has not been told; empty if there are none or it was told others just now. */
+    /** Returns the changes that a linked entry has not been told; empty if there are none or it was told some just now. */
     Optional<JobOwnershipUpdate> pendingUpdate(Incarnation peer, long nowNanos) {
         Told last = told.get(peer);
         return last == null || nowNanos - last.nanos() < DispatchTimings.MIN_UPDATE_INTERVAL_NANOS
@@ -123,7 +125,9 @@
     private void dropChangesToldToAll() {
         long toldToAll =
                 told.values().stream().mapToLong(Told::lastChange).min().orElse(lastChange);
-        changes.values().removeIf(number -> number <= toldToAll);
+        for (Iterator<Long> numbers = changes.values().iterator(); numbers.hasNext() && numbers.next() <= toldToAll; ) {
+            numbers.remove();
+        }
     }
 
     private List<JobClaim> claims(Collection<String> ids, long nowNanos) {
