Keep the timings of links and the bounded wait of a stop in one place

The heartbeat, the timeout of a link and the limit for its last messages were written down in both the entry and the agent, which must agree; so was the wait of a stop that logs what is left. Both use LinkTimings and BoundedWait now.

--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -2,10 +2,8 @@
 
 import java.util.OptionalInt;
 import java.util.Random;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -26,8 +24,10 @@
 import org.knapweedmount.daemon.link.LinkHandler;
 import org.knapweedmount.daemon.link.LinkOptions;
 import org.knapweedmount.daemon.link.LinkTable;
+import org.knapweedmount.daemon.link.LinkTimings;
 import org.knapweedmount.daemon.metrics.LazyProcessMetrics;
 import org.knapweedmount.daemon.metrics.ProcessLoadLog;
+import org.knapweedmount.daemon.runtime.BoundedWait;
 import org.knapweedmount.daemon.runtime.DecisionLog;
 import org.knapweedmount.daemon.runtime.DecisionQueue;
 import org.knapweedmount.daemon.runtime.EventLoopDecisionQueue;
@@ -47,15 +47,10 @@
 public final class DispatchEntry implements RunningProcess {
     private static final int MAX_WAITING_EVENTS = 8 * 1024; // one second of events at the highest rate
     private static final int TICK_INTERVAL_MILLIS = 25; // short compared with the 60 ms that short jobs may wait
-    private static final int HEARTBEAT_INTERVAL_MILLIS = 300; // links with other messages need none
-    private static final int RECEIVE_TIMEOUT_MILLIS = 1_500; // leases have ended before
 
     /** The time that is left after the drain to answer what was read and to close connections, in ms. */
     private static final int CLOSE_MILLIS = 600;
 
-    /** The time for the last messages to agents and other entries, in ms. */
-    private static final int LINK_CLOSE_LIMIT_MILLIS = 100;
-
     private final NodeSettings settings;
     private final Vertx vertx;
     private final NanoClock clock;
@@ -99,8 +94,8 @@
         this.decisions = new EventLoopDecisionQueue<>(vertx.getOrCreateContext(), MAX_WAITING_EVENTS, clock);
         this.retryingQueue = new RetryingQueue<>(vertx, decisions);
         this.callers = answerHandler;
-        LinkOptions options = LinkOptions.entry(HEARTBEAT_INTERVAL_MILLIS, random.nextLong())
-                .withReceiveTimeout(RECEIVE_TIMEOUT_MILLIS);
+        LinkOptions options = LinkOptions.entry(LinkTimings.HEARTBEAT_MILLIS, random.nextLong())
+                .withReceiveTimeout(LinkTimings.RECEIVE_TIMEOUT_MILLIS);
         this.links = new LinkTable<>(vertx, options, self, appliedVersion::get, clock, decisions, new Handler());
         this.dispatchModule = new DispatchModule(new Output(answerHandler), appliedVersion, links::addKnownEntry);
         this.metrics = new LazyProcessMetrics(log, links, process -> {
@@ -233,11 +228,11 @@
         if (announcement != null) {
             announcement.stop();
         }
-        int closeLimitMillis = settings.drainMillis() - LINK_CLOSE_LIMIT_MILLIS;
+        int closeLimitMillis = settings.drainMillis() - LinkTimings.CLOSE_LIMIT_MILLIS;
         await("the drain", drained.future(), millisLeft(closeLimitMillis, startNanos));
         int callersLimitMillis = millisLeft(closeLimitMillis, startNanos);
         await("the connections of callers", callers.shutdown(callersLimitMillis), callersLimitMillis);
-        await("the links", links.close(), LINK_CLOSE_LIMIT_MILLIS);
+        await("the links", links.close(), LinkTimings.CLOSE_LIMIT_MILLIS);
         log.close();
     }
 
@@ -252,12 +247,8 @@
                 negativeProbes.get(), nowNanos - startNanos, owesNothing, nowNanos - callers.lastRequestNanos());
     }
 
-    private void await(String what, Future<Void> closed, int limitMillis) throws InterruptedException {
-        try {
-            closed.toCompletionStage().toCompletableFuture().get(limitMillis, TimeUnit.MILLISECONDS);
-        } catch (ExecutionException | TimeoutException e) {
-            log.logEvent("stop-incomplete", "left=\"" + what + "\" cause=" + e, clock.nanos());
-        }
+    private void await(String what, Future<Void> ended, int limitMillis) throws InterruptedException {
+        BoundedWait.await(what, ended, limitMillis, log, clock);
     }
 
     private void finishDrain(DispatchModule module, long offeredNanos, long nowNanos) {
--- a/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
@@ -1,10 +1,7 @@
 package org.knapweedmount.daemon.worker;
 
 import java.util.Random;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.vertx.core.Vertx;
@@ -27,8 +24,10 @@
 import org.knapweedmount.daemon.link.LinkHandler;
 import org.knapweedmount.daemon.link.LinkOptions;
 import org.knapweedmount.daemon.link.LinkTable;
+import org.knapweedmount.daemon.link.LinkTimings;
 import org.knapweedmount.daemon.metrics.LazyProcessMetrics;
 import org.knapweedmount.daemon.metrics.ProcessLoadLog;
+import org.knapweedmount.daemon.runtime.BoundedWait;
 import org.knapweedmount.daemon.runtime.DecisionLog;
 import org.knapweedmount.daemon.runtime.EventLoopDecisionQueue;
 import org.knapweedmount.daemon.runtime.IdleWait;
@@ -43,9 +42,6 @@
 public final class WorkerAgentProcess implements RunningProcess {
     private static final int MAX_WAITING_EVENTS = 4 * 1024; // one second of events at the highest rate
     private static final int TICK_INTERVAL_MILLIS = 40; // six ticks fit between the early stop and the end of a lease
-    private static final int HEARTBEAT_INTERVAL_MILLIS = 300; // links with other messages need none
-    private static final int RECEIVE_TIMEOUT_MILLIS = 1_500; // leases have ended before
-    private static final int LINK_CLOSE_LIMIT_MILLIS = 100; // for the last messages to the entries
     private static final int FORCED_STOP_MILLIS = 700; // to stop the remaining runs and report them to their entries
 
     private final NodeSettings settings;
@@ -96,8 +92,8 @@
                 settings.dataCentre(),
                 settings.host(),
                 0);
-        LinkOptions options = LinkOptions.agent(HEARTBEAT_INTERVAL_MILLIS, random.nextLong())
-                .withReceiveTimeout(RECEIVE_TIMEOUT_MILLIS);
+        LinkOptions options = LinkOptions.agent(LinkTimings.HEARTBEAT_MILLIS, random.nextLong())
+                .withReceiveTimeout(LinkTimings.RECEIVE_TIMEOUT_MILLIS);
         this.links = new LinkTable<>(vertx, options, self, () -> 0, clock, decisions, new Handler());
         this.metrics =
                 new LazyProcessMetrics(log, links, process -> process.counters("worker", RunCounter.class, counters));
@@ -153,11 +149,7 @@
             retryingQueue.add((agent, nowNanos) -> agent.stopAll(nowNanos));
             IdleWait.await(decisions, agent -> agent.runCount() == 0, clock, FORCED_STOP_MILLIS);
         }
-        try {
-            links.close().toCompletionStage().toCompletableFuture().get(LINK_CLOSE_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
-        } catch (ExecutionException | TimeoutException e) {
-            log.logEvent("stop-incomplete", "left=\"the links\" cause=" + e, clock.nanos());
-        }
+        BoundedWait.await("the links", links.close(), LinkTimings.CLOSE_LIMIT_MILLIS, log, clock);
         log.close();
     }
 
