Log how long events wait for their decision

`process-load` now has the longest wait of an event in the decision queue since the last line (`wait-millis`). It tells a process that lacks processor time from a link that is silent.

No decision is changed.

--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -116,7 +116,7 @@
         decisions.offer(
                 (module, nowNanos) -> module.dispatcher().startupEntries().started(nowNanos));
         Ticker.start(vertx, TICK_INTERVAL_MILLIS, decisions, this::tick);
-        ProcessLoadLog loadLog = new ProcessLoadLog(log, links);
+        ProcessLoadLog loadLog = new ProcessLoadLog(log, links, decisions::takeLongestWaitNanos);
         Ticker.start(vertx, ProcessLoadLog.INTERVAL_MILLIS, decisions, (module, nowNanos) -> loadLog.write(nowNanos));
         settings.seeds().forEach(links::dial);
         return links.listen(settings.host(), settings.linkPort(), OptionalInt.empty())
--- a/daemon/src/main/java/org/knapweedmount/daemon/metrics/ProcessLoadLog.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/metrics/ProcessLoadLog.java
@@ -2,17 +2,23 @@
 
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import org.knapweedmount.daemon.link.LinkTable;
 import org.knapweedmount.daemon.runtime.DecisionLog;
 
-/** Logs at intervals how much processor time the process has used and which messages it has exchanged since the last line. */
+/**
+ * Logs at intervals how much processor time the process has used, how long an event has waited for its decision at most,
+ * and which messages were exchanged since the last line.
+ */
 public final class ProcessLoadLog {
     /** The interval between two lines, in ms. */
     public static final int INTERVAL_MILLIS = 1_000;
 
     private final DecisionLog log;
     private final LinkTable<?> links;
+    private final LongSupplier longestWaitNanos;
     private Load last = new Load(0, Map.of(), Map.of());
 
     /**
@@ -46,10 +52,12 @@
      *
      * @param log the decision log that receives the lines
      * @param links the links whose messages are counted
+     * @param longestWaitNanos returns how long an event has waited at most since it was last asked, in ns
      */
-    public ProcessLoadLog(DecisionLog log, LinkTable<?> links) {
+    public ProcessLoadLog(DecisionLog log, LinkTable<?> links, LongSupplier longestWaitNanos) {
         this.log = log;
         this.links = links;
+        this.longestWaitNanos = longestWaitNanos;
     }
 
     /**
@@ -62,7 +70,8 @@
                 ProcessorTime.millis(),
                 links.sentMessages().byType(),
                 links.receivedMessages().byType());
-        log.logEvent("process-load", present.describeSince(last), nowNanos);
+        long waitMillis = TimeUnit.NANOSECONDS.toMillis(longestWaitNanos.getAsLong());
+        log.logEvent("process-load", "wait-millis=" + waitMillis + " " + present.describeSince(last), nowNanos);
         last = present;
     }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/runtime/EventLoopDecisionQueue.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/runtime/EventLoopDecisionQueue.java
@@ -26,6 +26,7 @@
     private final AtomicLong refused = new AtomicLong();
     private final AtomicLong failures = new AtomicLong();
     private long lastLogNanos;
+    private long longestWaitNanos;
     private T module;
 
     /**
@@ -59,13 +60,15 @@
             return false;
         }
         // Never run synchronously: an event that is offered by a decision must see the state after that decision.
-        context.runOnContext(ignored -> run(decision));
+        long offeredNanos = clock.nanos();
+        context.runOnContext(ignored -> run(decision, offeredNanos));
         return true;
     }
 
-    private void run(Decision<T> decision) {
+    private void run(Decision<T> decision, long offeredNanos) {
         waitingEvents.decrementAndGet();
         long nowNanos = clock.nanos();
+        longestWaitNanos = Math.max(longestWaitNanos, nowNanos - offeredNanos);
         try {
             decision.decide(module, nowNanos);
         } catch (RuntimeException e) {
@@ -77,6 +80,17 @@
         }
     }
 
+    /**
+     * Returns how long an event has waited for the event loop at most since the last call; called on the event loop.
+     *
+     * @return the longest wait, in ns
+     */
+    public long takeLongestWaitNanos() {
+        long longest = longestWaitNanos;
+        longestWaitNanos = 0;
+        return longest;
+    }
+
     /**
      * Counts the waiting events.
      *
--- a/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
@@ -104,7 +104,7 @@
     public void start() {
         decisions.start(new WorkerAgent(new Output(), start));
         Ticker.start(vertx, TICK_INTERVAL_MILLIS, decisions, WorkerAgent::tick);
-        ProcessLoadLog loadLog = new ProcessLoadLog(log, links);
+        ProcessLoadLog loadLog = new ProcessLoadLog(log, links, decisions::takeLongestWaitNanos);
         Ticker.start(vertx, ProcessLoadLog.INTERVAL_MILLIS, decisions, (module, nowNanos) -> loadLog.write(nowNanos));
         settings.seeds().forEach(links::dial);
         finder.start();
