--- a/core/src/test/java/org/knapweedmount/core/work/LoadGenerator.java
+++ b/core/src/test/java/org/knapweedmount/core/work/LoadGenerator.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
 import org.knapweedmount.api.Incarnation;
@@ -26,18 +27,25 @@
     private ToDoubleFunction<String> targetRunMillis = job -> runMillis().get(job);
     private final Map<String, Integer> runMillis = new HashMap<>();
     private final Map<WorkQueue, List<String>> submitted = new HashMap<>();
+    private Predicate<Incarnation> isCalled = entry -> true;
 
     LoadGenerator(WorkFleet fleet) {
         this.fleet = fleet;
     }
 
+    /** Lets callers call only some entries. */
+    void callOnly(Predicate<Incarnation> condition) {
+        isCalled = condition;
+    }
+
     /** Submits jobs at a constant rate until a time, in ms. */
     void send(WorkQueue queue, double perSecond, int tasks, int millis, double untilMillis) {
         fleet.time().after(1_000 / perSecond, () -> {
             if (fleet.time().nowMillis() > untilMillis) {
                 return;
             }
-            List<Incarnation> entries = fleet.entries();
+            List<Incarnation> entries =
+                    fleet.entries().stream().filter(isCalled).toList();
             Incarnation entry = entries.get(fleet.random().nextInt(entries.size()));
             int milliCores = 1_400 + fleet.random().nextInt(400);
             String id = fleet.nextId();
--- a/core/src/test/java/org/knapweedmount/core/work/SimulatedProcessor.java
+++ b/core/src/test/java/org/knapweedmount/core/work/SimulatedProcessor.java
@@ -6,7 +6,7 @@
 /** The processor of a simulated process: events wait for their turn, and each takes time at the process's share of a core. */
 final class SimulatedProcessor {
     private final VirtualTime time;
-    private final double cores;
+    private double cores;
     private final Deque<Event> waiting = new ArrayDeque<>();
     private boolean busy;
     private double eventMillis;
@@ -23,6 +23,11 @@
         this.cores = cores;
     }
 
+    /** Changes the share of a core, from the next event on. */
+    void setCores(double share) {
+        cores = share;
+    }
+
     /** Runs an event after those that wait; its outputs leave at its beginning. */
     void run(double millis, Runnable action) {
         if (Double.isInfinite(cores)) {
--- a/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
@@ -122,6 +122,11 @@
         processors.clear();
     }
 
+    /** Changes the share of a core of one process. */
+    void limitProcessor(Incarnation process, double share) {
+        processor(process).setCores(share);
+    }
+
     private SimulatedProcessor processor(Incarnation process) {
         return processors.computeIfAbsent(process, key -> new SimulatedProcessor(time, cores.applyAsDouble(process)));
     }
