Handle events of other entries before those of agents and callers

Callers of all entries waited, and got 504 or late answers, while a single entry lacked processor time.

Cause: a job is admitted only once each other entry has answered a probe that is at most a second old. An entry handled all its events in the order of their arrival, so that its answers to probes, and its heartbeats, waited behind all reports of agents and requests of callers; while tasks waited, the network library did not read the sockets for up to a second. One entry that was behind thus held up all, until its links timed out and for 1.1 s longer. Class: a process that is short of something makes all others short of it.

Change: the events of an entry have priorities: other entries and ticks, then agents, then callers. A request whose job can no longer meet its target because it has waited in the entry's own queue is refused at once (LagRule), so that an entry that is behind does not order runs for jobs that are late anyway; the refusal says that the job has not run if what is known of the other entries shows it. A request that is decided more than 100 ms after it was read needs an answer of the other entries that is given after that, as one that is read after a pause does; in turn a pause counts from 150 ms on, so that both together stay below the 300 ms for which a claim may be missing.

Why it is safe: an answer to a probe still follows all claims made before it, and what an entry needs to know before it admits a job is the same or more.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
@@ -24,6 +24,7 @@
     private final EventBatch again;
     private final EventBatch released;
     private final EventBatch readAfterStall;
+    private final EventBatch refused;
     private final MembershipLog entries;
     private final AdmissionWaits waits = new AdmissionWaits();
 
@@ -37,9 +38,17 @@
         this.again = new EventBatch("job-again", output::logEvent);
         this.released = new EventBatch("job-released", output::logEvent);
         this.readAfterStall = new EventBatch("job-read-after-stall", output::logEvent);
+        this.refused = new EventBatch("jobs-refused", output::logEvent);
         this.entries = new MembershipLog(output);
     }
 
+    /** Logs a request that is refused because it has waited too long for the processor of this entry. */
+    void refusedForLag(WaitingRequest read, long nowNanos) {
+        String detail = "reason=entry-behind queue=" + read.request().queue().name() + " lag-millis="
+                + TimeUnit.NANOSECONDS.toMillis(nowNanos - read.readNanos());
+        refused.add(detail, "jobs", read.request().id(), nowNanos);
+    }
+
     /** Returns what this entry knows of the other entries. */
     MembershipLog entries() {
         return entries;
@@ -66,6 +75,7 @@
         entries.started(nowNanos);
         // In the order of the decisions, as far as batches of several events can tell it.
         readAfterStall.flush(nowNanos);
+        refused.flush(nowNanos);
         again.flush(nowNanos);
         elsewhere.flush(nowNanos);
         released.flush(nowNanos);
--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
@@ -68,7 +68,8 @@
      * The maximum age of the knowledge of the jobs of a linked entry when a request is admitted.
      *
      * <p>A caller submits a job again 1.3 s after it has lost the earlier request, so the entry that has read that one
-     * did so at least 1.3 s ago, less the time for which it may stand still unnoticed ({@link #PAUSE_NANOS}).
+     * did so at least 1.3 s ago, less the time for which it may stand still unnoticed ({@link #PAUSE_NANOS}) and the time
+     * that a request may wait for its decision ({@link #LATE_DECISION_NANOS}).
      */
     static final long MAX_KNOWLEDGE_AGE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -77,9 +78,12 @@
 
     /**
      * The time without a tick from which requests are taken to be read late, so that other entries have to be asked for
-     * them; the rest of the 1.3 s after which callers resubmit a job.
+     * them; with {@link #LATE_DECISION_NANOS} it is below the rest of the 1.3 s after which callers resubmit a job.
      */
-    static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+    static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+    /** The time between the reading of a request and its decision from which other entries have to be asked for it. */
+    static final long LATE_DECISION_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     /** The time without a message after which the other end closes a link to this entry. */
     static final long LINK_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -75,20 +75,32 @@
     }
 
     /**
-     * Submits a job; {@link DispatchOutput#answer} receives the result, at once if the job is refused.
+     * Submits a job whose request has just been read; {@link DispatchOutput#answer} receives the result, at once if the
+     * job is refused.
      *
      * @param request the job
      * @param nowNanos the current time, in ns
      */
     public void submit(JobRequest request, long nowNanos) {
+        submit(request, nowNanos, nowNanos);
+    }
+
+    /**
+     * Submits a job; {@link DispatchOutput#answer} receives the result, at once if the job is refused.
+     *
+     * @param request the job
+     * @param readNanos when its request was read, in ns; it has waited for this entry's processor since then
+     * @param nowNanos the current time, in ns
+     */
+    public void submit(JobRequest request, long readNanos, long nowNanos) {
         stalls.eventReceived(nowNanos).ifPresent(stall -> recover(stall, nowNanos));
         if (cancels.isCancelled(request.id())) {
             output.answer(request.id(), JobResult.cancelled());
             return;
         }
-        WaitingRequest read = heldRequests.read(request, nowNanos);
+        WaitingRequest read = heldRequests.read(request, readNanos, nowNanos);
         if (drain.hasEnded()) {
-            refuseLeaving(read, nowNanos);
+            refuse(read, Drain.notRun(), nowNanos);
             return;
         }
         if (isHoldingRequests(nowNanos)) {
@@ -97,16 +109,23 @@
             ownership.requestHeld(read, nowNanos);
             return;
         }
-        submit(read, nowNanos);
+        Optional<JobResult> refusal = LagRule.refusal(read, durations.criticalPathMillis(request), nowNanos);
+        if (refusal.isPresent() && jobs.find(request.id()).isEmpty()) {
+            events.refusedForLag(read, nowNanos);
+            refuse(read, refusal.get(), nowNanos);
+            return;
+        }
+        submit(read, readNanos, nowNanos);
     }
 
-    /** Answers a request that is read after the drain; a job that may run somewhere is not said not to have run. */
-    private void refuseLeaving(WaitingRequest read, long nowNanos) {
+    /** Refuses a request at once; a job that may run somewhere is not said not to have run. */
+    private void refuse(WaitingRequest read, JobResult notRun, long nowNanos) {
         String id = read.request().id();
+        RequiredKnowledge required = RequiredKnowledge.ofRefusal(read.submittedNanos(), read.readNanos(), nowNanos);
         boolean mayRun = jobs.find(id).isPresent()
                 || startupEntries.isAwaiting(nowNanos)
-                || ownership.mayBeHeldElsewhereAtSubmission(id, read.required(), nowNanos);
-        output.answer(id, mayRun ? JobResult.givenUp("leaving") : Drain.notRun());
+                || ownership.mayBeHeldElsewhereAtSubmission(id, required, nowNanos);
+        output.answer(id, mayRun ? JobResult.givenUp(notRun.reason()) : notRun);
     }
 
     private boolean isHoldingRequests(long nowNanos) {
@@ -124,11 +143,12 @@
 
     private void releaseHeld(long nowNanos) {
         if (!heldRequests.isEmpty() && !isHoldingRequests(nowNanos)) {
-            heldRequests.release().forEach(request -> submit(request, nowNanos));
+            heldRequests.release().forEach(request -> submit(request, nowNanos, nowNanos));
         }
     }
 
-    private void submit(WaitingRequest submitted, long nowNanos) {
+    /** Submits a job whose target counts from a time; what holds up the requests of all callers is not counted. */
+    private void submit(WaitingRequest submitted, long arrivalNanos, long nowNanos) {
         JobRequest request = submitted.request();
         Optional<TrackedJob> held = jobs.find(request.id());
         events.submitted(request.id(), nowNanos);
@@ -144,12 +164,12 @@
                     nowNanos);
             ownership.awaitEnd(submitted, nowNanos);
         } else {
-            admit(request, submitted.submittedNanos(), nowNanos);
+            admit(request, submitted.submittedNanos(), arrivalNanos, nowNanos);
         }
     }
 
-    private void admit(JobRequest request, long submittedNanos, long nowNanos) {
-        TrackedJob job = new TrackedJob(request, durations.criticalPathMillis(request), nowNanos);
+    private void admit(JobRequest request, long submittedNanos, long arrivalNanos, long nowNanos) {
+        TrackedJob job = new TrackedJob(request, durations.criticalPathMillis(request), arrivalNanos);
         int entries = 1 + ownership.peers().size();
         Optional<JobResult> refusal = drain.refusal(request).or(() -> admission.refusal(job, entries, nowNanos));
         if (refusal.isPresent()) {
@@ -282,7 +302,7 @@
         }
         ownership.confirmationEnded(id);
         events.released(id, reason, nowNanos);
-        admit(waiting.request(), waiting.submittedNanos(), nowNanos);
+        admit(waiting.request(), waiting.submittedNanos(), nowNanos, nowNanos);
     }
 
     private void yieldJob(Incarnation from, String id, long nowNanos) {
--- a/core/src/main/java/org/knapweedmount/core/dispatch/HeldRequests.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/HeldRequests.java
@@ -34,11 +34,18 @@
         return wasLong && isSettling(nowNanos);
     }
 
-    /** Returns a request that is read now; right after a stall it may have been sent at any time since that began. */
-    WaitingRequest read(JobRequest request, long nowNanos) {
-        return isSettling(nowNanos)
-                ? new WaitingRequest(request, nowNanos, stallStartNanos, RequiredKnowledge.ofLateRequest(nowNanos))
-                : new WaitingRequest(request, nowNanos, nowNanos, RequiredKnowledge.ofRequest(nowNanos));
+    /**
+     * Returns a request that was read at a time; right after a stall it may have been sent at any time since that began.
+     */
+    WaitingRequest read(JobRequest request, long readNanos, long nowNanos) {
+        if (isSettling(nowNanos)) {
+            long submittedNanos = Math.min(stallStartNanos, readNanos);
+            return new WaitingRequest(request, readNanos, submittedNanos, RequiredKnowledge.ofLateRequest(nowNanos));
+        }
+        boolean isLate = nowNanos - readNanos > DispatchTimings.LATE_DECISION_NANOS;
+        RequiredKnowledge required =
+                isLate ? RequiredKnowledge.ofLateRequest(nowNanos) : RequiredKnowledge.ofRequest(readNanos);
+        return new WaitingRequest(request, readNanos, readNanos, required);
     }
 
     /** Holds a request. */
--- a/core/src/main/java/org/knapweedmount/core/dispatch/RequiredKnowledge.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/RequiredKnowledge.java
@@ -22,6 +22,17 @@
         return new RequiredKnowledge(readNanos, readNanos, readNanos);
     }
 
+    /**
+     * Returns what the refusal of a request requires that says that its job has not run. Submissions before it were admitted
+     * long enough before it was read; a later one can only have been admitted if it was submitted long ago.
+     *
+     * @param submittedNanos when it was submitted at the earliest, in ns
+     */
+    static RequiredKnowledge ofRefusal(long submittedNanos, long readNanos, long nowNanos) {
+        boolean isOld = nowNanos - submittedNanos > DispatchTimings.MAX_KNOWLEDGE_AGE_NANOS;
+        return isOld ? ofLateRequest(nowNanos) : ofRequest(readNanos);
+    }
+
     /** Returns what a queued job requires when an entry becomes known that may have admitted it meanwhile. */
     static RequiredKnowledge ofQueuedJob(long nowNanos) {
         return new RequiredKnowledge(nowNanos, nowNanos, nowNanos - DispatchTimings.MAX_KNOWLEDGE_AGE_NANOS);
--- a/core/src/main/java/org/knapweedmount/core/dispatch/TrackedJob.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/TrackedJob.java
@@ -111,7 +111,13 @@
 
     /** Returns the latest start at which the job can meet its target, in ns. */
     long latestStartNanos() {
-        return targetNanos() - (long) (criticalPathMillis * TimeUnit.MILLISECONDS.toNanos(1));
+        return latestStartNanos(request, criticalPathMillis, arrivalNanos);
+    }
+
+    /** Returns the latest start at which the job of a request that was read at a time can meet its target, in ns. */
+    static long latestStartNanos(JobRequest request, double criticalPathMillis, long readNanos) {
+        long criticalPathNanos = (long) (criticalPathMillis * TimeUnit.MILLISECONDS.toNanos(1));
+        return readNanos + targetDurationNanos(request, criticalPathMillis, 1) - criticalPathNanos;
     }
 
     /** Returns whether a run was ordered that has done work or may have. */
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/event/package-info.java
@@ -0,0 +1,2 @@
+/** The order in which a process handles its events. */
+package org.knapweedmount.core.event;
--- a/core/src/test/java/org/knapweedmount/core/work/SimulatedProcessor.java
+++ b/core/src/test/java/org/knapweedmount/core/work/SimulatedProcessor.java
@@ -1,13 +1,15 @@
 package org.knapweedmount.core.work;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.Optional;
+
+import org.knapweedmount.core.event.EventPriority;
+import org.knapweedmount.core.event.PriorityEvents;
 
 /** The processor of a simulated process: events wait for their turn, and each takes time at the process's share of a core. */
 final class SimulatedProcessor {
     private final VirtualTime time;
     private double cores;
-    private final Deque<Event> waiting = new ArrayDeque<>();
+    private final PriorityEvents<Event> waiting = new PriorityEvents<>();
     private boolean busy;
     private double eventMillis;
 
@@ -28,13 +30,13 @@
         cores = share;
     }
 
-    /** Runs an event after those that wait; its outputs leave at its beginning. */
-    void run(double millis, Runnable action) {
+    /** Runs an event after those that wait with its priority or a higher one; its outputs leave at its beginning. */
+    void run(EventPriority priority, double millis, Runnable action) {
         if (Double.isInfinite(cores)) {
             action.run();
             return;
         }
-        waiting.add(new Event(millis, action));
+        waiting.add(priority, new Event(millis, action));
         if (!busy) {
             runNext();
         }
@@ -46,11 +48,12 @@
     }
 
     private void runNext() {
-        busy = !waiting.isEmpty();
+        Optional<Event> next = waiting.poll();
+        busy = next.isPresent();
         if (!busy) {
             return;
         }
-        Event event = waiting.remove();
+        Event event = next.get();
         eventMillis = event.millis();
         event.action().run();
         time.after(eventMillis / cores, this::runNext);
--- a/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
@@ -28,6 +28,7 @@
 import org.knapweedmount.core.dispatch.JobRequest;
 import org.knapweedmount.core.dispatch.JobResult;
 import org.knapweedmount.core.dispatch.JobStep;
+import org.knapweedmount.core.event.EventPriority;
 import org.knapweedmount.core.worker.ProcessStart;
 import org.knapweedmount.core.worker.WorkerAgent;
 import org.knapweedmount.core.worker.WorkerIncarnation;
@@ -197,7 +198,7 @@
 
     /** Lets an agent handle an event; one that is to stand still does so before its outputs leave it. */
     private void onAgent(Incarnation self, double millis, Consumer<WorkerAgent> event) {
-        processor(self).run(millis, () -> onAgent(self, event));
+        processor(self).run(EventPriority.AGENT, millis, () -> onAgent(self, event));
     }
 
     private void onAgent(Incarnation self, Consumer<WorkerAgent> event) {
@@ -252,7 +253,7 @@
         agents.keySet().forEach(agent -> link(self, agent));
         time.every(10, () -> {
             if (entries.containsKey(self)) {
-                processor(self).run(0, () -> dispatcher.tick(time.nowNanos()));
+                processor(self).run(EventPriority.ENTRY, 0, () -> dispatcher.tick(time.nowNanos()));
             }
         });
         return self;
@@ -329,11 +330,15 @@
         boolean lost = number == null || cutLinks.contains(Set.of(from, to));
         time.after(LINK_MILLIS, () -> {
             if (!lost && !cutLinks.contains(Set.of(from, to))) {
-                processor(to).run(RECEIVE_MILLIS, () -> receive(from, to, number, message));
+                processor(to).run(priority(from), RECEIVE_MILLIS, () -> receive(from, to, number, message));
             }
         });
     }
 
+    private EventPriority priority(Incarnation sender) {
+        return agents.containsKey(sender) ? EventPriority.AGENT : EventPriority.ENTRY;
+    }
+
     private void receive(Incarnation from, Incarnation to, long number, Message message) {
         onAgent(to, agent -> {
             if (Objects.equals(number, openEnd(to, from))) {
@@ -416,7 +421,9 @@
         submittedMillis.putIfAbsent(id, time.nowMillis());
         long deadlineNanos = time.nowNanos() + TimeUnit.SECONDS.toNanos(10);
         JobRequest request = new JobRequest(id, queue, "spec", List.of(step), deadlineNanos);
-        processor(entry).run(JOB_MILLIS, () -> dispatcher.submit(request, time.nowNanos()));
+        long readNanos = time.nowNanos();
+        processor(entry)
+                .run(EventPriority.CALLER, JOB_MILLIS, () -> dispatcher.submit(request, readNanos, time.nowNanos()));
     }
 
     private final class EntryPort implements DispatchOutput {
--- a/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentStarter.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/agent/AgentStarter.java
@@ -105,8 +105,8 @@
         DecisionLoop<AgentModule> loop = new DecisionLoop<>("agent-decisions", RING_CAPACITY_EVENTS, clock);
         LinkOptions options = LinkOptions.agent(settings.heartbeatMillis(), random.nextLong());
         AdaptiveTicker<AgentModule> ticker = ticker(context, loop);
-        LinkTable<AgentModule> linkTable =
-                new LinkTable<>(vertx, options, self, appliedNumber::get, clock, loop, new AgentLinkHandler(ticker));
+        LinkTable<AgentModule> linkTable = new LinkTable<>(
+                vertx, options, self, appliedNumber::get, clock, role -> loop, new AgentLinkHandler(ticker));
         EndpointClient endpoints = new EndpointClient(context, settings.http().maxBodyBytes());
         Links links = Links.of(linkTable);
         ConfigState config = new ConfigState();
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -20,6 +20,7 @@
 import org.knapweedmount.core.dispatch.DispatchCounter;
 import org.knapweedmount.core.dispatch.DispatchOutput;
 import org.knapweedmount.core.dispatch.JobResult;
+import org.knapweedmount.core.event.EventPriority;
 import org.knapweedmount.core.metric.Counters;
 import org.knapweedmount.daemon.link.LinkHandler;
 import org.knapweedmount.daemon.link.LinkOptions;
@@ -55,6 +56,8 @@
     private final Vertx vertx;
     private final NanoClock clock;
     private final EventLoopDecisionQueue<DispatchModule> decisions;
+    private final DecisionQueue<DispatchModule> urgentDecisions;
+    private final DecisionQueue<DispatchModule> agentDecisions;
     private final LinkTable<DispatchModule> links;
     private final DecisionLog log;
     private final LazyProcessMetrics metrics;
@@ -92,11 +95,13 @@
                 settings.host(),
                 settings.linkPort());
         this.decisions = new EventLoopDecisionQueue<>(vertx.getOrCreateContext(), MAX_WAITING_EVENTS, clock);
+        this.urgentDecisions = decisions.ofPriority(EventPriority.ENTRY);
+        this.agentDecisions = decisions.ofPriority(EventPriority.AGENT);
         this.retryingQueue = new RetryingQueue<>(vertx, decisions);
         this.callers = answerHandler;
         LinkOptions options = LinkOptions.entry(LinkTimings.HEARTBEAT_MILLIS, random.nextLong())
                 .withReceiveTimeout(LinkTimings.RECEIVE_TIMEOUT_MILLIS);
-        this.links = new LinkTable<>(vertx, options, self, appliedVersion::get, clock, decisions, new Handler());
+        this.links = new LinkTable<>(vertx, options, self, appliedVersion::get, clock, this::queueOf, new Handler());
         this.dispatchModule = new DispatchModule(new Output(answerHandler), appliedVersion, links::addKnownEntry);
         this.metrics = new LazyProcessMetrics(log, links, process -> {
             process.jobs(dispatchModule.dispatcher().status().latencies());
@@ -113,11 +118,12 @@
      */
     public Future<Void> start(TableService tables) {
         decisions.start(dispatchModule);
-        decisions.offer(
+        urgentDecisions.offer(
                 (module, nowNanos) -> module.dispatcher().startupEntries().started(nowNanos));
-        Ticker.start(vertx, TICK_INTERVAL_MILLIS, decisions, this::tick);
+        Ticker.start(vertx, TICK_INTERVAL_MILLIS, urgentDecisions, this::tick);
         ProcessLoadLog loadLog = new ProcessLoadLog(log, links, decisions::takeLongestWaitNanos);
-        Ticker.start(vertx, ProcessLoadLog.INTERVAL_MILLIS, decisions, (module, nowNanos) -> loadLog.write(nowNanos));
+        Ticker.start(
+                vertx, ProcessLoadLog.INTERVAL_MILLIS, urgentDecisions, (module, nowNanos) -> loadLog.write(nowNanos));
         settings.seeds().forEach(links::dial);
         return links.listen(settings.host(), settings.linkPort(), OptionalInt.empty())
                 .map(advertised -> {
@@ -134,6 +140,10 @@
                 });
     }
 
+    private DecisionQueue<DispatchModule> queueOf(Role role) {
+        return role == Role.ENTRY ? urgentDecisions : agentDecisions;
+    }
+
     private void tick(DispatchModule module, long nowNanos) {
         module.dispatcher().tick(nowNanos);
         ready = module.queues().version() > 0
@@ -143,7 +153,7 @@
 
     private void entriesListed(KnownEntries known) {
         known.recent().forEach(links::addKnownEntry);
-        decisions.offer((module, nowNanos) -> module.entriesListed(known.recent(), settings.name()));
+        urgentDecisions.offer((module, nowNanos) -> module.entriesListed(known.recent(), settings.name()));
     }
 
     /**
@@ -183,7 +193,7 @@
      * @param update the version and its queues
      */
     public void applyQueues(QueueUpdate update) {
-        if (!decisions.offer((module, nowNanos) -> module.apply(update, "store"))) {
+        if (!urgentDecisions.offer((module, nowNanos) -> module.apply(update, "store"))) {
             vertx.setTimer(TICK_INTERVAL_MILLIS, timer -> applyQueues(update));
         }
     }
--- a/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryBuilder.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/entry/EntryBuilder.java
@@ -194,7 +194,8 @@
                 settings.links().host(),
                 0);
         LinkOptions options = LinkOptions.entry(settings.heartbeatMillis(), random.nextLong());
-        return new LinkTable<>(vertx, options, unbound, appliedNumber::get, clock, loop, new EntryLinkHandler());
+        return new LinkTable<>(
+                vertx, options, unbound, appliedNumber::get, clock, role -> loop, new EntryLinkHandler());
     }
 
     private PeerAddress listenForLinks(LinkTable<EntryModule> linkTable)
--- a/daemon/src/main/java/org/knapweedmount/daemon/link/ConnectionManager.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/link/ConnectionManager.java
@@ -75,9 +75,9 @@
     interface Listener {
         boolean linked(Link link, PeerAddress peer);
 
-        boolean unlinked(Incarnation peer);
+        boolean unlinked(PeerAddress peer);
 
-        boolean received(Incarnation from, Message message);
+        boolean received(PeerAddress from, Message message);
     }
 
     ConnectionManager(
@@ -207,7 +207,7 @@
             return;
         }
         markUsed(link, message);
-        if (!listener.received(link.peer().get().incarnation(), message)) {
+        if (!listener.received(link.peer().get(), message)) {
             close(link, LinkCounter.CLOSED_RING_FULL);
         }
     }
@@ -341,9 +341,9 @@
         counters.increment(reason);
         link.close();
         if (link.peer().isPresent()) {
-            Incarnation peer = link.peer().get().incarnation();
+            PeerAddress peer = link.peer().get();
             counters.increment(LinkCounter.UNLINKED);
-            Logger.info("link to {} closed: {}", peer, reason);
+            Logger.info("link to {} closed: {}", peer.incarnation(), reason);
             notifyUnlinked(peer);
         }
         if (link.target().isPresent()) {
@@ -360,9 +360,9 @@
     }
 
     /** Reports a lost link; until the report is queued, no other link to the same process is accepted. */
-    private void notifyUnlinked(Incarnation peer) {
+    private void notifyUnlinked(PeerAddress peer) {
         if (listener.unlinked(peer)) {
-            linksByPeer.remove(peer);
+            linksByPeer.remove(peer.incarnation());
             return;
         }
         if (!closed) {
--- a/daemon/src/main/java/org/knapweedmount/daemon/link/LinkTable.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/link/LinkTable.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -13,6 +14,7 @@
 import io.vertx.core.Vertx;
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.PeerAddress;
+import org.knapweedmount.api.Role;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.core.metric.Counters;
 import org.knapweedmount.daemon.runtime.DecisionQueue;
@@ -32,7 +34,7 @@
  */
 public final class LinkTable<T> {
     private final Context context;
-    private final DecisionQueue<T> queue;
+    private final Function<Role, DecisionQueue<T>> queues;
     private final LinkHandler<T> handler;
     private final Counters<LinkCounter> counters = new Counters<>(LinkCounter.class);
     private final ConnectionManager connectionManager;
@@ -50,7 +52,7 @@
      * @param self this process, with port 0 as it does not listen yet
      * @param configNumber the highest ticket number in force, put into heartbeats; read on the event loop
      * @param clock the clock of heartbeats and timeouts
-     * @param queue the queue of the decision thread
+     * @param queues returns the queue of the decision thread for the events of a process of a role
      * @param handler handles link events on the decision thread
      */
     public LinkTable(
@@ -59,10 +61,10 @@
             PeerAddress self,
             LongSupplier configNumber,
             NanoClock clock,
-            DecisionQueue<T> queue,
+            Function<Role, DecisionQueue<T>> queues,
             LinkHandler<T> handler) {
         this.context = vertx.getOrCreateContext();
-        this.queue = queue;
+        this.queues = queues;
         this.handler = handler;
         this.connectionManager =
                 new ConnectionManager(vertx, options, self, configNumber, clock, counters, new DecisionForwarder());
@@ -206,23 +208,24 @@
     private final class DecisionForwarder implements ConnectionManager.Listener {
         @Override
         public boolean linked(Link link, PeerAddress peer) {
-            return queue.offer((core, nowNanos) -> {
+            return queues.apply(peer.role()).offer((core, nowNanos) -> {
                 activeLinks.put(peer.incarnation(), new ActiveLink(link, peer));
                 handler.linked(core, peer, nowNanos);
             });
         }
 
         @Override
-        public boolean unlinked(Incarnation peer) {
-            return queue.offer((core, nowNanos) -> {
-                activeLinks.remove(peer);
-                handler.unlinked(core, peer, nowNanos);
+        public boolean unlinked(PeerAddress peer) {
+            return queues.apply(peer.role()).offer((core, nowNanos) -> {
+                activeLinks.remove(peer.incarnation());
+                handler.unlinked(core, peer.incarnation(), nowNanos);
             });
         }
 
         @Override
-        public boolean received(Incarnation from, Message message) {
-            return queue.offer((core, nowNanos) -> handler.received(core, from, message, nowNanos));
+        public boolean received(PeerAddress from, Message message) {
+            return queues.apply(from.role())
+                    .offer((core, nowNanos) -> handler.received(core, from.incarnation(), message, nowNanos));
         }
     }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
@@ -94,7 +94,7 @@
                 0);
         LinkOptions options = LinkOptions.agent(LinkTimings.HEARTBEAT_MILLIS, random.nextLong())
                 .withReceiveTimeout(LinkTimings.RECEIVE_TIMEOUT_MILLIS);
-        this.links = new LinkTable<>(vertx, options, self, () -> 0, clock, decisions, new Handler());
+        this.links = new LinkTable<>(vertx, options, self, () -> 0, clock, role -> decisions, new Handler());
         this.metrics =
                 new LazyProcessMetrics(log, links, process -> process.counters("worker", RunCounter.class, counters));
         this.finder = new EntryFinder(vertx, tables, clock, links::addKnownEntry, random.nextLong());
--- a/daemon/src/test/java/org/knapweedmount/daemon/agent/FakeEntry.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/agent/FakeEntry.java
@@ -30,7 +30,8 @@
     FakeEntry(Vertx vertx, String name) {
         PeerAddress identity = new PeerAddress(new Incarnation(name, 1), Role.ENTRY, "rennes", "127.0.0.1", 0);
         LinkOptions options = LinkOptions.entry(HEARTBEAT_MILLIS, 1);
-        this.links = new LinkTable<>(vertx, options, identity, () -> 0, NanoClock.SYSTEM, loop, new RecordingHandler());
+        this.links = new LinkTable<>(
+                vertx, options, identity, () -> 0, NanoClock.SYSTEM, role -> loop, new RecordingHandler());
         this.self = links.listen(identity.host(), 0, OptionalInt.empty()).await();
         loop.start(this);
     }
--- a/daemon/src/test/java/org/knapweedmount/daemon/entry/EchoAgent.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/entry/EchoAgent.java
@@ -57,7 +57,7 @@
         Incarnation incarnation = new Incarnation("agent-1", 1);
         PeerAddress self = new PeerAddress(incarnation, Role.AGENT, region, "bilbao", "127.0.0.1", 0);
         LinkOptions options = LinkOptions.agent(HEARTBEAT_MILLIS, 1);
-        this.links = new LinkTable<>(vertx, options, self, appliedNumber::get, NanoClock.SYSTEM, loop, this);
+        this.links = new LinkTable<>(vertx, options, self, appliedNumber::get, NanoClock.SYSTEM, role -> loop, this);
         loop.start(this);
         entries.forEach(links::dial);
     }
--- a/daemon/src/test/java/org/knapweedmount/daemon/link/TestProcess.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/link/TestProcess.java
@@ -60,7 +60,7 @@
         Incarnation incarnation = new Incarnation(name, System.nanoTime());
         PeerAddress identity = new PeerAddress(incarnation, role, region, "rennes", HOST, 0);
         this.loop = new DecisionLoop<>(name, RING_SIZE, NanoClock.SYSTEM);
-        this.links = new LinkTable<>(vertx, options, identity, () -> 17, clock, loop, new EventRecorder());
+        this.links = new LinkTable<>(vertx, options, identity, () -> 17, clock, peerRole -> loop, new EventRecorder());
         this.self = role == Role.ENTRY
                 ? links.listen(HOST, port, OptionalInt.empty()).await()
                 : identity;
