Ask an entry once for all requests that wait for it

Cause: each request that had to wait sent each linked entry an update and a probe of its own, and asked an entry without a link for its own job by way of two agents, again each 50 ms. Messages were requests times entries, and most when processor time was shortest. Class: work for each waiting item where one question answers for all.

Change: one probe of an entry is outstanding at a time, and the next one, sent at least 20 ms later, serves all requests that have come meanwhile; updates go with it. One message asks an entry without a link for all jobs that wait for it, at most each 25 ms; it is answered for those that are not held.

Why it is safe: an answer still counts only if it was given to a question that was sent after the request was read. What it costs is a wait of at most 20 or 25 ms for the next question.

Tests that are changed: messages have lists, a repeated request has a new number, and requestReadAfterAPauseIsAdmittedOnlyOnAnAnswerGivenAfterThat waits for the second probe; it now also checks that the answer to the probe before the request admits nothing.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
@@ -18,6 +18,9 @@
     /** The interval at which an entry without a link is asked again for a job; several round trips by way of an agent. */
     static final long YIELD_REPEAT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
+    /** The minimum interval between two requests to an entry without a link; each has all jobs that are asked for. */
+    static final long YIELD_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
+
     /**
      * How long a request that is refused anyway waits for the answers of other entries, so that it can be said not to have
      * run; several round trips by way of an agent.
@@ -76,6 +79,9 @@
     /** The interval between two probes of a linked entry; several fit into the maximum age of what is known. */
     static final long PROBE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
+    /** The minimum interval between two probes of a linked entry; all requests that wait share the next one. */
+    static final long MIN_PROBE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
     /**
      * The time without a tick from which requests are taken to be read late, so that other entries have to be asked for
      * them; with {@link #LATE_DECISION_NANOS} it is below the rest of the 1.3 s after which callers resubmit a job.
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -247,7 +247,7 @@
         } else if (message instanceof OwnershipProbe probe) {
             ownership.probeReceived(from, probe, nowNanos);
         } else if (message instanceof OwnershipProbeReply reply) {
-            ownership.probeAnswered(from, reply);
+            ownership.probeAnswered(from, reply, nowNanos);
         } else if (message instanceof Peers linked) {
             startupEntries.listedByPeer(linked.entries().stream()
                     .map(entry -> entry.incarnation().process())
@@ -263,9 +263,9 @@
         } else if (message instanceof YieldJob request) {
             yieldJob(from, request.job(), nowNanos);
         } else if (message instanceof RelayedYield request) {
-            yieldJobByWayOf(from, request, nowNanos);
-        } else if (message instanceof RelayedEnd end && ownership.relayedEndReceived(end)) {
-            resume(end.job(), "ended-there", nowNanos);
+            yieldJobsByWayOf(from, request, nowNanos);
+        } else if (message instanceof RelayedEnd end) {
+            ownership.relayedEndReceived(end).forEach(job -> resume(job, "ended-there", nowNanos));
         }
         Optional<WorkerView> view = workers.find(from);
         if (view.isEmpty()) {
@@ -315,16 +315,22 @@
         }
     }
 
-    /** Gives up a job for an entry that is cut off from this one; an agent passes on the answer. */
-    private void yieldJobByWayOf(Incarnation agent, RelayedYield request, long nowNanos) {
-        String id = request.job();
-        output.logEvent(
-                "job-yielded",
-                "job=" + id + " entry=" + request.peer() + " by=" + agent + " held="
-                        + jobs.find(id).isPresent());
-        surrender(id, nowNanos);
-        if (jobs.find(id).isEmpty()) {
-            output.send(agent, new RelayedEnd(request.peer(), id, request.number()));
+    /** Gives up jobs for an entry that is cut off from this one; an agent passes on the answer. */
+    private void yieldJobsByWayOf(Incarnation agent, RelayedYield request, long nowNanos) {
+        List<String> released = new ArrayList<>();
+        for (String id : request.jobs()) {
+            boolean held = jobs.find(id).isPresent();
+            if (held) {
+                output.logEvent(
+                        "job-yielded", "job=" + id + " entry=" + request.peer() + " by=" + agent + " held=true");
+            }
+            surrender(id, nowNanos);
+            if (jobs.find(id).isEmpty()) {
+                released.add(id);
+            }
+        }
+        if (!released.isEmpty()) {
+            output.send(agent, new RelayedEnd(request.peer(), released, request.number()));
         }
     }
 
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
@@ -70,7 +70,7 @@
         awaitedFullLists.add(peer);
         lostEntries.linked(peer);
         output.send(peer, claims.fullList(peer, nowNanos));
-        knowledge.probeUnlessSentSince(peer, nowNanos, nowNanos);
+        require(peer, nowNanos, nowNanos);
     }
 
     /** Keeps the jobs of an entry whose link is lost: the entry may be alive. */
@@ -280,12 +280,38 @@
 
     /** Asks the entries that may hold a job: the linked ones for their present jobs, the others by way of agents. */
     void ask(String job, RequiredKnowledge required, long nowNanos) {
-        unconfirmedHolders(job).stream().filter(peers::contains).forEach(peer -> {
-            // An entry that has answered the probe knows from then on that the job is held here.
+        unconfirmedHolders(job).stream()
+                .filter(peers::contains)
+                .forEach(peer -> require(peer, required.ofLinkedNanos(), nowNanos));
+        relayedYields.begin(job);
+        askUnlinkedHolders(nowNanos);
+    }
+
+    /** Asks the entries without a link for all jobs that they may hold, each at a limited rate. */
+    private void askUnlinkedHolders(long nowNanos) {
+        Map<Incarnation, Set<String>> jobs = new LinkedHashMap<>();
+        Set<String> unanswered = new LinkedHashSet<>(waitingRequests.keySet());
+        unanswered.addAll(unconfirmedJobs.all());
+        unanswered.stream()
+                .filter(relayedYields::isAsking)
+                .forEach(job -> unlinkedHolders(job)
+                        .forEach(holder -> jobs.computeIfAbsent(holder, key -> new LinkedHashSet<>())
+                                .add(job)));
+        relayedYields.ask(jobs, nowNanos);
+    }
+
+    /** Requires that the jobs of a linked entry become known as of a time, and probes it if that is due. */
+    private void require(Incarnation peer, long asOfNanos, long nowNanos) {
+        knowledge.require(peer, asOfNanos);
+        probeIfDue(peer, nowNanos);
+    }
+
+    private void probeIfDue(Incarnation peer, long nowNanos) {
+        if (knowledge.isProbeDue(peer, nowNanos)) {
+            // An entry that has answered the probe knows from then on which jobs are held here.
             sendChanges(peer, nowNanos);
-            knowledge.probeUnlessSentSince(peer, required.ofLinkedNanos(), nowNanos);
-        });
-        relayedYields.begin(job, unlinkedHolders(job), nowNanos);
+            knowledge.probe(peer, nowNanos);
+        }
     }
 
     private Set<Incarnation> unlinkedHolders(String job) {
@@ -302,9 +328,10 @@
     }
 
     /** Records that the jobs of another entry are known as of the time of a probe. */
-    void probeAnswered(Incarnation peer, OwnershipProbeReply reply) {
-        if (peers.contains(peer) && !awaitedFullLists.contains(peer)) {
-            knowledge.probeAnswered(peer, reply.number());
+    void probeAnswered(Incarnation peer, OwnershipProbeReply reply, long nowNanos) {
+        if (peers.contains(peer)) {
+            knowledge.probeAnswered(peer, reply.number(), !awaitedFullLists.contains(peer));
+            probeIfDue(peer, nowNanos);
         }
     }
 
@@ -313,28 +340,30 @@
         if (stall.lostNanos() > 0) {
             knowledge.clockLost();
         }
-        probe(nowNanos, nowNanos);
+        requireAll(nowNanos, nowNanos);
     }
 
     /** Records that a request is held here, and asks for what has to be known before it can be admitted. */
     void requestHeld(WaitingRequest request, long nowNanos) {
         held(request.request().id(), request.submittedNanos());
-        peers.forEach(peer -> sendChanges(peer, nowNanos));
-        probe(request.required().ofLinkedNanos(), nowNanos);
+        requireAll(request.required().ofLinkedNanos(), nowNanos);
     }
 
-    private void probe(long sinceNanos, long nowNanos) {
-        peers.forEach(peer -> knowledge.probeUnlessSentSince(peer, sinceNanos, nowNanos));
+    private void requireAll(long asOfNanos, long nowNanos) {
+        peers.forEach(peer -> require(peer, asOfNanos, nowNanos));
     }
 
-    /** Applies the answer of an entry without a link; returns true if no other entry holds the job any more. */
-    boolean relayedEndReceived(RelayedEnd end) {
-        if (!relayedYields.isCurrent(end)) {
-            return false;
+    /** Applies the answer of an entry without a link; returns the jobs that no other entry holds any more. */
+    List<String> relayedEndReceived(RelayedEnd end) {
+        List<String> freed = new ArrayList<>();
+        for (String job : relayedYields.currentJobs(end)) {
+            boolean denied = unconfirmedJobs.deny(job, end.peer());
+            boolean released = !removeHolder(end.peer(), Set.of(job)).isEmpty();
+            if (released || (denied && !isHeldElsewhere(job))) {
+                freed.add(job);
+            }
         }
-        boolean denied = unconfirmedJobs.deny(end.job(), end.peer());
-        boolean freed = !removeHolder(end.peer(), Set.of(end.job())).isEmpty();
-        return freed || (denied && !isHeldElsewhere(end.job()));
+        return freed;
     }
 
     /** Removes and returns the request that waits for the end of a job's earlier submission. */
@@ -383,11 +412,9 @@
 
     /** Sends each linked entry the changes that it has not been told, and repeats requests to unlinked entries. */
     void sendUpdates(long nowNanos) {
-        Set<String> unanswered = new LinkedHashSet<>(waitingRequests.keySet());
-        unanswered.addAll(unconfirmedJobs.all());
-        unanswered.forEach(job -> relayedYields.repeat(job, unlinkedHolders(job), nowNanos));
+        askUnlinkedHolders(nowNanos);
         peers.forEach(peer -> claims.pendingUpdate(peer, nowNanos).ifPresent(update -> output.send(peer, update)));
-        probe(nowNanos - DispatchTimings.PROBE_INTERVAL_NANOS, nowNanos);
+        requireAll(nowNanos - DispatchTimings.PROBE_INTERVAL_NANOS, nowNanos);
     }
 
     private void sendChanges(Incarnation peer, long nowNanos) {
--- a/core/src/main/java/org/knapweedmount/core/dispatch/PeerKnowledge.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/PeerKnowledge.java
@@ -13,49 +13,73 @@
  * <p>An entry answers a probe after it has told all jobs that it held then, so the answer shows that its jobs are known as
  * of the time at which the probe was sent. That time is taken by the clock of this entry: neither the clocks of others nor
  * the delay of a message can make the knowledge look more recent than it is.
+ *
+ * <p>Load pattern: many requests wait for the answer of one entry. They share the next probe, which is sent once the last
+ * one is answered, so that the probes grow with the entries and with time, but not with the requests.
  */
 final class PeerKnowledge {
     private static final int MAX_ENTRIES = 256;
-    private static final int MAX_OPEN_PROBES = 1_024;
 
     private final DispatchOutput output;
-    private final Map<Long, Probe> openProbes = new LinkedHashMap<>();
-    private final Map<Incarnation, Long> lastProbeNanos = new HashMap<>();
+    private final Map<Incarnation, Probe> lastProbes = new HashMap<>();
+    private final Map<Incarnation, Long> requiredNanos = new HashMap<>();
     private final Map<Incarnation, Long> knownAsOfNanos = new LinkedHashMap<>();
     private long lastNumber;
 
-    private record Probe(Incarnation peer, long sentNanos) {}
+    private record Probe(long number, long sentNanos, boolean answered) {}
 
     PeerKnowledge(DispatchOutput output) {
         this.output = output;
     }
 
-    /** Sends a probe to a linked entry unless one was sent at or after a time. */
-    void probeUnlessSentSince(Incarnation peer, long sinceNanos, long nowNanos) {
-        Long last = lastProbeNanos.get(peer);
-        if (last != null && last - sinceNanos >= 0) {
-            return;
+    /** Requires that the jobs of a linked entry become known as of a time. */
+    void require(Incarnation peer, long asOfNanos) {
+        requiredNanos.merge(peer, asOfNanos, PeerKnowledge::later);
+    }
+
+    private static long later(long one, long other) {
+        return one - other > 0 ? one : other;
+    }
+
+    /** Returns whether a probe of a linked entry has to be sent now. */
+    boolean isProbeDue(Incarnation peer, long nowNanos) {
+        Long required = requiredNanos.get(peer);
+        Probe last = lastProbes.get(peer);
+        if (required == null || last == null) {
+            return required != null;
         }
+        long ageNanos = nowNanos - last.sentNanos();
+        long minAgeNanos =
+                last.answered() ? DispatchTimings.MIN_PROBE_INTERVAL_NANOS : DispatchTimings.PROBE_INTERVAL_NANOS;
+        return last.sentNanos() - required < 0 && ageNanos >= minAgeNanos;
+    }
+
+    /** Sends a probe to a linked entry. */
+    void probe(Incarnation peer, long nowNanos) {
         lastNumber++;
-        openProbes.put(lastNumber, new Probe(peer, nowNanos));
-        removeOldest(openProbes, MAX_OPEN_PROBES);
-        lastProbeNanos.put(peer, nowNanos);
+        lastProbes.put(peer, new Probe(lastNumber, nowNanos, false));
         output.send(peer, new OwnershipProbe(lastNumber));
     }
 
-    /** Records the answer of an entry to a probe. */
-    void probeAnswered(Incarnation peer, long number) {
-        Probe probe = openProbes.get(number);
-        if (probe == null || !probe.peer().equals(peer)) {
+    /**
+     * Records the answer of an entry to a probe.
+     *
+     * @param isComplete whether the entry has told all its jobs before it
+     */
+    void probeAnswered(Incarnation peer, long number, boolean isComplete) {
+        Probe probe = lastProbes.get(peer);
+        if (probe == null || probe.number() != number) {
             return;
         }
-        openProbes.remove(number);
-        knownAsOfNanos.merge(peer, probe.sentNanos(), (one, other) -> one - other > 0 ? one : other);
-        removeOldest(knownAsOfNanos, MAX_ENTRIES);
+        lastProbes.put(peer, new Probe(number, probe.sentNanos(), true));
+        if (isComplete) {
+            knownAsOfNanos.merge(peer, probe.sentNanos(), PeerKnowledge::later);
+            removeOldest(knownAsOfNanos);
+        }
     }
 
-    private static void removeOldest(Map<?, ?> map, int limit) {
-        if (map.size() > limit) {
+    private static void removeOldest(Map<?, ?> map) {
+        if (map.size() > MAX_ENTRIES) {
             map.remove(map.keySet().iterator().next());
         }
     }
@@ -73,14 +97,14 @@
 
     /** Forgets the probes to an entry whose link is lost, and their answers with them. */
     void unlinked(Incarnation peer) {
-        lastProbeNanos.remove(peer);
-        openProbes.values().removeIf(probe -> probe.peer().equals(peer));
+        lastProbes.remove(peer);
+        requiredNanos.remove(peer);
     }
 
     /** Forgets all times, as this entry's clock stood still and they look more recent than they are. */
     void clockLost() {
-        openProbes.clear();
-        lastProbeNanos.clear();
+        lastProbes.clear();
+        requiredNanos.clear();
         knownAsOfNanos.clear();
     }
 }
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
@@ -164,7 +164,7 @@
         dispatcher.receive(
                 AGENT, new LinkedEntries(List.of(PEER, unlinked), List.of()), DispatchFixture.millisToNanos(1));
         submit(JOB, 10);
-        dispatcher.receive(AGENT, new RelayedEnd(unlinked, JOB, 1), DispatchFixture.millisToNanos(13));
+        dispatcher.receive(AGENT, new RelayedEnd(unlinked, List.of(JOB), 1), DispatchFixture.millisToNanos(13));
         dispatcher.receive(AGENT, new LinkedEntries(List.of(PEER), List.of()), DispatchFixture.millisToNanos(20));
         String other = "00000000000000bb";
         ownedByPeer(other, 50);
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherOwnershipTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherOwnershipTest.java
@@ -337,14 +337,14 @@
     void jobThatIsSubmittedDuringACutRunsOnlyOnceTheEntryBehindItHasEndedIt() {
         cutOffPeerThatAnAgentIsLinkedTo();
         fixture.submit(200);
-        RelayedYield request = new RelayedYield(PEER, JOB, 1);
+        RelayedYield request = new RelayedYield(PEER, List.of(JOB), 1);
         assertThat(fixture.ordered(), is(empty()));
         assertThat(fixture.sent(RelayedYield.class), contains(request));
 
         fixture.tick(250);
-        assertThat(fixture.sent(RelayedYield.class), contains(request, request));
+        assertThat(fixture.sent(RelayedYield.class), contains(request, new RelayedYield(PEER, List.of(JOB), 2)));
 
-        fixture.receive(AGENT, new RelayedEnd(PEER, JOB, 1), 260);
+        fixture.receive(AGENT, new RelayedEnd(PEER, List.of(JOB), 1), 260);
         assertThat(fixture.ordered(), contains(FIRST));
     }
 
@@ -366,17 +366,17 @@
         dispatcher.callerLeft(JOB, DispatchFixture.millisToNanos(210));
         fixture.submit(220);
 
-        fixture.receive(AGENT, new RelayedEnd(PEER, JOB, 1), 230);
+        fixture.receive(AGENT, new RelayedEnd(PEER, List.of(JOB), 1), 230);
         assertThat(fixture.ordered(), is(empty()));
 
-        fixture.receive(AGENT, new RelayedEnd(PEER, JOB, 2), 240);
+        fixture.receive(AGENT, new RelayedEnd(PEER, List.of(JOB), 2), 240);
         assertThat(fixture.ordered(), contains(FIRST));
     }
 
     @Test
     void entryThatIsAskedDuringACutAnswersOnlyOnceNoRunOfTheJobIsLeft() {
         fixture.submit(0);
-        RelayedYield request = new RelayedYield(PEER, JOB, 7);
+        RelayedYield request = new RelayedYield(PEER, List.of(JOB), 7);
 
         fixture.receive(AGENT, request, 10);
         assertThat(fixture.answers(JOB), contains(JobResult.Kind.GIVEN_UP));
@@ -385,7 +385,7 @@
 
         fixture.sendResult(FIRST, RunOutcome.STOPPED, 20);
         fixture.receive(AGENT, request, 60);
-        assertThat(fixture.sent(RelayedEnd.class), contains(new RelayedEnd(PEER, JOB, 7)));
+        assertThat(fixture.sent(RelayedEnd.class), contains(new RelayedEnd(PEER, List.of(JOB), 7)));
     }
 
     @Test
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherStartTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherStartTest.java
@@ -110,10 +110,10 @@
         fixture.receive(AGENT, new LinkedEntries(List.of(PEER), List.of()), 0);
         fixture.submit(1);
 
-        assertThat(fixture.sent(RelayedYield.class), contains(new RelayedYield(PEER, JOB, 1)));
+        assertThat(fixture.sent(RelayedYield.class), contains(new RelayedYield(PEER, List.of(JOB), 1)));
         assertThat(fixture.ordered(), is(empty()));
 
-        fixture.receive(AGENT, new RelayedEnd(PEER, JOB, 1), 4);
+        fixture.receive(AGENT, new RelayedEnd(PEER, List.of(JOB), 1), 4);
         assertThat(fixture.ordered(), contains(FIRST));
     }
 
@@ -126,7 +126,7 @@
         fixture.report(20, CAPACITY_MILLI_CORES);
         assertThat(fixture.ordered(), is(empty()));
 
-        fixture.receive(AGENT, new RelayedEnd(PEER, JOB, 1), 30);
+        fixture.receive(AGENT, new RelayedEnd(PEER, List.of(JOB), 1), 30);
         assertThat(fixture.ordered(), contains(FIRST));
     }
 
@@ -173,6 +173,10 @@
         assertThat(fixture.ordered(), is(empty()));
 
         fixture.answerProbes(PEER, 303);
+        assertThat("the probe was sent before the request was read", fixture.ordered(), is(empty()));
+
+        fixture.tick(325);
+        fixture.answerProbes(PEER, 327);
         assertThat(fixture.ordered(), contains(FIRST));
     }
 
--- a/wire/src/main/java/org/knapweedmount/wire/WorkMessages.java
+++ b/wire/src/main/java/org/knapweedmount/wire/WorkMessages.java
@@ -274,18 +274,18 @@
     }
 
     static void writeRelayedYield(FieldWriter out, RelayedYield yield) throws IOException, FrameException {
-        out.incarnation(yield.peer()).name(yield.job()).number(yield.number());
+        out.incarnation(yield.peer()).list(yield.jobs(), FieldWriter::name).number(yield.number());
     }
 
     static RelayedYield readRelayedYield(FieldReader in) throws IOException, FrameException {
-        return new RelayedYield(in.incarnation(), in.name(), in.nonNegativeLong());
+        return new RelayedYield(in.incarnation(), in.list(FieldReader::name), in.nonNegativeLong());
     }
 
     static void writeRelayedEnd(FieldWriter out, RelayedEnd end) throws IOException, FrameException {
-        out.incarnation(end.peer()).name(end.job()).number(end.number());
+        out.incarnation(end.peer()).list(end.jobs(), FieldWriter::name).number(end.number());
     }
 
     static RelayedEnd readRelayedEnd(FieldReader in) throws IOException, FrameException {
-        return new RelayedEnd(in.incarnation(), in.name(), in.nonNegativeLong());
+        return new RelayedEnd(in.incarnation(), in.list(FieldReader::name), in.nonNegativeLong());
     }
 }
--- a/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
+++ b/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
@@ -149,8 +149,8 @@
             case LINKED_ENTRIES -> new LinkedEntries(list(this::incarnation), list(this::incarnation));
             case OWNERSHIP_PROBE -> new OwnershipProbe(nonNegativeLong());
             case OWNERSHIP_PROBE_REPLY -> new OwnershipProbeReply(nonNegativeLong());
-            case RELAYED_YIELD -> new RelayedYield(incarnation(), text(), nonNegativeLong());
-            case RELAYED_END -> new RelayedEnd(incarnation(), text(), nonNegativeLong());
+            case RELAYED_YIELD -> new RelayedYield(incarnation(), list(this::text), nonNegativeLong());
+            case RELAYED_END -> new RelayedEnd(incarnation(), list(this::text), nonNegativeLong());
         };
     }
 
