Write and check incarnations without formatters and patterns

Incarnations and runs are the keys of most maps, and the generated equals and hashCode of records go by way of method handles, which the one stage of compilation does not inline.

The text form and the checks are the same (IncarnationTest).

--- a/api/src/main/java/org/knapweedmount/api/Incarnation.java
+++ b/api/src/main/java/org/knapweedmount/api/Incarnation.java
@@ -1,5 +1,6 @@
 package org.knapweedmount.api;
 
+import java.util.HexFormat;
 import java.util.Objects;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -17,9 +18,10 @@
  */
 public record Incarnation(String process, long nonce) implements Comparable<Incarnation> {
     private static final int MAX_NAME_LENGTH = 64;
-    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9-]{1," + MAX_NAME_LENGTH + "}");
-    private static final Pattern TEXT = Pattern.compile("(" + NAME.pattern() + ")~([0-9a-f]{16})");
+    private static final String NAME = "[A-Za-z0-9-]{1," + MAX_NAME_LENGTH + "}";
+    private static final Pattern TEXT = Pattern.compile("(" + NAME + ")~([0-9a-f]{16})");
     private static final int HEXADECIMAL = 16;
+    private static final HexFormat HEX = HexFormat.of();
 
     /**
      * Checks that the process name is valid.
@@ -40,7 +42,22 @@
      * @return true if it has 1 to 64 letters, digits and hyphens
      */
     public static boolean isName(String text) {
-        return NAME.matcher(text).matches();
+        if (text.isEmpty() || text.length() > MAX_NAME_LENGTH) {
+            return false;
+        }
+        for (int i = 0; i < text.length(); i++) {
+            if (!isNameCharacter(text.charAt(i))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean isNameCharacter(char character) {
+        return (character >= 'a' && character <= 'z')
+                || (character >= 'A' && character <= 'Z')
+                || (character >= '0' && character <= '9')
+                || character == '-';
     }
 
     /**
@@ -65,8 +82,21 @@
         return byName != 0 ? byName : Long.compareUnsigned(nonce, other.nonce);
     }
 
+    // Incarnations are keys of many maps; the generated methods would call method handles.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Incarnation incarnation
+                && nonce == incarnation.nonce
+                && process.equals(incarnation.process);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * process.hashCode() + Long.hashCode(nonce);
+    }
+
     @Override
     public String toString() {
-        return process + "~" + String.format("%016x", nonce);
+        return process + "~" + HEX.toHexDigits(nonce);
     }
 }
