Tell changes of a worker to three entries at once, and to the others from time to time

Cause: each agent told each entry of each large change of its free room, and each entry chose among all workers by reports of which some were old. Class: a broadcast to all of what few can use, and the same decision by many on the same old word.

Change: an agent tells three entries of large changes at once, by a rank of entry and worker, so that all entries are told by about as many agents. It reports to an entry each 150 ms if that has runs there or prefers the worker, else each 250 ms, which needs no heartbeat beside it. An entry prefers the workers that it hears of at once, among these a third that differs from task to task, then any other. With three entries all is as before.

--- a/api/src/main/java/org/knapweedmount/api/message/WorkerReport.java
+++ b/api/src/main/java/org/knapweedmount/api/message/WorkerReport.java
@@ -21,6 +21,7 @@
  * @param lastOrderNumber the number of the entry's last order that is included in the free resources
  * @param otherBacklogCoreMillis the work that other entries have queued, in milliseconds of one core
  * @param slowdownPercent the current run time of runs on the worker, in percent of the expected run time
+ * @param prompt true if the receiver is told of large changes at once, and not only from time to time
  */
 public record WorkerReport(
         long timestampNanos,
@@ -32,7 +33,8 @@
         boolean acceptsStarts,
         long lastOrderNumber,
         long otherBacklogCoreMillis,
-        int slowdownPercent)
+        int slowdownPercent,
+        boolean prompt)
         implements Message {
     /** Copies the list of labels. */
     public WorkerReport {
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Placement.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Placement.java
@@ -15,13 +15,14 @@
  * target is skipped while a worker of median speed could still meet it. Among the remaining workers the one with the
  * most free capacity is chosen, which keeps entries that decide at the same time from picking the same nearly full
  * worker. Where many entries order from many workers, they would all pick the same few ones with the most free capacity,
- * which refuse most of the runs; there, each task is offered a sample of the workers first, another one for each task.
+ * which refuse most of the runs; there, each entry prefers the workers whose agents tell it of changes at once, which are
+ * others for the next entry, and among them a sample, which is another one for each task.
  */
 final class Placement {
     private Placement() {}
 
     /**
-     * Selects a worker.
+     * Selects a worker; one that is near the data takes precedence over a preferred one.
      *
      * @param entries the number of entries that order runs from the same workers
      */
@@ -31,16 +32,7 @@
             return Optional.empty();
         }
         WorkerSample sample = WorkerSample.of(task, entries);
-        Optional<WorkerView> sampled = choose(task, freeCapacities, shares, sample, nowNanos);
-        return sampled.isPresent() || sample.hasAll()
-                ? sampled
-                : choose(task, freeCapacities, shares, WorkerSample.ALL, nowNanos);
-    }
-
-    private static Optional<WorkerView> choose(
-            TrackedTask task, FreeCapacities freeCapacities, QueueShares shares, WorkerSample sample, long nowNanos) {
         return freeCapacities.workers().stream()
-                .filter(worker -> sample.contains(worker.agent()))
                 .filter(worker -> task.step().need().fits(freeCapacities.of(worker)))
                 .filter(worker -> DemandRule.mayOrderWithoutOffer(task, worker, shares))
                 .filter(worker -> shares.withHeadroom(
@@ -48,6 +40,8 @@
                         .fits(freeCapacities.of(worker)))
                 .filter(worker -> isSuitable(task, worker, nowNanos))
                 .max(Comparator.<WorkerView, Boolean>comparing(worker -> isNearData(task, worker))
+                        .thenComparing(WorkerView::isPrompt)
+                        .thenComparing(worker -> sample.contains(worker.agent()))
                         .thenComparingInt(worker -> freeCapacities.of(worker).milliCores()));
     }
 
--- a/core/src/main/java/org/knapweedmount/core/dispatch/TaskPlacer.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/TaskPlacer.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.knapweedmount.api.Resources;
@@ -69,7 +70,13 @@
         for (TrackedJob job : queued) {
             for (TrackedTask task : job.tasks()) {
                 if (task.state() == TaskState.QUEUED) {
-                    place(task, freeCapacities, shares, chosen, nowNanos);
+                    Optional<WorkerView> worker =
+                            Placement.choose(task, freeCapacities, shares, 1 + otherEntries.count(), nowNanos);
+                    worker.ifPresent(view -> {
+                        freeCapacities.take(view, task.step().need());
+                        chosen.computeIfAbsent(view, key -> new ArrayList<>()).add(task);
+                        assign(view, task);
+                    });
                 }
             }
         }
@@ -96,20 +103,6 @@
         events.flush(nowNanos);
     }
 
-    private void place(
-            TrackedTask task,
-            FreeCapacities freeCapacities,
-            QueueShares shares,
-            Map<WorkerView, List<TrackedTask>> chosen,
-            long nowNanos) {
-        Placement.choose(task, freeCapacities, shares, 1 + otherEntries.count(), nowNanos)
-                .ifPresent(view -> {
-                    freeCapacities.take(view, task.step().need());
-                    chosen.computeIfAbsent(view, key -> new ArrayList<>()).add(task);
-                    assign(view, task);
-                });
-    }
-
     private void assign(WorkerView view, TrackedTask task) {
         task.markOrdered(view.agent());
         task.job().runOrdered();
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerSample.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerSample.java
@@ -1,6 +1,7 @@
 package org.knapweedmount.core.dispatch;
 
 import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.core.worker.WorkerTimings;
 
 /**
  * The workers that a run of a task is offered first; another sample for each run, without any state.
@@ -12,21 +13,20 @@
     /** The sample of all workers. */
     static final WorkerSample ALL = new WorkerSample(0, 1);
 
-    /** The workers are divided into a part for so many pairs of entries; three entries, which are three pairs, have one part. */
-    private static final int PAIRS_PER_PART = 3;
+    /** The number of parts where each worker is preferred by some of the entries only. */
+    private static final int PARTS = 3;
 
     private static final int MIX = 0x9E3779B9;
 
     /**
-     * Returns the sample for the next run of a task. The more entries there are, the more of them choose on the same
-     * reports, and the smaller the sample is.
+     * Returns the sample for the next run of a task; all workers if there are so few entries that each prefers them all.
      *
      * @param entries the number of entries that order runs from the same workers
      */
     static WorkerSample of(TrackedTask task, int entries) {
-        int pairs = entries * (entries - 1) / 2;
-        boolean anyWorker = task.step().affinity().isEmpty();
-        return anyWorker ? new WorkerSample(task.ref().hashCode(), Math.max(1, pairs / PAIRS_PER_PART)) : ALL;
+        return entries > WorkerTimings.MAX_PROMPT_ENTRIES
+                ? new WorkerSample(task.ref().hashCode(), PARTS)
+                : ALL;
     }
 
     boolean hasAll() {
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
@@ -94,6 +94,11 @@
         return linked && report.isPresent() && report.get().acceptsStarts();
     }
 
+    /** Returns whether the agent tells this entry of large changes at once, so that its worker is preferred. */
+    boolean isPrompt() {
+        return report.isPresent() && report.get().prompt();
+    }
+
     boolean serves(String service) {
         return report.isPresent() && report.get().service().equals(service);
     }
--- a/core/src/main/java/org/knapweedmount/core/worker/EntryTable.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/EntryTable.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
@@ -23,8 +25,8 @@
     private final Map<Incarnation, EntryView> entries = new LinkedHashMap<>();
     private final Map<Incarnation, List<RunResult>> pendingResults = new LinkedHashMap<>();
     private LinkedEntries lastTold = new LinkedEntries(List.of(), List.of());
-    private ReportRule.View lastReported = ReportRule.View.NONE;
-    private long lastReportNanos;
+    private Set<Incarnation> promptEntries = Set.of();
+    private String promptWorker = "";
     private long lastOfferNumber;
 
     EntryTable(WorkerOutput output) {
@@ -47,6 +49,7 @@
     void linked(Incarnation entry, RunTable runs, long timestampMillis) {
         EntryView view = of(entry);
         view.link();
+        choosePromptEntries();
         lastTold = linkedEntries(runs);
         // An entry orders nothing here before it knows which others may have runs here.
         entries.keySet().forEach(other -> tellLinkedEntries(other, lastTold));
@@ -60,6 +63,12 @@
                 new ActiveRuns(runs.of(entry).stream().map(TrackedRun::ref).toList()));
     }
 
+    /** Handles the loss of the link to an entry. */
+    void unlinked(Incarnation entry, long nowNanos) {
+        of(entry).unlink(nowNanos);
+        choosePromptEntries();
+    }
+
     /** Tells all linked entries which others may have runs here, if that has changed. */
     void tellLinkedEntries(RunTable runs) {
         LinkedEntries present = linkedEntries(runs);
@@ -151,22 +160,69 @@
         return sum;
     }
 
-    /** Reports to all linked entries after a significant change, and at least once per maximum interval. */
-    void report(Function<EntryView, WorkerReport> content, ReportRule.View workerView, long nowNanos) {
-        long age = nowNanos - lastReportNanos;
-        boolean due = age >= WorkerTimings.nanos(WorkerTimings.MAX_REPORT_INTERVAL_MILLIS);
-        boolean worthReporting = ReportRule.isWorthReporting(lastReported, workerView)
-                && age >= WorkerTimings.nanos(WorkerTimings.MIN_REPORT_INTERVAL_MILLIS);
-        if (!due && !worthReporting) {
-            return;
+    /**
+     * Reports to linked entries: to some of them after a large change, to all when the worker begins or ceases to accept
+     * starts, and to each from time to time, more often if it has runs here.
+     *
+     * @param content creates the report to an entry
+     * @param workerView the present state of the worker
+     * @param worker the ID of the worker
+     * @param hasRuns returns whether an entry has runs here
+     */
+    void report(
+            Function<Incarnation, WorkerReport> content,
+            ReportRule.View workerView,
+            String worker,
+            Predicate<Incarnation> hasRuns,
+            long nowNanos) {
+        if (!worker.equals(promptWorker)) {
+            promptWorker = worker;
+            choosePromptEntries();
         }
-        lastReported = workerView;
-        lastReportNanos = nowNanos;
+        entries.forEach((entry, view) -> {
+            if (view.linked() && isReportDue(entry, view, workerView, hasRuns, nowNanos)) {
+                send(entry, content.apply(entry), nowNanos);
+            }
+        });
+    }
+
+    private boolean isReportDue(
+            Incarnation entry,
+            EntryView view,
+            ReportRule.View workerView,
+            Predicate<Incarnation> hasRuns,
+            long nowNanos) {
+        long ageMillis = WorkerTimings.millis(view.reportAgeNanos(nowNanos));
+        if (ageMillis < WorkerTimings.MIN_REPORT_INTERVAL_MILLIS) {
+            return false;
+        }
+        if (ageMillis >= WorkerTimings.IDLE_REPORT_INTERVAL_MILLIS) {
+            return true;
+        }
+        boolean prompt = isPrompt(entry);
+        boolean isOld = ageMillis >= WorkerTimings.MAX_REPORT_INTERVAL_MILLIS && (prompt || hasRuns.test(entry));
+        return isOld || ReportRule.isWorthReporting(view.reported(), workerView, prompt);
+    }
+
+    /** Sends a report of the present state of the worker to an entry. */
+    void send(Incarnation entry, WorkerReport report, long nowNanos) {
+        of(entry).reported(ReportRule.View.of(report), nowNanos);
+        output.send(entry, report);
+    }
+
+    /** Returns whether an entry is told of large changes at once. */
+    boolean isPrompt(Incarnation entry) {
+        return promptEntries.contains(entry);
+    }
+
+    private void choosePromptEntries() {
+        List<Incarnation> linked = new ArrayList<>();
         entries.forEach((entry, view) -> {
             if (view.linked()) {
-                output.send(entry, content.apply(view));
+                linked.add(entry);
             }
         });
+        promptEntries = PromptEntries.choose(linked, promptWorker);
     }
 
     /** Returns the queued work of all entries but one, in core-milliseconds. */
--- a/core/src/main/java/org/knapweedmount/core/worker/EntryView.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/EntryView.java
@@ -18,6 +18,8 @@
     private Optional<Offer> offer = Optional.empty();
     private boolean declined;
     private long lastOrderNumber;
+    private ReportRule.View reported = ReportRule.View.NONE;
+    private long lastReportNanos;
     private final List<SentResult> unconfirmedResults = new ArrayList<>();
 
     /** A result and the timestamp at which it was last sent, in ms. */
@@ -113,6 +115,21 @@
         }
     }
 
+    void reported(ReportRule.View workerView, long nowNanos) {
+        reported = workerView;
+        lastReportNanos = nowNanos;
+    }
+
+    /** Returns the state of the worker that the entry was told last. */
+    ReportRule.View reported() {
+        return reported;
+    }
+
+    /** Returns the time since the last report to the entry, in ns. */
+    long reportAgeNanos(long nowNanos) {
+        return nowNanos - lastReportNanos;
+    }
+
     void orderReceived(long number) {
         lastOrderNumber = Math.max(lastOrderNumber, number);
     }
--- a/core/src/main/java/org/knapweedmount/core/worker/ReportRule.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/ReportRule.java
@@ -1,6 +1,7 @@
 package org.knapweedmount.core.worker;
 
 import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.message.WorkerReport;
 
 /**
  * Decides which changes of a worker's capacity and slowdown are reported to entries at once.
@@ -24,18 +25,33 @@
      * @param acceptsStarts true if the worker accepts starts
      * @param free the free capacity
      * @param capacity the total capacity
-     * @param slowdown the ratio of actual to expected run times
+     * @param slowdownPercent the ratio of actual to expected run times, in percent
      */
-    record View(boolean acceptsStarts, Resources free, Resources capacity, double slowdown) {
-        static final View NONE = new View(false, Resources.NONE, Resources.NONE, 1);
+    record View(boolean acceptsStarts, Resources free, Resources capacity, int slowdownPercent) {
+        static final View NONE = new View(false, Resources.NONE, Resources.NONE, 100);
+
+        /** Returns the state that a report tells. */
+        static View of(WorkerReport report) {
+            return new View(report.acceptsStarts(), report.free(), report.capacity(), report.slowdownPercent());
+        }
+    }
+
+    /**
+     * Returns whether an entry is told of a change at once.
+     *
+     * @param reported the state that the entry was told last
+     * @param prompt whether the entry prefers the worker; any other one is only told that it begins or ceases to accept starts
+     */
+    static boolean isWorthReporting(View reported, View current, boolean prompt) {
+        return reported.acceptsStarts() != current.acceptsStarts() || (prompt && isLarge(reported, current));
     }
 
-    static boolean isWorthReporting(View reported, View current) {
+    private static boolean isLarge(View reported, View current) {
         int change = Math.abs(reported.free().milliCores() - current.free().milliCores());
         boolean capacityChanged =
                 change * CAPACITY_CHANGE_DIVISOR >= current.capacity().milliCores() && change > 0;
-        boolean slowdownChanged = current.slowdown() > SLOWDOWN_CHANGE_FACTOR * reported.slowdown()
-                || reported.slowdown() > SLOWDOWN_CHANGE_FACTOR * current.slowdown();
-        return reported.acceptsStarts() != current.acceptsStarts() || capacityChanged || slowdownChanged;
+        boolean slowdownChanged = current.slowdownPercent() > SLOWDOWN_CHANGE_FACTOR * reported.slowdownPercent()
+                || reported.slowdownPercent() > SLOWDOWN_CHANGE_FACTOR * current.slowdownPercent();
+        return capacityChanged || slowdownChanged;
     }
 }
--- a/core/src/main/java/org/knapweedmount/core/worker/RunEvents.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunEvents.java
@@ -184,6 +184,11 @@
         output.logEvent("start-refused", describe(ref) + " reason=" + reply + " worker=" + worker);
     }
 
+    /** Logs how much longer runs take than expected, in percent of the expected time. */
+    void paceChanged(WorkerIncarnation worker, int percent, String load) {
+        output.logEvent("worker-pace", "worker=" + worker + " percent=" + percent + " " + load);
+    }
+
     /** Logs that a run makes no progress. */
     void stalled(TrackedRun run, WorkerIncarnation worker) {
         output.logEvent("run-stalled", describe(run.ref()) + " percent=" + run.percent() + " worker=" + worker);
--- a/core/src/main/java/org/knapweedmount/core/worker/RunListCalls.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunListCalls.java
@@ -53,9 +53,9 @@
         lastSentNanos = sentNanos;
     }
 
-    /** Returns how long ago the last call was sent, in ns. */
-    long idleNanos(long nowNanos) {
-        return nowNanos - lastSentNanos;
+    /** Returns whether no call was sent for so long that the clock of an idle worker has to be read. */
+    boolean isIdle(long nowNanos) {
+        return nowNanos - lastSentNanos > WorkerTimings.nanos(WorkerTimings.MAX_CLOCK_AGE_MILLIS);
     }
 
     /** Records the end of a call, successful or not. */
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -140,7 +140,7 @@
      */
     public void linked(Incarnation entry, long nowNanos) {
         entries.linked(entry, runs, lease.timestampMillis(nowNanos));
-        output.send(entry, report(entries.of(entry), nowNanos));
+        entries.send(entry, report(entry, nowNanos), nowNanos);
     }
 
     /**
@@ -150,7 +150,7 @@
      * @param nowNanos the current time, in ns
      */
     public void unlinked(Incarnation entry, long nowNanos) {
-        entries.of(entry).unlink(nowNanos);
+        entries.unlinked(entry, nowNanos);
         entries.tellLinkedEntries(runs);
         reconcile(nowNanos);
     }
@@ -189,7 +189,7 @@
         Optional<String> outdated = lease.refusalReason(order.timestampNanos(), entryView.expiryMillis(), nowNanos);
         if (outdated.isPresent() && !order.jobs().isEmpty()) {
             // The entry receives a new timestamp before the refusals, so that its next order carries it.
-            output.send(from, report(entryView, nowNanos));
+            entries.send(from, report(from, nowNanos), nowNanos);
         }
         for (JobRuns job : order.jobs()) {
             for (RunRequest run : job.runs()) {
@@ -434,18 +434,16 @@
         }
         listCalls.ended(sentNanos);
         switch (failure) {
-            case FENCED -> handleFencedList(sentNanos, nowNanos);
+            case FENCED -> {
+                fenceControl.listRefused(sentNanos, nowNanos);
+                noForeignRuns = false;
+            }
             case OTHER_LIFE -> markEnded();
             case UNREACHABLE -> markUnresponsive();
             default -> handleLostList(nowNanos);
         }
     }
 
-    private void handleFencedList(long sentNanos, long nowNanos) {
-        fenceControl.listRefused(sentNanos, nowNanos);
-        noForeignRuns = false;
-    }
-
     private void handleLostList(long nowNanos) {
         if (listCalls.lost(nowNanos)) {
             events.workerSilent(incarnation());
@@ -508,16 +506,15 @@
             entries.offerCapacity(capacity().minus(runs.usedCapacity()), nowNanos);
         }
         if (slowdown.hasChanged(nowNanos)) {
-            output.logEvent(
-                    "worker-pace",
-                    "worker=" + incarnation() + " percent=" + slowdown.percent(nowNanos) + " "
-                            + runs.describeLoad(free()));
-        }
-        ReportRule.View view =
-                new ReportRule.View(acceptsStarts(nowNanos), free(), capacity(), slowdown.estimate(nowNanos));
-        entries.report(entryView -> report(entryView, nowNanos), view, nowNanos);
-        boolean clockOutdated = lease.needsReading(nowNanos)
-                && listCalls.idleNanos(nowNanos) > WorkerTimings.nanos(WorkerTimings.MAX_CLOCK_AGE_MILLIS);
+            events.paceChanged(incarnation(), slowdown.percent(nowNanos), runs.describeLoad(free()));
+        }
+        entries.report(
+                entry -> report(entry, nowNanos),
+                new ReportRule.View(acceptsStarts(nowNanos), free(), capacity(), slowdown.percent(nowNanos)),
+                incarnation().id(),
+                entry -> runs.any(run -> run.entry().equals(entry)),
+                nowNanos);
+        boolean clockOutdated = lease.needsReading(nowNanos) && listCalls.isIdle(nowNanos);
         boolean idleCallDue = !noForeignRuns || listCalls.unresponsive() || clockOutdated || currentWorkerDoubted;
         boolean due = !runs.isEmpty() || (idleCallDue && !worker.leaving());
         if (due && !listCalls.inFlight() && worker.isPresent()) {
@@ -534,7 +531,8 @@
         output.list(incarnation(), fence.tokenForList(nowNanos), acknowledgedEnd, expiryMillis, nowNanos, waitMillis);
     }
 
-    private WorkerReport report(EntryView entryView, long nowNanos) {
+    private WorkerReport report(Incarnation entry, long nowNanos) {
+        EntryView entryView = entries.of(entry);
         WorkerAnnouncement known = worker.announcement();
         return new WorkerReport(
                 lease.issueTimestampNanos(nowNanos),
@@ -546,7 +544,8 @@
                 acceptsStarts(nowNanos),
                 entryView.lastOrderNumber(),
                 entries.backlogCoreMillisExcept(entryView),
-                slowdown.percent(nowNanos));
+                slowdown.percent(nowNanos),
+                entries.isPrompt(entry));
     }
 
     private Resources free() {
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerTimings.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerTimings.java
@@ -36,9 +36,18 @@
     /** The minimum rate of the worker's clock; the platform allows it to be 2% slow. */
     static final double MIN_CLOCK_RATE = 0.98;
 
-    /** The maximum interval between two reports of an agent, in ms; several fit into a lease. */
+    /** The maximum interval between two reports to an entry with runs here, in ms; several fit into a lease. */
     public static final int MAX_REPORT_INTERVAL_MILLIS = 150;
 
+    /** How many entries are told of a large change at once; as many as the smallest sites have. */
+    public static final int MAX_PROMPT_ENTRIES = 3;
+
+    /**
+     * The maximum interval between two reports to an entry that has no runs here and is not told of changes at once, in ms;
+     * an order that is based on the last one is young enough, and no heartbeat is needed beside them.
+     */
+    static final int IDLE_REPORT_INTERVAL_MILLIS = 250;
+
     /**
      * The minimum interval between two reports of an agent, in ms; an order based on an outdated report is refused
      * within a round trip.
--- a/core/src/test/java/org/knapweedmount/core/dispatch/PlacementTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/PlacementTest.java
@@ -52,6 +52,23 @@
         assertThat(chosen, is(greaterThan(entries / 2L)));
     }
 
+    /** An entry ordered from workers whose reports were old while others told it of each change. */
+    @Test
+    void preferredWorkerIsChosenThoughAnotherHasMoreFreeCapacity() {
+        WorkerView preferred = DispatchFixture.worker("preferred", 2_000, 1);
+        WorkerView other = DispatchFixture.otherEntriesWorker("other", 16_000);
+
+        assertThat(choose(DispatchFixture.job("j", 0, 86), 0, 9, preferred, other), is("preferred"));
+    }
+
+    @Test
+    void anyWorkerIsChosenIfThePreferredOnesAreFull() {
+        WorkerView preferred = DispatchFixture.worker("preferred", 900, 1);
+        WorkerView other = DispatchFixture.otherEntriesWorker("other", 2_000);
+
+        assertThat(choose(DispatchFixture.job("j", 0, 86), 0, 9, preferred, other), is("other"));
+    }
+
     @Test
     void workerWithFreeCapacityIsFoundAmongManyFullOnes() {
         WorkerView[] workers = IntStream.range(0, AGENTS)
--- a/daemon/src/main/java/org/knapweedmount/daemon/runtime/EventLoopDecisionQueue.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/runtime/EventLoopDecisionQueue.java
@@ -3,7 +3,6 @@
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -121,12 +120,17 @@
         } finally {
             runScheduled = !done;
             if (runScheduled) {
-                // A task that is scheduled, and not only executed, runs after the sockets have been read.
-                Future<?> unused = eventLoop.schedule(() -> context.dispatch(this::runSlice), 0, TimeUnit.NANOSECONDS);
+                scheduleSlice();
             }
         }
     }
 
+    /** Runs the next slice after the sockets have been read, as a task that is only executed would not. */
+    @SuppressWarnings("FutureReturnValueIgnored") // the events log their failures
+    private void scheduleSlice() {
+        eventLoop.schedule(() -> context.dispatch(this::runSlice), 0, TimeUnit.NANOSECONDS);
+    }
+
     /** Runs events until none waits or the time slice is over; returns true if none waits. */
     private boolean runEvents() {
         long startNanos = clock.nanos();
--- a/standins/src/main/java/org/knapweedmount/standins/bench/SiteModel.java
+++ b/standins/src/main/java/org/knapweedmount/standins/bench/SiteModel.java
@@ -11,6 +11,8 @@
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.message.Message;
+import org.knapweedmount.api.message.RunsEnded;
+import org.knapweedmount.api.work.RunOutcome;
 import org.knapweedmount.api.work.WorkQueue;
 import org.knapweedmount.core.dispatch.JobRequest;
 import org.knapweedmount.core.dispatch.JobResult;
@@ -48,6 +50,8 @@
     private int lastJob;
     private int answered;
     private int onTime;
+    private int doneRuns;
+    private int refusedRuns;
 
     SiteModel(int entryCount, int agentCount) {
         for (int number = 1; number <= agentCount; number++) {
@@ -91,11 +95,18 @@
         return answered;
     }
 
+    /** Returns the number of refused runs for each one that was done. */
+    double refusedFraction() {
+        return (double) refusedRuns / doneRuns;
+    }
+
     void reset() {
         entryCost.reset();
         agentCost.reset();
         answered = 0;
         onTime = 0;
+        doneRuns = 0;
+        refusedRuns = 0;
     }
 
     /** Submits jobs of a kind from now on. */
@@ -163,10 +174,18 @@
     }
 
     private void deliver(Incarnation from, Incarnation to, Message message) {
+        if (message instanceof RunsEnded ended) {
+            ended.results().forEach(result -> count(result.outcome()));
+        }
         if (entries.containsKey(to)) {
             entries.get(to).receive(from, message);
         } else {
             agents.get(to).receive(from, message);
         }
     }
+
+    private void count(RunOutcome outcome) {
+        doneRuns += outcome == RunOutcome.DONE ? 1 : 0;
+        refusedRuns += outcome == RunOutcome.REFUSED ? 1 : 0;
+    }
 }
--- a/wire/src/main/java/org/knapweedmount/wire/WorkMessages.java
+++ b/wire/src/main/java/org/knapweedmount/wire/WorkMessages.java
@@ -42,7 +42,8 @@
                 .flag(report.acceptsStarts())
                 .number(report.lastOrderNumber())
                 .number(report.otherBacklogCoreMillis())
-                .number(report.slowdownPercent());
+                .number(report.slowdownPercent())
+                .flag(report.prompt());
     }
 
     static WorkerReport readWorkerReport(FieldReader in) throws IOException, FrameException {
@@ -56,7 +57,8 @@
                 in.flag(),
                 in.nonNegativeLong(),
                 in.nonNegativeLong(),
-                in.nonNegativeInt());
+                in.nonNegativeInt(),
+                in.flag());
     }
 
     static void writeResourceDemand(FieldWriter out, ResourceDemand demand) throws IOException, FrameException {
