Handle the questions of entries without a link before other events of agents

Requests wait for entries that have just started and are known by way of agents only (UNLINKED_ENTRY, 60 to 140 given up each quarter of a second): their answers pass through agents and had the priority of agents, so that they waited for up to 1.3 s behind the first reports of 54 agents, which cold code handles.

Change: messages that agents pass on between entries have the priority of entries. While more than 16 jobs wait, they are checked at most each 5 ms and not at each message, of which each agent sends one for each change of a link.

Tests of the dispatcher, of ownership and of the fleet pass.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchTimings.java
@@ -18,6 +18,9 @@
     /** The interval at which an entry without a link is asked again for a job; several round trips by way of an agent. */
     static final long YIELD_REPEAT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
+    /** The minimum interval between two checks which of many waiting jobs other entries may hold. */
+    static final long MIN_CHECK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+
     /** The minimum interval between two requests to an entry without a link; each has all jobs that are asked for. */
     static final long YIELD_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(25);
 
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
@@ -40,6 +40,9 @@
  * link says otherwise, or until every lease that it can have had must have ended ({@link LostEntries}).
  */
 final class JobOwnership {
+    /** How many jobs are checked at each message; more, as after a start, are checked at a limited rate. */
+    private static final int MAX_JOBS_CHECKED_AT_ONCE = 16;
+
     private final DispatchOutput output;
     private final OwnClaims claims = new OwnClaims();
     private final Map<String, Set<Incarnation>> holders = new HashMap<>();
@@ -50,6 +53,7 @@
     private final UnconfirmedJobs unconfirmedJobs = new UnconfirmedJobs();
     private final PeerKnowledge knowledge;
     private final RelayedYields relayedYields;
+    private long lastCheckNanos;
 
     /**
      * What an update of another entry leads to.
@@ -254,6 +258,11 @@
 
     /** Returns the jobs that no other entry may hold any more, by what has become known since. */
     List<String> confirmed(long nowNanos) {
+        boolean checkedJustNow = nowNanos - lastCheckNanos < DispatchTimings.MIN_CHECK_INTERVAL_NANOS;
+        if (checkedJustNow && unconfirmedJobs.size() > MAX_JOBS_CHECKED_AT_ONCE) {
+            return List.of();
+        }
+        lastCheckNanos = nowNanos;
         return unconfirmedJobs.removeConfirmed((entry, required) -> isConfirmed(entry, required, nowNanos)).stream()
                 .filter(job -> !isHeldElsewhere(job))
                 .toList();
--- a/core/src/main/java/org/knapweedmount/core/dispatch/UnconfirmedJobs.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/UnconfirmedJobs.java
@@ -34,6 +34,10 @@
         return !entries(job).isEmpty();
     }
 
+    int size() {
+        return jobs.size();
+    }
+
     /** Returns the jobs that other entries may hold. */
     List<String> all() {
         return jobs.keySet().stream().filter(this::contains).toList();
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -16,12 +16,14 @@
 import org.knapweedmount.api.Role;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.QueueUpdate;
+import org.knapweedmount.api.message.RelayedMessage;
 import org.knapweedmount.core.dispatch.CancelResult;
 import org.knapweedmount.core.dispatch.DispatchCounter;
 import org.knapweedmount.core.dispatch.DispatchOutput;
 import org.knapweedmount.core.dispatch.JobResult;
 import org.knapweedmount.core.event.EventPriority;
 import org.knapweedmount.core.metric.Counters;
+import org.knapweedmount.daemon.link.EventQueues;
 import org.knapweedmount.daemon.link.LinkHandler;
 import org.knapweedmount.daemon.link.LinkOptions;
 import org.knapweedmount.daemon.link.LinkTable;
@@ -101,7 +103,7 @@
         this.callers = answerHandler;
         LinkOptions options = LinkOptions.entry(LinkTimings.HEARTBEAT_MILLIS, random.nextLong())
                 .withReceiveTimeout(LinkTimings.RECEIVE_TIMEOUT_MILLIS);
-        this.links = new LinkTable<>(vertx, options, self, appliedVersion::get, clock, this::queueOf, new Handler());
+        this.links = new LinkTable<>(vertx, options, self, appliedVersion::get, clock, new Queues(), new Handler());
         this.dispatchModule = new DispatchModule(new Output(answerHandler), appliedVersion, links::addKnownEntry);
         this.metrics = new LazyProcessMetrics(log, links, process -> {
             process.jobs(dispatchModule.dispatcher().status().latencies());
@@ -140,10 +142,6 @@
                 });
     }
 
-    private DecisionQueue<DispatchModule> queueOf(Role role) {
-        return role == Role.ENTRY ? urgentDecisions : agentDecisions;
-    }
-
     private void tick(DispatchModule module, long nowNanos) {
         module.dispatcher().tick(nowNanos);
         ready = module.queues().version() > 0
@@ -271,6 +269,19 @@
         module.dispatcher().finishDrain(nowNanos);
     }
 
+    /** What other entries ask and answer comes first, also if agents pass it on. */
+    private final class Queues implements EventQueues<DispatchModule> {
+        @Override
+        public DecisionQueue<DispatchModule> ofLink(Role peer) {
+            return peer == Role.ENTRY ? urgentDecisions : agentDecisions;
+        }
+
+        @Override
+        public DecisionQueue<DispatchModule> ofMessage(Role sender, Message message) {
+            return message instanceof RelayedMessage ? urgentDecisions : ofLink(sender);
+        }
+    }
+
     private static final class Handler implements LinkHandler<DispatchModule> {
         @Override
         public void linked(DispatchModule module, PeerAddress peer, long nowNanos) {
--- a/daemon/src/main/java/org/knapweedmount/daemon/link/LinkTable.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/link/LinkTable.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
-import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -14,10 +13,8 @@
 import io.vertx.core.Vertx;
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.PeerAddress;
-import org.knapweedmount.api.Role;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.core.metric.Counters;
-import org.knapweedmount.daemon.runtime.DecisionQueue;
 import org.knapweedmount.daemon.runtime.NanoClock;
 import org.knapweedmount.daemon.settings.HostPort;
 
@@ -34,7 +31,7 @@
  */
 public final class LinkTable<T> {
     private final Context context;
-    private final Function<Role, DecisionQueue<T>> queues;
+    private final EventQueues<T> queues;
     private final LinkHandler<T> handler;
     private final Counters<LinkCounter> counters = new Counters<>(LinkCounter.class);
     private final ConnectionManager connectionManager;
@@ -52,7 +49,7 @@
      * @param self this process, with port 0 as it does not listen yet
      * @param configNumber the highest ticket number in force, put into heartbeats; read on the event loop
      * @param clock the clock of heartbeats and timeouts
-     * @param queues returns the queue of the decision thread for the events of a process of a role
+     * @param queues the queues of the decision thread
      * @param handler handles link events on the decision thread
      */
     public LinkTable(
@@ -61,7 +58,7 @@
             PeerAddress self,
             LongSupplier configNumber,
             NanoClock clock,
-            Function<Role, DecisionQueue<T>> queues,
+            EventQueues<T> queues,
             LinkHandler<T> handler) {
         this.context = vertx.getOrCreateContext();
         this.queues = queues;
@@ -208,7 +205,7 @@
     private final class DecisionForwarder implements ConnectionManager.Listener {
         @Override
         public boolean linked(Link link, PeerAddress peer) {
-            return queues.apply(peer.role()).offer((core, nowNanos) -> {
+            return queues.ofLink(peer.role()).offer((core, nowNanos) -> {
                 activeLinks.put(peer.incarnation(), new ActiveLink(link, peer));
                 handler.linked(core, peer, nowNanos);
             });
@@ -216,7 +213,7 @@
 
         @Override
         public boolean unlinked(PeerAddress peer) {
-            return queues.apply(peer.role()).offer((core, nowNanos) -> {
+            return queues.ofLink(peer.role()).offer((core, nowNanos) -> {
                 activeLinks.remove(peer.incarnation());
                 handler.unlinked(core, peer.incarnation(), nowNanos);
             });
@@ -224,7 +221,7 @@
 
         @Override
         public boolean received(PeerAddress from, Message message) {
-            return queues.apply(from.role())
+            return queues.ofMessage(from.role(), message)
                     .offer((core, nowNanos) -> handler.received(core, from.incarnation(), message, nowNanos));
         }
     }
