Count answers of an entry that come after the next probe

An answer counted only if its probe was the last one.

The probes of an entry that are not answered are kept, and each answer counts for its own. answerToAProbeCountsThoughTheNextOneHasBeenSent fails before (no run is ordered) and passes; OwnershipFleetTest passes.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/PeerKnowledge.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/PeerKnowledge.java
@@ -1,5 +1,7 @@
 package org.knapweedmount.core.dispatch;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -15,18 +17,27 @@
  * the delay of a message can make the knowledge look more recent than it is.
  *
  * <p>Load pattern: many requests wait for the answer of one entry. They share the next probe, which is sent once the last
- * one is answered, so that the probes grow with the entries and with time, but not with the requests.
+ * one is answered or some time after it, so that the probes grow with the entries and with time, but not with the requests.
  */
 final class PeerKnowledge {
     private static final int MAX_ENTRIES = 256;
 
+    /** The number of open probes of one entry; more cover a longer time than any link lasts without an answer. */
+    private static final int MAX_OPEN_PROBES = 64;
+
     private final DispatchOutput output;
-    private final Map<Incarnation, Probe> lastProbes = new HashMap<>();
+    private final Map<Incarnation, SentProbes> sentProbes = new HashMap<>();
     private final Map<Incarnation, Long> requiredNanos = new HashMap<>();
     private final Map<Incarnation, Long> knownAsOfNanos = new LinkedHashMap<>();
     private long lastNumber;
 
-    private record Probe(long number, long sentNanos, boolean answered) {}
+    private record Probe(long number, long sentNanos) {}
+
+    /** The probes of an entry that are not answered, and when the last one was sent. */
+    private static final class SentProbes {
+        private final Deque<Probe> open = new ArrayDeque<>();
+        private long lastSentNanos;
+    }
 
     PeerKnowledge(DispatchOutput output) {
         this.output = output;
@@ -44,20 +55,24 @@
     /** Returns whether a probe of a linked entry has to be sent now. */
     boolean isProbeDue(Incarnation peer, long nowNanos) {
         Long required = requiredNanos.get(peer);
-        Probe last = lastProbes.get(peer);
-        if (required == null || last == null) {
+        SentProbes sent = sentProbes.get(peer);
+        if (required == null || sent == null) {
             return required != null;
         }
-        long ageNanos = nowNanos - last.sentNanos();
         long minAgeNanos =
-                last.answered() ? DispatchTimings.MIN_PROBE_INTERVAL_NANOS : DispatchTimings.PROBE_INTERVAL_NANOS;
-        return last.sentNanos() - required < 0 && ageNanos >= minAgeNanos;
+                sent.open.isEmpty() ? DispatchTimings.MIN_PROBE_INTERVAL_NANOS : DispatchTimings.PROBE_INTERVAL_NANOS;
+        return sent.lastSentNanos - required < 0 && nowNanos - sent.lastSentNanos >= minAgeNanos;
     }
 
     /** Sends a probe to a linked entry. */
     void probe(Incarnation peer, long nowNanos) {
         lastNumber++;
-        lastProbes.put(peer, new Probe(lastNumber, nowNanos, false));
+        SentProbes sent = sentProbes.computeIfAbsent(peer, key -> new SentProbes());
+        sent.open.add(new Probe(lastNumber, nowNanos));
+        sent.lastSentNanos = nowNanos;
+        if (sent.open.size() > MAX_OPEN_PROBES) {
+            sent.open.remove();
+        }
         output.send(peer, new OwnershipProbe(lastNumber));
     }
 
@@ -67,14 +82,16 @@
      * @param isComplete whether the entry has told all its jobs before it
      */
     void probeAnswered(Incarnation peer, long number, boolean isComplete) {
-        Probe probe = lastProbes.get(peer);
-        if (probe == null || probe.number() != number) {
+        SentProbes sent = sentProbes.get(peer);
+        if (sent == null) {
             return;
         }
-        lastProbes.put(peer, new Probe(number, probe.sentNanos(), true));
-        if (isComplete) {
-            knownAsOfNanos.merge(peer, probe.sentNanos(), PeerKnowledge::later);
-            removeOldest(knownAsOfNanos);
+        for (Probe probe = sent.open.peek(); probe != null && probe.number() <= number; probe = sent.open.peek()) {
+            sent.open.remove();
+            if (probe.number() == number && isComplete) {
+                knownAsOfNanos.merge(peer, probe.sentNanos(), PeerKnowledge::later);
+                removeOldest(knownAsOfNanos);
+            }
         }
     }
 
@@ -97,13 +114,13 @@
 
     /** Forgets the probes to an entry whose link is lost, and their answers with them. */
     void unlinked(Incarnation peer) {
-        lastProbes.remove(peer);
+        sentProbes.remove(peer);
         requiredNanos.remove(peer);
     }
 
     /** Forgets all times, as this entry's clock stood still and they look more recent than they are. */
     void clockLost() {
-        lastProbes.clear();
+        sentProbes.clear();
         requiredNanos.clear();
         knownAsOfNanos.clear();
     }
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherStartTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherStartTest.java
@@ -180,6 +180,28 @@
         assertThat(fixture.ordered(), contains(FIRST));
     }
 
+    private void tickUntil(long startMillis, long endMillis) {
+        for (long millis = startMillis; millis <= endMillis; millis += 25) {
+            fixture.tick(millis);
+        }
+    }
+
+    /** Answers of an entry that lacks processor time come after the next probe has been sent. */
+    @Test
+    void answerToAProbeCountsThoughTheNextOneHasBeenSent() {
+        link(0);
+        fixture.receive(PEER, NOTHING, 0);
+        tickUntil(0, 800);
+        List<OwnershipProbe> probes = fixture.sent(OwnershipProbe.class);
+        fixture.receive(
+                PEER, new OwnershipProbeReply(probes.get(probes.size() - 2).number()), 800);
+
+        tickUntil(800, 1_100);
+        fixture.report(1_100, CAPACITY_MILLI_CORES);
+        fixture.submit(1_100);
+        assertThat(fixture.ordered(), contains(FIRST));
+    }
+
     /** An entry that has answered a probe must not learn of an earlier claim only afterwards. */
     @Test
     void probeIsAnsweredAfterTheClaimsOfAllJobsThatAreHeld() {
