review: show that a new configuration is late after store connections go silent

Cause: ConfigFeed reads through a pool whose idle connections have gone silent as well; each read waits for its own timeout.

--- /dev/null
+++ b/review/standins-2/Worker.java
@@ -0,0 +1,298 @@
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+
+/** Stand-in of an executor: runs tasks under a lease, lists them, and announces itself to the agent beside it. */
+final class Worker {
+    private static final int MAX_LEASE_MILLIS = 1_000;
+    private final Stage stage;
+    private final InetSocketAddress address;
+    private final InetSocketAddress control;
+    private final HttpServer server;
+    private final Map<String, Run> running = new HashMap<>();
+    private final Map<String, Integer> highestEnded = new HashMap<>();
+    private final List<End> ended = new ArrayList<>();
+    private final List<Start> starts = new ArrayList<>();
+    private final String id;
+    private long clockStartNanos = System.nanoTime() - 1_000_000L * 480_000;
+    private int cpu;
+    private long born = System.currentTimeMillis();
+    private long pingsCutUntilNanos = System.nanoTime();
+    private int mostUsed;
+    private String state = "ready";
+    private long fence;
+    private long untilMillis;
+    private long endNumber;
+    private long sequence;
+
+    /** A task that was begun, at a time of this process in ns. */
+    record Start(String task, int run, long nanos) {}
+
+    private record Run(int number, long startMillis, int lastsMillis, int cpu) {}
+
+    private record End(long number, String task, int run, String how) {}
+
+    Worker(Stage stage, int agent, int cpu, InetSocketAddress address, InetSocketAddress control)
+            throws IOException {
+        this.stage = stage;
+        this.address = address;
+        this.control = control;
+        this.cpu = cpu;
+        this.id = "i-7f3a91c" + agent;
+        server = HttpServer.create(address, 100);
+        server.setExecutor(Executors.newCachedThreadPool(Stage.daemonThreads("worker")));
+        server.createContext("/", this::handle);
+        server.start();
+        Thread ticks = Stage.daemonThreads("worker-clock").newThread(this::tick);
+        ticks.start();
+        Thread beats = Stage.daemonThreads("worker-beat").newThread(this::beat);
+        beats.start();
+    }
+
+    String id() {
+        return id;
+    }
+
+    synchronized long born() {
+        return born;
+    }
+
+    synchronized long sequence() {
+        return sequence;
+    }
+
+    /** Lets no ping arrive for a time. */
+    synchronized void cutPings(int millis) {
+        pingsCutUntilNanos = System.nanoTime() + 1_000_000L * millis;
+    }
+
+    /** Ends everything and starts again under the same ID, as an executor with another capacity. */
+    void restart(int newCpu) {
+        synchronized (this) {
+            running.forEach((task, run) -> stage.note("%s: %s run %d ended lost", id, task, run.number()));
+            running.clear();
+            highestEnded.clear();
+            ended.clear();
+            endNumber = 0;
+            fence = 0;
+            untilMillis = 0;
+            sequence = 0;
+            clockStartNanos = System.nanoTime() - 1_000_000L * 1_000;
+            born = System.currentTimeMillis();
+            cpu = newCpu;
+            mostUsed = 0;
+            stage.note("%s has started again, with %d thousandths of a core", id, cpu);
+        }
+        announce();
+    }
+
+    /** Returns the most thousandths of a core that runs have used at a time in this life. */
+    synchronized int mostUsed() {
+        return mostUsed;
+    }
+
+    private synchronized long clockMillis() {
+        return (System.nanoTime() - clockStartNanos) / 1_000_000;
+    }
+
+    synchronized List<Start> starts() {
+        return List.copyOf(starts);
+    }
+
+    private void beat() {
+        while (true) {
+            boolean acknowledged = announce() == 200;
+            try {
+                Thread.sleep(acknowledged ? Stage.BEAT_MILLIS : 300);
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    /** Reports that this executor will leave; returns the status of the answer. */
+    int drain() {
+        synchronized (this) {
+            state = "draining";
+        }
+        return announce();
+    }
+
+    private int announce() {
+        ObjectNode body = Stage.JSON.createObjectNode();
+        boolean cut;
+        synchronized (this) {
+            cut = System.nanoTime() - pingsCutUntilNanos < 0;
+            sequence++;
+            body.put("service", Stage.SERVICE).put("address", Stage.text(address)).put("zone", "norte-a");
+            body.put("version", "v1").put("slots", 8).put("state", state).put("coldLeftMs", 0);
+            body.putObject("capacity").put("cpu", cpu).put("memMb", 32_768).put("gpu", 0);
+            body.putArray("labels").add("a").add("r1-1");
+            body.put("clockMs", clockMillis()).put("sequence", sequence).put("born", born);
+        }
+        if (cut) {
+            return 0;
+        }
+        return Stage.call(control, "PUT", "/api/instances/" + id, body.toString(), 1_000).status();
+    }
+
+    private void tick() {
+        while (true) {
+            synchronized (this) {
+                long now = clockMillis();
+                for (Map.Entry<String, Run> entry : List.copyOf(running.entrySet())) {
+                    Run run = entry.getValue();
+                    if (now > untilMillis) {
+                        end(entry.getKey(), run.number(), "lapsed");
+                    } else if (now - run.startMillis() >= run.lastsMillis()) {
+                        end(entry.getKey(), run.number(), "done");
+                    }
+                }
+            }
+            try {
+                Thread.sleep(2);
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private void end(String task, int run, String how) {
+        running.remove(task);
+        highestEnded.merge(task, run, Math::max);
+        endNumber++;
+        ended.add(new End(endNumber, task, run, how));
+        stage.note("%s: %s run %d ended %s", id, task, run, how);
+        notifyAll();
+    }
+
+    private void handle(HttpExchange exchange) throws IOException {
+        JsonNode call = Stage.JSON.readTree(exchange.getRequestBody().readAllBytes());
+        if (!id.equals(exchange.getRequestHeaders().getFirst("X-Expect-Instance"))) {
+            Stage.respond(exchange, 421, answer());
+            return;
+        }
+        switch (exchange.getRequestURI().getPath()) {
+            case "/api/run-start" -> start(exchange, call);
+            case "/api/run-stop" -> stop(exchange, call);
+            case "/api/hold" -> hold(exchange, call);
+            default -> Stage.respond(exchange, 404, answer());
+        }
+    }
+
+    private ObjectNode answer() {
+        return Stage.JSON.createObjectNode().put("clockMs", clockMillis()).put("born", born);
+    }
+
+    private void extend(long until) {
+        untilMillis = Math.max(untilMillis, Math.min(until, clockMillis() + MAX_LEASE_MILLIS));
+    }
+
+    private boolean isFenced(JsonNode call) {
+        long token = call.path("fenceToken").asLong();
+        if (token < fence) {
+            return true;
+        }
+        fence = token;
+        return false;
+    }
+
+    private void start(HttpExchange exchange, JsonNode call) throws IOException {
+        String task = call.path("task").asText();
+        int number = call.path("runId").asInt();
+        String reason = "";
+        synchronized (this) {
+            Run present = running.get(task);
+            if (isFenced(call)) {
+                reason = "fence";
+            } else if (call.path("untilMs").asLong() <= clockMillis()) {
+                reason = "late";
+            } else if (present == null || present.number() != number) {
+                extend(call.path("untilMs").asLong());
+                if (number <= highestEnded.getOrDefault(task, 0) || present != null) {
+                    reason = "old";
+                } else {
+                    String[] spec = call.path("spec").asText().split(" ");
+                    running.put(
+                            task,
+                            new Run(number, clockMillis(), Integer.parseInt(spec[0]), Integer.parseInt(spec[1])));
+                    int used = running.values().stream().mapToInt(Run::cpu).sum();
+                    mostUsed = Math.max(mostUsed, used);
+                    starts.add(new Start(task, number, System.nanoTime()));
+                    stage.note("%s (%s): %s run %d started, %d in use", id, state, task, number, used);
+                }
+            }
+        }
+        if (reason.isEmpty()) {
+            Stage.respond(exchange, 200, answer());
+        } else {
+            Stage.respond(exchange, 409, answer().put("reason", reason));
+        }
+    }
+
+    private void stop(HttpExchange exchange, JsonNode call) throws IOException {
+        boolean fenced;
+        synchronized (this) {
+            fenced = isFenced(call);
+            if (!fenced) {
+                String task = call.path("task").asText();
+                int number = call.path("runId").asInt();
+                Run run = running.get(task);
+                if (run != null && run.number() == number) {
+                    end(task, number, "stopped");
+                }
+                highestEnded.merge(task, number, Math::max);
+            }
+        }
+        Stage.respond(exchange, fenced ? 409 : 200, fenced ? answer().put("reason", "fence") : answer());
+    }
+
+    private void hold(HttpExchange exchange, JsonNode call) throws IOException {
+        ObjectNode answer;
+        boolean fenced;
+        synchronized (this) {
+            fenced = isFenced(call);
+            if (!fenced) {
+                if (call.has("untilMs")) {
+                    extend(call.path("untilMs").asLong());
+                }
+                long acknowledged = call.path("ackCursor").asLong();
+                ended.removeIf(end -> end.number() <= acknowledged);
+                long endNanos = System.nanoTime() + 1_000_000L * call.path("waitMs").asLong();
+                while (ended.isEmpty() && System.nanoTime() - endNanos < 0) {
+                    try {
+                        wait(Math.max(1, (endNanos - System.nanoTime()) / 1_000_000));
+                    } catch (InterruptedException e) {
+                        exchange.close();
+                        return;
+                    }
+                }
+            }
+            answer = answer();
+            ArrayNode present = answer.putArray("running");
+            running.forEach((task, run) -> present.addArray()
+                    .add(task)
+                    .add(run.number())
+                    .add("")
+                    .add((int) Math.min(99, 100 * (clockMillis() - run.startMillis()) / run.lastsMillis()))
+                    .add(100));
+            ArrayNode ends = answer.putArray("ended");
+            ended.forEach(end ->
+                    ends.addArray().add(end.number()).add(end.task()).add(end.run()).add(end.how()).add(""));
+        }
+        if (fenced) {
+            Stage.respond(exchange, 409, answer().put("reason", "fence"));
+        } else {
+            Stage.respond(exchange, 200, answer);
+        }
+    }
+}
