--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,5 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review-2
 mkdir -p target/review-2
+cp review/standins-2/names.properties target/review-2/
 javac -cp target/knapweedmount.jar -d target/review-2 review/standins-2/*.java
--- a/review/standins-2/Stage.java
+++ b/review/standins-2/Stage.java
@@ -237,7 +237,8 @@
     /** Submits a job to a queue. */
     Answer submit(
             int entry, String prefix, String job, int tasks, int cpu, int lastsMillis, int deadlineMillis) {
-        String body = "{\"spec\":\"" + lastsMillis + " " + cpu + "\",\"bestEffort\":true,\"steps\":[{\"count\":" + tasks
+        String body = "{\"spec\":\"" + lastsMillis + " " + cpu + "\",\"" + Names.of("field.notStored")
+                + "\":true,\"steps\":[{\"count\":" + tasks
                 + ",\"cpu\":" + cpu + ",\"memMb\":64,\"estimateMs\":" + lastsMillis + "}]}";
         Answer answer = call(callers(entry), "POST", prefix + job, body, deadlineMillis);
         note("entry %d: POST %s%s: %d %s", entry, prefix, job, answer.status(), answer.body());
--- a/review/standins-2/Store.java
+++ b/review/standins-2/Store.java
@@ -56,11 +56,15 @@
         try {
             Map<String, String> asked = parameters(exchange);
             Thread.sleep(4);
-            switch (exchange.getRequestURI().getPath()) {
-                case "/api/rows-get" -> respond(exchange, 200, rows(asked));
-                case "/api/rows-feed" -> respond(exchange, 200, feed(asked));
-                case "/api/rows-tx" -> transact(exchange, Stage.JSON.readTree(body));
-                default -> respond(exchange, 404, List.of());
+            String path = exchange.getRequestURI().getPath();
+            if (path.equals(Names.of("store.read"))) {
+                respond(exchange, 200, rows(asked));
+            } else if (path.equals(Names.of("store.follow"))) {
+                respond(exchange, 200, feed(asked));
+            } else if (path.equals(Names.of("store.write"))) {
+                transact(exchange, Stage.JSON.readTree(body));
+            } else {
+                respond(exchange, 404, List.of());
             }
         } catch (InterruptedException e) {
             exchange.close();
--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -134,7 +134,7 @@
             cut = System.nanoTime() - pingsCutUntilNanos < 0;
             sequence++;
             body.put("service", Stage.SERVICE).put("address", Stage.text(address)).put("zone", "norte-a");
-            body.put("version", "v1").put("slots", 8).put("state", state).put("coldLeftMs", 0);
+            body.put("version", "v1").put("slots", 8).put("state", state).put(Names.of("field.warmUp"), 0);
             body.putObject("capacity").put("cpu", cpu).put("memMb", 32_768).put("gpu", 0);
             body.putArray("labels").add("a").add("r1-1");
             body.put("clockMs", clockMillis()).put("sequence", sequence).put("born", born);
@@ -181,11 +181,15 @@
             Stage.respond(exchange, 421, answer());
             return;
         }
-        switch (exchange.getRequestURI().getPath()) {
-            case "/api/run-start" -> start(exchange, call);
-            case "/api/run-stop" -> stop(exchange, call);
-            case "/api/hold" -> hold(exchange, call);
-            default -> Stage.respond(exchange, 404, answer());
+        String path = exchange.getRequestURI().getPath();
+        if (path.equals(Names.of("worker.start"))) {
+            start(exchange, call);
+        } else if (path.equals(Names.of("worker.stop"))) {
+            stop(exchange, call);
+        } else if (path.equals(Names.of("worker.list"))) {
+            hold(exchange, call);
+        } else {
+            Stage.respond(exchange, 404, answer());
         }
     }
 
@@ -198,7 +202,7 @@
     }
 
     private boolean isFenced(JsonNode call) {
-        long token = call.path("fenceToken").asLong();
+        long token = call.path(Names.of("field.token")).asLong();
         if (token < fence) {
             return true;
         }
@@ -265,7 +269,7 @@
                 if (call.has("untilMs")) {
                     extend(call.path("untilMs").asLong());
                 }
-                long acknowledged = call.path("ackCursor").asLong();
+                long acknowledged = call.path(Names.of("field.acknowledged")).asLong();
                 ended.removeIf(end -> end.number() <= acknowledged);
                 long endNanos = System.nanoTime() + 1_000_000L * call.path("waitMs").asLong();
                 while (ended.isEmpty() && System.nanoTime() - endNanos < 0) {
