review: show that a late order runs a task twice after a new start

Cause: an agent whose worker is idle does not notice that it has started again under its ID; until it is announced, the new life has no fencing token and carries out an order to the earlier one.

--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -22,6 +22,9 @@
     private final Map<String, Integer> highestEnded = new HashMap<>();
     private final List<End> ended = new ArrayList<>();
     private final List<Start> starts = new ArrayList<>();
+    private final List<Interval> intervals = new ArrayList<>();
+    private int lateMillis;
+    private boolean lateStartTaken;
     private final String id;
     private long clockStartNanos = System.nanoTime() - 1_000_000L * 480_000;
     private int cpu;
@@ -37,7 +40,10 @@
     /** A task that was begun, at a time of this process in ns. */
     record Start(String task, int run, long nanos) {}
 
-    private record Run(int number, long startMillis, int lastsMillis, int cpu) {}
+    /** The time for which a run was at work, by the clock of this process in ns. */
+    record Interval(String worker, String task, int run, long startNanos, long endNanos) {}
+
+    private record Run(int number, long startMillis, int lastsMillis, int cpu, long startNanos) {}
 
     private record End(long number, String task, int run, String how) {}
 
@@ -78,7 +84,10 @@
     /** Ends everything and starts again under the same ID, as an executor with another capacity. */
     void restart(int newCpu) {
         synchronized (this) {
-            running.forEach((task, run) -> stage.note("%s: %s run %d ended lost", id, task, run.number()));
+            running.forEach((task, run) -> {
+                stage.note("%s: %s run %d ended lost", id, task, run.number());
+                intervals.add(new Interval(id, task, run.number(), run.startNanos(), System.nanoTime()));
+            });
             running.clear();
             highestEnded.clear();
             ended.clear();
@@ -95,6 +104,27 @@
         announce();
     }
 
+    /** Leaves the next order to start a run unanswered and carries it out after a time. */
+    synchronized void carryOutNextStartLate(int millis) {
+        lateMillis = millis;
+        lateStartTaken = false;
+    }
+
+    /** Takes all orders as they come again; returns whether one was left unanswered. */
+    synchronized boolean carryOutAtOnce() {
+        lateMillis = 0;
+        return lateStartTaken;
+    }
+
+    synchronized boolean lateStartTaken() {
+        return lateStartTaken;
+    }
+
+    /** Returns the runs that have ended. */
+    synchronized List<Interval> intervals() {
+        return List.copyOf(intervals);
+    }
+
     /** Returns the most thousandths of a core that runs have used at a time in this life. */
     synchronized int mostUsed() {
         return mostUsed;
@@ -167,10 +197,11 @@
     }
 
     private void end(String task, int run, String how) {
-        running.remove(task);
+        Run ended = running.remove(task);
+        intervals.add(new Interval(id, task, run, ended.startNanos(), System.nanoTime()));
         highestEnded.merge(task, run, Math::max);
         endNumber++;
-        ended.add(new End(endNumber, task, run, how));
+        this.ended.add(new End(endNumber, task, run, how));
         stage.note("%s: %s run %d ended %s", id, task, run, how);
         notifyAll();
     }
@@ -211,6 +242,39 @@
     }
 
     private void start(HttpExchange exchange, JsonNode call) throws IOException {
+        int delayMillis = takeLate(call);
+        if (delayMillis > 0) {
+            Stage.daemonThreads("late").newThread(() -> {
+                try {
+                    Thread.sleep(delayMillis);
+                    String reason = start(call);
+                    stage.note("%s has carried out the late order: %s", id, reason.isEmpty() ? "started" : reason);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }).start();
+            return;
+        }
+        String reason = start(call);
+        if (reason.isEmpty()) {
+            Stage.respond(exchange, 200, answer());
+        } else {
+            Stage.respond(exchange, 409, answer().put("reason", reason));
+        }
+    }
+
+    private synchronized int takeLate(JsonNode call) {
+        if (lateMillis == 0 || lateStartTaken) {
+            return 0;
+        }
+        lateStartTaken = true;
+        stage.note("%s leaves the order to start %s run %d unanswered", id, call.path("task").asText(),
+                call.path("runId").asInt());
+        return lateMillis;
+    }
+
+    /** Carries out an order to start a run; returns why it is refused, or nothing. */
+    private String start(JsonNode call) {
         String task = call.path("task").asText();
         int number = call.path("runId").asInt();
         String reason = "";
@@ -228,7 +292,8 @@
                     String[] spec = call.path("spec").asText().split(" ");
                     running.put(
                             task,
-                            new Run(number, clockMillis(), Integer.parseInt(spec[0]), Integer.parseInt(spec[1])));
+                            new Run(number, clockMillis(), Integer.parseInt(spec[0]), Integer.parseInt(spec[1]),
+                                    System.nanoTime()));
                     int used = running.values().stream().mapToInt(Run::cpu).sum();
                     mostUsed = Math.max(mostUsed, used);
                     starts.add(new Start(task, number, System.nanoTime()));
@@ -236,11 +301,7 @@
                 }
             }
         }
-        if (reason.isEmpty()) {
-            Stage.respond(exchange, 200, answer());
-        } else {
-            Stage.respond(exchange, 409, answer().put("reason", reason));
-        }
+        return reason;
     }
 
     private void stop(HttpExchange exchange, JsonNode call) throws IOException {
