--- a/review/standins-2/LateOrderToNextLife.java
+++ b/review/standins-2/LateOrderToNextLife.java
@@ -10,7 +10,7 @@
  */
 final class LateOrderToNextLife {
     private static final int ENTRIES = 2;
-    private static final int AGENTS = 3;
+    private static final int AGENTS = 5;
     private static final int CPU = 16_000;
     private static final int SETTLE_MILLIS = 4_000;
     private static final int TASK_MILLIS = 3_500;
