Carry the condition of a worker in its reports

Cause: entries learn only whether a worker accepts starts, not whether it is unhealthy, still cold, or which kinds of tasks slow each other down on it. Change: WorkerReport ends with a WorkerCondition, which is normal for all workers until agents fill it in; the header of the message counts its fields again (it said 10 of 11), and the version of the protocol is 7. Measured: the tests of api and wire pass; a report grows by 4 bytes.

--- a/api/src/main/java/org/knapweedmount/api/message/Hello.java
+++ b/api/src/main/java/org/knapweedmount/api/message/Hello.java
@@ -10,5 +10,5 @@
  */
 public record Hello(int protocolVersion, PeerAddress sender) implements Message {
     /** The version of the message formats in this build. */
-    public static final int PROTOCOL_VERSION = 6;
+    public static final int PROTOCOL_VERSION = 7;
 }
--- a/api/src/main/java/org/knapweedmount/api/message/WorkerReport.java
+++ b/api/src/main/java/org/knapweedmount/api/message/WorkerReport.java
@@ -22,6 +22,7 @@
  * @param otherBacklogCoreMillis the work that other entries have queued, in milliseconds of one core
  * @param slowdownPercent the current run time of runs on the worker, in percent of the expected run time
  * @param prompt true if the receiver is told of large changes at once, and not only from time to time
+ * @param condition what is known of the worker beyond its resources
  */
 public record WorkerReport(
         long timestampNanos,
@@ -34,10 +35,53 @@
         long lastOrderNumber,
         long otherBacklogCoreMillis,
         int slowdownPercent,
-        boolean prompt)
+        boolean prompt,
+        WorkerCondition condition)
         implements Message {
     /** Copies the list of labels. */
     public WorkerReport {
         labels = List.copyOf(labels);
     }
+
+    /**
+     * Creates a report of a worker in normal condition.
+     *
+     * @param timestampNanos a time that the worker's clock had reached, in ns
+     * @param service the service of the worker
+     * @param worker the ID of the worker's current incarnation
+     * @param labels the labels of the worker
+     * @param capacity the total resources
+     * @param free the resources that are neither in use nor offered
+     * @param acceptsStarts true if the worker accepts starts
+     * @param lastOrderNumber the number of the last order that is included
+     * @param otherBacklogCoreMillis the work that other entries have queued, in milliseconds of one core
+     * @param slowdownPercent the current run time in percent of the expected one
+     * @param prompt true if the receiver is told of large changes at once
+     */
+    public WorkerReport(
+            long timestampNanos,
+            String service,
+            String worker,
+            List<String> labels,
+            Resources capacity,
+            Resources free,
+            boolean acceptsStarts,
+            long lastOrderNumber,
+            long otherBacklogCoreMillis,
+            int slowdownPercent,
+            boolean prompt) {
+        this(
+                timestampNanos,
+                service,
+                worker,
+                labels,
+                capacity,
+                free,
+                acceptsStarts,
+                lastOrderNumber,
+                otherBacklogCoreMillis,
+                slowdownPercent,
+                prompt,
+                WorkerCondition.NORMAL);
+    }
 }
--- a/wire/src/main/java/org/knapweedmount/wire/EnumFormat.java
+++ b/wire/src/main/java/org/knapweedmount/wire/EnumFormat.java
@@ -11,6 +11,7 @@
 import org.knapweedmount.api.message.LeaseScope;
 import org.knapweedmount.api.message.RelayRequest.Operation;
 import org.knapweedmount.api.message.TaskState;
+import org.knapweedmount.api.message.WorkerCondition.Availability;
 import org.knapweedmount.api.work.RunOutcome;
 
 /**
@@ -74,6 +75,9 @@
                     RunOutcome.REFUSED,
                     RunOutcome.OUTDATED));
 
+    static final EnumFormat<Availability> AVAILABILITY = new EnumFormat<>(
+            Availability.class, List.of(Availability.OPEN, Availability.UNHEALTHY, Availability.CLOSED));
+
     private final List<E> constants;
     private final Map<E, Integer> numbers;
 
--- a/wire/src/main/java/org/knapweedmount/wire/MessageType.java
+++ b/wire/src/main/java/org/knapweedmount/wire/MessageType.java
@@ -99,7 +99,7 @@
     /** Answers to {@link #SEAL_BATCH}. */
     SEALED_BATCH(24, 1, SealedBatch.class, TaskMessages::writeSealedBatch, TaskMessages::readSealedBatch),
     /** The resources of a worker. */
-    WORKER_REPORT(25, 10, WorkerReport.class, WorkMessages::writeWorkerReport, WorkMessages::readWorkerReport),
+    WORKER_REPORT(25, 12, WorkerReport.class, WorkMessages::writeWorkerReport, WorkMessages::readWorkerReport),
     /** The queued tasks of an entry that wait for resources of a worker. */
     RESOURCE_DEMAND(26, 4, ResourceDemand.class, WorkMessages::writeResourceDemand, WorkMessages::readResourceDemand),
     /** An offer of a worker's resources. */
--- a/wire/src/main/java/org/knapweedmount/wire/WorkMessages.java
+++ b/wire/src/main/java/org/knapweedmount/wire/WorkMessages.java
@@ -8,6 +8,7 @@
 import org.knapweedmount.api.message.CancelReply;
 import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
+import org.knapweedmount.api.message.KindInterference;
 import org.knapweedmount.api.message.LeaseRenewal;
 import org.knapweedmount.api.message.LinkedEntries;
 import org.knapweedmount.api.message.OwnershipProbe;
@@ -20,6 +21,7 @@
 import org.knapweedmount.api.message.RunOrder;
 import org.knapweedmount.api.message.RunsEnded;
 import org.knapweedmount.api.message.StopRuns;
+import org.knapweedmount.api.message.WorkerCondition;
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.message.YieldJob;
 import org.knapweedmount.api.work.JobRuns;
@@ -43,7 +45,35 @@
                 .number(report.lastOrderNumber())
                 .number(report.otherBacklogCoreMillis())
                 .number(report.slowdownPercent())
-                .flag(report.prompt());
+                .flag(report.prompt())
+                .value(report.condition(), WorkMessages::writeCondition);
+    }
+
+    private static void writeCondition(FieldWriter out, WorkerCondition condition) throws IOException, FrameException {
+        out.arrayHeader(3)
+                .constant(EnumFormat.AVAILABILITY, condition.availability())
+                .number(condition.coldMillis())
+                .list(condition.interference(), WorkMessages::writeInterference);
+    }
+
+    private static WorkerCondition readCondition(FieldReader in) throws IOException, FrameException {
+        in.expectArray(3);
+        return new WorkerCondition(
+                in.constant(EnumFormat.AVAILABILITY), in.nonNegativeInt(), in.list(WorkMessages::readInterference));
+    }
+
+    private static void writeInterference(FieldWriter out, KindInterference interference)
+            throws IOException, FrameException {
+        out.arrayHeader(4)
+                .name(interference.kind())
+                .name(interference.neighbour())
+                .number(interference.slowdownPercent())
+                .number(interference.samples());
+    }
+
+    private static KindInterference readInterference(FieldReader in) throws IOException, FrameException {
+        in.expectArray(4);
+        return new KindInterference(in.name(), in.name(), in.nonNegativeInt(), in.nonNegativeInt());
     }
 
     static WorkerReport readWorkerReport(FieldReader in) throws IOException, FrameException {
@@ -58,7 +88,8 @@
                 in.nonNegativeLong(),
                 in.nonNegativeLong(),
                 in.nonNegativeInt(),
-                in.flag());
+                in.flag(),
+                readCondition(in));
     }
 
     static void writeResourceDemand(FieldWriter out, ResourceDemand demand) throws IOException, FrameException {
--- a/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
+++ b/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
@@ -44,6 +44,7 @@
 import org.knapweedmount.api.message.Hello;
 import org.knapweedmount.api.message.JobClaim;
 import org.knapweedmount.api.message.JobOwnershipUpdate;
+import org.knapweedmount.api.message.KindInterference;
 import org.knapweedmount.api.message.LeaseRenewal;
 import org.knapweedmount.api.message.LeaseScope;
 import org.knapweedmount.api.message.Leaving;
@@ -75,6 +76,7 @@
 import org.knapweedmount.api.message.StopRuns;
 import org.knapweedmount.api.message.TaskReport;
 import org.knapweedmount.api.message.TaskState;
+import org.knapweedmount.api.message.WorkerCondition;
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.message.YieldJob;
 import org.knapweedmount.api.work.JobRuns;
@@ -166,7 +168,15 @@
                 nonNegativeLong(),
                 nonNegativeLong(),
                 nonNegativeInt(),
-                random.nextBoolean());
+                random.nextBoolean(),
+                workerCondition());
+    }
+
+    private WorkerCondition workerCondition() {
+        return new WorkerCondition(
+                pick(WorkerCondition.Availability.values()),
+                nonNegativeInt(),
+                list(() -> new KindInterference(text(), text(), nonNegativeInt(), nonNegativeInt())));
     }
 
     private ResourceDemand resourceDemand() {
