Let the operator close and reopen a data centre

Cause: nothing lets the operator evacuate a data centre; entries go on ordering runs there. Change: the read of the configuration became a read of the table of orders, whose rows evacuate/NAME close data centres; entries pass the state on to each other, order no runs and send no demand there, decline offers and do not count the capacity, and tell the agents, which refuse orders that still arrive.

--- a/api/src/main/java/org/knapweedmount/api/message/Message.java
+++ b/api/src/main/java/org/knapweedmount/api/message/Message.java
@@ -48,4 +48,6 @@
                 RelayedYield,
                 RelayedEnd,
                 CancelJob,
-                CancelReply {}
+                CancelReply,
+                ClosedDataCentres,
+                EvacuationNotice {}
--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchCounter.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchCounter.java
@@ -9,5 +9,11 @@
     /** Resubmissions that waited for the end of an earlier submission, here or at another entry. */
     RESUBMISSIONS_WAITED,
     /** Stop orders that were repeated because the end of a run had not been reported. */
-    STOPS_REPEATED
+    STOPS_REPEATED,
+    /** Data centres that the operator has closed, as far as this entry has learned. */
+    DATA_CENTRES_CLOSED,
+    /** Data centres that the operator has reopened, as far as this entry has learned. */
+    DATA_CENTRES_REOPENED,
+    /** Rows of the operator's table whose key cannot be read. */
+    ORDERS_UNREADABLE
 }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchEvents.java
@@ -61,7 +61,7 @@
         }
         String detail = "agent=" + view.agent() + " link=" + view.linkNumber() + " report="
                 + TimeUnit.NANOSECONDS.toMillis(nowNanos - view.lastReportNanos()) + " offer=" + offer + " free="
-                + view.freeCapacity().milliCores();
+                + view.freeCapacity(nowNanos).milliCores();
         tasks.forEach(task -> ordered.add(detail, "tasks", name(task.ref()), nowNanos));
     }
 
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -26,6 +26,7 @@
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.message.YieldJob;
 import org.knapweedmount.api.work.RunRef;
+import org.knapweedmount.core.evacuation.DataCentreAccess;
 
 /**
  * Schedules the jobs of the callers of one entry onto workers.
@@ -35,7 +36,7 @@
 public final class Dispatcher {
     private final DispatchOutput output;
     private final DurationModel durations = new DurationModel();
-    private final WorkerViews workers = new WorkerViews();
+    private final WorkerViews workers;
     private final JobOwnership ownership;
     private final JobTable jobs = new JobTable();
     private final StallDetector stalls = new StallDetector();
@@ -57,9 +58,11 @@
      * Creates a dispatcher without jobs and workers.
      *
      * @param output the receiver of decisions
+     * @param access the data centres of agents, and which of them are closed
      */
-    public Dispatcher(DispatchOutput output) {
+    public Dispatcher(DispatchOutput output, DataCentreAccess access) {
         this.output = output;
+        this.workers = new WorkerViews(access);
         this.events = new DispatchEvents(output);
         this.ownership = new JobOwnership(output);
         this.startupEntries = new StartupEntries(ownership::areJobsKnown);
--- a/core/src/main/java/org/knapweedmount/core/dispatch/FreeCapacities.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/FreeCapacities.java
@@ -20,7 +20,7 @@
     FreeCapacities(Collection<WorkerView> workers, long nowNanos) {
         for (WorkerView worker : workers) {
             if (worker.acceptsStarts() && !worker.isSilent(nowNanos)) {
-                free.put(worker, worker.freeCapacity());
+                free.put(worker, worker.freeCapacity(nowNanos));
             }
         }
         updateLargest();
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobAdmission.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobAdmission.java
@@ -34,7 +34,7 @@
         }
         jobs.recordArrival(service, request.queue().name(), nowNanos);
         QueueShares shares = jobs.shares(service, nowNanos);
-        double cores = workers.cores(service);
+        double cores = workers.cores(service, nowNanos);
         double share = shares.share(request.queue().name());
         double ownWork = jobs.queuedCoreMillis(service);
         long remoteWork = workers.otherBacklogCoreMillis(service);
--- a/core/src/main/java/org/knapweedmount/core/dispatch/TaskPlacer.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/TaskPlacer.java
@@ -95,11 +95,13 @@
         String service = view.report().get().service();
         QueueShares shares = jobs.shares(service, nowNanos);
         List<TrackedTask> chosen = new ArrayList<>();
-        Placement.fill(offer.resources(), queuedJobs(service, nowNanos), view, shares, nowNanos, task -> {
+        List<TrackedJob> queued = view.isEvacuated() ? List.of() : queuedJobs(service, nowNanos);
+        Placement.fill(view.admitted(offer.resources(), nowNanos), queued, view, shares, nowNanos, task -> {
             chosen.add(task);
             assign(view, task);
         });
-        sendOrder(view, offer.number(), chosen, demandOf(service, nowNanos), nowNanos);
+        ResourceDemand demand = view.isEvacuated() ? ResourceDemand.NONE : demandOf(service, nowNanos);
+        sendOrder(view, offer.number(), chosen, demand, nowNanos);
         events.flush(nowNanos);
     }
 
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
@@ -12,6 +12,8 @@
 import org.knapweedmount.api.message.ResourceDemand;
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.work.RunRef;
+import org.knapweedmount.core.evacuation.DataCentreAccess;
+import org.knapweedmount.core.evacuation.ReopeningSteps;
 
 /** An entry's view of a worker, from the reports of the worker's agent and the entry's own orders. */
 final class WorkerView {
@@ -19,6 +21,7 @@
     private static final double MIN_SLOWDOWN_RATIO = 1.6;
 
     private final Incarnation agent;
+    private final DataCentreAccess access;
     private final Map<String, TrackedTask> orderedTasks = new HashMap<>();
     private final Deque<SentOrder> unacknowledgedOrders = new ArrayDeque<>();
     private Optional<WorkerReport> report = Optional.empty();
@@ -35,7 +38,12 @@
     private record SentOrder(long number, Resources resources) {}
 
     WorkerView(Incarnation agent, long nowNanos) {
+        this(agent, new DataCentreAccess(), nowNanos);
+    }
+
+    WorkerView(Incarnation agent, DataCentreAccess access, long nowNanos) {
         this.agent = agent;
+        this.access = access;
         this.lastReportNanos = nowNanos;
         this.lastStopRepeatNanos = nowNanos;
     }
@@ -91,7 +99,29 @@
     }
 
     boolean acceptsStarts() {
-        return linked && report.isPresent() && report.get().acceptsStarts();
+        return linked && report.isPresent() && report.get().acceptsStarts() && !isEvacuated();
+    }
+
+    /** Returns whether the data centre of the worker is closed by the operator. */
+    boolean isEvacuated() {
+        return access.isClosed(agent);
+    }
+
+    /** Returns the cores that runs may be ordered on in all; fewer than the worker has after its data centre was closed. */
+    double admittedCores(long nowNanos) {
+        int milliCores = report.orElseThrow().capacity().milliCores();
+        return (milliCores - withheld(nowNanos).milliCores()) / 1_000.0;
+    }
+
+    /** Returns what is left of free resources without those that may not be used soon after a reopening. */
+    Resources admitted(Resources free, long nowNanos) {
+        return free.minus(withheld(nowNanos));
+    }
+
+    private Resources withheld(long nowNanos) {
+        int percent = ReopeningSteps.ALL_PERCENT - access.admittedPercent(agent, nowNanos);
+        long milliCores = report.orElseThrow().capacity().milliCores();
+        return new Resources((int) (milliCores * percent / ReopeningSteps.ALL_PERCENT), 0, 0);
     }
 
     /** Returns whether the agent tells this entry of large changes at once, so that its worker is preferred. */
@@ -103,8 +133,11 @@
         return report.isPresent() && report.get().service().equals(service);
     }
 
-    /** Returns the estimated free capacity: the last report minus the orders that it does not include. */
-    Resources freeCapacity() {
+    /**
+     * Returns the estimated free capacity: the last report minus the orders that it does not include, and minus what may
+     * not be used soon after a reopening.
+     */
+    Resources freeCapacity(long nowNanos) {
         if (!acceptsStarts()) {
             return Resources.NONE;
         }
@@ -112,7 +145,7 @@
         for (SentOrder order : unacknowledgedOrders) {
             free = free.minus(order.resources());
         }
-        return free;
+        return admitted(free, nowNanos);
     }
 
     long registerOrder(Resources resources) {
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerViews.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerViews.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 
 import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.core.evacuation.DataCentreAccess;
 
 /** The workers that an entry knows, by their agents. */
 final class WorkerViews {
@@ -19,14 +20,19 @@
     /** How many incarnations of an agent are remembered; a replaced one may still send a late report. */
     private static final int MAX_INCARNATIONS = 8;
 
+    private final DataCentreAccess access;
     private final Map<Incarnation, WorkerView> views = new LinkedHashMap<>();
     private OptionalLong slowdownsUpdatedNanos = OptionalLong.empty();
 
     /** The incarnations of each agent in the order of their first links, also those without a view. */
     private final Map<String, List<Incarnation>> incarnations = new HashMap<>();
 
+    WorkerViews(DataCentreAccess access) {
+        this.access = access;
+    }
+
     WorkerView link(Incarnation agent, long nowNanos) {
-        WorkerView view = views.computeIfAbsent(agent, key -> new WorkerView(agent, nowNanos));
+        WorkerView view = views.computeIfAbsent(agent, key -> new WorkerView(agent, access, nowNanos));
         view.link();
         recordIncarnation(agent);
         return view;
@@ -77,6 +83,7 @@
 
     void remove(WorkerView view) {
         views.remove(view.agent());
+        access.agentRemoved(view.agent());
     }
 
     /**
@@ -109,12 +116,12 @@
         }
     }
 
-    /** Returns the cores of all workers of a service that accept starts. */
-    double cores(String service) {
+    /** Returns the admitted cores of all workers of a service that accept starts. */
+    double cores(String service, long nowNanos) {
         double sum = 0;
         for (WorkerView view : views.values()) {
             if (view.acceptsStarts() && view.serves(service)) {
-                sum += view.report().orElseThrow().capacity().milliCores() / 1_000.0;
+                sum += view.admittedCores(nowNanos);
             }
         }
         return sum;
--- a/core/src/main/java/org/knapweedmount/core/worker/EntryTable.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/EntryTable.java
@@ -13,17 +13,21 @@
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.message.ActiveRuns;
+import org.knapweedmount.api.message.EvacuationNotice;
 import org.knapweedmount.api.message.LinkedEntries;
+import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.ResourceOffer;
 import org.knapweedmount.api.message.RunsEnded;
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.work.RunResult;
+import org.knapweedmount.core.evacuation.ReceivedNotices;
 
 /** The entries known to the agent of a worker, and the messages sent to them. */
 final class EntryTable {
     private final WorkerOutput output;
     private final Map<Incarnation, EntryView> entries = new LinkedHashMap<>();
     private final Map<Incarnation, List<RunResult>> pendingResults = new LinkedHashMap<>();
+    private final ReceivedNotices evacuation;
     private LinkedEntries lastTold = new LinkedEntries(List.of(), List.of());
     private Set<Incarnation> promptEntries = Set.of();
     private String promptWorker = "";
@@ -31,12 +35,26 @@
 
     EntryTable(WorkerOutput output) {
         this.output = output;
+        this.evacuation = new ReceivedNotices(output::logEvent);
     }
 
     EntryView of(Incarnation entry) {
         return entries.computeIfAbsent(entry, key -> new EntryView());
     }
 
+    /** Returns the sender of a message, after recording what it says of the agent's data centre. */
+    EntryView received(Incarnation entry, Message message) {
+        if (message instanceof EvacuationNotice notice) {
+            evacuation.received(entry, notice);
+        }
+        return of(entry);
+    }
+
+    /** Returns whether the data centre of the agent is closed, as far as the linked entries have told. */
+    boolean isDataCentreClosed() {
+        return evacuation.isClosed();
+    }
+
     Collection<EntryView> views() {
         return entries.values();
     }
@@ -66,6 +84,7 @@
     /** Handles the loss of the link to an entry. */
     void unlinked(Incarnation entry, long nowNanos) {
         of(entry).unlink(nowNanos);
+        evacuation.unlinked(entry);
         choosePromptEntries();
     }
 
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -163,7 +163,7 @@
      * @param nowNanos the current time, in ns
      */
     public void receive(Incarnation from, Message message, long nowNanos) {
-        EntryView entryView = entries.of(from);
+        EntryView entryView = entries.received(from, message);
         if (message instanceof RunOrder order) {
             handleOrder(from, entryView, order, nowNanos);
         } else if (message instanceof ResourceDemand demand) {
@@ -562,6 +562,7 @@
                 && earlierWorkers.foreignRunsEnded(nowNanos)
                 && !listCalls.unresponsive()
                 && !draining
+                && !entries.isDataCentreClosed()
                 && health.admits(runs.size(), nowNanos);
     }
 
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatchEventsTest.java
@@ -20,6 +20,7 @@
 import org.knapweedmount.api.work.RunOutcome;
 import org.knapweedmount.api.work.RunRef;
 import org.knapweedmount.api.work.RunResult;
+import org.knapweedmount.core.evacuation.DataCentreAccess;
 import org.knapweedmount.core.metric.MillisHistogram;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -33,7 +34,7 @@
     private static final String JOB = "00000000000000aa";
 
     private final Recorder output = new Recorder();
-    private final Dispatcher dispatcher = new Dispatcher(output);
+    private final Dispatcher dispatcher = new Dispatcher(output, new DataCentreAccess());
 
     private void submit(String job, long millis) {
         dispatcher.submit(
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherFixture.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherFixture.java
@@ -19,6 +19,7 @@
 import org.knapweedmount.api.work.RunRef;
 import org.knapweedmount.api.work.RunRequest;
 import org.knapweedmount.api.work.RunResult;
+import org.knapweedmount.core.evacuation.DataCentreAccess;
 
 /** A dispatcher with a worker; keeps what the dispatcher decides. */
 final class DispatcherFixture implements DispatchOutput {
@@ -37,7 +38,7 @@
     private final Map<String, List<JobResult>> answers = new LinkedHashMap<>();
     private final List<CancelResult> cancelResults = new ArrayList<>();
     private final List<String> events = new ArrayList<>();
-    private final Dispatcher dispatcher = new Dispatcher(this);
+    private final Dispatcher dispatcher = new Dispatcher(this, new DataCentreAccess());
 
     DispatcherFixture() {
         dispatcher.agentLinked(AGENT, 0);
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatcherTest.java
@@ -24,6 +24,7 @@
 import org.knapweedmount.api.work.RunRef;
 import org.knapweedmount.api.work.RunRequest;
 import org.knapweedmount.api.work.RunResult;
+import org.knapweedmount.core.evacuation.DataCentreAccess;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.allOf;
@@ -42,7 +43,7 @@
     private final List<Message> sent = new ArrayList<>();
     private final Map<String, JobResult> answers = new LinkedHashMap<>();
     private final List<String> histories = new ArrayList<>();
-    private final Dispatcher dispatcher = new Dispatcher(new Recorder());
+    private final Dispatcher dispatcher = new Dispatcher(new Recorder(), new DataCentreAccess());
 
     private void report(long millis, int freeMilliCores, boolean open) {
         dispatcher.receive(AGENT, report(freeMilliCores, open), DispatchFixture.millisToNanos(millis));
--- a/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/OwnershipFleet.java
@@ -29,6 +29,7 @@
 import org.knapweedmount.api.work.RunOutcome;
 import org.knapweedmount.api.work.RunRef;
 import org.knapweedmount.api.work.RunResult;
+import org.knapweedmount.core.evacuation.DataCentreAccess;
 
 /**
  * Entries in virtual time whose links to each other are reset and cut and that stand still, and an agent that starts
@@ -101,7 +102,7 @@
 
     private Entry start(int number, long nonce) {
         Entry entry = new Entry(new Incarnation("entry-" + number, nonce));
-        entry.dispatcher = new Dispatcher(new Port(entry));
+        entry.dispatcher = new Dispatcher(new Port(entry), new DataCentreAccess());
         entry.dispatcher.agentLinked(AGENT, now(entry));
         every(entry, 25, () -> {
             if (!entry.still) {
--- a/core/src/test/java/org/knapweedmount/core/dispatch/WorkerViewsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/WorkerViewsTest.java
@@ -8,12 +8,13 @@
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.message.WorkerReport;
+import org.knapweedmount.core.evacuation.DataCentreAccess;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
 class WorkerViewsTest {
-    private final WorkerViews views = new WorkerViews();
+    private final WorkerViews views = new WorkerViews(new DataCentreAccess());
 
     private WorkerView worker(String name, int slowdownPercent) {
         Resources capacity = new Resources(16_000, 1_000, 0);
--- a/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
@@ -28,6 +28,7 @@
 import org.knapweedmount.core.dispatch.JobRequest;
 import org.knapweedmount.core.dispatch.JobResult;
 import org.knapweedmount.core.dispatch.JobStep;
+import org.knapweedmount.core.evacuation.DataCentreAccess;
 import org.knapweedmount.core.event.EventPriority;
 import org.knapweedmount.core.worker.ProcessStart;
 import org.knapweedmount.core.worker.WorkerAgent;
@@ -242,7 +243,7 @@
     Incarnation startEntry(String name) {
         lastNonce++;
         Incarnation self = new Incarnation(name, lastNonce);
-        Dispatcher dispatcher = new Dispatcher(new EntryPort(self));
+        Dispatcher dispatcher = new Dispatcher(new EntryPort(self), new DataCentreAccess());
         List<Incarnation> others = entries();
         entries.put(self, dispatcher);
         dispatcher.startupEntries().started(time.nowNanos());
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -14,6 +14,7 @@
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.Role;
+import org.knapweedmount.api.message.ClosedDataCentres;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.QueueUpdate;
 import org.knapweedmount.api.message.RelayedMessage;
@@ -196,6 +197,22 @@
         }
     }
 
+    /**
+     * Applies the closed data centres as read from the store; retries while the decision queue is full.
+     *
+     * @param update the closed data centres and the store's version
+     */
+    public void applyClosedDataCentres(ClosedDataCentres update) {
+        if (!urgentDecisions.offer((module, nowNanos) -> module.evacuation().apply(update, "store", nowNanos))) {
+            vertx.setTimer(TICK_INTERVAL_MILLIS, timer -> applyClosedDataCentres(update));
+        }
+    }
+
+    /** Counts a row of the operator whose key cannot be read. */
+    public void countUnreadableOrder() {
+        counters.increment(DispatchCounter.ORDERS_UNREADABLE);
+    }
+
     /**
      * Ends a job for which no caller waits any more; retries while the decision queue is full.
      *
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchModule.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchModule.java
@@ -9,16 +9,20 @@
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.Role;
+import org.knapweedmount.api.message.ClosedDataCentres;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.Peers;
 import org.knapweedmount.api.message.QueueUpdate;
 import org.knapweedmount.core.dispatch.DispatchOutput;
 import org.knapweedmount.core.dispatch.Dispatcher;
 import org.knapweedmount.core.dispatch.QueueTable;
+import org.knapweedmount.core.evacuation.DataCentreAccess;
 
 /** State owned by the decision thread of a dispatching entry: the dispatcher and the queue configuration in force. */
 public final class DispatchModule {
+    private final DataCentreAccess access = new DataCentreAccess();
     private final Dispatcher dispatcher;
+    private final EvacuationOrders evacuation;
     private final QueueTable queues = new QueueTable();
     private final DispatchOutput output;
     private final AtomicLong appliedVersion;
@@ -27,7 +31,8 @@
     private final Set<Incarnation> agents = new HashSet<>();
 
     DispatchModule(DispatchOutput output, AtomicLong appliedVersion, Consumer<PeerAddress> entryListener) {
-        this.dispatcher = new Dispatcher(output);
+        this.dispatcher = new Dispatcher(output, access);
+        this.evacuation = new EvacuationOrders(access, output);
         this.output = output;
         this.appliedVersion = appliedVersion;
         this.entryListener = entryListener;
@@ -51,6 +56,11 @@
         return queues;
     }
 
+    /** Returns the operator's orders to close data centres. */
+    EvacuationOrders evacuation() {
+        return evacuation;
+    }
+
     /**
      * Applies a version of the queue configuration and, if it is newer, forwards it to all linked entries.
      *
@@ -82,12 +92,15 @@
         output.logEvent("linked", "peer=" + peer.incarnation());
         if (peer.role() == Role.AGENT) {
             agents.add(peer.incarnation());
+            evacuation.agentLinked(peer);
             dispatcher.agentLinked(peer.incarnation(), nowNanos);
             sendPeers(peer.incarnation());
             return;
         }
         entries.add(peer);
         dispatcher.entryLinked(peer.incarnation(), nowNanos);
+        // An entry that learns its queues here learns first which data centres are closed.
+        evacuation.entryLinked(peer.incarnation());
         queues.newest().ifPresent(newest -> output.send(peer.incarnation(), newest));
         agents.forEach(this::sendPeers);
         sendPeersToEntries();
@@ -112,6 +125,7 @@
     void unlinked(Incarnation peer, long nowNanos) {
         output.logEvent("unlinked", "peer=" + peer);
         agents.remove(peer);
+        evacuation.unlinked(peer);
         if (entries.removeIf(entry -> entry.incarnation().equals(peer))) {
             sendPeersToEntries();
         }
@@ -121,6 +135,8 @@
     void received(Incarnation from, Message message, long nowNanos) {
         if (message instanceof QueueUpdate update) {
             apply(update, from.process());
+        } else if (message instanceof ClosedDataCentres closed) {
+            evacuation.received(from, closed, nowNanos);
         } else {
             if (message instanceof Peers peers) {
                 peers.entries().forEach(entryListener);
--- a/daemon/src/test/java/org/knapweedmount/daemon/runtime/AdmissionTraceTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/runtime/AdmissionTraceTest.java
@@ -31,6 +31,7 @@
 import org.knapweedmount.core.dispatch.JobRequest;
 import org.knapweedmount.core.dispatch.JobResult;
 import org.knapweedmount.core.dispatch.JobStep;
+import org.knapweedmount.core.evacuation.DataCentreAccess;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
@@ -71,7 +72,7 @@
         Set<String> jobs = new HashSet<>();
         try (DecisionLog log = new DecisionLog(written::add)) {
             LoggingOutput output = new LoggingOutput(log);
-            Dispatcher dispatcher = new Dispatcher(output);
+            Dispatcher dispatcher = new Dispatcher(output, new DataCentreAccess());
             dispatcher.agentLinked(AGENT, 0);
             dispatcher.entryLinked(PEER, 0);
             dispatcher.receive(PEER, new JobOwnershipUpdate(List.of(), List.of()), 0);
--- a/standins/src/main/java/org/knapweedmount/standins/bench/ModelEntry.java
+++ b/standins/src/main/java/org/knapweedmount/standins/bench/ModelEntry.java
@@ -6,6 +6,7 @@
 import org.knapweedmount.core.dispatch.Dispatcher;
 import org.knapweedmount.core.dispatch.JobRequest;
 import org.knapweedmount.core.dispatch.JobResult;
+import org.knapweedmount.core.evacuation.DataCentreAccess;
 
 /** An entry with its dispatcher. */
 final class ModelEntry implements DispatchOutput {
@@ -13,7 +14,7 @@
 
     private final SiteModel site;
     private final Incarnation self;
-    private final Dispatcher dispatcher = new Dispatcher(this);
+    private final Dispatcher dispatcher = new Dispatcher(this, new DataCentreAccess());
 
     ModelEntry(SiteModel site, Incarnation self) {
         this.site = site;
--- a/wire/src/main/java/org/knapweedmount/wire/MessageType.java
+++ b/wire/src/main/java/org/knapweedmount/wire/MessageType.java
@@ -9,9 +9,11 @@
 import org.knapweedmount.api.message.CancelReply;
 import org.knapweedmount.api.message.CancelTasks;
 import org.knapweedmount.api.message.Capacity;
+import org.knapweedmount.api.message.ClosedDataCentres;
 import org.knapweedmount.api.message.ConfigApplied;
 import org.knapweedmount.api.message.ConfigUpdate;
 import org.knapweedmount.api.message.Demand;
+import org.knapweedmount.api.message.EvacuationNotice;
 import org.knapweedmount.api.message.Finished;
 import org.knapweedmount.api.message.Grant;
 import org.knapweedmount.api.message.Heartbeat;
@@ -143,7 +145,16 @@
             1,
             OwnershipProbeReply.class,
             WorkMessages::writeOwnershipProbeReply,
-            WorkMessages::readOwnershipProbeReply);
+            WorkMessages::readOwnershipProbeReply),
+    /** The data centres that the operator has closed. */
+    CLOSED_DATA_CENTRES(
+            43,
+            2,
+            ClosedDataCentres.class,
+            EvacuationMessages::writeClosedDataCentres,
+            EvacuationMessages::readClosedDataCentres),
+    /** Whether the data centre of the receiver is closed. */
+    EVACUATION_NOTICE(44, 2, EvacuationNotice.class, EvacuationMessages::writeNotice, EvacuationMessages::readNotice);
 
     private static final Map<Class<? extends Message>, MessageType> BY_CLASS = new HashMap<>();
     private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
--- a/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
+++ b/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Supplier;
 
 import org.knapweedmount.api.Flow;
@@ -34,9 +35,11 @@
 import org.knapweedmount.api.message.CancelReply;
 import org.knapweedmount.api.message.CancelTasks;
 import org.knapweedmount.api.message.Capacity;
+import org.knapweedmount.api.message.ClosedDataCentres;
 import org.knapweedmount.api.message.ConfigApplied;
 import org.knapweedmount.api.message.ConfigUpdate;
 import org.knapweedmount.api.message.Demand;
+import org.knapweedmount.api.message.EvacuationNotice;
 import org.knapweedmount.api.message.Finished;
 import org.knapweedmount.api.message.FlowDemand;
 import org.knapweedmount.api.message.Grant;
@@ -153,6 +156,8 @@
             case OWNERSHIP_PROBE_REPLY -> new OwnershipProbeReply(nonNegativeLong());
             case RELAYED_YIELD -> new RelayedYield(incarnation(), list(this::text), nonNegativeLong());
             case RELAYED_END -> new RelayedEnd(incarnation(), list(this::text), nonNegativeLong());
+            case CLOSED_DATA_CENTRES -> new ClosedDataCentres(nonNegativeLong(), Set.copyOf(list(this::text)));
+            case EVACUATION_NOTICE -> new EvacuationNotice(nonNegativeLong(), random.nextBoolean());
         };
     }
 
