daemon: write all output of a process from one queue

Lines other than decisions were written by tinylog on the thread that logged them, with a lock on System.out. When nobody read the output and the pipe was full, the event loop, the SIGHUP handler and the shutdown hook waited for the reader, so that a planned stop never began.

DecisionLog writes to that queue and has no thread of its own.

--- a/daemon/src/main/java/org/knapweedmount/daemon/Main.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/Main.java
@@ -5,6 +5,7 @@
 
 import org.knapweedmount.daemon.agent.AgentStarter;
 import org.knapweedmount.daemon.entry.EntryStarter;
+import org.knapweedmount.daemon.output.ProcessOutput;
 import org.knapweedmount.daemon.runtime.RunningProcess;
 import org.knapweedmount.daemon.runtime.StartException;
 import org.knapweedmount.daemon.settings.AgentSettings;
@@ -33,6 +34,7 @@
      * @param arguments the path of the settings file
      */
     public static void main(String[] arguments) {
+        ProcessOutput.install();
         Thread.currentThread().setUncaughtExceptionHandler((thread, failure) -> startFailed(failure));
         if (arguments.length != 1) {
             System.err.println("usage: knapweedmountd SETTINGS-FILE");
@@ -81,8 +83,8 @@
         }
     }
 
-    /** Ends the process at once; a normal exit would return the exit code of the signal that requested the stop. */
+    /** Ends the process after a short wait for its output; a normal exit would return the exit code of the signal that requested the stop. */
     private static void halt(int code) {
-        Runtime.getRuntime().halt(code);
+        ProcessOutput.halt(code);
     }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/metrics/LazyProcessMetrics.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/metrics/LazyProcessMetrics.java
@@ -37,6 +37,7 @@
         if (metrics == null) {
             metrics = new ProcessMetrics();
             metrics.links(links);
+            metrics.linesLeftOut(log);
             otherRegistrations.accept(metrics);
         }
         metrics.events(log);
--- a/daemon/src/main/java/org/knapweedmount/daemon/metrics/ProcessMetrics.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/metrics/ProcessMetrics.java
@@ -19,6 +19,7 @@
 import org.knapweedmount.daemon.link.LinkCounter;
 import org.knapweedmount.daemon.link.LinkTable;
 import org.knapweedmount.daemon.link.MessageCounts;
+import org.knapweedmount.daemon.output.ProcessOutput;
 import org.knapweedmount.daemon.runtime.DecisionLog;
 import org.knapweedmount.daemon.runtime.DecisionLoop;
 
@@ -47,6 +48,7 @@
         gauge("memory.resident.bytes", "Memory of the process that is resident", ProcessMemory::residentBytes);
         gauge("memory.direct.bytes", "Memory of network buffers", ProcessMemory::directBytes);
         counter("processor.millis", ProcessorTime::millis);
+        counter("output.lines.dropped", ProcessOutput::droppedLines);
     }
 
     /**
@@ -109,6 +111,16 @@
                 .register(registry);
     }
 
+    /**
+     * Adds the counter of the events in a decision log that have no line, because of the rate limit or because nobody reads
+     * the output.
+     *
+     * @param log the log
+     */
+    public void linesLeftOut(DecisionLog log) {
+        counter("log.lines.left.out", log::droppedLines);
+    }
+
     /**
      * Adds a counter for each event name in a decision log that has no counter yet.
      *
--- a/daemon/src/main/java/org/knapweedmount/daemon/runtime/DecisionLog.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/runtime/DecisionLog.java
@@ -3,55 +3,61 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
-import java.util.function.Consumer;
+import java.util.function.Predicate;
 
+import org.knapweedmount.daemon.output.ProcessOutput;
 import org.tinylog.Logger;
 
 /**
  * A structured log of decisions that never blocks the decision thread.
  *
  * <p>Lines are rate-limited per event name, so that frequent events do not displace rare ones; dropped lines are
- * counted and reported in a line, by event. A dedicated thread writes the lines.
+ * counted and reported in a line, by event. {@link ProcessOutput} queues the lines and writes them on its own thread.
  */
 public final class DecisionLog implements AutoCloseable {
-    private static final int MAX_QUEUED_LINES = 2_048; // two seconds of lines at the full rate of all events
     private static final int MAX_LINES_PER_EVENT_PER_SECOND = 40; // enough to trace single requests at low load
     private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
     private final Map<String, Integer> linesThisSecond = new HashMap<>();
     private final Map<String, LongAdder> counts = new ConcurrentHashMap<>();
     private final Map<String, Integer> unreportedDrops = new ConcurrentSkipListMap<>();
     private final AtomicLong droppedLines = new AtomicLong();
-    private final Consumer<String> output;
-    private final Thread writer;
+    private final Predicate<String> output;
     private long secondStartNanos;
 
     /**
-     * Creates a log and starts its writer thread.
+     * Creates a log.
      *
      * @param process the name of the process, contained in each line
      */
     public DecisionLog(String process) {
-        this(line -> Logger.info("process={} {}", process, line));
+        this(line -> writeIfRoom(process, line));
     }
 
-    DecisionLog(Consumer<String> output) {
+    /**
+     * Creates a log with another output.
+     *
+     * @param output takes a line without blocking; returns false if it drops the line
+     */
+    DecisionLog(Predicate<String> output) {
         this.output = output;
-        this.writer = new Thread(this::write, "decision-log");
-        writer.setDaemon(true);
-        writer.start();
+    }
+
+    private static boolean writeIfRoom(String process, String line) {
+        if (!ProcessOutput.hasRoom()) {
+            return false;
+        }
+        Logger.info("process={} {}", process, line);
+        return true;
     }
 
     /**
-     * Queues a line if the rate limit of the event allows it; called on the decision thread.
+     * Writes a line if the rate limit of the event allows it; called on the decision thread.
      *
      * @param event the name of the event
      * @param detail the inputs of the decision
@@ -65,7 +71,7 @@
             reportDroppedLines();
         }
         boolean withinRateLimit = linesThisSecond.merge(event, 1, Integer::sum) <= MAX_LINES_PER_EVENT_PER_SECOND;
-        if (!withinRateLimit || !lines.offer("event=" + event + " " + detail)) {
+        if (!withinRateLimit || !output.test("event=" + event + " " + detail)) {
             droppedLines.incrementAndGet();
             unreportedDrops.merge(event, 1, Integer::sum);
         }
@@ -77,7 +83,7 @@
         }
         int count =
                 unreportedDrops.values().stream().mapToInt(Integer::intValue).sum();
-        if (lines.offer("event=lines-left-out count=" + count + " events=" + unreportedDrops)) {
+        if (output.test("event=lines-left-out count=" + count + " events=" + unreportedDrops)) {
             unreportedDrops.clear();
         }
     }
@@ -102,28 +108,9 @@
         return sums;
     }
 
-    private void write() {
-        try {
-            while (true) {
-                output.accept(lines.take());
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    private void writeQueuedLines() {
-        for (String line = lines.poll(); line != null; line = lines.poll()) {
-            output.accept(line);
-        }
-    }
-
-    /** Stops the writer thread and writes the queued lines and the number of dropped ones. */
+    /** Reports the dropped lines that no line has reported yet. */
     @Override
     public void close() {
-        writer.interrupt();
-        writeQueuedLines();
         reportDroppedLines();
-        writeQueuedLines();
     }
 }
