agent: use and confirm only announcements of its own worker

An announcement of another writer with fields missing was used, its sequence displaced that of the worker, and the worker's later announcement that it drains was ignored but answered with 200. The answer was sent before the decision, so that it said nothing about the state in force.

--- a/core/src/main/java/org/knapweedmount/core/worker/CurrentWorker.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/CurrentWorker.java
@@ -52,6 +52,11 @@
                 && received.incarnation().startMillis() <= incarnation().startMillis();
     }
 
+    /** Returns the outcome of an outdated announcement: a repetition of the latest one is in force, any other is not. */
+    AnnouncementOutcome outcomeOfOutdated(WorkerAnnouncement received) {
+        return received.equals(announcement()) ? AnnouncementOutcome.REPEATED : AnnouncementOutcome.OUTDATED;
+    }
+
     /** Replaces the latest announcement by one that is not outdated; it shows that the worker is there. */
     void announced(WorkerAnnouncement received) {
         successor = Optional.empty();
--- a/core/src/main/java/org/knapweedmount/core/worker/RunCounter.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunCounter.java
@@ -1,11 +1,13 @@
 package org.knapweedmount.core.worker;
 
-/** Counters of runs that an agent has not seen end. */
+/** Counters of runs that an agent has not seen end, and of what is not its worker's. */
 public enum RunCounter {
     /** Runs of an unresponsive worker whose lease has expired by the worker's clock. */
     LAPSED_BY_CLOCK,
     /** Runs that ended because a later incarnation of the worker announced itself. */
     ENDED_BY_NEW_INCARNATION,
     /** Listings of a run, or of its end, that the agent does not hold. */
-    FOREIGN
+    FOREIGN,
+    /** Announcements that are not the worker's, or cannot be parsed. */
+    FOREIGN_ANNOUNCEMENTS
 }
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -64,11 +64,12 @@
      *
      * @param announcement the announcement
      * @param nowNanos the current time, in ns
+     * @return whether what the announcement says is in force
      */
-    public void announced(WorkerAnnouncement announcement, long nowNanos) {
+    public AnnouncementOutcome announced(WorkerAnnouncement announcement, long nowNanos) {
         if (worker.isOutdated(announcement, control.hasRunsAtCurrentWorker())) {
             checkCurrentWorker(announcement, nowNanos);
-            return;
+            return worker.outcomeOfOutdated(announcement);
         }
         boolean known = worker.isCurrent(announcement.incarnation());
         boolean wasDraining = worker.announcement().draining();
@@ -84,6 +85,7 @@
         }
         lease.observeClock(announcement.clockMillis(), nowNanos);
         reconcile(nowNanos);
+        return AnnouncementOutcome.APPLIED;
     }
 
     /** Asks the current worker for a list if another life announces itself that started earlier by its VM's clock. */
--- a/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
@@ -1,9 +1,13 @@
 package org.knapweedmount.daemon.worker;
 
+import java.util.HashSet;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
 
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.PeerAddress;
@@ -14,6 +18,7 @@
 import org.knapweedmount.api.work.RunRef;
 import org.knapweedmount.api.work.RunRequest;
 import org.knapweedmount.core.metric.Counters;
+import org.knapweedmount.core.worker.AnnouncementOutcome;
 import org.knapweedmount.core.worker.ProcessStart;
 import org.knapweedmount.core.worker.RunCounter;
 import org.knapweedmount.core.worker.WorkerAgent;
@@ -57,6 +62,7 @@
     private final WorkerClient client;
     private final EntryFinder finder;
     private final AtomicBoolean stopping = new AtomicBoolean();
+    private final Set<String> loggedFaults = new HashSet<>(); // used on the decision thread
 
     /**
      * Creates an agent that is not started and has no links.
@@ -114,10 +120,30 @@
      * Handles an announcement of the worker.
      *
      * @param announcement the announcement
-     * @return false if it was dropped because the decision queue is full
+     * @return its outcome, once it has taken effect; fails if it was dropped because the decision queue is full
      */
-    public boolean workerAnnounced(WorkerAnnouncement announcement) {
-        return decisions.offer((agent, nowNanos) -> agent.announced(announcement, nowNanos));
+    public Future<AnnouncementOutcome> workerAnnounced(WorkerAnnouncement announcement) {
+        Promise<AnnouncementOutcome> outcome = Promise.promise();
+        boolean queued =
+                decisions.offer((agent, nowNanos) -> outcome.complete(agent.announced(announcement, nowNanos)));
+        if (!queued) {
+            outcome.fail("the decision queue is full");
+        }
+        return outcome.future();
+    }
+
+    /**
+     * Counts an announcement that is not the worker's, and logs the first one with each fault.
+     *
+     * @param fault the field that shows that it is not the worker's, one of a fixed set
+     */
+    public void foreignAnnouncement(String fault) {
+        decisions.offer((agent, nowNanos) -> {
+            counters.increment(RunCounter.FOREIGN_ANNOUNCEMENTS);
+            if (loggedFaults.add(fault)) {
+                log.logEvent("announcement-foreign", "fault=" + fault, nowNanos);
+            }
+        });
     }
 
     /**
