Fence the next incarnation of a worker without its announcement

Cause: a start order without an answer may be executed up to 12 s later. Change: for 12 s after a start or stop order without an answer, and after its own start, an agent keeps a list call of 2,000 ms open at an idle worker (LateOrders). The call breaks with the worker's process; when a list shows another birth, the agent raises the token and lists the new incarnation with it at once (SuccessorControl). It is given no starts before its announcement.

--- a/core/src/main/java/org/knapweedmount/core/worker/CurrentWorker.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/CurrentWorker.java
@@ -81,6 +81,20 @@
         successor = Optional.of(new WorkerIncarnation(incarnation().id(), startMillis));
     }
 
+    /** Records that a worker with another ID answers in place of the next incarnation. */
+    void markDisplaced() {
+        successor = Optional.empty();
+    }
+
+    /** Returns the next incarnation, which answers but has not announced itself. */
+    Optional<WorkerIncarnation> successor() {
+        return successor;
+    }
+
+    boolean isSuccessor(WorkerIncarnation incarnation) {
+        return successor.isPresent() && successor.get().equals(incarnation);
+    }
+
     /** Returns whether a worker with another ID answers instead, which does not show that this one has ended. */
     boolean displaced() {
         return ended && successor.isEmpty();
--- a/core/src/main/java/org/knapweedmount/core/worker/RunCounter.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunCounter.java
@@ -7,5 +7,9 @@
     /** Runs that ended because a later incarnation of the worker announced itself. */
     ENDED_BY_NEW_INCARNATION,
     /** Listings of a run, or of its end, that the agent does not hold. */
-    FOREIGN
+    FOREIGN,
+    /** Start orders without an answer, which may be executed late. */
+    STARTS_UNANSWERED,
+    /** Incarnations of the worker that a list has shown before their announcement. */
+    RESTARTS_LISTED
 }
--- a/core/src/main/java/org/knapweedmount/core/worker/RunListCalls.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunListCalls.java
@@ -94,6 +94,11 @@
         return unresponsive;
     }
 
+    /** Returns how long an idle worker may wait before it answers the open call, in ms; not at all after a lost list. */
+    int openCallMillis() {
+        return consecutiveLost > 0 ? 0 : LateOrders.OPEN_CALL_MILLIS;
+    }
+
     /** Returns how long the worker may wait for the end of a run before it answers the next call, in ms. */
     int waitMillis(long nowNanos) {
         if (consecutiveLost > 0 || unresponsive) {
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -38,6 +38,8 @@
     private final RunControl control;
     private final EarlierWorkers earlierWorkers;
     private final FenceControl fenceControl;
+    private final LateOrders lateOrders;
+    private final SuccessorControl successors;
     private boolean noForeignRuns;
     private boolean currentWorkerDoubted;
     private boolean draining;
@@ -57,6 +59,9 @@
         this.control = new RunControl(output, runs, entries, worker, lease, fence, events);
         this.earlierWorkers = new EarlierWorkers(output, runs, control, fence, start.nanos());
         this.fenceControl = new FenceControl(output, fence, worker, start, earlierWorkers, events);
+        this.lateOrders = new LateOrders(start.nanos());
+        this.successors =
+                new SuccessorControl(output, runs, worker, fence, fenceControl, listCalls, lateOrders, events);
     }
 
     /**
@@ -74,6 +79,10 @@
         boolean wasDraining = worker.announcement().draining();
         if (!known) {
             replaceWorker(announcement, nowNanos);
+        } else if (worker.successor().isPresent()) {
+            // The calls in flight are to another incarnation.
+            listCalls.reset(nowNanos);
+            lateOrders.reset();
         }
         worker.announced(announcement);
         if (!known) {
@@ -111,6 +120,7 @@
         lease.begin(announcement.clockMillis(), nowNanos);
         noForeignRuns = false;
         listCalls.reset(nowNanos);
+        lateOrders.reset();
         slowdown.reset();
         acknowledgedEnd = 0;
         fenceControl.begin(announcement, nowNanos);
@@ -237,6 +247,10 @@
      * @param nowNanos the current time, in ns
      */
     public void startAnswered(WorkerIncarnation incarnation, RunRef ref, StartReply reply, long nowNanos) {
+        if (reply == StartReply.UNANSWERED) {
+            output.count(RunCounter.STARTS_UNANSWERED);
+            orderUnanswered(incarnation, nowNanos);
+        }
         Optional<TrackedRun> found = runs.find(ref);
         if (found.isEmpty() || !concerns(incarnation, found.get())) {
             return;
@@ -264,6 +278,12 @@
         reconcile(nowNanos);
     }
 
+    private void orderUnanswered(WorkerIncarnation incarnation, long nowNanos) {
+        if (incarnation.id().equals(incarnation().id())) {
+            lateOrders.unanswered(nowNanos);
+        }
+    }
+
     /** Returns whether a reply concerns a run: it is of the current worker, or of the earlier one that the run is at. */
     private boolean concerns(WorkerIncarnation replying, TrackedRun run) {
         boolean elsewhere = run.isAtOtherWorker(incarnation());
@@ -313,6 +333,9 @@
     public void stopAnswered(WorkerIncarnation incarnation, RunRef ref, StopReply reply, long nowNanos) {
         Optional<TrackedRun> found = runs.find(ref);
         boolean current = worker.isCurrent(incarnation);
+        if (reply == StopReply.UNANSWERED) {
+            orderUnanswered(incarnation, nowNanos);
+        }
         if (reply == StopReply.FENCED && current) {
             suspectFence("stop-refused", nowNanos);
         }
@@ -340,6 +363,12 @@
      * @param nowNanos the current time, in ns
      */
     public void listAnswered(WorkerIncarnation incarnation, long sentNanos, RunList list, long nowNanos) {
+        lateOrders.callEnded(sentNanos);
+        if (worker.isSuccessor(incarnation)) {
+            successors.listAnswered(incarnation, sentNanos, list, nowNanos);
+            reconcile(nowNanos);
+            return;
+        }
         if (!worker.isCurrent(incarnation)) {
             earlierWorkers.listAnswered(incarnation(), incarnation, sentNanos, list, nowNanos);
             reconcile(nowNanos);
@@ -347,8 +376,7 @@
         }
         listCalls.ended(sentNanos);
         if (list.startMillis() != incarnation.startMillis()) {
-            output.logEvent("worker-restarted", "worker=" + incarnation + " born=" + list.startMillis());
-            worker.markReplaced(list.startMillis());
+            successors.found(incarnation, list.startMillis(), nowNanos);
             noForeignRuns = false;
             reconcile(nowNanos);
             return;
@@ -429,6 +457,14 @@
      * @param nowNanos the current time, in ns
      */
     public void listFailed(WorkerIncarnation incarnation, long sentNanos, RunListFailure failure, long nowNanos) {
+        lateOrders.callEnded(sentNanos);
+        if (worker.isSuccessor(incarnation)) {
+            successors.listFailed(sentNanos, failure, nowNanos);
+            if (!listCalls.unresponsive() && listCalls.mayRetryAtOnce()) {
+                reconcile(nowNanos);
+            }
+            return;
+        }
         if (!worker.isCurrent(incarnation)) {
             return;
         }
@@ -522,6 +558,10 @@
             currentWorkerDoubted = false;
             list(noForeignRuns ? listCalls.waitMillis(nowNanos) : 0, nowNanos);
         }
+        successors.follow(nowNanos);
+        if (runs.isEmpty()) {
+            successors.watch(acknowledgedEnd, nowNanos);
+        }
     }
 
     private void list(int waitMillis, long nowNanos) {
