Split the agent of a worker into handlers

Change: the shared state is in WorkerParts; StartGate decides whether the worker accepts starts, StartOrders handles orders and their replies, RunLists requests and applies run lists, WorkerReports creates and sends reports. No decision, message or log line is changed. Measured: the tests of the package core.worker and WorkFleetTest pass without a change to any of them.

--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -1,23 +1,16 @@
 package org.knapweedmount.core.worker;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 
 import org.knapweedmount.api.Incarnation;
-import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.message.LeaseRenewal;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.ResourceDemand;
 import org.knapweedmount.api.message.RunOrder;
 import org.knapweedmount.api.message.StopRuns;
-import org.knapweedmount.api.message.WorkerReport;
-import org.knapweedmount.api.work.JobRuns;
 import org.knapweedmount.api.work.RunOutcome;
 import org.knapweedmount.api.work.RunRef;
-import org.knapweedmount.api.work.RunRequest;
-import org.knapweedmount.api.work.RunResult;
 
 /**
  * Controls one worker, as the only process that sends orders to it.
@@ -27,23 +20,23 @@
 public final class WorkerAgent {
     private final WorkerOutput output;
     private final EntryTable entries;
-    private final RunTable runs = new RunTable();
-    private final WorkerLease lease = new WorkerLease();
-    private final WorkerFence fence = new WorkerFence();
+    private final RunTable runs;
+    private final WorkerLease lease;
+    private final WorkerFence fence;
     private final WorkerHealth health;
-    private final SlowdownEstimator slowdown = new SlowdownEstimator();
-    private final RunListCalls listCalls = new RunListCalls();
+    private final SlowdownEstimator slowdown;
+    private final RunListCalls listCalls;
     private final RunEvents events;
-    private final CurrentWorker worker = new CurrentWorker();
+    private final CurrentWorker worker;
     private final RunControl control;
     private final EarlierWorkers earlierWorkers;
     private final FenceControl fenceControl;
     private final LateOrders lateOrders;
     private final SuccessorControl successors;
-    private boolean noForeignRuns;
-    private boolean currentWorkerDoubted;
-    private boolean draining;
-    private long acknowledgedEnd;
+    private final StartGate gate;
+    private final WorkerReports reports;
+    private final StartOrders startOrders;
+    private final RunLists lists;
 
     /**
      * Creates an agent without a worker.
@@ -52,16 +45,26 @@
      * @param start when the agent's process started
      */
     public WorkerAgent(WorkerOutput output, ProcessStart start) {
+        WorkerParts parts = new WorkerParts(output, start);
         this.output = output;
-        this.entries = new EntryTable(output);
-        this.events = new RunEvents(output);
-        this.health = new WorkerHealth(output, worker);
-        this.control = new RunControl(output, runs, entries, worker, lease, fence, events);
-        this.earlierWorkers = new EarlierWorkers(output, runs, control, fence, start.nanos());
-        this.fenceControl = new FenceControl(output, fence, worker, start, earlierWorkers, events);
-        this.lateOrders = new LateOrders(start.nanos());
-        this.successors =
-                new SuccessorControl(output, runs, worker, fence, fenceControl, listCalls, lateOrders, events);
+        this.entries = parts.entries();
+        this.runs = parts.runs();
+        this.lease = parts.lease();
+        this.fence = parts.fence();
+        this.health = parts.health();
+        this.slowdown = parts.slowdown();
+        this.listCalls = parts.listCalls();
+        this.events = parts.events();
+        this.worker = parts.worker();
+        this.control = parts.control();
+        this.earlierWorkers = parts.earlierWorkers();
+        this.fenceControl = parts.fenceControl();
+        this.lateOrders = parts.lateOrders();
+        this.successors = parts.successors();
+        this.gate = new StartGate(parts);
+        this.reports = new WorkerReports(parts, gate);
+        this.startOrders = new StartOrders(parts, gate, reports);
+        this.lists = new RunLists(parts, gate);
     }
 
     /**
@@ -98,7 +101,7 @@
     /** Asks the current worker for a list if another life announces itself that started earlier by its VM's clock. */
     private void checkCurrentWorker(WorkerAnnouncement announcement, long nowNanos) {
         if (!worker.isCurrent(announcement.incarnation())) {
-            currentWorkerDoubted = true;
+            lists.doubtCurrentWorker();
             reconcile(nowNanos);
         }
     }
@@ -118,11 +121,11 @@
         output.logEvent("worker-life", "worker=" + announcement.incarnation() + " runs=" + runs.size());
         // The new incarnation may execute orders to the earlier one until a list has raised its fencing token.
         lease.begin(announcement.clockMillis(), nowNanos);
-        noForeignRuns = false;
+        gate.requireList();
         listCalls.reset(nowNanos);
         lateOrders.reset();
         slowdown.reset();
-        acknowledgedEnd = 0;
+        lists.begin();
         fenceControl.begin(announcement, nowNanos);
     }
 
@@ -150,7 +153,7 @@
      */
     public void linked(Incarnation entry, long nowNanos) {
         entries.linked(entry, runs, lease.timestampMillis(nowNanos));
-        entries.send(entry, report(entry, nowNanos), nowNanos);
+        reports.send(entry, nowNanos);
     }
 
     /**
@@ -175,69 +178,18 @@
     public void receive(Incarnation from, Message message, long nowNanos) {
         EntryView entryView = entries.of(from);
         if (message instanceof RunOrder order) {
-            handleOrder(from, entryView, order, nowNanos);
+            startOrders.receive(from, entryView, order, nowNanos);
         } else if (message instanceof ResourceDemand demand) {
             entryView.demand(demand, nowNanos);
         } else if (message instanceof StopRuns stop) {
             events.stopReceived(from, stop.runs(), nowNanos);
             stop.runs().forEach(ref -> runs.find(from, ref).ifPresent(run -> control.stop(run, nowNanos)));
         } else if (message instanceof LeaseRenewal renewal) {
-            renew(entryView, renewal.timestampNanos(), nowNanos);
+            startOrders.renew(entryView, renewal.timestampNanos(), nowNanos);
         }
         reconcile(nowNanos);
     }
 
-    private void renew(EntryView entryView, long timestampNanos, long nowNanos) {
-        lease.entryExpiryMillis(timestampNanos, nowNanos).ifPresent(entryView::renew);
-    }
-
-    private void handleOrder(Incarnation from, EntryView entryView, RunOrder order, long nowNanos) {
-        renew(entryView, order.timestampNanos(), nowNanos);
-        entryView.orderReceived(order.number());
-        entryView.offerAnswered(order.offer(), !order.jobs().isEmpty());
-        entryView.demand(order.demand(), nowNanos);
-        Optional<String> outdated = lease.refusalReason(order.timestampNanos(), entryView.expiryMillis(), nowNanos);
-        if (outdated.isPresent() && !order.jobs().isEmpty()) {
-            // The entry receives a new timestamp before the refusals, so that its next order carries it.
-            entries.send(from, report(from, nowNanos), nowNanos);
-        }
-        for (JobRuns job : order.jobs()) {
-            for (RunRequest run : job.runs()) {
-                Optional<String> refusal = refusalReason(run, outdated, nowNanos);
-                if (refusal.isEmpty()) {
-                    start(from, order.timestampNanos(), job.spec(), run, nowNanos);
-                } else {
-                    events.orderRefused(run.ref(), refusal.get(), runs.describeLoad(free()));
-                    entries.addResult(from, new RunResult(run.ref(), RunOutcome.REFUSED, 0, ""));
-                }
-            }
-        }
-    }
-
-    private Optional<String> refusalReason(RunRequest request, Optional<String> outdated, long nowNanos) {
-        if (!acceptsStarts(nowNanos)) {
-            return Optional.of("closed");
-        }
-        if (outdated.isPresent()) {
-            return outdated;
-        }
-        if (!request.resources().fits(free())) {
-            return Optional.of("no-room");
-        }
-        if (runs.holdsTask(request.ref().task())) {
-            return Optional.of("task-present");
-        }
-        return Optional.empty();
-    }
-
-    private void start(Incarnation from, long timestampNanos, String spec, RunRequest request, long nowNanos) {
-        runs.add(new TrackedRun(from, incarnation(), request, nowNanos));
-        long expiryMillis = control.extendLease(nowNanos);
-        long ageNanos = WorkerTimings.nanos(lease.timestampMillis(nowNanos)) - timestampNanos;
-        events.accepted(from, request.ref(), ageNanos, expiryMillis, lease.describe(incarnation(), nowNanos), nowNanos);
-        output.start(incarnation(), spec, request, fence.token(), expiryMillis);
-    }
-
     /**
      * Handles the reply to a start order.
      *
@@ -251,30 +203,11 @@
             output.count(RunCounter.STARTS_UNANSWERED);
             orderUnanswered(incarnation, nowNanos);
         }
-        Optional<TrackedRun> found = runs.find(ref);
-        if (found.isEmpty() || !concerns(incarnation, found.get())) {
-            return;
-        }
-        TrackedRun run = found.get();
-        if (!worker.isCurrent(incarnation)) {
-            earlierWorkers.startAnswered(run, reply, nowNanos);
-            reconcile(nowNanos);
+        Optional<TrackedRun> run = startOrders.concernedRun(incarnation, ref);
+        if (run.isEmpty()) {
             return;
         }
-        switch (reply) {
-            case STARTED -> {
-                events.confirmed(ref, nowNanos);
-                if (run.state() == RunState.STARTING) {
-                    run.transitionTo(RunState.RUNNING, nowNanos);
-                }
-            }
-            case UNANSWERED -> {
-                output.logEvent("start-unanswered", RunEvents.describe(ref) + " worker=" + incarnation);
-                control.stop(run, nowNanos);
-            }
-            case OUTDATED -> control.end(run, RunOutcome.OUTDATED, RunEndEvidence.START_REPLY, "", nowNanos);
-            default -> handleRefusal(run, reply, nowNanos);
-        }
+        startOrders.answered(incarnation, run.get(), reply, nowNanos);
         reconcile(nowNanos);
     }
 
@@ -284,44 +217,6 @@
         }
     }
 
-    /** Returns whether a reply concerns a run: it is of the current worker, or of the earlier one that the run is at. */
-    private boolean concerns(WorkerIncarnation replying, TrackedRun run) {
-        boolean elsewhere = run.isAtOtherWorker(incarnation());
-        return worker.isCurrent(replying) ? !elsewhere : elsewhere && run.isAt(replying);
-    }
-
-    private void handleRefusal(TrackedRun run, StartReply reply, long nowNanos) {
-        events.startRefused(run.ref(), reply, incarnation());
-        control.end(run, RunOutcome.REFUSED, RunEndEvidence.START_REPLY, "", nowNanos);
-        switch (reply) {
-            case FENCED -> suspectFence("start-refused", nowNanos);
-            case UNHEALTHY -> health.quarantine("unhealthy", nowNanos);
-            case OTHER_LIFE -> markEnded();
-            case UNREACHABLE -> markUnresponsive();
-            default -> {
-                // The reason concerns only this run.
-            }
-        }
-    }
-
-    /** Accepts no more starts until the worker has announced itself and answered a list. */
-    private void markEnded() {
-        worker.markEnded();
-        noForeignRuns = false;
-    }
-
-    /** Accepts no more starts until the worker has answered again. */
-    private void markUnresponsive() {
-        if (listCalls.markUnresponsive()) {
-            events.workerSilent(incarnation());
-        }
-    }
-
-    private void suspectFence(String reason, long nowNanos) {
-        fenceControl.suspect(reason, nowNanos);
-        noForeignRuns = false;
-    }
-
     /**
      * Handles the reply to a stop order.
      *
@@ -331,24 +226,24 @@
      * @param nowNanos the current time, in ns
      */
     public void stopAnswered(WorkerIncarnation incarnation, RunRef ref, StopReply reply, long nowNanos) {
-        Optional<TrackedRun> found = runs.find(ref);
         boolean current = worker.isCurrent(incarnation);
         if (reply == StopReply.UNANSWERED) {
             orderUnanswered(incarnation, nowNanos);
         }
         if (reply == StopReply.FENCED && current) {
-            suspectFence("stop-refused", nowNanos);
+            gate.suspectFence("stop-refused", nowNanos);
         }
         if (reply == StopReply.OTHER_LIFE && current) {
-            markEnded();
+            gate.markEnded();
         }
-        if (found.isEmpty() || !concerns(incarnation, found.get())) {
+        Optional<TrackedRun> found = startOrders.concernedRun(incarnation, ref);
+        if (found.isEmpty()) {
             return;
         }
         if (reply == StopReply.CONFIRMED) {
             found.get().transitionTo(RunState.STOPPED, nowNanos);
             if (current && !found.get().wasListed()) {
-                list(0, nowNanos);
+                lists.requestNow(nowNanos);
             }
         }
         reconcile(nowNanos);
@@ -374,80 +269,10 @@
             reconcile(nowNanos);
             return;
         }
-        listCalls.ended(sentNanos);
-        if (list.startMillis() != incarnation.startMillis()) {
-            successors.found(incarnation, list.startMillis(), nowNanos);
-            noForeignRuns = false;
-            reconcile(nowNanos);
-            return;
-        }
-        listCalls.answered(nowNanos);
-        lease.observeClock(list.clockMillis(), nowNanos);
-        if (fence.covers(sentNanos) && fence.confirm()) {
-            lease.assumeLongest(list.clockMillis());
-            events.fenceInPlace(incarnation, fence);
-        }
-        events.listed(list, acknowledgedEnd, sentNanos, lease.describe(incarnation(), nowNanos), nowNanos);
-        Set<RunRef> listedRuns = applyRunning(list.running(), sentNanos, nowNanos);
-        applyEnded(list.ended(), nowNanos);
-        control.endAbsentRuns(listedRuns, sentNanos, nowNanos);
+        lists.answered(sentNanos, list, nowNanos);
         reconcile(nowNanos);
     }
 
-    /** Returns a run that is not at an earlier worker; those of two workers can have the same number. */
-    private Optional<TrackedRun> findHere(RunRef ref) {
-        return runs.find(ref).filter(run -> !run.isAtOtherWorker(incarnation()));
-    }
-
-    private Set<RunRef> applyRunning(List<RunList.Running> running, long sentNanos, long nowNanos) {
-        Set<RunRef> listedRuns = new HashSet<>();
-        int foreign = 0;
-        for (RunList.Running row : running) {
-            listedRuns.add(row.ref());
-            Optional<TrackedRun> held = findHere(row.ref());
-            if (held.isEmpty()) {
-                foreign++;
-                output.stop(incarnation(), row.ref(), fence.token());
-                continue;
-            }
-            if (!held.get().isAt(incarnation())) {
-                held.get().foundAt(incarnation());
-                control.sendStop(held.get(), nowNanos);
-            }
-            held.get().updateProgress(row.percent(), nowNanos).ifPresent(ratio -> slowdown.observe(ratio, nowNanos));
-            if (held.get().state() == RunState.STARTING) {
-                held.get().transitionTo(RunState.RUNNING, nowNanos);
-            }
-        }
-        boolean clean = foreign == 0 && (noForeignRuns || fence.covers(sentNanos));
-        if (noForeignRuns != clean) {
-            output.logEvent("worker-clean", "worker=" + incarnation() + " foreign=" + foreign);
-            noForeignRuns = clean;
-        }
-        if (clean) {
-            earlierWorkers.currentIsClean();
-        }
-        return listedRuns;
-    }
-
-    private void applyEnded(List<RunList.Ended> ended, long nowNanos) {
-        for (RunList.Ended row : ended) {
-            if (row.number() <= acknowledgedEnd) {
-                continue;
-            }
-            acknowledgedEnd = row.number();
-            Optional<TrackedRun> run = findHere(row.ref());
-            if (run.isEmpty()) {
-                continue;
-            }
-            if (row.outcome() == RunOutcome.DONE) {
-                run.get().slowdownAtEnd(nowNanos).ifPresent(ratio -> slowdown.observe(ratio, nowNanos));
-            }
-            health.recordEnd(row.outcome(), nowNanos);
-            control.end(run.get(), row.outcome(), RunEndEvidence.LISTED, row.checkpoint(), nowNanos);
-        }
-    }
-
     /**
      * Handles the failure of a request for the run list.
      *
@@ -468,24 +293,7 @@
         if (!worker.isCurrent(incarnation)) {
             return;
         }
-        listCalls.ended(sentNanos);
-        switch (failure) {
-            case FENCED -> {
-                fenceControl.listRefused(sentNanos, nowNanos);
-                noForeignRuns = false;
-            }
-            case OTHER_LIFE -> markEnded();
-            case UNREACHABLE -> markUnresponsive();
-            default -> handleLostList(nowNanos);
-        }
-    }
-
-    private void handleLostList(long nowNanos) {
-        if (listCalls.lost(nowNanos)) {
-            events.workerSilent(incarnation());
-        }
-        // A worker that fails each call at once is asked again only at the next tick.
-        if (!listCalls.unresponsive() && listCalls.mayRetryAtOnce()) {
+        if (lists.failed(sentNanos, failure, nowNanos)) {
             reconcile(nowNanos);
         }
     }
@@ -530,7 +338,7 @@
         output.logEvent("worker-lapsed", "worker=" + incarnation() + " runs=" + runs.size());
         // An unanswered start may still be executed, and a later extension of the worker's lease would apply to it.
         fenceControl.raise("runs-lapsed", nowNanos);
-        noForeignRuns = false;
+        gate.requireList();
         left.forEach(run -> control.end(run, RunOutcome.LAPSED, RunEndEvidence.CLOCK, "", nowNanos));
     }
 
@@ -538,71 +346,14 @@
     private void reconcile(long nowNanos) {
         entries.sendResults(lease.timestampMillis(nowNanos));
         events.flush(lease.describe(incarnation(), nowNanos), nowNanos);
-        if (acceptsStarts(nowNanos)) {
-            entries.offerCapacity(capacity().minus(runs.usedCapacity()), nowNanos);
+        if (gate.acceptsStarts(nowNanos)) {
+            entries.offerCapacity(gate.capacity().minus(runs.usedCapacity()), nowNanos);
         }
         if (slowdown.hasChanged(nowNanos)) {
-            events.paceChanged(incarnation(), slowdown.percent(nowNanos), runs.describeLoad(free()));
-        }
-        entries.report(
-                entry -> report(entry, nowNanos),
-                new ReportRule.View(acceptsStarts(nowNanos), free(), capacity(), slowdown.percent(nowNanos)),
-                incarnation().id(),
-                entry -> runs.any(run -> run.entry().equals(entry)),
-                nowNanos);
-        boolean clockOutdated = lease.needsReading(nowNanos) && listCalls.isIdle(nowNanos);
-        boolean idleCallDue = !noForeignRuns || listCalls.unresponsive() || clockOutdated || currentWorkerDoubted;
-        boolean due = !runs.isEmpty() || (idleCallDue && !worker.leaving());
-        if (due && !listCalls.inFlight() && worker.isPresent()) {
-            listCalls.sent(nowNanos);
-            currentWorkerDoubted = false;
-            list(noForeignRuns ? listCalls.waitMillis(nowNanos) : 0, nowNanos);
+            events.paceChanged(incarnation(), slowdown.percent(nowNanos), runs.describeLoad(gate.free()));
         }
-        successors.follow(nowNanos);
-        if (runs.isEmpty()) {
-            successors.watch(acknowledgedEnd, nowNanos);
-        }
-    }
-
-    private void list(int waitMillis, long nowNanos) {
-        // The lease of a worker that does not answer must expire, so that its runs have an end.
-        boolean extend = control.hasRunsAtCurrentWorker() && !listCalls.unresponsive();
-        long expiryMillis = !extend ? 0 : control.extendLease(nowNanos);
-        output.list(incarnation(), fence.tokenForList(nowNanos), acknowledgedEnd, expiryMillis, nowNanos, waitMillis);
-    }
-
-    private WorkerReport report(Incarnation entry, long nowNanos) {
-        EntryView entryView = entries.of(entry);
-        WorkerAnnouncement known = worker.announcement();
-        return new WorkerReport(
-                lease.issueTimestampNanos(nowNanos),
-                known.service(),
-                known.incarnation().toString(),
-                known.labels(),
-                known.capacity(),
-                free(),
-                acceptsStarts(nowNanos),
-                entryView.lastOrderNumber(),
-                entries.backlogCoreMillisExcept(entryView),
-                slowdown.percent(nowNanos),
-                entries.isPrompt(entry));
-    }
-
-    private Resources free() {
-        return capacity().minus(runs.usedCapacity()).minus(entries.offeredCapacity());
-    }
-
-    private Resources capacity() {
-        return worker.announcement().capacity();
-    }
-
-    private boolean acceptsStarts(long nowNanos) {
-        return worker.acceptsStarts()
-                && noForeignRuns
-                && earlierWorkers.foreignRunsEnded(nowNanos)
-                && !listCalls.unresponsive()
-                && !draining
-                && health.admits(runs.size(), nowNanos);
+        reports.sendDue(nowNanos);
+        lists.requestDue(nowNanos);
     }
 
     private WorkerIncarnation incarnation() {
@@ -615,7 +366,7 @@
      * @param nowNanos the current time, in ns
      */
     public void beginDrain(long nowNanos) {
-        draining = true;
+        gate.beginDrain();
         reconcile(nowNanos);
     }
 
