--- a/core/src/main/java/org/knapweedmount/core/worker/RunCounter.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunCounter.java
@@ -9,5 +9,9 @@
     /** Listings of a run, or of its end, that the agent does not hold. */
     FOREIGN,
     /** Announcements that are not the worker's, or cannot be parsed. */
-    FOREIGN_ANNOUNCEMENTS
+    FOREIGN_ANNOUNCEMENTS,
+    /** Start orders without an answer, which may be executed late. */
+    STARTS_UNANSWERED,
+    /** Incarnations of the worker that a list has shown before their announcement. */
+    RESTARTS_LISTED
 }
