Name an entry to others only when it admits jobs

Cause: an entry that starts links to agents and to some entries within a second; these told the others that it is alive, and as it was cut off from them and slow to answer, all requests of the site waited for it. Change: entries tell in the first message on a link whether they admit jobs, and only those that do are named to others, by agents and by entries.

--- a/api/src/main/java/org/knapweedmount/api/message/Message.java
+++ b/api/src/main/java/org/knapweedmount/api/message/Message.java
@@ -50,4 +50,5 @@
                 CancelJob,
                 CancelReply,
                 ClosedDataCentres,
-                EvacuationNotice {}
+                EvacuationNotice,
+                EntryAdmission {}
--- a/core/src/main/java/org/knapweedmount/core/dispatch/StartupEntries.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/StartupEntries.java
@@ -19,6 +19,7 @@
     private final Predicate<String> areJobsKnown;
     private OptionalLong startNanos = OptionalLong.empty();
     private Optional<Set<String>> processes = Optional.empty();
+    private Runnable ended = () -> {};
 
     /**
      * Creates an object for an entry that has not started.
@@ -76,7 +77,26 @@
         boolean allKnown = processes.isPresent() && processes.get().stream().allMatch(areJobsKnown);
         if (leasesEnded || allKnown) {
             startNanos = OptionalLong.empty();
+            ended.run();
         }
         return startNanos.isPresent();
     }
+
+    /**
+     * Returns whether the wait has begun and has not been found to have ended.
+     *
+     * @return true if no request has been admitted since the start
+     */
+    public boolean hasNotEnded() {
+        return startNanos.isPresent();
+    }
+
+    /**
+     * Sets what is run when the wait ends, before the first request is admitted.
+     *
+     * @param listener called once a start
+     */
+    public void onEnd(Runnable listener) {
+        ended = listener;
+    }
 }
--- a/core/src/main/java/org/knapweedmount/core/worker/EntryTable.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/EntryTable.java
@@ -13,10 +13,12 @@
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.message.ActiveRuns;
+import org.knapweedmount.api.message.EntryAdmission;
 import org.knapweedmount.api.message.EvacuationNotice;
 import org.knapweedmount.api.message.LinkedEntries;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.ResourceOffer;
+import org.knapweedmount.api.message.RunOrder;
 import org.knapweedmount.api.message.RunsEnded;
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.work.RunResult;
@@ -42,12 +44,18 @@
         return entries.computeIfAbsent(entry, key -> new EntryView());
     }
 
-    /** Returns the sender of a message, after recording what it says of the agent's data centre. */
+    /** Returns the sender of a message, after recording what it says of itself and of the agent's data centre. */
     EntryView received(Incarnation entry, Message message) {
         if (message instanceof EvacuationNotice notice) {
             evacuation.received(entry, notice);
         }
-        return of(entry);
+        EntryView view = of(entry);
+        if (message instanceof EntryAdmission admission) {
+            view.admissionReceived(admission.open());
+        } else if (message instanceof RunOrder) {
+            view.admissionReceived(true);
+        }
+        return view;
     }
 
     /** Returns whether the data centre of the agent is closed, as far as the linked entries have told. */
@@ -110,9 +118,9 @@
         List<Incarnation> linked = new ArrayList<>();
         List<Incarnation> unlinkedWithRuns = new ArrayList<>();
         entries.forEach((entry, view) -> {
-            if (view.linked()) {
+            if (view.linked() && view.mayHoldJobs()) {
                 linked.add(entry);
-            } else if (!runs.of(entry).isEmpty()) {
+            } else if (!view.linked() && !runs.of(entry).isEmpty()) {
                 unlinkedWithRuns.add(entry);
             }
         });
--- a/core/src/main/java/org/knapweedmount/core/worker/EntryView.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/EntryView.java
@@ -17,6 +17,8 @@
     private long virtualDeadlineNanos;
     private Optional<Offer> offer = Optional.empty();
     private boolean declined;
+    private boolean admitting = true;
+    private boolean everAdmitted;
     private long lastOrderNumber;
     private ReportRule.View reported = ReportRule.View.NONE;
     private long lastReportNanos;
@@ -42,6 +44,22 @@
         lastOrderNumber = 0;
     }
 
+    /** Waits for the entry to tell that it admits jobs, unless this incarnation has told it before. */
+    void awaitAdmission() {
+        admitting = everAdmitted;
+    }
+
+    /** Records whether the entry admits jobs; an incarnation that has begun to never ceases to. */
+    void admissionReceived(boolean open) {
+        everAdmitted |= open;
+        admitting = everAdmitted;
+    }
+
+    /** Returns whether the entry may hold jobs that others have to know of. */
+    boolean mayHoldJobs() {
+        return admitting;
+    }
+
     void unlink(long nowNanos) {
         linked = false;
         unlinkedNanos = nowNanos;
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -158,6 +158,18 @@
         reports.send(entry, nowNanos);
     }
 
+    /**
+     * Handles a new link to an entry that will tell whether it admits jobs. Until it does, it holds none, and the other
+     * entries are not told of the link: their requests would wait for an entry that is still busy with its start.
+     *
+     * @param entry the entry
+     * @param nowNanos the current time, in ns
+     */
+    public void linkedBeforeAdmission(Incarnation entry, long nowNanos) {
+        entries.of(entry).awaitAdmission();
+        linked(entry, nowNanos);
+    }
+
     /**
      * Handles the loss of a link.
      *
--- a/core/src/test/java/org/knapweedmount/core/worker/EntryTableTest.java
+++ b/core/src/test/java/org/knapweedmount/core/worker/EntryTableTest.java
@@ -5,6 +5,8 @@
 
 import org.junit.jupiter.api.Test;
 import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.message.EntryAdmission;
+import org.knapweedmount.api.message.LinkedEntries;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.RunsEnded;
 import org.knapweedmount.api.work.RunOutcome;
@@ -19,6 +21,7 @@
 
 class EntryTableTest {
     private static final Incarnation ENTRY = new Incarnation("entry", 1);
+    private static final Incarnation OTHER = new Incarnation("other", 1);
     private static final RunResult RESULT = new RunResult(new RunRef("t1", 1), RunOutcome.DONE, 10, "");
 
     private final Recorder output = new Recorder();
@@ -67,11 +70,48 @@
         assertThat(output.results, is(empty()));
     }
 
+    // Before, each start of an entry made the requests of all others wait for it, for up to a second on a small VM.
+    @Test
+    void entryThatAdmitsNoJobsYetIsNotListedToOthers() {
+        entries.linked(OTHER, new RunTable(), 100);
+        entries.of(ENTRY).awaitAdmission();
+        entries.linked(ENTRY, new RunTable(), 100);
+        assertThat(output.listedToOther(), is(empty()));
+
+        entries.received(ENTRY, new EntryAdmission(true));
+        entries.tellLinkedEntries(new RunTable());
+
+        assertThat(output.listedToOther(), contains(ENTRY));
+    }
+
+    // The jobs of an entry that is cut off from the others count as long as agents list it, also on a new link.
+    @Test
+    void entryThatHasAdmittedJobsIsListedAtOnceOnItsNextLink() {
+        entries.linked(OTHER, new RunTable(), 100);
+        entries.of(ENTRY).awaitAdmission();
+        entries.linked(ENTRY, new RunTable(), 100);
+        entries.received(ENTRY, new EntryAdmission(true));
+        entries.unlinked(ENTRY, 0);
+
+        entries.of(ENTRY).awaitAdmission();
+        entries.linked(ENTRY, new RunTable(), 200);
+
+        assertThat(output.listedToOther(), contains(ENTRY));
+    }
+
     private static final class Recorder implements WorkerOutput {
         private final List<RunResult> results = new ArrayList<>();
+        private LinkedEntries toldOther;
+
+        private List<Incarnation> listedToOther() {
+            return toldOther.entries();
+        }
 
         @Override
         public void send(Incarnation entry, Message message) {
+            if (entry.equals(OTHER) && message instanceof LinkedEntries linked) {
+                toldOther = linked;
+            }
             if (message instanceof RunsEnded ended) {
                 results.addAll(ended.results());
             }
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchModule.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchModule.java
@@ -10,6 +10,7 @@
 import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.Role;
 import org.knapweedmount.api.message.ClosedDataCentres;
+import org.knapweedmount.api.message.EntryAdmission;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.Peers;
 import org.knapweedmount.api.message.QueueUpdate;
@@ -28,6 +29,7 @@
     private final AtomicLong appliedVersion;
     private final Consumer<PeerAddress> entryListener;
     private final Set<PeerAddress> entries = new HashSet<>();
+    private final Set<Incarnation> admittingEntries = new HashSet<>();
     private final Set<Incarnation> agents = new HashSet<>();
 
     DispatchModule(DispatchOutput output, AtomicLong appliedVersion, Consumer<PeerAddress> entryListener) {
@@ -36,6 +38,17 @@
         this.output = output;
         this.appliedVersion = appliedVersion;
         this.entryListener = entryListener;
+        dispatcher.startupEntries().onEnd(this::tellAdmission);
+    }
+
+    /** Tells all linked processes whether this entry admits jobs. */
+    private void tellAdmission() {
+        entries.forEach(entry -> tellAdmission(entry.incarnation()));
+        agents.forEach(this::tellAdmission);
+    }
+
+    private void tellAdmission(Incarnation peer) {
+        output.send(peer, new EntryAdmission(!dispatcher.startupEntries().hasNotEnded()));
     }
 
     /**
@@ -90,6 +103,7 @@
 
     void linked(PeerAddress peer, long nowNanos) {
         output.logEvent("linked", "peer=" + peer.incarnation());
+        tellAdmission(peer.incarnation());
         if (peer.role() == Role.AGENT) {
             agents.add(peer.incarnation());
             evacuation.agentLinked(peer);
@@ -102,8 +116,14 @@
         // An entry that learns its queues here learns first which data centres are closed.
         evacuation.entryLinked(peer.incarnation());
         queues.newest().ifPresent(newest -> output.send(peer.incarnation(), newest));
-        agents.forEach(this::sendPeers);
-        sendPeersToEntries();
+        sendPeers(peer.incarnation());
+    }
+
+    private void admissionReceived(Incarnation entry, boolean open) {
+        if (open && admittingEntries.add(entry)) {
+            agents.forEach(this::sendPeers);
+            sendPeersToEntries();
+        }
     }
 
     private void sendPeersToEntries() {
@@ -111,7 +131,7 @@
     }
 
     /**
-     * Sends the linked entries to a process, so that it finds them while the platform's store is unavailable; an entry
+     * Sends the linked entries that admit jobs to a process, so that it finds them while the platform's store is unavailable; an entry
      * also learns that entries are alive that it is cut off from.
      */
     private void sendPeers(Incarnation receiver) {
@@ -119,6 +139,7 @@
                 receiver,
                 new Peers(entries.stream()
                         .filter(entry -> !entry.incarnation().equals(receiver))
+                        .filter(entry -> admittingEntries.contains(entry.incarnation()))
                         .toList()));
     }
 
@@ -126,7 +147,8 @@
         output.logEvent("unlinked", "peer=" + peer);
         agents.remove(peer);
         evacuation.unlinked(peer);
-        if (entries.removeIf(entry -> entry.incarnation().equals(peer))) {
+        entries.removeIf(entry -> entry.incarnation().equals(peer));
+        if (admittingEntries.remove(peer)) {
             sendPeersToEntries();
         }
         dispatcher.unlinked(peer, nowNanos);
@@ -135,6 +157,8 @@
     void received(Incarnation from, Message message, long nowNanos) {
         if (message instanceof QueueUpdate update) {
             apply(update, from.process());
+        } else if (message instanceof EntryAdmission admission) {
+            admissionReceived(from, admission.open());
         } else if (message instanceof ClosedDataCentres closed) {
             evacuation.received(from, closed, nowNanos);
         } else {
--- a/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
@@ -183,7 +183,7 @@
         @Override
         public void linked(WorkerAgent agent, PeerAddress peer, long nowNanos) {
             log.logEvent("linked", "peer=" + peer.incarnation(), nowNanos);
-            agent.linked(peer.incarnation(), nowNanos);
+            agent.linkedBeforeAdmission(peer.incarnation(), nowNanos);
         }
 
         @Override
--- a/wire/src/main/java/org/knapweedmount/wire/LinkMessages.java
+++ b/wire/src/main/java/org/knapweedmount/wire/LinkMessages.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 
+import org.knapweedmount.api.message.EntryAdmission;
 import org.knapweedmount.api.message.Heartbeat;
 import org.knapweedmount.api.message.Hello;
 import org.knapweedmount.api.message.Leaving;
@@ -51,4 +52,12 @@
     static Roster readRoster(FieldReader in) throws IOException, FrameException {
         return new Roster(in.incarnation(), in.nonNegativeInt(), in.list(ValueFormats::readAddress));
     }
+
+    static void writeEntryAdmission(FieldWriter out, EntryAdmission admission) throws IOException {
+        out.flag(admission.open());
+    }
+
+    static EntryAdmission readEntryAdmission(FieldReader in) throws IOException {
+        return new EntryAdmission(in.flag());
+    }
 }
--- a/wire/src/main/java/org/knapweedmount/wire/MessageType.java
+++ b/wire/src/main/java/org/knapweedmount/wire/MessageType.java
@@ -13,6 +13,7 @@
 import org.knapweedmount.api.message.ConfigApplied;
 import org.knapweedmount.api.message.ConfigUpdate;
 import org.knapweedmount.api.message.Demand;
+import org.knapweedmount.api.message.EntryAdmission;
 import org.knapweedmount.api.message.EvacuationNotice;
 import org.knapweedmount.api.message.Finished;
 import org.knapweedmount.api.message.Grant;
@@ -154,7 +155,9 @@
             EvacuationMessages::writeClosedDataCentres,
             EvacuationMessages::readClosedDataCentres),
     /** Whether the data centre of the receiver is closed. */
-    EVACUATION_NOTICE(44, 2, EvacuationNotice.class, EvacuationMessages::writeNotice, EvacuationMessages::readNotice);
+    EVACUATION_NOTICE(44, 2, EvacuationNotice.class, EvacuationMessages::writeNotice, EvacuationMessages::readNotice),
+    /** Whether the sending entry admits jobs. */
+    ENTRY_ADMISSION(45, 1, EntryAdmission.class, LinkMessages::writeEntryAdmission, LinkMessages::readEntryAdmission);
 
     private static final Map<Class<? extends Message>, MessageType> BY_CLASS = new HashMap<>();
     private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
--- a/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
+++ b/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
@@ -39,6 +39,7 @@
 import org.knapweedmount.api.message.ConfigApplied;
 import org.knapweedmount.api.message.ConfigUpdate;
 import org.knapweedmount.api.message.Demand;
+import org.knapweedmount.api.message.EntryAdmission;
 import org.knapweedmount.api.message.EvacuationNotice;
 import org.knapweedmount.api.message.Finished;
 import org.knapweedmount.api.message.FlowDemand;
@@ -155,6 +156,7 @@
             case OWNERSHIP_PROBE -> new OwnershipProbe(nonNegativeLong());
             case OWNERSHIP_PROBE_REPLY -> new OwnershipProbeReply(nonNegativeLong());
             case RELAYED_YIELD -> new RelayedYield(incarnation(), list(this::text), nonNegativeLong());
+            case ENTRY_ADMISSION -> new EntryAdmission(random.nextBoolean());
             case RELAYED_END -> new RelayedEnd(incarnation(), list(this::text), nonNegativeLong());
             case CLOSED_DATA_CENTRES -> new ClosedDataCentres(nonNegativeLong(), Set.copyOf(list(this::text)));
             case EVACUATION_NOTICE -> new EvacuationNotice(nonNegativeLong(), random.nextBoolean());
