--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -71,6 +71,7 @@
     private final JobAnswerHandler callers;
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final AtomicInteger negativeProbes = new AtomicInteger();
+    private final Promise<Void> firstReady = Promise.promise();
     private volatile boolean ready;
     private volatile EntryAnnouncement announcement;
 
@@ -148,6 +149,20 @@
         ready = module.queues().version() > 0
                 && module.dispatcher().status().hasWorkers()
                 && !module.dispatcher().startupEntries().isAwaiting(nowNanos);
+        if (ready) {
+            firstReady.tryComplete();
+        }
+    }
+
+    /**
+     * Waits until the entry can serve callers for the first time.
+     *
+     * @param limitMillis the longest wait, in ms
+     * @return completes when the entry has queues and workers and admits jobs, or after the limit; never fails
+     */
+    public Future<Void> readyWithin(int limitMillis) {
+        vertx.setTimer(limitMillis, timer -> firstReady.tryComplete());
+        return firstReady.future();
     }
 
     private void entriesListed(KnownEntries known) {
