Keep the load of each queue up to date instead of summing it over all jobs

Change: QueueLoad is updated when a task changes its state. Measured: the tests of core.dispatch and WorkFleetTest pass.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobTable.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobTable.java
@@ -8,10 +8,14 @@
 import java.util.function.Predicate;
 
 import org.knapweedmount.api.work.RunRef;
+import org.knapweedmount.api.work.WorkQueue;
 
 /** The jobs that an entry holds, with their queued work. */
 final class JobTable {
     private final Map<String, TrackedJob> jobs = new LinkedHashMap<>();
+    /** The loads of the queues with jobs so far, by service and queue. */
+    private final Map<String, Map<String, QueueLoad>> loads = new LinkedHashMap<>();
+
     private final RecentQueues recentQueues = new RecentQueues();
     private int highestLostRun;
 
@@ -19,6 +23,13 @@
     void add(TrackedJob job) {
         job.tasks().forEach(task -> task.skipRunNumbers(highestLostRun));
         jobs.put(job.id(), job);
+        WorkQueue queue = job.request().queue();
+        job.countIn(loads.computeIfAbsent(queue.service(), service -> new LinkedHashMap<>())
+                .computeIfAbsent(queue.name(), name -> new QueueLoad()));
+    }
+
+    private Map<String, QueueLoad> loads(String service) {
+        return loads.getOrDefault(service, Map.of());
     }
 
     /** Records that a run was given up without its result. */
@@ -46,7 +57,7 @@
     }
 
     QueueShares shares(String service, long nowNanos) {
-        return QueueShares.of(jobs.values(), service, recentQueues.activeQueues(service, nowNanos));
+        return QueueShares.of(loads(service), recentQueues.activeQueues(service, nowNanos));
     }
 
     long pending(String queue) {
@@ -61,12 +72,7 @@
 
     /** Returns whether any job of a service has queued tasks. */
     boolean hasQueued(String service) {
-        for (TrackedJob job : jobs.values()) {
-            if (job.hasQueued() && job.request().queue().service().equals(service)) {
-                return true;
-            }
-        }
-        return false;
+        return loads(service).values().stream().anyMatch(QueueLoad::hasQueuedTasks);
     }
 
     /**
@@ -87,13 +93,9 @@
 
     /** Returns the queued work of a service, in core-milliseconds. */
     double queuedCoreMillis(String service) {
-        double sum = 0;
-        for (TrackedJob job : jobs.values()) {
-            if (job.request().queue().service().equals(service)) {
-                sum += job.queuedCoreMillis();
-            }
-        }
-        return sum;
+        return loads(service).values().stream()
+                .mapToDouble(QueueLoad::queuedCoreMillis)
+                .sum();
     }
 
     /** Returns the work in a job's own queue that is scheduled before it, in core-milliseconds. */
--- a/core/src/main/java/org/knapweedmount/core/dispatch/QueueShares.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/QueueShares.java
@@ -27,22 +27,31 @@
      */
     private static final int HEADROOM_DIVISOR = 10;
 
-    /** Computes the shares from the unanswered jobs of a service and the queues with recent arrivals. */
-    static QueueShares of(Collection<TrackedJob> jobs, String service, Collection<String> recentQueues) {
+    /** Computes the shares from the loads of the queues of a service and the queues with recent arrivals. */
+    static QueueShares of(Map<String, QueueLoad> loads, Collection<String> recentQueues) {
         QueueShares shares = new QueueShares();
         shares.activeQueues.addAll(recentQueues);
+        loads.forEach((queue, load) -> {
+            if (load.hasUnansweredJobs()) {
+                shares.add(queue, load.runningCores());
+            }
+        });
+        return shares;
+    }
+
+    /** Computes the shares from the unanswered jobs of a service and the queues with recent arrivals. */
+    static QueueShares of(Collection<TrackedJob> jobs, String service, Collection<String> recentQueues) {
+        Map<String, QueueLoad> loads = new HashMap<>();
         for (TrackedJob job : jobs) {
             if (!job.answered() && job.request().queue().service().equals(service)) {
-                shares.add(job);
+                job.countIn(loads.computeIfAbsent(job.request().queue().name(), name -> new QueueLoad()));
             }
         }
-        return shares;
+        return of(loads, recentQueues);
     }
 
-    private void add(TrackedJob job) {
-        String queue = job.request().queue().name();
+    private void add(String queue, double cores) {
         activeQueues.add(queue);
-        double cores = job.runningCores();
         coresByQueue.merge(queue, cores, Double::sum);
         totalCores += cores;
     }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/TrackedJob.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/TrackedJob.java
@@ -23,6 +23,8 @@
     private boolean answered;
     private int queuedTasks;
     private int runningMilliCores;
+    private int waitingMilliCores;
+    private QueueLoad load = new QueueLoad();
 
     /**
      * Creates a job and queues the tasks that wait for no other step.
@@ -37,6 +39,7 @@
         for (int step = 0; step < request.steps().size(); step++) {
             for (int index = 0; index < request.steps().get(step).count(); index++) {
                 tasks.add(new TrackedTask(this, step, request.id() + ".0." + step + "." + index));
+                waitingMilliCores += request.steps().get(step).need().milliCores();
             }
         }
         queueUnblockedTasks();
@@ -141,6 +144,16 @@
 
     void markAnswered() {
         answered = true;
+        load.jobAnswered(runningMilliCores);
+    }
+
+    /** Counts this job and its tasks in the load of its queue from now on. */
+    void countIn(QueueLoad queueLoad) {
+        load = queueLoad;
+        load.jobAdded();
+        load.runningChanged(runningMilliCores);
+        load.queuedTasksChanged(queuedTasks);
+        load.queuedWorkChanged(coreMillis(waitingMilliCores));
     }
 
     /** Returns whether a task waits for capacity. */
@@ -150,9 +163,26 @@
 
     /** Updates the number of queued tasks and the running cores before a state change. */
     void taskStateChanged(TrackedTask task, TaskState from, TaskState to) {
-        queuedTasks += (to == TaskState.QUEUED ? 1 : 0) - (from == TaskState.QUEUED ? 1 : 0);
-        int ordered = (to == TaskState.ORDERED ? 1 : 0) - (from == TaskState.ORDERED ? 1 : 0);
-        runningMilliCores += ordered * task.step().need().milliCores();
+        int milliCores = task.step().need().milliCores();
+        int queued = (to == TaskState.QUEUED ? 1 : 0) - (from == TaskState.QUEUED ? 1 : 0);
+        int running = ((to == TaskState.ORDERED ? 1 : 0) - (from == TaskState.ORDERED ? 1 : 0)) * milliCores;
+        int waiting = ((waits(to) ? 1 : 0) - (waits(from) ? 1 : 0)) * milliCores;
+        queuedTasks += queued;
+        runningMilliCores += running;
+        waitingMilliCores += waiting;
+        load.queuedTasksChanged(queued);
+        load.queuedWorkChanged(coreMillis(waiting));
+        if (!answered) {
+            load.runningChanged(running);
+        }
+    }
+
+    private static boolean waits(TaskState state) {
+        return state == TaskState.QUEUED || state == TaskState.BLOCKED;
+    }
+
+    private double coreMillis(int milliCores) {
+        return milliCores / 1_000.0 * criticalPathMillis;
     }
 
     boolean isDone() {
@@ -187,12 +217,6 @@
 
     /** Returns the work of the queued and blocked tasks, in core-milliseconds. */
     long queuedCoreMillis() {
-        double sum = 0;
-        for (TrackedTask task : tasks) {
-            if (task.state() == TaskState.QUEUED || task.state() == TaskState.BLOCKED) {
-                sum += task.step().need().milliCores() / 1_000.0 * criticalPathMillis;
-            }
-        }
-        return (long) sum;
+        return (long) coreMillis(waitingMilliCores);
     }
 }
