Replay the evacuation of a data centre under load without a network

Cause: the evacuation was tested rule by rule only, not with entries that learn of an order at different times, lost links and load.

--- a/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
@@ -18,7 +18,10 @@
 import java.util.function.ToDoubleFunction;
 
 import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.Role;
+import org.knapweedmount.api.message.ClosedDataCentres;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.work.RunRef;
 import org.knapweedmount.api.work.RunRequest;
@@ -61,6 +64,7 @@
     private final long seed;
     private final Random random;
     private final Map<Incarnation, Dispatcher> entries = new LinkedHashMap<>();
+    private final Map<Incarnation, DataCentreAccess> accesses = new HashMap<>();
     private final Map<Incarnation, Agent> agents = new LinkedHashMap<>();
     private final List<FakeWorker> workers = new ArrayList<>();
     private final Set<Set<Incarnation>> cutLinks = new HashSet<>();
@@ -243,7 +247,9 @@
     Incarnation startEntry(String name) {
         lastNonce++;
         Incarnation self = new Incarnation(name, lastNonce);
-        Dispatcher dispatcher = new Dispatcher(new EntryPort(self), new DataCentreAccess());
+        DataCentreAccess access = new DataCentreAccess();
+        accesses.put(self, access);
+        Dispatcher dispatcher = new Dispatcher(new EntryPort(self), access);
         List<Incarnation> others = entries();
         entries.put(self, dispatcher);
         dispatcher.startupEntries().started(time.nowNanos());
@@ -268,6 +274,8 @@
         lastLink++;
         long number = lastLink;
         openEnd(entry, agent, number);
+        accesses.get(entry).agentLinked(new PeerAddress(agent, Role.AGENT, dataCentre(agent), "host", 0));
+        sendNotice(entry, agent);
         entries.get(entry).agentLinked(agent, time.nowNanos());
         time.after(LINK_MILLIS, () -> {
             if (!cutLinks.contains(Set.of(entry, agent))) {
@@ -276,6 +284,25 @@
         });
     }
 
+    /** Returns the data centre of a worker; the workers are spread over four. */
+    static String dataCentre(int worker) {
+        return "dc" + worker % 4;
+    }
+
+    private static String dataCentre(Incarnation agent) {
+        return dataCentre(Integer.parseInt(agent.process().substring("agent-w".length())));
+    }
+
+    /** Lets an entry learn which data centres are closed, and tell the agents. */
+    void applyOrders(Incarnation entry, ClosedDataCentres closed) {
+        accesses.get(entry).apply(closed, time.nowNanos());
+        agents.keySet().forEach(agent -> sendNotice(entry, agent));
+    }
+
+    private void sendNotice(Incarnation entry, Incarnation agent) {
+        accesses.get(entry).noticeFor(agent).ifPresent(notice -> deliver(entry, agent, openEnd(entry, agent), notice));
+    }
+
     private void openAgentEnd(WorkerAgent workerAgent, Incarnation entry, Incarnation agent, long number) {
         if (Objects.equals(openEnd(entry, agent), number)) {
             openEnd(agent, entry, number);
