--- a/daemon/src/main/java/org/knapweedmount/daemon/metrics/LazyProcessMetrics.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/metrics/LazyProcessMetrics.java
@@ -1,5 +1,7 @@
 package org.knapweedmount.daemon.metrics;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Consumer;
 
 import org.knapweedmount.daemon.link.LinkTable;
@@ -12,7 +14,7 @@
 public final class LazyProcessMetrics {
     private final DecisionLog log;
     private final LinkTable<?> links;
-    private final Consumer<ProcessMetrics> otherRegistrations;
+    private final List<Consumer<ProcessMetrics>> otherRegistrations = new ArrayList<>();
     private ProcessMetrics metrics;
 
     /**
@@ -25,7 +27,16 @@
     public LazyProcessMetrics(DecisionLog log, LinkTable<?> links, Consumer<ProcessMetrics> otherRegistrations) {
         this.log = log;
         this.links = links;
-        this.otherRegistrations = otherRegistrations;
+        this.otherRegistrations.add(otherRegistrations);
+    }
+
+    /**
+     * Adds metrics of the process that its owner keeps; must be called before the first scrape.
+     *
+     * @param registrations registers the metrics
+     */
+    public void add(Consumer<ProcessMetrics> registrations) {
+        otherRegistrations.add(registrations);
     }
 
     /**
@@ -37,7 +48,7 @@
         if (metrics == null) {
             metrics = new ProcessMetrics();
             metrics.links(links);
-            otherRegistrations.accept(metrics);
+            otherRegistrations.forEach(registration -> registration.accept(metrics));
         }
         metrics.events(log);
         metrics.messages("sent", links.sentMessages());
--- a/daemon/src/main/java/org/knapweedmount/daemon/store/Exchange.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/store/Exchange.java
@@ -38,6 +38,7 @@
     }
 
     private final Vertx vertx;
+    private final Runnable timeoutListener;
     private final Promise<Result> promise = Promise.promise();
     private HttpClientRequest sentRequest;
     private boolean completed;
@@ -49,7 +50,18 @@
      * @param vertx the Vert.x instance that runs the timer
      */
     public Exchange(Vertx vertx) {
+        this(vertx, () -> {});
+    }
+
+    /**
+     * Creates an exchange without starting it.
+     *
+     * @param vertx the Vert.x instance that runs the timer
+     * @param timeoutListener is called before the exchange completes if it ends by its timeout
+     */
+    public Exchange(Vertx vertx, Runnable timeoutListener) {
         this.vertx = vertx;
+        this.timeoutListener = timeoutListener;
     }
 
     /**
@@ -90,6 +102,7 @@
     }
 
     private void timedOut() {
+        timeoutListener.run();
         if (sentRequest == null) {
             complete(Result.unanswered(End.NOT_SENT));
             return;
