cli: explain where a job would go now

Nothing told why a single job of a busy queue is refused or placed where it is, as its lines are often beyond the rate limit of the log. The command explain asks an entry of the prepared VMs by GET /explain on its metrics address and prints the inputs of the admission, the terms of each worker and the age of each report, as text or JSON.

Nothing is sent, logged or recorded. The terms are those of the present Placement; a change of its terms has to add them to Candidate.

--- a/cli/src/main/java/org/knapweedmount/cli/CommandRegistry.java
+++ b/cli/src/main/java/org/knapweedmount/cli/CommandRegistry.java
@@ -20,6 +20,7 @@
                 new TicketShowCommand(),
                 new TicketHistoryCommand(),
                 new StatusCommand(),
+                new ExplainCommand(),
                 new AuditCommand(),
                 new DrainCommand(),
                 new SettingsCheckCommand());
--- a/cli/src/test/java/org/knapweedmount/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/knapweedmount/cli/CommandLineTest.java
@@ -292,6 +292,36 @@
         }
     }
 
+    /** The parameters are named by the entry; another name would be ignored there. */
+    @Test
+    void explainAsksTheMetricsAddress() {
+        String query =
+                "host=h&path=%2Fq%2F&estimateMillis=86&tasks=8&milliCores=5500&memoryMb=0&accelerators=0&affinity=r1";
+        prepare("GET /explain?" + query, 200, "", "{\"queue\":\"q\"}");
+        String address = "127.0.0.1:" + entry.getAddress().getPort();
+
+        ExitCode code = run(
+                "explain",
+                "--metrics",
+                address,
+                "--host",
+                "h",
+                "--path",
+                "/q/",
+                "--estimate-millis",
+                "86",
+                "--tasks",
+                "8",
+                "--milli-cores",
+                "5500",
+                "--affinity",
+                "r1",
+                "--json");
+
+        assertThat(code, is(ExitCode.OK));
+        assertThat(out.toString(StandardCharsets.UTF_8), is("{\"queue\":\"q\"}\n"));
+    }
+
     private ExitCode run(String... words) {
         String address = "127.0.0.1:" + entry.getAddress().getPort();
         List<String> all = new ArrayList<>(Arrays.asList(words));
--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchStatus.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchStatus.java
@@ -6,6 +6,7 @@
 import java.util.function.Supplier;
 
 import org.knapweedmount.api.work.WorkQueue;
+import org.knapweedmount.core.explain.Explanation;
 import org.knapweedmount.core.metric.MillisHistogram;
 
 /** What an entry tells about its jobs and workers; always the present state of its {@link Dispatcher}. */
@@ -16,6 +17,7 @@
     private final MillisHistogram<WaitReason> waits;
     private final Supplier<List<String>> waitingRequests;
     private final IntSupplier waitingCancels;
+    private final DecisionExplainer explainer;
 
     DispatchStatus(
             JobTable jobs,
@@ -23,13 +25,26 @@
             JobAnswers answers,
             MillisHistogram<WaitReason> waits,
             Supplier<List<String>> waitingRequests,
-            IntSupplier waitingCancels) {
+            IntSupplier waitingCancels,
+            DecisionExplainer explainer) {
         this.jobs = jobs;
         this.workers = workers;
         this.answers = answers;
         this.waits = waits;
         this.waitingRequests = waitingRequests;
         this.waitingCancels = waitingCancels;
+        this.explainer = explainer;
+    }
+
+    /**
+     * Explains what would be decided about a job now; nothing is sent, logged or recorded.
+     *
+     * @param request the job, with at least one task that waits for no other step
+     * @param nowNanos the current time, in ns
+     * @return the decision and its inputs
+     */
+    public Explanation explain(JobRequest request, long nowNanos) {
+        return explainer.explain(request, waitingRequests(), nowNanos);
     }
 
     /**
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -67,11 +67,12 @@
         this.answers = new JobAnswers(output, events);
         this.stopOrders = new StopOrders(output, events);
         this.cancels = new JobCancels(output);
+        this.admission = new JobAdmission(output, workers, jobs, maxCapacity);
+        DecisionExplainer explainer = new DecisionExplainer(workers, jobs, durations, admission, drain, ownership);
         this.status = new DispatchStatus(
-                jobs, workers, answers, events.waitLatencies(), this::waitingRequests, cancels::waiting);
+                jobs, workers, answers, events.waitLatencies(), this::waitingRequests, cancels::waiting, explainer);
         this.placer = new TaskPlacer(output, jobs, workers, maxCapacity, durations, events, new OtherEntries());
         this.runResults = new RunResults(workers, durations, events, this::conclude, this::removeIfDone);
-        this.admission = new JobAdmission(output, workers, jobs, maxCapacity);
     }
 
     /**
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Placement.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Placement.java
@@ -93,7 +93,8 @@
         return nowNanos + (long) (millis * TimeUnit.MILLISECONDS.toNanos(1)) - job.targetNanos() <= 0;
     }
 
-    private static boolean isNearData(TrackedTask task, WorkerView worker) {
+    /** Returns whether a worker has the label of the rack that holds a task's data, or the task names no rack. */
+    static boolean isNearData(TrackedTask task, WorkerView worker) {
         return task.step().affinity().map(worker::hasLabel).orElse(true);
     }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -1,5 +1,6 @@
 package org.knapweedmount.daemon.dispatch;
 
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.concurrent.ThreadLocalRandom;
@@ -22,6 +23,7 @@
 import org.knapweedmount.core.dispatch.DispatchOutput;
 import org.knapweedmount.core.dispatch.JobResult;
 import org.knapweedmount.core.event.EventPriority;
+import org.knapweedmount.core.explain.Explanation;
 import org.knapweedmount.core.metric.Counters;
 import org.knapweedmount.daemon.link.EventQueues;
 import org.knapweedmount.daemon.link.LinkHandler;
@@ -207,6 +209,22 @@
         }
     }
 
+    /**
+     * Explains what would be decided about a job now; nothing is sent, logged or recorded.
+     *
+     * @param question the job
+     * @return the decision and its inputs, empty if there is no such queue; fails if the decision queue is full
+     */
+    public Future<Optional<Explanation>> explain(JobQuestion question) {
+        Promise<Optional<Explanation>> explanation = Promise.promise();
+        boolean queued =
+                decisions.offer((module, nowNanos) -> explanation.complete(module.explain(question, nowNanos)));
+        if (!queued) {
+            explanation.fail("the decision queue is full");
+        }
+        return explanation.future();
+    }
+
     /**
      * Returns the metrics of this process.
      *
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchModule.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchModule.java
@@ -2,7 +2,9 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
@@ -14,7 +16,9 @@
 import org.knapweedmount.api.message.QueueUpdate;
 import org.knapweedmount.core.dispatch.DispatchOutput;
 import org.knapweedmount.core.dispatch.Dispatcher;
+import org.knapweedmount.core.dispatch.JobRequest;
 import org.knapweedmount.core.dispatch.QueueTable;
+import org.knapweedmount.core.explain.Explanation;
 
 /** State owned by the decision thread of a dispatching entry: the dispatcher and the queue configuration in force. */
 public final class DispatchModule {
@@ -51,6 +55,16 @@
         return queues;
     }
 
+    /** Explains what would be decided about a job now; empty if there is no such queue. */
+    Optional<Explanation> explain(JobQuestion question, long nowNanos) {
+        return queues.find(question.host(), question.path()).map(queue -> {
+            int deadlineMillis = question.deadlineMillis().orElse(queue.timeoutMillis());
+            long deadlineNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(deadlineMillis);
+            JobRequest request = new JobRequest(question.id(), queue, "", List.of(question.step()), deadlineNanos);
+            return dispatcher.status().explain(request, nowNanos);
+        });
+    }
+
     /**
      * Applies a version of the queue configuration and, if it is newer, forwards it to all linked entries.
      *
