daemon: flush the output also at an exit without a halt

An exception in the main thread ends the process without ProcessOutput.halt, so that its line may still be in the queue.

--- a/daemon/src/main/java/org/knapweedmount/daemon/output/ProcessOutput.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/output/ProcessOutput.java
@@ -31,14 +31,15 @@
     private ProcessOutput() {}
 
     /**
-     * Sends what is printed to {@link System#out} and {@link System#err} through the queue, and logs exceptions that no
-     * thread handles; called at the start of a program.
+     * Sends what is printed to {@link System#out} and {@link System#err} through the queue, logs exceptions that no thread
+     * handles, and flushes the queue at an exit that does not use {@link #halt}; called at the start of a program.
      */
     public static void install() {
         System.setOut(queuedStream(OUT));
         System.setErr(queuedStream(ERR));
         Thread.setDefaultUncaughtExceptionHandler(
                 (thread, failure) -> Logger.error(failure, "event=uncaught-exception thread=\"{}\"", thread.getName()));
+        Runtime.getRuntime().addShutdownHook(new Thread(ProcessOutput::flush, "output-flush"));
     }
 
     private static PrintStream queuedStream(PrintStream target) {
