Place runs by their predicted duration on each worker

Entries compared the slowdown that agents report with the median and ignored all ratios below 1.6, so that on workers of speeds 0.7, 0.7 and 1.7 a run went to whichever worker had most cores free. The declared run times of a queue are off by up to 40%, and without the threshold the estimates of durations and of speeds could drive each other apart.

RunCost predicts a run by its terms, and Candidates keeps the best worker by one number, without an object for each worker. A ratio of 1.6 or more still counts at once. Admission counts the cores of a fast worker by the work that they do.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -69,7 +69,8 @@
         this.cancels = new JobCancels(output);
         this.status = new DispatchStatus(
                 jobs, workers, answers, events.waitLatencies(), this::waitingRequests, cancels::waiting);
-        this.placer = new TaskPlacer(output, jobs, workers, maxCapacity, durations, events, new OtherEntries());
+        this.placer =
+                new TaskPlacer(output, jobs, workers, maxCapacity, new RunCosts(durations), events, new OtherEntries());
         this.runResults = new RunResults(workers, durations, events, this::conclude, this::removeIfDone);
         this.admission = new JobAdmission(output, workers, jobs, maxCapacity);
     }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/FreeCapacities.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/FreeCapacities.java
@@ -13,7 +13,12 @@
  * is passed over without a look at each worker.
  */
 final class FreeCapacities {
+    /** The fraction of all cores that has to be free for runs to be placed by the speed of workers. */
+    private static final double PLENTIFUL_FRACTION = 0.15;
+
     private final Map<WorkerView, Resources> free = new LinkedHashMap<>();
+    private final boolean costsDiffer;
+    private final boolean plentiful;
     private int largestMilliCores;
 
     /** Takes the estimated free capacities of the workers that accept starts. */
@@ -23,9 +28,30 @@
                 free.put(worker, worker.freeCapacity());
             }
         }
+        long totalMilliCores = 0;
+        long freeMilliCores = 0;
+        boolean differ = false;
+        for (Map.Entry<WorkerView, Resources> each : free.entrySet()) {
+            WorkerView worker = each.getKey();
+            totalMilliCores += worker.report().orElseThrow().capacity().milliCores();
+            freeMilliCores += each.getValue().milliCores();
+            differ = differ || worker.relativeSlowdown() != 1 || worker.coldMillis(nowNanos) > 0;
+        }
+        this.costsDiffer = differ;
+        this.plentiful = freeMilliCores >= PLENTIFUL_FRACTION * totalMilliCores;
         updateLargest();
     }
 
+    /** Returns whether a run may take longer on one worker than on another. */
+    boolean costsDiffer() {
+        return costsDiffer;
+    }
+
+    /** Returns whether so much capacity was free that runs may be placed by the speed of workers. */
+    boolean isPlentiful() {
+        return plentiful;
+    }
+
     private void updateLargest() {
         largestMilliCores =
                 free.values().stream().mapToInt(Resources::milliCores).max().orElse(Integer.MIN_VALUE);
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Placement.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Placement.java
@@ -1,6 +1,5 @@
 package org.knapweedmount.core.dispatch;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -12,9 +11,9 @@
  * Selects the worker from which a run of a task is ordered.
  *
  * <p>Load pattern: workers differ in speed, and some slow down for seconds. A worker on which the task would miss its
- * target is skipped while a worker of median speed could still meet it. Among the remaining workers the one with the
- * most free capacity is chosen, which keeps entries that decide at the same time from picking the same nearly full
- * worker. Where many entries order from many workers, they would all pick the same few ones with the most free capacity,
+ * target is skipped while a worker of median speed could still meet it. Among the remaining workers the one on which the
+ * run costs least is chosen ({@link Candidates}), and among equal ones the one with the most free capacity, which keeps
+ * entries that decide at the same time from picking the same nearly full worker. Where many entries order from many workers, they would all pick the same few ones with the most free capacity,
  * which refuse most of the runs; there, each entry prefers the workers whose agents tell it of changes at once, which are
  * others for the next entry, and among them a sample, which is another one for each task.
  */
@@ -24,25 +23,32 @@
     /**
      * Selects a worker; one that is near the data takes precedence over a preferred one.
      *
+     * @param costs predicts the durations of runs
      * @param entries the number of entries that order runs from the same workers
      */
     static Optional<WorkerView> choose(
-            TrackedTask task, FreeCapacities freeCapacities, QueueShares shares, int entries, long nowNanos) {
-        if (!freeCapacities.hasCoresFor(task.step().need())) {
+            TrackedTask task,
+            FreeCapacities freeCapacities,
+            QueueShares shares,
+            RunCosts costs,
+            int entries,
+            long nowNanos) {
+        Resources need = task.step().need();
+        if (!freeCapacities.hasCoresFor(need)) {
             return Optional.empty();
         }
-        WorkerSample sample = WorkerSample.of(task, entries);
-        return freeCapacities.workers().stream()
-                .filter(worker -> task.step().need().fits(freeCapacities.of(worker)))
-                .filter(worker -> DemandRule.mayOrderWithoutOffer(task, worker, shares))
-                .filter(worker -> shares.withHeadroom(
-                                task, worker.report().orElseThrow().capacity())
-                        .fits(freeCapacities.of(worker)))
-                .filter(worker -> isSuitable(task, worker, nowNanos))
-                .max(Comparator.<WorkerView, Boolean>comparing(worker -> isNearData(task, worker))
-                        .thenComparing(WorkerView::isPrompt)
-                        .thenComparing(worker -> sample.contains(worker.agent()))
-                        .thenComparingInt(worker -> freeCapacities.of(worker).milliCores()));
+        Candidates candidates = new Candidates(task, WorkerSample.of(task, entries), freeCapacities, costs, nowNanos);
+        for (WorkerView worker : freeCapacities.workers()) {
+            Resources free = freeCapacities.of(worker);
+            if (need.fits(free)
+                    && DemandRule.mayOrderWithoutOffer(task, worker, shares)
+                    && shares.withHeadroom(task, worker.report().orElseThrow().capacity())
+                            .fits(free)
+                    && isSuitable(task, worker, nowNanos)) {
+                candidates.offer(worker, isNearData(task, worker));
+            }
+        }
+        return Optional.ofNullable(candidates.best());
     }
 
     /** Passes on the queued tasks of jobs that fit into offered resources, each before the next one is considered. */
--- /dev/null
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/RunCosts.java
@@ -0,0 +1,46 @@
+package org.knapweedmount.core.dispatch;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.knapweedmount.core.cost.MeanDuration;
+import org.knapweedmount.core.cost.RunCost;
+
+/** Predicts what runs cost on the workers that an entry knows. */
+final class RunCosts {
+    private final DurationModel durations;
+    private final Map<String, MeanDuration> means = new HashMap<>();
+
+    RunCosts(DurationModel durations) {
+        this.durations = durations;
+    }
+
+    /** Returns the expected duration of a run of a task on a worker of median speed, in ms. */
+    double expectedMillis(TrackedTask task) {
+        return durations.expectedMillis(
+                task.job().request().queue().name(), task.step().estimateMillis());
+    }
+
+    /** Returns the mean expected duration of the runs of a service, in ms; 0 before the first one. */
+    double meanMillis(String service) {
+        MeanDuration mean = means.get(service);
+        return mean == null ? 0 : mean.millis();
+    }
+
+    /** Records that a run of a task is ordered. */
+    void ordered(TrackedTask task) {
+        means.computeIfAbsent(task.job().request().queue().service(), key -> new MeanDuration())
+                .add(task.step().need().milliCores(), expectedMillis(task));
+    }
+
+    /** Returns the duration of a run on a worker from its expected duration and the slowdown of the worker, in ms. */
+    double durationMillis(double expectedMillis, double slowdown, WorkerView worker, long nowNanos) {
+        return RunCost.withCold(expectedMillis * slowdown, worker.coldMillis(nowNanos));
+    }
+
+    /** Predicts a run of a task that starts on a worker after a wait, in ms. */
+    RunCost predict(TrackedTask task, WorkerView worker, double waitMillis, long nowNanos) {
+        return new RunCost(
+                expectedMillis(task), worker.relativeSlowdown(), 1, 1, worker.coldMillis(nowNanos), waitMillis);
+    }
+}
--- a/core/src/main/java/org/knapweedmount/core/dispatch/RunResults.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/RunResults.java
@@ -71,7 +71,9 @@
     private void completeTask(WorkerView view, TrackedTask task, RunResult result, long nowNanos) {
         String queue = task.job().request().queue().name();
         int estimate = task.step().estimateMillis();
-        durations.observe(queue, estimate, result.elapsedMillis() / view.relativeSlowdown());
+        if (view.coldMillis(nowNanos) == 0) {
+            durations.observe(queue, estimate, result.elapsedMillis() / view.relativeSlowdown());
+        }
         task.markEnded();
         task.job().queueUnblockedTasks();
         if (task.job().isDone()) {
--- a/core/src/main/java/org/knapweedmount/core/dispatch/TaskPlacer.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/TaskPlacer.java
@@ -22,7 +22,7 @@
     private final JobTable jobs;
     private final WorkerViews workers;
     private final Map<String, Resources> maxCapacity;
-    private final DurationModel durations;
+    private final RunCosts costs;
     private final DispatchEvents events;
     private final OtherEntries otherEntries;
     private final DemandTargets demandTargets = new DemandTargets();
@@ -44,14 +44,14 @@
             JobTable jobs,
             WorkerViews workers,
             Map<String, Resources> maxCapacity,
-            DurationModel durations,
+            RunCosts costs,
             DispatchEvents events,
             OtherEntries otherEntries) {
         this.output = output;
         this.jobs = jobs;
         this.workers = workers;
         this.maxCapacity = maxCapacity;
-        this.durations = durations;
+        this.costs = costs;
         this.events = events;
         this.otherEntries = otherEntries;
     }
@@ -71,7 +71,7 @@
             for (TrackedTask task : job.tasks()) {
                 if (task.state() == TaskState.QUEUED) {
                     Optional<WorkerView> worker =
-                            Placement.choose(task, freeCapacities, shares, 1 + otherEntries.count(), nowNanos);
+                            Placement.choose(task, freeCapacities, shares, costs, 1 + otherEntries.count(), nowNanos);
                     worker.ifPresent(view -> {
                         freeCapacities.take(view, task.step().need());
                         chosen.computeIfAbsent(view, key -> new ArrayList<>()).add(task);
@@ -105,6 +105,7 @@
 
     private void assign(WorkerView view, TrackedTask task) {
         task.markOrdered(view.agent());
+        costs.ordered(task);
         task.job().runOrdered();
         view.orderedTasks().put(task.name(), task);
     }
@@ -114,8 +115,7 @@
         Resources need = Resources.NONE;
         for (TrackedTask task : tasks) {
             need = need.plus(task.step().need());
-            int expectedMillis = (int) durations.expectedMillis(
-                    task.job().request().queue().name(), task.step().estimateMillis());
+            int expectedMillis = (int) costs.expectedMillis(task);
             RunRequest request = new RunRequest(task.ref(), task.step().need(), expectedMillis, task.checkpoint());
             task.recordOrder(view, nowNanos);
             requests.computeIfAbsent(task.job(), key -> new ArrayList<>()).add(request);
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
@@ -6,18 +6,26 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.message.ResourceDemand;
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.work.RunRef;
+import org.knapweedmount.core.cost.WorkerSpeed;
 
 /** An entry's view of a worker, from the reports of the worker's agent and the entry's own orders. */
 final class WorkerView {
-    /** The ratio to the median from which a worker counts as slow; declared run times are off by up to 40%. */
+    /**
+     * The ratio to the median from which a worker counts as slow for the moment; declared run times are off by up to 40%.
+     * Smaller ratios count once they have lasted ({@link WorkerSpeed}).
+     */
     private static final double MIN_SLOWDOWN_RATIO = 1.6;
 
+    /** A worker has enough runs to be compared with others if at least its cores divided by this number are in use. */
+    private static final int MIN_USED_DIVISOR = 8;
+
     private final Incarnation agent;
     private final Map<String, TrackedTask> orderedTasks = new HashMap<>();
     private final Deque<SentOrder> unacknowledgedOrders = new ArrayDeque<>();
@@ -30,7 +38,9 @@
     private long demandSentNanos;
     private boolean linked = true;
     private int linkNumber;
-    private double relativeSlowdown = 1;
+    private double momentarySlowdown = 1;
+    private WorkerSpeed speed = new WorkerSpeed();
+    private String worker = "";
 
     private record SentOrder(long number, Resources resources) {}
 
@@ -68,6 +78,10 @@
     }
 
     void reportReceived(WorkerReport received, long nowNanos) {
+        if (!received.worker().equals(worker)) {
+            worker = received.worker();
+            speed = new WorkerSpeed();
+        }
         report = Optional.of(received);
         lastReportNanos = nowNanos;
         while (!unacknowledgedOrders.isEmpty() && unacknowledgedOrders.peek().number() <= received.lastOrderNumber()) {
@@ -154,13 +168,36 @@
 
     /** Returns the ratio of run times on this worker to those on the median worker of its service. */
     double relativeSlowdown() {
-        return relativeSlowdown;
+        return momentarySlowdown >= MIN_SLOWDOWN_RATIO ? momentarySlowdown : speed.ratio();
     }
 
     /** Compares the slowdown with the median; ratios within the error of declared run times are ignored. */
     void updateRelativeSlowdown(double medianSlowdown) {
-        double ratio = reportedSlowdown() / medianSlowdown;
-        relativeSlowdown = ratio >= MIN_SLOWDOWN_RATIO ? ratio : 1;
+        momentarySlowdown = reportedSlowdown() / medianSlowdown;
+    }
+
+    /** Returns the lasting speed of the worker's current incarnation. */
+    WorkerSpeed speed() {
+        return speed;
+    }
+
+    /** Returns whether the slowdown in the last report was measured on enough runs to compare it with that of others. */
+    boolean hasMeasuredSlowdown() {
+        if (!acceptsStarts() || report.get().condition().coldMillis() > 0) {
+            return false;
+        }
+        int capacity = report.get().capacity().milliCores();
+        return report.get().slowdownPercent() > 0
+                && (capacity - report.get().free().milliCores()) * MIN_USED_DIVISOR >= capacity;
+    }
+
+    /** Returns how much longer the worker is slow after its start, in ms. */
+    double coldMillis(long nowNanos) {
+        if (report.isEmpty() || report.get().condition().coldMillis() == 0) {
+            return 0;
+        }
+        double sinceReportMillis = (double) (nowNanos - lastReportNanos) / TimeUnit.MILLISECONDS.toNanos(1);
+        return Math.max(0, report.get().condition().coldMillis() - sinceReportMillis);
     }
 
     boolean renewalDue(long nowNanos) {
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerViews.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerViews.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 
 import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.core.cost.ServiceSpeeds;
 
 /** The workers that an entry knows, by their agents. */
 final class WorkerViews {
@@ -106,15 +107,25 @@
                     .toArray();
             double median = Math.max(MIN_MEDIAN_SLOWDOWN, slowdowns[slowdowns.length / 2]);
             workers.forEach(worker -> worker.updateRelativeSlowdown(median));
+            ServiceSpeeds.update(
+                    workers.stream()
+                            .filter(WorkerView::hasMeasuredSlowdown)
+                            .map(worker -> new ServiceSpeeds.Reported(worker.speed(), worker.reportedSlowdown()))
+                            .toList(),
+                    workers.stream().map(WorkerView::speed).toList());
         }
     }
 
-    /** Returns the cores of all workers of a service that accept starts. */
+    /**
+     * Returns the cores of all workers of a service that accept starts; those of a faster worker count for as many cores
+     * of the median worker as do the same work.
+     */
     double cores(String service) {
         double sum = 0;
         for (WorkerView view : views.values()) {
             if (view.acceptsStarts() && view.serves(service)) {
-                sum += view.report().orElseThrow().capacity().milliCores() / 1_000.0;
+                double cores = view.report().orElseThrow().capacity().milliCores() / 1_000.0;
+                sum += cores / view.speed().ratio();
             }
         }
         return sum;
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatchFixture.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatchFixture.java
@@ -6,8 +6,11 @@
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.message.WorkerCondition;
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.work.WorkQueue;
+import org.knapweedmount.core.cost.ServiceSpeeds;
+import org.knapweedmount.core.cost.WorkerSpeed;
 
 /** Creates jobs and workers for tests of the dispatch rules. */
 final class DispatchFixture {
@@ -48,6 +51,44 @@
         return worker(name, freeMilliCores, 1, false);
     }
 
+    /** Creates a worker that is slow for some time after its start, in ms. */
+    static WorkerView coldWorker(String name, int freeMilliCores, int coldMillis) {
+        WorkerView view = worker(name, freeMilliCores, 1);
+        WorkerReport warm = view.report().orElseThrow();
+        view.reportReceived(
+                new WorkerReport(
+                        warm.timestampNanos(),
+                        warm.service(),
+                        warm.worker(),
+                        warm.labels(),
+                        warm.capacity(),
+                        warm.free(),
+                        warm.acceptsStarts(),
+                        warm.lastOrderNumber(),
+                        warm.otherBacklogCoreMillis(),
+                        warm.slowdownPercent(),
+                        warm.prompt(),
+                        new WorkerCondition(WorkerCondition.Availability.OPEN, coldMillis, List.of())),
+                0);
+        return view;
+    }
+
+    /** Creates a worker whose runs have lasted a multiple of those of the median worker for some time. */
+    static WorkerView lastingWorker(String name, int freeMilliCores, double ratio) {
+        WorkerView view = worker(name, freeMilliCores, 1);
+        WorkerSpeed median = new WorkerSpeed();
+        WorkerSpeed other = new WorkerSpeed();
+        for (int update = 0; update < 100; update++) {
+            ServiceSpeeds.update(
+                    List.of(
+                            new ServiceSpeeds.Reported(view.speed(), ratio),
+                            new ServiceSpeeds.Reported(median, 1),
+                            new ServiceSpeeds.Reported(other, 1)),
+                    List.of(view.speed(), median, other));
+        }
+        return view;
+    }
+
     private static WorkerView worker(String name, int freeMilliCores, double slowdown, boolean prompt) {
         WorkerView view = new WorkerView(new Incarnation(name, 1), 0);
         Resources capacity = new Resources(16_000, 65_536, 0);
--- a/core/src/test/java/org/knapweedmount/core/dispatch/PlacementTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/PlacementTest.java
@@ -22,6 +22,7 @@
                         job.tasks().get(0),
                         new FreeCapacities(List.of(workers), DispatchFixture.millisToNanos(nowMillis)),
                         shares,
+                        new RunCosts(new DurationModel()),
                         entries,
                         DispatchFixture.millisToNanos(nowMillis))
                 .map(worker -> worker.agent().process())
@@ -97,4 +98,55 @@
     void workerWithoutFreeCapacityIsNotChosen() {
         assertThat(choose(DispatchFixture.job("j", 0, 86), 0, DispatchFixture.worker("full", 900, 1)), is("none"));
     }
+
+    /** Guards against leaving a worker idle on which a long task would end in less than half the time. */
+    @Test
+    void taskGoesToTheFastWorkerThoughAnotherHasMoreFreeCapacity() {
+        WorkerView fast = DispatchFixture.lastingWorker("fast", 10_000, 0.41);
+        WorkerView normal = DispatchFixture.worker("normal", 16_000, 1);
+
+        assertThat(choose(DispatchFixture.job("j", 0, 1_286), 0, normal, fast), is("fast"));
+    }
+
+    /** Guards against placement by speed when hardly any capacity is free, which would leave small remainders unused. */
+    @Test
+    void mostFreeCapacityDecidesWhileLittleIsFree() {
+        WorkerView fast = DispatchFixture.lastingWorker("fast", 1_000, 0.41);
+        WorkerView normal = DispatchFixture.worker("normal", 2_000, 1);
+
+        assertThat(choose(DispatchFixture.job("j", 0, 1_286), 0, normal, fast), is("normal"));
+    }
+
+    /** Guards against entries that all send long tasks to the same fast workers. */
+    @Test
+    void manyEntriesChooseDifferentFastWorkers() {
+        int entries = 9;
+        WorkerView[] workers = IntStream.range(0, AGENTS)
+                .mapToObj(agent -> DispatchFixture.lastingWorker("agent-" + agent, 8_000, agent % 3 == 0 ? 0.41 : 1))
+                .toArray(WorkerView[]::new);
+
+        long chosen = IntStream.range(0, entries)
+                .mapToObj(entry -> choose(DispatchFixture.job("job-" + entry, 0, 1_286), 0, entries, workers))
+                .distinct()
+                .count();
+
+        assertThat(chosen, is(greaterThan(entries / 2L)));
+    }
+
+    /** Guards against a start on a worker that is slow for the whole run after its own start. */
+    @Test
+    void warmWorkerIsChosenThoughAColdOneHasMoreFreeCapacity() {
+        WorkerView cold = DispatchFixture.coldWorker("cold", 16_000, 2_000);
+        WorkerView warm = DispatchFixture.worker("warm", 4_000, 1);
+
+        assertThat(choose(DispatchFixture.job("j", 0, 286), 0, cold, warm), is("warm"));
+    }
+
+    /** Guards against a service that waits until its target is missed because all its workers have just started. */
+    @Test
+    void coldWorkerIsChosenIfThereIsNoOther() {
+        WorkerView cold = DispatchFixture.coldWorker("cold", 16_000, 2_000);
+
+        assertThat(choose(DispatchFixture.job("j", 0, 286), 0, cold), is("cold"));
+    }
 }
