Wait for a worker near the data while that ends a run sooner

A run away from its data takes 1.5 to 3 times as long, but a task took a remote worker at once when no worker on the rack of its data had capacity. The settings did not carry the factor.

The optional setting remoteDataFactor (from bounds.farFactor of the platform) turns DataLocality on. A task waits as long as a run near its data is expected to end before a remote one that had begun with the wait, and takes the last chance of a remote run to meet the target. The wait is estimated from the cores in use on the rack, the mean run time and the tasks that wait already. A queue with most of an entry's runs on a rack leaves a tenth of each worker free there. The factor is part of the expected time that agents are told and is divided out of measured run times, so that it is learnt neither as slowness of a worker nor as the duration of a queue. Two counters tell how often each happens.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/DispatchCounter.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/DispatchCounter.java
@@ -1,6 +1,6 @@
 package org.knapweedmount.core.dispatch;
 
-/** Counters of events at an entry that can precede a second run of a task. */
+/** Counters of events at an entry: those that can precede a second run of a task, and those of placement. */
 public enum DispatchCounter {
     /** Runs that the agent's list on a new link does not contain. */
     RUNS_LOST_ON_NEW_LINK,
@@ -9,5 +9,9 @@
     /** Resubmissions that waited for the end of an earlier submission, here or at another entry. */
     RESUBMISSIONS_WAITED,
     /** Stop orders that were repeated because the end of a run had not been reported. */
-    STOPS_REPEATED
+    STOPS_REPEATED,
+    /** Tasks that waited for a worker near their data while a remote one had capacity. */
+    TASKS_WAITED_FOR_DATA,
+    /** Runs that were ordered from a worker away from their data. */
+    RUNS_AWAY_FROM_DATA
 }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -59,6 +59,16 @@
      * @param output the receiver of decisions
      */
     public Dispatcher(DispatchOutput output) {
+        this(output, DispatchSettings.DEFAULT);
+    }
+
+    /**
+     * Creates a dispatcher without jobs and workers.
+     *
+     * @param output the receiver of decisions
+     * @param settings what the operator sets for the placement of runs
+     */
+    public Dispatcher(DispatchOutput output, DispatchSettings settings) {
         this.output = output;
         this.events = new DispatchEvents(output);
         this.ownership = new JobOwnership(output);
@@ -69,9 +79,10 @@
         this.cancels = new JobCancels(output);
         this.status = new DispatchStatus(
                 jobs, workers, answers, events.waitLatencies(), this::waitingRequests, cancels::waiting);
-        this.placer =
-                new TaskPlacer(output, jobs, workers, maxCapacity, new RunCosts(durations), events, new OtherEntries());
-        this.runResults = new RunResults(workers, durations, events, this::conclude, this::removeIfDone);
+        RunCosts costs = new RunCosts(durations, settings);
+        this.placer = new TaskPlacer(
+                output, jobs, workers, maxCapacity, costs, events, new CompetingEntries(heldRequests, ownership));
+        this.runResults = new RunResults(workers, durations, costs, events, this::conclude, this::removeIfDone);
         this.admission = new JobAdmission(output, workers, jobs, maxCapacity);
     }
 
@@ -583,16 +594,4 @@
     public DispatchStatus status() {
         return status;
     }
-
-    private final class OtherEntries implements TaskPlacer.OtherEntries {
-        @Override
-        public boolean holdBack(String job, long nowNanos) {
-            return heldRequests.isHolding(nowNanos) || ownership.isHeldElsewhere(job);
-        }
-
-        @Override
-        public int count() {
-            return ownership.peers().size();
-        }
-    }
 }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Placement.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Placement.java
@@ -23,32 +23,34 @@
     /**
      * Selects a worker; one that is near the data takes precedence over a preferred one.
      *
-     * @param costs predicts the durations of runs
+     * @param data decides whether a task waits for a worker near its data
      * @param entries the number of entries that order runs from the same workers
      */
     static Optional<WorkerView> choose(
             TrackedTask task,
             FreeCapacities freeCapacities,
             QueueShares shares,
-            RunCosts costs,
+            DataLocality data,
             int entries,
             long nowNanos) {
         Resources need = task.step().need();
         if (!freeCapacities.hasCoresFor(need)) {
             return Optional.empty();
         }
-        Candidates candidates = new Candidates(task, WorkerSample.of(task, entries), freeCapacities, costs, nowNanos);
+        Candidates candidates =
+                new Candidates(task, WorkerSample.of(task, entries), freeCapacities, data.costs(), nowNanos);
         for (WorkerView worker : freeCapacities.workers()) {
             Resources free = freeCapacities.of(worker);
             if (need.fits(free)
                     && DemandRule.mayOrderWithoutOffer(task, worker, shares)
                     && shares.withHeadroom(task, worker.report().orElseThrow().capacity())
                             .fits(free)
+                    && data.leavesHeadroom(task, worker, free)
                     && isSuitable(task, worker, nowNanos)) {
-                candidates.offer(worker, isNearData(task, worker));
+                candidates.offer(worker, DataLocality.isNear(task, worker));
             }
         }
-        return Optional.ofNullable(candidates.best());
+        return Optional.ofNullable(candidates.best()).filter(worker -> !data.waitsForData(task, worker));
     }
 
     /** Passes on the queued tasks of jobs that fit into offered resources, each before the next one is considered. */
@@ -57,6 +59,7 @@
             List<TrackedJob> jobs,
             WorkerView worker,
             QueueShares shares,
+            DataLocality data,
             long nowNanos,
             Consumer<TrackedTask> chosen) {
         Resources capacity = worker.report().orElseThrow().capacity();
@@ -65,7 +68,10 @@
             for (TrackedTask task : job.tasks()) {
                 boolean queued = task.state() == TaskState.QUEUED;
                 boolean fits = queued && shares.withHeadroom(task, capacity).fits(free);
-                if (fits && isSuitable(task, worker, nowNanos)) {
+                if (fits
+                        && data.leavesHeadroom(task, worker, free)
+                        && isSuitable(task, worker, nowNanos)
+                        && !data.waitsForData(task, worker)) {
                     free = free.minus(task.step().need());
                     chosen.accept(task);
                 }
@@ -98,8 +104,4 @@
         double millis = job.criticalPathMillis() * worker.relativeSlowdown();
         return nowNanos + (long) (millis * TimeUnit.MILLISECONDS.toNanos(1)) - job.targetNanos() <= 0;
     }
-
-    private static boolean isNearData(TrackedTask task, WorkerView worker) {
-        return task.step().affinity().map(worker::hasLabel).orElse(true);
-    }
 }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/QueueShares.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/QueueShares.java
@@ -52,6 +52,11 @@
         return coresByQueue.getOrDefault(queue, 0.0);
     }
 
+    /** Returns whether more than one queue is active. */
+    boolean hasOtherQueues() {
+        return activeQueues.size() > 1;
+    }
+
     /** Returns whether a queue has more than an equal share while other queues are active. */
     boolean exceedsEqualShare(String queue) {
         return activeQueues.size() > 1 && cores(queue) * activeQueues.size() > totalCores;
--- a/core/src/main/java/org/knapweedmount/core/dispatch/RunCosts.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/RunCosts.java
@@ -9,10 +9,22 @@
 /** Predicts what runs cost on the workers that an entry knows. */
 final class RunCosts {
     private final DurationModel durations;
+    private final double remoteDataFactor;
     private final Map<String, MeanDuration> means = new HashMap<>();
 
-    RunCosts(DurationModel durations) {
+    RunCosts(DurationModel durations, DispatchSettings settings) {
         this.durations = durations;
+        this.remoteDataFactor = settings.remoteDataFactor();
+    }
+
+    /** Returns how many times as long a run takes away from its data. */
+    double remoteDataFactor() {
+        return remoteDataFactor;
+    }
+
+    /** Returns how many times as long a run takes on a worker because of the place of its data. */
+    double dataFactor(TrackedTask task, WorkerView worker) {
+        return remoteDataFactor > 1 && !DataLocality.isNear(task, worker) ? remoteDataFactor : 1;
     }
 
     /** Returns the expected duration of a run of a task on a worker of median speed, in ms. */
@@ -41,6 +53,11 @@
     /** Predicts a run of a task that starts on a worker after a wait, in ms. */
     RunCost predict(TrackedTask task, WorkerView worker, double waitMillis, long nowNanos) {
         return new RunCost(
-                expectedMillis(task), worker.relativeSlowdown(), 1, 1, worker.coldMillis(nowNanos), waitMillis);
+                expectedMillis(task),
+                worker.relativeSlowdown(),
+                dataFactor(task, worker),
+                1,
+                worker.coldMillis(nowNanos),
+                waitMillis);
     }
 }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/RunResults.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/RunResults.java
@@ -7,6 +7,7 @@
 final class RunResults {
     private final WorkerViews workers;
     private final DurationModel durations;
+    private final RunCosts costs;
     private final DispatchEvents events;
     private final JobEnd answer;
     private final EndedTask remove;
@@ -25,9 +26,16 @@
         void removeIfDone(TrackedJob job, long nowNanos);
     }
 
-    RunResults(WorkerViews workers, DurationModel durations, DispatchEvents events, JobEnd answer, EndedTask remove) {
+    RunResults(
+            WorkerViews workers,
+            DurationModel durations,
+            RunCosts costs,
+            DispatchEvents events,
+            JobEnd answer,
+            EndedTask remove) {
         this.workers = workers;
         this.durations = durations;
+        this.costs = costs;
         this.events = events;
         this.answer = answer;
         this.remove = remove;
@@ -72,7 +80,8 @@
         String queue = task.job().request().queue().name();
         int estimate = task.step().estimateMillis();
         if (view.coldMillis(nowNanos) == 0) {
-            durations.observe(queue, estimate, result.elapsedMillis() / view.relativeSlowdown());
+            double factor = view.relativeSlowdown() * costs.dataFactor(task, view);
+            durations.observe(queue, estimate, result.elapsedMillis() / factor);
         }
         task.markEnded();
         task.job().queueUnblockedTasks();
--- a/core/src/main/java/org/knapweedmount/core/dispatch/TaskPlacer.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/TaskPlacer.java
@@ -67,19 +67,22 @@
         Map<WorkerView, List<TrackedTask>> chosen = new LinkedHashMap<>();
         FreeCapacities freeCapacities = new FreeCapacities(views, nowNanos);
         QueueShares shares = jobs.shares(service, nowNanos);
+        DataLocality data = locality(views, shares, nowNanos);
         for (TrackedJob job : queued) {
             for (TrackedTask task : job.tasks()) {
                 if (task.state() == TaskState.QUEUED) {
                     Optional<WorkerView> worker =
-                            Placement.choose(task, freeCapacities, shares, costs, 1 + otherEntries.count(), nowNanos);
+                            Placement.choose(task, freeCapacities, shares, data, 1 + otherEntries.count(), nowNanos);
                     worker.ifPresent(view -> {
                         freeCapacities.take(view, task.step().need());
+                        data.placed(task, view);
                         chosen.computeIfAbsent(view, key -> new ArrayList<>()).add(task);
                         assign(view, task);
                     });
                 }
             }
         }
+        countWaits(data);
         ResourceDemand demand =
                 chosen.isEmpty() ? demandOf(service, queued, shares, nowNanos) : demandOf(service, nowNanos);
         chosen.forEach((view, tasks) -> sendOrder(view, 0, tasks, demand, nowNanos));
@@ -95,15 +98,31 @@
         String service = view.report().get().service();
         QueueShares shares = jobs.shares(service, nowNanos);
         List<TrackedTask> chosen = new ArrayList<>();
-        Placement.fill(offer.resources(), queuedJobs(service, nowNanos), view, shares, nowNanos, task -> {
+        DataLocality data = locality(workers.forService(service), shares, nowNanos);
+        Placement.fill(offer.resources(), queuedJobs(service, nowNanos), view, shares, data, nowNanos, task -> {
             chosen.add(task);
+            data.placed(task, view);
             assign(view, task);
         });
+        countWaits(data);
         sendOrder(view, offer.number(), chosen, demandOf(service, nowNanos), nowNanos);
         events.flush(nowNanos);
     }
 
+    private DataLocality locality(List<WorkerView> views, QueueShares shares, long nowNanos) {
+        return new DataLocality(views, costs, shares, 1 + otherEntries.count(), nowNanos);
+    }
+
+    private void countWaits(DataLocality data) {
+        for (int wait = 0; wait < data.newWaits(); wait++) {
+            output.count(DispatchCounter.TASKS_WAITED_FOR_DATA);
+        }
+    }
+
     private void assign(WorkerView view, TrackedTask task) {
+        if (costs.dataFactor(task, view) > 1) {
+            output.count(DispatchCounter.RUNS_AWAY_FROM_DATA);
+        }
         task.markOrdered(view.agent());
         costs.ordered(task);
         task.job().runOrdered();
@@ -115,7 +134,7 @@
         Resources need = Resources.NONE;
         for (TrackedTask task : tasks) {
             need = need.plus(task.step().need());
-            int expectedMillis = (int) costs.expectedMillis(task);
+            int expectedMillis = (int) (costs.expectedMillis(task) * costs.dataFactor(task, view));
             RunRequest request = new RunRequest(task.ref(), task.step().need(), expectedMillis, task.checkpoint());
             task.recordOrder(view, nowNanos);
             requests.computeIfAbsent(task.job(), key -> new ArrayList<>()).add(request);
--- a/core/src/main/java/org/knapweedmount/core/dispatch/TrackedTask.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/TrackedTask.java
@@ -1,6 +1,7 @@
 package org.knapweedmount.core.dispatch;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.work.RunRef;
@@ -21,6 +22,7 @@
     private Optional<Incarnation> agent = Optional.empty();
     private Optional<Incarnation> avoidedAgent = Optional.empty();
     private String checkpoint = "";
+    private OptionalLong dataWaitSinceNanos = OptionalLong.empty();
 
     TrackedTask(TrackedJob job, int stepNumber, String name) {
         this.job = job;
@@ -90,9 +92,20 @@
 
     void markQueued() {
         agent = Optional.empty();
+        dataWaitSinceNanos = OptionalLong.empty();
         transitionTo(TaskState.QUEUED);
     }
 
+    /** Records that the task, which could run elsewhere, waits for a worker near its data from now on. */
+    void beginDataWait(long nowNanos) {
+        dataWaitSinceNanos = OptionalLong.of(nowNanos);
+    }
+
+    /** Returns since when the queued task has waited for a worker near its data, in ns; empty if it has not. */
+    OptionalLong dataWaitSinceNanos() {
+        return dataWaitSinceNanos;
+    }
+
     /** Skips run numbers that runs of an earlier submission of the job may have. */
     void skipRunNumbers(int count) {
         runNumber += count;
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatchFixture.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatchFixture.java
@@ -51,6 +51,30 @@
         return worker(name, freeMilliCores, 1, false);
     }
 
+    /** Creates a job with one task whose data is on a rack. */
+    static TrackedJob jobWithData(String id, String rack, int runMillis) {
+        JobStep step = new JobStep(
+                1,
+                new Resources(1_000, 64, 0),
+                runMillis,
+                List.of(),
+                Optional.empty(),
+                Optional.of(rack),
+                Integer.MAX_VALUE);
+        return new TrackedJob(request(id, step), runMillis, 0);
+    }
+
+    /** Creates a worker on a rack. */
+    static WorkerView workerOnRack(String name, int freeMilliCores, String rack) {
+        WorkerView view = worker(name, freeMilliCores, 1);
+        WorkerReport known = view.report().orElseThrow();
+        view.reportReceived(
+                new WorkerReport(
+                        1, "service", name, List.of("a", rack), known.capacity(), known.free(), true, 0, 0, 100, true),
+                0);
+        return view;
+    }
+
     /** Creates a worker that is slow for some time after its start, in ms. */
     static WorkerView coldWorker(String name, int freeMilliCores, int coldMillis) {
         WorkerView view = worker(name, freeMilliCores, 1);
--- a/core/src/test/java/org/knapweedmount/core/dispatch/PlacementTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/PlacementTest.java
@@ -22,13 +22,18 @@
                         job.tasks().get(0),
                         new FreeCapacities(List.of(workers), DispatchFixture.millisToNanos(nowMillis)),
                         shares,
-                        new RunCosts(new DurationModel()),
+                        new DataLocality(
+                                List.of(workers), costs(1), shares, entries, DispatchFixture.millisToNanos(nowMillis)),
                         entries,
                         DispatchFixture.millisToNanos(nowMillis))
                 .map(worker -> worker.agent().process())
                 .orElse("none");
     }
 
+    private static RunCosts costs(double remoteDataFactor) {
+        return new RunCosts(new DurationModel(), new DispatchSettings(remoteDataFactor));
+    }
+
     @Test
     void workerWithTheMostFreeCapacityIsChosen() {
         WorkerView full = DispatchFixture.worker("full", 2_000, 1);
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -104,7 +104,8 @@
         LinkOptions options = LinkOptions.entry(LinkTimings.HEARTBEAT_MILLIS, random.nextLong())
                 .withReceiveTimeout(LinkTimings.RECEIVE_TIMEOUT_MILLIS);
         this.links = new LinkTable<>(vertx, options, self, appliedVersion::get, clock, new Queues(), new Handler());
-        this.dispatchModule = new DispatchModule(new Output(answerHandler), appliedVersion, links::addKnownEntry);
+        this.dispatchModule = new DispatchModule(
+                new Output(answerHandler), settings.dispatch(), appliedVersion, links::addKnownEntry);
         this.metrics = new LazyProcessMetrics(log, links, process -> {
             process.jobs(dispatchModule.dispatcher().status().latencies());
             process.waits(dispatchModule.dispatcher().status().waits());
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchModule.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchModule.java
@@ -13,6 +13,7 @@
 import org.knapweedmount.api.message.Peers;
 import org.knapweedmount.api.message.QueueUpdate;
 import org.knapweedmount.core.dispatch.DispatchOutput;
+import org.knapweedmount.core.dispatch.DispatchSettings;
 import org.knapweedmount.core.dispatch.Dispatcher;
 import org.knapweedmount.core.dispatch.QueueTable;
 
@@ -26,8 +27,12 @@
     private final Set<PeerAddress> entries = new HashSet<>();
     private final Set<Incarnation> agents = new HashSet<>();
 
-    DispatchModule(DispatchOutput output, AtomicLong appliedVersion, Consumer<PeerAddress> entryListener) {
-        this.dispatcher = new Dispatcher(output);
+    DispatchModule(
+            DispatchOutput output,
+            DispatchSettings settings,
+            AtomicLong appliedVersion,
+            Consumer<PeerAddress> entryListener) {
+        this.dispatcher = new Dispatcher(output, settings);
         this.output = output;
         this.appliedVersion = appliedVersion;
         this.entryListener = entryListener;
--- a/daemon/src/main/java/org/knapweedmount/daemon/runtime/NodeSettings.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/runtime/NodeSettings.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.knapweedmount.core.dispatch.DispatchSettings;
 import org.knapweedmount.daemon.settings.HostPort;
 
 /**
@@ -14,6 +15,7 @@
  * @param linkPort the TCP port on which entries accept links, the same on all VMs
  * @param seeds the link addresses that are dialled to find entries
  * @param drainMillis the time limit of a planned stop, in ms
+ * @param dispatch what the operator sets for the placement of runs; an agent does not use it
  */
 public record NodeSettings(
         String name,
@@ -22,7 +24,8 @@
         String host,
         int linkPort,
         List<HostPort> seeds,
-        int drainMillis) {
+        int drainMillis,
+        DispatchSettings dispatch) {
     /** Copies the seeds. */
     public NodeSettings {
         seeds = List.copyOf(seeds);
--- a/daemon/src/test/java/org/knapweedmount/daemon/dispatch/DispatchModuleTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/dispatch/DispatchModuleTest.java
@@ -11,6 +11,7 @@
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.Peers;
 import org.knapweedmount.core.dispatch.DispatchOutput;
+import org.knapweedmount.core.dispatch.DispatchSettings;
 import org.knapweedmount.core.dispatch.JobResult;
 
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -23,7 +24,8 @@
     private static final PeerAddress SECOND = entry("second", 2);
 
     private final List<Peers> sentToFirst = new ArrayList<>();
-    private final DispatchModule module = new DispatchModule(new Recorder(), new AtomicLong(), ignored -> {});
+    private final DispatchModule module =
+            new DispatchModule(new Recorder(), DispatchSettings.DEFAULT, new AtomicLong(), ignored -> {});
 
     private static PeerAddress entry(String name, long nonce) {
         return new PeerAddress(new Incarnation(name, nonce), Role.ENTRY, "region", "data-centre", "127.0.0.1", 1);
