Learn which kinds of tasks slow each other down, and keep them apart

Tasks of two queues beside each other on one worker may take longer than alone. Neither agents nor entries noticed it, as an agent did not know the queue of a run, and an entry sees only its own runs.

An order names the queue of each job. InterferenceObserver at the agent fits the logarithm of the run times of each kind to a constant, the load and the presence of each neighbour, after what the other kinds were slower than predicted is subtracted. A pair counts by a bound of four standard errors, is forgotten with age, and is reported in the condition of the worker with the runs of both kinds that are there now. Entries merge the newest reports, and placement multiplies the cost by what a run and its neighbours lose. It orders workers and bans none.

InterferencePlacementTest keeps a task apart from its neighbour, and together with it where nothing else has capacity.

--- a/api/src/main/java/org/knapweedmount/api/message/KindInterference.java
+++ b/api/src/main/java/org/knapweedmount/api/message/KindInterference.java
@@ -7,5 +7,8 @@
  * @param neighbour the kind of the tasks beside them
  * @param slowdownPercent the run time beside them, in percent of the run time without them
  * @param samples the number of observed durations behind the estimate
+ * @param kindRuns the runs of the slowed kind on the worker at the time of the report
+ * @param neighbourRuns the runs of the other kind on the worker at the time of the report
  */
-public record KindInterference(String kind, String neighbour, int slowdownPercent, int samples) {}
+public record KindInterference(
+        String kind, String neighbour, int slowdownPercent, int samples, int kindRuns, int neighbourRuns) {}
--- a/api/src/main/java/org/knapweedmount/api/message/WorkerCondition.java
+++ b/api/src/main/java/org/knapweedmount/api/message/WorkerCondition.java
@@ -29,4 +29,14 @@
         Objects.requireNonNull(availability, "availability");
         interference = List.copyOf(interference);
     }
+
+    /**
+     * Replaces the pairs of kinds.
+     *
+     * @param pairs the pairs of kinds of tasks that slow each other down
+     * @return this condition with the pairs; this one itself if neither has any
+     */
+    public WorkerCondition withInterference(List<KindInterference> pairs) {
+        return pairs.isEmpty() && interference.isEmpty() ? this : new WorkerCondition(availability, coldMillis, pairs);
+    }
 }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Candidates.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Candidates.java
@@ -19,6 +19,7 @@
 
     private static final int MAX_COST = (1 << COST_BITS) - 1;
 
+    private final TrackedTask task;
     private final WorkerSample sample;
     private final FreeCapacities free;
     private final RunCosts costs;
@@ -29,6 +30,7 @@
     private long bestRank = -1;
 
     Candidates(TrackedTask task, WorkerSample sample, FreeCapacities free, RunCosts costs, long nowNanos) {
+        this.task = task;
         this.sample = sample;
         this.free = free;
         this.costs = costs;
@@ -59,7 +61,8 @@
         Resources capacity = worker.report().orElseThrow().capacity();
         double usedFraction = 1 - (double) free.of(worker).milliCores() / Math.max(1, capacity.milliCores());
         double slowdown = free.isPlentiful() ? worker.relativeSlowdown() : 1;
-        double durationMillis = costs.durationMillis(expectedMillis, slowdown, worker, nowNanos);
+        double durationMillis =
+                costs.durationMillis(expectedMillis, slowdown * costs.interference(task, worker), worker, nowNanos);
         int steps = PlacementScore.steps(expectedMillis, durationMillis, slowdown, usedFraction, meanMillis);
         return Math.min(MAX_COST, Math.max(0, steps));
     }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -79,7 +79,7 @@
         this.cancels = new JobCancels(output);
         this.status = new DispatchStatus(
                 jobs, workers, answers, events.waitLatencies(), this::waitingRequests, cancels::waiting);
-        RunCosts costs = new RunCosts(durations, settings);
+        RunCosts costs = new RunCosts(durations, workers, settings);
         this.placer = new TaskPlacer(
                 output, jobs, workers, maxCapacity, costs, events, new CompetingEntries(heldRequests, ownership));
         this.runResults = new RunResults(workers, durations, costs, events, this::conclude, this::removeIfDone);
--- a/core/src/main/java/org/knapweedmount/core/dispatch/FreeCapacities.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/FreeCapacities.java
@@ -35,7 +35,10 @@
             WorkerView worker = each.getKey();
             totalMilliCores += worker.report().orElseThrow().capacity().milliCores();
             freeMilliCores += each.getValue().milliCores();
-            differ = differ || worker.relativeSlowdown() != 1 || worker.coldMillis(nowNanos) > 0;
+            differ = differ
+                    || worker.relativeSlowdown() != 1
+                    || worker.coldMillis(nowNanos) > 0
+                    || !worker.interference().isEmpty();
         }
         this.costsDiffer = differ;
         this.plentiful = freeMilliCores >= PLENTIFUL_FRACTION * totalMilliCores;
--- a/core/src/main/java/org/knapweedmount/core/dispatch/RunCosts.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/RunCosts.java
@@ -3,17 +3,21 @@
 import java.util.HashMap;
 import java.util.Map;
 
+import org.knapweedmount.api.work.WorkQueue;
+import org.knapweedmount.core.cost.InterferenceTable;
 import org.knapweedmount.core.cost.MeanDuration;
 import org.knapweedmount.core.cost.RunCost;
 
 /** Predicts what runs cost on the workers that an entry knows. */
 final class RunCosts {
     private final DurationModel durations;
+    private final WorkerViews workers;
     private final double remoteDataFactor;
     private final Map<String, MeanDuration> means = new HashMap<>();
 
-    RunCosts(DurationModel durations, DispatchSettings settings) {
+    RunCosts(DurationModel durations, WorkerViews workers, DispatchSettings settings) {
         this.durations = durations;
+        this.workers = workers;
         this.remoteDataFactor = settings.remoteDataFactor();
     }
 
@@ -45,9 +49,16 @@
                 .add(task.step().need().milliCores(), expectedMillis(task));
     }
 
-    /** Returns the duration of a run on a worker from its expected duration and the slowdown of the worker, in ms. */
-    double durationMillis(double expectedMillis, double slowdown, WorkerView worker, long nowNanos) {
-        return RunCost.withCold(expectedMillis * slowdown, worker.coldMillis(nowNanos));
+    /** Returns how many times as long a run takes because of what runs on a worker, and what the others lose by it. */
+    double interference(TrackedTask task, WorkerView worker) {
+        WorkQueue queue = task.job().request().queue();
+        InterferenceTable table = workers.interference(queue.service());
+        return table.isEmpty() ? 1 : worker.interference(queue.name(), table);
+    }
+
+    /** Returns the duration of a run on a worker from its expected duration and its other factors, in ms. */
+    double durationMillis(double expectedMillis, double factor, WorkerView worker, long nowNanos) {
+        return RunCost.withCold(expectedMillis * factor, worker.coldMillis(nowNanos));
     }
 
     /** Predicts a run of a task that starts on a worker after a wait, in ms. */
@@ -56,7 +67,7 @@
                 expectedMillis(task),
                 worker.relativeSlowdown(),
                 dataFactor(task, worker),
-                1,
+                interference(task, worker),
                 worker.coldMillis(nowNanos),
                 waitMillis);
     }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/TaskPlacer.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/TaskPlacer.java
@@ -140,7 +140,8 @@
             requests.computeIfAbsent(task.job(), key -> new ArrayList<>()).add(request);
         }
         List<JobRuns> runs = new ArrayList<>();
-        requests.forEach((job, list) -> runs.add(new JobRuns(job.request().spec(), list)));
+        requests.forEach((job, list) ->
+                runs.add(new JobRuns(job.request().queue().name(), job.request().spec(), list)));
         events.ordered(view, offer, tasks, nowNanos);
         long timestampNanos = view.report().orElseThrow().timestampNanos();
         output.send(view.agent(), new RunOrder(view.registerOrder(need), timestampNanos, offer, runs, demand));
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
@@ -10,9 +10,11 @@
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.message.KindInterference;
 import org.knapweedmount.api.message.ResourceDemand;
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.work.RunRef;
+import org.knapweedmount.core.cost.InterferenceTable;
 import org.knapweedmount.core.cost.WorkerSpeed;
 
 /** An entry's view of a worker, from the reports of the worker's agent and the entry's own orders. */
@@ -191,6 +193,34 @@
                 && (capacity - report.get().free().milliCores()) * MIN_USED_DIVISOR >= capacity;
     }
 
+    /** Returns the pairs of kinds of tasks that slow each other down here, by the last report of the agent. */
+    List<KindInterference> interference() {
+        return report.isEmpty() ? List.of() : report.get().condition().interference();
+    }
+
+    /**
+     * Returns how many times as long a run of a task takes here beside the runs that are known to be here, plus what these
+     * lose by it, as a fraction of the run: this entry's own ones, and those that the agent has told with its pairs.
+     */
+    double interference(String kind, InterferenceTable table) {
+        double ownSlowdown = 1;
+        double slowdownOfOthers = 1;
+        for (TrackedTask task : orderedTasks.values()) {
+            String neighbour = task.job().request().queue().name();
+            ownSlowdown = Math.max(ownSlowdown, table.slowdown(kind, neighbour));
+            slowdownOfOthers = Math.max(slowdownOfOthers, table.slowdown(neighbour, kind));
+        }
+        for (KindInterference pair : interference()) {
+            if (pair.kind().equals(kind) && pair.neighbourRuns() > 0) {
+                ownSlowdown = Math.max(ownSlowdown, table.slowdown(kind, pair.neighbour()));
+            }
+            if (pair.neighbour().equals(kind) && pair.kindRuns() > 0) {
+                slowdownOfOthers = Math.max(slowdownOfOthers, table.slowdown(pair.kind(), kind));
+            }
+        }
+        return ownSlowdown + slowdownOfOthers - 1;
+    }
+
     /** Returns how much longer the worker is slow after its start, in ms. */
     double coldMillis(long nowNanos) {
         if (report.isEmpty() || report.get().condition().coldMillis() == 0) {
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerViews.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerViews.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 
 import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.core.cost.InterferenceTable;
 import org.knapweedmount.core.cost.ServiceSpeeds;
 
 /** The workers that an entry knows, by their agents. */
@@ -21,6 +22,7 @@
     private static final int MAX_INCARNATIONS = 8;
 
     private final Map<Incarnation, WorkerView> views = new LinkedHashMap<>();
+    private final Map<String, InterferenceTable> interference = new HashMap<>();
     private OptionalLong slowdownsUpdatedNanos = OptionalLong.empty();
 
     /** The incarnations of each agent in the order of their first links, also those without a view. */
@@ -100,6 +102,8 @@
                         .add(view);
             }
         }
+        interference.clear();
+        services.forEach((service, workers) -> interference.put(service, interferenceOf(workers)));
         for (List<WorkerView> workers : services.values()) {
             double[] slowdowns = workers.stream()
                     .mapToDouble(WorkerView::reportedSlowdown)
@@ -116,6 +120,17 @@
         }
     }
 
+    private static InterferenceTable interferenceOf(List<WorkerView> workers) {
+        return InterferenceTable.of(workers.stream()
+                .flatMap(worker -> worker.interference().stream())
+                .toList());
+    }
+
+    /** Returns the kinds of tasks of a service that slow each other down, by the reports of the agents. */
+    InterferenceTable interference(String service) {
+        return interference.getOrDefault(service, InterferenceTable.EMPTY);
+    }
+
     /**
      * Returns the cores of all workers of a service that accept starts; those of a faster worker count for as many cores
      * of the median worker as do the same work.
--- a/core/src/main/java/org/knapweedmount/core/worker/RunControl.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunControl.java
@@ -5,6 +5,7 @@
 import org.knapweedmount.api.work.RunOutcome;
 import org.knapweedmount.api.work.RunRef;
 import org.knapweedmount.api.work.RunResult;
+import org.knapweedmount.core.worker.interference.PairChange;
 
 /** Stops and ends the runs of a worker, and extends their common lease. */
 final class RunControl {
@@ -61,6 +62,11 @@
     /** Removes a run that has ended or will never start, and records the result for its entry. */
     void end(TrackedRun run, RunOutcome outcome, RunEndEvidence evidence, String checkpoint, long nowNanos) {
         runs.remove(run.ref());
+        runs.interference().ended(run.ref(), outcome == RunOutcome.DONE, nowNanos);
+        for (PairChange change : runs.interference().takeChanges()) {
+            output.count(change.found() ? RunCounter.PAIRS_FOUND : RunCounter.PAIRS_FORGOTTEN);
+            output.logEvent(change.event(), change.detail());
+        }
         events.released(run, outcome, evidence, lease.describe(worker.incarnation(), nowNanos), nowNanos);
         int elapsedMillis = (int) WorkerTimings.millis(nowNanos - run.orderedNanos());
         entries.addResult(run.entry(), new RunResult(run.ref(), outcome, elapsedMillis, checkpoint));
--- a/core/src/main/java/org/knapweedmount/core/worker/RunCounter.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunCounter.java
@@ -1,11 +1,15 @@
 package org.knapweedmount.core.worker;
 
-/** Counters of runs that an agent has not seen end. */
+/** Counters of what an agent observes of runs: those that it has not seen end, and what it learns of the others. */
 public enum RunCounter {
     /** Runs of an unresponsive worker whose lease has expired by the worker's clock. */
     LAPSED_BY_CLOCK,
     /** Runs that ended because a later incarnation of the worker announced itself. */
     ENDED_BY_NEW_INCARNATION,
     /** Listings of a run, or of its end, that the agent does not hold. */
-    FOREIGN
+    FOREIGN,
+    /** Pairs of kinds of tasks that were found to slow each other down. */
+    PAIRS_FOUND,
+    /** Pairs of kinds of tasks that are no longer known to slow each other down. */
+    PAIRS_FORGOTTEN
 }
--- a/core/src/main/java/org/knapweedmount/core/worker/RunTable.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunTable.java
@@ -9,7 +9,9 @@
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.message.WorkerCondition;
 import org.knapweedmount.api.work.RunRef;
+import org.knapweedmount.core.worker.interference.InterferenceObserver;
 
 /**
  * The runs that occupy capacity on a worker.
@@ -19,11 +21,18 @@
  */
 final class RunTable {
     private final Map<RunRef, TrackedRun> runs = new LinkedHashMap<>();
+    private final InterferenceObserver interference = new InterferenceObserver();
     private Resources usedCapacity = Resources.NONE;
 
     void add(TrackedRun run) {
         runs.put(run.ref(), run);
         usedCapacity = usedCapacity.plus(run.resources());
+        interference.started(
+                run.ref(),
+                run.kind(),
+                run.resources().milliCores(),
+                run.request().expectedMillis(),
+                run.orderedNanos());
     }
 
     Optional<TrackedRun> remove(RunRef ref) {
@@ -35,6 +44,16 @@
         return Optional.of(run);
     }
 
+    /** Returns what is learnt of the kinds of tasks that slow each other down here. */
+    InterferenceObserver interference() {
+        return interference;
+    }
+
+    /** Returns the condition of the worker as far as its runs show it. */
+    WorkerCondition condition(long nowNanos) {
+        return WorkerCondition.NORMAL.withInterference(interference.pairs(nowNanos));
+    }
+
     Optional<TrackedRun> find(RunRef ref) {
         return Optional.ofNullable(runs.get(ref));
     }
--- a/core/src/main/java/org/knapweedmount/core/worker/TrackedRun.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/TrackedRun.java
@@ -14,6 +14,7 @@
 
     private final Incarnation entry;
     private final RunRequest request;
+    private final String kind;
     private WorkerIncarnation incarnation;
     private final long orderedNanos;
     private RunState state = RunState.STARTING;
@@ -26,9 +27,15 @@
     private boolean sampled;
     private int absences;
 
-    TrackedRun(Incarnation entry, WorkerIncarnation incarnation, RunRequest request, long nowNanos) {
+    /**
+     * Creates a run that is ordered now.
+     *
+     * @param kind the kind of its task, the name of its queue
+     */
+    TrackedRun(Incarnation entry, WorkerIncarnation incarnation, String kind, RunRequest request, long nowNanos) {
         this.entry = entry;
         this.incarnation = incarnation;
+        this.kind = kind;
         this.request = request;
         this.orderedNanos = nowNanos;
         this.stateNanos = nowNanos;
@@ -44,6 +51,11 @@
         return request;
     }
 
+    /** Returns the kind of the run's task. */
+    String kind() {
+        return kind;
+    }
+
     /** Returns whether the run was ordered from an incarnation, or found there. */
     boolean isAt(WorkerIncarnation other) {
         return incarnation.equals(other);
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -195,7 +195,7 @@
             for (RunRequest run : job.runs()) {
                 Optional<String> refusal = refusalReason(run, outdated, nowNanos);
                 if (refusal.isEmpty()) {
-                    start(from, order.timestampNanos(), job.spec(), run, nowNanos);
+                    start(from, order.timestampNanos(), job, run, nowNanos);
                 } else {
                     events.orderRefused(run.ref(), refusal.get(), runs.describeLoad(free()));
                     entries.addResult(from, new RunResult(run.ref(), RunOutcome.REFUSED, 0, ""));
@@ -220,12 +220,12 @@
         return Optional.empty();
     }
 
-    private void start(Incarnation from, long timestampNanos, String spec, RunRequest request, long nowNanos) {
-        runs.add(new TrackedRun(from, incarnation(), request, nowNanos));
+    private void start(Incarnation from, long timestampNanos, JobRuns job, RunRequest request, long nowNanos) {
+        runs.add(new TrackedRun(from, incarnation(), job.queue(), request, nowNanos));
         long expiryMillis = control.extendLease(nowNanos);
         long ageNanos = WorkerTimings.nanos(lease.timestampMillis(nowNanos)) - timestampNanos;
         events.accepted(from, request.ref(), ageNanos, expiryMillis, lease.describe(incarnation(), nowNanos), nowNanos);
-        output.start(incarnation(), spec, request, fence.token(), expiryMillis);
+        output.start(incarnation(), job.spec(), request, fence.token(), expiryMillis);
     }
 
     /**
@@ -545,7 +545,8 @@
                 entryView.lastOrderNumber(),
                 entries.backlogCoreMillisExcept(entryView),
                 slowdown.percent(nowNanos),
-                entries.isPrompt(entry));
+                entries.isPrompt(entry),
+                runs.condition(nowNanos));
     }
 
     private Resources free() {
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DataLocalityTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DataLocalityTest.java
@@ -19,7 +19,7 @@
 
     private final List<WorkerView> workers = new ArrayList<>();
     private final DurationModel durations = new DurationModel();
-    private RunCosts costs = new RunCosts(durations, new DispatchSettings(3));
+    private RunCosts costs = new RunCosts(durations, new WorkerViews(), new DispatchSettings(3));
 
     /** Adds workers of 16 cores on the rack and elsewhere, with the free cores of each, in thousandths. */
     private void addWorkers(int near, int nearFree, int away, int awayFree) {
@@ -89,7 +89,7 @@
     /** Guards against a wait in which the last chance passes to meet the target by a remote run. */
     @Test
     void taskDoesNotWaitBeyondATargetThatARemoteRunMeets() {
-        costs = new RunCosts(durations, new DispatchSettings(1.5));
+        costs = new RunCosts(durations, new WorkerViews(), new DispatchSettings(1.5));
         addWorkers(8, 900, 4, 16_000);
         List<TrackedJob> jobs = jobs(1, 1_000);
 
@@ -123,7 +123,7 @@
     /** Guards against a changed placement at a site whose settings say nothing about data. */
     @Test
     void withoutAFactorARemoteWorkerIsChosenAtOnce() {
-        costs = new RunCosts(durations, DispatchSettings.DEFAULT);
+        costs = new RunCosts(durations, new WorkerViews(), DispatchSettings.DEFAULT);
         addWorkers(8, 900, 4, 16_000);
 
         assertThat(place(jobs(1, RUN_MILLIS), 0), is(List.of("away")));
--- a/core/src/test/java/org/knapweedmount/core/dispatch/PlacementTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/PlacementTest.java
@@ -11,6 +11,7 @@
 
 class PlacementTest {
     private static final int AGENTS = 54;
+    private static final WorkerViews VIEWS = new WorkerViews();
 
     private static String choose(TrackedJob job, long nowMillis, WorkerView... workers) {
         return choose(job, nowMillis, 1, workers);
@@ -31,7 +32,7 @@
     }
 
     private static RunCosts costs(double remoteDataFactor) {
-        return new RunCosts(new DurationModel(), new DispatchSettings(remoteDataFactor));
+        return new RunCosts(new DurationModel(), VIEWS, new DispatchSettings(remoteDataFactor));
     }
 
     @Test
--- a/core/src/test/java/org/knapweedmount/core/worker/RunEventsTest.java
+++ b/core/src/test/java/org/knapweedmount/core/worker/RunEventsTest.java
@@ -60,7 +60,7 @@
                         1,
                         millisToNanos(timestampMillis),
                         0,
-                        List.of(new JobRuns("spec", List.of(request))),
+                        List.of(new JobRuns("queue", "spec", List.of(request))),
                         ResourceDemand.NONE),
                 millisToNanos(millis));
     }
--- a/core/src/test/java/org/knapweedmount/core/worker/SuccessorTokenTest.java
+++ b/core/src/test/java/org/knapweedmount/core/worker/SuccessorTokenTest.java
@@ -93,7 +93,7 @@
             run(agent, life, 1);
         }
         assertThat("accepts starts, at token " + agent.lastToken, agent.acceptsStarts, is(true));
-        List<JobRuns> jobs = List.of(new JobRuns("spec", List.of(new RunRequest(RUN, CORE, 300, ""))));
+        List<JobRuns> jobs = List.of(new JobRuns("queue", "spec", List.of(new RunRequest(RUN, CORE, 300, ""))));
         agent.worker.receive(
                 ENTRY, new RunOrder(1, agent.timestampNanos, 0, jobs, ResourceDemand.NONE), millisToNanos(nowMillis));
         run(agent, life, 2 * CALL_MILLIS);
--- a/core/src/test/java/org/knapweedmount/core/worker/WorkerAgentTest.java
+++ b/core/src/test/java/org/knapweedmount/core/worker/WorkerAgentTest.java
@@ -77,8 +77,8 @@
             requests.add(new RunRequest(ref(task), CORE, 300, ""));
         }
         orders++;
-        RunOrder order =
-                new RunOrder(orders, timestampNanos, 0, List.of(new JobRuns("spec", requests)), ResourceDemand.NONE);
+        RunOrder order = new RunOrder(
+                orders, timestampNanos, 0, List.of(new JobRuns("queue", "spec", requests)), ResourceDemand.NONE);
         agent.receive(entry, order, millisToNanos(nowMillis));
     }
 
--- a/core/src/test/java/org/knapweedmount/core/worker/WorkerReplacementTest.java
+++ b/core/src/test/java/org/knapweedmount/core/worker/WorkerReplacementTest.java
@@ -67,7 +67,7 @@
     private void order(RunRef run, long nowMillis) {
         orders++;
         agent.linked(ENTRY, millisToNanos(nowMillis));
-        List<JobRuns> jobs = List.of(new JobRuns("spec", List.of(new RunRequest(run, CORE, 300, ""))));
+        List<JobRuns> jobs = List.of(new JobRuns("queue", "spec", List.of(new RunRequest(run, CORE, 300, ""))));
         agent.receive(
                 ENTRY,
                 new RunOrder(orders, output.timestampNanos, 0, jobs, ResourceDemand.NONE),
--- a/wire/src/main/java/org/knapweedmount/wire/WorkMessages.java
+++ b/wire/src/main/java/org/knapweedmount/wire/WorkMessages.java
@@ -64,16 +64,24 @@
 
     private static void writeInterference(FieldWriter out, KindInterference interference)
             throws IOException, FrameException {
-        out.arrayHeader(4)
+        out.arrayHeader(6)
                 .name(interference.kind())
                 .name(interference.neighbour())
                 .number(interference.slowdownPercent())
-                .number(interference.samples());
+                .number(interference.samples())
+                .number(interference.kindRuns())
+                .number(interference.neighbourRuns());
     }
 
     private static KindInterference readInterference(FieldReader in) throws IOException, FrameException {
-        in.expectArray(4);
-        return new KindInterference(in.name(), in.name(), in.nonNegativeInt(), in.nonNegativeInt());
+        in.expectArray(6);
+        return new KindInterference(
+                in.name(),
+                in.name(),
+                in.nonNegativeInt(),
+                in.nonNegativeInt(),
+                in.nonNegativeInt(),
+                in.nonNegativeInt());
     }
 
     static WorkerReport readWorkerReport(FieldReader in) throws IOException, FrameException {
@@ -130,12 +138,12 @@
     }
 
     private static void writeJobRuns(FieldWriter out, JobRuns job) throws IOException, FrameException {
-        out.arrayHeader(2).text(job.spec()).list(job.runs(), WorkMessages::writeRunRequest);
+        out.arrayHeader(3).name(job.queue()).text(job.spec()).list(job.runs(), WorkMessages::writeRunRequest);
     }
 
     private static JobRuns readJobRuns(FieldReader in) throws IOException, FrameException {
-        in.expectArray(2);
-        return new JobRuns(in.text(), in.list(WorkMessages::readRunRequest));
+        in.expectArray(3);
+        return new JobRuns(in.name(), in.text(), in.list(WorkMessages::readRunRequest));
     }
 
     private static void writeRunRequest(FieldWriter out, RunRequest request) throws IOException, FrameException {
--- a/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
+++ b/wire/src/test/java/org/knapweedmount/wire/RandomMessages.java
@@ -176,7 +176,8 @@
         return new WorkerCondition(
                 pick(WorkerCondition.Availability.values()),
                 nonNegativeInt(),
-                list(() -> new KindInterference(text(), text(), nonNegativeInt(), nonNegativeInt())));
+                list(() -> new KindInterference(
+                        text(), text(), nonNegativeInt(), nonNegativeInt(), nonNegativeInt(), nonNegativeInt())));
     }
 
     private ResourceDemand resourceDemand() {
@@ -192,7 +193,7 @@
     }
 
     private JobRuns jobRuns() {
-        return new JobRuns(text(), list(() -> new RunRequest(runRef(), resources(), nonNegativeInt(), text())));
+        return new JobRuns(text(), text(), list(() -> new RunRequest(runRef(), resources(), nonNegativeInt(), text())));
     }
 
     private WorkQueue workQueue() {
