--- a/standins/src/main/java/org/knapweedmount/standins/soak/FaultInjector.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/FaultInjector.java
@@ -150,6 +150,16 @@
         });
     }
 
+    /** Closes the data centre of an agent, and reopens it after the fault's time. */
+    void evacuate(Fault fault) {
+        String dataCentre =
+                SoakPrograms.dataCentre(1 + fault.target() % programs.agents().size());
+        onContext(() -> {
+            site.closeDataCentre(dataCentre);
+            later(fault.durationMillis(), () -> site.reopenDataCentre(dataCentre));
+        });
+    }
+
     void crashWorker(Fault fault, boolean sameId) {
         onContext(() -> {
             SoakWorker worker = place(fault).worker();
--- a/standins/src/main/java/org/knapweedmount/standins/soak/FaultKind.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/FaultKind.java
@@ -57,7 +57,9 @@
     /** SIGSTOP of an agent as soon as its worker has executed an order, and SIGCONT after the fault's time. */
     FREEZE_AFTER_ORDER(0, FaultTarget.WORKER, FaultInjector::freezeAfterOrder),
     /** A worker with another ID begins on a VM; the old one drains from then on, for the fault's time. */
-    WORKER_REPLACED(0, FaultTarget.WORKER, FaultInjector::replaceWorker);
+    WORKER_REPLACED(0, FaultTarget.WORKER, FaultInjector::replaceWorker),
+    /** The operator closes the data centre of a worker, and reopens it after the fault's time. */
+    EVACUATION(0, FaultTarget.WORKER, FaultInjector::evacuate);
 
     private final int weight;
     private final FaultTarget target;
--- a/standins/src/main/java/org/knapweedmount/standins/soak/FaultSeries.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/FaultSeries.java
@@ -91,6 +91,36 @@
             return faults;
         }
     },
+    /** A data centre is closed and reopened, while entries and agents are killed and their links are reset. */
+    EVACUATION {
+        @Override
+        List<Fault> draw(Draw draw) {
+            List<Fault> faults = new ArrayList<>();
+            int closedMillis = draw.between(6_500, 9_000);
+            faults.add(draw.fault(0, FaultKind.EVACUATION, draw.worker(), closedMillis));
+            for (int i = draw.between(2, 5); i > 0; i--) {
+                FaultKind kind = draw.isLikely(0.5) ? FaultKind.KILL : FaultKind.LINK_RESET;
+                int process = draw.isLikely(0.5) ? draw.entry() - 1 : draw.entries() + draw.worker();
+                faults.add(draw.fault(draw.between(0, closedMillis), kind, process, draw.between(100, 1_500)));
+            }
+            return faults;
+        }
+
+        @Override
+        int minPauseMillis() {
+            return 12_000;
+        }
+
+        @Override
+        int maxPauseMillis() {
+            return 15_000;
+        }
+
+        @Override
+        boolean isAmongOtherFaults() {
+            return false;
+        }
+    },
     /**
      * All entries are stopped as planned, one shortly after another, so that callers use entries that are stopping; some
      * have little processor time, some pause near the end of their stop.
--- a/standins/src/main/java/org/knapweedmount/standins/soak/RunHistory.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/RunHistory.java
@@ -28,6 +28,7 @@
     private final Map<String, Integer> usedByWorker = new HashMap<>();
     private final Map<CallerAnswer, Integer> answers = new EnumMap<>(CallerAnswer.class);
     private final List<Violation> violations = new ArrayList<>();
+    private final ClosedWorkers closedWorkers = new ClosedWorkers();
     private int starts;
     private int cancels;
     private long lastMillis;
@@ -89,6 +90,11 @@
         }
     }
 
+    /** Returns the workers on which nothing may be started. */
+    ClosedWorkers closedWorkers() {
+        return closedWorkers;
+    }
+
     /** Adds a broken rule that was found elsewhere. */
     void add(Violation violation) {
         violations.add(violation);
@@ -110,6 +116,7 @@
     /** Records that a worker of a capacity starts a run; the worker's name contains its incarnation. */
     void started(String worker, int capacity, String task, int number, int milliCores, long millis) {
         starts++;
+        closedWorkers.started(worker, task, millis).ifPresent(violations::add);
         Job job = jobs.computeIfAbsent(jobOf(task), id -> new Job(0));
         if (!job.started) {
             job.started = true;
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakPrograms.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakPrograms.java
@@ -39,24 +39,29 @@
         this.entryCount = entryCount;
         this.watchdog = new ProcessWatchdog();
         for (int entry = 1; entry <= entryCount; entry++) {
-            ObjectNode settings = settings("entry-" + entry, addresses.entryHost(entry))
+            ObjectNode settings = settings("entry-" + entry, dataCentre(entry), addresses.entryHost(entry))
                     .put("callers", addresses.callers(entry).toString())
                     .put("readiness", addresses.readiness(entry).toString());
             entries.add(program("entry", "entry-" + entry, settings));
         }
         for (int agent = 1; agent <= agentCount; agent++) {
-            ObjectNode settings = settings("agent-" + agent, addresses.agentHost(agent))
+            ObjectNode settings = settings("agent-" + agent, dataCentre(agent), addresses.agentHost(agent))
                     .put("worker", addresses.worker(agent).toString());
             agents.add(program("agent", "agent-" + agent, settings));
         }
     }
 
-    private ObjectNode settings(String name, String host) {
+    /** Returns the data centre of the entry or agent of a number; half of them are in each of two. */
+    static String dataCentre(int number) {
+        return "soak-" + (number % 2 == 0 ? "b" : "a");
+    }
+
+    private ObjectNode settings(String name, String dataCentre, String host) {
         ObjectNode settings = JsonNodeFactory.instance
                 .objectNode()
                 .put("name", name)
                 .put("region", "soak")
-                .put("dataCentre", "soak-a")
+                .put("dataCentre", dataCentre)
                 .put("host", host)
                 .put("announcements", addresses.announcements(host).toString())
                 .put("linkPort", addresses.linkPort())
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakSite.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakSite.java
@@ -81,7 +81,7 @@
                 workerSite,
                 addresses.worker(agent),
                 addresses.announcements(addresses.agentHost(agent)),
-                addresses.agentHost(agent).replace('.', '-') + "-" + name,
+                workerName(agent) + name,
                 clock,
                 ofWorkers);
         workerSite.add(worker);
@@ -161,6 +161,30 @@
         return history;
     }
 
+    /** Writes the order to close a data centre; no worker there may start a run once the programs had time to obey. */
+    void closeDataCentre(String name) {
+        store.closeDataCentre(name);
+        history.closedWorkers().close(workers(name), nowMillis());
+    }
+
+    /** Removes the order to close a data centre. */
+    void reopenDataCentre(String name) {
+        history.closedWorkers().reopen(workers(name));
+        store.reopenDataCentre(name);
+    }
+
+    /** Returns the beginnings of the names of the workers of a data centre. */
+    private List<String> workers(String dataCentre) {
+        return IntStream.rangeClosed(1, options.agents())
+                .filter(agent -> SoakPrograms.dataCentre(agent).equals(dataCentre))
+                .mapToObj(this::workerName)
+                .toList();
+    }
+
+    private String workerName(int agent) {
+        return addresses.agentHost(agent).replace('.', '-') + "-";
+    }
+
     void writeConfig() {
         store.writeConfig(config.next());
     }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakStore.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakStore.java
@@ -29,6 +29,7 @@
 final class SoakStore {
     private static final String CONFIG_TABLE = "op";
     private static final String CONFIG_KEY = "config";
+    private static final String EVACUATION_PREFIX = "evacuate/";
     private static final int OK = 200;
     private static final int PRECONDITION_FAILED = 412;
 
@@ -38,15 +39,16 @@
     private final List<Runnable> polls = new ArrayList<>();
     private long version;
 
-    private record Row(String table, String key, String value, long version) {
+    private record Row(String table, String key, String value, long version, boolean removed) {
         private ObjectNode json() {
-            return JsonNodeFactory.instance
+            ObjectNode row = JsonNodeFactory.instance
                     .objectNode()
                     .put("table", table)
                     .put("part", "")
                     .put("key", key)
                     .put("value", value)
                     .put("ver", version);
+            return removed ? row.put("removed", true) : row;
         }
     }
 
@@ -66,6 +68,18 @@
         wakePolls();
     }
 
+    /** Writes the order to close a data centre; its value is no JSON. */
+    void closeDataCentre(String name) {
+        put(CONFIG_TABLE, EVACUATION_PREFIX + name, encode("closed by the soak"));
+        wakePolls();
+    }
+
+    /** Removes the order to close a data centre. */
+    void reopenDataCentre(String name) {
+        remove(CONFIG_TABLE, EVACUATION_PREFIX + name);
+        wakePolls();
+    }
+
     private static String encode(String text) {
         return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
     }
@@ -76,7 +90,12 @@
 
     private void put(String table, String key, String value) {
         version++;
-        rows(table).put(key, new Row(table, key, value, version));
+        rows(table).put(key, new Row(table, key, value, version, false));
+    }
+
+    private void remove(String table, String key) {
+        version++;
+        rows(table).put(key, new Row(table, key, "", version, true));
     }
 
     private NavigableMap<String, Row> rows(String table) {
@@ -108,9 +127,10 @@
         String from = request.getParam("from", "");
         int limit = Integer.parseInt(request.getParam("limit", "500"));
         List<Row> found = rows(request.getParam("table")).tailMap(from, true).values().stream()
-                .limit(limit)
+                .filter(row -> !row.removed)
                 .toList();
-        JsonHttp.respond(request, OK, answer(found));
+        List<Row> page = found.subList(0, Math.min(limit, found.size()));
+        JsonHttp.respond(request, OK, answer(page).put("hasMore", page.size() < found.size()));
     }
 
     private void follow(HttpServerRequest request) {
@@ -140,10 +160,11 @@
         for (JsonNode condition : body.path("precondition")) {
             Row row = rows(condition.path("table").asText())
                     .get(condition.path("key").asText());
-            long found = row == null ? 0 : row.version;
+            boolean exists = row != null && !row.removed;
+            long found = exists ? row.version : 0;
             if (found != condition.path("ver").asLong()) {
                 holds = false;
-                if (row != null) {
+                if (exists) {
                     conflicts.add(row);
                 }
             }
@@ -156,8 +177,7 @@
                         encode(writtenRow.apply(decode(write.path("value").asText()))));
             }
             for (JsonNode remove : body.path("remove")) {
-                version++;
-                rows(remove.path("table").asText()).remove(remove.path("key").asText());
+                remove(remove.path("table").asText(), remove.path("key").asText());
             }
         }
         JsonHttp.respond(request, holds ? OK : PRECONDITION_FAILED, answer(conflicts));
--- a/standins/src/main/java/org/knapweedmount/standins/soak/Violation.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/Violation.java
@@ -26,6 +26,8 @@
          */
         LOST,
         /** A worker refuses each call of its agent for long, or is ready and has accepted none for as long after the faults. */
-        CLOSED
+        CLOSED,
+        /** A run starts in a data centre although the order to close it was confirmed long before. */
+        EVACUATED
     }
 }
