Test that jobs end on time or are refused during an evacuation

Cause: the requirements ask that work which does not fit after the closing of a data centre is refused at once, and no test showed that it is not.

--- a/core/src/test/java/org/knapweedmount/core/work/EvacuationLoadTest.java
+++ b/core/src/test/java/org/knapweedmount/core/work/EvacuationLoadTest.java
@@ -10,12 +10,14 @@
 import org.knapweedmount.api.message.ClosedDataCentres;
 import org.knapweedmount.api.work.RunRef;
 import org.knapweedmount.api.work.WorkQueue;
+import org.knapweedmount.core.dispatch.JobResult;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 /**
  * Simulates four data centres of six workers with 16 cores each and four entries; the jobs demand 70% of all cores. One data
@@ -114,6 +116,27 @@
         }
     }
 
+    /** Guards against jobs that are admitted beyond the capacity of the other data centres and then end late. */
+    @Test
+    void jobsAreOnTimeOrRefusedOnArrival() {
+        closeUnderLoad();
+
+        List<String> inVain = load.runMillis().keySet().stream()
+                .filter(job -> !isOnTime(job) && !isRefusedOnArrival(job))
+                .toList();
+        double fraction = (double) inVain.size() / load.runMillis().size();
+        assertThat(QUEUES.stream().map(load::outcomes).toList().toString(), fraction, lessThan(0.02));
+    }
+
+    private boolean isOnTime(String job) {
+        boolean completed = fleet.results().get(job).kind() == JobResult.Kind.COMPLETED;
+        return completed && fleet.responseMillis(job) <= 1.6 * load.runMillis().get(job) + 60;
+    }
+
+    private boolean isRefusedOnArrival(String job) {
+        return fleet.results().get(job).kind() == JobResult.Kind.NOT_RUN && fleet.responseMillis(job) == 0;
+    }
+
     /** Guards against a data centre whose capacity is not used again, or is used before its first step is over. */
     @Test
     void allCapacityIsUsedAgainAfterTheReopening() {
