Stop the callers' server only after two short turns of its event loop

A connection that is registered in one turn of the event loop is read in the next one only. The server stopped after one short turn and would close such a connection as one without a request, as soon as it knows connections before their first bytes, which the limits for callers need. It now waits for two short turns without a longer one between them, at the cost of 1 ms or more. GracefulShutdownTest passes.

--- a/daemon/src/main/java/org/knapweedmount/daemon/http/GracefulShutdown.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/GracefulShutdown.java
@@ -23,6 +23,12 @@
     /** The maximum duration of a turn, in ms; a request that is sent during one may be lost, after that time at most. */
     private static final int MAX_TURN_MILLIS = 50;
 
+    /**
+     * The number of short turns before the server stops: a connection that is registered in one turn is read in the next
+     * one only, and would be closed as one without a request.
+     */
+    private static final int TURNS_BEFORE_SHUTDOWN = 2;
+
     /** The delay of a timer that is due in the next turn, after the sockets are read. */
     private static final int NEXT_TURN_MILLIS = 1;
 
@@ -58,7 +64,7 @@
                 Math.max(1, limitMillis),
                 timer -> ended.tryFail(new TimeoutException(
                         unanswered.getAsInt() + " requests were not answered within " + limitMillis + " ms")));
-        afterShortTurn(() -> {
+        afterShortTurns(TURNS_BEFORE_SHUTDOWN, TURNS_BEFORE_SHUTDOWN, () -> {
             server.shutdown(limitMillis, TimeUnit.MILLISECONDS);
             endWhenAnswered();
         });
@@ -66,7 +72,7 @@
     }
 
     private void endWhenAnswered() {
-        afterShortTurn(() -> {
+        afterShortTurns(1, 1, () -> {
             if (unanswered.getAsInt() == 0) {
                 ended.tryComplete();
             } else if (!ended.future().isComplete()) {
@@ -75,13 +81,15 @@
         });
     }
 
-    private void afterShortTurn(Runnable step) {
+    /** Runs a step after a number of short turns without a longer one between them, of which some are left. */
+    private void afterShortTurns(int turns, int left, Runnable step) {
         long startNanos = clock.nanos();
         vertx.setTimer(NEXT_TURN_MILLIS, timer -> {
-            if (clock.nanos() - startNanos <= TimeUnit.MILLISECONDS.toNanos(MAX_TURN_MILLIS)) {
+            boolean isShort = clock.nanos() - startNanos <= TimeUnit.MILLISECONDS.toNanos(MAX_TURN_MILLIS);
+            if (isShort && left == 1) {
                 step.run();
             } else {
-                afterShortTurn(step);
+                afterShortTurns(turns, isShort ? left - 1 : turns, step);
             }
         });
     }
