Bound what callers may hold, and close who holds most for longest

Callers that send heads without end, empty lines without end or chunked bodies that stop short of their end filled the heap of an entry or took a descriptor each: nothing bounded the sum of the bodies, the time for a head or the connections. daemon/http/limits has one account of the bytes and connections that callers hold (CallerAccount, pure decisions with replays of each crowd), handlers before and behind the HTTP decoder that report to it (ConnectionGuard), and a pacer for the thread that accepts. The callers' server of the prepared VMs uses it in place of request.body(); HTTP/2 without TLS is off there, as connections on which it is possible are reported only after their first bytes. The limits are settings with defaults, the limits of op/config take precedence once read, and there are metrics, a bounded log line, a design note and a passage for operators.

CallerCrowdTest starts an entry and an agent as processes with a heap of 48 MB.

--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerAccount.java
@@ -0,0 +1,372 @@
+package org.knapweedmount.daemon.http.limits;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+
+import org.knapweedmount.daemon.http.limits.ConnectionUse.Phase;
+
+/**
+ * The bytes and connections that all callers of a process hold, and the decision which connections are closed.
+ *
+ * <p>Load pattern: many connections whose heads or bodies stop just short of their end, beside ordinary callers. What an
+ * ordinary request holds is small and given back soon, so the connection that holds most and has not received anything for
+ * longest is closed first.
+ *
+ * <p>The methods return the connections that are to be closed, and close none. Thread-safe.
+ */
+final class CallerAccount {
+    /** Counted for the read buffer of a connection with a part of a request; the largest buffer that is read into. */
+    static final int BUFFER_BYTES = 8 * 1_024;
+
+    /** What is closed at once when a bound is exceeded, so that the search is not repeated for each chunk. */
+    private static final double FREED_SHARE = 0.125;
+
+    /** A connection is only closed for a new one if its request has not come nearer to its end for this time, in ms. */
+    private static final int MIN_STALL_MILLIS = 1_000;
+
+    /** The same for one that waits for its caller's next request, in ms. */
+    private static final int MIN_IDLE_MILLIS = 10_000;
+
+    private final CallerLimits ownLimits;
+    private final Set<ConnectionUse> connections = new LinkedHashSet<>();
+    private final Map<String, AddressUse> addresses = new HashMap<>();
+    private volatile CallerLimits limits;
+    private long heldBytes;
+    private int closingConnections;
+
+    /** What the connections of an address hold. */
+    private static final class AddressUse {
+        private int connections;
+        private long heldBytes;
+    }
+
+    /**
+     * A connection that is to be closed.
+     *
+     * @param connection the connection
+     * @param reason why it is closed
+     */
+    record Closing(ConnectionUse connection, Refusal reason) {}
+
+    /**
+     * A new connection.
+     *
+     * @param connection its use
+     * @param closings what is to be closed because of it, which may be the connection itself
+     */
+    record Opened(ConnectionUse connection, List<Closing> closings) {}
+
+    CallerAccount(CallerLimits limits) {
+        this.ownLimits = limits;
+        this.limits = limits;
+    }
+
+    CallerLimits limits() {
+        return limits;
+    }
+
+    /** Replaces the limits that a configuration states. */
+    void configure(RequestLimits.Configured configured) {
+        limits = ownLimits.with(configured);
+    }
+
+    synchronized long heldBytes() {
+        return heldBytes;
+    }
+
+    synchronized int connections() {
+        return connections.size();
+    }
+
+    /** Returns the number of connections that are to be closed and are still open. */
+    synchronized int closingConnections() {
+        return closingConnections;
+    }
+
+    /** Records a new connection. */
+    synchronized Opened open(String address, Consumer<Refusal> closer, long nowNanos) {
+        ConnectionUse opened = new ConnectionUse(address, closer, nowNanos);
+        List<Closing> closings = new ArrayList<>();
+        AddressUse ofAddress = addresses.computeIfAbsent(address, name -> new AddressUse());
+        connections.add(opened);
+        ofAddress.connections++;
+        if (ofAddress.connections > limits.connections().maxPerAddress()) {
+            makeRoom(opened, use -> use.address.equals(address), Refusal.ADDRESS_CONNECTIONS, nowNanos, closings);
+        } else if (connections.size() - closingConnections
+                > limits.connections().maxConnections()) {
+            makeRoom(opened, use -> true, Refusal.CONNECTIONS, nowNanos, closings);
+        }
+        return new Opened(opened, closings);
+    }
+
+    private void makeRoom(
+            ConnectionUse opened,
+            Predicate<ConnectionUse> candidates,
+            Refusal reason,
+            long nowNanos,
+            List<Closing> closings) {
+        Optional<ConnectionUse> stalled = connections.stream()
+                .filter(candidates)
+                .filter(use -> isStalled(use, nowNanos))
+                .min(Comparator.comparingLong(CallerAccount::stalledSince));
+        close(stalled.orElse(opened), reason, closings);
+    }
+
+    private static boolean isStalled(ConnectionUse use, long nowNanos) {
+        boolean awaitsAnswer = use.unanswered > 0 && use.phase != Phase.BODY;
+        if (use.closing || awaitsAnswer || !use.tracked) {
+            return false;
+        }
+        boolean served = use.phase == Phase.IDLE && use.answeredRequests > 0;
+        int minMillis = served ? MIN_IDLE_MILLIS : MIN_STALL_MILLIS;
+        return nowNanos - stalledSince(use) >= TimeUnit.MILLISECONDS.toNanos(minMillis);
+    }
+
+    private static long stalledSince(ConnectionUse use) {
+        return use.phase == Phase.BODY ? use.lastReadNanos : use.phaseNanos;
+    }
+
+    private void close(ConnectionUse use, Refusal reason, List<Closing> closings) {
+        if (!use.closing) {
+            use.closing = true;
+            closingConnections++;
+            hold(use, -use.heldBytes());
+            use.headBytes = 0;
+            use.bodyBytes = 0;
+            use.bufferBytes = 0;
+            closings.add(new Closing(use, reason));
+        }
+    }
+
+    private void hold(ConnectionUse use, long bytes) {
+        heldBytes += bytes;
+        addresses.get(use.address).heldBytes += bytes;
+    }
+
+    /** Records that a connection is closed. */
+    synchronized void closed(ConnectionUse use) {
+        if (!connections.remove(use)) {
+            return;
+        }
+        if (use.closing) {
+            closingConnections--;
+        }
+        hold(use, -use.heldBytes());
+        use.closing = true;
+        AddressUse ofAddress = addresses.get(use.address);
+        ofAddress.connections--;
+        if (ofAddress.connections == 0) {
+            addresses.remove(use.address);
+        }
+    }
+
+    /**
+     * Records bytes that were read and are not decoded yet.
+     *
+     * @param skipped how many of them, from the first on, are skipped if they precede a request
+     */
+    synchronized List<Closing> read(ConnectionUse use, int bytes, int skipped, long nowNanos) {
+        List<Closing> closings = new ArrayList<>();
+        if (use.closing) {
+            return closings;
+        }
+        use.lastReadNanos = nowNanos;
+        if (use.phase == Phase.IDLE) {
+            use.skippedBytes += skipped;
+            if (use.skippedBytes > limits.request().maxSkippedBytes()) {
+                close(use, Refusal.SKIPPED_BYTES, closings);
+                return closings;
+            }
+            if (skipped == bytes) {
+                return closings;
+            }
+            use.enter(Phase.HEAD, nowNanos);
+            use.bufferBytes = BUFFER_BYTES;
+            hold(use, BUFFER_BYTES);
+        }
+        if (use.phase == Phase.HEAD) {
+            use.headBytes += bytes;
+            hold(use, bytes);
+            checkBounds(use, nowNanos, closings);
+        }
+        return closings;
+    }
+
+    /** Records that the bytes that were read are decoded. */
+    synchronized List<Closing> decoded(ConnectionUse use) {
+        List<Closing> closings = new ArrayList<>();
+        if (use.phase == Phase.HEAD && use.headBytes > limits.request().maxHeaderBytes()) {
+            close(use, Refusal.HEADER_TOO_LARGE, closings);
+        }
+        return closings;
+    }
+
+    /** Returns whether the head that was read may be larger than allowed, so that its size has to be found out. */
+    synchronized boolean isHeadSuspect(ConnectionUse use) {
+        return use.headBytes > limits.request().maxHeaderBytes();
+    }
+
+    /** Records that a head of the given size is complete; the rest of what was read belongs to the body. */
+    synchronized List<Closing> headRead(ConnectionUse use, long size, long nowNanos) {
+        List<Closing> closings = new ArrayList<>();
+        if (use.closing) {
+            return closings;
+        }
+        use.enter(Phase.BODY, nowNanos);
+        use.unanswered++;
+        use.skippedBytes = 0;
+        long headBytes = Math.min(use.headBytes, size);
+        hold(use, headBytes - use.headBytes);
+        use.headBytes = headBytes;
+        if (size > limits.request().maxHeaderBytes()) {
+            close(use, Refusal.HEADER_TOO_LARGE, closings);
+        }
+        return closings;
+    }
+
+    /** Records that a part of a body was decoded. */
+    synchronized void bodyRead(ConnectionUse use, int bytes, long nowNanos) {
+        use.progressBytes += bytes;
+        if (use.progressBytes >= RequestLimits.PROGRESS_BYTES) {
+            use.progressBytes = 0;
+            use.progressNanos = nowNanos;
+        }
+    }
+
+    /** Records that a body has ended. */
+    synchronized void bodyEnded(ConnectionUse use, long nowNanos) {
+        if (use.closing) {
+            return;
+        }
+        use.enter(Phase.IDLE, nowNanos);
+        hold(use, -use.bufferBytes);
+        use.bufferBytes = 0;
+    }
+
+    /** Records that a response is written, also one to a request whose body has not ended. */
+    synchronized void answered(ConnectionUse use, long nowNanos) {
+        use.unanswered = Math.max(0, use.unanswered - 1);
+        use.answeredRequests++;
+        if (use.phase == Phase.IDLE && !use.closing) {
+            use.enter(Phase.IDLE, nowNanos);
+            hold(use, -use.headBytes);
+            use.headBytes = 0;
+        }
+    }
+
+    /** Records that more memory is held for the body that a connection receives. */
+    synchronized List<Closing> holdBody(ConnectionUse use, int bytes, long nowNanos) {
+        List<Closing> closings = new ArrayList<>();
+        if (use.closing) {
+            return closings;
+        }
+        use.bodyBytes += bytes;
+        hold(use, bytes);
+        checkBounds(use, nowNanos, closings);
+        return closings;
+    }
+
+    /** Takes what is held for a complete body from its connection; returns the bytes, which are held until released. */
+    synchronized long detachBody(ConnectionUse use) {
+        long bytes = use.bodyBytes;
+        use.bodyBytes = 0;
+        if (bytes > 0) {
+            addresses.get(use.address).heldBytes -= bytes;
+        }
+        return bytes;
+    }
+
+    /** Gives back what was held for a complete body. */
+    synchronized void release(long bytes) {
+        heldBytes -= bytes;
+    }
+
+    /** Marks a connection as one that is to be closed for a reason of its own. */
+    synchronized List<Closing> refuse(ConnectionUse use, Refusal reason) {
+        List<Closing> closings = new ArrayList<>();
+        close(use, reason, closings);
+        return closings;
+    }
+
+    private void checkBounds(ConnectionUse use, long nowNanos, List<Closing> closings) {
+        MemoryBounds memory = limits.memory();
+        if (use.heldBytes() > limits.connectionShare()) {
+            close(use, Refusal.CONNECTION_SHARE, closings);
+        }
+        AddressUse ofAddress = addresses.get(use.address);
+        if (ofAddress.heldBytes > memory.maxPerAddress()) {
+            long target = (long) (memory.maxPerAddress() * (1 - FREED_SHARE));
+            for (ConnectionUse worst : byPressure(other -> other.address.equals(use.address), nowNanos)) {
+                if (ofAddress.heldBytes <= target) {
+                    break;
+                }
+                close(worst, Refusal.ADDRESS_SHARE, closings);
+            }
+        }
+        if (heldBytes > memory.maxHeldBytes()) {
+            long target = (long) (memory.maxHeldBytes() * (1 - FREED_SHARE));
+            for (ConnectionUse worst : byPressure(other -> true, nowNanos)) {
+                if (heldBytes <= target) {
+                    break;
+                }
+                close(worst, Refusal.MEMORY, closings);
+            }
+        }
+    }
+
+    private List<ConnectionUse> byPressure(Predicate<ConnectionUse> candidates, long nowNanos) {
+        return connections.stream()
+                .filter(candidates)
+                .filter(use -> use.pressure(nowNanos) > 0)
+                .sorted(Comparator.<ConnectionUse>comparingDouble(use -> use.pressure(nowNanos))
+                        .reversed())
+                .toList();
+    }
+
+    /**
+     * Returns the connections whose time has run out.
+     *
+     * @param paused tells that a connection is not read at present, so that its caller cannot make progress
+     */
+    synchronized List<Closing> overdue(Predicate<ConnectionUse> paused, long nowNanos) {
+        List<Closing> closings = new ArrayList<>();
+        for (ConnectionUse use : connections) {
+            if (use.closing || !use.tracked) {
+                continue;
+            }
+            if (paused.test(use)) {
+                use.progressNanos = nowNanos;
+                continue;
+            }
+            reasonOverdue(use, nowNanos).ifPresent(reason -> close(use, reason, closings));
+        }
+        return closings;
+    }
+
+    private Optional<Refusal> reasonOverdue(ConnectionUse use, long nowNanos) {
+        RequestLimits request = limits.request();
+        return switch (use.phase) {
+            case HEAD -> elapsed(use.phaseNanos, request.headMillis(), nowNanos, Refusal.HEAD_TIMEOUT);
+            case BODY -> elapsed(use.progressNanos, request.bodyProgressMillis(), nowNanos, Refusal.BODY_TIMEOUT);
+            case IDLE ->
+                use.unanswered > 0
+                        ? Optional.empty()
+                        : elapsed(use.phaseNanos, request.idleMillis(), nowNanos, Refusal.IDLE);
+        };
+    }
+
+    private static Optional<Refusal> elapsed(long sinceNanos, int limitMillis, long nowNanos, Refusal reason) {
+        return nowNanos - sinceNanos > TimeUnit.MILLISECONDS.toNanos(limitMillis)
+                ? Optional.of(reason)
+                : Optional.empty();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerLimits.java
@@ -0,0 +1,30 @@
+package org.knapweedmount.daemon.http.limits;
+
+/**
+ * All limits for callers.
+ *
+ * @param request the limits of a single request
+ * @param connections the bounds on connections
+ * @param memory the bounds on held bytes
+ */
+public record CallerLimits(RequestLimits request, ConnectionBounds connections, MemoryBounds memory) {
+    /** Limits that no caller inside the limits reaches. */
+    public static final CallerLimits DEFAULT =
+            new CallerLimits(RequestLimits.DEFAULT, ConnectionBounds.DEFAULT, MemoryBounds.DEFAULT);
+
+    /**
+     * Returns these limits with those of a configuration in place of the own ones.
+     *
+     * @param configured the limits that are known from the configuration
+     * @return the limits in force
+     */
+    public CallerLimits with(RequestLimits.Configured configured) {
+        return new CallerLimits(request.with(configured), connections, memory);
+    }
+
+    /** Returns the share of a connection in bytes: at least two requests at the limits, as one may follow another. */
+    long connectionShare() {
+        long twoRequests = 2L * ((long) this.request.maxBodyBytes() + this.request.maxHeaderBytes());
+        return Math.max(memory.maxPerConnection(), twoRequests);
+    }
+}
--- a/daemon/src/main/java/org/knapweedmount/daemon/metrics/LazyProcessMetrics.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/metrics/LazyProcessMetrics.java
@@ -12,7 +12,7 @@
 public final class LazyProcessMetrics {
     private final DecisionLog log;
     private final LinkTable<?> links;
-    private final Consumer<ProcessMetrics> otherRegistrations;
+    private Consumer<ProcessMetrics> otherRegistrations;
     private ProcessMetrics metrics;
 
     /**
@@ -28,6 +28,15 @@
         this.otherRegistrations = otherRegistrations;
     }
 
+    /**
+     * Adds metrics; called before the first scrape, on the same thread.
+     *
+     * @param registrations registers the metrics
+     */
+    public void add(Consumer<ProcessMetrics> registrations) {
+        otherRegistrations = otherRegistrations.andThen(registrations);
+    }
+
     /**
      * Returns all metrics; always called on the same thread.
      *
