Judge the health of a worker by runs before checks, and mind its cold start and departure

Cause: a worker that flaps was reopened in full by a single success, 50 runs that failed at the same time doubled its quarantine 50 times, and what a worker says of itself was not asked before a caller's run probed it. coldLeftMs and remainingMs of announcements were not read, so that a cold start counted as the speed of a worker and long runs were cut off when it left. Change: WorkerHealth (core.worker.health) is the verdict, without input or output: runs first, a check of GET /health only before a probe, the doubling reset only by a success 2 s after the reopening. Reports state why a worker accepts no starts and how long it is cold; an order by an entry that knows of the closing is accepted, at most four runs at a time. WorkerLifecycle decides which runs cannot end before the departure; they are stopped and reported with their last checkpoint. Measured: 51 tests of WorkerHealthTest, WorkerLifecycleTest and WorkerConditionTest pass; a worker that flaps (0.8 and 1.4 s) loses at most 30 runs in 50 s, one that says that it is well and fails all is checked twice. WorkFleetTest (62) and OwnershipFleetTest (320) pass.

--- a/core/src/main/java/org/knapweedmount/core/worker/EntryTable.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/EntryTable.java
@@ -16,6 +16,7 @@
 import org.knapweedmount.api.message.LinkedEntries;
 import org.knapweedmount.api.message.ResourceOffer;
 import org.knapweedmount.api.message.RunsEnded;
+import org.knapweedmount.api.message.WorkerCondition;
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.work.RunResult;
 
@@ -206,7 +207,10 @@
 
     /** Sends a report of the present state of the worker to an entry. */
     void send(Incarnation entry, WorkerReport report, long nowNanos) {
-        of(entry).reported(ReportRule.View.of(report), nowNanos);
+        EntryView view = of(entry);
+        view.reported(ReportRule.View.of(report), nowNanos);
+        view.availabilityReported(
+                report.condition().availability() == WorkerCondition.Availability.UNHEALTHY, report.timestampNanos());
         output.send(entry, report);
     }
 
--- a/core/src/main/java/org/knapweedmount/core/worker/EntryView.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/EntryView.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.message.ResourceDemand;
@@ -20,6 +21,10 @@
     private long lastOrderNumber;
     private ReportRule.View reported = ReportRule.View.NONE;
     private long lastReportNanos;
+
+    /** The timestamp of the first of the last reports by which the worker is closed for its health, in ns. */
+    private OptionalLong toldUnhealthyNanos = OptionalLong.empty();
+
     private final List<SentResult> unconfirmedResults = new ArrayList<>();
 
     /** A result and the timestamp at which it was last sent, in ms. */
@@ -115,6 +120,20 @@
         }
     }
 
+    /** Records what a report says about the health of the worker. */
+    void availabilityReported(boolean unhealthy, long timestampNanos) {
+        if (!unhealthy) {
+            toldUnhealthyNanos = OptionalLong.empty();
+        } else if (toldUnhealthyNanos.isEmpty()) {
+            toldUnhealthyNanos = OptionalLong.of(timestampNanos);
+        }
+    }
+
+    /** Returns whether an order is based on a report by which the worker is closed for its health, as it still is. */
+    boolean wasToldUnhealthy(long timestampNanos) {
+        return toldUnhealthyNanos.isPresent() && timestampNanos - toldUnhealthyNanos.getAsLong() >= 0;
+    }
+
     void reported(ReportRule.View workerView, long nowNanos) {
         reported = workerView;
         lastReportNanos = nowNanos;
--- a/core/src/main/java/org/knapweedmount/core/worker/RunControl.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunControl.java
@@ -83,7 +83,7 @@
             return;
         }
         if (run.state() == RunState.STOPPED) {
-            end(run, RunOutcome.STOPPED, RunEndEvidence.ABSENT, "", nowNanos);
+            end(run, RunOutcome.STOPPED, RunEndEvidence.ABSENT, run.checkpoint(), nowNanos);
         } else if (run.state() == RunState.RUNNING && run.countAbsence() >= WorkerTimings.MAX_ABSENT_LISTS) {
             output.logEvent("run-missing", RunEvents.describe(run.ref()) + " worker=" + worker.incarnation());
             stop(run, nowNanos);
--- a/core/src/main/java/org/knapweedmount/core/worker/RunCounter.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunCounter.java
@@ -11,5 +11,13 @@
     /** Start orders without an answer, which may be executed late. */
     STARTS_UNANSWERED,
     /** Incarnations of the worker that a list has shown before their announcement. */
-    RESTARTS_LISTED
+    RESTARTS_LISTED,
+    /** Times that the worker was closed, or closed for longer, because of its health. */
+    HEALTH_CLOSINGS,
+    /** Health checks of a closed worker. */
+    HEALTH_CHECKS,
+    /** Runs that were started although the worker was closed, because too few workers of the service were open. */
+    STARTS_WHILE_CLOSED,
+    /** Runs that were stopped because the worker leaves before they can end. */
+    STOPPED_BEFORE_DEPARTURE
 }
--- a/core/src/main/java/org/knapweedmount/core/worker/RunEvents.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunEvents.java
@@ -194,6 +194,12 @@
         output.logEvent("run-stalled", describe(run.ref()) + " percent=" + run.percent() + " worker=" + worker);
     }
 
+    /** Logs that a run is stopped because its worker leaves before it can end. */
+    void stoppedBeforeDeparture(TrackedRun run, WorkerIncarnation worker) {
+        output.count(RunCounter.STOPPED_BEFORE_DEPARTURE);
+        output.logEvent("run-cannot-end", describe(run.ref()) + " percent=" + run.percent() + " worker=" + worker);
+    }
+
     /** Logs that the worker does not answer. */
     void workerSilent(WorkerIncarnation worker) {
         output.logEvent("worker-silent", "worker=" + worker + " runs=" + traces.size());
--- a/core/src/main/java/org/knapweedmount/core/worker/RunLists.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunLists.java
@@ -7,6 +7,7 @@
 
 import org.knapweedmount.api.work.RunOutcome;
 import org.knapweedmount.api.work.RunRef;
+import org.knapweedmount.core.worker.health.WorkerLifecycle;
 
 /** Requests the run lists of the current worker, and applies them. */
 final class RunLists {
@@ -14,7 +15,8 @@
     private final RunTable runs;
     private final WorkerLease lease;
     private final WorkerFence fence;
-    private final WorkerHealth health;
+    private final HealthControl health;
+    private final WorkerLifecycle lifecycle;
     private final SlowdownEstimator slowdown;
     private final RunListCalls listCalls;
     private final RunEvents events;
@@ -33,6 +35,7 @@
         this.lease = parts.lease();
         this.fence = parts.fence();
         this.health = parts.health();
+        this.lifecycle = parts.lifecycle();
         this.slowdown = parts.slowdown();
         this.listCalls = parts.listCalls();
         this.events = parts.events();
@@ -131,7 +134,9 @@
                 held.get().foundAt(incarnation);
                 control.sendStop(held.get(), nowNanos);
             }
-            held.get().updateProgress(row.percent(), nowNanos).ifPresent(ratio -> slowdown.observe(ratio, nowNanos));
+            held.get()
+                    .updateProgress(row.percent(), row.checkpoint(), nowNanos)
+                    .ifPresent(ratio -> observeSlowdown(held.get(), ratio, nowNanos));
             if (held.get().state() == RunState.STARTING) {
                 held.get().transitionTo(RunState.RUNNING, nowNanos);
             }
@@ -147,6 +152,13 @@
         return listedRuns;
     }
 
+    /** Records a sample of the slowdown, unless the run was ordered while the worker was cold. */
+    private void observeSlowdown(TrackedRun run, double ratio, long nowNanos) {
+        if (!lifecycle.wasColdAt(run.orderedNanos())) {
+            slowdown.observe(ratio, nowNanos);
+        }
+    }
+
     private void applyEnded(List<RunList.Ended> ended, long nowNanos) {
         for (RunList.Ended row : ended) {
             if (row.number() <= acknowledgedEnd) {
@@ -158,9 +170,9 @@
                 continue;
             }
             if (row.outcome() == RunOutcome.DONE) {
-                run.get().slowdownAtEnd(nowNanos).ifPresent(ratio -> slowdown.observe(ratio, nowNanos));
+                run.get().slowdownAtEnd(nowNanos).ifPresent(ratio -> observeSlowdown(run.get(), ratio, nowNanos));
             }
-            health.recordEnd(row.outcome(), nowNanos);
+            health.recordEnd(run.get(), row.outcome(), nowNanos);
             control.end(run.get(), row.outcome(), RunEndEvidence.LISTED, row.checkpoint(), nowNanos);
         }
     }
--- a/core/src/main/java/org/knapweedmount/core/worker/StartGate.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/StartGate.java
@@ -1,9 +1,13 @@
 package org.knapweedmount.core.worker;
 
 import org.knapweedmount.api.Resources;
+import org.knapweedmount.api.message.WorkerCondition.Availability;
 
 /** Decides whether the worker accepts starts, and how much capacity they may take. */
 final class StartGate {
+    /** How many runs a worker may have that is closed for its health; each success opens it for more. */
+    private static final int MAX_RUNS_WHILE_CLOSED = 4;
+
     private final RunTable runs;
     private final EntryTable entries;
     private final CurrentWorker worker;
@@ -11,7 +15,7 @@
     private final FenceControl fenceControl;
     private final RunListCalls listCalls;
     private final RunEvents events;
-    private final WorkerHealth health;
+    private final HealthControl health;
     private boolean noForeignRuns;
     private boolean draining;
 
@@ -27,12 +31,30 @@
     }
 
     boolean acceptsStarts(long nowNanos) {
-        return worker.acceptsStarts()
+        return availability(nowNanos) == Availability.OPEN;
+    }
+
+    /** Returns whether the worker accepts starts, and if not, whether its health is the only reason. */
+    Availability availability(long nowNanos) {
+        boolean possible = worker.acceptsStarts()
                 && noForeignRuns
                 && earlierWorkers.foreignRunsEnded(nowNanos)
                 && !listCalls.unresponsive()
-                && !draining
-                && health.admits(runs.size(), nowNanos);
+                && !draining;
+        if (!possible) {
+            return Availability.CLOSED;
+        }
+        return health.admits(runs.size(), nowNanos) ? Availability.OPEN : Availability.UNHEALTHY;
+    }
+
+    /**
+     * Returns whether a start is accepted although the worker is closed for its health: the entry knew that, and orders from
+     * it because too few workers of the service are open.
+     */
+    boolean acceptsStartWhileClosed(EntryView entry, long timestampNanos, long nowNanos) {
+        return availability(nowNanos) == Availability.UNHEALTHY
+                && entry.wasToldUnhealthy(timestampNanos)
+                && runs.size() < MAX_RUNS_WHILE_CLOSED;
     }
 
     /** Returns the capacity that is neither in use nor offered to an entry. */
--- a/core/src/main/java/org/knapweedmount/core/worker/StartOrders.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/StartOrders.java
@@ -17,7 +17,7 @@
     private final RunTable runs;
     private final WorkerLease lease;
     private final WorkerFence fence;
-    private final WorkerHealth health;
+    private final HealthControl health;
     private final RunEvents events;
     private final CurrentWorker worker;
     private final RunControl control;
@@ -57,7 +57,7 @@
         }
         for (JobRuns job : order.jobs()) {
             for (RunRequest run : job.runs()) {
-                Optional<String> refusal = refusalReason(run, outdated, nowNanos);
+                Optional<String> refusal = refusalReason(entryView, order.timestampNanos(), run, outdated, nowNanos);
                 if (refusal.isEmpty()) {
                     start(from, order.timestampNanos(), job.spec(), run, nowNanos);
                 } else {
@@ -68,8 +68,10 @@
         }
     }
 
-    private Optional<String> refusalReason(RunRequest request, Optional<String> outdated, long nowNanos) {
-        if (!gate.acceptsStarts(nowNanos)) {
+    private Optional<String> refusalReason(
+            EntryView entryView, long timestampNanos, RunRequest request, Optional<String> outdated, long nowNanos) {
+        boolean open = gate.acceptsStarts(nowNanos);
+        if (!open && !gate.acceptsStartWhileClosed(entryView, timestampNanos, nowNanos)) {
             return Optional.of("closed");
         }
         if (outdated.isPresent()) {
@@ -86,6 +88,9 @@
 
     private void start(Incarnation from, long timestampNanos, String spec, RunRequest request, long nowNanos) {
         WorkerIncarnation incarnation = worker.incarnation();
+        if (!gate.acceptsStarts(nowNanos)) {
+            output.count(RunCounter.STARTS_WHILE_CLOSED);
+        }
         runs.add(new TrackedRun(from, incarnation, request, nowNanos));
         long expiryMillis = control.extendLease(nowNanos);
         long ageNanos = WorkerTimings.nanos(lease.timestampMillis(nowNanos)) - timestampNanos;
@@ -120,7 +125,7 @@
         control.end(run, RunOutcome.REFUSED, RunEndEvidence.START_REPLY, "", nowNanos);
         switch (reply) {
             case FENCED -> gate.suspectFence("start-refused", nowNanos);
-            case UNHEALTHY -> health.quarantine("unhealthy", nowNanos);
+            case UNHEALTHY -> health.recordRefusal(run, nowNanos);
             case OTHER_LIFE -> gate.markEnded();
             case UNREACHABLE -> gate.markUnresponsive();
             default -> {
--- a/core/src/main/java/org/knapweedmount/core/worker/SuccessorControl.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/SuccessorControl.java
@@ -17,23 +17,16 @@
     private final LateOrders lateOrders;
     private final RunEvents events;
 
-    SuccessorControl(
-            WorkerOutput output,
-            RunTable runs,
-            CurrentWorker worker,
-            WorkerFence fence,
-            FenceControl fenceControl,
-            RunListCalls listCalls,
-            LateOrders lateOrders,
-            RunEvents events) {
-        this.output = output;
-        this.runs = runs;
-        this.worker = worker;
-        this.fence = fence;
-        this.fenceControl = fenceControl;
-        this.listCalls = listCalls;
-        this.lateOrders = lateOrders;
-        this.events = events;
+    /** Takes the parts that are set before this one. */
+    SuccessorControl(WorkerParts parts) {
+        this.output = parts.output();
+        this.runs = parts.runs();
+        this.worker = parts.worker();
+        this.fence = parts.fence();
+        this.fenceControl = parts.fenceControl();
+        this.listCalls = parts.listCalls();
+        this.lateOrders = parts.lateOrders();
+        this.events = parts.events();
     }
 
     /** Begins with an incarnation that has answered in place of the one that a list was requested from. */
--- a/core/src/main/java/org/knapweedmount/core/worker/TrackedRun.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/TrackedRun.java
@@ -25,6 +25,7 @@
     private long sampledNanos;
     private boolean sampled;
     private int absences;
+    private String checkpoint = "";
 
     TrackedRun(Incarnation entry, WorkerIncarnation incarnation, RunRequest request, long nowNanos) {
         this.entry = entry;
@@ -102,8 +103,9 @@
      * @return the ratio of actual to expected time for the work since the last sample, empty if the interval is too
      *     short
      */
-    OptionalDouble updateProgress(int listedPercent, long nowNanos) {
+    OptionalDouble updateProgress(int listedPercent, String listedCheckpoint, long nowNanos) {
         wasListed = true;
+        checkpoint = listedCheckpoint.isEmpty() ? checkpoint : listedCheckpoint;
         absences = 0;
         if (listedPercent != percent) {
             percent = listedPercent;
@@ -130,6 +132,11 @@
                 (double) WorkerTimings.millis(nowNanos - orderedNanos) / Math.max(1, request.expectedMillis()));
     }
 
+    /** Returns the last checkpoint that the worker has listed, empty if there is none. */
+    String checkpoint() {
+        return checkpoint;
+    }
+
     int percent() {
         return percent;
     }
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -11,6 +11,8 @@
 import org.knapweedmount.api.message.StopRuns;
 import org.knapweedmount.api.work.RunOutcome;
 import org.knapweedmount.api.work.RunRef;
+import org.knapweedmount.core.worker.health.HealthCheck;
+import org.knapweedmount.core.worker.health.WorkerLifecycle;
 
 /**
  * Controls one worker, as the only process that sends orders to it.
@@ -23,7 +25,8 @@
     private final RunTable runs;
     private final WorkerLease lease;
     private final WorkerFence fence;
-    private final WorkerHealth health;
+    private final HealthControl health;
+    private final WorkerLifecycle lifecycle;
     private final SlowdownEstimator slowdown;
     private final RunListCalls listCalls;
     private final RunEvents events;
@@ -52,6 +55,7 @@
         this.lease = parts.lease();
         this.fence = parts.fence();
         this.health = parts.health();
+        this.lifecycle = parts.lifecycle();
         this.slowdown = parts.slowdown();
         this.listCalls = parts.listCalls();
         this.events = parts.events();
@@ -94,7 +98,10 @@
             output.logEvent(
                     "worker-draining", "worker=" + announcement.incarnation() + " draining=" + announcement.draining());
         }
+        lifecycle.announced(
+                announcement.coldMillis(), announcement.draining(), announcement.remainingMillis(), nowNanos);
         lease.observeClock(announcement.clockMillis(), nowNanos);
+        stopBeforeDeparture(nowNanos);
         reconcile(nowNanos);
     }
 
@@ -125,6 +132,7 @@
         listCalls.reset(nowNanos);
         lateOrders.reset();
         slowdown.reset();
+        lifecycle.reset();
         lists.begin();
         fenceControl.begin(announcement, nowNanos);
     }
@@ -312,6 +320,7 @@
             }
         });
         stopStalled(nowNanos);
+        stopBeforeDeparture(nowNanos);
         control.retryStops(nowNanos);
         endLapsedRuns(nowNanos);
         earlierWorkers.tick(incarnation(), nowNanos);
@@ -320,10 +329,23 @@
         reconcile(nowNanos);
     }
 
+    /** Stops the runs that cannot end before the worker leaves, so that their entries start them elsewhere. */
+    private void stopBeforeDeparture(long nowNanos) {
+        double factor = slowdown.estimate(nowNanos);
+        for (TrackedRun run : runs.matching(run -> !run.state().ending() && run.isAt(incarnation()))) {
+            WorkerLifecycle.Progress progress =
+                    new WorkerLifecycle.Progress(run.request().expectedMillis(), run.percent(), run.progressNanos());
+            if (lifecycle.endsBefore(progress, factor, nowNanos)) {
+                events.stoppedBeforeDeparture(run, incarnation());
+                control.stop(run, nowNanos);
+            }
+        }
+    }
+
     private void stopStalled(long nowNanos) {
         for (TrackedRun run : runs.stalled(incarnation(), nowNanos)) {
             events.stalled(run, incarnation());
-            health.quarantine("stalled", nowNanos);
+            health.recordStall(run, nowNanos);
             control.stop(run, nowNanos);
         }
     }
@@ -354,6 +376,21 @@
         }
         reports.sendDue(nowNanos);
         lists.requestDue(nowNanos);
+        health.checkDue(runs.size(), nowNanos);
+    }
+
+    /**
+     * Handles the result of a health check.
+     *
+     * @param incarnation the incarnation that the check was for
+     * @param result the result
+     * @param nowNanos the current time, in ns
+     */
+    public void healthChecked(WorkerIncarnation incarnation, HealthCheck result, long nowNanos) {
+        if (worker.isCurrent(incarnation)) {
+            health.checked(result, nowNanos);
+            reconcile(nowNanos);
+        }
     }
 
     private WorkerIncarnation incarnation() {
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAnnouncement.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAnnouncement.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.OptionalInt;
 
 import org.knapweedmount.api.Resources;
 
@@ -15,6 +16,8 @@
  * @param labels its kind and rack
  * @param draining true if it is about to leave
  * @param clockMillis the worker's monotonic clock, in ms
+ * @param coldMillis how much longer it is slow after its start, in ms; empty if it does not say
+ * @param remainingMillis the minimum time until it leaves if it is draining, in ms; empty if it does not say
  */
 public record WorkerAnnouncement(
         WorkerIncarnation incarnation,
@@ -23,7 +26,9 @@
         Resources capacity,
         List<String> labels,
         boolean draining,
-        long clockMillis) {
+        long clockMillis,
+        OptionalInt coldMillis,
+        OptionalInt remainingMillis) {
     /** Stands for the worker before its first announcement. */
     static final WorkerAnnouncement NONE =
             new WorkerAnnouncement(new WorkerIncarnation("", 0), "", 0, Resources.NONE, List.of(), false, 0);
@@ -33,6 +38,39 @@
         Objects.requireNonNull(incarnation, "life");
         Objects.requireNonNull(service, "service");
         Objects.requireNonNull(capacity, "capacity");
+        Objects.requireNonNull(coldMillis, "coldMillis");
+        Objects.requireNonNull(remainingMillis, "remainingMillis");
         labels = List.copyOf(labels);
     }
+
+    /**
+     * Creates an announcement without times of a cold start or a departure.
+     *
+     * @param incarnation the worker's incarnation
+     * @param service the service that it belongs to
+     * @param sequence increases with each announcement of an incarnation
+     * @param capacity its total capacity
+     * @param labels its kind and rack
+     * @param draining true if it is about to leave
+     * @param clockMillis the worker's monotonic clock, in ms
+     */
+    public WorkerAnnouncement(
+            WorkerIncarnation incarnation,
+            String service,
+            long sequence,
+            Resources capacity,
+            List<String> labels,
+            boolean draining,
+            long clockMillis) {
+        this(
+                incarnation,
+                service,
+                sequence,
+                capacity,
+                labels,
+                draining,
+                clockMillis,
+                OptionalInt.empty(),
+                OptionalInt.empty());
+    }
 }
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerOutput.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerOutput.java
@@ -55,6 +55,24 @@
             long sentNanos,
             int waitMillis);
 
+    /**
+     * Asks the worker for its own view of its health; {@link WorkerAgent#healthChecked} receives the result.
+     *
+     * @param incarnation the incarnation that the check is for
+     */
+    default void checkHealth(WorkerIncarnation incarnation) {
+        // An output without health checks is not asked for one.
+    }
+
+    /**
+     * Returns whether workers can be asked for their health.
+     *
+     * @return true if they can
+     */
+    default boolean canCheckHealth() {
+        return false;
+    }
+
     /**
      * Logs a change of the agent's view of its worker, for the analysis of failures.
      *
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerParts.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerParts.java
@@ -1,5 +1,7 @@
 package org.knapweedmount.core.worker;
 
+import org.knapweedmount.core.worker.health.WorkerLifecycle;
+
 /** The state of the agent of one worker, which the handlers of its events share. */
 final class WorkerParts {
     private final WorkerOutput output;
@@ -7,7 +9,8 @@
     private final RunTable runs = new RunTable();
     private final WorkerLease lease = new WorkerLease();
     private final WorkerFence fence = new WorkerFence();
-    private final WorkerHealth health;
+    private final HealthControl health;
+    private final WorkerLifecycle lifecycle = new WorkerLifecycle();
     private final SlowdownEstimator slowdown = new SlowdownEstimator();
     private final RunListCalls listCalls = new RunListCalls();
     private final RunEvents events;
@@ -22,13 +25,12 @@
         this.output = output;
         this.entries = new EntryTable(output);
         this.events = new RunEvents(output);
-        this.health = new WorkerHealth(output, worker);
+        this.health = new HealthControl(output, worker);
         this.control = new RunControl(output, runs, entries, worker, lease, fence, events);
         this.earlierWorkers = new EarlierWorkers(output, runs, control, fence, start.nanos());
         this.fenceControl = new FenceControl(output, fence, worker, start, earlierWorkers, events);
         this.lateOrders = new LateOrders(start.nanos());
-        this.successors =
-                new SuccessorControl(output, runs, worker, fence, fenceControl, listCalls, lateOrders, events);
+        this.successors = new SuccessorControl(this);
     }
 
     WorkerOutput output() {
@@ -51,10 +53,14 @@
         return fence;
     }
 
-    WorkerHealth health() {
+    HealthControl health() {
         return health;
     }
 
+    WorkerLifecycle lifecycle() {
+        return lifecycle;
+    }
+
     SlowdownEstimator slowdown() {
         return slowdown;
     }
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerReports.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerReports.java
@@ -1,7 +1,11 @@
 package org.knapweedmount.core.worker;
 
+import java.util.List;
+
 import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.message.WorkerCondition;
 import org.knapweedmount.api.message.WorkerReport;
+import org.knapweedmount.core.worker.health.WorkerLifecycle;
 
 /** Creates the reports of the worker to entries, and decides when they are sent. */
 final class WorkerReports {
@@ -10,6 +14,7 @@
     private final WorkerLease lease;
     private final CurrentWorker worker;
     private final SlowdownEstimator slowdown;
+    private final WorkerLifecycle lifecycle;
     private final StartGate gate;
 
     WorkerReports(WorkerParts parts, StartGate gate) {
@@ -18,6 +23,7 @@
         this.lease = parts.lease();
         this.worker = parts.worker();
         this.slowdown = parts.slowdown();
+        this.lifecycle = parts.lifecycle();
         this.gate = gate;
     }
 
@@ -51,6 +57,7 @@
                 entryView.lastOrderNumber(),
                 entries.backlogCoreMillisExcept(entryView),
                 slowdown.percent(nowNanos),
-                entries.isPrompt(entry));
+                entries.isPrompt(entry),
+                new WorkerCondition(gate.availability(nowNanos), lifecycle.coldMillis(nowNanos), List.of()));
     }
 }
--- a/core/src/test/java/org/knapweedmount/core/work/FakeWorker.java
+++ b/core/src/test/java/org/knapweedmount/core/work/FakeWorker.java
@@ -21,6 +21,7 @@
 import org.knapweedmount.core.worker.WorkerAnnouncement;
 import org.knapweedmount.core.worker.WorkerIncarnation;
 import org.knapweedmount.core.worker.WorkerTimings;
+import org.knapweedmount.core.worker.health.HealthCheck;
 
 /**
  * A worker as specified by the platform: it starts every run it is ordered to, whether or not it fits, extends all runs
@@ -64,6 +65,7 @@
     private double lostListRate;
     private boolean stalled;
     private boolean acceptsStaleOrders;
+    private HealthCheck healthClaim = HealthCheck.UNSUPPORTED;
     private Runnable atStart = () -> {};
     private ToDoubleFunction<RunRequest> runMillis = RunRequest::expectedMillis;
 
@@ -129,6 +131,15 @@
         failureRate = rate;
     }
 
+    /** Sets what the worker says of its health, whether it is true or not. */
+    void claimHealth(HealthCheck claim) {
+        healthClaim = claim;
+    }
+
+    void checkHealth(Consumer<HealthCheck> answer) {
+        time.after(2 * ONE_WAY_MILLIS, () -> answer.accept(up ? healthClaim : HealthCheck.UNANSWERED));
+    }
+
     void delayOrders(double rate) {
         delayedOrderRate = rate;
     }
--- a/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
+++ b/core/src/test/java/org/knapweedmount/core/work/WorkFleet.java
@@ -517,6 +517,17 @@
                     failure -> onAgent(agent -> agent.listFailed(incarnation, sentNanos, failure, time.nowNanos()))));
         }
 
+        @Override
+        public boolean canCheckHealth() {
+            return true;
+        }
+
+        @Override
+        public void checkHealth(WorkerIncarnation incarnation) {
+            output(() -> worker.checkHealth(
+                    result -> onAgent(agent -> agent.healthChecked(incarnation, result, time.nowNanos()))));
+        }
+
         @Override
         public void logEvent(String event, String detail) {
             // Log events are not checked.
--- a/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerAgentProcess.java
@@ -217,6 +217,18 @@
                     }));
         }
 
+        @Override
+        public void checkHealth(WorkerIncarnation incarnation) {
+            client.checkHealth(incarnation)
+                    .onSuccess(result ->
+                            retryingQueue.add((agent, nowNanos) -> agent.healthChecked(incarnation, result, nowNanos)));
+        }
+
+        @Override
+        public boolean canCheckHealth() {
+            return true;
+        }
+
         @Override
         public void logEvent(String event, String detail) {
             log.logEvent(event, detail, clock.nanos());
--- a/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerClient.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/worker/WorkerClient.java
@@ -10,6 +10,7 @@
 import org.knapweedmount.core.worker.StartReply;
 import org.knapweedmount.core.worker.StopReply;
 import org.knapweedmount.core.worker.WorkerIncarnation;
+import org.knapweedmount.core.worker.health.HealthCheck;
 
 /** Client for the calls of an agent to its worker. The returned futures never fail; errors are part of the result. */
 public interface WorkerClient {
@@ -77,4 +78,12 @@
      */
     Future<RunListReply> list(
             WorkerIncarnation incarnation, long fence, long acknowledged, long leaseExpiryMillis, int waitMillis);
+
+    /**
+     * Asks the worker whether it is healthy.
+     *
+     * @param incarnation the worker incarnation that the call is meant for
+     * @return what the worker says
+     */
+    Future<HealthCheck> checkHealth(WorkerIncarnation incarnation);
 }
