Order runs from closed workers rather than empty a service

Cause: an entry ordered runs only from workers that accept starts, so that a service whose workers are all closed for their health had no capacity and each job was refused until probes had reopened them. Cold workers counted as being as fast as others, and the durations of their runs were learnt. Change: HealthFloor lets an entry use as many closed workers as bring a service back to half, those with the oldest failure first, and logs it (health-floor). Placement takes them only if no open worker has room, and never for the last attempt of a task. A worker that is cold by its report counts as twice as slow, and durations of runs that began then are not learnt. Measured: the 17 tests of HealthFloorTest pass. Its tests of flapping workers and of three fifths ill workers pass before and after the change. WorkFleetTest and OwnershipFleetTest pass.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -35,7 +35,7 @@
 public final class Dispatcher {
     private final DispatchOutput output;
     private final DurationModel durations = new DurationModel();
-    private final WorkerViews workers = new WorkerViews();
+    private final WorkerViews workers;
     private final JobOwnership ownership;
     private final JobTable jobs = new JobTable();
     private final StallDetector stalls = new StallDetector();
@@ -61,6 +61,7 @@
     public Dispatcher(DispatchOutput output) {
         this.output = output;
         this.events = new DispatchEvents(output);
+        this.workers = new WorkerViews(new HealthFloor(output::logEvent));
         this.ownership = new JobOwnership(output);
         this.startupEntries = new StartupEntries(ownership::areJobsKnown);
         this.queuedJobCheck = new QueuedJobCheck(jobs, ownership);
@@ -365,7 +366,7 @@
     }
 
     private void handleReport(WorkerView view, WorkerReport report, long nowNanos) {
-        boolean newlyAccepting = report.acceptsStarts() && !view.acceptsStarts();
+        boolean newlyAccepting = report.acceptsStarts() && !view.reportsAcceptance();
         view.reportReceived(report, nowNanos);
         maxCapacity.merge(report.service(), report.capacity(), Resources::max);
         if (newlyAccepting) {
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Placement.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Placement.java
@@ -39,7 +39,8 @@
                                 task, worker.report().orElseThrow().capacity())
                         .fits(freeCapacities.of(worker)))
                 .filter(worker -> isSuitable(task, worker, nowNanos))
-                .max(Comparator.<WorkerView, Boolean>comparing(worker -> isNearData(task, worker))
+                .max(Comparator.comparing(WorkerView::reportsAcceptance)
+                        .thenComparing(worker -> isNearData(task, worker))
                         .thenComparing(WorkerView::isPrompt)
                         .thenComparing(worker -> sample.contains(worker.agent()))
                         .thenComparingInt(worker -> freeCapacities.of(worker).milliCores()));
@@ -82,9 +83,15 @@
                 && servesQueue
                 && !avoided
                 && !atStepLimit
+                && (worker.reportsAcceptance() || !isLastAttempt(task))
                 && canMeetTarget(task.job(), worker, nowNanos);
     }
 
+    /** Returns whether another failure fails the job; no closed worker is used then. */
+    private static boolean isLastAttempt(TrackedTask task) {
+        return task.failures() + 1 >= task.job().request().queue().maxAttempts();
+    }
+
     private static boolean canMeetTarget(TrackedJob job, WorkerView worker, long nowNanos) {
         if (!JobOrder.canMeetTarget(job, nowNanos)) {
             return true;
--- a/core/src/main/java/org/knapweedmount/core/dispatch/RunResults.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/RunResults.java
@@ -1,5 +1,7 @@
 package org.knapweedmount.core.dispatch;
 
+import java.util.concurrent.TimeUnit;
+
 import org.knapweedmount.api.work.RunResult;
 import org.knapweedmount.api.work.WorkQueue;
 
@@ -53,7 +55,10 @@
         }
         switch (result.outcome()) {
             case DONE -> completeTask(view, task, result, nowNanos);
-            case FAILED -> recordFailure(task, nowNanos);
+            case FAILED -> {
+                view.runFailed(nowNanos);
+                recordFailure(task, nowNanos);
+            }
             case OUTDATED -> task.skipOutdatedRunNumbers();
             default -> {
                 // The outcome says nothing about the task.
@@ -71,7 +76,9 @@
     private void completeTask(WorkerView view, TrackedTask task, RunResult result, long nowNanos) {
         String queue = task.job().request().queue().name();
         int estimate = task.step().estimateMillis();
-        durations.observe(queue, estimate, result.elapsedMillis() / view.relativeSlowdown());
+        if (!view.wasColdAt(nowNanos - TimeUnit.MILLISECONDS.toNanos(result.elapsedMillis()))) {
+            durations.observe(queue, estimate, result.elapsedMillis() / view.relativeSlowdown());
+        }
         task.markEnded();
         task.job().queueUnblockedTasks();
         if (task.job().isDone()) {
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
@@ -6,10 +6,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.message.ResourceDemand;
+import org.knapweedmount.api.message.WorkerCondition;
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.work.RunRef;
 
@@ -18,6 +21,9 @@
     /** The ratio to the median from which a worker counts as slow; declared run times are off by up to 40%. */
     private static final double MIN_SLOWDOWN_RATIO = 1.6;
 
+    /** How much longer a run is expected to take on a worker that has just started. */
+    private static final double COLD_SLOWDOWN_FACTOR = 2;
+
     private final Incarnation agent;
     private final Map<String, TrackedTask> orderedTasks = new HashMap<>();
     private final Deque<SentOrder> unacknowledgedOrders = new ArrayDeque<>();
@@ -31,6 +37,9 @@
     private boolean linked = true;
     private int linkNumber;
     private double relativeSlowdown = 1;
+    private OptionalLong coldUntilNanos = OptionalLong.empty();
+    private long unhealthySinceNanos;
+    private boolean usedBeyondFloor;
 
     private record SentOrder(long number, Resources resources) {}
 
@@ -68,6 +77,13 @@
     }
 
     void reportReceived(WorkerReport received, long nowNanos) {
+        if (!reportsUnhealthy()) {
+            unhealthySinceNanos = nowNanos;
+        }
+        if (received.condition().coldMillis() > 0) {
+            coldUntilNanos = OptionalLong.of(nowNanos
+                    + TimeUnit.MILLISECONDS.toNanos(received.condition().coldMillis()));
+        }
         report = Optional.of(received);
         lastReportNanos = nowNanos;
         while (!unacknowledgedOrders.isEmpty() && unacknowledgedOrders.peek().number() <= received.lastOrderNumber()) {
@@ -90,10 +106,43 @@
         return nowNanos - lastReportNanos > DispatchTimings.MAX_RUN_END_NANOS;
     }
 
+    /** Returns whether runs may be ordered: the worker accepts starts, or is used although it is closed. */
     boolean acceptsStarts() {
+        return reportsAcceptance() || (usedBeyondFloor && reportsUnhealthy());
+    }
+
+    /** Returns whether the worker accepts starts by the last report. */
+    boolean reportsAcceptance() {
         return linked && report.isPresent() && report.get().acceptsStarts();
     }
 
+    /** Returns whether the worker accepts no starts only because of its health, by the last report. */
+    boolean reportsUnhealthy() {
+        return linked
+                && report.isPresent()
+                && report.get().condition().availability() == WorkerCondition.Availability.UNHEALTHY;
+    }
+
+    /** Returns when the first of the last reports was received by which the worker is unhealthy, in ns. */
+    long unhealthySinceNanos() {
+        return unhealthySinceNanos;
+    }
+
+    /** Records that a run has failed, so that other closed workers are used first. */
+    void runFailed(long nowNanos) {
+        unhealthySinceNanos = nowNanos;
+    }
+
+    /** Orders runs although the worker is closed for its health, or no longer. */
+    void useBeyondFloor(boolean used) {
+        usedBeyondFloor = used;
+    }
+
+    /** Returns whether the worker was slow at a time because it had just started. */
+    boolean wasColdAt(long nanos) {
+        return coldUntilNanos.isPresent() && coldUntilNanos.getAsLong() - nanos > 0;
+    }
+
     /** Returns whether the agent tells this entry of large changes at once, so that its worker is preferred. */
     boolean isPrompt() {
         return report.isPresent() && report.get().prompt();
@@ -154,7 +203,8 @@
 
     /** Returns the ratio of run times on this worker to those on the median worker of its service. */
     double relativeSlowdown() {
-        return relativeSlowdown;
+        boolean cold = report.map(newest -> newest.condition().coldMillis() > 0).orElse(false);
+        return cold ? COLD_SLOWDOWN_FACTOR * relativeSlowdown : relativeSlowdown;
     }
 
     /** Compares the slowdown with the median; ratios within the error of declared run times are ignored. */
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerViews.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerViews.java
@@ -19,12 +19,22 @@
     /** How many incarnations of an agent are remembered; a replaced one may still send a late report. */
     private static final int MAX_INCARNATIONS = 8;
 
+    private final HealthFloor floor;
     private final Map<Incarnation, WorkerView> views = new LinkedHashMap<>();
     private OptionalLong slowdownsUpdatedNanos = OptionalLong.empty();
 
     /** The incarnations of each agent in the order of their first links, also those without a view. */
     private final Map<String, List<Incarnation>> incarnations = new HashMap<>();
 
+    /** Creates an empty table whose use of closed workers is not logged. */
+    WorkerViews() {
+        this(new HealthFloor((event, detail) -> {}));
+    }
+
+    WorkerViews(HealthFloor floor) {
+        this.floor = floor;
+    }
+
     WorkerView link(Incarnation agent, long nowNanos) {
         WorkerView view = views.computeIfAbsent(agent, key -> new WorkerView(agent, nowNanos));
         view.link();
@@ -80,7 +90,8 @@
     }
 
     /**
-     * Updates the relative slowdown of each worker against the median of its service, from time to time.
+     * Updates the relative slowdown of each worker against the median of its service, and which closed workers are used
+     * all the same, from time to time.
      *
      * <p>A slowdown that all workers share is learnt as the duration of tasks by {@link DurationModel}, not as the
      * slowdown of a worker.
@@ -92,6 +103,7 @@
             return;
         }
         slowdownsUpdatedNanos = OptionalLong.of(nowNanos);
+        updateFloor();
         Map<String, List<WorkerView>> services = new LinkedHashMap<>();
         for (WorkerView view : views.values()) {
             if (view.acceptsStarts()) {
@@ -109,6 +121,17 @@
         }
     }
 
+    private void updateFloor() {
+        Map<String, List<WorkerView>> services = new LinkedHashMap<>();
+        for (WorkerView view : views.values()) {
+            if (view.linked() && view.report().isPresent()) {
+                services.computeIfAbsent(view.report().get().service(), key -> new ArrayList<>())
+                        .add(view);
+            }
+        }
+        services.forEach(floor::update);
+    }
+
     /** Returns the cores of all workers of a service that accept starts. */
     double cores(String service) {
         double sum = 0;
