--- a/api/src/main/java/org/knapweedmount/api/message/Message.java
+++ b/api/src/main/java/org/knapweedmount/api/message/Message.java
@@ -48,4 +48,7 @@
                 RelayedYield,
                 RelayedEnd,
                 CancelJob,
-                CancelReply {}
+                CancelReply,
+                ClosedDataCentres,
+                EvacuationNotice,
+                EntryAdmission {}
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -26,6 +26,7 @@
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.message.YieldJob;
 import org.knapweedmount.api.work.RunRef;
+import org.knapweedmount.core.evacuation.DataCentreAccess;
 
 /**
  * Schedules the jobs of the callers of one entry onto workers.
@@ -57,11 +58,12 @@
      * Creates a dispatcher without jobs and workers.
      *
      * @param output the receiver of decisions
+     * @param access the data centres of agents, and which of them are closed
      */
-    public Dispatcher(DispatchOutput output) {
+    public Dispatcher(DispatchOutput output, DataCentreAccess access) {
         this.output = output;
         this.events = new DispatchEvents(output);
-        this.workers = new WorkerViews(new HealthFloor(output::logEvent));
+        this.workers = new WorkerViews(access, new HealthFloor(output::logEvent));
         this.ownership = new JobOwnership(output);
         this.startupEntries = new StartupEntries(ownership::areJobsKnown);
         this.queuedJobCheck = new QueuedJobCheck(jobs, ownership);
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerViews.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerViews.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 
 import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.core.evacuation.DataCentreAccess;
 
 /** The workers that an entry knows, by their agents. */
 final class WorkerViews {
@@ -20,6 +21,7 @@
     private static final int MAX_INCARNATIONS = 8;
 
     private final HealthFloor floor;
+    private final DataCentreAccess access;
     private final Map<Incarnation, WorkerView> views = new LinkedHashMap<>();
     private OptionalLong slowdownsUpdatedNanos = OptionalLong.empty();
 
@@ -27,16 +29,17 @@
     private final Map<String, List<Incarnation>> incarnations = new HashMap<>();
 
     /** Creates an empty table whose use of closed workers is not logged. */
-    WorkerViews() {
-        this(new HealthFloor((event, detail) -> {}));
+    WorkerViews(DataCentreAccess access) {
+        this(access, new HealthFloor((event, detail) -> {}));
     }
 
-    WorkerViews(HealthFloor floor) {
+    WorkerViews(DataCentreAccess access, HealthFloor floor) {
+        this.access = access;
         this.floor = floor;
     }
 
     WorkerView link(Incarnation agent, long nowNanos) {
-        WorkerView view = views.computeIfAbsent(agent, key -> new WorkerView(agent, nowNanos));
+        WorkerView view = views.computeIfAbsent(agent, key -> new WorkerView(agent, access, nowNanos));
         view.link();
         recordIncarnation(agent);
         return view;
@@ -87,6 +90,7 @@
 
     void remove(WorkerView view) {
         views.remove(view.agent());
+        access.agentRemoved(view.agent());
     }
 
     /**
@@ -124,7 +128,7 @@
     private void updateFloor() {
         Map<String, List<WorkerView>> services = new LinkedHashMap<>();
         for (WorkerView view : views.values()) {
-            if (view.linked() && view.report().isPresent()) {
+            if (view.linked() && !view.isEvacuated() && view.report().isPresent()) {
                 services.computeIfAbsent(view.report().get().service(), key -> new ArrayList<>())
                         .add(view);
             }
@@ -132,12 +136,12 @@
         services.forEach(floor::update);
     }
 
-    /** Returns the cores of all workers of a service that accept starts. */
-    double cores(String service) {
+    /** Returns the admitted cores of all workers of a service that accept starts. */
+    double cores(String service, long nowNanos) {
         double sum = 0;
         for (WorkerView view : views.values()) {
             if (view.acceptsStarts() && view.serves(service)) {
-                sum += view.report().orElseThrow().capacity().milliCores() / 1_000.0;
+                sum += view.admittedCores(nowNanos);
             }
         }
         return sum;
--- a/core/src/main/java/org/knapweedmount/core/worker/EntryTable.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/EntryTable.java
@@ -13,18 +13,24 @@
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.message.ActiveRuns;
+import org.knapweedmount.api.message.EntryAdmission;
+import org.knapweedmount.api.message.EvacuationNotice;
 import org.knapweedmount.api.message.LinkedEntries;
+import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.ResourceOffer;
+import org.knapweedmount.api.message.RunOrder;
 import org.knapweedmount.api.message.RunsEnded;
 import org.knapweedmount.api.message.WorkerCondition;
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.work.RunResult;
+import org.knapweedmount.core.evacuation.ReceivedNotices;
 
 /** The entries known to the agent of a worker, and the messages sent to them. */
 final class EntryTable {
     private final WorkerOutput output;
     private final Map<Incarnation, EntryView> entries = new LinkedHashMap<>();
     private final Map<Incarnation, List<RunResult>> pendingResults = new LinkedHashMap<>();
+    private final ReceivedNotices evacuation;
     private LinkedEntries lastTold = new LinkedEntries(List.of(), List.of());
     private Set<Incarnation> promptEntries = Set.of();
     private String promptWorker = "";
@@ -32,12 +38,32 @@
 
     EntryTable(WorkerOutput output) {
         this.output = output;
+        this.evacuation = new ReceivedNotices(output::logEvent);
     }
 
     EntryView of(Incarnation entry) {
         return entries.computeIfAbsent(entry, key -> new EntryView());
     }
 
+    /** Returns the sender of a message, after recording what it says of itself and of the agent's data centre. */
+    EntryView received(Incarnation entry, Message message) {
+        if (message instanceof EvacuationNotice notice) {
+            evacuation.received(entry, notice);
+        }
+        EntryView view = of(entry);
+        if (message instanceof EntryAdmission admission) {
+            view.admissionReceived(admission.open());
+        } else if (message instanceof RunOrder) {
+            view.admissionReceived(true);
+        }
+        return view;
+    }
+
+    /** Returns whether the data centre of the agent is closed, as far as the linked entries have told. */
+    boolean isDataCentreClosed() {
+        return evacuation.isClosed();
+    }
+
     Collection<EntryView> views() {
         return entries.values();
     }
@@ -67,6 +93,7 @@
     /** Handles the loss of the link to an entry. */
     void unlinked(Incarnation entry, long nowNanos) {
         of(entry).unlink(nowNanos);
+        evacuation.unlinked(entry);
         choosePromptEntries();
     }
 
@@ -92,9 +119,9 @@
         List<Incarnation> linked = new ArrayList<>();
         List<Incarnation> unlinkedWithRuns = new ArrayList<>();
         entries.forEach((entry, view) -> {
-            if (view.linked()) {
+            if (view.linked() && view.mayHoldJobs()) {
                 linked.add(entry);
-            } else if (!runs.of(entry).isEmpty()) {
+            } else if (!view.linked() && !runs.of(entry).isEmpty()) {
                 unlinkedWithRuns.add(entry);
             }
         });
--- a/core/src/main/java/org/knapweedmount/core/worker/RunCounter.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunCounter.java
@@ -1,6 +1,6 @@
 package org.knapweedmount.core.worker;
 
-/** Counters of runs that an agent has not seen end. */
+/** Counters of runs that an agent has not seen end, and of what is not its worker's. */
 public enum RunCounter {
     /** Runs of an unresponsive worker whose lease has expired by the worker's clock. */
     LAPSED_BY_CLOCK,
@@ -8,6 +8,8 @@
     ENDED_BY_NEW_INCARNATION,
     /** Listings of a run, or of its end, that the agent does not hold. */
     FOREIGN,
+    /** Announcements that are not the worker's, or cannot be parsed. */
+    FOREIGN_ANNOUNCEMENTS,
     /** Start orders without an answer, which may be executed late. */
     STARTS_UNANSWERED,
     /** Incarnations of the worker that a list has shown before their announcement. */
--- a/core/src/main/java/org/knapweedmount/core/worker/StartGate.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/StartGate.java
@@ -40,7 +40,8 @@
                 && noForeignRuns
                 && earlierWorkers.foreignRunsEnded(nowNanos)
                 && !listCalls.unresponsive()
-                && !draining;
+                && !draining
+                && !entries.isDataCentreClosed();
         if (!possible) {
             return Availability.CLOSED;
         }
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -76,11 +76,12 @@
      *
      * @param announcement the announcement
      * @param nowNanos the current time, in ns
+     * @return whether what the announcement says is in force
      */
-    public void announced(WorkerAnnouncement announcement, long nowNanos) {
+    public AnnouncementOutcome announced(WorkerAnnouncement announcement, long nowNanos) {
         if (worker.isOutdated(announcement, control.hasRunsAtCurrentWorker())) {
             checkCurrentWorker(announcement, nowNanos);
-            return;
+            return worker.outcomeOfOutdated(announcement);
         }
         boolean known = worker.isCurrent(announcement.incarnation());
         boolean wasDraining = worker.announcement().draining();
@@ -103,6 +104,7 @@
         lease.observeClock(announcement.clockMillis(), nowNanos);
         stopBeforeDeparture(nowNanos);
         reconcile(nowNanos);
+        return AnnouncementOutcome.APPLIED;
     }
 
     /** Asks the current worker for a list if another life announces itself that started earlier by its VM's clock. */
@@ -164,6 +166,18 @@
         reports.send(entry, nowNanos);
     }
 
+    /**
+     * Handles a new link to an entry that will tell whether it admits jobs. Until it does, it holds none, and the other
+     * entries are not told of the link: their requests would wait for an entry that is still busy with its start.
+     *
+     * @param entry the entry
+     * @param nowNanos the current time, in ns
+     */
+    public void linkedBeforeAdmission(Incarnation entry, long nowNanos) {
+        entries.of(entry).awaitAdmission();
+        linked(entry, nowNanos);
+    }
+
     /**
      * Handles the loss of a link.
      *
@@ -184,7 +198,7 @@
      * @param nowNanos the current time, in ns
      */
     public void receive(Incarnation from, Message message, long nowNanos) {
-        EntryView entryView = entries.of(from);
+        EntryView entryView = entries.received(from, message);
         if (message instanceof RunOrder order) {
             startOrders.receive(from, entryView, order, nowNanos);
         } else if (message instanceof ResourceDemand demand) {
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchEntry.java
@@ -14,6 +14,7 @@
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.Role;
+import org.knapweedmount.api.message.ClosedDataCentres;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.QueueUpdate;
 import org.knapweedmount.api.message.RelayedMessage;
@@ -70,6 +71,7 @@
     private final JobAnswerHandler callers;
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final AtomicInteger negativeProbes = new AtomicInteger();
+    private final Promise<Void> firstReady = Promise.promise();
     private volatile boolean ready;
     private volatile EntryAnnouncement announcement;
 
@@ -147,6 +149,20 @@
         ready = module.queues().version() > 0
                 && module.dispatcher().status().hasWorkers()
                 && !module.dispatcher().startupEntries().isAwaiting(nowNanos);
+        if (ready) {
+            firstReady.tryComplete();
+        }
+    }
+
+    /**
+     * Waits until the entry can serve callers for the first time.
+     *
+     * @param limitMillis the longest wait, in ms
+     * @return completes when the entry has queues and workers and admits jobs, or after the limit; never fails
+     */
+    public Future<Void> readyWithin(int limitMillis) {
+        vertx.setTimer(limitMillis, timer -> firstReady.tryComplete());
+        return firstReady.future();
     }
 
     private void entriesListed(KnownEntries known) {
@@ -196,6 +212,22 @@
         }
     }
 
+    /**
+     * Applies the closed data centres as read from the store; retries while the decision queue is full.
+     *
+     * @param update the closed data centres and the store's version
+     */
+    public void applyClosedDataCentres(ClosedDataCentres update) {
+        if (!urgentDecisions.offer((module, nowNanos) -> module.evacuation().apply(update, "store", nowNanos))) {
+            vertx.setTimer(TICK_INTERVAL_MILLIS, timer -> applyClosedDataCentres(update));
+        }
+    }
+
+    /** Counts a row of the operator whose key cannot be read. */
+    public void countUnreadableOrder() {
+        counters.increment(DispatchCounter.ORDERS_UNREADABLE);
+    }
+
     /**
      * Ends a job for which no caller waits any more; retries while the decision queue is full.
      *
--- a/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchModule.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/dispatch/DispatchModule.java
@@ -9,28 +9,46 @@
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.PeerAddress;
 import org.knapweedmount.api.Role;
+import org.knapweedmount.api.message.ClosedDataCentres;
+import org.knapweedmount.api.message.EntryAdmission;
 import org.knapweedmount.api.message.Message;
 import org.knapweedmount.api.message.Peers;
 import org.knapweedmount.api.message.QueueUpdate;
 import org.knapweedmount.core.dispatch.DispatchOutput;
 import org.knapweedmount.core.dispatch.Dispatcher;
 import org.knapweedmount.core.dispatch.QueueTable;
+import org.knapweedmount.core.evacuation.DataCentreAccess;
 
 /** State owned by the decision thread of a dispatching entry: the dispatcher and the queue configuration in force. */
 public final class DispatchModule {
+    private final DataCentreAccess access = new DataCentreAccess();
     private final Dispatcher dispatcher;
+    private final EvacuationOrders evacuation;
     private final QueueTable queues = new QueueTable();
     private final DispatchOutput output;
     private final AtomicLong appliedVersion;
     private final Consumer<PeerAddress> entryListener;
     private final Set<PeerAddress> entries = new HashSet<>();
+    private final Set<Incarnation> admittingEntries = new HashSet<>();
     private final Set<Incarnation> agents = new HashSet<>();
 
     DispatchModule(DispatchOutput output, AtomicLong appliedVersion, Consumer<PeerAddress> entryListener) {
-        this.dispatcher = new Dispatcher(output);
+        this.dispatcher = new Dispatcher(output, access);
+        this.evacuation = new EvacuationOrders(access, output);
         this.output = output;
         this.appliedVersion = appliedVersion;
         this.entryListener = entryListener;
+        dispatcher.startupEntries().onEnd(this::tellAdmission);
+    }
+
+    /** Tells all linked processes whether this entry admits jobs. */
+    private void tellAdmission() {
+        entries.forEach(entry -> tellAdmission(entry.incarnation()));
+        agents.forEach(this::tellAdmission);
+    }
+
+    private void tellAdmission(Incarnation peer) {
+        output.send(peer, new EntryAdmission(!dispatcher.startupEntries().hasNotEnded()));
     }
 
     /**
@@ -51,6 +69,11 @@
         return queues;
     }
 
+    /** Returns the operator's orders to close data centres. */
+    EvacuationOrders evacuation() {
+        return evacuation;
+    }
+
     /**
      * Applies a version of the queue configuration and, if it is newer, forwards it to all linked entries.
      *
@@ -80,17 +103,27 @@
 
     void linked(PeerAddress peer, long nowNanos) {
         output.logEvent("linked", "peer=" + peer.incarnation());
+        tellAdmission(peer.incarnation());
         if (peer.role() == Role.AGENT) {
             agents.add(peer.incarnation());
+            evacuation.agentLinked(peer);
             dispatcher.agentLinked(peer.incarnation(), nowNanos);
             sendPeers(peer.incarnation());
             return;
         }
         entries.add(peer);
         dispatcher.entryLinked(peer.incarnation(), nowNanos);
+        // An entry that learns its queues here learns first which data centres are closed.
+        evacuation.entryLinked(peer.incarnation());
         queues.newest().ifPresent(newest -> output.send(peer.incarnation(), newest));
-        agents.forEach(this::sendPeers);
-        sendPeersToEntries();
+        sendPeers(peer.incarnation());
+    }
+
+    private void admissionReceived(Incarnation entry, boolean open) {
+        if (open && admittingEntries.add(entry)) {
+            agents.forEach(this::sendPeers);
+            sendPeersToEntries();
+        }
     }
 
     private void sendPeersToEntries() {
@@ -98,7 +131,7 @@
     }
 
     /**
-     * Sends the linked entries to a process, so that it finds them while the platform's store is unavailable; an entry
+     * Sends the linked entries that admit jobs to a process, so that it finds them while the platform's store is unavailable; an entry
      * also learns that entries are alive that it is cut off from.
      */
     private void sendPeers(Incarnation receiver) {
@@ -106,13 +139,16 @@
                 receiver,
                 new Peers(entries.stream()
                         .filter(entry -> !entry.incarnation().equals(receiver))
+                        .filter(entry -> admittingEntries.contains(entry.incarnation()))
                         .toList()));
     }
 
     void unlinked(Incarnation peer, long nowNanos) {
         output.logEvent("unlinked", "peer=" + peer);
         agents.remove(peer);
-        if (entries.removeIf(entry -> entry.incarnation().equals(peer))) {
+        evacuation.unlinked(peer);
+        entries.removeIf(entry -> entry.incarnation().equals(peer));
+        if (admittingEntries.remove(peer)) {
             sendPeersToEntries();
         }
         dispatcher.unlinked(peer, nowNanos);
@@ -121,6 +157,10 @@
     void received(Incarnation from, Message message, long nowNanos) {
         if (message instanceof QueueUpdate update) {
             apply(update, from.process());
+        } else if (message instanceof EntryAdmission admission) {
+            admissionReceived(from, admission.open());
+        } else if (message instanceof ClosedDataCentres closed) {
+            evacuation.received(from, closed, nowNanos);
         } else {
             if (message instanceof Peers peers) {
                 peers.entries().forEach(entryListener);
