--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -1,6 +1,5 @@
 package org.knapweedmount.core.worker;
 
-import java.util.List;
 import java.util.Optional;
 
 import org.knapweedmount.api.Incarnation;
@@ -9,7 +8,6 @@
 import org.knapweedmount.api.message.ResourceDemand;
 import org.knapweedmount.api.message.RunOrder;
 import org.knapweedmount.api.message.StopRuns;
-import org.knapweedmount.api.work.RunOutcome;
 import org.knapweedmount.api.work.RunRef;
 import org.knapweedmount.core.worker.health.HealthCheck;
 import org.knapweedmount.core.worker.health.WorkerLifecycle;
@@ -24,7 +22,6 @@
     private final EntryTable entries;
     private final RunTable runs;
     private final WorkerLease lease;
-    private final WorkerFence fence;
     private final HealthControl health;
     private final WorkerLifecycle lifecycle;
     private final SlowdownEstimator slowdown;
@@ -40,6 +37,7 @@
     private final WorkerReports reports;
     private final StartOrders startOrders;
     private final RunLists lists;
+    private final RunDeadlines deadlines;
 
     /**
      * Creates an agent without a worker.
@@ -53,7 +51,6 @@
         this.entries = parts.entries();
         this.runs = parts.runs();
         this.lease = parts.lease();
-        this.fence = parts.fence();
         this.health = parts.health();
         this.lifecycle = parts.lifecycle();
         this.slowdown = parts.slowdown();
@@ -69,6 +66,7 @@
         this.reports = new WorkerReports(parts, gate);
         this.startOrders = new StartOrders(parts, gate, reports);
         this.lists = new RunLists(parts, gate);
+        this.deadlines = new RunDeadlines(parts, gate);
     }
 
     /**
@@ -102,7 +100,7 @@
         lifecycle.announced(
                 announcement.coldMillis(), announcement.draining(), announcement.remainingMillis(), nowNanos);
         lease.observeClock(announcement.clockMillis(), nowNanos);
-        stopBeforeDeparture(nowNanos);
+        deadlines.stopBeforeDeparture(nowNanos);
         reconcile(nowNanos);
         return AnnouncementOutcome.APPLIED;
     }
@@ -327,57 +325,17 @@
      */
     public void tick(long nowNanos) {
         long timestampMillis = lease.timestampMillis(nowNanos);
-        entries.byEntry().forEach((entry, entryView) -> {
-            entryView.expireOffer(nowNanos);
-            if (entryView.mustStopRuns(timestampMillis, nowNanos)) {
-                runs.of(entry).forEach(run -> control.stop(run, nowNanos));
-            }
-        });
-        stopStalled(nowNanos);
-        stopBeforeDeparture(nowNanos);
+        deadlines.stopExpired(timestampMillis, nowNanos);
+        deadlines.stopStalled(nowNanos);
+        deadlines.stopBeforeDeparture(nowNanos);
         control.retryStops(nowNanos);
-        endLapsedRuns(nowNanos);
+        deadlines.endLapsed(nowNanos);
         earlierWorkers.tick(incarnation(), nowNanos);
         entries.removeExpired(runs, timestampMillis, nowNanos);
         entries.tellLinkedEntries(runs);
         reconcile(nowNanos);
     }
 
-    /** Stops the runs that cannot end before the worker leaves, so that their entries start them elsewhere. */
-    private void stopBeforeDeparture(long nowNanos) {
-        double factor = slowdown.estimate(nowNanos);
-        for (TrackedRun run : runs.matching(run -> !run.state().ending() && run.isAt(incarnation()))) {
-            WorkerLifecycle.Progress progress =
-                    new WorkerLifecycle.Progress(run.request().expectedMillis(), run.percent(), run.progressNanos());
-            if (lifecycle.endsBefore(progress, factor, nowNanos)) {
-                events.stoppedBeforeDeparture(run, incarnation());
-                control.stop(run, nowNanos);
-            }
-        }
-    }
-
-    private void stopStalled(long nowNanos) {
-        for (TrackedRun run : runs.stalled(incarnation(), nowNanos)) {
-            events.stalled(run, incarnation());
-            health.recordStall(run, nowNanos);
-            control.stop(run, nowNanos);
-        }
-    }
-
-    /** Ends all runs of a worker that does not answer once its clock must have passed its last lease expiry. */
-    private void endLapsedRuns(long nowNanos) {
-        List<TrackedRun> left = runs.matching(run -> !run.isAtOtherWorker(incarnation()));
-        boolean silent = listCalls.unresponsive() || worker.displaced();
-        if (!silent || left.isEmpty() || !fence.inPlace() || !lease.hasLapsed(nowNanos)) {
-            return;
-        }
-        output.logEvent("worker-lapsed", "worker=" + incarnation() + " runs=" + runs.size());
-        // An unanswered start may still be executed, and a later extension of the worker's lease would apply to it.
-        fenceControl.raise("runs-lapsed", nowNanos);
-        gate.requireList();
-        left.forEach(run -> control.end(run, RunOutcome.LAPSED, RunEndEvidence.CLOCK, "", nowNanos));
-    }
-
     /** Follows up any change: sends results, offers capacity, reports, and keeps a list call in flight. */
     private void reconcile(long nowNanos) {
         entries.sendResults(lease.timestampMillis(nowNanos));
