--- a/core/src/main/java/org/knapweedmount/core/dispatch/Candidates.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Candidates.java
@@ -43,7 +43,8 @@
 
     /** Takes a worker as the best one if it is better than those before. */
     void offer(WorkerView worker, boolean nearData) {
-        long rank = nearData ? 1 : 0;
+        long rank = worker.reportsAcceptance() ? 1 : 0;
+        rank = rank << 1 | (nearData ? 1 : 0);
         rank = rank << 1 | (worker.isPrompt() ? 1 : 0);
         rank = rank << 1 | (sample.contains(worker.agent()) ? 1 : 0);
         rank = rank << COST_BITS | (MAX_COST - costSteps(worker));
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -73,8 +73,8 @@
      */
     public Dispatcher(DispatchOutput output, DataCentreAccess access, DispatchSettings settings) {
         this.output = output;
-        this.workers = new WorkerViews(access);
         this.events = new DispatchEvents(output);
+        this.workers = new WorkerViews(access, new HealthFloor(output::logEvent));
         this.ownership = new JobOwnership(output);
         this.startupEntries = new StartupEntries(ownership::areJobsKnown);
         this.queuedJobCheck = new QueuedJobCheck(jobs, ownership);
@@ -383,7 +383,7 @@
     }
 
     private void handleReport(WorkerView view, WorkerReport report, long nowNanos) {
-        boolean newlyAccepting = report.acceptsStarts() && !view.acceptsStarts();
+        boolean newlyAccepting = report.acceptsStarts() && !view.reportsAcceptance();
         view.reportReceived(report, nowNanos);
         maxCapacity.merge(report.service(), report.capacity(), Resources::max);
         if (newlyAccepting) {
--- a/core/src/main/java/org/knapweedmount/core/dispatch/Placement.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Placement.java
@@ -94,9 +94,15 @@
                 && servesQueue
                 && !avoided
                 && !atStepLimit
+                && (worker.reportsAcceptance() || !isLastAttempt(task))
                 && canMeetTarget(task.job(), worker, nowNanos);
     }
 
+    /** Returns whether another failure fails the job; no closed worker is used then. */
+    private static boolean isLastAttempt(TrackedTask task) {
+        return task.failures() + 1 >= task.job().request().queue().maxAttempts();
+    }
+
     private static boolean canMeetTarget(TrackedJob job, WorkerView worker, long nowNanos) {
         if (!JobOrder.canMeetTarget(job, nowNanos)) {
             return true;
--- a/core/src/main/java/org/knapweedmount/core/dispatch/RunResults.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/RunResults.java
@@ -1,5 +1,7 @@
 package org.knapweedmount.core.dispatch;
 
+import java.util.concurrent.TimeUnit;
+
 import org.knapweedmount.api.work.RunResult;
 import org.knapweedmount.api.work.WorkQueue;
 
@@ -61,7 +63,10 @@
         }
         switch (result.outcome()) {
             case DONE -> completeTask(view, task, result, nowNanos);
-            case FAILED -> recordFailure(task, nowNanos);
+            case FAILED -> {
+                view.runFailed(nowNanos);
+                recordFailure(task, nowNanos);
+            }
             case OUTDATED -> task.skipOutdatedRunNumbers();
             default -> {
                 // The outcome says nothing about the task.
@@ -79,7 +84,7 @@
     private void completeTask(WorkerView view, TrackedTask task, RunResult result, long nowNanos) {
         String queue = task.job().request().queue().name();
         int estimate = task.step().estimateMillis();
-        if (view.coldMillis(nowNanos) == 0) {
+        if (!view.wasColdAt(nowNanos - TimeUnit.MILLISECONDS.toNanos(result.elapsedMillis()))) {
             double factor = view.relativeSlowdown() * costs.dataFactor(task, view);
             durations.observe(queue, estimate, result.elapsedMillis() / factor);
         }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerView.java
@@ -6,12 +6,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
 import org.knapweedmount.api.message.KindInterference;
 import org.knapweedmount.api.message.ResourceDemand;
+import org.knapweedmount.api.message.WorkerCondition;
 import org.knapweedmount.api.message.WorkerReport;
 import org.knapweedmount.api.work.RunRef;
 import org.knapweedmount.core.cost.InterferenceTable;
@@ -46,6 +48,9 @@
     private double momentarySlowdown = 1;
     private WorkerSpeed speed = new WorkerSpeed();
     private String worker = "";
+    private OptionalLong coldUntilNanos = OptionalLong.empty();
+    private long unhealthySinceNanos;
+    private boolean usedBeyondFloor;
 
     private record SentOrder(long number, Resources resources) {}
 
@@ -92,6 +97,13 @@
             worker = received.worker();
             speed = new WorkerSpeed();
         }
+        if (!reportsUnhealthy()) {
+            unhealthySinceNanos = nowNanos;
+        }
+        if (received.condition().coldMillis() > 0) {
+            coldUntilNanos = OptionalLong.of(nowNanos
+                    + TimeUnit.MILLISECONDS.toNanos(received.condition().coldMillis()));
+        }
         report = Optional.of(received);
         lastReportNanos = nowNanos;
         while (!unacknowledgedOrders.isEmpty() && unacknowledgedOrders.peek().number() <= received.lastOrderNumber()) {
@@ -114,8 +126,14 @@
         return nowNanos - lastReportNanos > DispatchTimings.MAX_RUN_END_NANOS;
     }
 
+    /** Returns whether runs may be ordered: the worker accepts starts, or is used although it is closed. */
     boolean acceptsStarts() {
-        return linked && report.isPresent() && report.get().acceptsStarts() && !isEvacuated();
+        return !isEvacuated() && (reportsAcceptance() || (usedBeyondFloor && reportsUnhealthy()));
+    }
+
+    /** Returns whether the worker accepts starts by the last report. */
+    boolean reportsAcceptance() {
+        return linked && report.isPresent() && report.get().acceptsStarts();
     }
 
     /** Returns whether the data centre of the worker is closed by the operator. */
@@ -143,6 +161,33 @@
         return new Resources((int) (milliCores * percent / ReopeningSteps.ALL_PERCENT), 0, 0);
     }
 
+    /** Returns whether the worker accepts no starts only because of its health, by the last report. */
+    boolean reportsUnhealthy() {
+        return linked
+                && report.isPresent()
+                && report.get().condition().availability() == WorkerCondition.Availability.UNHEALTHY;
+    }
+
+    /** Returns when the first of the last reports was received by which the worker is unhealthy, in ns. */
+    long unhealthySinceNanos() {
+        return unhealthySinceNanos;
+    }
+
+    /** Records that a run has failed, so that other closed workers are used first. */
+    void runFailed(long nowNanos) {
+        unhealthySinceNanos = nowNanos;
+    }
+
+    /** Orders runs although the worker is closed for its health, or no longer. */
+    void useBeyondFloor(boolean used) {
+        usedBeyondFloor = used;
+    }
+
+    /** Returns whether the worker was slow at a time because it had just started. */
+    boolean wasColdAt(long nanos) {
+        return coldUntilNanos.isPresent() && coldUntilNanos.getAsLong() - nanos > 0;
+    }
+
     /** Returns whether the agent tells this entry of large changes at once, so that its worker is preferred. */
     boolean isPrompt() {
         return report.isPresent() && report.get().prompt();
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WorkerViews.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WorkerViews.java
@@ -22,6 +22,7 @@
     /** How many incarnations of an agent are remembered; a replaced one may still send a late report. */
     private static final int MAX_INCARNATIONS = 8;
 
+    private final HealthFloor floor;
     private final DataCentreAccess access;
     private final Map<Incarnation, WorkerView> views = new LinkedHashMap<>();
     private final Map<String, InterferenceTable> interference = new HashMap<>();
@@ -30,8 +31,14 @@
     /** The incarnations of each agent in the order of their first links, also those without a view. */
     private final Map<String, List<Incarnation>> incarnations = new HashMap<>();
 
+    /** Creates an empty table whose use of closed workers is not logged. */
     WorkerViews(DataCentreAccess access) {
+        this(access, new HealthFloor((event, detail) -> {}));
+    }
+
+    WorkerViews(DataCentreAccess access, HealthFloor floor) {
         this.access = access;
+        this.floor = floor;
     }
 
     WorkerView link(Incarnation agent, long nowNanos) {
@@ -90,7 +97,8 @@
     }
 
     /**
-     * Updates the relative slowdown of each worker against the median of its service, from time to time.
+     * Updates the relative slowdown of each worker against the median of its service, and which closed workers are used
+     * all the same, from time to time.
      *
      * <p>A slowdown that all workers share is learnt as the duration of tasks by {@link DurationModel}, not as the
      * slowdown of a worker.
@@ -102,6 +110,7 @@
             return;
         }
         slowdownsUpdatedNanos = OptionalLong.of(nowNanos);
+        updateFloor();
         Map<String, List<WorkerView>> services = new LinkedHashMap<>();
         for (WorkerView view : views.values()) {
             if (view.acceptsStarts()) {
@@ -127,6 +136,17 @@
         }
     }
 
+    private void updateFloor() {
+        Map<String, List<WorkerView>> services = new LinkedHashMap<>();
+        for (WorkerView view : views.values()) {
+            if (view.linked() && !view.isEvacuated() && view.report().isPresent()) {
+                services.computeIfAbsent(view.report().get().service(), key -> new ArrayList<>())
+                        .add(view);
+            }
+        }
+        services.forEach(floor::update);
+    }
+
     private static InterferenceTable interferenceOf(List<WorkerView> workers) {
         return InterferenceTable.of(workers.stream()
                 .flatMap(worker -> worker.interference().stream())
--- a/core/src/main/java/org/knapweedmount/core/worker/RunCounter.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunCounter.java
@@ -17,5 +17,13 @@
     /** Pairs of kinds of tasks that were found to slow each other down. */
     PAIRS_FOUND,
     /** Pairs of kinds of tasks that are no longer known to slow each other down. */
-    PAIRS_FORGOTTEN
+    PAIRS_FORGOTTEN,
+    /** Times that the worker was closed, or closed for longer, because of its health. */
+    HEALTH_CLOSINGS,
+    /** Health checks of a closed worker. */
+    HEALTH_CHECKS,
+    /** Runs that were started although the worker was closed, because too few workers of the service were open. */
+    STARTS_WHILE_CLOSED,
+    /** Runs that were stopped because the worker leaves before they can end. */
+    STOPPED_BEFORE_DEPARTURE
 }
--- a/core/src/main/java/org/knapweedmount/core/worker/RunTable.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/RunTable.java
@@ -9,7 +9,7 @@
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
-import org.knapweedmount.api.message.WorkerCondition;
+import org.knapweedmount.api.message.KindInterference;
 import org.knapweedmount.api.work.RunRef;
 import org.knapweedmount.core.worker.interference.InterferenceObserver;
 
@@ -49,9 +49,9 @@
         return interference;
     }
 
-    /** Returns the condition of the worker as far as its runs show it. */
-    WorkerCondition condition(long nowNanos) {
-        return WorkerCondition.NORMAL.withInterference(interference.pairs(nowNanos));
+    /** Returns the pairs of kinds of tasks that slow each other down, by the runs that have ended. */
+    List<KindInterference> interferingPairs(long nowNanos) {
+        return interference.pairs(nowNanos);
     }
 
     Optional<TrackedRun> find(RunRef ref) {
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerAgent.java
@@ -1,6 +1,5 @@
 package org.knapweedmount.core.worker;
 
-import java.util.List;
 import java.util.Optional;
 
 import org.knapweedmount.api.Incarnation;
@@ -9,8 +8,9 @@
 import org.knapweedmount.api.message.ResourceDemand;
 import org.knapweedmount.api.message.RunOrder;
 import org.knapweedmount.api.message.StopRuns;
-import org.knapweedmount.api.work.RunOutcome;
 import org.knapweedmount.api.work.RunRef;
+import org.knapweedmount.core.worker.health.HealthCheck;
+import org.knapweedmount.core.worker.health.WorkerLifecycle;
 
 /**
  * Controls one worker, as the only process that sends orders to it.
@@ -22,8 +22,8 @@
     private final EntryTable entries;
     private final RunTable runs;
     private final WorkerLease lease;
-    private final WorkerFence fence;
-    private final WorkerHealth health;
+    private final HealthControl health;
+    private final WorkerLifecycle lifecycle;
     private final SlowdownEstimator slowdown;
     private final RunListCalls listCalls;
     private final RunEvents events;
@@ -37,6 +37,7 @@
     private final WorkerReports reports;
     private final StartOrders startOrders;
     private final RunLists lists;
+    private final RunDeadlines deadlines;
 
     /**
      * Creates an agent without a worker.
@@ -50,8 +51,8 @@
         this.entries = parts.entries();
         this.runs = parts.runs();
         this.lease = parts.lease();
-        this.fence = parts.fence();
         this.health = parts.health();
+        this.lifecycle = parts.lifecycle();
         this.slowdown = parts.slowdown();
         this.listCalls = parts.listCalls();
         this.events = parts.events();
@@ -65,6 +66,7 @@
         this.reports = new WorkerReports(parts, gate);
         this.startOrders = new StartOrders(parts, gate, reports);
         this.lists = new RunLists(parts, gate);
+        this.deadlines = new RunDeadlines(parts, gate);
     }
 
     /**
@@ -95,7 +97,10 @@
             output.logEvent(
                     "worker-draining", "worker=" + announcement.incarnation() + " draining=" + announcement.draining());
         }
+        lifecycle.announced(
+                announcement.coldMillis(), announcement.draining(), announcement.remainingMillis(), nowNanos);
         lease.observeClock(announcement.clockMillis(), nowNanos);
+        deadlines.stopBeforeDeparture(nowNanos);
         reconcile(nowNanos);
         return AnnouncementOutcome.APPLIED;
     }
@@ -127,6 +132,7 @@
         listCalls.reset(nowNanos);
         lateOrders.reset();
         slowdown.reset();
+        lifecycle.reset();
         lists.begin();
         fenceControl.begin(announcement, nowNanos);
     }
@@ -319,43 +325,17 @@
      */
     public void tick(long nowNanos) {
         long timestampMillis = lease.timestampMillis(nowNanos);
-        entries.byEntry().forEach((entry, entryView) -> {
-            entryView.expireOffer(nowNanos);
-            if (entryView.mustStopRuns(timestampMillis, nowNanos)) {
-                runs.of(entry).forEach(run -> control.stop(run, nowNanos));
-            }
-        });
-        stopStalled(nowNanos);
+        deadlines.stopExpired(timestampMillis, nowNanos);
+        deadlines.stopStalled(nowNanos);
+        deadlines.stopBeforeDeparture(nowNanos);
         control.retryStops(nowNanos);
-        endLapsedRuns(nowNanos);
+        deadlines.endLapsed(nowNanos);
         earlierWorkers.tick(incarnation(), nowNanos);
         entries.removeExpired(runs, timestampMillis, nowNanos);
         entries.tellLinkedEntries(runs);
         reconcile(nowNanos);
     }
 
-    private void stopStalled(long nowNanos) {
-        for (TrackedRun run : runs.stalled(incarnation(), nowNanos)) {
-            events.stalled(run, incarnation());
-            health.quarantine("stalled", nowNanos);
-            control.stop(run, nowNanos);
-        }
-    }
-
-    /** Ends all runs of a worker that does not answer once its clock must have passed its last lease expiry. */
-    private void endLapsedRuns(long nowNanos) {
-        List<TrackedRun> left = runs.matching(run -> !run.isAtOtherWorker(incarnation()));
-        boolean silent = listCalls.unresponsive() || worker.displaced();
-        if (!silent || left.isEmpty() || !fence.inPlace() || !lease.hasLapsed(nowNanos)) {
-            return;
-        }
-        output.logEvent("worker-lapsed", "worker=" + incarnation() + " runs=" + runs.size());
-        // An unanswered start may still be executed, and a later extension of the worker's lease would apply to it.
-        fenceControl.raise("runs-lapsed", nowNanos);
-        gate.requireList();
-        left.forEach(run -> control.end(run, RunOutcome.LAPSED, RunEndEvidence.CLOCK, "", nowNanos));
-    }
-
     /** Follows up any change: sends results, offers capacity, reports, and keeps a list call in flight. */
     private void reconcile(long nowNanos) {
         entries.sendResults(lease.timestampMillis(nowNanos));
@@ -368,6 +348,21 @@
         }
         reports.sendDue(nowNanos);
         lists.requestDue(nowNanos);
+        health.checkDue(runs.size(), nowNanos);
+    }
+
+    /**
+     * Handles the result of a health check.
+     *
+     * @param incarnation the incarnation that the check was for
+     * @param result the result
+     * @param nowNanos the current time, in ns
+     */
+    public void healthChecked(WorkerIncarnation incarnation, HealthCheck result, long nowNanos) {
+        if (worker.isCurrent(incarnation)) {
+            health.checked(result, nowNanos);
+            reconcile(nowNanos);
+        }
     }
 
     private WorkerIncarnation incarnation() {
--- a/core/src/main/java/org/knapweedmount/core/worker/WorkerReports.java
+++ b/core/src/main/java/org/knapweedmount/core/worker/WorkerReports.java
@@ -1,7 +1,9 @@
 package org.knapweedmount.core.worker;
 
 import org.knapweedmount.api.Incarnation;
+import org.knapweedmount.api.message.WorkerCondition;
 import org.knapweedmount.api.message.WorkerReport;
+import org.knapweedmount.core.worker.health.WorkerLifecycle;
 
 /** Creates the reports of the worker to entries, and decides when they are sent. */
 final class WorkerReports {
@@ -10,6 +12,7 @@
     private final WorkerLease lease;
     private final CurrentWorker worker;
     private final SlowdownEstimator slowdown;
+    private final WorkerLifecycle lifecycle;
     private final StartGate gate;
 
     WorkerReports(WorkerParts parts, StartGate gate) {
@@ -18,6 +21,7 @@
         this.lease = parts.lease();
         this.worker = parts.worker();
         this.slowdown = parts.slowdown();
+        this.lifecycle = parts.lifecycle();
         this.gate = gate;
     }
 
@@ -52,6 +56,7 @@
                 entries.backlogCoreMillisExcept(entryView),
                 slowdown.percent(nowNanos),
                 entries.isPrompt(entry),
-                runs.condition(nowNanos));
+                new WorkerCondition(
+                        gate.availability(nowNanos), lifecycle.coldMillis(nowNanos), runs.interferingPairs(nowNanos)));
     }
 }
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatchFixture.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatchFixture.java
@@ -11,6 +11,7 @@
 import org.knapweedmount.api.work.WorkQueue;
 import org.knapweedmount.core.cost.ServiceSpeeds;
 import org.knapweedmount.core.cost.WorkerSpeed;
+import org.knapweedmount.core.evacuation.DataCentreAccess;
 
 /** Creates jobs and workers for tests of the dispatch rules. */
 final class DispatchFixture {
@@ -22,6 +23,11 @@
         return TimeUnit.MILLISECONDS.toNanos(millis);
     }
 
+    /** Returns the costs of runs of an entry that has learnt nothing. */
+    static RunCosts costs() {
+        return new RunCosts(new DurationModel(), new WorkerViews(new DataCentreAccess()), DispatchSettings.DEFAULT);
+    }
+
     static JobStep step(int count, int milliCores, int estimateMillis) {
         return new JobStep(
                 count,
