--- a/standins/src/main/java/org/knapweedmount/standins/bench/PlacementModel.java
+++ b/standins/src/main/java/org/knapweedmount/standins/bench/PlacementModel.java
@@ -23,6 +23,7 @@
 import org.knapweedmount.core.dispatch.JobRequest;
 import org.knapweedmount.core.dispatch.JobResult;
 import org.knapweedmount.core.dispatch.JobStep;
+import org.knapweedmount.core.evacuation.DataCentreAccess;
 
 /** One entry with workers that are half used, which end each run at once. */
 final class PlacementModel implements DispatchOutput {
@@ -39,7 +40,7 @@
     private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     private final PlacementCase measured;
-    private final Dispatcher dispatcher = new Dispatcher(this, new DispatchSettings(2));
+    private final Dispatcher dispatcher = new Dispatcher(this, new DataCentreAccess(), new DispatchSettings(2));
     private final List<Incarnation> agents = new ArrayList<>();
     private final Map<Incarnation, List<RunOrder>> orders = new HashMap<>();
     private long nowNanos = TimeUnit.HOURS.toNanos(1);
