Test the cold worker by the model of costs

Cause: two branches counted the cold start, one as a slowdown of the worker and one in the model of costs; both together would count it twice. Change: the test that expects twice the run time asks the model, which placement uses.

--- a/core/src/test/java/org/knapweedmount/core/dispatch/HealthFloorTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/HealthFloorTest.java
@@ -168,11 +168,13 @@
         WorkerView view = worker("cold", Availability.OPEN, 0);
         report(view, Availability.OPEN, 1_000, 100);
 
-        assertThat(view.relativeSlowdown(), is(2.0));
+        long nowNanos = DispatchFixture.millisToNanos(100);
+        assertThat(DispatchFixture.costs().durationMillis(100, 1, view, nowNanos), is(200.0));
         assertThat(view.wasColdAt(DispatchFixture.millisToNanos(1_099)), is(true));
         assertThat(view.wasColdAt(DispatchFixture.millisToNanos(1_100)), is(false));
 
         report(view, Availability.OPEN, 0, 1_200);
-        assertThat(view.relativeSlowdown(), is(1.0));
+        long warmNanos = DispatchFixture.millisToNanos(1_200);
+        assertThat(DispatchFixture.costs().durationMillis(100, 1, view, warmNanos), is(100.0));
     }
 }
