Move the requests that wait out of the dispatcher

Change: WaitingRequests finds the requests that wait and those that have waited too long; no behaviour changes. Measured: the tests of the dispatcher pass.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Predicate;
 
 import org.knapweedmount.api.Incarnation;
 import org.knapweedmount.api.Resources;
@@ -53,6 +52,7 @@
     private final StartupEntries startupEntries;
     private final QueuedJobCheck queuedJobCheck;
     private final Drain drain = new Drain();
+    private final WaitingRequests waitingRequests;
 
     /**
      * Creates a dispatcher without jobs and workers.
@@ -76,6 +76,7 @@
         this.events = new DispatchEvents(output);
         this.workers = new WorkerViews(access, new HealthFloor(output::logEvent));
         this.ownership = new JobOwnership(output);
+        this.waitingRequests = new WaitingRequests(ownership, heldRequests, drain, durations);
         this.startupEntries = new StartupEntries(ownership::areJobsKnown);
         this.queuedJobCheck = new QueuedJobCheck(jobs, ownership);
         this.answers = new JobAnswers(output, events);
@@ -86,7 +87,7 @@
         DecisionExplainer explainer =
                 new DecisionExplainer(workers, jobs, durations, costs, admission, drain, ownership);
         this.status = new DispatchStatus(
-                jobs, workers, answers, events.waitLatencies(), this::waitingRequests, cancels::waiting, explainer);
+                jobs, workers, answers, events.waitLatencies(), waitingRequests::all, cancels::waiting, explainer);
         this.placer = new TaskPlacer(
                 output, jobs, workers, maxCapacity, costs, events, new CompetingEntries(heldRequests, ownership));
         this.runResults = new RunResults(workers, durations, costs, events, this::conclude, this::removeIfDone);
@@ -513,8 +514,7 @@
         cancels.tick(nowNanos);
         ownership.releaseLost(nowNanos).forEach(job -> resume(job, "leases-ended", nowNanos));
         resumeConfirmed(nowNanos);
-        waitingRequests(waiting -> hasWaitedTooLong(waiting, nowNanos))
-                .forEach(id -> dropAwaiting(id, "waited too long", nowNanos));
+        waitingRequests.tooLong(nowNanos).forEach(id -> dropAwaiting(id, "waited too long", nowNanos));
         queuedJobCheck.tick(nowNanos);
         ownership.sendUpdates(nowNanos);
         for (WorkerView view : workers.all()) {
@@ -525,22 +525,6 @@
         }
     }
 
-    private boolean hasWaitedTooLong(WaitingRequest waiting, long nowNanos) {
-        return drain.hasWaitedTooLong(waiting, nowNanos)
-                || ExpiryRule.hasWaitedTooLong(waiting, durations.criticalPathMillis(waiting.request()), nowNanos);
-    }
-
-    /** Returns the jobs whose requests are held or wait for other entries. */
-    private List<String> waitingRequests() {
-        return waitingRequests(waiting -> true);
-    }
-
-    private List<String> waitingRequests(Predicate<WaitingRequest> condition) {
-        List<String> waiting = new ArrayList<>(ownership.awaited(condition));
-        waiting.addAll(heldRequests.matching(condition));
-        return waiting;
-    }
-
     /**
      * Holds requests and orders after a stall, because other entries may have admitted the jobs; gives up all jobs if the
      * leases of their runs have ended.
@@ -555,7 +539,7 @@
             output.logEvent("entry-paused", stall.description() + " jobs=" + jobs.unanswered());
             return;
         }
-        List<String> waiting = waitingRequests();
+        List<String> waiting = waitingRequests.all();
         output.logEvent(
                 "entry-stalled", stall.description() + " jobs=" + jobs.unanswered() + " waiting=" + waiting.size());
         waiting.forEach(id -> dropAwaiting(id, "the entry stood still", nowNanos));
@@ -588,7 +572,7 @@
                 conclude(job, ownership.notRunOnlyIfKnown(job.id(), result), nowNanos);
             }
         }
-        waitingRequests().forEach(id -> dropAwaiting(id, "leaving", nowNanos));
+        waitingRequests.all().forEach(id -> dropAwaiting(id, "leaving", nowNanos));
         cancels.finish();
     }
 
