Compute the shares of queues from jobs only in tests

Cause: after the loads of queues are kept up to date, only tests sum them over jobs. Change: the method moves to the fixture of the tests. Measured: the tests that use it pass.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/QueueShares.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/QueueShares.java
@@ -39,17 +39,6 @@
         return shares;
     }
 
-    /** Computes the shares from the unanswered jobs of a service and the queues with recent arrivals. */
-    static QueueShares of(Collection<TrackedJob> jobs, String service, Collection<String> recentQueues) {
-        Map<String, QueueLoad> loads = new HashMap<>();
-        for (TrackedJob job : jobs) {
-            if (!job.answered() && job.request().queue().service().equals(service)) {
-                job.countIn(loads.computeIfAbsent(job.request().queue().name(), name -> new QueueLoad()));
-            }
-        }
-        return of(loads, recentQueues);
-    }
-
     private void add(String queue, double cores) {
         activeQueues.add(queue);
         coresByQueue.merge(queue, cores, Double::sum);
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DataLocalityTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DataLocalityTest.java
@@ -38,7 +38,7 @@
     /** Returns the first part of the names of the workers chosen for jobs of one task, "waits" for none. */
     private List<String> place(List<TrackedJob> jobs, List<String> recentQueues, long nowMillis) {
         long nowNanos = DispatchFixture.millisToNanos(nowMillis);
-        QueueShares shares = QueueShares.of(jobs, "service", recentQueues);
+        QueueShares shares = DispatchFixture.shares(jobs, recentQueues);
         DataLocality data = new DataLocality(workers, costs, shares, 3, nowNanos);
         FreeCapacities free = new FreeCapacities(workers, nowNanos);
         List<String> chosen = new ArrayList<>();
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DecisionExplainerTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DecisionExplainerTest.java
@@ -48,7 +48,7 @@
         TrackedTask task = new TrackedJob(DispatchFixture.request("j", step), 300, nowNanos)
                 .tasks()
                 .get(0);
-        QueueShares shares = QueueShares.of(List.of(), "service", List.of());
+        QueueShares shares = DispatchFixture.shares(List.of(), List.of());
         RunCosts costs =
                 new RunCosts(new DurationModel(), new WorkerViews(new DataCentreAccess()), DispatchSettings.DEFAULT);
         DataLocality data = new DataLocality(List.of(worker), costs, shares, 1, nowNanos);
--- a/core/src/test/java/org/knapweedmount/core/dispatch/DispatchFixture.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/DispatchFixture.java
@@ -1,6 +1,8 @@
 package org.knapweedmount.core.dispatch;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -28,6 +30,14 @@
         return new RunCosts(new DurationModel(), new WorkerViews(new DataCentreAccess()), DispatchSettings.DEFAULT);
     }
 
+    /** Returns the shares of the queues of some jobs. */
+    static QueueShares shares(List<TrackedJob> jobs, List<String> recentQueues) {
+        Map<String, QueueLoad> loads = new HashMap<>();
+        jobs.forEach(
+                job -> job.countIn(loads.computeIfAbsent(job.request().queue().name(), name -> new QueueLoad())));
+        return QueueShares.of(loads, recentQueues);
+    }
+
     static JobStep step(int count, int milliCores, int estimateMillis) {
         return new JobStep(
                 count,
--- a/core/src/test/java/org/knapweedmount/core/dispatch/InterferencePlacementTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/InterferencePlacementTest.java
@@ -50,7 +50,7 @@
     private String choose() {
         views.updateRelativeSlowdowns(0);
         TrackedJob job = DispatchFixture.job("j", 0, 286);
-        QueueShares shares = QueueShares.of(List.of(job), "service", List.of());
+        QueueShares shares = DispatchFixture.shares(List.of(job), List.of());
         List<WorkerView> workers = views.forService("service");
         DataLocality data = new DataLocality(workers, costs, shares, 1, 0);
         return Placement.choose(job.tasks().get(0), new FreeCapacities(workers, 0), shares, data, 1, 0)
--- a/core/src/test/java/org/knapweedmount/core/dispatch/JobOrderTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/JobOrderTest.java
@@ -10,7 +10,7 @@
 
 class JobOrderTest {
     private static List<String> order(long nowMillis, TrackedJob... jobs) {
-        QueueShares shares = QueueShares.of(List.of(jobs), "service", List.of());
+        QueueShares shares = DispatchFixture.shares(List.of(jobs), List.of());
         return JobOrder.sorted(List.of(jobs), shares, DispatchFixture.millisToNanos(nowMillis)).stream()
                 .map(TrackedJob::id)
                 .toList();
--- a/core/src/test/java/org/knapweedmount/core/dispatch/PlacementTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/PlacementTest.java
@@ -19,7 +19,7 @@
     }
 
     private static String choose(TrackedJob job, long nowMillis, int entries, WorkerView... workers) {
-        QueueShares shares = QueueShares.of(List.of(job), "service", List.of());
+        QueueShares shares = DispatchFixture.shares(List.of(job), List.of());
         return Placement.choose(
                         job.tasks().get(0),
                         new FreeCapacities(List.of(workers), DispatchFixture.millisToNanos(nowMillis)),
--- a/core/src/test/java/org/knapweedmount/core/dispatch/QueueSharesTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/QueueSharesTest.java
@@ -32,7 +32,7 @@
 
     private final TrackedJob large = job("l", "large", 10, 9);
     private final TrackedJob small = job("s", "small", 3, 1);
-    private final QueueShares shares = QueueShares.of(List.of(large, small), "service", List.of());
+    private final QueueShares shares = DispatchFixture.shares(List.of(large, small), List.of());
 
     @Test
     void queueWithTheLeastRunningWorkComesFirst() {
@@ -49,7 +49,7 @@
 
     @Test
     void singleQueueLeavesNoHeadroom() {
-        QueueShares alone = QueueShares.of(List.of(large), "service", List.of("large"));
+        QueueShares alone = DispatchFixture.shares(List.of(large), List.of("large"));
 
         assertThat(alone.withHeadroom(large.tasks().get(9), CAPACITY).milliCores(), is(1_000));
     }
