Soak entries that lack processor time while callers use the others

Change: the series STARVED_ENTRY and the rule HELD_UP, which is broken if over a tenth of the requests to other entries end without an answer meanwhile.

--- a/standins/src/main/java/org/knapweedmount/standins/soak/FaultInjector.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/FaultInjector.java
@@ -21,6 +21,8 @@
     private static final int MIN_DELAY_MILLIS = 10;
     private static final int THROTTLE_PAUSE_MILLIS = 60;
     private static final int THROTTLE_RUN_MILLIS = 40;
+    private static final int STARVE_PAUSE_MILLIS = 145;
+    private static final int STARVE_RUN_MILLIS = 5;
     private static final int MAX_DELAY_MILLIS = 250;
 
     private final SoakSite site;
@@ -112,6 +114,13 @@
         process(fault).throttle(THROTTLE_PAUSE_MILLIS, THROTTLE_RUN_MILLIS, fault.durationMillis());
     }
 
+    void starve(Fault fault) throws IOException, InterruptedException {
+        int entry = entry(fault);
+        onContext(() -> site.starvedEntries().begin(entry, site.nowMillis()));
+        programs.entries().get(entry - 1).throttle(STARVE_PAUSE_MILLIS, STARVE_RUN_MILLIS, fault.durationMillis());
+        onContext(() -> site.starvedEntries().end(entry, site.nowMillis()));
+    }
+
     void freeze(Fault fault) throws IOException, InterruptedException {
         freeze(process(fault), fault.durationMillis());
     }
--- a/standins/src/main/java/org/knapweedmount/standins/soak/FaultKind.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/FaultKind.java
@@ -52,6 +52,8 @@
     ENTRIES_SILENT(0, FaultTarget.ENTRY_LINKS, FaultInjector::silenceEntries),
     /** One entry or agent gets two fifths of a core, in parts of 40 ms, for the fault's time. */
     THROTTLED(0, FaultTarget.PROCESS, FaultInjector::throttle),
+    /** One entry gets a thirtieth of a core, in parts of 5 ms, for the fault's time. */
+    STARVED(0, FaultTarget.ENTRY, FaultInjector::starve),
     /** SIGKILL of an agent as soon as its worker has executed an order; started again after the fault's time. */
     KILL_AFTER_ORDER(0, FaultTarget.WORKER, FaultInjector::killAfterOrder),
     /** SIGSTOP of an agent as soon as its worker has executed an order, and SIGCONT after the fault's time. */
--- a/standins/src/main/java/org/knapweedmount/standins/soak/FaultSeries.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/FaultSeries.java
@@ -167,8 +167,31 @@
         boolean needsRoomForSecondRuns() {
             return false;
         }
+    },
+    /** One entry after another lacks processor time for some seconds, while callers use all of them. */
+    STARVED_ENTRY {
+        @Override
+        List<Fault> draw(Draw draw) {
+            return List.of(draw.fault(0, FaultKind.STARVED, draw.entry() - 1, draw.between(4_000, 7_000)));
+        }
+
+        @Override
+        int minPauseMillis() {
+            return STARVED_SERIES_MILLIS;
+        }
+
+        @Override
+        int maxPauseMillis() {
+            return STARVED_SERIES_MILLIS;
+        }
+
+        @Override
+        boolean isAmongOtherFaults() {
+            return false;
+        }
     };
 
+    private static final int STARVED_SERIES_MILLIS = 9_000;
     private static final int STOP_MILLIS = 5_300;
     private static final int STOP_SERIES_MILLIS = 15_000;
 
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakCallers.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakCallers.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.LongSupplier;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -42,7 +41,7 @@
     private static final int MEMORY_MB = 64;
 
     private final Vertx vertx;
-    private final LongSupplier clockMillis;
+    private final SoakSite site;
     private final RunHistory history;
     private final Random random;
     private final FaultSeries series;
@@ -59,15 +58,14 @@
 
     SoakCallers(
             Vertx vertx,
-            LongSupplier clockMillis,
-            RunHistory history,
+            SoakSite site,
             FaultSeries series,
             List<HostPort> entries,
             Optional<JobSender> keptConnections,
             Random random) {
         this.vertx = vertx;
-        this.clockMillis = clockMillis;
-        this.history = history;
+        this.site = site;
+        this.history = site.history();
         this.series = series;
         this.entries = List.copyOf(entries);
         this.keptConnections = keptConnections;
@@ -151,11 +149,16 @@
         boolean abandoned = random.nextDouble() < abandonedShare;
         int timeoutMillis = abandoned ? random.nextInt(1, deadlineMillis) : deadlineMillis;
         String target = keptConnections.isPresent() ? "an entry" : "entry-" + (entry + 1);
-        history.submitted(job.id(), job.kind().tasks(), target, clockMillis.getAsLong());
+        long sentMillis = site.nowMillis();
+        history.submitted(job.id(), job.kind().tasks(), target, sentMillis);
         keptConnections
                 .orElse(this::sendToAnyConnection)
                 .send(entry, job.id(), options, job.body(), timeoutMillis)
-                .onSuccess(result -> answered(job, entry, attempt, answer(result)));
+                .onSuccess(result -> {
+                    CallerAnswer answer = answer(result);
+                    site.starvedEntries().answered(entry + 1, sentMillis, answer);
+                    answered(job, entry, attempt, answer);
+                });
     }
 
     private Future<Exchange.Result> sendToAnyConnection(
@@ -182,7 +185,7 @@
                 .run(clients.get(random.nextInt(entries.size())), options, Buffer.buffer(), CANCEL_TIMEOUT_MILLIS)
                 .onSuccess(result -> {
                     if (result.status() == OK || result.status() == GONE) {
-                        history.cancelled(job.id(), clockMillis.getAsLong());
+                        history.cancelled(job.id(), site.nowMillis());
                     }
                 });
     }
@@ -202,13 +205,13 @@
     }
 
     private void answered(Job job, int entry, int attempt, CallerAnswer answer) {
-        history.answered(job.id(), answer, clockMillis.getAsLong());
+        history.answered(job.id(), answer, site.nowMillis());
         boolean leaves = attempt == MAX_ATTEMPTS
                 || cancelledJobs.contains(job.id())
                 || random.nextDouble() < job.kind().leavingShare();
         if (answer != CallerAnswer.NONE || leaves) {
             unfinishedJobs--;
-            history.left(job.id(), clockMillis.getAsLong());
+            history.left(job.id(), site.nowMillis());
             return;
         }
         int other = (entry + random.nextInt(entries.size())) % entries.size();
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakRun.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakRun.java
@@ -100,6 +100,10 @@
             return site;
         });
         awaitAnswers(site);
+        onContext(() -> {
+            site.checkEntriesWereServed();
+            return site;
+        });
         return onContext(() -> new Result(
                 directory,
                 faults.size() + " faults, " + site.history().summary(),
--- a/standins/src/main/java/org/knapweedmount/standins/soak/SoakSite.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SoakSite.java
@@ -34,6 +34,7 @@
     private final LinkRelays relays;
     private final CallerRelays callerRelays;
     private final PlannedStops stops = new PlannedStops();
+    private final StarvedEntries starvedEntries = new StarvedEntries();
     private final ReadinessProbes probes;
     private final SoakCallers callers;
 
@@ -50,8 +51,7 @@
         Optional<JobSender> keptConnections = options.series() == FaultSeries.STOPS_IN_SERIES
                 ? Optional.of(keptConnections(vertx, new Random(ofCallers.nextLong())))
                 : Optional.empty();
-        this.callers = new SoakCallers(
-                vertx, workerSite::nowMillis, history, options.series(), entries, keptConnections, ofCallers);
+        this.callers = new SoakCallers(vertx, this, options.series(), entries, keptConnections, ofCallers);
         // Recorded seeds keep what is drawn from the seed itself.
         Random ofClocks = new Random(~options.seed());
         for (int agent = 1; agent <= options.agents(); agent++) {
@@ -121,6 +121,10 @@
         return stops;
     }
 
+    StarvedEntries starvedEntries() {
+        return starvedEntries;
+    }
+
     LinkRelays relays() {
         return relays;
     }
@@ -144,6 +148,11 @@
         callerRelays.resetHalf(addresses.callers(entry));
     }
 
+    /** Checks that entries which lacked processor time did not hold up the others. */
+    void checkEntriesWereServed() {
+        starvedEntries.check(nowMillis()).ifPresent(history::add);
+    }
+
     /** Checks that each worker that had begun when the faults ended, and is ready, has accepted a call since then. */
     void checkWorkersAreOpen(long faultsEndMillis) {
         for (WorkerPlace place : places) {
--- a/standins/src/main/java/org/knapweedmount/standins/soak/Violation.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/Violation.java
@@ -25,6 +25,8 @@
          * although it was sent long after the stop began.
          */
         LOST,
+        /** Requests to entries without any fault end without an answer while another entry lacks processor time. */
+        HELD_UP,
         /** A worker refuses each call of its agent for long, or is ready and has accepted none for as long after the faults. */
         CLOSED,
         /** A run starts in a data centre although the order to close it was confirmed long before. */
