Let crowds of callers hold memory in other ways than by bytes of requests

Cause: the crowds of CallerCrowdTest fill an entry with the bytes of heads and bodies only. Other crowds ended or hung an entry: trailers without end, heads of many short lines, bodies in chunks of one byte, answers that are not read, and connections to the servers that are not for callers. No code of the product changes.

--- a/standins/src/main/java/org/knapweedmount/standins/soak/SingleEntrySite.java
+++ b/standins/src/main/java/org/knapweedmount/standins/soak/SingleEntrySite.java
@@ -49,6 +49,7 @@
     private final List<SoakProcess> processes = new ArrayList<>();
     private final Path directory;
     private final SoakProcess entry;
+    private final SoakProcess agent;
 
     /**
      * Starts the site; the processes are started but need not be ready.
@@ -71,7 +72,7 @@
                 .put("readiness", addresses.readiness(1).toString());
         ofEntry.setAll(entrySettings);
         entry = start("entry", "entry-1", entryCommand, ofEntry);
-        start(
+        agent = start(
                 "agent",
                 "agent-1",
                 agentCommand,
@@ -171,6 +172,33 @@
         return new HostPort(addresses.entryHost(1), addresses.metricsPort());
     }
 
+    /**
+     * Returns the addresses of the servers of both processes that are not for callers.
+     *
+     * @return the addresses
+     */
+    public List<HostPort> otherServers() {
+        String agentHost = addresses.agentHost(1);
+        String entryHost = addresses.entryHost(1);
+        return List.of(
+                addresses.readiness(1),
+                addresses.announcements(entryHost),
+                addresses.announcements(agentHost),
+                metrics(),
+                new HostPort(agentHost, addresses.metricsPort()),
+                new HostPort(entryHost, addresses.linkPort()),
+                new HostPort(agentHost, addresses.linkPort()));
+    }
+
+    /**
+     * Returns the process ID of the agent.
+     *
+     * @return the process ID, empty if the agent does not run
+     */
+    public OptionalLong agentId() {
+        return agent.id().map(OptionalLong::of).orElseGet(OptionalLong::empty);
+    }
+
     /**
      * Returns the process ID of the entry.
      *
