Decode a request once the answer before it is sent, and close callers that read no answers

Callers saw no answers for a minute and more: callers that send requests ahead and never read the answers hung the entry, or filled its machine. Cause: all requests of a read were decoded at once, and took many times their bytes as objects; an answer counted as given when it was written, not when the operating system had taken it; a connection with an unread answer was idle and not closed under pressure; buffers outside the heap were kept for each connection, until each allocation waited half a second in the JVM. Change: RequestGate lets the decoder go on to the next request when the operating system has taken the answer, and stops reading meanwhile if something is left; what is read is copied to the heap, so that no buffer outside it is kept; answers count until they are taken, give way under pressure after a second and are closed after answerMillis (new, 30 s). The fix bounds by construction what a connection holds, to one request, one read and one answer, instead of refusing requests that are sent ahead, which are inside the limits.

--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerAccount.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerAccount.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
@@ -24,18 +23,9 @@
  * <p>The methods return the connections that are to be closed, and close none. Thread-safe.
  */
 final class CallerAccount {
-    /** Counted for the read buffer of a connection with a part of a request; the largest buffer that is read into. */
-    static final int BUFFER_BYTES = 8 * 1_024;
-
     /** What is closed at once when a bound is exceeded, so that the search is not repeated for each chunk. */
     private static final double FREED_SHARE = 0.125;
 
-    /** A connection is only closed for a new one if its request has not come nearer to its end for this time, in ms. */
-    private static final int MIN_STALL_MILLIS = 1_000;
-
-    /** The same for one that waits for its caller's next request, in ms. */
-    private static final int MIN_IDLE_MILLIS = 10_000;
-
     private final CallerLimits ownLimits;
     private final Set<ConnectionUse> connections = new LinkedHashSet<>();
     private final Map<String, AddressUse> addresses = new HashMap<>();
@@ -116,33 +106,17 @@
             List<Closing> closings) {
         Optional<ConnectionUse> stalled = connections.stream()
                 .filter(candidates)
-                .filter(use -> isStalled(use, nowNanos))
-                .min(Comparator.comparingLong(CallerAccount::stalledSince));
+                .filter(use -> use.isStalled(nowNanos))
+                .min(Comparator.comparingLong(ConnectionUse::stalledSince));
         close(stalled.orElse(opened), reason, closings);
     }
 
-    private static boolean isStalled(ConnectionUse use, long nowNanos) {
-        boolean awaitsAnswer = use.unanswered > 0 && use.phase != Phase.BODY;
-        if (use.closing || awaitsAnswer || !use.tracked) {
-            return false;
-        }
-        boolean served = use.phase == Phase.IDLE && use.answeredRequests > 0;
-        int minMillis = served ? MIN_IDLE_MILLIS : MIN_STALL_MILLIS;
-        return nowNanos - stalledSince(use) >= TimeUnit.MILLISECONDS.toNanos(minMillis);
-    }
-
-    private static long stalledSince(ConnectionUse use) {
-        return use.phase == Phase.BODY ? use.lastReadNanos : use.phaseNanos;
-    }
-
     private void close(ConnectionUse use, Refusal reason, List<Closing> closings) {
         if (!use.closing) {
             use.closing = true;
             closingConnections++;
             hold(use, -use.heldBytes());
-            use.headBytes = 0;
-            use.bodyBytes = 0;
-            use.bufferBytes = 0;
+            use.clearHeldBytes();
             closings.add(new Closing(use, reason));
         }
     }
@@ -170,64 +144,62 @@
     }
 
     /**
-     * Records bytes that were read and are not decoded yet.
+     * Records bytes that are about to be decoded.
      *
-     * @param skipped how many of them, from the first on, are skipped if they precede a request
+     * @param skipped how many of them, from the first on, are skipped in front of a request
      */
-    synchronized List<Closing> read(ConnectionUse use, int bytes, int skipped, long nowNanos) {
+    synchronized List<Closing> received(ConnectionUse use, int bytes, int skipped, long nowNanos) {
         List<Closing> closings = new ArrayList<>();
-        if (use.closing) {
+        use.lastReadNanos = nowNanos;
+        if (use.phase != Phase.IDLE) {
             return closings;
         }
-        use.lastReadNanos = nowNanos;
-        if (use.phase == Phase.IDLE) {
-            use.skippedBytes += skipped;
-            if (use.skippedBytes > limits.request().maxSkippedBytes()) {
-                close(use, Refusal.SKIPPED_BYTES, closings);
-                return closings;
-            }
-            if (skipped == bytes) {
-                return closings;
-            }
+        use.skippedBytes += skipped;
+        if (use.skippedBytes > limits.request().maxSkippedBytes()) {
+            close(use, Refusal.SKIPPED_BYTES, closings);
+        } else if (skipped < bytes) {
             use.enter(Phase.HEAD, nowNanos);
-            use.bufferBytes = BUFFER_BYTES;
-            hold(use, BUFFER_BYTES);
-        }
-        if (use.phase == Phase.HEAD) {
-            use.headBytes += bytes;
-            hold(use, bytes);
-            checkBounds(use, nowNanos, closings);
         }
         return closings;
     }
 
-    /** Records that the bytes that were read are decoded. */
-    synchronized List<Closing> decoded(ConnectionUse use) {
+    /**
+     * Records what was received and does not make up a part of a request.
+     *
+     * @param partialBytes the size of the part of a head that was received, in bytes
+     * @param bufferBytes the memory of what is not decoded, in bytes
+     */
+    synchronized List<Closing> undecoded(ConnectionUse use, int partialBytes, int bufferBytes, long nowNanos) {
         List<Closing> closings = new ArrayList<>();
-        if (use.phase == Phase.HEAD && use.headBytes > limits.request().maxHeaderBytes()) {
-            close(use, Refusal.HEADER_TOO_LARGE, closings);
+        if (use.closing) {
+            return closings;
+        }
+        hold(use, bufferBytes - use.bufferBytes);
+        use.bufferBytes = bufferBytes;
+        if (use.phase == Phase.HEAD) {
+            hold(use, partialBytes - use.headBytes);
+            use.headBytes = partialBytes;
+            if (partialBytes - use.skippedBytes > limits.request().maxHeaderBytes()) {
+                close(use, Refusal.HEADER_TOO_LARGE, closings);
+            }
         }
+        checkBounds(use, nowNanos, closings);
         return closings;
     }
 
-    /** Returns whether the head that was read may be larger than allowed, so that its size has to be found out. */
-    synchronized boolean isHeadSuspect(ConnectionUse use) {
-        return use.headBytes > limits.request().maxHeaderBytes();
-    }
-
-    /** Records that a head of the given size is complete; the rest of what was read belongs to the body. */
-    synchronized List<Closing> headRead(ConnectionUse use, long size, long nowNanos) {
+    /** Records that a head of the given size is complete. */
+    synchronized List<Closing> headRead(ConnectionUse use, int size, long nowNanos) {
         List<Closing> closings = new ArrayList<>();
         if (use.closing) {
             return closings;
         }
         use.enter(Phase.BODY, nowNanos);
         use.unanswered++;
+        int headBytes = size - use.skippedBytes;
         use.skippedBytes = 0;
-        long headBytes = Math.min(use.headBytes, size);
         hold(use, headBytes - use.headBytes);
         use.headBytes = headBytes;
-        if (size > limits.request().maxHeaderBytes()) {
+        if (headBytes > limits.request().maxHeaderBytes()) {
             close(use, Refusal.HEADER_TOO_LARGE, closings);
         }
         return closings;
@@ -248,21 +220,42 @@
             return;
         }
         use.enter(Phase.IDLE, nowNanos);
-        hold(use, -use.bufferBytes);
-        use.bufferBytes = 0;
     }
 
-    /** Records that a response is written, also one to a request whose body has not ended. */
-    synchronized void answered(ConnectionUse use, long nowNanos) {
+    /**
+     * Records that a response is written, also one to a request whose body has not ended.
+     *
+     * @param bytes the memory of the response
+     */
+    synchronized void answerWritten(ConnectionUse use, int bytes, long nowNanos) {
         use.unanswered = Math.max(0, use.unanswered - 1);
         use.answeredRequests++;
-        if (use.phase == Phase.IDLE && !use.closing) {
+        use.answerUnread = true;
+        if (use.closing) {
+            return;
+        }
+        hold(use, bytes);
+        use.answerBytes += bytes;
+        if (use.phase == Phase.IDLE) {
             use.enter(Phase.IDLE, nowNanos);
             hold(use, -use.headBytes);
             use.headBytes = 0;
         }
     }
 
+    /** Records that the operating system has taken the whole of a response. */
+    synchronized void answerTaken(ConnectionUse use, long nowNanos) {
+        use.answerUnread = false;
+        if (use.closing) {
+            return;
+        }
+        hold(use, -use.answerBytes);
+        use.answerBytes = 0;
+        if (use.phase == Phase.IDLE) {
+            use.enter(Phase.IDLE, nowNanos);
+        }
+    }
+
     /** Records that more memory is held for the body that a connection receives. */
     synchronized List<Closing> holdBody(ConnectionUse use, int bytes, long nowNanos) {
         List<Closing> closings = new ArrayList<>();
@@ -332,41 +325,15 @@
                 .toList();
     }
 
-    /**
-     * Returns the connections whose time has run out.
-     *
-     * @param paused tells that a connection is not read at present, so that its caller cannot make progress
-     */
-    synchronized List<Closing> overdue(Predicate<ConnectionUse> paused, long nowNanos) {
+    /** Returns the connections whose time has run out. */
+    synchronized List<Closing> overdue(long nowNanos) {
         List<Closing> closings = new ArrayList<>();
         for (ConnectionUse use : connections) {
-            if (use.closing || !use.tracked) {
+            if (use.closing) {
                 continue;
             }
-            if (paused.test(use)) {
-                use.progressNanos = nowNanos;
-                continue;
-            }
-            reasonOverdue(use, nowNanos).ifPresent(reason -> close(use, reason, closings));
+            use.reasonOverdue(limits.request(), nowNanos).ifPresent(reason -> close(use, reason, closings));
         }
         return closings;
     }
-
-    private Optional<Refusal> reasonOverdue(ConnectionUse use, long nowNanos) {
-        RequestLimits request = limits.request();
-        return switch (use.phase) {
-            case HEAD -> elapsed(use.phaseNanos, request.headMillis(), nowNanos, Refusal.HEAD_TIMEOUT);
-            case BODY -> elapsed(use.progressNanos, request.bodyProgressMillis(), nowNanos, Refusal.BODY_TIMEOUT);
-            case IDLE ->
-                use.unanswered > 0
-                        ? Optional.empty()
-                        : elapsed(use.phaseNanos, request.idleMillis(), nowNanos, Refusal.IDLE);
-        };
-    }
-
-    private static Optional<Refusal> elapsed(long sinceNanos, int limitMillis, long nowNanos, Refusal reason) {
-        return nowNanos - sinceNanos > TimeUnit.MILLISECONDS.toNanos(limitMillis)
-                ? Optional.of(reason)
-                : Optional.empty();
-    }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerLimiter.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerLimiter.java
@@ -2,9 +2,7 @@
 
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.Channel;
@@ -33,7 +31,6 @@
     private final NanoClock clock;
     private final CallerAccount account;
     private final Counters<Refusal> refusals = new Counters<>(Refusal.class);
-    private final Map<ConnectionUse, ConnectionGuard> guards = new ConcurrentHashMap<>();
     private final Optional<AcceptPacer> pacer;
     private long loggedNanos;
     private long loggedRefusals;
@@ -63,15 +60,10 @@
     }
 
     private void check() {
-        execute(account.overdue(this::isPaused, clock.nanos()));
+        execute(account.overdue(clock.nanos()));
         logRefusals();
     }
 
-    private boolean isPaused(ConnectionUse use) {
-        ConnectionGuard guard = guards.get(use);
-        return guard != null && guard.isPaused();
-    }
-
     private void logRefusals() {
         long total = 0;
         StringBuilder counts = new StringBuilder();
@@ -122,12 +114,8 @@
         ConnectionGuard guard = new ConnectionGuard(this, account, channel, use);
         channel.attr(USE).set(use);
         channel.attr(GUARD).set(guard);
-        guards.put(use, guard);
         guard.install(base.channelHandlerContext().name());
-        channel.closeFuture().addListener(closed -> {
-            account.closed(use);
-            guards.remove(use);
-        });
+        channel.closeFuture().addListener(closed -> account.closed(use));
         execute(opened.closings());
         pacer.ifPresent(accepting -> accepting.connected(channel));
     }
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/ConnectionUse.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/ConnectionUse.java
@@ -1,5 +1,6 @@
 package org.knapweedmount.daemon.http.limits;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -7,7 +8,7 @@
 final class ConnectionUse {
     /** The part of a request that is awaited. */
     enum Phase {
-        /** No byte of a request has arrived. */
+        /** No byte of a request has arrived since the last one was received. */
         IDLE,
         /** A part of a head has arrived. */
         HEAD,
@@ -15,18 +16,28 @@
         BODY
     }
 
+    /** A connection is only closed for a new one if its request has not come nearer to its end for this time, in ms. */
+    private static final int MIN_STALL_MILLIS = 1_000;
+
+    /** The same for one that waits for its caller's next request, in ms. */
+    private static final int MIN_IDLE_MILLIS = 10_000;
+
     final String address;
     final Consumer<Refusal> closer;
     Phase phase = Phase.IDLE;
     volatile boolean closing;
-    /** Whether the parts of requests are reported; those of HTTP/2 are not. */
-    boolean tracked = true;
 
     int unanswered;
     long answeredRequests;
+    /** Whether an answer is written of which the operating system has not taken all. */
+    boolean answerUnread;
+
     long headBytes;
     long bodyBytes;
+    /** The memory of received bytes that are not decoded. */
     long bufferBytes;
+
+    long answerBytes;
     int skippedBytes;
     long phaseNanos;
     /** When the last byte arrived, or the connection was opened, in ns. */
@@ -52,12 +63,24 @@
     }
 
     long heldBytes() {
-        return headBytes + bodyBytes + bufferBytes;
+        return headBytes + bodyBytes + bufferBytes + answerBytes;
+    }
+
+    void clearHeldBytes() {
+        headBytes = 0;
+        bodyBytes = 0;
+        bufferBytes = 0;
+        answerBytes = 0;
     }
 
     /** Returns whether a part of a request has arrived. */
     boolean isReceiving() {
-        return phase != Phase.IDLE || (!tracked && bodyBytes > 0);
+        return phase != Phase.IDLE;
+    }
+
+    /** Returns whether a whole request has arrived and its answer is not sent. */
+    boolean awaitsAnswer() {
+        return phase == Phase.IDLE && (unanswered > 0 || answerUnread);
     }
 
     void enter(Phase next, long nowNanos) {
@@ -67,12 +90,52 @@
         progressBytes = 0;
     }
 
+    /** Returns whether the connection may be closed for a new one. */
+    boolean isStalled(long nowNanos) {
+        boolean executing = phase == Phase.IDLE && unanswered > 0;
+        if (closing || executing) {
+            return false;
+        }
+        boolean served = phase == Phase.IDLE && answeredRequests > 0 && !answerUnread;
+        int minMillis = served ? MIN_IDLE_MILLIS : MIN_STALL_MILLIS;
+        return nowNanos - stalledSince() >= TimeUnit.MILLISECONDS.toNanos(minMillis);
+    }
+
+    /** Returns since when the request has not come nearer to its end, in ns. */
+    long stalledSince() {
+        return phase == Phase.BODY ? lastReadNanos : phaseNanos;
+    }
+
     /** Returns a measure of what it holds and for how long nothing has arrived; 0 if it cannot give anything back. */
     double pressure(long nowNanos) {
-        if (closing || !isReceiving()) {
+        long sinceNanos = isReceiving() ? lastReadNanos : phaseNanos;
+        long stalledMillis = Math.max(0, TimeUnit.NANOSECONDS.toMillis(nowNanos - sinceNanos));
+        boolean answerStalled = answerUnread && stalledMillis >= MIN_STALL_MILLIS;
+        if (closing || !(isReceiving() || answerStalled)) {
             return 0;
         }
-        long stalledMillis = Math.max(0, TimeUnit.NANOSECONDS.toMillis(nowNanos - lastReadNanos));
         return (double) heldBytes() * (1 + stalledMillis);
     }
+
+    /** Returns why the connection is to be closed if its time has run out. */
+    Optional<Refusal> reasonOverdue(RequestLimits limits, long nowNanos) {
+        return switch (phase) {
+            case HEAD -> elapsed(phaseNanos, limits.headMillis(), nowNanos, Refusal.HEAD_TIMEOUT);
+            case BODY -> elapsed(progressNanos, limits.bodyProgressMillis(), nowNanos, Refusal.BODY_TIMEOUT);
+            case IDLE -> {
+                if (answerUnread) {
+                    yield elapsed(phaseNanos, limits.answerMillis(), nowNanos, Refusal.ANSWER_UNREAD);
+                }
+                yield unanswered > 0
+                        ? Optional.empty()
+                        : elapsed(phaseNanos, limits.idleMillis(), nowNanos, Refusal.IDLE);
+            }
+        };
+    }
+
+    private static Optional<Refusal> elapsed(long sinceNanos, int limitMillis, long nowNanos, Refusal reason) {
+        return nowNanos - sinceNanos > TimeUnit.MILLISECONDS.toNanos(limitMillis)
+                ? Optional.of(reason)
+                : Optional.empty();
+    }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/Refusal.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/Refusal.java
@@ -22,6 +22,8 @@
     ADDRESS_CONNECTIONS(429, "Too Many Requests", false),
     /** There are too many connections. */
     CONNECTIONS(503, "Service Unavailable", false),
+    /** The caller has not read its answer for too long; closed without a response. */
+    ANSWER_UNREAD(0, "", false),
     /** No request came for too long; closed without a response. */
     IDLE(0, "", false);
 
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/RequestGate.java
@@ -0,0 +1,135 @@
+package org.knapweedmount.daemon.http.limits;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.ByteToMessageDecoder;
+
+/**
+ * Passes what is read to the decoder of requests as long as no whole request awaits its answer, and keeps one read until
+ * then: requests that are decoded ahead take many times their bytes. While something is kept, the connection is not read.
+ * Reports what is not decoded to the account.
+ *
+ * <p>Confined to the event loop of the connection.
+ */
+final class RequestGate extends ChannelInboundHandlerAdapter {
+    private final CallerLimiter limiter;
+    private final CallerAccount account;
+    private final ConnectionUse use;
+    private final DecoderInput input = new DecoderInput();
+    private ChannelHandlerContext context;
+    private ByteBuf kept = Unpooled.EMPTY_BUFFER;
+    private boolean decoding;
+    private boolean messageDecoded;
+    /** What the decoder has consumed since its last message, in bytes. */
+    private int consumedBytes;
+
+    /** Creates a gate for a decoder that has not decoded anything. */
+    RequestGate(CallerLimiter limiter, CallerAccount account, ConnectionUse use, ByteToMessageDecoder decoder) {
+        this.limiter = limiter;
+        this.account = account;
+        this.use = use;
+        decoder.setCumulator(input);
+        decoder.setSingleDecode(true);
+        // What is consumed is counted by the position in the buffer, which moves if bytes are discarded.
+        decoder.setDiscardAfterReads(Integer.MAX_VALUE);
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ignored, Object message) {
+        if (!(message instanceof ByteBuf bytes)) {
+            context.fireChannelRead(message);
+            return;
+        }
+        if (use.closing) {
+            bytes.release();
+            return;
+        }
+        if (use.awaitsAnswer()) {
+            kept = Unpooled.copiedBuffer(kept, bytes);
+            bytes.release();
+        } else {
+            decode(bytes);
+        }
+        report();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ignored) {
+        account.closed(use);
+        context.fireChannelInactive();
+    }
+
+    /** Returns the size of the message that the decoder has just passed on, in bytes as received. */
+    int messageBytes() {
+        return consumedBytes + input.consumed();
+    }
+
+    /** Records that the decoder has passed on a message. */
+    void messageDecoded() {
+        messageDecoded = true;
+    }
+
+    /** Decodes what was kept, and reads the connection again; called when the answer to a request is sent. */
+    void resume() {
+        if (decoding || use.closing || use.awaitsAnswer()) {
+            return;
+        }
+        if (hasUndecoded()) {
+            ByteBuf next = kept;
+            kept = Unpooled.EMPTY_BUFFER;
+            decode(next);
+            report();
+            context.fireChannelReadComplete();
+        }
+        if (!use.awaitsAnswer() || !hasUndecoded()) {
+            context.channel().config().setAutoRead(true);
+        }
+    }
+
+    /** Decodes messages until more bytes are needed, or a whole request is decoded. */
+    private void decode(ByteBuf bytes) {
+        long nowNanos = limiter.nanos();
+        decoding = true;
+        try {
+            ByteBuf next = bytes;
+            do {
+                int length = input.unread() + next.readableBytes();
+                int skipped = use.isReceiving() ? 0 : input.skippable(next);
+                limiter.execute(account.received(use, length, skipped, nowNanos));
+                if (use.closing) {
+                    next.release();
+                    return;
+                }
+                messageDecoded = false;
+                context.fireChannelRead(next);
+                consumedBytes = messageDecoded ? 0 : messageBytes();
+                next = Unpooled.EMPTY_BUFFER;
+            } while (messageDecoded && input.unread() > 0 && !use.closing && !use.awaitsAnswer());
+        } finally {
+            decoding = false;
+        }
+    }
+
+    private boolean hasUndecoded() {
+        return kept.isReadable() || input.unread() > 0;
+    }
+
+    private void report() {
+        if (use.closing) {
+            return;
+        }
+        int partialBytes = use.awaitsAnswer() ? 0 : consumedBytes + input.unread();
+        int bufferBytes = kept.capacity() + input.capacity();
+        limiter.execute(account.undecoded(use, partialBytes, bufferBytes, limiter.nanos()));
+        if (use.awaitsAnswer() && hasUndecoded()) {
+            context.channel().config().setAutoRead(false);
+        }
+    }
+}
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/RequestLimits.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/RequestLimits.java
@@ -10,6 +10,7 @@
  * @param headMillis the time from the first byte of a head to its end, in ms
  * @param idleMillis the time that a connection may stay open without a request, in ms
  * @param bodyProgressMillis the time within which {@link #PROGRESS_BYTES} of a body or its end must arrive, in ms
+ * @param answerMillis the time that a caller may take to read an answer, in ms
  * @param maxSkippedBytes the maximum number of bytes that are skipped before a request, in bytes
  */
 public record RequestLimits(
@@ -18,13 +19,14 @@
         int headMillis,
         int idleMillis,
         int bodyProgressMillis,
+        int answerMillis,
         int maxSkippedBytes) {
     /** The number of bytes of a body that count as progress; a caller with less than 100 bytes per second is none. */
     public static final int PROGRESS_BYTES = 1_024;
 
     /** Limits that no caller of a correct HTTP client reaches. */
     public static final RequestLimits DEFAULT =
-            new RequestLimits(16 * 1_024, 256 * 1_024, 10_000, 60_000, 10_000, 4_096);
+            new RequestLimits(16 * 1_024, 256 * 1_024, 10_000, 60_000, 10_000, 30_000, 4_096);
 
     /**
      * Returns these limits with those of a configuration in place of the own ones.
@@ -39,6 +41,7 @@
                 configured.headMillis().orElse(headMillis),
                 configured.idleMillis().orElse(idleMillis),
                 bodyProgressMillis,
+                answerMillis,
                 maxSkippedBytes);
     }
 
--- a/daemon/src/test/java/org/knapweedmount/daemon/http/limits/CallerAccountTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/http/limits/CallerAccountTest.java
@@ -23,7 +23,7 @@
     private static final int LARGE_CHUNK_BYTES = 50_000;
     private static final long MAX_HELD_BYTES = 2_000_000;
     private static final CallerLimits LIMITS = new CallerLimits(
-            new RequestLimits(4_096, 262_144, 1_000, 60_000, 2_000, 4_096),
+            new RequestLimits(4_096, 262_144, 1_000, 60_000, 2_000, 3_000, 4_096),
             new ConnectionBounds(20, 15),
             new MemoryBounds(MAX_HELD_BYTES, 1_500_000, 600_000));
 
@@ -47,12 +47,23 @@
     }
 
     private void head(ConnectionUse use) {
-        close(account.read(use, HEAD_BYTES, 0, now()));
+        close(account.received(use, HEAD_BYTES, 0, now()));
         close(account.headRead(use, HEAD_BYTES, now()));
     }
 
+    /** Receives a part of a head, of which all that has arrived is given. */
+    private void receive(ConnectionUse use, int headBytes) {
+        close(account.received(use, 1, 0, now()));
+        close(account.undecoded(use, headBytes, headBytes, now()));
+    }
+
+    private void answer(ConnectionUse use) {
+        account.answerWritten(use, 0, now());
+        account.answerTaken(use, now());
+    }
+
     private void chunk(ConnectionUse use, int bytes) {
-        close(account.read(use, bytes, 0, now()));
+        close(account.received(use, bytes, 0, now()));
         account.bodyRead(use, bytes, now());
         close(account.holdBody(use, bytes, now()));
     }
@@ -65,7 +76,7 @@
     }
 
     private void check() {
-        close(account.overdue(use -> false, now()));
+        close(account.overdue(now()));
     }
 
     private List<Refusal> reasons() {
@@ -146,8 +157,7 @@
     void trickledHeadTimesOut() {
         ConnectionUse use = open("10.0.0.1");
         for (int i = 0; i < 20 && !use.closing; i++) {
-            close(account.read(use, 20, 0, now()));
-            close(account.decoded(use));
+            receive(use, 20 * (i + 1));
             millis += 100;
             check();
         }
@@ -159,11 +169,9 @@
     @Test
     void headOverTheLimitIsRefusedBeforeItsEnd() {
         ConnectionUse use = open("10.0.0.1");
-        close(account.read(use, 4_096, 0, now()));
-        close(account.decoded(use));
+        receive(use, 4_096);
         assertThat(closings, is(empty()));
-        close(account.read(use, 1, 0, now()));
-        close(account.decoded(use));
+        receive(use, 4_097);
 
         assertThat(reasons(), is(List.of(Refusal.HEADER_TOO_LARGE)));
     }
@@ -172,10 +180,9 @@
     @Test
     void headThatIsReadTogetherWithItsBodyIsNotTooLarge() {
         ConnectionUse use = open("10.0.0.1");
-        close(account.read(use, 8_000, 0, now()));
-        assertThat(account.isHeadSuspect(use), is(true));
+        close(account.received(use, 8_000, 0, now()));
         close(account.headRead(use, 300, now()));
-        close(account.decoded(use));
+        close(account.undecoded(use, 0, 8_000, now()));
 
         assertThat(closings, is(empty()));
     }
@@ -184,9 +191,9 @@
     @Test
     void emptyLinesBeforeARequestAreBounded() {
         ConnectionUse use = open("10.0.0.1");
-        close(account.read(use, 4_096, 4_096, now()));
+        close(account.received(use, 4_096, 4_096, now()));
         assertThat(closings, is(empty()));
-        close(account.read(use, 2, 2, now()));
+        close(account.received(use, 2, 2, now()));
 
         assertThat(reasons(), is(List.of(Refusal.SKIPPED_BYTES)));
     }
@@ -256,7 +263,7 @@
                     account.closed(use);
                 }
                 account.release(body);
-                account.answered(use, now());
+                answer(use);
                 account.closed(use);
             }
         }
@@ -272,7 +279,7 @@
         ConnectionUse use = open("10.0.0.1");
         head(use);
         account.bodyEnded(use, now());
-        account.answered(use, now());
+        answer(use);
         millis += 60_000;
         check();
         assertThat(closings, is(empty()));
@@ -282,13 +289,48 @@
         assertThat(reasons(), is(List.of(Refusal.IDLE)));
     }
 
+    /** A caller that does not read its answer kept its connection and what it had sent since. */
+    @Test
+    void connectionWithAnUnreadAnswerIsClosedAfterATime() {
+        ConnectionUse use = open("10.0.0.1");
+        head(use);
+        account.bodyEnded(use, now());
+        account.answerWritten(use, 500, now());
+        close(account.undecoded(use, 0, 8_000, now()));
+        assertThat(account.heldBytes(), is(8_500L));
+        millis += 3_000;
+        check();
+        assertThat(closings, is(empty()));
+        millis += 1;
+        check();
+
+        assertThat(reasons(), is(List.of(Refusal.ANSWER_UNREAD)));
+        assertThat(account.heldBytes(), is(0L));
+    }
+
+    /** Callers that do not read their answers were never closed for what they hold. */
+    @Test
+    void unreadAnswersGiveWayUnderPressure() {
+        ConnectionUse unread = open("10.0.0.1");
+        head(unread);
+        account.bodyEnded(unread, now());
+        account.answerWritten(unread, 600_000, now());
+        millis += 2_000;
+        for (int i = 0; i < 6; i++) {
+            body(open("10.0.1." + i), LARGE_CHUNK_BYTES);
+        }
+
+        assertThat(reasons(), is(List.of(Refusal.MEMORY)));
+        assertThat(unread.closing, is(true));
+    }
+
     /** Limits of the configuration were ignored. */
     @Test
     void limitsOfTheConfigurationTakePrecedenceAndOthersStay() {
         account.configure(new RequestLimits.Configured(
                 OptionalInt.of(100), OptionalInt.empty(), OptionalInt.of(500), OptionalInt.empty()));
 
-        assertThat(account.limits().request(), is(new RequestLimits(100, 262_144, 500, 60_000, 2_000, 4_096)));
+        assertThat(account.limits().request(), is(new RequestLimits(100, 262_144, 500, 60_000, 2_000, 3_000, 4_096)));
         account.configure(RequestLimits.Configured.NONE);
         assertThat(account.limits(), is(LIMITS));
     }
@@ -301,7 +343,8 @@
             CallerAccount.Opened opened = defaults.open("10.0.0.1", reason -> {}, now());
             closings.addAll(opened.closings());
             ConnectionUse use = opened.connection();
-            closings.addAll(defaults.read(use, HEAD_BYTES, 0, now()));
+            closings.addAll(defaults.received(use, HEAD_BYTES, 0, now()));
+            closings.addAll(defaults.undecoded(use, HEAD_BYTES, 8_192, now()));
             closings.addAll(defaults.headRead(use, HEAD_BYTES, now()));
             closings.addAll(defaults.holdBody(use, 16_384, now()));
         }
