Bound the trailer of a body like a head

Callers saw the entry end: 1,000 connections that each sent one chunk and then trailer lines without end filled the heap in half a minute. Cause: bytes were counted while a head arrived, and then only what the body collected; the decoder keeps the lines of a trailer, up to 256 KiB a connection, and nobody counted them. Change: RequestGate knows what the decoder has consumed since the last part of a body, and the account bounds it by the limit of a head (431) and counts it as held; so it does with the extension of a chunk. No further limit is added, as a trailer is a part of the header fields of a request. Trailers of the shortest lines still end the entry with the small heap, as their objects are not counted yet.

--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerAccount.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerAccount.java
@@ -166,22 +166,19 @@
     /**
      * Records what was received and does not make up a part of a request.
      *
-     * @param partialBytes the size of the part of a head that was received, in bytes
-     * @param bufferBytes the memory of what is not decoded, in bytes
+     * @param partialBytes the size of the part of a head, or of the lines behind a body, that was received, in bytes
+     * @param memoryBytes the memory of it and of what is not decoded, in bytes
      */
-    synchronized List<Closing> undecoded(ConnectionUse use, int partialBytes, int bufferBytes, long nowNanos) {
+    synchronized List<Closing> undecoded(ConnectionUse use, int partialBytes, long memoryBytes, long nowNanos) {
         List<Closing> closings = new ArrayList<>();
         if (use.closing) {
             return closings;
         }
-        hold(use, bufferBytes - use.bufferBytes);
-        use.bufferBytes = bufferBytes;
-        if (use.phase == Phase.HEAD) {
-            hold(use, partialBytes - use.headBytes);
-            use.headBytes = partialBytes;
-            if (partialBytes - use.skippedBytes > limits.request().maxHeaderBytes()) {
-                close(use, Refusal.HEADER_TOO_LARGE, closings);
-            }
+        hold(use, memoryBytes - use.undecodedBytes);
+        use.undecodedBytes = memoryBytes;
+        if (use.isReceiving()
+                && partialBytes - use.skippedBytes > limits.request().maxHeaderBytes()) {
+            close(use, Refusal.HEADER_TOO_LARGE, closings);
         }
         checkBounds(use, nowNanos, closings);
         return closings;
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/ConnectionUse.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/ConnectionUse.java
@@ -34,10 +34,10 @@
 
     long headBytes;
     long bodyBytes;
-    /** The memory of received bytes that are not decoded. */
-    long bufferBytes;
-
     long answerBytes;
+    /** The memory of what was received and does not make up a part of a request. */
+    long undecodedBytes;
+
     int skippedBytes;
     long phaseNanos;
     /** When the last byte arrived, or the connection was opened, in ns. */
@@ -63,14 +63,14 @@
     }
 
     long heldBytes() {
-        return headBytes + bodyBytes + bufferBytes + answerBytes;
+        return headBytes + bodyBytes + answerBytes + undecodedBytes;
     }
 
     void clearHeldBytes() {
         headBytes = 0;
         bodyBytes = 0;
-        bufferBytes = 0;
         answerBytes = 0;
+        undecodedBytes = 0;
     }
 
     /** Returns whether a part of a request has arrived. */
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/RequestGate.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/RequestGate.java
@@ -126,8 +126,8 @@
             return;
         }
         int partialBytes = use.awaitsAnswer() ? 0 : consumedBytes + input.unread();
-        int bufferBytes = kept.capacity() + input.capacity();
-        limiter.execute(account.undecoded(use, partialBytes, bufferBytes, limiter.nanos()));
+        int memoryBytes = consumedBytes + kept.capacity() + input.capacity();
+        limiter.execute(account.undecoded(use, partialBytes, memoryBytes, limiter.nanos()));
         if (use.awaitsAnswer() && hasUndecoded()) {
             context.channel().config().setAutoRead(false);
         }
--- a/daemon/src/test/java/org/knapweedmount/daemon/http/limits/CallerAccountTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/http/limits/CallerAccountTest.java
@@ -187,6 +187,20 @@
         assertThat(closings, is(empty()));
     }
 
+    /** The lines of a trailer, or of an extension of a chunk, were not bounded. */
+    @Test
+    void linesBehindABodyAreBoundedLikeAHead() {
+        ConnectionUse use = open("10.0.0.1");
+        body(use, LARGE_CHUNK_BYTES);
+        long heldBytes = account.heldBytes();
+        receive(use, 4_096);
+        assertThat(account.heldBytes(), is(heldBytes + 4_096));
+        assertThat(closings, is(empty()));
+        receive(use, 4_097);
+
+        assertThat(reasons(), is(List.of(Refusal.HEADER_TOO_LARGE)));
+    }
+
     /** Empty lines before a request were skipped without a bound. */
     @Test
     void emptyLinesBeforeARequestAreBounded() {
