Count the lines of heads and trailers with the memory that they take

Callers saw the entry end: a crowd whose heads or trailers consist of lines such as a:b, inside the limit of 16 KiB, filled the heap. Cause: lines were counted by their bytes as received; an entry of the decoded head and its two strings take 144 bytes more, so such a head takes 30 times its bytes, and the bound on what is held let 32 MB of them in. Change: the bytes that the decoder consumes are counted with 160 bytes for each line, while a head or a trailer arrives and until its request is answered. The share of a connection is now one request whose lines are the shortest; two were allowed for, but a second one is not decoded beside the first any more. Why this holds: the account bounds memory, so that what is closed under pressure gives back what it was counted for.

--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerAccount.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerAccount.java
@@ -14,7 +14,7 @@
 import org.knapweedmount.daemon.http.limits.ConnectionUse.Phase;
 
 /**
- * The bytes and connections that all callers of a process hold, and the decision which connections are closed.
+ * The memory and connections that all callers of a process hold, and the decision which connections are closed.
  *
  * <p>Load pattern: many connections whose heads or bodies stop just short of their end, beside ordinary callers. What an
  * ordinary request holds is small and given back soon, so the connection that holds most and has not received anything for
@@ -184,19 +184,25 @@
         return closings;
     }
 
-    /** Records that a head of the given size is complete. */
-    synchronized List<Closing> headRead(ConnectionUse use, int size, long nowNanos) {
+    /**
+     * Records that a head is complete.
+     *
+     * @param size its size as received, in bytes
+     * @param memoryBytes the memory that it takes until its request is answered, in bytes
+     */
+    synchronized List<Closing> headRead(ConnectionUse use, int size, int memoryBytes, long nowNanos) {
         List<Closing> closings = new ArrayList<>();
         if (use.closing) {
             return closings;
         }
         use.enter(Phase.BODY, nowNanos);
         use.unanswered++;
-        int headBytes = size - use.skippedBytes;
+        boolean tooLarge = size - use.skippedBytes > limits.request().maxHeaderBytes();
         use.skippedBytes = 0;
-        hold(use, headBytes - use.headBytes);
-        use.headBytes = headBytes;
-        if (headBytes > limits.request().maxHeaderBytes()) {
+        hold(use, memoryBytes - use.headBytes - use.undecodedBytes);
+        use.headBytes = memoryBytes;
+        use.undecodedBytes = 0;
+        if (tooLarge) {
             close(use, Refusal.HEADER_TOO_LARGE, closings);
         }
         return closings;
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerLimiter.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerLimiter.java
@@ -142,7 +142,7 @@
      * @param metrics the registry
      */
     public void register(ProcessMetrics metrics) {
-        metrics.gauge("callers.held.bytes", "Bytes held for heads, bodies and read buffers", account::heldBytes);
+        metrics.gauge("callers.held.bytes", "Memory held for requests and answers, in bytes", account::heldBytes);
         metrics.gauge("callers.connections", "Open connections of callers", account::connections);
         metrics.counters("callers.refused", Refusal.class, refusals);
     }
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerLimits.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerLimits.java
@@ -22,9 +22,9 @@
         return new CallerLimits(request.with(configured), connections, memory);
     }
 
-    /** Returns the share of a connection in bytes: at least two requests at the limits, as one may follow another. */
+    /** Returns the share of a connection in bytes: at least one request at the limits and its trailer. */
     long connectionShare() {
-        long twoRequests = 2L * ((long) this.request.maxBodyBytes() + this.request.maxHeaderBytes());
-        return Math.max(memory.maxPerConnection(), twoRequests);
+        long linesBytes = 2 * MemoryBounds.maxLinesBytes(request.maxHeaderBytes());
+        return Math.max(memory.maxPerConnection(), request.maxBodyBytes() + linesBytes);
     }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/ConnectionGuard.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/ConnectionGuard.java
@@ -119,7 +119,7 @@
             }
             gate.messageDecoded();
             if (message instanceof HttpRequest) {
-                execute(account.headRead(use, gate.messageBytes(), limiter.nanos()));
+                execute(account.headRead(use, gate.messageBytes(), gate.headMemoryBytes(), limiter.nanos()));
                 if (use.closing) {
                     ReferenceCountUtil.release(message);
                     return;
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/DecoderInput.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/DecoderInput.java
@@ -10,7 +10,10 @@
  * heap is kept while a caller sends nothing. Confined to the event loop of the connection.
  */
 final class DecoderInput implements ByteToMessageDecoder.Cumulator {
+    private static final byte[] EMPTY = {};
+
     private ByteBuf bytes = Unpooled.EMPTY_BUFFER;
+    private byte[] array = EMPTY;
     private int stepStart;
     private int end;
 
@@ -27,6 +30,7 @@
             ByteBuf joined = Unpooled.buffer(length, length).writeBytes(left).writeBytes(read);
             left.release();
             bytes = joined;
+            array = joined.array();
             stepStart = 0;
             end = length;
             return joined;
@@ -37,8 +41,22 @@
 
     /** Returns the number of bytes that the decoder has consumed since it was called last. */
     int consumed() {
-        int position = bytes.refCnt() > 0 ? bytes.readerIndex() : end;
-        return position - stepStart;
+        return stepEnd() - stepStart;
+    }
+
+    /** Returns the number of lines that end in these bytes. */
+    int consumedLines() {
+        int lines = 0;
+        for (int i = stepStart; i < stepEnd(); i++) {
+            if (array[i] == '\n') {
+                lines++;
+            }
+        }
+        return lines;
+    }
+
+    private int stepEnd() {
+        return bytes.refCnt() > 0 ? bytes.readerIndex() : end;
     }
 
     /** Returns the number of bytes that are not consumed. */
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/RequestGate.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/RequestGate.java
@@ -25,6 +25,8 @@
     /** What the decoder has consumed since its last message, in bytes. */
     private int consumedBytes;
 
+    private int consumedLines;
+
     /** Creates a gate for a decoder that has not decoded anything. */
     RequestGate(CallerLimiter limiter, CallerAccount account, ConnectionUse use, ByteToMessageDecoder decoder) {
         this.limiter = limiter;
@@ -71,6 +73,11 @@
         return consumedBytes + input.consumed();
     }
 
+    /** Returns the memory of the head that the decoder has just passed on, in bytes. */
+    int headMemoryBytes() {
+        return MemoryBounds.linesBytes(messageBytes(), consumedLines + input.consumedLines());
+    }
+
     /** Records that the decoder has passed on a message. */
     void messageDecoded() {
         messageDecoded = true;
@@ -109,6 +116,7 @@
                 }
                 messageDecoded = false;
                 context.fireChannelRead(next);
+                consumedLines = messageDecoded ? 0 : consumedLines + input.consumedLines();
                 consumedBytes = messageDecoded ? 0 : messageBytes();
                 next = Unpooled.EMPTY_BUFFER;
             } while (messageDecoded && input.unread() > 0 && !use.closing && !use.awaitsAnswer());
@@ -126,7 +134,8 @@
             return;
         }
         int partialBytes = use.awaitsAnswer() ? 0 : consumedBytes + input.unread();
-        int memoryBytes = consumedBytes + kept.capacity() + input.capacity();
+        int linesBytes = MemoryBounds.linesBytes(consumedBytes, consumedLines);
+        int memoryBytes = linesBytes + kept.capacity() + input.capacity();
         limiter.execute(account.undecoded(use, partialBytes, memoryBytes, limiter.nanos()));
         if (use.awaitsAnswer() && hasUndecoded()) {
             context.channel().config().setAutoRead(false);
--- a/daemon/src/test/java/org/knapweedmount/daemon/http/limits/CallerAccountTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/http/limits/CallerAccountTest.java
@@ -48,7 +48,7 @@
 
     private void head(ConnectionUse use) {
         close(account.received(use, HEAD_BYTES, 0, now()));
-        close(account.headRead(use, HEAD_BYTES, now()));
+        close(account.headRead(use, HEAD_BYTES, HEAD_BYTES, now()));
     }
 
     /** Receives a part of a head, of which all that has arrived is given. */
@@ -181,7 +181,7 @@
     void headThatIsReadTogetherWithItsBodyIsNotTooLarge() {
         ConnectionUse use = open("10.0.0.1");
         close(account.received(use, 8_000, 0, now()));
-        close(account.headRead(use, 300, now()));
+        close(account.headRead(use, 300, 300, now()));
         close(account.undecoded(use, 0, 8_000, now()));
 
         assertThat(closings, is(empty()));
@@ -359,7 +359,7 @@
             ConnectionUse use = opened.connection();
             closings.addAll(defaults.received(use, HEAD_BYTES, 0, now()));
             closings.addAll(defaults.undecoded(use, HEAD_BYTES, 8_192, now()));
-            closings.addAll(defaults.headRead(use, HEAD_BYTES, now()));
+            closings.addAll(defaults.headRead(use, HEAD_BYTES, HEAD_BYTES, now()));
             closings.addAll(defaults.holdBody(use, 16_384, now()));
         }
 
--- a/daemon/src/test/java/org/knapweedmount/daemon/http/limits/RequestGateTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/http/limits/RequestGateTest.java
@@ -14,9 +14,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
-import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
-import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 class RequestGateTest {
     private static final String GET = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -29,6 +27,7 @@
     private final RequestGate gate = new RequestGate(limiter, account, use, decoder);
     private final EmbeddedChannel channel = new EmbeddedChannel(gate, decoder, new Requests());
     private int requests;
+    private int headBytes;
 
     /** Reports requests as the handler behind the decoder does. */
     private final class Requests extends ChannelInboundHandlerAdapter {
@@ -37,7 +36,8 @@
             gate.messageDecoded();
             if (message instanceof HttpRequest) {
                 requests++;
-                account.headRead(use, gate.messageBytes(), 0);
+                headBytes = gate.messageBytes();
+                account.headRead(use, headBytes, gate.headMemoryBytes(), 0);
             }
             if (message instanceof LastHttpContent) {
                 account.bodyEnded(use, 0);
@@ -62,8 +62,8 @@
         channel.writeInbound(bytes(GET.repeat(3)));
         assertThat(requests, is(1));
         assertThat(channel.config().isAutoRead(), is(false));
-        assertThat(account.heldBytes(), is(greaterThan(2L * HEAD_BYTES)));
-        assertThat(account.heldBytes(), is(lessThanOrEqualTo(4L * HEAD_BYTES)));
+        // The head is decoded, the other requests are kept in the buffer that was read.
+        assertThat(account.heldBytes(), is(MemoryBounds.linesBytes(HEAD_BYTES, 3) + 3L * HEAD_BYTES));
 
         answer();
         assertThat(requests, is(2));
@@ -97,7 +97,30 @@
         }
 
         assertThat(requests, is(1));
-        assertThat(use.headBytes, is((long) HEAD_BYTES));
+        assertThat(headBytes, is(HEAD_BYTES));
+    }
+
+    /** Lines were counted by their bytes, of which an entry of the decoded head takes many more. */
+    @Test
+    void decodedLinesCountWithTheirObjects() {
+        String lines = "a:b\r\n".repeat(100);
+        channel.writeInbound(bytes("GET /a HTTP/1.1\r\n" + lines));
+        assertThat(account.heldBytes(), is((long) MemoryBounds.linesBytes(17 + 500, 101)));
+
+        channel.writeInbound(bytes("\r\n"));
+        assertThat(account.heldBytes(), is((long) MemoryBounds.linesBytes(17 + 502, 102)));
+        answer();
+        assertThat(account.heldBytes(), is(0L));
+    }
+
+    /** The lines of a trailer were counted nowhere. */
+    @Test
+    void linesBehindABodyCountWithTheirObjects() {
+        channel.writeInbound(bytes("GET /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\n"));
+        long heldBytes = account.heldBytes();
+        channel.writeInbound(bytes("a:b\r\n".repeat(100)));
+
+        assertThat(account.heldBytes() - heldBytes, is((long) MemoryBounds.linesBytes(500, 100)));
     }
 
     /** The rest of a read that ends in a request counts as a part of a head only once it is decoded. */
