Collect bodies behind the decoder, with one visit to the account for each read

Callers waited while a crowd sent bodies in chunks of one byte: the event loop was busy with them. Cause: each chunk was dispatched to the HTTP server as a buffer of its own and visited the account twice, so that it cost by its number, not by its bytes. Change: the guard collects a body right behind the decoder, reports its progress once for each read, and passes only the head and the end of a request on to the server.

--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerLimiter.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerLimiter.java
@@ -25,7 +25,6 @@
 public final class CallerLimiter implements Handler<HttpConnection> {
     private static final int CHECK_INTERVAL_MILLIS = 250;
     private static final long LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(10);
-    private static final AttributeKey<ConnectionUse> USE = AttributeKey.valueOf("knapweedmount-connection-use");
     private static final AttributeKey<ConnectionGuard> GUARD = AttributeKey.valueOf("knapweedmount-connection-guard");
 
     private final NanoClock clock;
@@ -112,7 +111,6 @@
                 connection.remoteAddress().hostAddress(), reason -> refuse(channel, reason), clock.nanos());
         ConnectionUse use = opened.connection();
         ConnectionGuard guard = new ConnectionGuard(this, account, channel, use);
-        channel.attr(USE).set(use);
         channel.attr(GUARD).set(guard);
         guard.install(base.channelHandlerContext().name());
         channel.closeFuture().addListener(closed -> account.closed(use));
@@ -131,9 +129,11 @@
      * @return the body; fails if the connection is closed, with or without a refusal
      */
     public Future<ReceivedBody> receive(HttpServerRequest request) {
-        ConnectionUse use =
-                ((ConnectionBase) request.connection()).channel().attr(USE).get();
-        return new BodyReception(this, account, use).start(request);
+        return ((ConnectionBase) request.connection())
+                .channel()
+                .attr(GUARD)
+                .get()
+                .body();
     }
 
     /**
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/ConnectionGuard.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/ConnectionGuard.java
@@ -1,5 +1,6 @@
 package org.knapweedmount.daemon.http.limits;
 
+import java.nio.channels.ClosedChannelException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -15,12 +16,15 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.vertx.core.Future;
 import org.knapweedmount.daemon.http.limits.CallerAccount.Closing;
 
 /**
@@ -43,6 +47,7 @@
     private final Channel channel;
     private final ConnectionUse use;
     private final RequestGate gate;
+    private BodyReception body;
     private boolean responseBegun;
     private boolean refused;
 
@@ -51,6 +56,7 @@
         this.account = account;
         this.channel = channel;
         this.use = use;
+        this.body = new BodyReception(limiter, account, use);
         this.gate = new RequestGate(limiter, account, use, channel.pipeline().get(HttpRequestDecoder.class));
     }
 
@@ -64,6 +70,11 @@
         pipeline.addBefore(handlerName, null, new Messages());
     }
 
+    /** Returns the body of the request that is being received, or that was received last. */
+    Future<ReceivedBody> body() {
+        return body.future();
+    }
+
     /** Answers with the status of a refusal, if no other response is due or begun, and closes the connection. */
     void refuse(Refusal reason) {
         channel.eventLoop().execute(() -> refuseNow(reason));
@@ -74,6 +85,7 @@
             return;
         }
         refused = true;
+        body.fail(new IllegalStateException("the connection is closed: " + reason));
         int own = use.phase == ConnectionUse.Phase.BODY ? 1 : 0;
         boolean silent = reason.status() == 0
                 || (use.phase == ConnectionUse.Phase.IDLE && reason != Refusal.SKIPPED_BYTES)
@@ -109,30 +121,80 @@
         gate.resume();
     }
 
+    private static long declaredLength(HttpRequest request) {
+        String length = request.headers().get(HttpHeaderNames.CONTENT_LENGTH);
+        boolean digits = length != null && length.matches("[0-9]{1,18}");
+        return digits ? Long.parseLong(length) : 0;
+    }
+
     /** Sees the decoded parts of requests, and the responses. */
     private final class Messages extends ChannelDuplexHandler {
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            if (refused || use.closing) {
+            try {
+                if (!refused && !use.closing) {
+                    gate.messageDecoded();
+                    received(context, message);
+                }
+            } finally {
                 ReferenceCountUtil.release(message);
+            }
+        }
+
+        private void received(ChannelHandlerContext context, Object message) {
+            if (!(message instanceof HttpObject)) {
+                context.fireChannelRead(ReferenceCountUtil.retain(message));
                 return;
             }
-            gate.messageDecoded();
-            if (message instanceof HttpRequest) {
-                execute(account.headRead(use, gate.messageBytes(), gate.headMemoryBytes(), limiter.nanos()));
-                if (use.closing) {
-                    ReferenceCountUtil.release(message);
-                    return;
-                }
+            if (message instanceof HttpRequest request) {
+                headReceived(context, request);
             }
-            if (message instanceof HttpContent content) {
-                long nowNanos = limiter.nanos();
-                account.bodyRead(use, content.content().readableBytes(), nowNanos);
-                if (message instanceof LastHttpContent) {
-                    account.bodyEnded(use, nowNanos);
-                }
+            if (message instanceof HttpContent part && !use.closing) {
+                partReceived(context, part);
+            }
+        }
+
+        private void headReceived(ChannelHandlerContext context, HttpRequest request) {
+            execute(account.headRead(use, gate.messageBytes(), gate.headMemoryBytes(), limiter.nanos()));
+            if (!use.closing
+                    && declaredLength(request) > account.limits().request().maxBodyBytes()) {
+                execute(account.refuse(use, Refusal.BODY_TOO_LARGE));
             }
-            context.fireChannelRead(message);
+            if (use.closing) {
+                return;
+            }
+            body = new BodyReception(limiter, account, use);
+            context.fireChannelRead(ReferenceCountUtil.retain(request));
+        }
+
+        private void partReceived(ChannelHandlerContext context, HttpContent part) {
+            gate.bodyDecoded(part.content().readableBytes());
+            body.add(part.content());
+            if (use.closing || !(part instanceof LastHttpContent)) {
+                return;
+            }
+            account.bodyEnded(use, limiter.nanos());
+            if (part.decoderResult().isFailure()) {
+                body.fail(part.decoderResult().cause());
+                forward(context, part, part);
+            } else {
+                // The server needs neither the body nor the trailer, but has to learn that the request has ended.
+                forward(context, part, LastHttpContent.EMPTY_LAST_CONTENT);
+                body.complete();
+            }
+        }
+
+        /** Passes on a message in place of a part, unless the part was passed on as a whole request. */
+        private void forward(ChannelHandlerContext context, HttpContent part, HttpContent message) {
+            if (!(part instanceof HttpRequest)) {
+                context.fireChannelRead(ReferenceCountUtil.retain(message));
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            body.fail(new ClosedChannelException());
+            context.fireChannelInactive();
         }
 
         @Override
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/RequestGate.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/RequestGate.java
@@ -26,6 +26,8 @@
     private int consumedBytes;
 
     private int consumedLines;
+    /** The bytes of a body that were decoded and not reported to the account. */
+    private int bodyBytes;
 
     /** Creates a gate for a decoder that has not decoded anything. */
     RequestGate(CallerLimiter limiter, CallerAccount account, ConnectionUse use, ByteToMessageDecoder decoder) {
@@ -83,6 +85,11 @@
         messageDecoded = true;
     }
 
+    /** Records that the decoder has passed on a part of a body. */
+    void bodyDecoded(int bytes) {
+        bodyBytes += bytes;
+    }
+
     /** Decodes what was kept, and reads the connection again; called when the answer to a request is sent. */
     void resume() {
         if (decoding || use.closing || use.awaitsAnswer()) {
@@ -133,6 +140,10 @@
         if (use.closing) {
             return;
         }
+        if (bodyBytes > 0) {
+            account.bodyRead(use, bodyBytes, limiter.nanos());
+            bodyBytes = 0;
+        }
         int partialBytes = use.awaitsAnswer() ? 0 : consumedBytes + input.unread();
         int linesBytes = MemoryBounds.linesBytes(consumedBytes, consumedLines);
         int memoryBytes = linesBytes + kept.capacity() + input.capacity();
