Read each connection once in a turn, and let requests that were sent ahead take turns

Callers waited up to 1.3 s, or got no answer in 1.5 s, while a crowd sent as fast as it could. Cause: the order in which connections are read and go on, not the processor. A connection was read up to sixteen times, 128 KiB, before the next one; and each connection whose caller had sent requests ahead went on at once when its answer was sent, so that all of them were in front of a new request.

--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerAccount.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerAccount.java
@@ -32,6 +32,7 @@
     private volatile CallerLimits limits;
     private long heldBytes;
     private int closingConnections;
+    private int receivingConnections;
 
     /** What the connections of an address hold. */
     private static final class AddressUse {
@@ -82,6 +83,11 @@
         return closingConnections;
     }
 
+    /** Returns the number of connections that are receiving a request and are not to be closed. */
+    synchronized int receivingConnections() {
+        return receivingConnections;
+    }
+
     /** Records a new connection. */
     synchronized Opened open(String address, Consumer<Refusal> closer, long nowNanos) {
         ConnectionUse opened = new ConnectionUse(address, closer, nowNanos);
@@ -113,6 +119,7 @@
 
     private void close(ConnectionUse use, Refusal reason, List<Closing> closings) {
         if (!use.closing) {
+            leavePhase(use);
             use.closing = true;
             closingConnections++;
             hold(use, -use.heldBytes());
@@ -121,6 +128,16 @@
         }
     }
 
+    private void enter(ConnectionUse use, Phase phase, long nowNanos) {
+        leavePhase(use);
+        use.enter(phase, nowNanos);
+        receivingConnections += use.isReceiving() ? 1 : 0;
+    }
+
+    private void leavePhase(ConnectionUse use) {
+        receivingConnections -= use.isReceiving() ? 1 : 0;
+    }
+
     private void hold(ConnectionUse use, long bytes) {
         heldBytes += bytes;
         addresses.get(use.address).heldBytes += bytes;
@@ -133,6 +150,8 @@
         }
         if (use.closing) {
             closingConnections--;
+        } else {
+            leavePhase(use);
         }
         hold(use, -use.heldBytes());
         use.closing = true;
@@ -158,7 +177,7 @@
         if (use.skippedBytes > limits.request().maxSkippedBytes()) {
             close(use, Refusal.SKIPPED_BYTES, closings);
         } else if (skipped < bytes) {
-            use.enter(Phase.HEAD, nowNanos);
+            enter(use, Phase.HEAD, nowNanos);
         }
         return closings;
     }
@@ -195,7 +214,7 @@
         if (use.closing) {
             return closings;
         }
-        use.enter(Phase.BODY, nowNanos);
+        enter(use, Phase.BODY, nowNanos);
         use.unanswered++;
         boolean tooLarge = size - use.skippedBytes > limits.request().maxHeaderBytes();
         use.skippedBytes = 0;
@@ -222,7 +241,7 @@
         if (use.closing) {
             return;
         }
-        use.enter(Phase.IDLE, nowNanos);
+        enter(use, Phase.IDLE, nowNanos);
     }
 
     /**
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerLimiter.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerLimiter.java
@@ -2,10 +2,13 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
 import io.netty.util.AttributeKey;
 import io.vertx.core.Future;
 import io.vertx.core.Handler;
@@ -30,6 +33,7 @@
     private final NanoClock clock;
     private final CallerAccount account;
     private final Counters<Refusal> refusals = new Counters<>(Refusal.class);
+    private final Map<EventLoop, ResumeQueue> resumeQueues = new ConcurrentHashMap<>();
     private final Optional<AcceptPacer> pacer;
     private long loggedNanos;
     private long loggedRefusals;
@@ -110,7 +114,8 @@
         Opened opened = account.open(
                 connection.remoteAddress().hostAddress(), reason -> refuse(channel, reason), clock.nanos());
         ConnectionUse use = opened.connection();
-        ConnectionGuard guard = new ConnectionGuard(this, account, channel, use);
+        ResumeQueue resumeQueue = resumeQueues.computeIfAbsent(channel.eventLoop(), ResumeQueue::new);
+        ConnectionGuard guard = new ConnectionGuard(this, account, channel, use, resumeQueue);
         channel.attr(GUARD).set(guard);
         guard.install(base.channelHandlerContext().name());
         channel.closeFuture().addListener(closed -> account.closed(use));
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/ConnectionGuard.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/ConnectionGuard.java
@@ -7,7 +7,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFutureListener;
@@ -35,9 +34,6 @@
  */
 @SuppressWarnings("FutureReturnValueIgnored") // a write or close that fails ends the connection in any case
 final class ConnectionGuard {
-    private static final int MIN_READ_BYTES = 512;
-    private static final int FIRST_READ_BYTES = 2_048;
-    private static final int MAX_READ_BYTES = 8 * 1_024;
     private static final int ANSWER_BYTES = 512; // of a response besides its body, outside the heap
     private static final int LINGER_MILLIS = 500;
     private static final int MAX_LINGERING = 50; // of all connections, as each has a descriptor
@@ -51,20 +47,20 @@
     private boolean responseBegun;
     private boolean refused;
 
-    ConnectionGuard(CallerLimiter limiter, CallerAccount account, Channel channel, ConnectionUse use) {
+    ConnectionGuard(
+            CallerLimiter limiter, CallerAccount account, Channel channel, ConnectionUse use, ResumeQueue resumeQueue) {
         this.limiter = limiter;
         this.account = account;
         this.channel = channel;
         this.use = use;
         this.body = new BodyReception(limiter, account, use);
-        this.gate = new RequestGate(limiter, account, use, channel.pipeline().get(HttpRequestDecoder.class));
+        this.gate =
+                new RequestGate(limiter, account, use, channel.pipeline().get(HttpRequestDecoder.class), resumeQueue);
     }
 
     /** Adds the handlers to the pipeline, the second in front of the named handler. */
     void install(String handlerName) {
-        channel.config()
-                .setRecvByteBufAllocator(
-                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES));
+        channel.config().setRecvByteBufAllocator(new ReadShares(account::receivingConnections));
         ChannelPipeline pipeline = channel.pipeline();
         pipeline.addFirst(gate);
         pipeline.addBefore(handlerName, null, new Messages());
@@ -118,7 +114,7 @@
 
     private void answerTaken() {
         account.answerTaken(use, limiter.nanos());
-        gate.resume();
+        gate.answerSent();
     }
 
     private static long declaredLength(HttpRequest request) {
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/RequestGate.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/RequestGate.java
@@ -8,8 +8,8 @@
 
 /**
  * Passes what is read to the decoder of requests as long as no whole request awaits its answer, and keeps one read until
- * then: requests that are decoded ahead take many times their bytes. While something is kept, the connection is not read.
- * Reports what is not decoded to the account.
+ * then: requests that are decoded ahead take many times their bytes. While something is kept, the connection is not read,
+ * and it goes on when it is its turn among the connections that keep something. Reports what is not decoded to the account.
  *
  * <p>Confined to the event loop of the connection.
  */
@@ -17,6 +17,7 @@
     private final CallerLimiter limiter;
     private final CallerAccount account;
     private final ConnectionUse use;
+    private final ResumeQueue resumeQueue;
     private final DecoderInput input = new DecoderInput();
     private ChannelHandlerContext context;
     private ByteBuf kept = Unpooled.EMPTY_BUFFER;
@@ -30,10 +31,16 @@
     private int bodyBytes;
 
     /** Creates a gate for a decoder that has not decoded anything. */
-    RequestGate(CallerLimiter limiter, CallerAccount account, ConnectionUse use, ByteToMessageDecoder decoder) {
+    RequestGate(
+            CallerLimiter limiter,
+            CallerAccount account,
+            ConnectionUse use,
+            ByteToMessageDecoder decoder,
+            ResumeQueue resumeQueue) {
         this.limiter = limiter;
         this.account = account;
         this.use = use;
+        this.resumeQueue = resumeQueue;
         decoder.setCumulator(input);
         decoder.setSingleDecode(true);
         // What is consumed is counted by the position in the buffer, which moves if bytes are discarded.
@@ -55,7 +62,7 @@
             bytes.release();
             return;
         }
-        if (use.awaitsAnswer()) {
+        if (use.awaitsAnswer() || kept.isReadable()) {
             kept = Unpooled.copiedBuffer(kept, bytes);
             bytes.release();
         } else {
@@ -90,18 +97,23 @@
         bodyBytes += bytes;
     }
 
-    /** Decodes what was kept, and reads the connection again; called when the answer to a request is sent. */
+    /** Lets the next request pass; called when the answer to a request is sent. */
+    void answerSent() {
+        if (!decoding && hasUndecoded()) {
+            resumeQueue.add(this);
+        }
+    }
+
+    /** Decodes what was kept, and reads the connection again. */
     void resume() {
-        if (decoding || use.closing || use.awaitsAnswer()) {
+        if (use.closing || use.awaitsAnswer()) {
             return;
         }
-        if (hasUndecoded()) {
-            ByteBuf next = kept;
-            kept = Unpooled.EMPTY_BUFFER;
-            decode(next);
-            report();
-            context.fireChannelReadComplete();
-        }
+        ByteBuf next = kept;
+        kept = Unpooled.EMPTY_BUFFER;
+        decode(next);
+        report();
+        context.fireChannelReadComplete();
         if (!use.awaitsAnswer() || !hasUndecoded()) {
             context.channel().config().setAutoRead(true);
         }
--- a/daemon/src/test/java/org/knapweedmount/daemon/http/limits/ConnectionGuardTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/http/limits/ConnectionGuardTest.java
@@ -8,6 +8,8 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.MaxMessagesRecvByteBufAllocator;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
@@ -40,7 +42,7 @@
             }
         });
         ConnectionUse use = account.open("10.0.0.1", reason -> {}, 0).connection();
-        new ConnectionGuard(limiter, account, channel, use).install("server");
+        new ConnectionGuard(limiter, account, channel, use, new ResumeQueue(channel.eventLoop())).install("server");
     }
 
     private void receive(String text) {
@@ -58,6 +60,15 @@
         assertThat(served.size(), is(1));
     }
 
+    /** A connection that sent much was read sixteen times before the next one. */
+    @Test
+    void connectionIsReadOnceInATurn() {
+        RecvByteBufAllocator allocator = channel.config().getRecvByteBufAllocator();
+
+        assertThat(allocator, is(instanceOf(MaxMessagesRecvByteBufAllocator.class)));
+        assertThat(((MaxMessagesRecvByteBufAllocator) allocator).maxMessagesPerRead(), is(1));
+    }
+
     /** The server was to see a whole request although it does not get its body. */
     @Test
     void serverLearnsThatARequestHasEnded() {
--- a/daemon/src/test/java/org/knapweedmount/daemon/http/limits/RequestGateTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/http/limits/RequestGateTest.java
@@ -23,8 +23,10 @@
     private final CallerAccount account = new CallerAccount(CallerLimits.DEFAULT);
     private final CallerLimiter limiter = new CallerLimiter(CallerLimits.DEFAULT, () -> 0, false);
     private final ConnectionUse use = account.open("10.0.0.1", reason -> {}, 0).connection();
+    private final EmbeddedChannel loop = new EmbeddedChannel();
+    private final ResumeQueue resumeQueue = new ResumeQueue(loop.eventLoop());
     private final HttpRequestDecoder decoder = new HttpRequestDecoder();
-    private final RequestGate gate = new RequestGate(limiter, account, use, decoder);
+    private final RequestGate gate = new RequestGate(limiter, account, use, decoder, resumeQueue);
     private final EmbeddedChannel channel = new EmbeddedChannel(gate, decoder, new Requests());
     private int requests;
     private int headBytes;
@@ -53,7 +55,8 @@
     private void answer() {
         account.answerWritten(use, 0, 0);
         account.answerTaken(use, 0);
-        gate.resume();
+        gate.answerSent();
+        loop.runScheduledPendingTasks();
     }
 
     /** All requests that were read were decoded, and took many times their bytes while the first one was served. */
