Limit the servers that are not for callers like that for callers

Callers got no answers while others filled the servers for readiness checks, announcements and metrics, or an entry or an agent ended. Cause: these servers took any number of connections, bodies without a bound and answers that are not read, with the same heap, descriptors and event loop as the server for callers. Change: each has a CallerLimiter with the limits for internal servers: 32 connections, 24 of one address, 4 MB held; a stalled connection makes room after a second, so that the load balancer and the worker get in. A body that the server does not ask for is dropped. Their limits are checked once a second, as each check wakes up an agent.

--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/BodyReception.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/BodyReception.java
@@ -6,7 +6,10 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 
-/** Collects one body in memory of its own, so that no read buffer is kept. Confined to the event loop of its connection. */
+/**
+ * Collects one body in memory of its own, so that no read buffer is kept; one that nobody has asked for is dropped. Confined
+ * to the event loop of its connection.
+ */
 final class BodyReception {
     private static final int FIRST_CAPACITY = 256;
     private static final byte[] EMPTY = {};
@@ -17,6 +20,7 @@
     private final Promise<ReceivedBody> promise = Promise.promise();
     private byte[] collected = EMPTY;
     private int length;
+    private boolean wanted;
 
     BodyReception(CallerLimiter limiter, CallerAccount account, ConnectionUse use) {
         this.limiter = limiter;
@@ -24,8 +28,9 @@
         this.use = use;
     }
 
-    /** Returns the body once it is complete; fails if the connection is closed before. */
+    /** Returns the body once it is complete; fails if the connection is closed before. Must be called before any part. */
     Future<ReceivedBody> future() {
+        wanted = true;
         return promise.future();
     }
 
@@ -37,7 +42,7 @@
             limiter.execute(account.refuse(use, Refusal.BODY_TOO_LARGE));
             return;
         }
-        if (needed > collected.length) {
+        if (wanted && needed > collected.length) {
             int capacity = Math.min(maxBytes, Math.max(FIRST_CAPACITY, Integer.highestOneBit(needed - 1) << 1));
             limiter.execute(account.holdBody(use, capacity - collected.length, limiter.nanos()));
             if (use.closing) {
@@ -45,11 +50,16 @@
             }
             collected = Arrays.copyOf(collected, capacity);
         }
-        part.readBytes(collected, length, needed - length);
+        if (wanted) {
+            part.readBytes(collected, length, needed - length);
+        }
         length = needed;
     }
 
     void complete() {
+        if (!wanted) {
+            return;
+        }
         byte[] body = length == collected.length ? collected : Arrays.copyOf(collected, length);
         collected = EMPTY;
         promise.tryComplete(new ReceivedBody(body, account.detachBody(use), account));
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerLimiter.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerLimiter.java
@@ -26,7 +26,6 @@
 
 /** Applies the limits for callers to an HTTP server, as its handler of new connections. Thread-safe. */
 public final class CallerLimiter implements Handler<HttpConnection> {
-    private static final int CHECK_INTERVAL_MILLIS = 250;
     private static final long LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(10);
     private static final AttributeKey<ConnectionGuard> GUARD = AttributeKey.valueOf("knapweedmount-connection-guard");
 
@@ -57,9 +56,10 @@
      * Starts to close connections whose requests make no progress.
      *
      * @param vertx runs the timer
+     * @param intervalMillis the time between checks, in ms
      */
-    public void start(Vertx vertx) {
-        vertx.setPeriodic(CHECK_INTERVAL_MILLIS, timer -> check());
+    public void start(Vertx vertx, int intervalMillis) {
+        vertx.setPeriodic(intervalMillis, timer -> check());
     }
 
     private void check() {
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerLimits.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerLimits.java
@@ -12,6 +12,10 @@
     public static final CallerLimits DEFAULT =
             new CallerLimits(RequestLimits.DEFAULT, ConnectionBounds.DEFAULT, MemoryBounds.DEFAULT);
 
+    /** Limits of a server that only processes of the site call, such as a load balancer or a worker. */
+    public static final CallerLimits INTERNAL = new CallerLimits(
+            RequestLimits.DEFAULT, new ConnectionBounds(32, 24), new MemoryBounds(4_000_000, 3_000_000, 600_000));
+
     /**
      * Returns these limits with those of a configuration in place of the own ones.
      *
