Refuse JSON that is nested more deeply than the stack bears

A caller got no answer, and its request stayed open, if its job was nested deeply: the event loop ran into the end of its stack. Cause: nested values are read recursively; the parser allows 1,000 levels, and the threads of the prepared VMs have a stack of 256 KiB. Change: 64 levels, for all JSON that a process reads; such a job is malformed and gets 400 at once.

--- a/daemon/src/main/java/org/knapweedmount/daemon/json/JsonTrees.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/json/JsonTrees.java
@@ -9,6 +9,7 @@
 import com.fasterxml.jackson.core.JsonParseException;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -22,9 +23,16 @@
  * process starts.
  */
 public final class JsonTrees {
-    private static final JsonFactory STRICT = new JsonFactory();
-    private static final JsonFactory WITH_COMMENTS =
-            JsonFactory.builder().enable(JsonReadFeature.ALLOW_JAVA_COMMENTS).build();
+    /** Nested values are read recursively, and the threads of the prepared VMs have a stack of 256 KiB. */
+    private static final StreamReadConstraints CONSTRAINTS =
+            StreamReadConstraints.builder().maxNestingDepth(64).build();
+
+    private static final JsonFactory STRICT =
+            JsonFactory.builder().streamReadConstraints(CONSTRAINTS).build();
+    private static final JsonFactory WITH_COMMENTS = JsonFactory.builder()
+            .streamReadConstraints(CONSTRAINTS)
+            .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+            .build();
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
     private static final int INITIAL_BUFFER_BYTES = 512;
 
@@ -35,7 +43,7 @@
      *
      * @param json the document, in UTF-8
      * @return the root of the tree
-     * @throws IOException if the document is empty or malformed, or content follows it
+     * @throws IOException if the document is empty or malformed, is nested too deeply, or content follows it
      */
     public static JsonNode read(byte[] json) throws IOException {
         try (JsonParser parser = STRICT.createParser(json)) {
