Refuse a job for the number of its tasks before they are set up

Callers got no answers for most of a second, and the entry was short of heap, when a job said that it had a million tasks. Cause: the tasks of a job were set up before its admission was decided, and neither their number nor the sum over all jobs was bounded: the admission weighs estimated work, which a job may state as next to nothing.

--- a/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/Dispatcher.java
@@ -69,7 +69,7 @@
      *
      * @param output the receiver of decisions
      * @param access the data centres of agents, and which of them are closed
-     * @param settings what the operator sets for the placement of runs
+     * @param settings what the operator sets for the admission of jobs and the placement of runs
      */
     public Dispatcher(DispatchOutput output, DataCentreAccess access, DispatchSettings settings) {
         this.output = output;
@@ -82,7 +82,7 @@
         this.answers = new JobAnswers(output, events);
         this.stopOrders = new StopOrders(output, events);
         this.cancels = new JobCancels(output);
-        this.admission = new JobAdmission(output, workers, jobs, maxCapacity);
+        this.admission = new JobAdmission(output, workers, jobs, maxCapacity, settings);
         RunCosts costs = new RunCosts(durations, workers, settings);
         DecisionExplainer explainer =
                 new DecisionExplainer(workers, jobs, durations, costs, admission, drain, ownership);
@@ -122,6 +122,11 @@
             refuse(read, Drain.notRun(), nowNanos);
             return;
         }
+        Optional<JobResult> tooLarge = admission.sizeRefusal(request, waitingRequests.taskCount());
+        if (tooLarge.isPresent()) {
+            refuse(read, tooLarge.get(), nowNanos);
+            return;
+        }
         if (isHoldingRequests(nowNanos)) {
             events.held(request.id(), heldRequests.isHolding(nowNanos) ? WaitReason.STALL : WaitReason.START, nowNanos);
             heldRequests.hold(read);
--- a/core/src/main/java/org/knapweedmount/core/dispatch/HeldRequests.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/HeldRequests.java
@@ -65,6 +65,13 @@
                 .toList();
     }
 
+    /** Returns the number of tasks of all requests. */
+    long taskCount() {
+        return requests.values().stream()
+                .mapToLong(waiting -> waiting.request().taskCount())
+                .sum();
+    }
+
     boolean isEmpty() {
         return requests.isEmpty();
     }
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobAdmission.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobAdmission.java
@@ -14,17 +14,36 @@
     private final WorkerViews workers;
     private final JobTable jobs;
     private final Map<String, Resources> maxCapacity;
+    private final DispatchSettings settings;
 
     /**
      * Creates a rule for an entry.
      *
      * @param maxCapacity the capacity of the largest worker of each service
+     * @param settings the limits on tasks
      */
-    JobAdmission(DispatchOutput output, WorkerViews workers, JobTable jobs, Map<String, Resources> maxCapacity) {
+    JobAdmission(
+            DispatchOutput output,
+            WorkerViews workers,
+            JobTable jobs,
+            Map<String, Resources> maxCapacity,
+            DispatchSettings settings) {
         this.output = output;
         this.workers = workers;
         this.jobs = jobs;
         this.maxCapacity = maxCapacity;
+        this.settings = settings;
+    }
+
+    /**
+     * Returns the answer to a job that is refused for its size, empty if it is not or if the job is held already.
+     *
+     * @param waitingTasks the number of tasks of the requests that are not admitted yet
+     */
+    Optional<JobResult> sizeRefusal(JobRequest request, long waitingTasks) {
+        return jobs.find(request.id()).isPresent()
+                ? Optional.empty()
+                : JobSizeRule.refusal(request, jobs.taskCount() + waitingTasks, settings);
     }
 
     /** Returns the answer to a job that is not queued, empty if it is. */
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobOwnership.java
@@ -389,6 +389,13 @@
                 .toList();
     }
 
+    /** Returns the number of tasks of the jobs whose requests wait. */
+    long awaitedTaskCount() {
+        return waitingRequests.values().stream()
+                .mapToLong(waiting -> waiting.request().taskCount())
+                .sum();
+    }
+
     /** Records that a job is held here. */
     void held(String job, long submittedNanos) {
         claims.add(job, submittedNanos);
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobRequest.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobRequest.java
@@ -19,6 +19,11 @@
         steps = List.copyOf(steps);
     }
 
+    /** Returns the number of tasks of all steps. */
+    long taskCount() {
+        return steps.stream().mapToLong(JobStep::count).sum();
+    }
+
     /**
      * Returns this request with a deadline no later than a given time.
      *
--- a/core/src/main/java/org/knapweedmount/core/dispatch/JobTable.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/JobTable.java
@@ -18,11 +18,13 @@
 
     private final RecentQueues recentQueues = new RecentQueues();
     private int highestLostRun;
+    private long taskCount;
 
     /** Adds a job; its runs are numbered above all lost ones, whose results may still arrive. */
     void add(TrackedJob job) {
         job.tasks().forEach(task -> task.skipRunNumbers(highestLostRun));
         jobs.put(job.id(), job);
+        taskCount += job.tasks().size();
         WorkQueue queue = job.request().queue();
         job.countIn(loads.computeIfAbsent(queue.service(), service -> new LinkedHashMap<>())
                 .computeIfAbsent(queue.name(), name -> new QueueLoad()));
@@ -39,7 +41,14 @@
 
     /** Removes a job; returns false if it was not present. */
     boolean remove(TrackedJob job) {
-        return jobs.remove(job.id()) != null;
+        boolean removed = jobs.remove(job.id()) != null;
+        taskCount -= removed ? job.tasks().size() : 0;
+        return removed;
+    }
+
+    /** Returns the number of tasks of all jobs. */
+    long taskCount() {
+        return taskCount;
     }
 
     Optional<TrackedJob> find(String id) {
--- a/core/src/main/java/org/knapweedmount/core/dispatch/WaitingRequests.java
+++ b/core/src/main/java/org/knapweedmount/core/dispatch/WaitingRequests.java
@@ -29,6 +29,11 @@
                 || ExpiryRule.hasWaitedTooLong(waiting, durations.criticalPathMillis(waiting.request()), nowNanos));
     }
 
+    /** Returns the number of tasks of all waiting requests. */
+    long taskCount() {
+        return ownership.awaitedTaskCount() + heldRequests.taskCount();
+    }
+
     private List<String> matching(Predicate<WaitingRequest> condition) {
         List<String> waiting = new ArrayList<>(ownership.awaited(condition));
         waiting.addAll(heldRequests.matching(condition));
