--- a/core/src/test/java/org/knapweedmount/core/dispatch/JobSizeRuleTest.java
+++ b/core/src/test/java/org/knapweedmount/core/dispatch/JobSizeRuleTest.java
@@ -39,6 +39,21 @@
         assertThat(fixture.answers(JOB), contains(JobResult.Kind.NOT_RUN));
     }
 
+    // A job was admitted whose orders no link carries, and waited until its caller had left.
+    @Test
+    void jobWithATextThatNoLinkCarriesFailsAtOnce() {
+        JobRequest request = DispatchFixture.request(JOB, DispatchFixture.step(1, 1, 1));
+        dispatcher.submit(withSpec("0123456789", request, "ü".repeat(8_192)), 0);
+        dispatcher.submit(withSpec(JOB, request, "ü".repeat(8_192) + "x"), 0);
+
+        assertThat(fixture.answers("0123456789"), is(empty()));
+        assertThat(fixture.answers(JOB), contains(JobResult.Kind.FAILED));
+    }
+
+    private static JobRequest withSpec(String id, JobRequest request, String spec) {
+        return new JobRequest(id, request.queue(), spec, request.steps(), request.deadlineNanos());
+    }
+
     // The tasks of a job that is submitted again count once.
     @Test
     void jobThatIsSubmittedAgainIsNotRefusedForItsOwnTasks() {
