Decode nothing while closed connections still hold what makes up the bound

Cause: the account gave a connection's memory back when it decided to close it, but the connection is closed after all sockets of the turn were read; since each connection is read in a turn with up to 8 KiB, one turn could decode several times the bound. Change: what closing connections hold is counted until it is given back; while it makes up the bound with the rest, reads are kept undecoded and go on in turns. A refused request is dropped at once with its decoder, and a connection only stays open for its response if the head that the server keeps is small: 50 such heads of short lines took 26 MB.

--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerAccount.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerAccount.java
@@ -32,6 +32,9 @@
     private volatile CallerLimits limits;
     private long heldBytes;
     private int closingConnections;
+    /** What connections that are to be closed still hold. */
+    private long closingBytes;
+
     private int receivingConnections;
 
     /** What the connections of an address hold. */
@@ -88,6 +91,21 @@
         return receivingConnections;
     }
 
+    /**
+     * Returns whether nothing should be decoded at present, as connections that are to be closed still hold what makes up
+     * the bound of the process; they are closed within a turn of the event loop.
+     */
+    synchronized boolean isFull() {
+        return heldBytes + closingBytes > limits.memory().maxHeldBytes();
+    }
+
+    /** Records that a connection that is to be closed holds nothing but a given number of bytes any more. */
+    synchronized void dropped(ConnectionUse use, long leftBytes) {
+        long left = Math.min(leftBytes, use.closingBytes);
+        closingBytes -= use.closingBytes - left;
+        use.closingBytes = left;
+    }
+
     /** Records a new connection. */
     synchronized Opened open(String address, Consumer<Refusal> closer, long nowNanos) {
         ConnectionUse opened = new ConnectionUse(address, closer, nowNanos);
@@ -122,6 +140,8 @@
             leavePhase(use);
             use.closing = true;
             closingConnections++;
+            use.closingBytes = use.heldBytes();
+            closingBytes += use.closingBytes;
             hold(use, -use.heldBytes());
             use.clearHeldBytes();
             closings.add(new Closing(use, reason));
@@ -154,6 +174,7 @@
             leavePhase(use);
         }
         hold(use, -use.heldBytes());
+        closingBytes -= use.closingBytes;
         use.closing = true;
         AddressUse ofAddress = addresses.get(use.address);
         ofAddress.connections--;
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/ConnectionGuard.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/ConnectionGuard.java
@@ -37,6 +37,7 @@
     private static final int ANSWER_BYTES = 512; // of a response besides its body, outside the heap
     private static final int LINGER_MILLIS = 500;
     private static final int MAX_LINGERING = 50; // of all connections, as each has a descriptor
+    private static final int MAX_LINGERING_BYTES = 32 * 1_024; // of each, as the server keeps the head
 
     private final CallerLimiter limiter;
     private final CallerAccount account;
@@ -44,6 +45,7 @@
     private final ConnectionUse use;
     private final RequestGate gate;
     private BodyReception body;
+    private int headMemoryBytes;
     private boolean responseBegun;
     private boolean refused;
 
@@ -81,7 +83,7 @@
             return;
         }
         refused = true;
-        body.fail(new IllegalStateException("the connection is closed: " + reason));
+        long leftBytes = dropRequest(reason);
         int own = use.phase == ConnectionUse.Phase.BODY ? 1 : 0;
         boolean silent = reason.status() == 0
                 || (use.phase == ConnectionUse.Phase.IDLE && reason != Refusal.SKIPPED_BYTES)
@@ -93,7 +95,9 @@
             return;
         }
         ByteBuf response = Unpooled.copiedBuffer(reason.response(), StandardCharsets.US_ASCII);
-        boolean lingering = reason.isLingering() && account.closingConnections() <= MAX_LINGERING;
+        boolean lingering = reason.isLingering()
+                && account.closingConnections() <= MAX_LINGERING
+                && leftBytes <= MAX_LINGERING_BYTES;
         ChannelHandlerContext first = channel.pipeline().firstContext();
         first.writeAndFlush(response).addListener((ChannelFutureListener) written -> {
             if (!written.isSuccess() || !lingering) {
@@ -108,6 +112,17 @@
         });
     }
 
+    /** Frees what is held for a request that is refused, except a head that the server has got; returns the rest, in bytes. */
+    private long dropRequest(Refusal reason) {
+        body.fail(new IllegalStateException("the connection is closed: " + reason));
+        if (channel.pipeline().get(HttpRequestDecoder.class) != null) {
+            channel.pipeline().remove(HttpRequestDecoder.class);
+        }
+        long leftBytes = use.phase == ConnectionUse.Phase.BODY ? headMemoryBytes : 0;
+        account.dropped(use, leftBytes);
+        return leftBytes;
+    }
+
     private void execute(List<Closing> closings) {
         limiter.execute(closings);
     }
@@ -151,7 +166,8 @@
         }
 
         private void headReceived(ChannelHandlerContext context, HttpRequest request) {
-            execute(account.headRead(use, gate.messageBytes(), gate.headMemoryBytes(), limiter.nanos()));
+            headMemoryBytes = gate.headMemoryBytes();
+            execute(account.headRead(use, gate.messageBytes(), headMemoryBytes, limiter.nanos()));
             if (!use.closing
                     && declaredLength(request) > account.limits().request().maxBodyBytes()) {
                 execute(account.refuse(use, Refusal.BODY_TOO_LARGE));
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/ConnectionUse.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/ConnectionUse.java
@@ -38,6 +38,9 @@
     /** The memory of what was received and does not make up a part of a request. */
     long undecodedBytes;
 
+    /** What it still holds although it is to be closed. */
+    long closingBytes;
+
     int skippedBytes;
     long phaseNanos;
     /** When the last byte arrived, or the connection was opened, in ns. */
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/RequestGate.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/RequestGate.java
@@ -7,9 +7,10 @@
 import io.netty.handler.codec.ByteToMessageDecoder;
 
 /**
- * Passes what is read to the decoder of requests as long as no whole request awaits its answer, and keeps one read until
- * then: requests that are decoded ahead take many times their bytes. While something is kept, the connection is not read,
- * and it goes on when it is its turn among the connections that keep something. Reports what is not decoded to the account.
+ * Passes what is read to the decoder of requests as long as no whole request awaits its answer and the account is not full,
+ * and keeps one read until then: what is decoded takes many times its bytes. While something is kept, the connection is not
+ * read, and it goes on when it is its turn among the connections that keep something. Reports what is not decoded to the
+ * account.
  *
  * <p>Confined to the event loop of the connection.
  */
@@ -63,8 +64,10 @@
             return;
         }
         if (use.awaitsAnswer() || kept.isReadable()) {
-            kept = Unpooled.copiedBuffer(kept, bytes);
-            bytes.release();
+            keep(bytes);
+        } else if (account.isFull()) {
+            keep(bytes);
+            resumeQueue.add(this);
         } else {
             decode(bytes);
         }
@@ -97,6 +100,11 @@
         bodyBytes += bytes;
     }
 
+    private void keep(ByteBuf bytes) {
+        kept = Unpooled.copiedBuffer(kept, bytes);
+        bytes.release();
+    }
+
     /** Lets the next request pass; called when the answer to a request is sent. */
     void answerSent() {
         if (!decoding && hasUndecoded()) {
@@ -109,6 +117,10 @@
         if (use.closing || use.awaitsAnswer()) {
             return;
         }
+        if (account.isFull()) {
+            resumeQueue.add(this);
+            return;
+        }
         ByteBuf next = kept;
         kept = Unpooled.EMPTY_BUFFER;
         decode(next);
@@ -160,7 +172,7 @@
         int linesBytes = MemoryBounds.linesBytes(consumedBytes, consumedLines);
         int memoryBytes = linesBytes + kept.capacity() + input.capacity();
         limiter.execute(account.undecoded(use, partialBytes, memoryBytes, limiter.nanos()));
-        if (use.awaitsAnswer() && hasUndecoded()) {
+        if (kept.isReadable() || (use.awaitsAnswer() && hasUndecoded())) {
             context.channel().config().setAutoRead(false);
         }
     }
--- a/daemon/src/test/java/org/knapweedmount/daemon/http/limits/CallerAccountTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/http/limits/CallerAccountTest.java
@@ -338,6 +338,22 @@
         assertThat(unread.closing, is(true));
     }
 
+    /** Connections that are to be closed hold their memory until they are, and others filled the heap meanwhile. */
+    @Test
+    void nothingIsDecodedWhileWhatIsClosedMakesUpTheBound() {
+        for (int i = 0; i < 9; i++) {
+            ConnectionUse use = account.open("10.0.0." + i, reason -> {}, now()).connection();
+            account.received(use, HEAD_BYTES, 0, now());
+            closings.addAll(account.undecoded(use, HEAD_BYTES, BODY_BYTES, now()));
+        }
+        assertThat(reasons(), is(not(empty())));
+        assertThat(account.isFull(), is(true));
+
+        account.dropped(closings.get(0).connection(), 0);
+        account.closed(closings.get(1).connection());
+        assertThat(account.isFull(), is(false));
+    }
+
     /** Limits of the configuration were ignored. */
     @Test
     void limitsOfTheConfigurationTakePrecedenceAndOthersStay() {
