Hold of a large head only what the server reads, and let large ones give way

Callers would be refused, each for what others hold, while jobs run whose heads consist of 3,000 short lines: such a head takes 500 KB until its job is answered, and a connection whose request is served was never closed under pressure, so that all others were. Cause: the whole head is kept, although the server reads the host and the deadline. Change: HeadFilter drops other fields from heads that take more than 8 KiB, which ordinary ones do not; under pressure a connection also gives way that holds more than 32 KiB while its request is served, as a configuration may allow larger heads.

--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerLimiter.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/CallerLimiter.java
@@ -30,6 +30,7 @@
     private static final AttributeKey<ConnectionGuard> GUARD = AttributeKey.valueOf("knapweedmount-connection-guard");
 
     private final NanoClock clock;
+    private final HeadFilter headFilter;
     private final CallerAccount account;
     private final Counters<Refusal> refusals = new Counters<>(Refusal.class);
     private final Map<EventLoop, ResumeQueue> resumeQueues = new ConcurrentHashMap<>();
@@ -44,9 +45,12 @@
      * @param clock the monotonic clock
      * @param paceAccepts true to accept connections only as fast as they are counted; for a server that reports each
      *     connection before it sends anything
+     * @param headersRead the names of the header fields that the server reads besides those of the protocol; others may be
+     *     missing
      */
-    public CallerLimiter(CallerLimits limits, NanoClock clock, boolean paceAccepts) {
+    public CallerLimiter(CallerLimits limits, NanoClock clock, boolean paceAccepts, List<String> headersRead) {
         this.clock = clock;
+        this.headFilter = new HeadFilter(headersRead);
         this.pacer = paceAccepts ? Optional.of(new AcceptPacer()) : Optional.empty();
         this.account = new CallerAccount(limits);
         this.loggedNanos = clock.nanos() - LOG_INTERVAL_NANOS;
@@ -163,4 +167,8 @@
     long nanos() {
         return clock.nanos();
     }
+
+    HeadFilter headFilter() {
+        return headFilter;
+    }
 }
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/ConnectionGuard.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/ConnectionGuard.java
@@ -166,7 +166,7 @@
         }
 
         private void headReceived(ChannelHandlerContext context, HttpRequest request) {
-            headMemoryBytes = gate.headMemoryBytes();
+            headMemoryBytes = limiter.headFilter().filter(request, gate.headMemoryBytes());
             execute(account.headRead(use, gate.messageBytes(), headMemoryBytes, limiter.nanos()));
             if (!use.closing
                     && declaredLength(request) > account.limits().request().maxBodyBytes()) {
--- a/daemon/src/main/java/org/knapweedmount/daemon/http/limits/ConnectionUse.java
+++ b/daemon/src/main/java/org/knapweedmount/daemon/http/limits/ConnectionUse.java
@@ -22,6 +22,9 @@
     /** The same for one that waits for its caller's next request, in ms. */
     private static final int MIN_IDLE_MILLIS = 10_000;
 
+    /** What a connection may hold while its request is served, without being closed under pressure, in bytes. */
+    private static final int MAX_EXECUTING_BYTES = 32 * 1_024;
+
     final String address;
     final Consumer<Refusal> closer;
     Phase phase = Phase.IDLE;
@@ -114,7 +117,8 @@
         long sinceNanos = isReceiving() ? lastReadNanos : phaseNanos;
         long stalledMillis = Math.max(0, TimeUnit.NANOSECONDS.toMillis(nowNanos - sinceNanos));
         boolean answerStalled = answerUnread && stalledMillis >= MIN_STALL_MILLIS;
-        if (closing || !(isReceiving() || answerStalled)) {
+        boolean large = heldBytes() > MAX_EXECUTING_BYTES;
+        if (closing || !(isReceiving() || answerStalled || large)) {
             return 0;
         }
         return (double) heldBytes() * (1 + stalledMillis);
--- a/daemon/src/test/java/org/knapweedmount/daemon/http/limits/CallerAccountTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/http/limits/CallerAccountTest.java
@@ -338,6 +338,26 @@
         assertThat(unread.closing, is(true));
     }
 
+    /** Heads that are held while their jobs run kept out all other callers, each of which was closed instead. */
+    @Test
+    void largeHeadsOfRunningJobsGiveWayToOrdinaryRequests() {
+        List<ConnectionUse> running = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            ConnectionUse use = open("10.0.0." + i);
+            running.add(use);
+            close(account.received(use, HEAD_BYTES, 0, now()));
+            close(account.headRead(use, HEAD_BYTES, 499_000, now()));
+            account.bodyEnded(use, now());
+        }
+        millis += 100;
+        ConnectionUse ordinary = open("10.0.1.1");
+        head(ordinary);
+        chunk(ordinary, 10_000);
+
+        assertThat(ordinary.closing, is(false));
+        assertThat(running.stream().filter(use -> use.closing).count(), is(1L));
+    }
+
     /** Connections that are to be closed hold their memory until they are, and others filled the heap meanwhile. */
     @Test
     void nothingIsDecodedWhileWhatIsClosedMakesUpTheBound() {
--- a/daemon/src/test/java/org/knapweedmount/daemon/http/limits/CallerLimiterTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/http/limits/CallerLimiterTest.java
@@ -1,5 +1,7 @@
 package org.knapweedmount.daemon.http.limits;
 
+import java.util.List;
+
 import org.junit.jupiter.api.Test;
 import org.knapweedmount.daemon.metrics.ProcessMetrics;
 
@@ -11,7 +13,7 @@
     @Test
     void metricsShowWhatIsHeldAndRefused() {
         ProcessMetrics metrics = new ProcessMetrics();
-        new CallerLimiter(CallerLimits.DEFAULT, () -> 0, false).register(metrics);
+        new CallerLimiter(CallerLimits.DEFAULT, () -> 0, false, List.of()).register(metrics);
 
         String text = metrics.scrape();
         assertThat(text, containsString("knapweedmount_callers_held_bytes 0"));
--- a/daemon/src/test/java/org/knapweedmount/daemon/http/limits/ConnectionGuardTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/http/limits/ConnectionGuardTest.java
@@ -11,6 +11,7 @@
 import io.netty.channel.MaxMessagesRecvByteBufAllocator;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -29,7 +30,8 @@
 
     private final AtomicInteger clockReads = new AtomicInteger();
     private final CallerAccount account = new CallerAccount(CallerLimits.DEFAULT);
-    private final CallerLimiter limiter = new CallerLimiter(CallerLimits.DEFAULT, clockReads::incrementAndGet, false);
+    private final CallerLimiter limiter =
+            new CallerLimiter(CallerLimits.DEFAULT, clockReads::incrementAndGet, false, List.of("X-Read"));
     private final List<Object> served = new ArrayList<>();
     private final EmbeddedChannel channel = new EmbeddedChannel(new HttpRequestDecoder());
 
@@ -69,6 +71,25 @@
         assertThat(((MaxMessagesRecvByteBufAllocator) allocator).maxMessagesPerRead(), is(1));
     }
 
+    /** A head was held with all its lines until its request was answered, though the server reads few of them. */
+    @Test
+    void linesOfALargeHeadThatTheServerDoesNotReadAreDropped() {
+        receive("GET /a HTTP/1.1\r\nHost: a\r\n" + "a:b\r\n".repeat(1_000) + "X-Read: c\r\n\r\n");
+
+        HttpHeaders headers = ((HttpRequest) served.get(0)).headers();
+        assertThat(headers.get("Host"), is("a"));
+        assertThat(headers.get("X-Read"), is("c"));
+        assertThat(headers.size(), is(2));
+        assertThat(account.heldBytes(), is(lessThan(1_000L)));
+    }
+
+    @Test
+    void ordinaryHeadIsLeftAsItIs() {
+        receive("GET /a HTTP/1.1\r\nHost: a\r\nX-Other: c\r\n\r\n");
+
+        assertThat(((HttpRequest) served.get(0)).headers().get("X-Other"), is("c"));
+    }
+
     /** The server was to see a whole request although it does not get its body. */
     @Test
     void serverLearnsThatARequestHasEnded() {
--- a/daemon/src/test/java/org/knapweedmount/daemon/http/limits/RequestGateTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/http/limits/RequestGateTest.java
@@ -1,6 +1,7 @@
 package org.knapweedmount.daemon.http.limits;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -21,7 +22,7 @@
     private static final int HEAD_BYTES = GET.length();
 
     private final CallerAccount account = new CallerAccount(CallerLimits.DEFAULT);
-    private final CallerLimiter limiter = new CallerLimiter(CallerLimits.DEFAULT, () -> 0, false);
+    private final CallerLimiter limiter = new CallerLimiter(CallerLimits.DEFAULT, () -> 0, false, List.of());
     private final ConnectionUse use = account.open("10.0.0.1", reason -> {}, 0).connection();
     private final EmbeddedChannel loop = new EmbeddedChannel();
     private final ResumeQueue resumeQueue = new ResumeQueue(loop.eventLoop());
--- a/daemon/src/test/java/org/knapweedmount/daemon/http/limits/ResumeQueueTest.java
+++ b/daemon/src/test/java/org/knapweedmount/daemon/http/limits/ResumeQueueTest.java
@@ -1,6 +1,7 @@
 package org.knapweedmount.daemon.http.limits;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -23,7 +24,7 @@
     private static final String GET = "GET /a HTTP/1.1\r\n\r\n";
 
     private final CallerAccount account = new CallerAccount(CallerLimits.DEFAULT);
-    private final CallerLimiter limiter = new CallerLimiter(CallerLimits.DEFAULT, () -> 0, false);
+    private final CallerLimiter limiter = new CallerLimiter(CallerLimits.DEFAULT, () -> 0, false, List.of());
     private final EmbeddedChannel loop = new EmbeddedChannel();
     private final ResumeQueue queue = new ResumeQueue(loop.eventLoop());
     private int requests;
