--- a/review/standins-3/CaseCancel.java
+++ b/review/standins-3/CaseCancel.java
@@ -31,7 +31,7 @@
             steps.add(fields);
             cpus[step] = 1_600;
         }
-        String body = Json.write(Json.object("spec", "" + STEP_MILLIS, "bestEffort", true, "steps", steps));
+        String body = Json.write(Json.object("spec", "" + STEP_MILLIS, Names.NOT_STORED, true, "steps", steps));
         lab.expect(id, cpus);
         List<String> lateStarts = new ArrayList<>();
         AtomicLong acknowledged = new AtomicLong(-1);
--- a/review/standins-3/CaseForeignPing.java
+++ b/review/standins-3/CaseForeignPing.java
@@ -2,7 +2,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A ping of another writer lacks `coldLeftMs`, and names an executor with more room than it has. */
+/** A ping of another writer lacks the time until the executor is warm, and names an executor with more room than it has. */
 final class CaseForeignPing {
     private static final int FOREIGN_CPU = 4 * Worker.CPU;
     private static final int TASKS = 24;
@@ -29,14 +29,14 @@
         };
         if (Lab.trouble()) {
             send(lab, worker, "zone");
-            send(lab, worker, "coldLeftMs");
+            send(lab, worker, Names.WARM_UP);
         }
         Lab.sleep(1_000);
         String id = Harness.id();
         lab.expect(id, TASK_CPU);
         var step = Json.object(
                 "count", TASKS, "cpu", TASK_CPU, "memMb", 64, "estimateMs", TASK_MILLIS, "requires", "r1-1");
-        String body = Json.write(Json.object("spec", "" + TASK_MILLIS, "bestEffort", true, "steps", List.of(step)));
+        String body = Json.write(Json.object("spec", "" + TASK_MILLIS, Names.NOT_STORED, true, "steps", List.of(step)));
         Http.Answer answer = lab.submit(1, "/dues/" + id, body, 15_000, "");
         lab.log("most cpu in use on " + worker.id + ": " + mostCpu + " of " + Worker.CPU);
         if (mostCpu.get() == 0) {
--- a/review/standins-3/Lab.java
+++ b/review/standins-3/Lab.java
@@ -379,44 +379,45 @@
     }
 
     private synchronized Http.Answer handle(Http.Request request) throws InterruptedException {
-        switch (request.path) {
-            case "/api/rows-get" -> {
-                String from = request.query.getOrDefault("from", "");
-                String to = request.query.get("to");
-                int limit = Integer.parseInt(request.query.getOrDefault("limit", "500"));
-                List<Object> rows = new ArrayList<>();
-                boolean more = false;
-                for (Row row : tables.getOrDefault(request.query.get("table"), new TreeMap<>())
-                        .tailMap(from, true)
-                        .values()) {
-                    if (row.removed || (to != null && row.key.compareTo(to) >= 0)) {
-                        continue;
-                    }
-                    if (rows.size() == limit) {
-                        more = true;
-                        break;
-                    }
-                    rows.add(row.json());
-                }
-                return answer(200, rows, more);
+        if (request.path.equals(Names.STORE_READ)) {
+            return read(request);
+        }
+        if (request.path.equals(Names.STORE_FOLLOW)) {
+            return follow(request);
+        }
+        return request.path.equals(Names.STORE_WRITE) ? transact(request.json()) : new Http.Answer(404, "");
+    }
+
+    private Http.Answer read(Http.Request request) {
+        String from = request.query.getOrDefault("from", "");
+        String to = request.query.get("to");
+        int limit = Integer.parseInt(request.query.getOrDefault("limit", "500"));
+        List<Object> rows = new ArrayList<>();
+        boolean more = false;
+        for (Row row : tables.getOrDefault(request.query.get("table"), new TreeMap<>())
+                .tailMap(from, true)
+                .values()) {
+            if (row.removed || (to != null && row.key.compareTo(to) >= 0)) {
+                continue;
             }
-            case "/api/rows-feed" -> {
-                long after = Long.parseLong(request.query.get("after"));
-                long endNanos = System.nanoTime() + Long.parseLong(request.query.get("waitMs")) * 1_000_000;
-                List<Object> rows = changed(request.query.get("table"), after);
-                while (rows.isEmpty() && endNanos - System.nanoTime() > 0) {
-                    wait(Math.max(1, (endNanos - System.nanoTime()) / 1_000_000));
-                    rows = changed(request.query.get("table"), after);
-                }
-                return answer(200, rows, false);
-            }
-            case "/api/rows-tx" -> {
-                return transact(request.json());
-            }
-            default -> {
-                return new Http.Answer(404, "");
+            if (rows.size() == limit) {
+                more = true;
+                break;
             }
+            rows.add(row.json());
         }
+        return answer(200, rows, more);
+    }
+
+    private Http.Answer follow(Http.Request request) throws InterruptedException {
+        long after = Long.parseLong(request.query.get("after"));
+        long endNanos = System.nanoTime() + Long.parseLong(request.query.get("waitMs")) * 1_000_000;
+        List<Object> rows = changed(request.query.get("table"), after);
+        while (rows.isEmpty() && endNanos - System.nanoTime() > 0) {
+            wait(Math.max(1, (endNanos - System.nanoTime()) / 1_000_000));
+            rows = changed(request.query.get("table"), after);
+        }
+        return answer(200, rows, false);
     }
 
     private List<Object> changed(String table, long after) {
@@ -644,17 +645,18 @@
             return new Http.Answer(421, "");
         }
         Map<String, Object> call = request.json();
-        long token = Json.number(call.getOrDefault("fenceToken", 0L));
+        long token = Json.number(call.getOrDefault(Names.TOKEN, 0L));
         if (token < fence) {
             return conflict("fence");
         }
         fence = token;
-        return switch (request.path) {
-            case "/api/run-start" -> start(call);
-            case "/api/run-stop" -> stop(call);
-            case "/api/hold" -> hold(call);
-            default -> new Http.Answer(404, "");
-        };
+        if (request.path.equals(Names.WORKER_START)) {
+            return start(call);
+        }
+        if (request.path.equals(Names.WORKER_STOP)) {
+            return stop(call);
+        }
+        return request.path.equals(Names.WORKER_LIST) ? list(call) : new Http.Answer(404, "");
     }
 
     private Http.Answer conflict(String reason) {
@@ -714,9 +716,9 @@
         return confirmed();
     }
 
-    private Http.Answer hold(Map<String, Object> call) throws InterruptedException {
+    private Http.Answer list(Map<String, Object> call) throws InterruptedException {
         extend(call.get("untilMs"));
-        ends.headMap(Json.number(call.getOrDefault("ackCursor", 0L)), true).clear();
+        ends.headMap(Json.number(call.getOrDefault(Names.ACKNOWLEDGED, 0L)), true).clear();
         long endNanos = System.nanoTime() + Json.number(call.getOrDefault("waitMs", 0L)) * 1_000_000;
         long life = born;
         while (ends.isEmpty() && alive && born == life && endNanos - System.nanoTime() > 0) {
@@ -775,7 +777,7 @@
                 "version", "v1",
                 "slots", 8,
                 "state", state,
-                "coldLeftMs", 0,
+                Names.WARM_UP, 0,
                 "capacity", Json.object("cpu", CPU, "memMb", 32_768, "gpu", 0),
                 "labels", List.of("a", "r1-" + this.number),
                 "clockMs", clock(),
